The whole path, thin: entries, agents, stand-ins and the operators' command line

One configuration value under conditional writes gives one order of accepted changes. Agents fetch chunks by a leaderless swarm, give the engine fenced orders, and run requests that entries send them. make demo runs all of it as separate processes.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,196 @@
+// Package agent is the small process beside each endpoint. It fetches the
+// weights that the plan assigns to its VM, gives them on to other agents, is
+// the one place from which the engine gets orders, and runs the requests that
+// entries send.
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/admission"
+	"github.com/silverdeck/silverdeck/drain"
+	"github.com/silverdeck/silverdeck/engine"
+	"github.com/silverdeck/silverdeck/exchange"
+	"github.com/silverdeck/silverdeck/hop"
+	"github.com/silverdeck/silverdeck/origin"
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/secure"
+	"github.com/silverdeck/silverdeck/settings"
+	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/telemetry"
+	"github.com/silverdeck/silverdeck/weights"
+)
+
+// errLeaving tells that the agent takes no new work.
+var errLeaving = errors.New("agent: leaving")
+
+// Agent is the process's state. It is safe for concurrent use.
+type Agent struct {
+	cfg      *settings.Agent
+	log      *log.Logger
+	registry metrics.Registry
+	pool     *peer.Pool
+	holder   *holder
+	loader   *loader
+	reporter *reporter
+	runner   *runner
+	server   *http.Server
+	observe  *http.Server
+	stop     context.CancelFunc
+
+	leaving atomic.Bool
+	drained atomic.Bool
+}
+
+// New returns an Agent that does nothing until Start.
+func New(cfg *settings.Agent, l *log.Logger, tracer *telemetry.Tracer, registry metrics.Registry) (*Agent, error) {
+	d, err := secure.NewDialer(cfg.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	plain, err := secure.NewDialer(settings.TLS{})
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{cfg: cfg, log: l, registry: registry, pool: peer.NewPool(d), holder: newHolder(cfg.HoldBytes)}
+	gate := admission.NewGate(admission.Config{Slots: cfg.Slots, UrgentSlots: cfg.UrgentSlots, Queue: cfg.Queue})
+	a.loader = &loader{
+		self:     swarm.Member{VM: cfg.VM, Addr: cfg.Peer, Zone: cfg.Zone, Region: cfg.Region},
+		plain:    cfg.Plain,
+		holder:   a.holder,
+		fence:    newFence(engine.NewClient(cfg.Engine, plain.HTTPClient())),
+		exchange: exchange.NewClient(a.pool, d.HTTPClient(), d.Scheme()),
+		origin:   origin.NewClient(cfg.Origin, plain.HTTPClient()),
+		homes:    a.homes,
+		engineAt: d.Scheme() + "://" + cfg.Peer,
+		log:      l,
+		tasks:    map[weights.Digest]*task{},
+		wake:     make(chan struct{}, 1),
+	}
+	a.reporter = &reporter{
+		pool:        a.pool,
+		seeds:       cfg.Entries,
+		fill:        a.fill,
+		apply:       a.apply,
+		log:         l,
+		incarnation: uint64(time.Now().UnixNano()),
+		wake:        make(chan struct{}, 1),
+	}
+	a.runner = &runner{
+		engine:  cfg.Engine,
+		http:    plain.HTTPClient(),
+		gate:    gate,
+		slots:   cfg.Slots,
+		serves:  a.loader.serves,
+		tracer:  tracer,
+		running: drain.NewTracker(),
+	}
+	return a, a.buildServers()
+}
+
+func (a *Agent) buildServers() error {
+	ex := exchange.NewServer(a.holder, a.cfg.UploadSlots)
+	rpcHandler, err := peer.NewRPCHandler(map[string]any{exchange.Service: ex})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, rpcHandler)
+	mux.Handle(hop.RunPrefix+"/", a.runner)
+	ex.Register(mux)
+	a.server = secure.NewServer(mux)
+	a.observe = secure.NewServer(telemetry.NewObserveHandler(a.registry, a))
+	return nil
+}
+
+// Start listens and begins to report and to reconcile.
+func (a *Agent) Start(context.Context) error {
+	l, err := secure.Listen(a.cfg.Peer, a.cfg.PeerTLS, true)
+	if err != nil {
+		return err
+	}
+	o, err := net.Listen("tcp", a.cfg.Telemetry.Observe)
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	go func() { _ = a.server.Serve(l) }()
+	go func() { _ = a.observe.Serve(o) }()
+	go a.reporter.run(ctx)
+	go a.loader.run(ctx)
+	a.log.Info("agent started", "peer", a.cfg.Peer, "engine", a.cfg.Engine)
+	return nil
+}
+
+// Stop is a planned stop: no new work from now on, and none in progress cut.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.leaving.Store(true)
+	a.runner.gate.Close()
+	a.reporter.now()
+	if err := a.runner.running.Wait(ctx); err != nil {
+		a.log.Error("stop: requests still in progress are cut", "running", a.runner.running.Count())
+	}
+	a.stop()
+	a.pool.Close()
+	_ = a.observe.Close()
+	return a.server.Close()
+}
+
+func (a *Agent) homes() []string {
+	return a.reporter.homeList()
+}
+
+// fill completes a report.
+func (a *Agent) fill(r *peer.Report) {
+	r.VM, r.Addr, r.Zone, r.Region = a.cfg.VM, a.cfg.Peer, a.cfg.Zone, a.cfg.Region
+	r.State = peer.StateServing
+	if a.leaving.Load() || a.drained.Load() {
+		r.State = peer.StateLeaving
+	}
+	r.Revision, r.Loaded, r.Progress = a.loader.status()
+	r.Load = a.runner.load()
+}
+
+// apply carries out a directive.
+func (a *Agent) apply(d peer.Directive) {
+	a.loader.apply(d)
+	if a.drained.Swap(d.Drained) == d.Drained {
+		return
+	}
+	if d.Drained {
+		a.runner.gate.Close()
+	} else if !a.leaving.Load() {
+		a.runner.gate.Open()
+	}
+	a.reporter.now()
+}
+
+// Ready implements telemetry.Observed.
+func (a *Agent) Ready() error {
+	if a.leaving.Load() {
+		return errLeaving
+	}
+	return nil
+}
+
+// State implements telemetry.Observed.
+func (a *Agent) State() any {
+	var r peer.Report
+	a.fill(&r)
+	return struct {
+		Report peer.Report `json:"report"`
+		Fence  int64       `json:"fence"`
+		Homes  []string    `json:"homes"`
+		Cut    int64       `json:"answersCut"`
+	}{r, a.loader.fence.at(), a.homes(), a.runner.cut.Load()}
+}
--- /dev/null
+++ b/agent/fence.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/silverdeck/silverdeck/engine"
+)
+
+// FenceError tells that an order was not given because of its epoch.
+type FenceError struct {
+	Order, Fence int64
+	// Unknown is set while the agent has not learned the fence yet.
+	Unknown bool
+}
+
+// Error names both epochs.
+func (e *FenceError) Error() string {
+	if e.Unknown {
+		return "agent: the epoch in force is not known yet"
+	}
+	return fmt.Sprintf("agent: order of epoch %d, the fence is at %d", e.Order, e.Fence)
+}
+
+// fence is the one place from which the engine on this VM gets orders. It
+// gives none of a lower epoch than it has seen anywhere, whether or not the
+// engine checks the same; and none before it has learned what was in force.
+// Orders go one at a time.
+//
+// Spec step: fence.pml, "order" and "learn".
+type fence struct {
+	engine engine.Engine
+
+	mu      sync.Mutex
+	epoch   int64
+	learned bool
+}
+
+func newFence(e engine.Engine) *fence {
+	return &fence{engine: e}
+}
+
+// learn raises the fence to an epoch that was seen somewhere.
+func (f *fence) learn(epoch int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch = max(f.epoch, epoch)
+}
+
+// learnEngine raises the fence to the engine's own epoch and returns the
+// engine's state. Until it has succeeded once, order refuses everything.
+func (f *fence) learnEngine(ctx context.Context) (engine.State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, err := f.engine.State(ctx)
+	if err != nil {
+		return s, err
+	}
+	f.epoch = max(f.epoch, s.Epoch)
+	f.learned = true
+	return s, nil
+}
+
+// order gives o to the engine unless the fence forbids it. It holds the fence
+// until the engine has answered, so that no older order can follow a newer one
+// to an engine that does not check.
+func (f *fence) order(ctx context.Context, o engine.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.learned {
+		return &FenceError{Order: o.Epoch, Unknown: true}
+	}
+	if o.Epoch < f.epoch {
+		return &FenceError{Order: o.Epoch, Fence: f.epoch}
+	}
+	f.epoch = o.Epoch
+	return f.engine.Order(ctx, o)
+}
+
+// at returns the fence's epoch.
+func (f *fence) at() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.epoch
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/silverdeck/silverdeck/admission"
+	"github.com/silverdeck/silverdeck/drain"
+	"github.com/silverdeck/silverdeck/hop"
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/telemetry"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// maxRequestBody is the largest request that an agent takes, in bytes.
+const maxRequestBody = 64 << 20
+
+// priorities are what engines know of the classes; lower is sooner.
+var priorities = map[string]string{"urgent": "0", "normal": "5", "bulk": "9"}
+
+// runner runs requests on the endpoint, each at most once.
+type runner struct {
+	engine  string
+	http    *http.Client
+	gate    *admission.Gate
+	slots   int
+	serves  func(model, adapter, root string) bool
+	tracer  *telemetry.Tracer
+	running *drain.Tracker
+	cut     atomic.Int64
+}
+
+// load returns what the endpoint has to do.
+func (r *runner) load() peer.Load {
+	c := r.gate.Counts()
+	return peer.Load{Running: c.Running, Queued: c.Queued, Slots: r.slots}
+}
+
+// ServeHTTP takes a request from an entry.
+func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.running.Enter()
+	defer r.running.Leave()
+	meta, err := hop.ParseMeta(q.Header)
+	if err == nil {
+		err = r.serve(w, q, meta)
+	}
+	if err != nil {
+		w.Header().Set(hop.HeaderAttempt, meta.Attempt)
+		w.Header().Set(hop.HeaderLoad, hop.FormatLoad(r.load()))
+		hop.WriteError(w, verdict.From(err))
+	}
+}
+
+// serve runs the request. It returns an error only before the answer began.
+func (r *runner) serve(w http.ResponseWriter, q *http.Request, meta hop.Meta) error {
+	ctx, span := r.tracer.Receive(q.Context(), q.Header, "agent.run", attribute.String("request", meta.Request))
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, meta.Budget)
+	defer cancel()
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxRequestBody))
+	if err != nil {
+		return verdict.NewError(verdict.NotRun, verdict.CodeBadRequest, "the request's body did not arrive whole").Because(err)
+	}
+	release, err := r.gate.Acquire(ctx, admission.Request{Class: meta.Class, Account: meta.Account, Share: meta.Share, Cost: meta.Cost})
+	if err != nil {
+		return err
+	}
+	defer release()
+	if meta.Model != "" && !r.serves(meta.Model, meta.Adapter, meta.Root) {
+		return verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "the endpoint does not serve this version")
+	}
+	resp, err := r.send(ctx, q, meta, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r.relay(w, resp, meta)
+	return nil
+}
+
+// send passes the request to the engine and waits for the head of the answer.
+func (r *runner) send(ctx context.Context, q *http.Request, meta hop.Meta, body []byte) (*http.Response, error) {
+	path := strings.TrimPrefix(q.URL.RequestURI(), hop.RunPrefix)
+	ctx, progress := hop.Track(ctx)
+	out, err := http.NewRequestWithContext(ctx, q.Method, r.engine+path, hop.OnceBody(body))
+	if err != nil {
+		return nil, verdict.NewError(verdict.NotRun, verdict.CodeBadRequest, "bad path").Because(err)
+	}
+	out.ContentLength = int64(len(body))
+	hop.CopyHeader(out.Header, q.Header)
+	out.Header.Set("X-Request-Id", meta.Attempt)
+	out.Header.Set("X-Priority", priorities[string(meta.Class)])
+	_, span := r.tracer.Send(ctx, out.Header, "engine.request")
+	defer span.End()
+	resp, err := r.http.Do(out)
+	if err != nil {
+		return nil, verdict.Classify(progress.At(), err)
+	}
+	if refused := refusal(resp); refused != nil {
+		_ = resp.Body.Close()
+		return nil, refused
+	}
+	return resp, nil
+}
+
+// refusal returns the engine's own refusal to run a request, or nil. By the
+// engines' protocol 429 and 503 come before anything has run.
+func refusal(resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return verdict.NewError(verdict.NotRun, verdict.CodeOverloaded, "the engine refused: %s", resp.Status)
+	}
+	return nil
+}
+
+// errCut tells that the engine's answer ended before its end.
+var errCut = errors.New("agent: the engine's answer was cut")
+
+// relay passes the engine's answer on, with the end mark if it is whole. A cut
+// answer ends in an aborted connection, so that nobody takes it for whole.
+func (r *runner) relay(w http.ResponseWriter, resp *http.Response, meta hop.Meta) {
+	h := w.Header()
+	hop.CopyHeader(h, resp.Header)
+	h.Del("Content-Length")
+	h.Set(hop.HeaderAttempt, meta.Attempt)
+	h.Set(hop.HeaderLoad, hop.FormatLoad(r.load()))
+	hop.Declare(h)
+	w.WriteHeader(resp.StatusCode)
+	mark := hop.NewEndMark()
+	var err error
+	if hop.IsStream(resp.Header) {
+		err = copyStream(w, resp.Body, mark)
+	} else {
+		_, err = io.Copy(io.MultiWriter(w, mark), resp.Body)
+	}
+	if err != nil {
+		r.cut.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	mark.SetTrailers(h)
+}
+
+// copyStream passes server-sent events on, each as it comes. A stream that
+// ends without its last event is cut.
+func copyStream(w http.ResponseWriter, src io.Reader, mark io.Writer) error {
+	c := http.NewResponseController(w)
+	lines := bufio.NewReader(src)
+	done := false
+	for {
+		line, err := lines.ReadBytes('\n')
+		if len(line) > 0 {
+			if _, werr := io.MultiWriter(w, mark).Write(line); werr != nil {
+				return werr
+			}
+			done = done || hop.IsDone(line)
+		}
+		if len(bytes.TrimSpace(line)) == 0 || err != nil {
+			if ferr := c.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if err == io.EOF && done {
+			return nil
+		}
+		if err == io.EOF {
+			return errCut
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/caller/serve.go
@@ -0,0 +1,188 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/silverdeck/silverdeck/dispatch"
+	"github.com/silverdeck/silverdeck/hop"
+	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/ticket"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// serve runs a resolved request, by its ticket if it has or needs one.
+func (h *Handler) serve(c *gin.Context, r *dispatch.Request, spec *object.ServiceSpec) {
+	text := c.GetHeader(ticket.Header)
+	once := text != "" || c.GetHeader(HeaderRepeat) == RepeatNever
+	c.Header(HeaderRequestID, r.ID)
+	if !once {
+		h.respond(c, r, spec, c.Writer)
+		return
+	}
+	t := h.Ledger.Mint(r.Account.Name)
+	if text != "" {
+		var err error
+		if t, err = ticket.Parse(text); err != nil {
+			hop.WriteError(c.Writer, verdict.From(err))
+			return
+		}
+	}
+	c.Header(ticket.Header, t.String())
+	if !h.Ledger.Owns(t) && t.Addr != h.Ledger.Addr() && c.GetHeader(HeaderRelayed) == "" {
+		h.Relay.pass(c.Request.Context(), c.Writer, c.Request, r.Body, t.Addr)
+		return
+	}
+	h.serveOnce(c, r, spec, t)
+}
+
+// serveOnce runs a request with a ticket, or tells what became of it.
+func (h *Handler) serveOnce(c *gin.Context, r *dispatch.Request, spec *object.ServiceSpec, t ticket.Ticket) {
+	run, isNew, err := h.Ledger.Begin(t, r.Account.Name)
+	if err != nil {
+		hop.WriteError(c.Writer, verdict.From(err))
+		return
+	}
+	if isNew {
+		r.Repeatable = false
+		rec := &recorder{ResponseWriter: c.Writer}
+		outcome := &ticket.Outcome{Err: verdict.NewError(verdict.MayHaveRun, verdict.CodeCut, "the run ended early")}
+		defer func() { h.Ledger.Finish(run, outcome) }()
+		outcome = rec.outcome(h.respond(c, r, spec, rec))
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), timeout(spec))
+	defer cancel()
+	outcome, err := run.Wait(ctx)
+	if err != nil {
+		hop.WriteError(c.Writer, verdict.From(err))
+		return
+	}
+	replay(c.Writer, outcome)
+}
+
+// replay answers with what became of an earlier run.
+func replay(w http.ResponseWriter, o *ticket.Outcome) {
+	if o.Err != nil {
+		hop.WriteError(w, o.Err)
+		return
+	}
+	for k, v := range o.Header {
+		w.Header()[k] = v
+	}
+	w.Header().Set(verdict.Header, verdict.Ran.String())
+	w.Header().Set("Content-Length", strconv.Itoa(len(o.Body)))
+	w.WriteHeader(o.Status)
+	_, _ = w.Write(o.Body)
+}
+
+// respond dispatches r and answers on w. It returns the failure, if any.
+func (h *Handler) respond(c *gin.Context, r *dispatch.Request, spec *object.ServiceSpec, w http.ResponseWriter) *verdict.Error {
+	began := time.Now()
+	ctx, cancel := runContext(c, spec, w != http.ResponseWriter(c.Writer))
+	defer cancel()
+	ctx, span := h.Tracer.Receive(ctx, c.Request.Header, "entry.request",
+		attribute.String("request", r.ID), attribute.String("service", r.Service.Name), attribute.String("account", r.Account.Name))
+	defer span.End()
+	result, err := h.Dispatcher.Do(ctx, *r)
+	if err != nil {
+		e := verdict.From(err)
+		h.note(r, nil, e, began)
+		hop.WriteError(w, e)
+		return e
+	}
+	span.SetAttributes(attribute.String("endpoint", result.Choice.Endpoint.VM), attribute.String("why", result.Choice.Reason),
+		attribute.Int("candidates", result.Choice.Candidates), attribute.Int("attempts", result.Attempts))
+	err = h.answer(w, result)
+	_ = result.Body.Close()
+	result.Done(err)
+	var e *verdict.Error
+	if err != nil {
+		e = verdict.From(err)
+	}
+	h.note(r, result, e, began)
+	return e
+}
+
+// answer passes the answer on, whole or marked as cut.
+func (h *Handler) answer(w http.ResponseWriter, result *dispatch.Result) error {
+	header := w.Header()
+	for k, v := range result.Header {
+		header[k] = v
+	}
+	header.Set(HeaderEndpoint, result.Choice.Endpoint.VM)
+	header.Set(HeaderWhy, fmt.Sprintf("%s, of %d, attempt %d", result.Choice.Reason, result.Choice.Candidates, result.Attempts))
+	if hop.IsStream(result.Header) {
+		w.WriteHeader(result.Status)
+		return stream(w, result.Body)
+	}
+	b, err := io.ReadAll(io.LimitReader(result.Body, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = verdict.NewError(verdict.Ran, verdict.CodeEngine, "the answer is larger than %d bytes", maxAnswer)
+	}
+	if err != nil {
+		header.Del("Content-Type")
+		hop.WriteError(w, verdict.From(err))
+		return err
+	}
+	header.Set(verdict.Header, verdict.Ran.String())
+	header.Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(result.Status)
+	_, _ = w.Write(b)
+	return nil
+}
+
+// stream passes server-sent events on, each as it comes. The last event is
+// held back until the end mark has been checked; a cut stream ends in an
+// error event instead.
+func stream(w http.ResponseWriter, src io.Reader) error {
+	c := http.NewResponseController(w)
+	lines := bufio.NewReader(src)
+	var held []byte
+	for {
+		line, err := lines.ReadBytes('\n')
+		if hop.IsDone(line) || held != nil {
+			held = append(held, line...)
+			line = nil
+		}
+		_, _ = w.Write(line)
+		if len(bytes.TrimSpace(line)) == 0 || err != nil {
+			_ = c.Flush()
+		}
+		if err == io.EOF {
+			_, _ = w.Write(held)
+			return nil
+		}
+		if err != nil {
+			_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", hop.ErrorJSON(verdict.From(err)))
+			return err
+		}
+	}
+}
+
+// note logs and counts a request.
+func (h *Handler) note(r *dispatch.Request, result *dispatch.Result, e *verdict.Error, began time.Time) {
+	took := time.Since(began)
+	fields := []any{"request", r.ID, "service", r.Service.Name, "account", r.Account.Name, "ms", took.Milliseconds()}
+	if result != nil {
+		fields = append(fields, "endpoint", result.Choice.Endpoint.VM, "version", result.Choice.Loaded.Weights,
+			"attempts", result.Attempts, "why", result.Choice.Reason)
+	}
+	h.timer("request").Update(took)
+	if e == nil {
+		h.count("requests.ok")
+		h.Log.Debug("request", fields...)
+		return
+	}
+	h.count("requests." + string(e.Code))
+	h.Log.Info("request failed", append(fields, "code", e.Code, "verdict", e.Verdict, "err", e)...)
+}
--- /dev/null
+++ b/cmd/silverdeck-agent/main.go
@@ -0,0 +1,19 @@
+// Command silverdeck-agent is the small process beside each endpoint.
+package main
+
+import (
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/silverdeck/silverdeck/agent"
+	"github.com/silverdeck/silverdeck/process"
+	"github.com/silverdeck/silverdeck/settings"
+)
+
+func main() {
+	cfg := settings.DefaultAgent()
+	process.Load(cfg)
+	stop := time.Duration(cfg.StopSeconds) * time.Second
+	process.Run[*agent.Agent]("silverdeck-agent", cfg.Identity, cfg.Telemetry, stop, agent.New, fx.Supply(cfg))
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,259 @@
+// Package entry is the process on the entry VMs: it takes callers' requests
+// and operators' changes, spreads the configuration, tells agents what to do
+// and routes requests to endpoints.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/agent"
+	"github.com/silverdeck/silverdeck/caller"
+	"github.com/silverdeck/silverdeck/commit"
+	"github.com/silverdeck/silverdeck/dispatch"
+	"github.com/silverdeck/silverdeck/drain"
+	"github.com/silverdeck/silverdeck/exchange"
+	"github.com/silverdeck/silverdeck/fleet"
+	"github.com/silverdeck/silverdeck/forward"
+	"github.com/silverdeck/silverdeck/operator"
+	"github.com/silverdeck/silverdeck/origin"
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/router"
+	"github.com/silverdeck/silverdeck/secure"
+	"github.com/silverdeck/silverdeck/settings"
+	"github.com/silverdeck/silverdeck/snapshot"
+	"github.com/silverdeck/silverdeck/telemetry"
+	"github.com/silverdeck/silverdeck/ticket"
+	"github.com/silverdeck/silverdeck/weights"
+)
+
+// Limits of an entry.
+const (
+	// keptAnswers bounds the answers kept for callers with tickets, in bytes.
+	keptAnswers = 64 << 20
+	// sweepEvery is how often silent endpoints are looked for.
+	sweepEvery = 500 * time.Millisecond
+	// lastCalls is how long a leaving entry goes on answering after its last
+	// request, for callers that come by a cached address.
+	lastCalls = 2 * time.Second
+)
+
+// Entry is the process's state. It is safe for concurrent use.
+type Entry struct {
+	cfg       *settings.Entry
+	log       *log.Logger
+	registry  metrics.Registry
+	platform  *platform.Client
+	origin    origin.Source
+	holder    *snapshot.Holder
+	list      atomic.Pointer[platform.VMList]
+	table     *fleet.Table
+	planner   *planner
+	spreader  *spreader
+	committer *commit.Committer
+	forwarder *forward.Forwarder
+	router    *router.Router
+	pool      *peer.Pool
+	events    *operator.Events
+	servers   []server
+	running   *drain.Tracker
+	stop      context.CancelFunc
+	leaving   atomic.Bool
+
+	platformVersion atomic.Int64
+
+	manifestMu sync.Mutex
+	manifests  map[weights.Digest]*weights.Manifest
+}
+
+// server is one of the entry's ports.
+type server struct {
+	addr   string
+	tls    settings.TLS
+	mutual bool
+	http   *http.Server
+}
+
+// New returns an Entry that does nothing until Start.
+func New(cfg *settings.Entry, l *log.Logger, tracer *telemetry.Tracer, registry metrics.Registry) (*Entry, error) {
+	peers, err := secure.NewDialer(cfg.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	plain, err := secure.NewDialer(settings.TLS{})
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		cfg: cfg, log: l, registry: registry,
+		platform: platform.NewClient(cfg.Platform,
+			platform.WithHTTP(plain.HTTPClient()), platform.WithShare(cfg.PlatformReads, cfg.PlatformWrites)),
+		origin:    origin.NewClient(cfg.Origin, plain.HTTPClient()),
+		holder:    snapshot.NewHolder(),
+		table:     fleet.NewTable(),
+		pool:      peer.NewPool(peers),
+		events:    operator.NewEvents(),
+		manifests: map[weights.Digest]*weights.Manifest{},
+		running:   drain.NewTracker(),
+	}
+	e.list.Store(&platform.VMList{})
+	e.planner = &planner{holder: e.holder, list: &e.list}
+	e.committer = commit.New(e.platform, e.holder, e.random)
+	e.forwarder = forward.New(peers.HTTPClient(), peers.Scheme(), tracer)
+	e.router = router.New(e.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.spreader = &spreader{
+		self: cfg.VM, pool: e.pool, holder: e.holder, list: &e.list, table: e.table,
+		take: e.advanceList, took: func(rev int64) { e.changed("snapshot", rev) },
+		peers:  func() []string { return e.entryAddrs(false) },
+		random: e.random, log: l, wake: make(chan struct{}, 1),
+	}
+	return e, e.buildServers(tracer, peers)
+}
+
+func (e *Entry) buildServers(tracer *telemetry.Tracer, peers *secure.Dialer) error {
+	callers := caller.NewHandler(caller.Config{
+		Holder: e.holder,
+		Dispatcher: dispatch.New(e.cfg.Zone, e.planner.Plan, e.router, e.forwarder,
+			dispatch.NewBudget(e.cfg.RetryShare), e.noteLoad),
+		Ledger:    ticket.NewLedger(e.cfg.Peer, keptAnswers),
+		Relay:     caller.NewRelay(peers.HTTPClient(), peers.Scheme()),
+		Addresses: e.callerAddresses,
+		Leaving:   e.leaving.Load,
+		MaxBody:   e.cfg.MaxBodyBytes,
+		Tracer:    tracer,
+		Log:       e.log,
+		Registry:  e.registry,
+	})
+	counted := e.counted(callers)
+	rpcHandler, err := peer.NewRPCHandler(map[string]any{
+		agent.EntryService: &Service{entry: e},
+		exchange.Service:   &ManifestService{entry: e},
+	})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, rpcHandler)
+	mux.Handle(caller.RelayPrefix+"/", http.StripPrefix(caller.RelayPrefix, counted))
+	operators := operator.NewHandler(e, e.cfg.OperatorTokens, e.log)
+	e.servers = []server{
+		{addr: e.cfg.Caller, tls: e.cfg.CallerTLS, http: secure.NewServer(counted)},
+		{addr: e.cfg.Operator, tls: e.cfg.OperatorTLS, http: secure.NewServer(operators)},
+		{addr: e.cfg.Peer, tls: e.cfg.PeerTLS, mutual: true, http: secure.NewServer(mux)},
+		{addr: e.cfg.Telemetry.Observe, http: secure.NewServer(telemetry.NewObserveHandler(e.registry, e))},
+	}
+	return nil
+}
+
+// counted counts the requests in progress, for a planned stop.
+func (e *Entry) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.running.Enter()
+		defer e.running.Leave()
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Start listens and begins to watch, to spread and to serve.
+func (e *Entry) Start(context.Context) error {
+	listeners := make([]net.Listener, 0, len(e.servers))
+	for _, s := range e.servers {
+		l, err := secure.Listen(s.addr, s.tls, s.mutual)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return err
+		}
+		listeners = append(listeners, l)
+	}
+	for i, s := range e.servers {
+		go func() { _ = s.http.Serve(listeners[i]) }()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go e.watch(ctx, e.watchSnapshot)
+	go e.watch(ctx, e.watchList)
+	go e.spreader.run(ctx)
+	go e.sweep(ctx)
+	e.log.Info("entry started", "caller", e.cfg.Caller, "operator", e.cfg.Operator, "peer", e.cfg.Peer)
+	return nil
+}
+
+// Stop is a planned stop: callers are told where else to go, and what is in
+// progress is finished.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.leaving.Store(true)
+	e.sleep(ctx, lastCalls)
+	if err := e.running.Wait(ctx); err != nil {
+		e.log.Error("stop: requests still in progress are cut", "running", e.running.Count())
+	}
+	e.stop()
+	e.pool.Close()
+	var errs []error
+	for _, s := range e.servers {
+		errs = append(errs, s.http.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// sweep suspects endpoints that fell silent and forgets those that left.
+func (e *Entry) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.sleep(ctx, sweepEvery)
+		n, panicked := e.table.Sweep(time.Now())
+		if n > 0 {
+			e.events.Add("suspect", "", "endpoints fell silent")
+			e.log.Warn("endpoints fell silent", "count", n)
+		}
+		if panicked {
+			e.log.Error("most endpoints fell silent at once; this entry distrusts itself")
+		}
+		vms := e.planner.Plan().VMs
+		e.table.Keep(func(vm string) bool { _, ok := vms[vm]; return ok })
+	}
+}
+
+// changed notes that something newer is in force and tells others.
+func (e *Entry) changed(what string, version int64) {
+	e.log.Info("in force", "what", what, "version", version)
+	if what == "snapshot" {
+		e.spreader.seen(version)
+		s := e.holder.Current()
+		e.events.Add("config", s.Author, "revision in force")
+	}
+	e.spreader.urgent()
+}
+
+func (e *Entry) noteLoad(vm string, a *forward.Answer) {
+	e.table.SetLoad(vm, a.Load, time.Now())
+}
+
+// callerAddresses returns where callers can go: the entries of the list that
+// stay, this one first unless it is leaving.
+func (e *Entry) callerAddresses() ([]string, time.Duration) {
+	var out []string
+	if !e.leaving.Load() {
+		out = append(out, e.cfg.Caller)
+	}
+	for _, vm := range e.list.Load().VMs {
+		if vm.Role == platform.RoleEntry && !vm.Leaving && vm.Caller != e.cfg.Caller && vm.Caller != "" {
+			out = append(out, vm.Caller)
+		}
+	}
+	return out, time.Duration(e.cfg.AddressTTLSeconds) * time.Second
+}
+
+func (e *Entry) random() float64 {
+	return rand.Float64()
+}
--- /dev/null
+++ b/exchange/server.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/weights"
+)
+
+// queueFactor is how many requests may wait for each upload slot.
+const queueFactor = 4
+
+// Server answers other agents, and the engine beside this one.
+type Server struct {
+	held  Holdings
+	slots chan struct{}
+	queue chan struct{}
+}
+
+// NewServer returns a Server of what held has, that sends slots chunks at once.
+func NewServer(held Holdings, slots int) *Server {
+	return &Server{
+		held:  held,
+		slots: make(chan struct{}, slots),
+		queue: make(chan struct{}, slots*(queueFactor+1)),
+	}
+}
+
+// Register adds the server's paths to mux.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+chunkPath+"{root}/{chunk}", s.serveChunk)
+	mux.HandleFunc("GET "+WeightsPath+"{root}", s.serveWeights)
+}
+
+// Have is the net/rpc method behind Client.Have.
+func (s *Server) Have(q peer.HaveRequest, reply *peer.HaveReply) error {
+	set := s.held.Set(q.Root)
+	if set == nil {
+		time.Sleep(haveWait / 4)
+		return nil
+	}
+	chunks, more := set.Since(q.Since)
+	if len(chunks) == 0 && !set.Complete() {
+		t := time.NewTimer(haveWait)
+		defer t.Stop()
+		select {
+		case <-more:
+			time.Sleep(haveGather)
+		case <-t.C:
+		}
+		chunks, _ = set.Since(q.Since)
+	}
+	if len(chunks) == 0 && set.Complete() {
+		time.Sleep(haveWait)
+	}
+	reply.Chunks = chunks
+	return nil
+}
+
+// Manifest is the net/rpc method behind Client.Manifest.
+func (s *Server) Manifest(q peer.ManifestRequest, reply *peer.ManifestReply) error {
+	set := s.held.Set(q.Root)
+	if set == nil {
+		return nil
+	}
+	b, err := json.Marshal(set.Manifest())
+	reply.Manifest = b
+	return err
+}
+
+func (s *Server) serveChunk(w http.ResponseWriter, r *http.Request) {
+	root, err := weights.ParseDigest(r.PathValue("root"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	i, err := strconv.Atoi(r.PathValue("chunk"))
+	if err != nil {
+		http.Error(w, "bad chunk number", http.StatusBadRequest)
+		return
+	}
+	b := s.find(root, i)
+	if b == nil {
+		http.Error(w, "absent", s.absentStatus(root, i))
+		return
+	}
+	if !s.enter(r) {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.leave()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLimit))
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b)
+}
+
+func (s *Server) find(root weights.Digest, i int) []byte {
+	set := s.held.Set(root)
+	if set == nil {
+		return nil
+	}
+	return set.Get(i)
+}
+
+func (s *Server) absentStatus(root weights.Digest, i int) int {
+	if s.held.Reading(root, i) {
+		return http.StatusTooEarly
+	}
+	return http.StatusNotFound
+}
+
+// enter waits for an upload slot, or returns false when too many wait already.
+func (s *Server) enter(r *http.Request) bool {
+	select {
+	case s.queue <- struct{}{}:
+	default:
+		return false
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		<-s.queue
+		return false
+	}
+}
+
+func (s *Server) leave() {
+	<-s.slots
+	<-s.queue
+}
+
+// serveWeights gives the complete weights to the engine on this VM.
+func (s *Server) serveWeights(w http.ResponseWriter, r *http.Request) {
+	root, err := weights.ParseDigest(r.PathValue("root"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	set := s.held.Set(root)
+	if set == nil || !set.Complete() {
+		http.Error(w, "not complete", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(set.Manifest().Size, 10))
+	_, _ = set.WriteTo(w)
+}
--- /dev/null
+++ b/object/selector.go
@@ -0,0 +1,48 @@
+package object
+
+import "k8s.io/apimachinery/pkg/labels"
+
+// Labels that every VM has, whatever else the platform's list gives it.
+const (
+	LabelVM     = "vm"
+	LabelZone   = "zone"
+	LabelRegion = "region"
+	LabelRole   = "role"
+)
+
+// LabelAccount is the label that names a client account.
+const LabelAccount = "account"
+
+// Selector tells which label sets are selected.
+type Selector interface {
+	// Matches returns whether the label set l is selected.
+	Matches(l map[string]string) bool
+}
+
+type selector struct {
+	s labels.Selector
+}
+
+// ParseSelector returns the selector written in s, in the label selector
+// syntax of Kubernetes. An empty s selects everything.
+func ParseSelector(s string) (Selector, error) {
+	p, err := labels.Parse(s)
+	if err != nil {
+		return nil, err
+	}
+	return selector{s: p}, nil
+}
+
+func (s selector) Matches(l map[string]string) bool {
+	return s.s.Matches(labels.Set(l))
+}
+
+// Selects returns whether the selector written in s selects the label set l.
+// A selector that does not parse selects nothing; Validate refuses it before.
+func Selects(s string, l map[string]string) bool {
+	p, err := ParseSelector(s)
+	if err != nil {
+		return false
+	}
+	return p.Matches(l)
+}
--- /dev/null
+++ b/swarm/config.go
@@ -0,0 +1,112 @@
+package swarm
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Config holds a Download's settings.
+type Config struct {
+	// Degree is how many neighbours a member asks for chunks.
+	Degree int
+	// Parallel is how many chunks a member fetches at once.
+	Parallel int
+	// PerNeighbour is how many of these may come from one neighbour.
+	PerNeighbour int
+	// OriginRate is the ceiling on the origin's link for all members together,
+	// in bytes a second; 0 means none.
+	OriginRate float64
+	// OriginCopies is the ceiling on bytes read from the origin by all members
+	// together, in copies of the weights. It also sets how soon a late chunk is
+	// read again: more copies, less waiting.
+	OriginCopies float64
+	// Lateness is how long after its time a chunk may stay away before the next
+	// in rank reads it; 0 derives it from OriginRate and OriginCopies.
+	Lateness time.Duration
+	// MinTimeout is the shortest time after which a chunk from a neighbour
+	// counts as stalled.
+	MinTimeout time.Duration
+	// Rand breaks ties.
+	Rand *rand.Rand
+}
+
+// Option changes a Config.
+type Option func(*Config)
+
+// WithDegree sets how many neighbours a member asks for chunks.
+func WithDegree(n int) Option {
+	return func(cfg *Config) { cfg.Degree = min(n, MaxDegree) }
+}
+
+// WithParallel sets how many chunks are fetched at once, and how many from one neighbour.
+func WithParallel(total, perNeighbour int) Option {
+	return func(cfg *Config) { cfg.Parallel, cfg.PerNeighbour = total, perNeighbour }
+}
+
+// WithOriginBudget sets the ceilings on the origin: bytes a second and copies.
+// Zero keeps the default.
+func WithOriginBudget(rate, copies float64) Option {
+	return func(cfg *Config) {
+		cfg.OriginRate = rate
+		if copies > 0 {
+			cfg.OriginCopies = copies
+		}
+	}
+}
+
+// WithLateness sets how long a chunk may stay away before the next in rank reads it.
+func WithLateness(d time.Duration) Option {
+	return func(cfg *Config) { cfg.Lateness = d }
+}
+
+// WithMinTimeout sets the shortest time after which a chunk counts as stalled.
+func WithMinTimeout(d time.Duration) Option {
+	return func(cfg *Config) { cfg.MinTimeout = d }
+}
+
+// WithRand sets the source of tie breaks.
+func WithRand(r *rand.Rand) Option {
+	return func(cfg *Config) { cfg.Rand = r }
+}
+
+// DefaultCopies is the ceiling on origin copies where nothing else is set.
+const DefaultCopies = 1.25
+
+// Bounds on the lateness derived from a budget.
+const (
+	minLateness = 250 * time.Millisecond
+	maxLateness = 15 * time.Second
+)
+
+func newConfig(opts []Option) Config {
+	cfg := Config{
+		Degree:       12,
+		Parallel:     8,
+		PerNeighbour: 2,
+		OriginCopies: DefaultCopies,
+		MinTimeout:   500 * time.Millisecond,
+	}
+	for _, o := range opts {
+		o(&cfg)
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return cfg
+}
+
+// lateness returns how long a chunk may stay away. At the default budget it is
+// an eighth of the time that the origin's link takes for one copy; each spare
+// copy shortens it in proportion.
+func (cfg Config) lateness(size int64) time.Duration {
+	if cfg.Lateness > 0 {
+		return cfg.Lateness
+	}
+	base := 2 * time.Second
+	if cfg.OriginRate > 0 {
+		base = time.Duration(float64(size) / cfg.OriginRate / 8 * float64(time.Second))
+	}
+	spare := max(cfg.OriginCopies-1, 0.05)
+	d := time.Duration(float64(base) * (DefaultCopies - 1) / spare)
+	return min(max(d, minLateness), maxLateness)
+}
--- /dev/null
+++ b/verdict/classify.go
@@ -0,0 +1,75 @@
+package verdict
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+)
+
+// Progress tells how far a hop had come when it failed.
+type Progress int
+
+const (
+	// Dialing means that no connection stood yet.
+	Dialing Progress = iota
+	// Connected means that a connection stood, and that not a byte of the request was written.
+	Connected
+	// Written means that bytes of the request were written, and that no answer had begun.
+	Written
+	// Answering means that the answer had begun.
+	Answering
+)
+
+var progressNames = map[Progress]string{
+	Dialing:   "dialing",
+	Connected: "connected",
+	Written:   "written",
+	Answering: "answering",
+}
+
+// String returns the name of p.
+func (p Progress) String() string {
+	return progressNames[p]
+}
+
+// ParseProgress returns the progress named s and whether there is one.
+func ParseProgress(s string) (Progress, bool) {
+	for p, name := range progressNames {
+		if name == s {
+			return p, true
+		}
+	}
+	return Dialing, false
+}
+
+// Classify returns the outcome of a hop that failed with err at progress p.
+//
+// Before the first byte is written the request cannot have run, whatever the
+// error. Afterwards it may have, whatever the error: a reset says nothing
+// about what the peer had read.
+func Classify(p Progress, err error) *Error {
+	e := &Error{Verdict: MayHaveRun, Code: CodeCut, Err: err}
+	if p == Dialing || p == Connected {
+		e.Verdict = NotRun
+		e.Code = CodeUnreachable
+	}
+	e.Detail = "hop failed while " + p.String()
+	switch {
+	case errors.Is(err, context.Canceled):
+		e.Code = CodeCanceled
+	case isTimeout(err):
+		e.Code = CodeDeadline
+	case errors.Is(err, syscall.ECONNREFUSED):
+		e.Code = CodeUnreachable
+	}
+	return e
+}
+
+func isTimeout(err error) bool {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return true
+	}
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
--- /dev/null
+++ b/weights/digest.go
@@ -0,0 +1,60 @@
+// Package weights binds chunks of weights to one complete version.
+//
+// A Manifest lists a digest for each chunk and for the whole. A Set accepts
+// only chunks that match it, and is complete only when every chunk has.
+package weights
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/zeebo/blake3"
+)
+
+// DigestSize is the length of a Digest in bytes.
+const DigestSize = 32
+
+// Digest is a BLAKE3 digest.
+type Digest [DigestSize]byte
+
+// Sum returns the digest of b.
+func Sum(b []byte) Digest {
+	return blake3.Sum256(b)
+}
+
+// String returns d in hex.
+func (d Digest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
+// Short returns the first characters of d, for people.
+func (d Digest) Short() string {
+	return d.String()[:12]
+}
+
+// MarshalText returns d in hex.
+func (d Digest) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText reads d from hex.
+func (d *Digest) UnmarshalText(b []byte) error {
+	n, err := hex.Decode(d[:], b)
+	if err != nil {
+		return err
+	}
+	if n != DigestSize {
+		return fmt.Errorf("weights: digest of %d bytes, want %d", n, DigestSize)
+	}
+	return nil
+}
+
+// ParseDigest returns the digest written in hex in s.
+func ParseDigest(s string) (Digest, error) {
+	var d Digest
+	if len(s) != 2*DigestSize {
+		return d, fmt.Errorf("weights: digest of %d characters, want %d", len(s), 2*DigestSize)
+	}
+	err := d.UnmarshalText([]byte(s))
+	return d, err
+}
