agent: report news at once; entries hold their answer for a new configuration

Cause: of the 4 s that a rollout took, 2 s were neither the origin's link nor the load: up to 1 s passed until an agent asked for its directive, and up to 1 s until its report that it was live. Progress of a fetch counts as news in ten steps, so that what entries pass on does not grow with the number of chunks.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,6 +70,7 @@
 		peers:    exchange.NewClient(a.pool, d.HTTPClient(), d.Scheme()),
 		origin:   origin.NewClient(cfg.Origin, plain.HTTPClient()),
 		homes:    a.homes,
+		news:     func() { a.reporter.now() },
 		engineAt: d.Scheme() + "://" + cfg.Peer,
 		log:      l,
 		tasks:    map[weights.Digest]*task{},
--- a/agent/export_test.go
+++ b/agent/export_test.go
@@ -27,6 +27,7 @@
 		peers:  peers,
 		origin: o,
 		homes:  func() []string { return nil },
+		news:   func() {},
 		log:    log.New(io.Discard),
 		tasks:  map[weights.Digest]*task{},
 		wake:   make(chan struct{}, 1),
--- a/agent/loader.go
+++ b/agent/loader.go
@@ -61,6 +61,7 @@
 	peers    Peers
 	origin   origin.Source
 	homes    func() []string
+	news     func()
 	engineAt string
 	log      *log.Logger
 
@@ -80,6 +81,11 @@
 		return
 	}
 	l.directive = d
+	l.signal()
+}
+
+// signal makes run look again.
+func (l *loader) signal() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -194,6 +200,8 @@
 	l.mu.Lock()
 	t.verified = true
 	l.mu.Unlock()
+	l.signal()
+	l.news()
 	l.log.Info("weights complete", "rollout", a.Rollout, "root", a.Root.Short(), "stats", fmt.Sprintf("%+v", d.Stats()))
 	return nil
 }
@@ -300,6 +308,9 @@
 func (l *loader) setFailed(t *task, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if t.failed != text {
+		defer l.news()
+	}
 	t.failed = text
 	t.retryAt = time.Now().Add(loadRetry)
 }
@@ -316,6 +327,7 @@
 	defer l.mu.Unlock()
 	t.live = true
 	t.failed = ""
+	defer l.news()
 	l.loaded = slices.DeleteFunc(l.loaded, func(o peer.Loaded) bool { return o.Model == a.Model && o.Adapter == a.Adapter })
 	l.loaded = append(l.loaded, peer.Loaded{
 		Rollout: a.Rollout, Model: a.Model, Adapter: a.Adapter, Weights: a.Weights, Root: a.Root, Epoch: a.Epoch,
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +18,13 @@
 	// ReportEvery is how often an agent reports to each home entry.
 	ReportEvery = time.Second
 	reportLimit = 2 * time.Second
+	// HoldReport is how long an entry may hold its answer for news.
+	HoldReport = 800 * time.Millisecond
+	// silenceLimit is how long no home may answer before the seeds are asked.
+	silenceLimit = 3 * time.Second
+	// progressSteps is in how many steps a fetch counts as news. Entries pass
+	// news on to each other, so a step for each chunk would be too much.
+	progressSteps = 10
 )
 
 // EntryService is the net/rpc name of what entries serve to agents and to each other.
@@ -37,6 +46,7 @@
 	lastState   string
 	hash        uint64
 	revision    int64
+	answeredAt  time.Time
 	wake        chan struct{}
 }
 
@@ -72,48 +82,46 @@
 	}
 }
 
-// reportAll reports to all homes, and to the seeds when no home answers.
+// reportAll reports to all homes, and to the seeds as well when no home has
+// answered for a while. It does not wait: an entry may hold its answer until
+// there is news.
 func (r *reporter) reportAll(ctx context.Context) {
 	report := r.next()
-	if r.reportTo(ctx, r.homeList(), report) > 0 {
-		return
+	addrs := r.homeList()
+	if r.silent() {
+		for _, seed := range r.seeds {
+			if !slices.Contains(addrs, seed) {
+				addrs = append(addrs, seed)
+			}
+		}
 	}
-	r.mu.Lock()
-	r.homes = nil
-	r.mu.Unlock()
-	r.reportTo(ctx, r.seeds, report)
-}
-
-func (r *reporter) reportTo(ctx context.Context, addrs []string, report peer.Report) int {
-	answers := make(chan bool, len(addrs))
 	for _, addr := range addrs {
-		go func() { answers <- r.reportOne(ctx, addr, report) }()
-	}
-	n := 0
-	for range addrs {
-		if <-answers {
-			n++
-		}
+		go r.reportOne(ctx, addr, report)
 	}
-	return n
 }
 
-func (r *reporter) reportOne(ctx context.Context, addr string, report peer.Report) bool {
+func (r *reporter) silent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.answeredAt) > silenceLimit
+}
+
+func (r *reporter) reportOne(ctx context.Context, addr string, report peer.Report) {
 	rctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
 	var d peer.Directive
 	if err := r.pool.Call(rctx, addr, EntryService+".Report", report, &d); err != nil {
 		r.log.Debug("report failed", "entry", addr, "err", err)
-		return false
+		return
 	}
 	r.take(d)
-	return true
 }
 
 // take keeps a directive unless it is of an older configuration.
 func (r *reporter) take(d peer.Directive) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answeredAt = time.Now()
 	if d.Incarnation > r.incarnation {
 		r.incarnation = d.Incarnation + 1
 	}
@@ -135,7 +143,7 @@
 	r.fill(&report)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := fmt.Sprintf("%s %d %v %+v", report.State, report.Revision, report.Loaded, report.Progress)
+	state := fmt.Sprintf("%s %d %v %s", report.State, report.Revision, report.Loaded, milestones(report.Progress))
 	if state != r.lastState {
 		r.lastState = state
 		r.seq++
@@ -145,3 +153,13 @@
 	report.DirectiveHash = r.hash
 	return report
 }
+
+// milestones returns what of the progress is news.
+func milestones(progress []peer.Progress) string {
+	var b strings.Builder
+	for _, p := range progress {
+		step := progressSteps * p.Stats.Have / max(p.Stats.Total, 1)
+		fmt.Fprintf(&b, "%s %d %t %s %s;", p.Root.Short(), step, p.Live, p.Failed, p.Stats.Blocked)
+	}
+	return b.String()
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/silverdeck/silverdeck/agent"
 	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/weights"
@@ -25,17 +26,36 @@
 	e := s.entry
 	known := e.table.Heard(&r, time.Now())
 	e.spreader.seen(r.Revision)
+	*d = s.answer(r)
+	if d.Unchanged {
+		s.hold()
+		*d = s.answer(r)
+	}
+	d.Incarnation = known
+	return nil
+}
+
+// answer returns the directive for the agent that sent r.
+func (s *Service) answer(r peer.Report) peer.Directive {
+	e := s.entry
 	if e.spreader.behind() || e.holder.Current().Revision == 0 {
-		d.Unchanged = true
-		d.Incarnation = known
-		return nil
+		return peer.Directive{Unchanged: true}
 	}
-	*d = e.directive(e.planner.Plan(), r.VM)
+	d := e.directive(e.planner.Plan(), r.VM)
 	if d.Hash == r.DirectiveHash {
-		*d = peer.Directive{Revision: d.Revision, Hash: d.Hash, Unchanged: true}
+		return peer.Directive{Revision: d.Revision, Hash: d.Hash, Unchanged: true}
+	}
+	return d
+}
+
+// hold waits for a new configuration, for a while.
+func (s *Service) hold() {
+	t := time.NewTimer(agent.HoldReport)
+	defer t.Stop()
+	select {
+	case <-s.entry.holder.Changed():
+	case <-t.C:
 	}
-	d.Incarnation = known
-	return nil
 }
 
 // Exchange takes and gives news between entries.
