swarm: no second reading by members that are only slow; no standstill

Cause: a chunk was read again by the next in rank while the first still had it in its queue; members that asked each other for a chunk waited for each other; chunks that were refused by the budget were asked for in a loop without pause; shares were drawn smaller than what a member was the first to read; takeovers during an outage of the origin used up shares, so that the rest could never come. Found by: twelve tests on virtual time with a small fake network. Ruled out: the link's rate (a slower pace of turns was not needed). Conclusion: a first reader promises its chunks, others are patient with it for longer than its longest pause, and shares add up to the budget.

--- a/agent/fence.go
+++ b/agent/fence.go
@@ -48,18 +48,18 @@
 	f.epoch = max(f.epoch, epoch)
 }
 
-// learnEngine raises the fence to the engine's own epoch and returns the
-// engine's state. Until it has succeeded once, order refuses everything.
-func (f *fence) learnEngine(ctx context.Context) (engine.State, error) {
+// learnEngine raises the fence to the engine's own epoch. Until it has
+// succeeded once, order refuses everything.
+func (f *fence) learnEngine(ctx context.Context) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, err := f.engine.State(ctx)
 	if err != nil {
-		return s, err
+		return err
 	}
 	f.epoch = max(f.epoch, s.Epoch)
 	f.learned = true
-	return s, nil
+	return nil
 }
 
 // order gives o to the engine unless the fence forbids it. It holds the fence
--- /dev/null
+++ b/agent/fence_test.go
@@ -0,0 +1,49 @@
+package agent_test
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/silverdeck/silverdeck/agent"
+	"github.com/silverdeck/silverdeck/engine"
+)
+
+func TestFenceGivesNothingBeforeItHasLearned(t *testing.T) {
+	g := NewWithT(t)
+	e := &fakeEngine{checks: true, epoch: 7}
+	f := agent.NewFence(e)
+	g.Expect(f.Order(context.Background(), engine.Order{Epoch: 9})).To(MatchError(&agent.FenceError{Order: 9, Unknown: true}))
+	g.Expect(f.LearnEngine(context.Background())).To(Succeed())
+	g.Expect(f.Order(context.Background(), engine.Order{Epoch: 6})).To(MatchError(&agent.FenceError{Order: 6, Fence: 7}))
+	g.Expect(f.Order(context.Background(), engine.Order{Epoch: 9})).To(Succeed())
+}
+
+// The engine never takes an order of a lower epoch than one before, whatever
+// the agent learns and is told to order, whether or not the engine checks.
+func TestFenceKeepsEpochsInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &fakeEngine{checks: rapid.Bool().Draw(t, "checks")}
+		f := agent.NewFence(e)
+		t.Repeat(map[string]func(*rapid.T){
+			"learn": func(t *rapid.T) {
+				f.Learn(rapid.Int64Range(0, 20).Draw(t, "epoch"))
+			},
+			"ask": func(*rapid.T) { _ = f.LearnEngine(context.Background()) },
+			"order": func(t *rapid.T) {
+				_ = f.Order(context.Background(), engine.Order{Epoch: rapid.Int64Range(0, 20).Draw(t, "epoch")})
+			},
+			"": func(t *rapid.T) {
+				last := int64(0)
+				for _, o := range e.taken() {
+					if o.Epoch < last {
+						t.Fatalf("order of epoch %d after %d", o.Epoch, last)
+					}
+					last = o.Epoch
+				}
+			},
+		})
+	})
+}
--- a/agent/loader.go
+++ b/agent/loader.go
@@ -124,10 +124,7 @@
 func (l *loader) startMissing(ctx context.Context) {
 	for _, a := range l.directive.Assignments {
 		if t := l.tasks[a.Root]; t != nil {
-			if d := l.holder.download(a.Root); d != nil && !slices.Equal(t.assignment.Members, a.Members) {
-				d.SetMembers(a.Members)
-			}
-			t.assignment = a
+			l.update(t, a)
 			continue
 		}
 		tctx, cancel := context.WithCancel(ctx)
@@ -137,6 +134,22 @@
 	}
 }
 
+// update gives a running task its new assignment.
+func (l *loader) update(t *task, a peer.Assignment) {
+	old := t.assignment
+	t.assignment = a
+	d := l.holder.download(a.Root)
+	if d == nil {
+		return
+	}
+	if !slices.Equal(old.Members, a.Members) {
+		d.SetMembers(a.Members)
+	}
+	if old.Budget != a.Budget {
+		d.SetBudget(float64(a.Budget.BytesPerSecond), a.Budget.Copies)
+	}
+}
+
 // stopUnwanted ends tasks that are no longer assigned. What they fetched stays
 // held, for other agents and for an undo, until room is needed.
 func (l *loader) stopUnwanted() {
@@ -298,7 +311,7 @@
 func (l *loader) fenceLearned(ctx context.Context) bool {
 	sctx, cancel := context.WithTimeout(ctx, stateLimit)
 	defer cancel()
-	_, err := l.fence.learnEngine(sctx)
+	err := l.fence.learnEngine(sctx)
 	if err != nil {
 		l.log.Warn("engine does not tell its state", "err", err)
 	}
@@ -387,7 +400,7 @@
 		return nil, &origin.ChangedError{Path: o.path}
 	}
 	if err != nil {
-		return nil, err
+		return b, err
 	}
 	o.mu.Lock()
 	if o.etag == "" {
--- a/agent/loader_test.go
+++ b/agent/loader_test.go
@@ -157,3 +157,126 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second), "on virtual time")
 	})
 }
+
+func TestLoaderNeverLoadsAVersionThatChangedMidCopy(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	e := &fakeEngine{checks: true}
+	slow := &slowOrigin{fakeOrigin: o}
+	inBubble(t, e, slow, 1<<20, func(g Gomega, l agent.Loader) {
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{assignment(m, 1)}})
+		time.Sleep(3 * readTime)
+		o.replace(bytes.Repeat([]byte("another "), 4096))
+		time.Sleep(time.Minute)
+		g.Expect(e.taken()).To(BeEmpty())
+		g.Expect(l.Holds(m.Root())).To(BeFalse())
+		_, _, progress := l.Status()
+		g.Expect(progress[0].Stats.Blocked).To(ContainSubstring("no longer has this version"))
+	})
+}
+
+func TestLoaderTellsWhyALoadFailedAndTriesAgain(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	e := &fakeEngine{checks: true, fail: &engine.OrderError{Status: 500, Text: "out of memory"}}
+	inBubble(t, e, o, 1<<20, func(g Gomega, l agent.Loader) {
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{assignment(m, 1)}})
+		time.Sleep(time.Second)
+		_, _, progress := l.Status()
+		g.Expect(progress[0].Failed).To(ContainSubstring("out of memory"))
+		e.mu.Lock()
+		e.fail = nil
+		e.mu.Unlock()
+		time.Sleep(time.Minute)
+		g.Expect(e.taken()).To(HaveLen(1))
+		_, loaded, progress := l.Status()
+		g.Expect(progress[0].Failed).To(BeEmpty())
+		g.Expect(loaded).To(HaveLen(1))
+	})
+}
+
+func TestLoaderWaitsForItsBatch(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	e := &fakeEngine{checks: true}
+	inBubble(t, e, o, 1<<20, func(g Gomega, l agent.Loader) {
+		a := assignment(m, 1)
+		a.Activate = false
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{a}})
+		time.Sleep(time.Minute)
+		g.Expect(e.taken()).To(BeEmpty())
+		g.Expect(l.Holds(m.Root())).To(BeTrue(), "the weights travel all the same")
+		a.Activate = true
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{a}})
+		time.Sleep(time.Second)
+		g.Expect(e.taken()).To(HaveLen(1))
+	})
+}
+
+func TestLoaderUndoesWithoutFetchingAgain(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	o2, m2 := newFakeOrigin(bytes.Repeat([]byte("another "), 4096))
+	e := &fakeEngine{checks: true}
+	both := twoVersions{"models/reader/v1": o, "models/reader/v2": o2}
+	inBubble(t, e, both, 1<<20, func(g Gomega, l agent.Loader) {
+		first, second := assignment(m, 1), assignment(m2, 2)
+		second.Path, second.Weights = "models/reader/v2", "v2"
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{first}})
+		time.Sleep(time.Second)
+		l.Apply(peer.Directive{Revision: 2, Assignments: []peer.Assignment{second}})
+		time.Sleep(time.Second)
+		reads := o.reads
+		first.Epoch = 3
+		l.Apply(peer.Directive{Revision: 3, Assignments: []peer.Assignment{first}})
+		time.Sleep(time.Second)
+		g.Expect(o.reads).To(Equal(reads))
+		g.Expect(e.taken()).To(HaveLen(3))
+		g.Expect(e.taken()[2].Weights).To(Equal("v1"))
+		_, loaded, _ := l.Status()
+		g.Expect(loaded).To(HaveLen(1))
+		g.Expect(loaded[0].Root).To(Equal(m.Root()))
+	})
+}
+
+func TestLoaderIgnoresADirectiveOfAnOlderConfiguration(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	e := &fakeEngine{}
+	inBubble(t, e, o, 1<<20, func(g Gomega, l agent.Loader) {
+		l.Apply(peer.Directive{Revision: 5})
+		l.Apply(peer.Directive{Revision: 4, Assignments: []peer.Assignment{assignment(m, 4)}})
+		time.Sleep(time.Minute)
+		g.Expect(e.taken()).To(BeEmpty())
+		revision, _, _ := l.Status()
+		g.Expect(revision).To(Equal(int64(5)))
+	})
+}
+
+func TestLoaderRefusesWeightsThatDoNotFit(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	inBubble(t, &fakeEngine{}, o, 1000, func(g Gomega, l agent.Loader) {
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{assignment(m, 1)}})
+		time.Sleep(time.Second)
+		_, _, progress := l.Status()
+		g.Expect(progress[0].Failed).To(ContainSubstring("holdBytes allows 1000"))
+	})
+}
+
+// readTime is what a chunk takes from a slowOrigin.
+const readTime = 100 * time.Millisecond
+
+type slowOrigin struct {
+	*fakeOrigin
+}
+
+func (s *slowOrigin) ReadRange(ctx context.Context, path, etag string, off, n int64) ([]byte, string, error) {
+	time.Sleep(readTime)
+	return s.fakeOrigin.ReadRange(ctx, path, etag, off, n)
+}
+
+// twoVersions is an origin of several paths.
+type twoVersions map[string]*fakeOrigin
+
+func (v twoVersions) Manifest(ctx context.Context, path string) ([]byte, error) {
+	return v[path].Manifest(ctx, path)
+}
+
+func (v twoVersions) ReadRange(ctx context.Context, path, etag string, off, n int64) ([]byte, string, error) {
+	return v[path].ReadRange(ctx, path, etag, off, n)
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -20,7 +20,8 @@
 	Manifest(ctx context.Context, path string) ([]byte, error)
 	// ReadRange returns n bytes at off of the weights at path. An etag that is
 	// not empty must still hold; otherwise the result is *ChangedError. The
-	// second result is the ETag of what was read.
+	// second result is the ETag of what was read. With an error the bytes that
+	// had come are returned.
 	ReadRange(ctx context.Context, path, etag string, off, n int64) ([]byte, string, error)
 }
 
@@ -94,8 +95,8 @@
 		return nil, "", &StatusError{Path: path, Status: resp.StatusCode}
 	}
 	b := make([]byte, n)
-	if _, err := io.ReadFull(resp.Body, b); err != nil {
-		return nil, "", errors.Join(fmt.Errorf("origin: %s: short range", path), err)
+	if got, err := io.ReadFull(resp.Body, b); err != nil {
+		return b[:got], "", errors.Join(fmt.Errorf("origin: %s: short range", path), err)
 	}
 	return b, resp.Header.Get("ETag"), nil
 }
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -18,6 +18,9 @@
 	haveTimeout = 5 * time.Second
 	// faultPause is how long a neighbour is left alone after a fault, for each fault.
 	faultPause = 500 * time.Millisecond
+	// maxCorrupt is how many corrupt chunks bar a member for the rest of the
+	// download.
+	maxCorrupt = 2
 	// maxStrikes is how many faults in a row replace a neighbour.
 	maxStrikes = 3
 	// slowFactor is how many usual times a chunk may take before it is asked
@@ -46,7 +49,8 @@
 	stats    Stats
 	inject   injection
 	inflight sync.WaitGroup
-	cancels  map[string]context.CancelFunc
+	// corrupt counts the corrupt chunks of each VM.
+	corrupt map[string]int
 }
 
 // NewDownload returns a Download of set by self among members.
@@ -61,7 +65,7 @@
 		began:   time.Now(),
 		wake:    make(chan struct{}, 1),
 		avail:   newAvailability(len(set.Manifest().Chunks), cfg.Rand),
-		cancels: map[string]context.CancelFunc{},
+		corrupt: map[string]int{},
 	}
 	d.stats.Total = len(set.Manifest().Chunks)
 	for _, c := range first(set.Since(0)) {
@@ -85,11 +89,16 @@
 	return s
 }
 
-// Reading returns whether chunk c is being read from the origin now.
+// Reading returns whether chunk c is being brought in by this member, or is
+// about to be.
 func (d *Download) Reading(c int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.inject.reading[c]
+	if c < 0 || c >= len(d.avail.have) || d.avail.have[c] {
+		return false
+	}
+	_, n := d.set.Manifest().Range(c)
+	return d.inject.promises(c, n)
 }
 
 // SetMembers replaces the list of members, as VMs join and leave.
@@ -102,6 +111,14 @@
 	d.signal()
 }
 
+// SetBudget changes the rollout's ceilings on the origin.
+func (d *Download) SetBudget(rate, copies float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inject.setBudget(d, rate, copies)
+	d.signal()
+}
+
 // Run fetches until the set is complete and returns nil, or until ctx ends.
 func (d *Download) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -147,7 +164,7 @@
 	var out []Member
 	for _, m := range candidates(d.set.Root(), d.self, d.members, d.cfg.Degree) {
 		used := slices.ContainsFunc(d.avail.neighbours, func(n neighbour) bool { return n.member.VM == m.VM && n.up })
-		if !used {
+		if !used && d.corrupt[m.VM] < maxCorrupt {
 			out = append(out, m)
 		}
 	}
@@ -237,7 +254,7 @@
 	}
 	n.strikes++
 	n.until = time.Now().Add(time.Duration(n.strikes) * faultPause)
-	if n.strikes < maxStrikes {
+	if n.strikes < maxStrikes && d.corrupt[m.VM] < maxCorrupt {
 		return false
 	}
 	d.avail.forget(i)
@@ -308,8 +325,8 @@
 	d.mu.Lock()
 	d.stats.PeerBytes += int64(n)
 	if err != nil {
-		d.stats.CorruptPeer++
 		d.avail.holders[c] &^= 1 << i
+		d.blame(m)
 		d.mu.Unlock()
 		d.strike(i, m)
 		return
@@ -326,6 +343,12 @@
 	}
 }
 
+// blame notes a corrupt chunk from m. The caller holds the lock.
+func (d *Download) blame(m Member) {
+	d.stats.CorruptPeer++
+	d.corrupt[m.VM]++
+}
+
 func (d *Download) refused(c, i int, m Member, e *RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/swarm/download_test.go
@@ -0,0 +1,169 @@
+package swarm_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// bound is what the links allow: every VM takes each chunk once.
+const bound = chunks * chunkTime
+
+func TestHealthySwarmReadsEachChunkOnceFromTheOrigin(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, members(12, "east"))
+		took := n.finish(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(Equal(chunks))
+		n.g.Expect(took).To(BeNumerically("<", bound*7/4))
+	})
+}
+
+func TestKilledReadersAreTakenOver(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, members(10, "east"))
+		time.Sleep(5 * chunkTime)
+		n.kill("east-03")
+		n.kill("east-07")
+		n.finish(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", chunks*5/4))
+	})
+}
+
+func TestNewcomerTakesFromOthersNotFromTheOrigin(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		list := members(8, "east")
+		n.start(m, list)
+		time.Sleep(bound * 3 / 4)
+		list = append(list, member(8, "east"))
+		for _, x := range list[:8] {
+			n.get(x.VM).download.SetMembers(list)
+		}
+		n.join(m, list[8], list)
+		n.finish(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", chunks+2))
+	})
+}
+
+func TestCorruptMemberIsAvoided(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, members(8, "east"))
+		n.get("east-02").update(func(v *vm) { v.corrupt = true })
+		n.finish(time.Minute)
+		caught := 0
+		for _, x := range members(8, "east") {
+			s := n.get(x.VM).download.Stats()
+			n.g.Expect(s.CorruptPeer).To(BeNumerically("<=", 6), "asked again and again")
+			caught += s.CorruptPeer
+		}
+		n.g.Expect(caught).To(BeNumerically(">", 0))
+	})
+}
+
+func TestCorruptOriginIsReadAgain(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.origin.set(func(o *fakeOrigin) { o.corrupt = 3 })
+		n.start(m, members(8, "east"))
+		n.finish(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", chunks+3+2))
+	})
+}
+
+func TestStalledLinkHoldsNobodyElse(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, members(10, "east"))
+		time.Sleep(10 * chunkTime)
+		stalled := n.get("east-04")
+		stalled.update(func(v *vm) { v.stalled = true })
+		n.mu.Lock()
+		delete(n.vms, "east-04")
+		n.mu.Unlock()
+		took := n.finish(time.Minute)
+		n.g.Expect(took).To(BeNumerically("<", 3*bound))
+	})
+}
+
+func TestVersionThatChangesMidCopyIsFinishedFromOthersOrNotAtAll(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		other, _ := version(7)
+		n.start(m, members(8, "east"))
+		time.Sleep(10 * chunkTime)
+		n.origin.set(func(o *fakeOrigin) { o.data = other })
+		time.Sleep(10 * time.Second)
+		for _, x := range members(8, "east") {
+			v := n.get(x.VM)
+			n.g.Expect(v.set.Complete()).To(BeFalse())
+			for i := range chunks {
+				b := v.set.Get(i)
+				n.g.Expect(b == nil || b[0] != other[i*chunkSize]).To(BeTrue(), "a chunk of the other version")
+			}
+		}
+	})
+}
+
+func TestOriginThatRefusesTheVersionIsLeftAlone(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, members(8, "east"))
+		time.Sleep(10 * chunkTime)
+		n.origin.set(func(o *fakeOrigin) { o.changed = true })
+		time.Sleep(time.Second)
+		reads := n.origin.readCount()
+		time.Sleep(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", reads+8), "each member asks once more at the most")
+		n.g.Expect(n.get("east-00").download.Stats().Blocked).To(ContainSubstring("no longer has this version"))
+	})
+}
+
+func TestBrokenOriginIsNotStormed(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.origin.set(func(o *fakeOrigin) { o.down = true })
+		n.start(m, members(8, "east"))
+		time.Sleep(time.Minute)
+		before := n.origin.readCount()
+		time.Sleep(time.Minute)
+		n.g.Expect(n.origin.readCount()-before).To(BeNumerically("<=", 8*2*60), "each member asks at most twice a second")
+	})
+}
+
+func TestOriginThatComesBackIsUsed(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.origin.set(func(o *fakeOrigin) { o.down = true })
+		n.start(m, members(8, "east"))
+		time.Sleep(time.Minute)
+		n.origin.set(func(o *fakeOrigin) { o.down = false })
+		n.finish(10 * time.Minute)
+	})
+}
+
+func TestLongLinkCarriesEachChunkOnce(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, append(members(8, "east"), members(8, "west")...))
+		n.finish(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", chunks*21/20))
+		n.g.Expect(n.cross["east"] + n.cross["west"]).To(BeNumerically("<=", chunks*21/20))
+	})
+}
+
+func TestRegionThatIsCutOffFinishesAlone(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		n.start(m, append(members(8, "east"), members(8, "west")...))
+		time.Sleep(10 * chunkTime)
+		n.mu.Lock()
+		n.cut["west"] = true
+		n.mu.Unlock()
+		n.finish(time.Minute)
+		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", 2*chunks*5/4), "each region within its budget")
+	})
+}
--- a/swarm/inject.go
+++ b/swarm/inject.go
@@ -20,6 +20,14 @@
 	// anybodySpread is over how many times the lateness the readings by anybody
 	// are spread, so that they do not come together.
 	anybodySpread = 16
+	// maxPostponed is how often a chunk is left to a member that says it is
+	// about to read it. It is patient enough for that member's longest backoff.
+	maxPostponed = 10
+	// maxPostponedFar is the same for a member of another region. It is much
+	// less, so that those who wait for this member outwait its waiting.
+	maxPostponedFar = 2
+	// maxBackoffShift bounds the growth of the pause after faults of the origin.
+	maxBackoffShift = 2
 	// originParallel is how many chunks a member reads from the origin at once.
 	originParallel = 2
 	// maxOriginCorrupt is how many corrupt copies of a chunk from the origin
@@ -34,9 +42,13 @@
 	due   []time.Time
 	front [][]Member
 	rank  []int
-	// reading marks chunks that are being brought in now.
-	reading map[int]bool
-	corrupt map[int]int
+	// reading marks chunks that are being brought in now; fromOrigin those of
+	// them that are being read from the origin.
+	reading    map[int]bool
+	fromOrigin map[int]bool
+	corrupt    map[int]int
+	// postponed counts how often each chunk was left to another member.
+	postponed map[int]int
 	// allowance is how many bytes of the origin this member may still read.
 	allowance int64
 	limiter   *rate.Limiter
@@ -54,20 +66,48 @@
 		rank:    make([]int, n),
 		reading: map[int]bool{},
 		corrupt: map[int]int{},
+
+		fromOrigin: map[int]bool{},
+		postponed:  map[int]int{},
 	}
 	j.assign(d)
-	m := d.set.Manifest()
-	members := float64(max(len(d.members), 1))
-	fair := d.cfg.OriginCopies * float64(m.Size) / members
-	j.allowance = int64(math.Ceil(fair)) + 2*m.ChunkSize
+	j.allowance = j.share(d)
 	j.limiter = rate.NewLimiter(rate.Inf, 0)
-	if d.cfg.OriginRate > 0 {
-		burst := max(int(j.allowance), int(m.ChunkSize))
-		j.limiter = rate.NewLimiter(rate.Limit(d.cfg.OriginRate/members), burst)
-	}
+	j.limit(d)
 	return j
 }
 
+// limit keeps this member to its part of the origin's link. What it may read
+// in all may come at once: the turns already spread that over time.
+func (j *injection) limit(d *Download) {
+	if d.cfg.OriginRate <= 0 {
+		j.limiter.SetLimit(rate.Inf)
+		return
+	}
+	members := float64(max(len(d.members), 1))
+	j.limiter.SetBurst(int(max(j.allowance, d.set.Manifest().ChunkSize)))
+	j.limiter.SetLimit(rate.Limit(d.cfg.OriginRate / members))
+}
+
+// share returns how many bytes of the origin this member may read: the chunks
+// that it is the first to bring in, and its part of the spare copies. Shares
+// add up to the budget; a part of a chunk is drawn by lot, the same each time.
+func (j *injection) share(d *Download) int64 {
+	m := d.set.Manifest()
+	first := 0
+	for _, r := range j.rank {
+		if r == 0 {
+			first++
+		}
+	}
+	spare := (d.cfg.OriginCopies - 1) * float64(len(m.Chunks)) / float64(max(len(d.members), 1))
+	whole, part := math.Modf(spare)
+	if float64(score(d.set.Root(), allChunks, d.self.VM))/math.MaxUint64 < part {
+		whole++
+	}
+	return (int64(first) + int64(whole)) * m.ChunkSize
+}
+
 // assign works out this member's rank and time for each chunk.
 //
 // The origin's link is shared by time: chunk c has its turn at c times what a
@@ -88,13 +128,22 @@
 		}
 		home := ranked(d.set.Root(), c, d.members, 1)
 		if len(home) == 1 && home[0].Region != d.self.Region {
-			j.front[c] = append(home, j.front[c]...)
+			j.front[c] = withHome(j.front[c], home[0], j.rank[c])
 			wait += late
 		}
 		j.due[c] = turn.Add(wait)
 	}
 }
 
+// setBudget changes the ceilings on the origin while chunks travel.
+func (j *injection) setBudget(d *Download, rate, copies float64) {
+	before := j.share(d)
+	WithOriginBudget(rate, copies)(&d.cfg)
+	j.allowance += j.share(d) - before
+	j.assign(d)
+	j.limit(d)
+}
+
 // turnOf returns when chunk c has its turn on the origin's link.
 func turnOf(originRate float64, m *weights.Manifest, c int) time.Duration {
 	if originRate <= 0 {
@@ -104,6 +153,15 @@
 	return time.Duration(float64(off) / originRate * float64(time.Second))
 }
 
+// withHome adds the first reader of all, in another region, to those in front:
+// behind the members of this region that should have asked it already, so that
+// a long link carries a chunk once.
+func withHome(front []Member, home Member, rank int) []Member {
+	out := append([]Member(nil), front[:rank]...)
+	out = append(out, home)
+	return append(out, front[rank:]...)
+}
+
 // inFront returns those ranked before vm, the next behind it, and vm's rank.
 // The next behind is asked as well: it had the first rank before vm joined.
 func inFront(ranks []Member, vm string) ([]Member, int) {
@@ -124,8 +182,12 @@
 func (d *Download) injectDue(ctx context.Context) {
 	now := time.Now()
 	j := &d.inject
+	parallel := originParallel
+	if j.faults > 0 {
+		parallel = 1
+	}
 	for c := range j.due {
-		if len(j.reading) >= originParallel {
+		if len(j.reading) >= parallel {
 			return
 		}
 		if now.Before(j.due[c]) || d.avail.have[c] || j.reading[c] || d.avail.known(c) || d.avail.flights[c].copies > 0 {
@@ -144,21 +206,34 @@
 	defer func() {
 		d.mu.Lock()
 		delete(d.inject.reading, c)
+		delete(d.inject.fromOrigin, c)
 		d.mu.Unlock()
 	}()
 	for _, m := range front {
+		if d.barred(m) {
+			continue
+		}
 		switch d.askFront(ctx, c, m) {
 		case askGot:
 			return
 		case askWait:
-			d.postpone(c)
-			return
+			if d.patient(c, m) {
+				d.postpone(c)
+				return
+			}
 		case askAbsent:
 		}
 	}
 	d.readOrigin(ctx, c, rank)
 }
 
+// barred returns whether m gave too many corrupt chunks.
+func (d *Download) barred(m Member) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.corrupt[m.VM] >= maxCorrupt
+}
+
 type askResult int
 
 const (
@@ -176,6 +251,9 @@
 	if errors.As(err, &refused) && refused.Refusal != RefusalAbsent {
 		return askWait
 	}
+	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		return askWait
+	}
 	if err != nil {
 		return askAbsent
 	}
@@ -185,24 +263,38 @@
 	defer d.mu.Unlock()
 	d.stats.PeerBytes += int64(n)
 	if err != nil {
-		d.stats.CorruptPeer++
+		d.blame(m)
 		return askAbsent
 	}
 	d.avail.have[c] = true
 	return askGot
 }
 
-// postpone gives whoever is reading chunk c half the lateness more.
+// postpone leaves chunk c alone for half the lateness, or for half of what a
+// member that stalls takes to be found out.
 func (d *Download) postpone(c int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.inject.due[c] = time.Now().Add(d.cfg.lateness(d.set.Manifest().Size) / 2)
+	d.inject.postponed[c]++
+	step := max(d.cfg.lateness(d.set.Manifest().Size), d.cfg.MinTimeout) / 2
+	d.inject.due[c] = time.Now().Add(step)
+}
+
+// patient returns whether chunk c may be left to m once more.
+func (d *Download) patient(c int, m Member) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m.Region != d.self.Region {
+		return d.inject.postponed[c] < maxPostponedFar
+	}
+	return d.inject.postponed[c] < maxPostponed
 }
 
 // readOrigin reads chunk c from the origin within this member's budget.
 func (d *Download) readOrigin(ctx context.Context, c, rank int) {
 	off, n := d.set.Manifest().Range(c)
-	if !d.mayRead(n) {
+	if !d.mayRead(c, n) {
+		d.postpone(c)
 		return
 	}
 	if err := d.inject.limiter.WaitN(ctx, int(n)); err != nil {
@@ -213,7 +305,7 @@
 		return
 	}
 	if err != nil {
-		d.originFailed(err)
+		d.originFailed(err, int64(len(b)), n)
 		return
 	}
 	_, err = d.set.Put(c, b)
@@ -232,37 +324,77 @@
 	}
 }
 
-// mayRead takes n bytes from the allowance, if there are as many and the
+// mayRead takes the n bytes of chunk c from the allowance, if there are as many and the
 // origin may be asked now.
-func (d *Download) mayRead(n int64) bool {
+func (d *Download) mayRead(c int, n int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	j := &d.inject
-	if j.changed || time.Now().Before(j.retryAt) {
+	if !d.inject.open(n) {
+		d.explainClosed(n)
 		return false
 	}
-	if j.allowance < n {
-		d.stats.Blocked = "this member's share of the origin's budget is used up"
-		return false
-	}
-	j.allowance -= n
+	d.inject.allowance -= n
+	d.inject.fromOrigin[c] = true
 	return true
 }
 
-// originFailed notes a fault of the origin and backs off.
-func (d *Download) originFailed(err error) {
+// Reasons why a download is blocked.
+const (
+	blockedChanged = "the origin no longer has this version; the rest can only come from other VMs"
+	blockedBudget  = "this member's share of the origin's budget is used up"
+	blockedCorrupt = "the origin's bytes do not match the manifest"
+)
+
+func (d *Download) explainClosed(n int64) {
+	switch {
+	case d.inject.changed:
+		d.stats.Blocked = blockedChanged
+	case d.inject.allowance < n:
+		d.stats.Blocked = blockedBudget
+	}
+}
+
+// open returns whether n bytes may be read from the origin now.
+func (j *injection) open(n int64) bool {
+	return !j.changed && j.allowance >= n && !time.Now().Before(j.retryAt)
+}
+
+// promises returns whether this member is reading chunk c from the origin, or
+// is the first to do so and will as soon as it can. One that only asks others
+// for it promises nothing: two that ask each other would both wait.
+func (j *injection) promises(c int, n int64) bool {
+	if j.fromOrigin[c] {
+		return true
+	}
+	return j.rank[c] == 0 && !j.changed && j.allowance >= n
+}
+
+// originFailed notes a fault of the origin after read of n bytes, and backs off.
+func (d *Download) originFailed(err error, read, n int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	j := &d.inject
+	j.allowance += n - read
+	d.stats.OriginBytes += read
 	var changed *origin.ChangedError
 	if errors.As(err, &changed) {
 		j.changed = true
-		d.stats.Blocked = "the origin no longer has this version; the rest can only come from other VMs"
+		d.stats.Blocked = blockedChanged
 		return
 	}
-	j.faults++
 	d.stats.Blocked = "origin: " + err.Error()
-	j.retryAt = time.Now().Add(backoff(j.faults, d.cfg.lateness(d.set.Manifest().Size)))
+	// It is the origin's fault that chunks are late, and no other member's.
+	clear(j.postponed)
+	j.backOff(d)
+}
+
+// backOff leaves the origin alone for a while, longer after each fault in a
+// row, and not for the same time as other members.
+func (j *injection) backOff(d *Download) {
+	j.faults++
+	pause := d.cfg.lateness(d.set.Manifest().Size) << min(j.faults-1, maxBackoffShift)
+	jitter := 0.5 + d.cfg.Rand.Float64()/2
+	j.retryAt = time.Now().Add(time.Duration(jitter * float64(pause)))
 }
 
 // originCorrupt notes a corrupt chunk from the origin. The caller holds the lock.
@@ -270,16 +402,8 @@
 	j := &d.inject
 	d.stats.CorruptOrigin++
 	j.corrupt[c]++
-	j.faults++
-	j.retryAt = time.Now().Add(backoff(j.faults, d.cfg.lateness(d.set.Manifest().Size)/4))
+	j.backOff(d)
 	if j.corrupt[c] >= maxOriginCorrupt {
-		d.stats.Blocked = "the origin's bytes do not match the manifest"
+		d.stats.Blocked = blockedCorrupt
 	}
 }
-
-// maxBackoffShift bounds the growth of a backoff.
-const maxBackoffShift = 6
-
-func backoff(faults int, base time.Duration) time.Duration {
-	return base << min(faults-1, maxBackoffShift)
-}
--- a/swarm/member.go
+++ b/swarm/member.go
@@ -23,6 +23,9 @@
 	Region string
 }
 
+// allChunks stands for the weights as a whole where a chunk is asked for.
+const allChunks = -1
+
 // score orders members for a chunk by rendezvous hashing.
 func score(root weights.Digest, chunk int, vm string) uint64 {
 	var b [weights.DigestSize + 4]byte
--- a/swarm/ring.go
+++ b/swarm/ring.go
@@ -22,7 +22,7 @@
 		if c := cmp.Compare(a.Zone, b.Zone); c != 0 {
 			return c
 		}
-		return cmp.Compare(score(root, -1, a.VM), score(root, -1, b.VM))
+		return cmp.Compare(score(root, allChunks, a.VM), score(root, allChunks, b.VM))
 	})
 	at := slices.IndexFunc(ring, func(m Member) bool { return m.VM == self.VM })
 	if at < 0 {
--- a/swarm/transport.go
+++ b/swarm/transport.go
@@ -18,7 +18,9 @@
 
 // Origin reads chunks where weights come from in the first place.
 type Origin interface {
-	// ReadChunk returns n bytes at off, unverified, or *origin.ChangedError.
+	// ReadChunk returns n bytes at off, unverified. With an error it returns
+	// the bytes that had come, since they count against the budget; the error
+	// is *origin.ChangedError when the origin has another version.
 	ReadChunk(ctx context.Context, off, n int64) ([]byte, error)
 }
 
