--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -18,8 +18,8 @@
 	LinkMiB  float64 `arg:"--link-mib" default:"2" help:"rate of each VM's link, each way, in MiB a second"`
 	Copies   float64 `arg:"--copies" default:"1.25" help:"the rollout's ceiling on origin copies"`
 	Only     string  `arg:"--only" help:"run only swarm, faults, direct or tree"`
-	Degree   int     `arg:"--degree" default:"12"`
-	Parallel int     `arg:"--parallel" default:"8"`
+	Degree   int     `arg:"--degree" default:"10"`
+	Parallel int     `arg:"--parallel" default:"12"`
 	PerPeer  int     `arg:"--per-peer" default:"2"`
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -16,7 +16,7 @@
 )
 
 // Service is the net/rpc name of the methods that agents call on each other.
-const Service = "Exchange"
+const Service = "X"
 
 // Paths on an agent's peer port.
 const (
@@ -29,7 +29,7 @@
 	// haveWait is how long a request for news may wait.
 	haveWait = time.Second
 	// haveGather is how long news is gathered before it is told.
-	haveGather = 20 * time.Millisecond
+	haveGather = 450 * time.Millisecond
 	// writeLimit is how long a chunk may take to be taken off our hands.
 	writeLimit = 30 * time.Second
 )
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -80,8 +80,8 @@
 
 func newConfig(opts []Option) Config {
 	cfg := Config{
-		Degree:       12,
-		Parallel:     8,
+		Degree:       10,
+		Parallel:     12,
 		PerNeighbour: 2,
 		OriginCopies: DefaultCopies,
 		MinTimeout:   500 * time.Millisecond,
--- a/weights/digest.go
+++ b/weights/digest.go
@@ -58,3 +58,17 @@
 	err := d.UnmarshalText([]byte(s))
 	return d, err
 }
+
+// MarshalBinary returns the bytes of d.
+func (d Digest) MarshalBinary() ([]byte, error) {
+	return d[:], nil
+}
+
+// UnmarshalBinary reads d from bytes.
+func (d *Digest) UnmarshalBinary(b []byte) error {
+	if len(b) != DigestSize {
+		return fmt.Errorf("weights: digest of %d bytes, want %d", len(b), DigestSize)
+	}
+	copy(d[:], b)
+	return nil
+}
