agent: an order under way no longer blocks what is learned; lost versions are loaded again

Cause: the fence held one lock for its epoch and for the order under way. A load takes minutes; meanwhile a new directive waited for the lock, and behind it all reports, so the entries would have suspected the endpoint. And an engine that was restarted stayed 'live' for its agent for good. Found by: reading the code for a test on virtual time, where such a wait stands still. The tests came with the change; they were not run against the old code. After: a turn for orders beside the lock for the epoch; the engine is asked every 2 s what it has loaded, and what it lost is loaded again from memory.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -35,6 +34,7 @@
 // Agent is the process's state. It is safe for concurrent use.
 type Agent struct {
 	cfg      *settings.Agent
+	network  secure.Network
 	log      *log.Logger
 	registry metrics.Registry
 	pool     *peer.Pool
@@ -51,16 +51,16 @@
 }
 
 // New returns an Agent that does nothing until Start.
-func New(cfg *settings.Agent, l *log.Logger, tracer *telemetry.Tracer, registry metrics.Registry) (*Agent, error) {
-	d, err := secure.NewDialer(cfg.PeerTLS)
+func New(cfg *settings.Agent, network secure.Network, l *log.Logger, tracer *telemetry.Tracer, registry metrics.Registry) (*Agent, error) {
+	d, err := secure.NewDialer(network, cfg.PeerTLS)
 	if err != nil {
 		return nil, err
 	}
-	plain, err := secure.NewDialer(settings.TLS{})
+	plain, err := secure.NewDialer(network, settings.TLS{})
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{cfg: cfg, log: l, registry: registry, pool: peer.NewPool(d), holder: newHolder(cfg.HoldBytes)}
+	a := &Agent{cfg: cfg, network: network, log: l, registry: registry, pool: peer.NewPool(d), holder: newHolder(cfg.HoldBytes)}
 	gate := admission.NewGate(admission.Config{Slots: cfg.Slots, UrgentSlots: cfg.UrgentSlots, Queue: cfg.Queue})
 	a.loader = &loader{
 		self:     swarm.Member{VM: cfg.VM, Addr: cfg.Peer, Zone: cfg.Zone, Region: cfg.Region},
@@ -114,11 +114,11 @@
 
 // Start listens and begins to report and to reconcile.
 func (a *Agent) Start(context.Context) error {
-	l, err := secure.Listen(a.cfg.Peer, a.cfg.PeerTLS, true)
+	l, err := secure.Listen(a.network, a.cfg.Peer, a.cfg.PeerTLS, true)
 	if err != nil {
 		return err
 	}
-	o, err := net.Listen("tcp", a.cfg.Telemetry.Observe)
+	o, err := a.network.Listen("tcp", a.cfg.Telemetry.Observe)
 	if err != nil {
 		_ = l.Close()
 		return err
--- a/agent/export_test.go
+++ b/agent/export_test.go
@@ -61,7 +61,10 @@
 func (f Fence) Learn(epoch int64) { f.learn(epoch) }
 
 // LearnEngine raises the fence to the engine's epoch.
-func (f Fence) LearnEngine(ctx context.Context) error { return f.learnEngine(ctx) }
+func (f Fence) LearnEngine(ctx context.Context) error {
+	_, err := f.learnEngine(ctx)
+	return err
+}
 
 // Order gives an order unless the fence forbids it.
 func (f Fence) Order(ctx context.Context, o engine.Order) error { return f.order(ctx, o) }
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -31,6 +31,9 @@
 // Spec step: fence.pml, "order" and "learn".
 type fence struct {
 	engine engine.Engine
+	// turn is held while an order is under way. It is not the lock of the
+	// epoch: a load takes minutes, and what is learned meanwhile must not wait.
+	turn chan struct{}
 
 	mu      sync.Mutex
 	epoch   int64
@@ -38,7 +41,7 @@
 }
 
 func newFence(e engine.Engine) *fence {
-	return &fence{engine: e}
+	return &fence{engine: e, turn: make(chan struct{}, 1)}
 }
 
 // learn raises the fence to an epoch that was seen somewhere.
@@ -48,34 +51,48 @@
 	f.epoch = max(f.epoch, epoch)
 }
 
-// learnEngine raises the fence to the engine's own epoch. Until it has
-// succeeded once, order refuses everything.
-func (f *fence) learnEngine(ctx context.Context) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// learnEngine raises the fence to the engine's own epoch and returns the
+// engine's state. Until it has succeeded once, order refuses everything.
+func (f *fence) learnEngine(ctx context.Context) (engine.State, error) {
 	s, err := f.engine.State(ctx)
 	if err != nil {
-		return err
+		return s, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.epoch = max(f.epoch, s.Epoch)
 	f.learned = true
-	return nil
+	return s, nil
 }
 
-// order gives o to the engine unless the fence forbids it. It holds the fence
-// until the engine has answered, so that no older order can follow a newer one
-// to an engine that does not check.
+// order gives o to the engine unless the fence forbids it. The next order
+// waits until the engine has answered, so that no older order can follow a
+// newer one to an engine that does not check.
 func (f *fence) order(ctx context.Context, o engine.Order) error {
+	select {
+	case f.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-f.turn }()
+	if err := f.enter(o.Epoch); err != nil {
+		return err
+	}
+	return f.engine.Order(ctx, o)
+}
+
+// enter checks an order's epoch and raises the fence to it.
+func (f *fence) enter(epoch int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.learned {
-		return &FenceError{Order: o.Epoch, Unknown: true}
+		return &FenceError{Order: epoch, Unknown: true}
 	}
-	if o.Epoch < f.epoch {
-		return &FenceError{Order: o.Epoch, Fence: f.epoch}
+	if epoch < f.epoch {
+		return &FenceError{Order: epoch, Fence: f.epoch}
 	}
-	f.epoch = o.Epoch
-	return f.engine.Order(ctx, o)
+	f.epoch = epoch
+	return nil
 }
 
 // at returns the fence's epoch.
--- a/agent/fence_test.go
+++ b/agent/fence_test.go
@@ -21,6 +21,27 @@
 	g.Expect(f.Order(context.Background(), engine.Order{Epoch: 9})).To(Succeed())
 }
 
+func TestFenceLearnsWhileAnOrderIsUnderWay(t *testing.T) {
+	g := NewWithT(t)
+	e := &fakeEngine{gate: make(chan struct{})}
+	f := agent.NewFence(e)
+	g.Expect(f.LearnEngine(context.Background())).To(Succeed())
+	ordered := make(chan error, 1)
+	go func() { ordered <- f.Order(context.Background(), engine.Order{Epoch: 1}) }()
+	e.gate <- struct{}{}
+	g.Expect(<-ordered).To(Succeed())
+	go func() { ordered <- f.Order(context.Background(), engine.Order{Epoch: 2}) }()
+	learned := make(chan struct{})
+	go func() {
+		f.Learn(5)
+		close(learned)
+	}()
+	<-learned
+	e.gate <- struct{}{}
+	<-ordered
+	g.Expect(f.Order(context.Background(), engine.Order{Epoch: 4})).To(MatchError(&agent.FenceError{Order: 4, Fence: 5}))
+}
+
 // The engine never takes an order of a lower epoch than one before, whatever
 // the agent learns and is told to order, whether or not the engine checks.
 func TestFenceKeepsEpochsInOrder(t *testing.T) {
--- a/agent/loader.go
+++ b/agent/loader.go
@@ -27,6 +27,8 @@
 	loadLimit = 10 * time.Minute
 	// stateLimit is how long an engine may take to tell its state.
 	stateLimit = 5 * time.Second
+	// checkEvery is how often the engine is asked what it has loaded.
+	checkEvery = 2 * time.Second
 	// loadRetry is the pause after a failed load.
 	loadRetry = 5 * time.Second
 	// manifestRetry is the pause after no manifest could be had.
@@ -69,6 +71,7 @@
 	directive peer.Directive
 	tasks     map[weights.Digest]*task
 	loaded    []peer.Loaded
+	checkedAt time.Time
 	wake      chan struct{}
 }
 
@@ -117,6 +120,9 @@
 	for _, t := range due {
 		l.load(ctx, t)
 	}
+	if l.checkDue() {
+		l.askEngine(ctx)
+	}
 }
 
 // startMissing begins to fetch what is newly assigned and tells running
@@ -286,7 +292,7 @@
 	if set == nil {
 		return &FullError{}
 	}
-	if !l.fenceLearned(ctx) {
+	if !l.askEngine(ctx) {
 		return &FenceError{Order: a.Epoch, Unknown: true}
 	}
 	kind := engine.OrderLoadModel
@@ -307,15 +313,50 @@
 	})
 }
 
-// fenceLearned makes sure that the engine's epoch is known.
-func (l *loader) fenceLearned(ctx context.Context) bool {
+// askEngine learns the engine's epoch and notes which versions it no longer
+// has: an engine that was restarted comes up empty.
+func (l *loader) askEngine(ctx context.Context) bool {
 	sctx, cancel := context.WithTimeout(ctx, stateLimit)
 	defer cancel()
-	err := l.fence.learnEngine(sctx)
+	s, err := l.fence.learnEngine(sctx)
 	if err != nil {
 		l.log.Warn("engine does not tell its state", "err", err)
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkedAt = time.Now()
+	for _, t := range l.tasks {
+		if t.live && !l.engineHas(s, t.assignment) {
+			l.lost(t)
+		}
 	}
-	return err == nil
+	return true
+}
+
+// engineHas returns whether the engine serves what a assigns.
+func (l *loader) engineHas(s engine.State, a peer.Assignment) bool {
+	set := l.holder.Set(a.Root)
+	return slices.ContainsFunc(s.Loaded, func(o engine.Loaded) bool {
+		return o.Model == a.Model && o.Adapter == a.Adapter && (set == nil || o.Digest == set.Manifest().Whole.String())
+	})
+}
+
+// lost notes that the engine no longer serves what it had loaded for t. The
+// caller holds the lock.
+func (l *loader) lost(t *task) {
+	a := t.assignment
+	l.log.Warn("engine lost a version", "rollout", a.Rollout, "model", a.Model, "adapter", a.Adapter, "weights", a.Weights)
+	t.live = false
+	l.loaded = slices.DeleteFunc(l.loaded, func(o peer.Loaded) bool { return o.Root == a.Root })
+	l.news()
+}
+
+// checkDue returns whether it is time to ask the engine what it has.
+func (l *loader) checkDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.loaded) > 0 && time.Since(l.checkedAt) >= checkEvery
 }
 
 func (l *loader) setFailed(t *task, text string) {
--- a/agent/loader_test.go
+++ b/agent/loader_test.go
@@ -28,6 +28,7 @@
 	checks bool
 	orders []engine.Order
 	fail   error
+	loaded map[string]engine.Loaded
 	// gate, if set, is received from before an order is carried out.
 	gate chan struct{}
 }
@@ -46,16 +47,32 @@
 	}
 	f.epoch = max(f.epoch, o.Epoch)
 	f.orders = append(f.orders, o)
+	if f.loaded == nil {
+		f.loaded = map[string]engine.Loaded{}
+	}
+	f.loaded[o.Model] = engine.Loaded{Model: o.Model, Adapter: o.Adapter, Weights: o.Weights, Digest: o.Digest}
 	return nil
 }
 
+// restart loses everything.
+func (f *fakeEngine) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch = 0
+	f.loaded = nil
+}
+
 func (f *fakeEngine) State(context.Context) (engine.State, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.checks {
-		return engine.State{}, nil
+	s := engine.State{}
+	if f.checks {
+		s.Epoch = f.epoch
+	}
+	for _, l := range f.loaded {
+		s.Loaded = append(s.Loaded, l)
 	}
-	return engine.State{Epoch: f.epoch}, nil
+	return s, nil
 }
 
 func (f *fakeEngine) taken() []engine.Order {
@@ -258,6 +275,21 @@
 	})
 }
 
+func TestLoaderLoadsAgainWhatTheEngineLost(t *testing.T) {
+	o, m := newFakeOrigin(bytes.Repeat([]byte("weights "), 4096))
+	e := &fakeEngine{checks: true}
+	inBubble(t, e, o, 1<<20, func(g Gomega, l agent.Loader) {
+		l.Apply(peer.Directive{Revision: 1, Assignments: []peer.Assignment{assignment(m, 1)}})
+		time.Sleep(time.Second)
+		g.Expect(e.taken()).To(HaveLen(1))
+		reads := o.reads
+		e.restart()
+		time.Sleep(5 * time.Second)
+		g.Expect(e.taken()).To(HaveLen(2))
+		g.Expect(o.reads).To(Equal(reads), "the weights were still held")
+	})
+}
+
 // readTime is what a chunk takes from a slowOrigin.
 const readTime = 100 * time.Millisecond
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,7 @@
 // Entry is the process's state. It is safe for concurrent use.
 type Entry struct {
 	cfg       *settings.Entry
+	network   secure.Network
 	log       *log.Logger
 	registry  metrics.Registry
 	platform  *platform.Client
@@ -85,17 +86,17 @@
 }
 
 // New returns an Entry that does nothing until Start.
-func New(cfg *settings.Entry, l *log.Logger, tracer *telemetry.Tracer, registry metrics.Registry) (*Entry, error) {
-	peers, err := secure.NewDialer(cfg.PeerTLS)
+func New(cfg *settings.Entry, network secure.Network, l *log.Logger, tracer *telemetry.Tracer, registry metrics.Registry) (*Entry, error) {
+	peers, err := secure.NewDialer(network, cfg.PeerTLS)
 	if err != nil {
 		return nil, err
 	}
-	plain, err := secure.NewDialer(settings.TLS{})
+	plain, err := secure.NewDialer(network, settings.TLS{})
 	if err != nil {
 		return nil, err
 	}
 	e := &Entry{
-		cfg: cfg, log: l, registry: registry,
+		cfg: cfg, network: network, log: l, registry: registry,
 		platform: platform.NewClient(cfg.Platform,
 			platform.WithHTTP(plain.HTTPClient()), platform.WithShare(cfg.PlatformReads, cfg.PlatformWrites)),
 		origin:    origin.NewClient(cfg.Origin, plain.HTTPClient()),
@@ -168,7 +169,7 @@
 func (e *Entry) Start(context.Context) error {
 	listeners := make([]net.Listener, 0, len(e.servers))
 	for _, s := range e.servers {
-		l, err := secure.Listen(s.addr, s.tls, s.mutual)
+		l, err := secure.Listen(e.network, s.addr, s.tls, s.mutual)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/process/process.go
+++ b/process/process.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/silverdeck/silverdeck"
+	"github.com/silverdeck/silverdeck/secure"
 	"github.com/silverdeck/silverdeck/settings"
 	"github.com/silverdeck/silverdeck/telemetry"
 )
@@ -68,6 +69,7 @@
 			func() *log.Logger { return telemetry.NewLogger(os.Stderr, t.LogLevel, id).With("process", name) },
 			func() (*telemetry.Tracer, error) { return telemetry.NewTracer(t, name, id) },
 			metrics.NewRegistry,
+			secure.NewNetwork,
 			newService,
 		),
 		fx.Invoke(hook[S]),
--- a/secure/secure.go
+++ b/secure/secure.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,10 +26,32 @@
 	keepAlivePeriod = 15 * time.Second
 )
 
-// Listen opens a listener at addr. With mutual set, the other side must show
-// a certificate that t.CA verifies.
-func Listen(addr string, t settings.TLS, mutual bool) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+// Network is what a process listens and connects by.
+type Network interface {
+	// Listen opens a listener; see net.Listen.
+	Listen(network, addr string) (net.Listener, error)
+	// DialContext opens a connection; see net.Dialer.
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+type system struct {
+	net.Dialer
+}
+
+// NewNetwork returns the Network of the operating system.
+func NewNetwork() Network {
+	return &system{Dialer: net.Dialer{Timeout: dialLimit, KeepAlive: keepAlivePeriod}}
+}
+
+// Listen implements Network.
+func (s *system) Listen(network, addr string) (net.Listener, error) {
+	return net.Listen(network, addr)
+}
+
+// Listen opens a listener at addr of n. With mutual set, the other side must
+// show a certificate that t.CA verifies.
+func Listen(n Network, addr string, t settings.TLS, mutual bool) (net.Listener, error) {
+	l, err := n.Listen("tcp", addr)
 	if err != nil || !t.Enabled() {
 		return l, err
 	}
@@ -46,13 +69,13 @@
 
 // Dialer opens connections to other processes.
 type Dialer struct {
-	plain net.Dialer
-	tls   *tls.Config
+	network Network
+	tls     *tls.Config
 }
 
-// NewDialer returns a Dialer that shows and checks certificates as t says.
-func NewDialer(t settings.TLS) (*Dialer, error) {
-	d := &Dialer{plain: net.Dialer{Timeout: dialLimit, KeepAlive: keepAlivePeriod}}
+// NewDialer returns a Dialer over n that shows and checks certificates as t says.
+func NewDialer(n Network, t settings.TLS) (*Dialer, error) {
+	d := &Dialer{network: n}
 	if !t.Enabled() {
 		return d, nil
 	}
@@ -71,11 +94,25 @@
 
 // DialContext opens a connection to addr.
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	if d.tls == nil {
-		return d.plain.DialContext(ctx, network, addr)
+	c, err := d.network.DialContext(ctx, network, addr)
+	if err != nil || d.tls == nil {
+		return c, err
+	}
+	return d.handshake(ctx, c, addr)
+}
+
+func (d *Dialer) handshake(ctx context.Context, c net.Conn, addr string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	cfg := d.tls.Clone()
+	cfg.ServerName = host
+	t := tls.Client(c, cfg)
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
 	}
-	t := tls.Dialer{NetDialer: &d.plain, Config: d.tls}
-	return t.DialContext(ctx, network, addr)
+	return t, nil
 }
 
 // HTTPClient returns a client that connects by d. It follows no redirects and
@@ -83,7 +120,7 @@
 func (d *Dialer) HTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         d.plain.DialContext,
+			DialContext:         d.network.DialContext,
 			DialTLSContext:      d.DialContext,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleLimit,
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -26,6 +26,8 @@
 	TokenTime time.Duration
 	// LoadTime is how long a load takes beside the reading.
 	LoadTime time.Duration
+	// HTTP reads the weights; nil is http.DefaultClient.
+	HTTP *http.Client
 }
 
 // Run is one line of an engine's log of runs.
@@ -52,6 +54,9 @@
 
 // NewEngine returns an Engine that has loaded nothing.
 func NewEngine(cfg EngineConfig) *Engine {
+	if cfg.HTTP == nil {
+		cfg.HTTP = http.DefaultClient
+	}
 	e := &Engine{cfg: cfg, mux: http.NewServeMux(), loaded: map[string]engine.Loaded{}}
 	e.mux.HandleFunc("POST /v1/orders", e.order)
 	e.mux.HandleFunc("GET /v1/state", e.state)
@@ -127,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := e.cfg.HTTP.Do(r)
 	if err != nil {
 		return err
 	}
