--- a/caller/recorder.go
+++ b/caller/recorder.go
@@ -46,6 +46,11 @@
 	metrics.GetOrRegisterCounter(name, h.Registry).Inc(1)
 }
 
-func (h *Handler) timer(name string) metrics.Timer {
-	return metrics.GetOrRegisterTimer(name, h.Registry)
+// sampleSize is how many of the last values a histogram keeps.
+const sampleSize = 1028
+
+func (h *Handler) histogram(name string) metrics.Histogram {
+	return metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
+	}).(metrics.Histogram)
 }
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -177,7 +177,7 @@
 		fields = append(fields, "endpoint", result.Choice.Endpoint.VM, "version", result.Choice.Loaded.Weights,
 			"attempts", result.Attempts, "why", result.Choice.Reason)
 	}
-	h.timer("request").Update(took)
+	h.histogram("request.micros").Update(took.Microseconds())
 	if e == nil {
 		h.count("requests.ok")
 		h.Log.Debug("request", fields...)
