--- a/session/memnet_test.go
+++ b/session/memnet_test.go
@@ -1,6 +1,7 @@
 package session_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -49,6 +50,10 @@
 func (h *host) kill() {
 	h.mu.Lock()
 	h.dead = true
+	if h.frozen != nil {
+		close(h.frozen)
+		h.frozen = nil
+	}
 	conns, ls := h.conns, h.ls
 	h.mu.Unlock()
 	for _, l := range ls {
@@ -231,9 +236,15 @@
 	return nil
 }
 
+// Write implements net.Conn. What a frozen host writes leaves it after the thaw.
 func (c *memConn) Write(b []byte) (int, error) {
+	late := bytes.Clone(b)
 	if g := c.host.gate(); g != nil {
-		<-g
+		go func() {
+			<-g
+			_, _ = c.Write(late)
+		}()
+		return len(b), nil
 	}
 	c.out.mu.Lock()
 	closed := c.out.closed
