--- a/session/memnet_test.go
+++ b/session/memnet_test.go
@@ -104,7 +104,10 @@
 	h.net.mu.Lock()
 	l := h.net.listeners[addr]
 	h.net.mu.Unlock()
-	if l == nil || h.dead {
+	h.mu.Lock()
+	dead := h.dead
+	h.mu.Unlock()
+	if l == nil || dead {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	a, b := newPipe(), newPipe()
--- a/session/promise_test.go
+++ b/session/promise_test.go
@@ -162,10 +162,14 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { answers = w.askMany(60, 200, 6*time.Second) })
 		time.Sleep(3 * time.Second)
+		killed := time.Now()
 		w.killAgent("runner-1")
 		wg.Wait()
-		failed := 0
+		failed, underWay := 0, 0
 		for _, a := range answers {
+			if a.started.Before(killed) && a.started.Add(a.took).After(killed.Add(-time.Millisecond)) {
+				underWay++
+			}
 			runs := w.runs(a)
 			w.g.Expect(runs).To(BeNumerically("<=", 1), "ran twice")
 			if a.right(200) {
@@ -174,7 +178,7 @@
 			failed++
 			w.g.Expect(a.header.Get(verdict.Header)).To(Equal(verdict.MayHaveRun.String()), a.body)
 		}
-		w.g.Expect(failed).To(BeNumerically("<=", 8), "more than were under way")
+		w.g.Expect(failed).To(BeNumerically("<=", underWay), "more than were under way")
 	})
 }
 
