--- a/agent/fence_test.go
+++ b/agent/fence_test.go
@@ -23,22 +23,15 @@
 
 func TestFenceLearnsWhileAnOrderIsUnderWay(t *testing.T) {
 	g := NewWithT(t)
-	e := &fakeEngine{gate: make(chan struct{})}
+	e := &fakeEngine{gate: make(chan struct{}), entered: make(chan struct{})}
 	f := agent.NewFence(e)
 	g.Expect(f.LearnEngine(context.Background())).To(Succeed())
 	ordered := make(chan error, 1)
-	go func() { ordered <- f.Order(context.Background(), engine.Order{Epoch: 1}) }()
-	e.gate <- struct{}{}
-	g.Expect(<-ordered).To(Succeed())
 	go func() { ordered <- f.Order(context.Background(), engine.Order{Epoch: 2}) }()
-	learned := make(chan struct{})
-	go func() {
-		f.Learn(5)
-		close(learned)
-	}()
-	<-learned
+	<-e.entered
+	f.Learn(5)
 	e.gate <- struct{}{}
-	<-ordered
+	g.Expect(<-ordered).To(Succeed())
 	g.Expect(f.Order(context.Background(), engine.Order{Epoch: 4})).To(MatchError(&agent.FenceError{Order: 4, Fence: 5}))
 }
 
--- a/agent/loader_test.go
+++ b/agent/loader_test.go
@@ -29,12 +29,14 @@
 	orders []engine.Order
 	fail   error
 	loaded map[string]engine.Loaded
-	// gate, if set, is received from before an order is carried out.
-	gate chan struct{}
+	// gate, if set, is received from before an order is carried out, and
+	// entered is sent to before that.
+	gate, entered chan struct{}
 }
 
 func (f *fakeEngine) Order(_ context.Context, o engine.Order) error {
 	if f.gate != nil {
+		f.entered <- struct{}{}
 		<-f.gate
 	}
 	f.mu.Lock()
--- a/swarm/fakes_test.go
+++ b/swarm/fakes_test.go
@@ -139,7 +139,7 @@
 		}
 		f(n)
 		cancel()
-		time.Sleep(time.Minute)
+		time.Sleep(time.Second)
 		synctest.Wait()
 	})
 }
