--- a/object/validate.go
+++ b/object/validate.go
@@ -14,7 +14,8 @@
 // MaxTimeoutMillis is the longest timeout that a service may ask for.
 const MaxTimeoutMillis = 3_600_000
 
-var sourcePath = regexp.MustCompile(`^[A-Za-z0-9._-]+(/[A-Za-z0-9._-]+)*$`)
+// sourcePath has no segment that begins with a dot, and so none that leads up.
+var sourcePath = regexp.MustCompile(`^[A-Za-z0-9_-][A-Za-z0-9._-]*(/[A-Za-z0-9_-][A-Za-z0-9._-]*)*$`)
 
 // Validate returns the first thing that is wrong with o by itself.
 func Validate(o Object) error {
--- a/session/promise_test.go
+++ b/session/promise_test.go
@@ -37,11 +37,11 @@
 
 // askMany sends requests of n words, spread over a time and over all entries,
 // and returns the answers.
-func (w *world) askMany(count, n int, over time.Duration, headers ...string) []answer {
+func (w *world) askMany(count, n int, over time.Duration) []answer {
 	out := make([]answer, count)
 	var wg sync.WaitGroup
 	for i := range count {
-		wg.Go(func() { out[i] = w.ask(i%len(w.entries), fmt.Sprintf("claim %d at %s", i, time.Now()), n, headers...) })
+		wg.Go(func() { out[i] = w.ask(i%len(w.entries), fmt.Sprintf("claim %d at %s", i, time.Now()), n) })
 		time.Sleep(over / time.Duration(count))
 	}
 	wg.Wait()
@@ -324,7 +324,7 @@
 
 func TestAnAcceptedConfigurationIsInForceEverywhereWithinSeconds(t *testing.T) {
 	started(t, 5, 4, func(w *world) {
-		o := w.find(0, object.KindService, "claims")
+		o := w.find(object.KindService, "claims")
 		o.Labels = map[string]string{"seen": "yes"}
 		r, err := w.apply(3, "ada", 0, put(o, o.Version))
 		w.g.Expect(err).NotTo(HaveOccurred())
@@ -340,7 +340,7 @@
 
 func TestAWriteWhoseAnswerIsLostIsAcceptedOnce(t *testing.T) {
 	started(t, 2, 1, func(w *world) {
-		before := w.find(0, object.KindService, "claims")
+		before := w.find(object.KindService, "claims")
 		w.platform.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
 		o := before
 		o.Labels = map[string]string{"a": "b"}
@@ -353,18 +353,18 @@
 func TestAnOutageIsToldAsNotAccepted(t *testing.T) {
 	started(t, 2, 1, func(w *world) {
 		w.platform.SetFaults(standin.PlatformFaults{Down: true})
-		o := w.find(0, object.KindService, "claims")
+		o := w.find(object.KindService, "claims")
 		_, err := w.apply(0, "ada", 0, put(o, o.Version))
 		w.g.Expect(err).To(MatchError(ContainSubstring(operator.CodeUnavailable)))
 		w.platform.SetFaults(standin.PlatformFaults{})
 		time.Sleep(10 * time.Second)
-		w.g.Expect(w.find(0, object.KindService, "claims").Version).To(Equal(o.Version))
+		w.g.Expect(w.find(object.KindService, "claims").Version).To(Equal(o.Version))
 	})
 }
 
 func TestTheSecondOfTwoOperatorsIsToldWhatChangedAndByWhom(t *testing.T) {
 	started(t, 2, 1, func(w *world) {
-		o := w.find(0, object.KindRollout, "reader")
+		o := w.find(object.KindRollout, "reader")
 		a, b := o, o
 		a.Labels = map[string]string{"by": "ada"}
 		b.Labels = map[string]string{"by": "bela"}
@@ -372,8 +372,8 @@
 		w.g.Expect(err).NotTo(HaveOccurred())
 		_, err = w.apply(1, "bela", 0, put(b, o.Version))
 		w.g.Expect(err).To(MatchError(ContainSubstring(`Rollout/reader was changed by "ada" at revision 2`)))
-		account := w.find(0, object.KindAccount, "claimsdesk")
-		service := w.find(0, object.KindService, "claims")
+		account := w.find(object.KindAccount, "claimsdesk")
+		service := w.find(object.KindService, "claims")
 		service.Spec.(*object.ServiceSpec).Accounts = "team=claims"
 		account.Labels = map[string]string{"team": "markets"}
 		_, err = w.apply(0, "ada", 2, put(service, service.Version))
@@ -387,7 +387,7 @@
 
 func TestANewVersionGoesOutInBatchesAndCanBeUndone(t *testing.T) {
 	started(t, 2, 4, func(w *world) {
-		o := w.find(0, object.KindRollout, "reader")
+		o := w.find(object.KindRollout, "reader")
 		spec := o.Spec.(*object.RolloutSpec)
 		spec.Weights, spec.Root, spec.Strategy.Batch = "v2", "", 2
 		var answers []answer
@@ -401,7 +401,7 @@
 			w.g.Expect(a.right(20)).To(BeTrue(), a.body)
 		}
 		read := w.origin.BytesRead()
-		o = w.find(0, object.KindRollout, "reader")
+		o = w.find(object.KindRollout, "reader")
 		spec = o.Spec.(*object.RolloutSpec)
 		spec.Weights, spec.Root = spec.Previous.Weights, spec.Previous.Root
 		_, err = w.apply(0, "ada", 0, put(o, o.Version))
--- a/session/world_test.go
+++ b/session/world_test.go
@@ -281,9 +281,9 @@
 	return r, nil
 }
 
-// find returns an object as an entry has it.
-func (w *world) find(entry int, kind object.Kind, name string) object.Object {
-	s, err := w.operator(entry, "reader").Snapshot(context.Background())
+// find returns an object as the first entry has it.
+func (w *world) find(kind object.Kind, name string) object.Object {
+	s, err := w.operator(0, "reader").Snapshot(context.Background())
 	w.g.Expect(err).NotTo(HaveOccurred())
 	o := s.Find(object.Ref{Kind: kind, Name: name})
 	w.g.Expect(o).NotTo(BeNil())
--- /dev/null
+++ b/verdict/verdict_test.go
@@ -0,0 +1,61 @@
+package verdict_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/casefile"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+var causes = map[string]error{
+	"refused":  syscall.ECONNREFUSED,
+	"reset":    syscall.ECONNRESET,
+	"timeout":  context.DeadlineExceeded,
+	"canceled": context.Canceled,
+	"eof":      io.ErrUnexpectedEOF,
+}
+
+var _ = Describe("Classify", func() {
+	cases, err := casefile.Read("testdata/classify.txt")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.Name, func() {
+			var at, cause string
+			_, err := fmt.Sscan(c.Input, &at, &cause)
+			Expect(err).NotTo(HaveOccurred())
+			p, known := verdict.ParseProgress(at)
+			Expect(known).To(BeTrue())
+			Expect(causes).To(HaveKey(cause))
+			e := verdict.Classify(p, fmt.Errorf("wrapped: %w", causes[cause]))
+			Expect(fmt.Sprintf("%s %s", e.Verdict, e.Code)).To(Equal(c.Want))
+		})
+	}
+
+	It("says not run only before the first byte is written, whatever the error", func() {
+		for p := verdict.Dialing; p <= verdict.Answering; p++ {
+			for _, cause := range causes {
+				e := verdict.Classify(p, cause)
+				Expect(e.Verdict == verdict.NotRun).To(Equal(p <= verdict.Connected))
+			}
+		}
+	})
+})
+
+var _ = Describe("Verdict", func() {
+	It("survives the header, and what is unknown may have run", func() {
+		for _, v := range []verdict.Verdict{verdict.NotRun, verdict.Ran, verdict.MayHaveRun} {
+			Expect(verdict.Parse(v.String())).To(Equal(v))
+		}
+		Expect(verdict.Parse("")).To(Equal(verdict.MayHaveRun))
+		Expect(verdict.From(errors.New("anything")).Verdict).To(Equal(verdict.MayHaveRun))
+	})
+})
