--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,6 +72,8 @@
 	leaving   atomic.Bool
 
 	platformVersion atomic.Int64
+	// notedSnapshot and notedList are the newest that were noted.
+	notedSnapshot, notedList atomic.Int64
 
 	manifestMu sync.Mutex
 	manifests  map[weights.Digest]*weights.Manifest
@@ -114,7 +116,7 @@
 	e.router = router.New(e.table, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.spreader = &spreader{
 		self: cfg.VM, pool: e.pool, holder: e.holder, list: &e.list, table: e.table,
-		take: e.advanceList, took: func(rev int64) { e.changed("snapshot", rev) },
+		take: e.advanceList, took: func(rev int64) { e.changed(whatSnapshot, rev) },
 		peers:  func() []string { return e.entryAddrs(false) },
 		random: e.random, log: l, wake: make(chan struct{}, 1),
 	}
@@ -225,13 +227,32 @@
 	}
 }
 
-// changed notes that something newer is in force and tells others.
+// What can be in force.
+const (
+	whatSnapshot = "snapshot"
+	whatList     = "list"
+)
+
+// changed notes that something newer is in force and tells others. Several
+// ways lead to the same news; it is noted once.
 func (e *Entry) changed(what string, version int64) {
-	e.log.Info("in force", "what", what, "version", version)
-	if what == "snapshot" {
+	noted := &e.notedList
+	if what == whatSnapshot {
+		noted = &e.notedSnapshot
 		e.spreader.seen(version)
-		s := e.holder.Current()
-		e.events.Add("config", s.Author, "revision in force")
+	}
+	for {
+		old := noted.Load()
+		if version <= old {
+			return
+		}
+		if noted.CompareAndSwap(old, version) {
+			break
+		}
+	}
+	e.log.Info("in force", "what", what, "version", version)
+	if what == whatSnapshot {
+		e.events.Add("config", e.holder.Current().Author, "revision in force")
 	}
 	e.spreader.urgent()
 }
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.changed("snapshot", next.Revision)
+	e.changed(whatSnapshot, next.Revision)
 	return e.result(next), nil
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -81,7 +81,7 @@
 	}
 	e.platformVersion.Store(v.Version)
 	if e.holder.Advance(s) {
-		e.changed("snapshot", s.Revision)
+		e.changed(whatSnapshot, s.Revision)
 	}
 	return nil
 }
@@ -104,7 +104,7 @@
 			return
 		}
 		if e.list.CompareAndSwap(old, l) {
-			e.changed("list", l.Version)
+			e.changed(whatList, l.Version)
 			return
 		}
 	}
