--- a/agent/agent.go
+++ b/agent/agent.go
@@ -195,3 +195,9 @@
 		Cut    int64       `json:"answersCut"`
 	}{r, a.loader.fence.at(), a.homes(), a.runner.cut.Load()}
 }
+
+// Refuse makes the agent turn requests away without telling anybody, as one
+// that is about to leave does before its entries have heard of it.
+func (a *Agent) Refuse() {
+	a.runner.gate.Close()
+}
--- /dev/null
+++ b/bench/requests/measure.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Sizes of requests, in tokens.
+const (
+	shortTokens = 5
+	longTokens  = 200
+)
+
+// newHistogram returns a histogram of microseconds up to a minute.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, 60_000_000, 3)
+}
+
+func millis(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// flow sends requests of a service at a steady rate, without waiting for the
+// answers, and gathers the replies.
+func (f *fleet) flow(service string, tokens int, perSecond float64, d time.Duration) []reply {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var out []reply
+	gap := time.Duration(float64(time.Second) / perSecond)
+	end := time.Now().Add(d)
+	for i := 0; time.Now().Before(end); i++ {
+		wg.Go(func() {
+			r := f.ask(service, tokens, i)
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, r)
+		})
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	return out
+}
+
+// capacity is how many long requests a second the fleet can run.
+func (f *fleet) capacity() float64 {
+	return float64(f.Runners*f.Slots) / (longTokens * tokenTime.Seconds())
+}
+
+func took(list []reply) (h *hdrhistogram.Histogram, ok int) {
+	h = newHistogram()
+	for _, r := range list {
+		if r.ok {
+			ok++
+			_ = h.RecordValue(r.took.Microseconds())
+		}
+	}
+	return h, ok
+}
+
+// measureUrgent compares urgent lookups alone with those among long summaries
+// that saturate the fleet, against a baseline without classes.
+func (f *fleet) measureUrgent(add adder) {
+	alone, _ := took(f.flow("urgent", shortTokens, 20, f.For))
+	var among, same []reply
+	var wg sync.WaitGroup
+	wg.Go(func() { f.flow("bulk", longTokens, 1.5*f.capacity(), f.For) })
+	time.Sleep(f.For / 4)
+	among = f.flow("urgent", shortTokens, 20, f.For*3/4)
+	wg.Wait()
+	wg.Go(func() { f.flow("normal", longTokens, 1.5*f.capacity(), f.For) })
+	time.Sleep(f.For / 4)
+	same = f.flow("normal", shortTokens, 20, f.For*3/4)
+	wg.Wait()
+	a, ok := took(among)
+	b, okSame := took(same)
+	ratio := millis(a, 95) / millis(alone, 95)
+	add("urgent lookups among saturating summaries, p95 against alone",
+		fmt.Sprintf("%.1f ms against %.1f ms: %.2f times; %d of %d answered", millis(a, 95), millis(alone, 95), ratio, ok, len(among)), "at most 1.2 times", ratio <= 1.2)
+	add("baseline: the same without classes",
+		fmt.Sprintf("%.1f ms: %.2f times; %d of %d answered", millis(b, 95), millis(b, 95)/millis(alone, 95), okSame, len(same)), "", true)
+}
+
+// measureLatency measures first tokens and the time between tokens at 70% load.
+func (f *fleet) measureLatency(add adder) {
+	first, between := newHistogram(), newHistogram()
+	failed := 0
+	for _, r := range f.flow("normal", longTokens, 0.7*f.capacity(), f.For) {
+		if !r.ok {
+			failed++
+			continue
+		}
+		_ = first.RecordValue(r.first.Microseconds())
+		for _, d := range r.between {
+			_ = between.RecordValue(d.Microseconds())
+		}
+	}
+	add("first token at 70% load, p95", fmt.Sprintf("%.1f ms; %d failed", millis(first, 95), failed), "at most 400 ms", millis(first, 95) <= 400)
+	add("between tokens at 70% load, p95", fmt.Sprintf("%.1f ms (the engine's own time is %.1f)", millis(between, 95), tokenTime.Seconds()*1000), "at most 62 ms", millis(between, 95) <= 62)
+}
+
+// measureOverload compares goodput at twice the capacity with the best.
+func (f *fleet) measureOverload(add adder) {
+	began := time.Now()
+	_, best := took(f.flow("normal", longTokens, 0.95*f.capacity(), f.For))
+	bestRate := float64(best) / time.Since(began).Seconds()
+	began = time.Now()
+	list := f.flow("normal", longTokens, 2*f.capacity(), f.For)
+	_, ok := took(list)
+	rate := float64(ok) / time.Since(began).Seconds()
+	refused := newHistogram()
+	for _, r := range list {
+		if !r.ok {
+			_ = refused.RecordValue(r.took.Microseconds())
+		}
+	}
+	add("goodput at twice the capacity, against the best",
+		fmt.Sprintf("%.1f/s against %.1f/s: %.0f%%; %d refused", rate, bestRate, 100*rate/bestRate, refused.TotalCount()), "at least 95%", rate >= 0.95*bestRate)
+	add("refusals at twice the capacity, p95", fmt.Sprintf("%.1f ms", millis(refused, 95)), "at most 5 ms", millis(refused, 95) <= 5)
+}
+
+// measureRetries counts runs while a third of the endpoints refuse everything.
+func (f *fleet) measureRetries(add adder) {
+	stopped := f.Runners / 3
+	for _, a := range f.agents[:stopped] {
+		a.Refuse()
+	}
+	before := f.runs()
+	list := f.flow("normal", shortTokens, 40, f.For)
+	_, ok := took(list)
+	runs := f.runs() - before
+	extra := 100 * (float64(runs)/float64(len(list)) - 1)
+	add("a third of the endpoints begin to refuse: answered",
+		fmt.Sprintf("%d of %d; %.1f%% more runs than requests", ok, len(list), extra), "at most 10% more", extra <= 10 && ok == len(list))
+}
