router: an endpoint that says it is leaving is left alone at once

Cause: while a third of the endpoints refused as leaving, and their reports had not come around, every third request went to one of them first, and the retry budget ran out. The test failed first.

--- a/router/eject.go
+++ b/router/eject.go
@@ -13,6 +13,9 @@
 const (
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
+	// leavingEjection is how long an endpoint that said it was leaving is left
+	// alone; by then its report has come around.
+	leavingEjection = 3 * time.Second
 	// faultsToEject is how many requests in a row may fail at an endpoint
 	// before it is left alone for a while.
 	faultsToEject = 2
@@ -32,6 +35,9 @@
 		return
 	}
 	switch verdict.From(outcome).Code {
+	case verdict.CodeLeaving:
+		r.ejected[vm] = ejection{until: now.Add(leavingEjection)}
+		return
 	case verdict.CodeUnreachable, verdict.CodeCut, verdict.CodeCrossed, verdict.CodeDeadline:
 	default:
 		return
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -131,3 +131,14 @@
 		Expect(verdict.From(err).RetryAfter).To(BeNumerically(">", 0))
 	})
 })
+
+var _ = Describe("Done", func() {
+	It("leaves alone at once who says that it is leaving", func() {
+		r, _, p := world(6)
+		leaving := verdict.NewError(verdict.NotRun, verdict.CodeLeaving, "")
+		r.Done("vm-2", leaving, now)
+		for range 60 {
+			Expect(pick(r, p, query(), now)).NotTo(Equal("vm-2"))
+		}
+	})
+})
