--- a/agent/agent.go
+++ b/agent/agent.go
@@ -188,12 +188,16 @@
 func (a *Agent) State() any {
 	var r peer.Report
 	a.fill(&r)
+	sent, received := a.pool.Traffic()
 	return struct {
 		Report peer.Report `json:"report"`
 		Fence  int64       `json:"fence"`
 		Homes  []string    `json:"homes"`
 		Cut    int64       `json:"answersCut"`
-	}{r, a.loader.fence.at(), a.homes(), a.runner.cut.Load()}
+		// Sent and Received are bytes of control messages.
+		Sent     int64 `json:"controlSent"`
+		Received int64 `json:"controlReceived"`
+	}{r, a.loader.fence.at(), a.homes(), a.runner.cut.Load(), sent, received}
 }
 
 // Refuse makes the agent turn requests away without telling anybody, as one
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -247,11 +247,16 @@
 
 // State implements telemetry.Observed.
 func (e *Entry) State() any {
+	sent, received := e.pool.Traffic()
 	return struct {
 		Status  *operator.Status `json:"status"`
 		Floor   int64            `json:"floor"`
 		Watches bool             `json:"watches"`
 		Crossed int64            `json:"answersCrossed"`
 		Cut     int64            `json:"answersCut"`
-	}{e.Status(), e.spreader.floor.Load(), e.watches(), e.forwarder.Crossed.Load(), e.forwarder.Cut.Load()}
+		// Sent and Received are bytes of control messages on the connections
+		// that this entry opened; its agents count their own.
+		Sent     int64 `json:"controlSent"`
+		Received int64 `json:"controlReceived"`
+	}{e.Status(), e.spreader.floor.Load(), e.watches(), e.forwarder.Crossed.Load(), e.forwarder.Cut.Load(), sent, received}
 }
--- a/object/object_test.go
+++ b/object/object_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -32,3 +33,20 @@
 		})
 	}
 })
+
+func FuzzObject(f *testing.F) {
+	f.Add(`{"kind":"Rollout","name":"r","spec":{"model":"m","weights":"v1","vms":"zone=a"}}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		var o object.Object
+		if json.Unmarshal([]byte(s), &o) != nil || object.Validate(o) != nil {
+			return
+		}
+		b, err := json.Marshal(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := check(string(b)); got != "ok" {
+			t.Fatalf("%s: %s", b, got)
+		}
+	})
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 )
 
 // RPCPath is where net/rpc stands on a peer port.
@@ -28,10 +29,39 @@
 type Pool struct {
 	dialer Dialer
 
+	// sent and received count the bytes of all connections that the pool opened.
+	sent, received atomic.Int64
+
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
 }
 
+// Traffic returns how many bytes of messages this process has sent and
+// received on the connections that it opened itself.
+func (p *Pool) Traffic() (sent, received int64) {
+	return p.sent.Load(), p.received.Load()
+}
+
+// countedConn counts what passes.
+type countedConn struct {
+	net.Conn
+	pool *Pool
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.pool.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.pool.sent.Add(int64(n))
+	return n, err
+}
+
 // NewPool returns a Pool that connects by d.
 func NewPool(d Dialer) *Pool {
 	return &Pool{dialer: d, conns: map[string]*rpc.Client{}}
@@ -85,6 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = &countedConn{Conn: conn, pool: p}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,6 +3,7 @@
 # waits until the rollout is live, sends requests, drains an endpoint and stops
 # what it started, by process id. The last line of output is one JSON object.
 #
+# HOLD=1 keeps the system up for five minutes instead of sending requests.
 # RUNNERS model runners, ENTRIES entries, MODEL_MIB of weights; OUTAGE=1 takes
 # the platform down while the weights travel.
 set -euo pipefail
@@ -31,6 +32,7 @@
   shift
   "$@" >"$OUT/$name.log" 2>&1 &
   pids+=($!)
+  echo $! >"$OUT/$name.pid"
 }
 await() { # url
   for _ in $(seq 200); do
@@ -108,6 +110,10 @@
 bin/silverdeck rollout wait --timeout 50s || true
 took=$(echo "$(date +%s.%N) $began" | awk '{printf "%.2f", $1-$2}')
 bin/silverdeck rollout status
+if [ "${HOLD:-0}" = 1 ]; then
+  echo "holding"
+  sleep 300
+fi
 if [ "$OUTAGE" = 1 ]; then
   curl -fsS -X PUT -d '{"down":false}' http://$platform/admin/faults
   echo "platform up"
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Takes one mechanism after the other out of a scratch copy, and checks that the
+# test that holds its promise fails. docs/PROOF.md names the pairs.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+failed=0
+
+# mutant name file perl-expression package test
+mutant() {
+  rm -rf "$work/tree" && mkdir "$work/tree"
+  git ls-files -z | xargs -0 cp --parents -t "$work/tree"
+  perl -0pi -e "$3" "$work/tree/$2"
+  if cmp -s "$2" "$work/tree/$2"; then
+    echo "NO CHANGE  $1"
+    failed=$((failed + 1))
+    return
+  fi
+  if (cd "$work/tree" && timeout 120 go test -timeout 90s "$4" -run "$5" >"$work/out" 2>&1); then
+    echo "NOT CAUGHT $1"
+    failed=$((failed + 1))
+  else
+    echo "caught     $1 ($5)"
+    passed=$((passed + 1))
+  fi
+}
+
+mutant "chunks are not verified" weights/set.go 's/if got := Sum\(b\); got != s.m.Chunks\[i\]/if got := Sum(b); false \&\& got != s.m.Chunks[i]/' ./weights 'TestSetNeverMixesVersions'
+mutant "the origin's version is not held" agent/loader.go 's/o.etag = got/_ = got/' ./agent 'TestLoaderNeverLoadsAVersion'
+mutant "the fence does not check" agent/fence.go 's/epoch < f.epoch/false/' ./agent 'TestFence'
+mutant "orders before the fence is learned" agent/fence.go 's/if !f.learned/if false/' ./agent 'TestFenceGivesNothing'
+mutant "an older directive is taken" agent/loader.go 's/if d.Revision < l.directive.Revision/if false/' ./agent 'TestLoaderIgnores'
+mutant "cut answers pass for whole" forward/forward.go 's/errors.Is\(err, io.EOF\) && b.mark.Matches\(b.resp.Trailer\)/true/' ./session 'TestAStreamIsWhole'
+mutant "what may have run is tried again" dispatch/dispatch.go 's/return e.Verdict == verdict.NotRun \|\| .*/return true/' ./dispatch 'TestSuite'
+mutant "retries without a budget" dispatch/budget.go 's/if b.balance < 1/if false/' ./dispatch 'TestSuite'
+mutant "a written request counts as not run" verdict/classify.go 's/p == Dialing \|\| p == Connected/p != Answering/' ./verdict 'TestSuite'
+mutant "tickets are not remembered" ticket/ledger.go 's/l.used.Set\(uint\(t.Seq\)\)/_ = t/; s/l.runs\[t.Seq\] = r\n/_ = r\n/' ./session 'TestAMarkedRequestRunsOnce|TestALostAnswer'
+mutant "a new life takes old tickets" ticket/ledger.go 's/&& t.Life == l.mint.life//; s/!l.mint.genuine\(t\) \|\| //' ./session 'TestAMarkedRequestWhoseEntryIsGone'
+mutant "a marked request ends with its caller" caller/caller.go 's/ctx = context.WithoutCancel\(ctx\)/_ = ctx/' ./session 'TestALostAnswer'
+mutant "a drained endpoint is still chosen" router/router.go 's/return !drained/return true || drained/' ./router 'TestSuite'
+mutant "a planned stop does not wait" agent/agent.go 's/a.runner.running.Wait\(ctx\)/error(nil)/' ./session 'TestAPlannedStopOfAnAgent'
+mutant "a stopping entry does not wait" entry/entry.go 's/e.running.Wait\(ctx\)/error(nil)/' ./session 'TestAPlannedStopOfAnEntry'
+mutant "nobody is ejected" router/eject.go 's/e.faults >= faultsToEject/false/' ./router 'TestSuite'
+mutant "no panic threshold" router/eject.go 's/len\(out\)\*2 < len\(all\)/false/' ./router 'TestSuite'
+mutant "no panic threshold among endpoints" fleet/table.go 's/len\(silent\)\*2 > heard/false/' ./fleet 'TestSuite'
+mutant "no reading back" commit/commit.go 's/if current.HasMark\(b.Mark\)/if false/' ./commit 'TestEachBatch'
+mutant "a snapshot may go back" snapshot/holder.go 's/s.Revision <= h.current.Load\(\).Revision/false/' ./snapshot 'TestSuite'
+mutant "interactions are not looked for" snapshot/change.go 's/if err := s.checkInteractions\(c, b\); err != nil/if err := s.checkInteractions(c, b); false \&\& err != nil/' ./session 'TestTheSecondOfTwo'
+mutant "entries do not exchange" entry/spread.go 's/reply.Snapshot = s.encodedSnapshot\(\)/_ = reply/; s/second.Snapshot = s.encodedSnapshot\(\)/_ = second/' ./session 'TestAnEntryThatStartsEmpty'
+mutant "no slots for urgent requests" admission/gate.go 's/g.running < g.cfg.Slots-g.cfg.UrgentSlots/g.running < g.cfg.Slots/' ./admission 'TestUrgent'
+mutant "no fair shares" admission/fairqueue.go 's/h\[i\].finish != h\[j\].finish/false/' ./admission 'TestAccountsShare'
+mutant "no takeover" swarm/inject.go 's/maxRanks = 4/maxRanks = 1/; s/anybodySpread = 16/anybodySpread = 1600000/' ./swarm 'TestKilledReaders'
+mutant "corrupt members are asked again" swarm/download.go 's/maxCorrupt = 2/maxCorrupt = 2000/' ./swarm 'TestCorruptMember'
+mutant "every region reads for itself" swarm/inject.go 's/home\[0\].Region != d.self.Region/false/' ./swarm 'TestLongLink'
+mutant "nothing waits for a first reader" swarm/inject.go 's/return j.rank\[c\] == 0 &&/return false \&\&/' ./swarm 'TestHealthySwarm|TestLongLink|TestRegion'
+mutant "engines' losses go unseen" agent/loader.go 's/if t.live && !l.engineHas\(s, t.assignment\)/if false/' ./agent 'TestLoaderLoadsAgain'
+
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
