claim: a caller's own key stands for one ticket

Cause: a marked request that was submitted again with the same Idempotency-Key but without a ticket, because the answer with the ticket was lost, ran twice. After: the first entry claims the key in the platform; the session test with lost answers and an outage passes, and fails with the claim taken out (scripts/mutants.sh).

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/blake3"
 
+	"github.com/silverdeck/silverdeck/claim"
 	"github.com/silverdeck/silverdeck/dispatch"
 	"github.com/silverdeck/silverdeck/hop"
 	"github.com/silverdeck/silverdeck/object"
@@ -39,6 +40,9 @@
 	HeaderWhy      = "Silverdeck-Why"
 	// HeaderAddresses tells where else to go when an entry is leaving.
 	HeaderAddresses = "Silverdeck-Addresses"
+	// HeaderKey names a marked request by the caller's own key, for callers that
+	// ask for no ticket first.
+	HeaderKey = "Idempotency-Key"
 	// HeaderRelayed marks a request that another entry passed on.
 	HeaderRelayed = "Silverdeck-Relayed"
 )
@@ -46,6 +50,9 @@
 // defaultTimeout is how long a request may take where its service says nothing.
 const defaultTimeout = time.Minute
 
+// claimLimit is how long the platform may take to tell what a key stands for.
+const claimLimit = 2 * time.Second
+
 // maxAnswer bounds an answer that is not streamed, in bytes.
 const maxAnswer = 64 << 20
 
@@ -54,6 +61,7 @@
 	Holder     *snapshot.Holder
 	Dispatcher *dispatch.Dispatcher
 	Ledger     *ticket.Ledger
+	Claimer    *claim.Claimer
 	Relay      *Relay
 	// Addresses returns where callers can go, and how long they may keep that.
 	Addresses func() ([]string, time.Duration)
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -36,6 +36,7 @@
 	r.Header = q.Header.Clone()
 	r.Header.Del("Idempotency-Key")
 	r.Header.Del("X-Idempotency-Key")
+	r.Header.Set(ticket.Header, w.Header().Get(ticket.Header))
 	r.Header.Set(HeaderRelayed, "1")
 	resp, err := y.http.Do(r)
 	if err != nil {
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -22,20 +22,16 @@
 
 // serve runs a resolved request, by its ticket if it has or needs one.
 func (h *Handler) serve(c *gin.Context, r *dispatch.Request, spec *object.ServiceSpec) {
-	text := c.GetHeader(ticket.Header)
-	once := text != "" || c.GetHeader(HeaderRepeat) == RepeatNever
+	once := c.GetHeader(ticket.Header) != "" || c.GetHeader(HeaderRepeat) == RepeatNever
 	c.Header(HeaderRequestID, r.ID)
 	if !once {
 		_ = h.respond(c, r, spec, c.Writer)
 		return
 	}
-	t := h.Ledger.Mint(r.Account.Name)
-	if text != "" {
-		var err error
-		if t, err = ticket.Parse(text); err != nil {
-			hop.WriteError(c.Writer, verdict.From(err))
-			return
-		}
+	t, err := h.ticketOf(c, r)
+	if err != nil {
+		hop.WriteError(c.Writer, verdict.From(err))
+		return
 	}
 	c.Header(ticket.Header, t.String())
 	if !h.Ledger.Owns(t) && t.Addr != h.Ledger.Addr() && c.GetHeader(HeaderRelayed) == "" {
@@ -45,6 +41,26 @@
 	h.serveOnce(c, r, spec, t)
 }
 
+// ticketOf returns the ticket by which a marked request may run: its own, the
+// one that its key stands for, or a new one.
+func (h *Handler) ticketOf(c *gin.Context, r *dispatch.Request) (ticket.Ticket, error) {
+	if text := c.GetHeader(ticket.Header); text != "" {
+		return ticket.Parse(text)
+	}
+	mint := func() string { return h.Ledger.Mint(r.Account.Name).String() }
+	key := c.GetHeader(HeaderKey)
+	if key == "" {
+		return ticket.Parse(mint())
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), claimLimit)
+	defer cancel()
+	text, err := h.Claimer.Take(ctx, r.Account.Name, key, mint)
+	if err != nil {
+		return ticket.Ticket{}, err
+	}
+	return ticket.Parse(text)
+}
+
 // serveOnce runs a request with a ticket, or tells what became of it.
 func (h *Handler) serveOnce(c *gin.Context, r *dispatch.Request, spec *object.ServiceSpec, t ticket.Ticket) {
 	run, isNew, err := h.Ledger.Begin(t, r.Account.Name)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/silverdeck/silverdeck/agent"
 	"github.com/silverdeck/silverdeck/caller"
+	"github.com/silverdeck/silverdeck/claim"
 	"github.com/silverdeck/silverdeck/commit"
 	"github.com/silverdeck/silverdeck/dispatch"
 	"github.com/silverdeck/silverdeck/drain"
@@ -129,6 +130,7 @@
 		Dispatcher: dispatch.New(e.cfg.Zone, e.planner.Plan, e.router, e.forwarder,
 			dispatch.NewBudget(e.cfg.RetryShare), e.noteLoad),
 		Ledger:    ticket.NewLedger(e.cfg.Peer, keptAnswers),
+		Claimer:   claim.New(e.platform),
 		Relay:     caller.NewRelay(peers.HTTPClient(), peers.Scheme()),
 		Addresses: e.callerAddresses,
 		Leaving:   e.leaving.Load,
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -37,6 +37,7 @@
 mutant "retries without a budget" dispatch/budget.go 's/if b.balance < 1/if false/' ./dispatch 'TestSuite'
 mutant "a written request counts as not run" verdict/classify.go 's/p == Dialing \|\| p == Connected/p != Answering/' ./verdict 'TestSuite'
 mutant "tickets are not remembered" ticket/ledger.go 's/l.used.Set\(uint\(t.Seq\)\)/_ = t/; s/l.runs\[t.Seq\] = r\n/_ = r\n/' ./session 'TestAMarkedRequestRunsOnce|TestALostAnswer'
+mutant "keys are not claimed" caller/serve.go 's/if key == ""/if true/' ./session 'TestAMarkedRequestWithTheCallersOwnKey'
 mutant "a new life takes old tickets" ticket/ledger.go 's/&& t.Life == l.mint.life//; s/!l.mint.genuine\(t\) \|\| //' ./session 'TestAMarkedRequestWhoseEntryIsGone'
 mutant "a marked request ends with its caller" caller/caller.go 's/ctx = context.WithoutCancel\(ctx\)/_ = ctx/' ./session 'TestALostAnswer'
 mutant "a drained endpoint is still chosen" router/router.go 's/return !drained/return true || drained/' ./router 'TestSuite'
--- a/session/promise_test.go
+++ b/session/promise_test.go
@@ -250,6 +250,28 @@
 	})
 }
 
+func TestAMarkedRequestWithTheCallersOwnKeyRunsOnce(t *testing.T) {
+	started(t, 2, 3, func(w *world) {
+		w.platform.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
+		mark := []string{caller.HeaderRepeat, caller.RepeatNever, caller.HeaderKey, "alert-77"}
+		list := make([]answer, 6)
+		var wg sync.WaitGroup
+		for i := range list {
+			wg.Go(func() { list[i] = w.ask(i%2, "alert 77", 20, mark...) })
+		}
+		wg.Wait()
+		for _, a := range list {
+			w.g.Expect(a.right(20)).To(BeTrue(), a.body)
+		}
+		w.g.Expect(w.runs(list[0])).To(Equal(1))
+		w.platform.SetFaults(standin.PlatformFaults{Down: true})
+		a := w.ask(0, "alert 77", 20, mark...)
+		w.g.Expect(a.header.Get(verdict.Header)).To(Equal(verdict.MayHaveRun.String()), a.body)
+		w.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		w.g.Expect(w.runs(list[0])).To(Equal(1))
+	})
+}
+
 func TestALostAnswerToAMarkedRequestCanBeHadAgain(t *testing.T) {
 	started(t, 2, 2, func(w *world) {
 		first := w.send(0, "/v1/tickets", "")
