--- a/claim/claim.go
+++ b/claim/claim.go
@@ -20,6 +20,7 @@
 
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/verdict"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // Limits of claims.
@@ -67,7 +68,7 @@
 		if err == nil {
 			return ticket, nil
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, retryPause) {
 			return "", refused(err)
 		}
 	}
@@ -115,14 +116,3 @@
 func ledgerName(account, key string) string {
 	return fmt.Sprintf("silverdeck/once/%d", xxhash.Sum64String(account+"\x00"+key)%ledgers)
 }
-
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -10,6 +10,7 @@
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/verdict"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // UnknownError tells that a batch may have been accepted: the platform took
@@ -139,12 +140,5 @@
 	if errors.As(cause, &conflict) {
 		pause = firstPause
 	}
-	t := time.NewTimer(time.Duration((0.5 + c.jitter()/2) * float64(pause)))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return wait.For(ctx, time.Duration((0.5+c.jitter()/2)*float64(pause)))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,6 +35,7 @@
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/telemetry"
 	"github.com/silverdeck/silverdeck/ticket"
+	"github.com/silverdeck/silverdeck/wait"
 	"github.com/silverdeck/silverdeck/weights"
 )
 
@@ -199,7 +200,7 @@
 // progress is finished.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.leaving.Store(true)
-	e.sleep(ctx, lastCalls)
+	wait.For(ctx, lastCalls)
 	if err := e.running.Wait(ctx); err != nil {
 		e.log.Error("stop: requests still in progress are cut", "running", e.running.Count())
 	}
@@ -215,7 +216,7 @@
 // sweep suspects endpoints that fell silent and forgets those that left.
 func (e *Entry) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		e.sleep(ctx, sweepEvery)
+		wait.For(ctx, sweepEvery)
 		n, panicked := e.table.Sweep(time.Now())
 		if n > 0 {
 			e.events.Add("suspect", "", "endpoints fell silent")
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // Watching the platform.
@@ -33,7 +34,7 @@
 	pause := firstPause
 	for ctx.Err() == nil {
 		if !e.watches() {
-			e.sleep(ctx, idleCheck)
+			wait.For(ctx, idleCheck)
 			continue
 		}
 		err := once(ctx)
@@ -43,10 +44,10 @@
 		case err == nil, errors.As(err, &unchanged):
 			pause = firstPause
 		case errors.As(err, &missing):
-			e.sleep(ctx, idleCheck)
+			wait.For(ctx, idleCheck)
 		default:
 			e.log.Debug("watch failed", "err", err)
-			e.sleep(ctx, time.Duration((0.5+e.random())*float64(pause)))
+			wait.For(ctx, time.Duration((0.5+e.random())*float64(pause)))
 			pause = min(2*pause, maxPause)
 		}
 	}
@@ -109,12 +110,3 @@
 		}
 	}
 }
-
-func (e *Entry) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/blake3"
 
 	"github.com/silverdeck/silverdeck/engine"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // EngineConfig says what an engine is like.
@@ -227,7 +228,7 @@
 		e.stream(w, r, l, words)
 		return
 	}
-	if !pauseFor(r.Context(), time.Duration(len(words))*e.cfg.TokenTime) {
+	if !wait.For(r.Context(), time.Duration(len(words))*e.cfg.TokenTime) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -262,7 +263,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	for i, word := range words {
-		if !pauseFor(r.Context(), e.cfg.TokenTime) {
+		if !wait.For(r.Context(), e.cfg.TokenTime) {
 			return
 		}
 		if i > 0 {
@@ -304,17 +305,3 @@
 	}
 	return Completion{Object: object, Model: l.Model, SystemFingerprint: l.Digest, Choices: []Choice{c}}
 }
-
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/silverdeck/silverdeck/wait"
 	"github.com/silverdeck/silverdeck/weights"
 )
 
@@ -216,7 +217,7 @@
 			return
 		}
 		since = 0
-		if !pause(ctx, faultPause) {
+		if !wait.For(ctx, faultPause) {
 			return
 		}
 	}
@@ -372,15 +373,3 @@
 	d.mu.Unlock()
 	d.strike(i, m)
 }
-
-// pause waits for t and returns false when ctx ends first.
-func pause(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/swarm/member.go
+++ b/swarm/member.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/silverdeck/silverdeck/weights"
 )
 
