--- a/object/selector.go
+++ b/object/selector.go
@@ -37,12 +37,22 @@
 	return s.s.Matches(labels.Set(l))
 }
 
-// Selects returns whether the selector written in s selects the label set l.
-// A selector that does not parse selects nothing; Validate refuses it before.
-func Selects(s string, l map[string]string) bool {
+// nothing selects nothing.
+type nothing struct{}
+
+func (nothing) Matches(map[string]string) bool { return false }
+
+// Compile returns the selector written in s, to be used many times. One that
+// does not parse selects nothing; Validate refuses it before.
+func Compile(s string) Selector {
 	p, err := ParseSelector(s)
 	if err != nil {
-		return false
+		return nothing{}
 	}
-	return p.Matches(l)
+	return p
+}
+
+// Selects returns whether the selector written in s selects the label set l.
+func Selects(s string, l map[string]string) bool {
+	return Compile(s).Matches(l)
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -25,6 +25,8 @@
 	Root weights.Digest
 	// Version is the revision that last changed the rollout.
 	Version int64
+	// selector and accounts are Spec.VMs and Spec.Accounts, parsed.
+	selector, accounts object.Selector
 	// VMs are those that load it, in the order in which they activate.
 	VMs []platform.VM
 	// Losers are selected VMs for which another rollout won; By names it.
@@ -49,8 +51,9 @@
 	ByVM map[string][]string
 	// Drained has the VMs that an operator takes out of service, with the reason.
 	Drained map[string]string
-	// VMs are the VMs of the list by name.
-	VMs map[string]platform.VM
+	// VMs are the VMs of the list by name, Labels what selectors see of them.
+	VMs    map[string]platform.VM
+	Labels map[string]map[string]string
 }
 
 // Make returns the plan for s and l.
@@ -62,19 +65,19 @@
 		ByVM:        map[string][]string{},
 		Drained:     map[string]string{},
 		VMs:         map[string]platform.VM{},
+		Labels:      map[string]map[string]string{},
 	}
-	labels := make([]map[string]string, len(l.VMs))
-	for i, vm := range l.VMs {
+	for _, vm := range l.VMs {
 		p.VMs[vm.Name] = vm
-		labels[i] = vm.LabelSet()
+		p.Labels[vm.Name] = vm.LabelSet()
 	}
 	rollouts := p.resolve(s)
-	for i, vm := range l.VMs {
+	for _, vm := range l.VMs {
 		if vm.Role == platform.RoleModel && !vm.Leaving {
-			p.claim(vm, labels[i], rollouts)
+			p.claim(vm, rollouts)
 		}
 	}
-	p.drain(s, l, labels)
+	p.drain(s, l)
 	for _, r := range p.Rollouts {
 		sortForActivation(r)
 	}
@@ -114,7 +117,7 @@
 	if err != nil {
 		return nil
 	}
-	r := &Rollout{Name: o.Name, Spec: spec, Model: spec.Model, Root: root, Version: o.Version}
+	r := &Rollout{Name: o.Name, Spec: spec, Model: spec.Model, Root: root, Version: o.Version, selector: object.Compile(spec.VMs), accounts: object.Compile(spec.Accounts)}
 	source := ""
 	if a := s.Find(object.Ref{Kind: object.KindAdapter, Name: spec.Adapter}); a != nil {
 		as := a.Spec.(*object.AdapterSpec)
@@ -132,10 +135,10 @@
 }
 
 // claim gives vm to the first rollout of each model or adapter that selects it.
-func (p *Plan) claim(vm platform.VM, labels map[string]string, rollouts []*Rollout) {
+func (p *Plan) claim(vm platform.VM, rollouts []*Rollout) {
 	won := map[object.Ref]string{}
 	for _, r := range rollouts {
-		if !object.Selects(r.Spec.VMs, labels) {
+		if !r.selector.Matches(p.Labels[vm.Name]) {
 			continue
 		}
 		subject := r.Subject()
@@ -164,6 +167,15 @@
 	return object.Ref{Kind: object.KindModel, Name: r.Spec.Model}
 }
 
+// Reaches returns whether the rollout reaches a client account, by the labels
+// that selectors see of it.
+func (r *Rollout) Reaches(account map[string]string) bool {
+	if r.accounts == nil {
+		return object.Selects(r.Spec.Accounts, account)
+	}
+	return r.accounts.Matches(account)
+}
+
 // Members returns the VMs that hold or fetch the rollout's weights.
 func (r *Rollout) Members() []swarm.Member {
 	out := make([]swarm.Member, len(r.VMs))
@@ -173,11 +185,12 @@
 	return out
 }
 
-func (p *Plan) drain(s *snapshot.Snapshot, l *platform.VMList, labels []map[string]string) {
+func (p *Plan) drain(s *snapshot.Snapshot, l *platform.VMList) {
 	for _, o := range s.OfKind(object.KindDrain) {
 		spec := o.Spec.(*object.DrainSpec)
-		for i, vm := range l.VMs {
-			if object.Selects(spec.VMs, labels[i]) {
+		selector := object.Compile(spec.VMs)
+		for _, vm := range l.VMs {
+			if selector.Matches(p.Labels[vm.Name]) {
 				p.Drained[vm.Name] = "drain " + o.Name + ": " + spec.Reason
 			}
 		}
--- a/plan/warn.go
+++ b/plan/warn.go
@@ -85,11 +85,12 @@
 }
 
 func (p *Plan) anyRollout(spec *object.ServiceSpec) bool {
+	selector := object.Compile(spec.VMs)
 	for _, r := range p.Rollouts {
 		if r.Model != spec.Model || r.Spec.Adapter != spec.Adapter {
 			continue
 		}
-		if slices.ContainsFunc(r.VMs, func(vm vmT) bool { return object.Selects(spec.VMs, vm.LabelSet()) }) {
+		if slices.ContainsFunc(r.VMs, func(vm vmT) bool { return selector.Matches(p.Labels[vm.Name]) }) {
 			return true
 		}
 	}
@@ -98,8 +99,9 @@
 
 func (p *Plan) countVMs(selector string, role platform.Role) int {
 	n := 0
+	selected := object.Compile(selector)
 	for _, vm := range p.VMs {
-		if (role == "" || vm.Role == role) && object.Selects(selector, vm.LabelSet()) {
+		if (role == "" || vm.Role == role) && selected.Matches(p.Labels[vm.Name]) {
 			n++
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -110,12 +110,12 @@
 // candidates returns the endpoints that serve q, in order of name.
 func (r *Router) candidates(p *plan.Plan, q Query) []candidate {
 	var out []candidate
+	selector := object.Compile(q.Service.VMs)
 	r.table.Each(func(e *fleet.Endpoint) {
-		vm, listed := p.VMs[e.VM]
-		if !listed || q.Exclude[e.VM] || !usable(p, e) {
+		if _, listed := p.VMs[e.VM]; !listed || q.Exclude[e.VM] || !usable(p, e) {
 			return
 		}
-		if !object.Selects(q.Service.VMs, vm.LabelSet()) {
+		if !selector.Matches(p.Labels[e.VM]) {
 			return
 		}
 		if loaded, ok := serving(p, e, q); ok {
@@ -144,7 +144,7 @@
 			continue
 		}
 		rollout := p.Rollouts[l.Rollout]
-		if rollout == nil || object.Selects(rollout.Spec.Accounts, q.Account) {
+		if rollout == nil || rollout.Reaches(q.Account) {
 			return l, true
 		}
 	}
