swarm: eight chunks at once, one from each neighbour

Two requests at one neighbour share its link with all others', so both take as long as the limit on a stall.

--- a/bench/burst/main.go
+++ b/bench/burst/main.go
@@ -19,8 +19,8 @@
 	Copies   float64 `arg:"--copies" default:"1.25" help:"the rollout's ceiling on origin copies"`
 	Only     string  `arg:"--only" help:"run only swarm, faults, direct or tree"`
 	Degree   int     `arg:"--degree" default:"10"`
-	Parallel int     `arg:"--parallel" default:"12"`
-	PerPeer  int     `arg:"--per-peer" default:"2"`
+	Parallel int     `arg:"--parallel" default:"8"`
+	PerPeer  int     `arg:"--per-peer" default:"1"`
 }
 
 const mib = 1 << 20
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -81,8 +81,8 @@
 func newConfig(opts []Option) Config {
 	cfg := Config{
 		Degree:       10,
-		Parallel:     12,
-		PerNeighbour: 2,
+		Parallel:     8,
+		PerNeighbour: 1,
 		OriginCopies: DefaultCopies,
 		MinTimeout:   500 * time.Millisecond,
 	}
