entry: members are hashed once for a plan, not for every report

Cause: each answer to a report put the members of the agent's rollouts together and into JSON for its hash, so an entry's work grew with agents times members.

--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/plan"
 	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/router"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/weights"
@@ -58,6 +60,7 @@
 		add("plan for 400 objects, by VMs", n, took(func() { plan.Make(s, l) }).String())
 		table := endpoints(n)
 		add("hash of the endpoint table, by VMs", n, took(func() { table.Keys() }).String())
+		add("choosing an endpoint for a request, by VMs", n, took(picker(l, table)).String())
 		add("one exchange between entries that agree, by VMs", n, fmt.Sprintf("%d bytes", encoded(peer.ExchangeRequest{From: "entry-100", Revision: 9, ListVersion: 9, TableHash: 1<<63 + 1})+encoded(peer.ExchangeReply{Revision: 9, ListVersion: 9})))
 	}
 	for _, n := range memberCounts {
@@ -141,6 +144,23 @@
 	return t
 }
 
+// picker returns a function that chooses an endpoint among those of t.
+func picker(l *platform.VMList, t *fleet.Table) func() {
+	p := plan.Make(configuration(400), l)
+	for _, vm := range l.VMs {
+		t.Heard(&peer.Report{VM: vm.Name, Incarnation: 1, Seq: 2, State: peer.StateServing, Loaded: []peer.Loaded{{Model: "model-000"}}}, time.Now())
+	}
+	r := router.New(t, rand.New(rand.NewPCG(1, 2)))
+	q := router.Query{Service: &object.ServiceSpec{Model: "model-000", VMs: "tier=prod"}}
+	return func() {
+		c, err := r.Pick(p, q, time.Now())
+		if err != nil {
+			panic(err)
+		}
+		r.Done(c.Endpoint.VM, nil, time.Now())
+	}
+}
+
 func manifest() *weights.Manifest {
 	m := &weights.Manifest{Size: targetChunks << 22, ChunkSize: 1 << 22, Chunks: make([]weights.Digest, targetChunks)}
 	return m
--- a/entry/directive.go
+++ b/entry/directive.go
@@ -11,7 +11,8 @@
 	"github.com/silverdeck/silverdeck/platform"
 )
 
-// directive returns what the agent on vm shall do, by plan p.
+// directive returns what the agent on vm shall do, by plan p, still without the
+// members of its rollouts: those only stand behind their hash until fill.
 func (e *Entry) directive(p *plan.Plan, vm string) peer.Directive {
 	d := peer.Directive{Revision: p.Revision, Homes: fleet.Homes(vm, e.entryAddrs(true))}
 	_, d.Drained = p.Drained[vm]
@@ -29,7 +30,8 @@
 			Epoch:    p.Revision,
 			Activate: activate,
 			Budget:   r.Spec.Budget,
-			Members:  r.Members(),
+
+			MembersHash: r.MembersHash,
 		})
 	}
 	b, _ := json.Marshal(d)
@@ -37,6 +39,14 @@
 	return d
 }
 
+// fill adds the members of its rollouts to a directive that is sent.
+func fill(d *peer.Directive, p *plan.Plan) {
+	for i := range d.Assignments {
+		a := &d.Assignments[i]
+		a.Members = p.Rollouts[a.Rollout].Members()
+	}
+}
+
 // mayActivate returns whether vm is among those that r may activate now.
 func (e *Entry) mayActivate(r *plan.Rollout, vm string) bool {
 	permit := r.Permitted(e.activation(r))
--- a/entry/service.go
+++ b/entry/service.go
@@ -62,10 +62,12 @@
 	if e.spreader.behind() || e.holder.Current().Revision == 0 {
 		return peer.Directive{Unchanged: true}
 	}
-	d := e.directive(e.planner.Plan(), r.VM)
+	p := e.planner.Plan()
+	d := e.directive(p, r.VM)
 	if d.Hash == r.DirectiveHash {
 		return peer.Directive{Revision: d.Revision, Hash: d.Hash, Unchanged: true, Waits: d.Waits}
 	}
+	fill(&d, p)
 	return d
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -76,7 +76,9 @@
 	// Activate allows the load; until then the weights only travel.
 	Activate bool
 	Budget   object.Budget
-	Members  []swarm.Member
+	// MembersHash names Members.
+	MembersHash uint64
+	Members     []swarm.Member
 }
 
 // Directive is an entry's answer to a Report.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/silverdeck/silverdeck/object"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
@@ -29,6 +31,9 @@
 	selector, accounts object.Selector
 	// VMs are those that load it, in the order in which they activate.
 	VMs []platform.VM
+	// MembersHash names the result of Members.
+	MembersHash uint64
+	members     []swarm.Member
 	// Losers are selected VMs for which another rollout won; By names it.
 	Losers []Loss
 }
@@ -80,10 +85,23 @@
 	p.drain(s, l)
 	for _, r := range p.Rollouts {
 		sortForActivation(r)
+		r.members = r.Members()
+		r.MembersHash = hashMembers(r.members)
 	}
 	return p
 }
 
+func hashMembers(list []swarm.Member) uint64 {
+	h := xxhash.New()
+	for _, m := range list {
+		for _, s := range []string{m.VM, m.Addr, m.Zone, m.Region} {
+			_, _ = h.WriteString(s)
+			_, _ = h.Write([]byte{0})
+		}
+	}
+	return h.Sum64()
+}
+
 // resolve returns the rollouts of s that can be carried out, the winners
 // before the losers: higher priority first, then the one changed last.
 func (p *Plan) resolve(s *snapshot.Snapshot) []*Rollout {
@@ -176,8 +194,12 @@
 	return r.accounts.Matches(account)
 }
 
-// Members returns the VMs that hold or fetch the rollout's weights.
+// Members returns the VMs that hold or fetch the rollout's weights. The result
+// must not be changed.
 func (r *Rollout) Members() []swarm.Member {
+	if r.members != nil {
+		return r.members
+	}
 	out := make([]swarm.Member, len(r.VMs))
 	for i, vm := range r.VMs {
 		out[i] = swarm.Member{VM: vm.Name, Addr: vm.Addr, Zone: vm.Zone, Region: vm.Region}
