peer: the answer to a call that was given up no longer races with its caller

Cause: net/rpc decodes an answer into the caller's value whenever it comes, also after the caller gave up at its deadline and reads the value.

--- a/peer/client.go
+++ b/peer/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 )
@@ -75,13 +76,19 @@
 	if err != nil {
 		return err
 	}
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// The answer to a call that was given up may still come and be decoded, so
+	// it must not go where the caller reads.
+	private := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.Go(method, args, private.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		p.drop(addr, c)
 		return ctx.Err()
 	case <-call.Done:
 	}
+	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(private.Elem())
+	}
 	var remote rpc.ServerError
 	if call.Error != nil && !errors.As(call.Error, &remote) {
 		p.drop(addr, c)
