router: weights whose rollout is gone serve nobody

Cause: an endpoint that still had the weights of a deleted rollout served every client account, since there was no selector left to ask. Found by: reading. The test was red before. After: the rollout that loaded the weights is asked; when it is gone, another that brings the same weights; else nobody is served by them.

--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -148,8 +148,9 @@
 func picker(l *platform.VMList, t *fleet.Table) func() {
 	p := plan.Make(configuration(400), l)
 	for _, vm := range l.VMs {
-		t.Heard(&peer.Report{VM: vm.Name, Incarnation: 1, Seq: 2, State: peer.StateServing, Loaded: []peer.Loaded{{Model: "model-000"}}}, time.Now())
+		t.Heard(&peer.Report{VM: vm.Name, Incarnation: 1, Seq: 2, State: peer.StateServing, Loaded: []peer.Loaded{{Rollout: "bench", Model: "model-000"}}}, time.Now())
 	}
+	p.Rollouts["bench"] = &plan.Rollout{Model: "model-000", Spec: &object.RolloutSpec{Model: "model-000"}}
 	r := router.New(t, rand.New(rand.NewPCG(1, 2)))
 	q := router.Query{Service: &object.ServiceSpec{Model: "model-000", VMs: "tier=prod"}}
 	return func() {
--- a/peer/message.go
+++ b/peer/message.go
@@ -149,7 +149,7 @@
 	Keys      map[string]RecordKey
 	// Records are newer than what the callee had.
 	Records []EndpointRecord
-	// InForce is the lowest revision in force among what the caller knows.
+	// Snapshot and List are set when the callee's are older.
 	Snapshot []byte
 	List     *platform.VMList
 }
--- a/router/router.go
+++ b/router/router.go
@@ -143,14 +143,28 @@
 		if l.Model != q.Service.Model || l.Adapter != q.Service.Adapter {
 			continue
 		}
-		rollout := p.Rollouts[l.Rollout]
-		if rollout == nil || rollout.Reaches(q.Account) {
+		if reaches(p, l, q.Account) {
 			return l, true
 		}
 	}
 	return peer.Loaded{}, false
 }
 
+// reaches returns whether a client account may be served by l: by the rollout
+// that loaded it, also while that brings another version; or, if that is gone,
+// by another that brings the same weights.
+func reaches(p *plan.Plan, l peer.Loaded, account map[string]string) bool {
+	if r := p.Rollouts[l.Rollout]; r != nil {
+		return r.Reaches(account)
+	}
+	for _, r := range p.Rollouts {
+		if r.Root == l.Root && r.Model == l.Model && r.Spec.Adapter == l.Adapter && r.Reaches(account) {
+			return true
+		}
+	}
+	return false
+}
+
 // score is the expected wait at e, as a share of a full house.
 func (r *Router) score(e fleet.Endpoint, zone string, now time.Time) float64 {
 	slots := max(e.Load.Slots, 1)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -143,3 +143,14 @@
 		}
 	})
 })
+
+var _ = Describe("Pick", func() {
+	It("serves nobody by weights whose rollout is gone, unless another brings the same", func() {
+		r, _, p := world(3)
+		delete(p.Rollouts, "all")
+		_, err := r.Pick(p, query(), now)
+		Expect(verdict.From(err).Code).To(Equal(verdict.CodeNoEndpoint))
+		p.Rollouts["renamed"] = &plan.Rollout{Name: "renamed", Model: "m", Spec: &object.RolloutSpec{Model: "m"}}
+		Expect(pick(r, p, query(), now)).NotTo(BeEmpty())
+	})
+})
