swarm, fleet: one check for barred members, and a hash without the keys

The rule that bars a member stood three times; an exchange built the map of all keys only to hash it; a field of neighbours was never read. Behaviour is as it was; fleet, swarm, session and agent tests and the linter pass.

--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -59,7 +59,7 @@
 		add("list of VMs, by VMs", n, fmt.Sprintf("%d bytes", len(b)))
 		add("plan for 400 objects, by VMs", n, took(func() { plan.Make(s, l) }).String())
 		table := endpoints(n)
-		add("hash of the endpoint table, by VMs", n, took(func() { table.Keys() }).String())
+		add("hash of the endpoint table, by VMs", n, took(func() { table.Hash() }).String())
 		add("choosing an endpoint for a request, by VMs", n, took(picker(l, table)).String())
 		add("one exchange between entries that agree, by VMs", n, fmt.Sprintf("%d bytes", encoded(peer.ExchangeRequest{From: "entry-100", Revision: 9, ListVersion: 9, TableHash: 1<<63 + 1})+encoded(peer.ExchangeReply{Revision: 9, ListVersion: 9})))
 	}
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -112,8 +112,7 @@
 
 // exchange brings this entry and the one at addr to the same state.
 func (s *spreader) exchange(ctx context.Context, addr string) error {
-	_, sum := s.table.Keys()
-	reply, err := s.call(ctx, addr, peer.ExchangeRequest{TableHash: sum})
+	reply, err := s.call(ctx, addr, peer.ExchangeRequest{TableHash: s.table.Hash()})
 	if err != nil {
 		return err
 	}
@@ -128,7 +127,7 @@
 		push = true
 	}
 	if reply.WantKeys {
-		second.Keys, second.TableHash = s.table.Keys()
+		second.Keys = s.table.Keys()
 		push = true
 	}
 	if !push {
@@ -189,11 +188,10 @@
 	if q.ListVersion < l.Version {
 		reply.List = l
 	}
-	keys, sum := s.table.Keys()
 	switch {
 	case q.Keys != nil:
-		s.compare(q.Keys, keys, reply)
-	case q.TableHash != sum && q.Records == nil:
+		s.compare(q.Keys, s.table.Keys(), reply)
+	case q.Records == nil && q.TableHash != s.table.Hash():
 		reply.WantKeys = true
 	}
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -215,16 +215,22 @@
 	return out
 }
 
-// Keys returns the state of each record, and a hash over all.
-func (t *Table) Keys() (map[string]peer.RecordKey, uint64) {
+// Keys returns the state of each record.
+func (t *Table) Keys() map[string]peer.RecordKey {
 	keys := map[string]peer.RecordKey{}
+	t.Each(func(e *Endpoint) { keys[e.VM] = e.key() })
+	return keys
+}
+
+// Hash returns a hash over the states of all records.
+func (t *Table) Hash() uint64 {
 	var sum uint64
-	t.Each(func(e *Endpoint) {
-		k := peer.RecordKey{Incarnation: e.Incarnation, Seq: e.Seq, Suspect: e.Suspect}
-		keys[e.VM] = k
-		sum ^= keyHash(e.VM, k)
-	})
-	return keys, sum
+	t.Each(func(e *Endpoint) { sum ^= keyHash(e.VM, e.key()) })
+	return sum
+}
+
+func (e *Endpoint) key() peer.RecordKey {
+	return peer.RecordKey{Incarnation: e.Incarnation, Seq: e.Seq, Suspect: e.Suspect}
 }
 
 func keyHash(vm string, k peer.RecordKey) uint64 {
--- a/swarm/availability.go
+++ b/swarm/availability.go
@@ -12,7 +12,6 @@
 	up          bool
 	strikes     int
 	outstanding int
-	since       int
 	// until is when the neighbour may be asked again after a fault.
 	until time.Time
 }
@@ -141,7 +140,6 @@
 	for c := range a.holders {
 		a.holders[c] &^= 1 << i
 	}
-	a.neighbours[i].since = 0
 }
 
 // known returns whether some neighbour holds chunk c.
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -165,7 +165,7 @@
 	var out []Member
 	for _, m := range candidates(d.set.Root(), d.self, d.members, d.cfg.Degree) {
 		used := slices.ContainsFunc(d.avail.neighbours, func(n neighbour) bool { return n.member.VM == m.VM && n.up })
-		if !used && d.corrupt[m.VM] < maxCorrupt {
+		if !used && !d.barred(m) {
 			out = append(out, m)
 		}
 	}
@@ -255,7 +255,7 @@
 	}
 	n.strikes++
 	n.until = time.Now().Add(time.Duration(n.strikes) * faultPause)
-	if n.strikes < maxStrikes && d.corrupt[m.VM] < maxCorrupt {
+	if n.strikes < maxStrikes && !d.barred(m) {
 		return false
 	}
 	d.avail.forget(i)
@@ -350,6 +350,12 @@
 	d.corrupt[m.VM]++
 }
 
+// barred returns whether m gave too many corrupt chunks. The caller holds the
+// lock.
+func (d *Download) barred(m Member) bool {
+	return d.corrupt[m.VM] >= maxCorrupt
+}
+
 func (d *Download) refused(c, i int, m Member, e *RefusalError) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/swarm/inject.go
+++ b/swarm/inject.go
@@ -210,7 +210,10 @@
 		d.mu.Unlock()
 	}()
 	for _, m := range front {
-		if d.barred(m) {
+		d.mu.Lock()
+		barred := d.barred(m)
+		d.mu.Unlock()
+		if barred {
 			continue
 		}
 		switch d.askFront(ctx, c, m) {
@@ -227,13 +230,6 @@
 	d.readOrigin(ctx, c, rank)
 }
 
-// barred returns whether m gave too many corrupt chunks.
-func (d *Download) barred(m Member) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.corrupt[m.VM] >= maxCorrupt
-}
-
 type askResult int
 
 const (
