--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -19,9 +19,9 @@
 
 	"github.com/silverdeck/silverdeck/fleet"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/plan"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/router"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/swarm"
@@ -127,11 +127,11 @@
 	return s
 }
 
-func vmList(n int) *platform.VMList {
-	l := &platform.VMList{Version: 1}
+func vmList(n int) *objectstore.VMList {
+	l := &objectstore.VMList{Version: 1}
 	for i := range n {
-		l.VMs = append(l.VMs, platform.VM{Name: fmt.Sprintf("runner-%04d", i), Addr: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250),
-			Role: platform.RoleModel, Zone: fmt.Sprintf("zone-%d", i%6), Region: fmt.Sprintf("region-%d", i%3), Labels: map[string]string{"tier": "prod"}})
+		l.VMs = append(l.VMs, objectstore.VM{Name: fmt.Sprintf("runner-%04d", i), Addr: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250),
+			Role: objectstore.RoleModel, Zone: fmt.Sprintf("zone-%d", i%6), Region: fmt.Sprintf("region-%d", i%3), Labels: map[string]string{"tier": "prod"}})
 	}
 	return l
 }
@@ -145,7 +145,7 @@
 }
 
 // picker returns a function that chooses an endpoint among those of t.
-func picker(l *platform.VMList, t *fleet.Table) func() {
+func picker(l *objectstore.VMList, t *fleet.Table) func() {
 	p := plan.Make(configuration(400), l)
 	for _, vm := range l.VMs {
 		t.Heard(&peer.Report{VM: vm.Name, Incarnation: 1, Seq: 2, State: peer.StateServing, Loaded: []peer.Loaded{{Rollout: "bench", Model: "model-000"}}}, time.Now())
--- a/bench/requests/fleet.go
+++ b/bench/requests/fleet.go
@@ -16,8 +16,8 @@
 	"github.com/silverdeck/silverdeck/agent"
 	"github.com/silverdeck/silverdeck/entry"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/operator"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/secure"
 	"github.com/silverdeck/silverdeck/settings"
 	"github.com/silverdeck/silverdeck/snapshot"
@@ -72,7 +72,7 @@
 	cfg.Caller, cfg.Operator, cfg.Peer, cfg.Telemetry.Observe = f.addr(), f.addr(), f.addr(), f.addr()
 	cfg.Platform, cfg.Origin = []string{"http://" + platformAddr}, "http://"+originAddr
 	f.caller = cfg.Caller
-	vms := []platform.VM{{Name: cfg.VM, Addr: cfg.Peer, Caller: cfg.Caller, Role: platform.RoleEntry, Zone: "a", Region: "r"}}
+	vms := []objectstore.VM{{Name: cfg.VM, Addr: cfg.Peer, Caller: cfg.Caller, Role: objectstore.RoleEntry, Zone: "a", Region: "r"}}
 	quiet := log.New(io.Discard)
 	var err error
 	if f.entry, err = entry.New(cfg, secure.NewNetwork(), quiet, telemetry.NoTracer(), metrics.NewRegistry()); err != nil {
@@ -92,11 +92,11 @@
 	return f, f.configure(cfg.Operator)
 }
 
-func (f *fleet) startRunner(i int, e *settings.Entry, quiet *log.Logger) (platform.VM, error) {
+func (f *fleet) startRunner(i int, e *settings.Entry, quiet *log.Logger) (objectstore.VM, error) {
 	engine := standin.NewEngine(standin.EngineConfig{Fenced: true, Slots: f.Slots, TokenTime: tokenTime})
 	engineAddr := f.addr()
 	if err := serve(engineAddr, engine); err != nil {
-		return platform.VM{}, err
+		return objectstore.VM{}, err
 	}
 	cfg := settings.DefaultAgent()
 	cfg.Identity = settings.Identity{VM: fmt.Sprintf("runner-%d", i), Zone: "a", Region: "r"}
@@ -104,13 +104,13 @@
 	cfg.Entries, cfg.Origin, cfg.Slots, cfg.Queue = []string{e.Peer}, e.Origin, f.Slots, 2*f.Slots
 	a, err := agent.New(cfg, secure.NewNetwork(), quiet, telemetry.NoTracer(), metrics.NewRegistry())
 	if err != nil {
-		return platform.VM{}, err
+		return objectstore.VM{}, err
 	}
 	if err := a.Start(context.Background()); err != nil {
-		return platform.VM{}, err
+		return objectstore.VM{}, err
 	}
 	f.agents = append(f.agents, a)
-	return platform.VM{Name: cfg.VM, Addr: cfg.Peer, Role: platform.RoleModel, Zone: "a", Region: "r"}, nil
+	return objectstore.VM{Name: cfg.VM, Addr: cfg.Peer, Role: objectstore.RoleModel, Zone: "a", Region: "r"}, nil
 }
 
 // configure applies a model and services of all classes, and waits until all
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -18,7 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/verdict"
 	"github.com/silverdeck/silverdeck/wait"
 )
@@ -46,11 +46,11 @@
 
 // Claimer claims keys. It is safe for concurrent use.
 type Claimer struct {
-	store platform.Store
+	store objectstore.Store
 }
 
 // New returns a Claimer in store.
-func New(store platform.Store) *Claimer {
+func New(store objectstore.Store) *Claimer {
 	return &Claimer{store: store}
 }
 
@@ -84,7 +84,7 @@
 func (c *Claimer) try(ctx context.Context, mine Claim) (string, error) {
 	name := ledgerName(mine.Account, mine.Key)
 	v, err := c.store.Get(ctx, name)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
 		return "", err
 	}
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/verdict"
 	"github.com/silverdeck/silverdeck/wait"
@@ -43,21 +43,21 @@
 
 // Committer writes snapshots. It is safe for concurrent use.
 type Committer struct {
-	store  platform.Store
+	store  objectstore.Store
 	holder *snapshot.Holder
 	jitter func() float64
 }
 
 // New returns a Committer that writes to store and advances holder. jitter
 // returns numbers from 0 to 1 that spread the tries of many writers.
-func New(store platform.Store, holder *snapshot.Holder, jitter func() float64) *Committer {
+func New(store objectstore.Store, holder *snapshot.Holder, jitter func() float64) *Committer {
 	return &Committer{store: store, holder: holder, jitter: jitter}
 }
 
 // Read returns the accepted snapshot from the platform, and its version there.
 func (c *Committer) Read(ctx context.Context) (*snapshot.Snapshot, int64, error) {
 	v, err := c.store.Get(ctx, snapshot.Key)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return &snapshot.Snapshot{}, 0, nil
 	}
@@ -74,7 +74,7 @@
 
 // Commit gets b accepted and returns the snapshot that has it. It fails with
 // *snapshot.ConflictError or *object.FieldError when b can't be accepted, with
-// *platform.UnavailableError when it certainly was not, and with *UnknownError
+// *objectstore.UnavailableError when it certainly was not, and with *UnknownError
 // when that could not be found out.
 //
 // A write whose answer was lost is never sent again blindly: the committer
@@ -116,7 +116,7 @@
 		return nil, err
 	}
 	_, err = c.store.Put(ctx, snapshot.Key, data, version)
-	var down *platform.UnavailableError
+	var down *objectstore.UnavailableError
 	if errors.As(err, &down) && down.Taken {
 		*taken = true
 	}
@@ -128,15 +128,15 @@
 }
 
 func retryable(err error) bool {
-	var conflict *platform.ConflictError
-	var down *platform.UnavailableError
+	var conflict *objectstore.ConflictError
+	var down *objectstore.UnavailableError
 	return errors.As(err, &conflict) || errors.As(err, &down)
 }
 
 // wait pauses before the next try and returns false when ctx ends first. A
 // lost race needs no long pause.
 func (c *Committer) wait(ctx context.Context, cause error, pause time.Duration) bool {
-	var conflict *platform.ConflictError
+	var conflict *objectstore.ConflictError
 	if errors.As(cause, &conflict) {
 		pause = firstPause
 	}
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -13,14 +13,14 @@
 
 	"github.com/silverdeck/silverdeck/commit"
 	"github.com/silverdeck/silverdeck/object"
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/snapshot"
 )
 
 // fakeStore is a platform whose calls fail as the script says, one letter a
 // call: "." well, "l" taken but the answer lost, "n" not taken, "d" down.
 type fakeStore struct {
-	value  platform.Value
+	value  objectstore.Value
 	script string
 }
 
@@ -33,12 +33,12 @@
 	return c
 }
 
-func (f *fakeStore) Get(_ context.Context, key string) (platform.Value, error) {
+func (f *fakeStore) Get(_ context.Context, key string) (objectstore.Value, error) {
 	if c := f.next(); c == 'd' || c == 'n' {
-		return platform.Value{}, &platform.UnavailableError{Err: errors.New("down")}
+		return objectstore.Value{}, &objectstore.UnavailableError{Err: errors.New("down")}
 	}
 	if f.value.Version == 0 {
-		return platform.Value{}, &platform.NotFoundError{Key: key}
+		return objectstore.Value{}, &objectstore.NotFoundError{Key: key}
 	}
 	return f.value, nil
 }
@@ -47,20 +47,20 @@
 	c := f.next()
 	switch {
 	case c == 'd':
-		return 0, &platform.UnavailableError{Err: errors.New("refused")}
+		return 0, &objectstore.UnavailableError{Err: errors.New("refused")}
 	case c == 'n':
-		return 0, &platform.UnavailableError{Taken: true, Err: errors.New("lost on the way")}
+		return 0, &objectstore.UnavailableError{Taken: true, Err: errors.New("lost on the way")}
 	case version != f.value.Version:
-		return 0, &platform.ConflictError{Key: key}
+		return 0, &objectstore.ConflictError{Key: key}
 	}
-	f.value = platform.Value{Data: data, Version: version + 1}
+	f.value = objectstore.Value{Data: data, Version: version + 1}
 	if c == 'l' {
-		return 0, &platform.UnavailableError{Taken: true, Err: errors.New("answer lost")}
+		return 0, &objectstore.UnavailableError{Taken: true, Err: errors.New("answer lost")}
 	}
 	return f.value.Version, nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, key string, _ int64) (platform.Value, error) {
+func (f *fakeStore) Watch(ctx context.Context, key string, _ int64) (objectstore.Value, error) {
 	return f.Get(ctx, key)
 }
 
--- a/entry/directive.go
+++ b/entry/directive.go
@@ -6,9 +6,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/silverdeck/silverdeck/fleet"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/plan"
-	"github.com/silverdeck/silverdeck/platform"
 )
 
 // directive returns what the agent on vm shall do, by plan p, still without the
@@ -88,7 +88,7 @@
 func (e *Entry) entryAddrs(self bool) []string {
 	var out []string
 	for _, vm := range e.list.Load().VMs {
-		if vm.Role == platform.RoleEntry && !vm.Leaving && (self || vm.Addr != e.cfg.Peer) {
+		if vm.Role == objectstore.RoleEntry && !vm.Leaving && (self || vm.Addr != e.cfg.Peer) {
 			out = append(out, vm.Addr)
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,10 +25,10 @@
 	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/fleet"
 	"github.com/silverdeck/silverdeck/forward"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/operator"
 	"github.com/silverdeck/silverdeck/origin"
 	"github.com/silverdeck/silverdeck/peer"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/router"
 	"github.com/silverdeck/silverdeck/secure"
 	"github.com/silverdeck/silverdeck/settings"
@@ -56,10 +56,10 @@
 	network   secure.Network
 	log       *log.Logger
 	registry  metrics.Registry
-	platform  *platform.Client
+	platform  *objectstore.Client
 	origin    origin.Source
 	holder    *snapshot.Holder
-	list      atomic.Pointer[platform.VMList]
+	list      atomic.Pointer[objectstore.VMList]
 	table     *fleet.Table
 	planner   *planner
 	spreader  *spreader
@@ -101,8 +101,8 @@
 	}
 	e := &Entry{
 		cfg: cfg, network: network, log: l, registry: registry,
-		platform: platform.NewClient(cfg.Platform,
-			platform.WithHTTP(plain.HTTPClient()), platform.WithShare(cfg.PlatformReads, cfg.PlatformWrites)),
+		platform: objectstore.NewClient(cfg.Platform,
+			objectstore.WithHTTP(plain.HTTPClient()), objectstore.WithShare(cfg.PlatformReads, cfg.PlatformWrites)),
 		origin:    origin.NewClient(cfg.Origin, plain.HTTPClient()),
 		holder:    snapshot.NewHolder(),
 		table:     fleet.NewTable(),
@@ -111,7 +111,7 @@
 		manifests: map[weights.Digest]*weights.Manifest{},
 		running:   drain.NewTracker(),
 	}
-	e.list.Store(&platform.VMList{})
+	e.list.Store(&objectstore.VMList{})
 	e.planner = &planner{holder: e.holder, list: &e.list}
 	e.committer = commit.New(e.platform, e.holder, e.random)
 	e.forwarder = forward.New(peers.HTTPClient(), peers.Scheme(), tracer)
@@ -272,7 +272,7 @@
 		out = append(out, e.cfg.Caller)
 	}
 	for _, vm := range e.list.Load().VMs {
-		if vm.Role == platform.RoleEntry && !vm.Leaving && vm.Caller != e.cfg.Caller && vm.Caller != "" {
+		if vm.Role == objectstore.RoleEntry && !vm.Leaving && vm.Caller != e.cfg.Caller && vm.Caller != "" {
 			out = append(out, vm.Caller)
 		}
 	}
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -8,10 +8,10 @@
 
 	"github.com/silverdeck/silverdeck/fleet"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/operator"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/plan"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/weights"
 )
@@ -191,7 +191,7 @@
 	return s
 }
 
-func (e *Entry) progress(vm platform.VM, r *plan.Rollout) (peer.Progress, bool) {
+func (e *Entry) progress(vm objectstore.VM, r *plan.Rollout) (peer.Progress, bool) {
 	ep, ok := e.table.Get(vm.Name)
 	if !ok {
 		return peer.Progress{}, false
@@ -204,7 +204,7 @@
 	return peer.Progress{}, true
 }
 
-func (e *Entry) whyBehind(vm platform.VM, g peer.Progress, heard, permitted bool) string {
+func (e *Entry) whyBehind(vm objectstore.VM, g peer.Progress, heard, permitted bool) string {
 	ep, _ := e.table.Get(vm.Name)
 	switch {
 	case !heard:
--- a/entry/planner.go
+++ b/entry/planner.go
@@ -4,15 +4,15 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/plan"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
 )
 
 // planner keeps the plan for the current configuration and list of VMs.
 type planner struct {
 	holder *snapshot.Holder
-	list   *atomic.Pointer[platform.VMList]
+	list   *atomic.Pointer[objectstore.VMList]
 
 	mu      sync.Mutex
 	current atomic.Pointer[plan.Plan]
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -10,8 +10,8 @@
 
 	"github.com/silverdeck/silverdeck/agent"
 	"github.com/silverdeck/silverdeck/fleet"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/peer"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
 )
 
@@ -33,8 +33,8 @@
 	self   string
 	pool   *peer.Pool
 	holder *snapshot.Holder
-	list   *atomic.Pointer[platform.VMList]
-	take   func(*platform.VMList)
+	list   *atomic.Pointer[objectstore.VMList]
+	take   func(*objectstore.VMList)
 	took   func(revision int64)
 	table  *fleet.Table
 	peers  func() []string
@@ -157,7 +157,7 @@
 }
 
 // absorb takes in what another entry sent.
-func (s *spreader) absorb(revision int64, data []byte, l *platform.VMList, records []peer.EndpointRecord) {
+func (s *spreader) absorb(revision int64, data []byte, l *objectstore.VMList, records []peer.EndpointRecord) {
 	s.seen(revision)
 	if len(data) > 0 {
 		if n, err := snapshot.Decode(data); err != nil {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/wait"
 )
@@ -38,8 +38,8 @@
 			continue
 		}
 		err := once(ctx)
-		var unchanged *platform.UnchangedError
-		var missing *platform.NotFoundError
+		var unchanged *objectstore.UnchangedError
+		var missing *objectstore.NotFoundError
 		switch {
 		case err == nil, errors.As(err, &unchanged):
 			pause = firstPause
@@ -60,7 +60,7 @@
 	}
 	var names []string
 	for _, vm := range e.list.Load().VMs {
-		if vm.Role == platform.RoleEntry && vm.Zone == e.cfg.Zone && !vm.Leaving {
+		if vm.Role == objectstore.RoleEntry && vm.Zone == e.cfg.Zone && !vm.Leaving {
 			names = append(names, vm.Name)
 		}
 	}
@@ -98,7 +98,7 @@
 }
 
 // advanceList takes in a list of VMs if it is newer.
-func (e *Entry) advanceList(l *platform.VMList) {
+func (e *Entry) advanceList(l *objectstore.VMList) {
 	for {
 		old := e.list.Load()
 		if l.Version <= old.Version {
--- a/platform/platform.go
+++ b/objectstore/store.go
@@ -1,10 +1,10 @@
-// Package platform talks to the platform: its object API and its list of VMs.
+// Package objectstore talks to the platform: its object API and its list of VMs.
 //
 // Published protocol, as far as it is used: GET and PUT /v1/objects/KEY with
 // ETag, If-Match and If-None-Match; GET with watch=VERSION&wait=SECONDS waits
 // for a newer version and answers 304 when there is none; GET /v1/vms in the
 // same way lists the VMs.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -14,7 +14,7 @@
 
 	"github.com/silverdeck/silverdeck/commit"
 	"github.com/silverdeck/silverdeck/object"
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -133,7 +133,7 @@
 	a := ErrorAnswer{Message: err.Error(), Verdict: verdict.NotRun.String()}
 	var conflict *snapshot.ConflictError
 	var unknown *commit.UnknownError
-	var down *platform.UnavailableError
+	var down *objectstore.UnavailableError
 	var field *object.FieldError
 	switch {
 	case errors.As(err, &conflict):
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/silverdeck/silverdeck/object"
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/weights"
 )
@@ -151,7 +151,7 @@
 	Records []EndpointRecord
 	// Snapshot and List are set when the callee's are older.
 	Snapshot []byte
-	List     *platform.VMList
+	List     *objectstore.VMList
 }
 
 // ExchangeReply is the other half.
@@ -160,7 +160,7 @@
 	ListVersion int64
 	// Snapshot and List are set when the callee's are newer.
 	Snapshot []byte
-	List     *platform.VMList
+	List     *objectstore.VMList
 	// WantKeys asks the caller to exchange again with Keys.
 	WantKeys bool
 	Records  []EndpointRecord
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/silverdeck/silverdeck/object"
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/weights"
@@ -30,7 +30,7 @@
 	// selector and accounts are Spec.VMs and Spec.Accounts, parsed.
 	selector, accounts object.Selector
 	// VMs are those that load it, in the order in which they activate.
-	VMs []platform.VM
+	VMs []objectstore.VM
 	// MembersHash names the result of Members.
 	MembersHash uint64
 	members     []swarm.Member
@@ -57,19 +57,19 @@
 	// Drained has the VMs that an operator takes out of service, with the reason.
 	Drained map[string]string
 	// VMs are the VMs of the list by name, Labels what selectors see of them.
-	VMs    map[string]platform.VM
+	VMs    map[string]objectstore.VM
 	Labels map[string]map[string]string
 }
 
 // Make returns the plan for s and l.
-func Make(s *snapshot.Snapshot, l *platform.VMList) *Plan {
+func Make(s *snapshot.Snapshot, l *objectstore.VMList) *Plan {
 	p := &Plan{
 		Revision:    s.Revision,
 		ListVersion: l.Version,
 		Rollouts:    map[string]*Rollout{},
 		ByVM:        map[string][]string{},
 		Drained:     map[string]string{},
-		VMs:         map[string]platform.VM{},
+		VMs:         map[string]objectstore.VM{},
 		Labels:      map[string]map[string]string{},
 	}
 	for _, vm := range l.VMs {
@@ -78,7 +78,7 @@
 	}
 	rollouts := p.resolve(s)
 	for _, vm := range l.VMs {
-		if vm.Role == platform.RoleModel && !vm.Leaving {
+		if vm.Role == objectstore.RoleModel && !vm.Leaving {
 			p.claim(vm, rollouts)
 		}
 	}
@@ -153,7 +153,7 @@
 }
 
 // claim gives vm to the first rollout of each model or adapter that selects it.
-func (p *Plan) claim(vm platform.VM, rollouts []*Rollout) {
+func (p *Plan) claim(vm objectstore.VM, rollouts []*Rollout) {
 	won := map[object.Ref]string{}
 	for _, r := range rollouts {
 		if !r.selector.Matches(p.Labels[vm.Name]) {
@@ -207,7 +207,7 @@
 	return out
 }
 
-func (p *Plan) drain(s *snapshot.Snapshot, l *platform.VMList) {
+func (p *Plan) drain(s *snapshot.Snapshot, l *objectstore.VMList) {
 	for _, o := range s.OfKind(object.KindDrain) {
 		spec := o.Spec.(*object.DrainSpec)
 		selector := object.Compile(spec.VMs)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -11,18 +11,18 @@
 
 	"github.com/silverdeck/silverdeck/casefile"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/plan"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/weights"
 )
 
 // parse reads a configuration and a list of VMs, a line each.
-func parse(text string) (*snapshot.Snapshot, *platform.VMList) {
+func parse(text string) (*snapshot.Snapshot, *objectstore.VMList) {
 	s := &snapshot.Snapshot{Revision: 9, Objects: []object.Object{
 		{Kind: object.KindModel, Name: "m", Spec: &object.ModelSpec{Source: "models/m"}},
 	}}
-	l := &platform.VMList{Version: 1}
+	l := &objectstore.VMList{Version: 1}
 	for _, line := range strings.Split(text, "\n") {
 		words := strings.Fields(line)
 		fields := map[string]string{}
@@ -32,7 +32,7 @@
 		}
 		if words[0] == "VM" {
 			_, leaving := fields["leaving"]
-			l.VMs = append(l.VMs, platform.VM{Name: words[1], Role: platform.Role(fields["role"]), Zone: fields["zone"], Leaving: leaving})
+			l.VMs = append(l.VMs, objectstore.VM{Name: words[1], Role: objectstore.Role(fields["role"]), Zone: fields["zone"], Leaving: leaving})
 			continue
 		}
 		priority, _ := strconv.Atoi(fields["priority"])
@@ -83,7 +83,7 @@
 	rollout := func(batch, maxFailed int) *plan.Rollout {
 		r := &plan.Rollout{Spec: &object.RolloutSpec{Strategy: object.Strategy{Batch: batch, MaxFailed: maxFailed}}}
 		for i := range 6 {
-			r.VMs = append(r.VMs, platform.VM{Name: strconv.Itoa(i)})
+			r.VMs = append(r.VMs, objectstore.VM{Name: strconv.Itoa(i)})
 		}
 		return r
 	}
--- a/plan/warn.go
+++ b/plan/warn.go
@@ -5,12 +5,12 @@
 	"slices"
 
 	"github.com/silverdeck/silverdeck/object"
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/snapshot"
 )
 
 // vmT keeps signatures short.
-type vmT = platform.VM
+type vmT = objectstore.VM
 
 // Warning is something that an operator probably did not mean.
 type Warning struct {
@@ -44,7 +44,7 @@
 	if r == nil {
 		return []Warning{{Object: o.Ref(), Text: "has no pinned content; its manifest could not be read"}}
 	}
-	if p.countVMs(spec.VMs, platform.RoleModel) == 0 {
+	if p.countVMs(spec.VMs, objectstore.RoleModel) == 0 {
 		out = append(out, Warning{Object: o.Ref(), Text: "selects no VM"})
 	}
 	if !anyAccount(s, spec.Accounts) {
@@ -67,9 +67,9 @@
 
 func (p *Plan) serviceWarnings(o object.Object, spec *object.ServiceSpec, s *snapshot.Snapshot) []Warning {
 	var out []Warning
-	role := platform.RoleModel
+	role := objectstore.RoleModel
 	if spec.Model == "" {
-		role = platform.RolePlain
+		role = objectstore.RolePlain
 	}
 	if p.countVMs(spec.VMs, role) == 0 {
 		out = append(out, Warning{Object: o.Ref(), Text: "selects no VM; no caller can reach it"})
@@ -97,7 +97,7 @@
 	return false
 }
 
-func (p *Plan) countVMs(selector string, role platform.Role) int {
+func (p *Plan) countVMs(selector string, role objectstore.Role) int {
 	n := 0
 	selected := object.Compile(selector)
 	for _, vm := range p.VMs {
--- a/router/eject.go
+++ b/router/eject.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/verdict"
 )
 
-const plainRole = platform.RolePlain
+const plainRole = objectstore.RolePlain
 
 // Ejection of endpoints by direct evidence.
 const (
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/silverdeck/silverdeck/fleet"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/plan"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/router"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -22,13 +22,13 @@
 // world has n endpoints that serve model m, all idle.
 func world(n int) (*router.Router, *fleet.Table, *plan.Plan) {
 	t := fleet.NewTable()
-	p := &plan.Plan{VMs: map[string]platform.VM{}, Labels: map[string]map[string]string{}, Rollouts: map[string]*plan.Rollout{
+	p := &plan.Plan{VMs: map[string]objectstore.VM{}, Labels: map[string]map[string]string{}, Rollouts: map[string]*plan.Rollout{
 		"all":   {Name: "all", Spec: &object.RolloutSpec{}},
 		"inner": {Name: "inner", Spec: &object.RolloutSpec{Accounts: "team=inner"}},
 	}, Drained: map[string]string{}}
 	for i := range n {
 		vm := fmt.Sprintf("vm-%d", i)
-		p.VMs[vm] = platform.VM{Name: vm, Role: platform.RoleModel, Zone: "a"}
+		p.VMs[vm] = objectstore.VM{Name: vm, Role: objectstore.RoleModel, Zone: "a"}
 		p.Labels[vm] = p.VMs[vm].LabelSet()
 		t.Heard(&peer.Report{
 			VM: vm, Zone: "a", Incarnation: 1, Seq: 1, State: peer.StateServing, Load: peer.Load{Slots: 8},
--- a/session/promise_test.go
+++ b/session/promise_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/silverdeck/silverdeck/caller"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/operator"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/snapshot"
 	"github.com/silverdeck/silverdeck/standin"
 	"github.com/silverdeck/silverdeck/ticket"
@@ -108,7 +108,7 @@
 
 func TestAVMThatThePlatformTakesAwayGetsNoNewWork(t *testing.T) {
 	started(t, 2, 3, func(w *world) {
-		vms := append([]platform.VM(nil), w.vms...)
+		vms := append([]objectstore.VM(nil), w.vms...)
 		for i := range vms {
 			vms[i].Leaving = vms[i].Name == "runner-2"
 		}
--- a/session/world_test.go
+++ b/session/world_test.go
@@ -24,8 +24,8 @@
 	"github.com/silverdeck/silverdeck/agent"
 	"github.com/silverdeck/silverdeck/entry"
 	"github.com/silverdeck/silverdeck/object"
+	"github.com/silverdeck/silverdeck/objectstore"
 	"github.com/silverdeck/silverdeck/operator"
-	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/secure"
 	"github.com/silverdeck/silverdeck/settings"
 	"github.com/silverdeck/silverdeck/snapshot"
@@ -50,7 +50,7 @@
 	log      *transcript
 	platform *standin.Platform
 	origin   *standin.Origin
-	vms      []platform.VM
+	vms      []objectstore.VM
 	entries  map[string]*entryProcess
 	agents   map[string]*agentProcess
 	engines  map[string]*standin.Engine
@@ -154,8 +154,8 @@
 	cfg.Telemetry.Observe = ip + ":7003"
 	cfg.Platform, cfg.Origin = []string{"http://" + platformAddr}, "http://"+originAddr
 	cfg.Seeds = seeds(2)
-	w.vms = append(w.vms, platform.VM{
-		Name: cfg.VM, Addr: cfg.Peer, Caller: cfg.Caller, Role: platform.RoleEntry, Zone: cfg.Zone, Region: "east",
+	w.vms = append(w.vms, objectstore.VM{
+		Name: cfg.VM, Addr: cfg.Peer, Caller: cfg.Caller, Role: objectstore.RoleEntry, Zone: cfg.Zone, Region: "east",
 	})
 	w.startEntry(cfg)
 }
@@ -179,22 +179,22 @@
 	})
 	w.engines[name] = e
 	w.serve(ip+":8000", w.recorded(name, e))
-	w.addAgent(name, ip, platform.RoleModel, zone(i))
+	w.addAgent(name, ip, objectstore.RoleModel, zone(i))
 }
 
 func (w *world) addPlain() {
 	p := standin.NewPlain()
 	w.plain["quotes-0"] = p
 	w.serve("10.3.0.1:8000", p)
-	w.addAgent("quotes-0", "10.3.0.1", platform.RolePlain, "a")
+	w.addAgent("quotes-0", "10.3.0.1", objectstore.RolePlain, "a")
 }
 
-func (w *world) addAgent(name, ip string, role platform.Role, zone string) {
+func (w *world) addAgent(name, ip string, role objectstore.Role, zone string) {
 	cfg := settings.DefaultAgent()
 	cfg.Identity = settings.Identity{VM: name, Zone: zone, Region: "east"}
 	cfg.Peer, cfg.Engine, cfg.Telemetry.Observe = ip+":7000", "http://"+ip+":8000", ip+":7001"
-	cfg.Entries, cfg.Origin, cfg.Plain = seeds(2), "http://"+originAddr, role == platform.RolePlain
-	w.vms = append(w.vms, platform.VM{Name: name, Addr: cfg.Peer, Role: role, Zone: zone, Region: "east"})
+	cfg.Entries, cfg.Origin, cfg.Plain = seeds(2), "http://"+originAddr, role == objectstore.RolePlain
+	w.vms = append(w.vms, objectstore.VM{Name: name, Addr: cfg.Peer, Role: role, Zone: zone, Region: "east"})
 	w.startAgent(cfg)
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/objectstore"
 )
 
 // MaxValue is the largest value that the platform holds, in bytes.
@@ -45,8 +45,8 @@
 	writes *rate.Limiter
 
 	mu       sync.Mutex
-	values   map[string]platform.Value
-	list     platform.VMList
+	values   map[string]objectstore.Value
+	list     objectstore.VMList
 	changed  chan struct{}
 	faults   PlatformFaults
 	counters PlatformCounters
@@ -58,7 +58,7 @@
 		mux:     http.NewServeMux(),
 		reads:   rate.NewLimiter(rate.Limit(reads), int(reads)),
 		writes:  rate.NewLimiter(rate.Limit(writes), int(writes)),
-		values:  map[string]platform.Value{},
+		values:  map[string]objectstore.Value{},
 		changed: make(chan struct{}),
 	}
 	p.mux.HandleFunc("GET /v1/objects/{key}", p.limited(p.reads, p.get))
@@ -84,14 +84,14 @@
 }
 
 // SetVMs replaces the list of VMs.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []objectstore.VM) {
 	p.mu.Lock()
 	lag := time.Duration(p.faults.ListLagMillis) * time.Millisecond
 	p.mu.Unlock()
 	set := func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.list = platform.VMList{Version: p.list.Version + 1, VMs: vms}
+		p.list = objectstore.VMList{Version: p.list.Version + 1, VMs: vms}
 		p.wake()
 	}
 	if lag == 0 {
@@ -139,7 +139,7 @@
 	if s := r.URL.Query().Get("watch"); s != "" {
 		since, _ = strconv.ParseInt(s, 10, 64)
 	}
-	var v platform.Value
+	var v objectstore.Value
 	ok := p.await(r, func() bool {
 		v = p.values[key]
 		return v.Version > since
@@ -157,7 +157,7 @@
 
 func (p *Platform) vms(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	var l platform.VMList
+	var l objectstore.VMList
 	ok := p.await(r, func() bool {
 		l = p.list
 		return l.Version > since
@@ -221,7 +221,7 @@
 	if m := h.Get("If-Match"); m != "" && strings.Trim(m, `"`) != strconv.FormatInt(old, 10) {
 		return old, false, false
 	}
-	p.values[key] = platform.Value{Data: b, Version: old + 1}
+	p.values[key] = objectstore.Value{Data: b, Version: old + 1}
 	p.wake()
 	if p.faults.LoseAnswers > 0 {
 		p.faults.LoseAnswers--
@@ -231,7 +231,7 @@
 }
 
 func (p *Platform) setVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []objectstore.VM
 	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
