--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,262 @@
+// Package balance chooses the endpoint for each request: it counts requests in
+// progress, watches outcomes and leaves alone endpoints that fail.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// Outcome is what became of a request at an endpoint.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// Served means that the endpoint answered as it should.
+	Served Outcome = iota
+	// Refused means that the endpoint said that it did not run the request.
+	Refused
+	// Failed means an error answer, a broken answer or silence.
+	Failed
+	// Unreachable means that no connection could be had.
+	Unreachable
+	// Misdirected means that the address belongs to another endpoint now.
+	Misdirected
+	// Neutral says nothing of the endpoint, as when the caller left.
+	Neutral
+)
+
+// Query says what an endpoint is wanted for.
+type Query struct {
+	Service string
+	// Model and MinVersion are weights that the endpoint must hold; empty for none.
+	Model      string
+	MinVersion int64
+	// Exclude are endpoints that had the request already, by ID.
+	Exclude []string
+	// Room is the load, in requests for each slot, at which an endpoint is
+	// full; zero means no limit.
+	Room float64
+}
+
+// Balancer chooses endpoints. It is safe for concurrent use.
+type Balancer struct {
+	zone   string
+	others func(id string) int
+	random func() float64
+
+	mu       sync.RWMutex
+	services map[string]*shard
+}
+
+// shard holds the endpoints of one service.
+type shard struct {
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+}
+
+type endpoint struct {
+	record   *roster.Endpoint
+	inFlight int
+	health   health
+}
+
+// Penalties and draws in the choice, in requests for each slot.
+const (
+	otherZone = 0.10
+	jitter    = 0.03
+)
+
+// New returns a Balancer for an entry in zone. others returns how many
+// requests other entries have at an endpoint.
+func New(zone string, others func(id string) int, random func() float64) *Balancer {
+	return &Balancer{zone: zone, others: others, random: random, services: map[string]*shard{}}
+}
+
+// Update takes in the list of endpoints. What is known of those that stay is kept.
+func (b *Balancer) Update(l *roster.List) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byService := map[string]map[string]*roster.Endpoint{}
+	for id, e := range l.Endpoints {
+		if byService[e.Service] == nil {
+			byService[e.Service] = map[string]*roster.Endpoint{}
+		}
+		byService[e.Service][id] = e
+	}
+	for name := range b.services {
+		if byService[name] == nil {
+			byService[name] = nil
+		}
+	}
+	for name, records := range byService {
+		s := b.services[name]
+		if s == nil {
+			s = &shard{endpoints: map[string]*endpoint{}}
+			b.services[name] = s
+		}
+		s.update(records)
+	}
+}
+
+func (s *shard) update(records map[string]*roster.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.endpoints {
+		if records[id] == nil {
+			delete(s.endpoints, id)
+		}
+	}
+	for id, r := range records {
+		if e := s.endpoints[id]; e != nil {
+			e.record = r
+			continue
+		}
+		s.endpoints[id] = &endpoint{record: r}
+	}
+}
+
+func (b *Balancer) shard(service string) *shard {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.services[service]
+}
+
+// Pick chooses an endpoint and counts a request there until the lease is done.
+// It returns nil when there is none with room; then the state tells why.
+func (b *Balancer) Pick(q *Query, now time.Time) (*Lease, Shortage) {
+	s := b.shard(q.Service)
+	if s == nil {
+		return nil, NoEndpoint
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, full := b.best(s, q, now)
+	if best == nil && full {
+		return nil, AllFull
+	}
+	if best == nil {
+		return nil, NoEndpoint
+	}
+	best.inFlight++
+	best.health.tried(now)
+	return &Lease{shard: s, endpoint: best, Record: best.record}, 0
+}
+
+// Shortage says why no endpoint was chosen.
+type Shortage int
+
+// The shortages.
+const (
+	// NoEndpoint means that no endpoint may take the request at all.
+	NoEndpoint Shortage = iota + 1
+	// AllFull means that endpoints exist, and all are at their limit.
+	AllFull
+)
+
+// best returns the endpoint with the lowest cost, and whether others were full.
+func (b *Balancer) best(s *shard, q *Query, now time.Time) (*endpoint, bool) {
+	var best, spare *endpoint
+	var bestCost, spareCost float64
+	full := false
+	for _, e := range s.endpoints {
+		if !e.fits(q) {
+			continue
+		}
+		load := e.load(b.others)
+		if q.Room > 0 && load >= q.Room {
+			full = true
+			continue
+		}
+		cost := load + jitter*b.random()
+		if e.record.Zone != b.zone {
+			cost += otherZone
+		}
+		if !e.health.usable(now) {
+			if spare == nil || cost < spareCost {
+				spare, spareCost = e, cost
+			}
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil && !full {
+		best = spare
+	}
+	return best, full
+}
+
+// fits returns whether e may take a request of q at all.
+func (e *endpoint) fits(q *Query) bool {
+	if e.record.Leaving || e.health.gone {
+		return false
+	}
+	if q.Model != "" && e.record.Holds(q.Model) < max(q.MinVersion, 1) {
+		return false
+	}
+	for _, id := range q.Exclude {
+		if id == e.record.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// load returns the requests at e of all entries, for each slot.
+func (e *endpoint) load(others func(string) int) float64 {
+	return float64(e.inFlight+others(e.record.ID)) / float64(max(e.record.Slots, 1))
+}
+
+// InFlight returns this entry's requests in progress by endpoint.
+func (b *Balancer) InFlight() map[string]int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	out := map[string]int{}
+	for _, s := range b.services {
+		s.mu.Lock()
+		for id, e := range s.endpoints {
+			if e.inFlight > 0 {
+				out[id] = e.inFlight
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Lease is a request's place at an endpoint.
+type Lease struct {
+	// Record is the endpoint as it stood when it was chosen.
+	Record *roster.Endpoint
+
+	shard    *shard
+	endpoint *endpoint
+}
+
+// Done gives the place back and notes the outcome.
+func (l *Lease) Done(o Outcome, now time.Time) {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	l.endpoint.inFlight--
+	l.endpoint.health.note(o, now)
+}
+
+// Has returns whether an endpoint for q could be chosen now.
+func (b *Balancer) Has(q *Query, now time.Time) bool {
+	s := b.shard(q.Service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		if e.fits(q) && e.health.usable(now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,453 @@
+// Package edge is the process on the entry VMs of the users' platform: it puts
+// the gateway, the directory, the copies of the platform's store and the
+// heartbeats between entries together.
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gin-gonic/gin"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/balance"
+	"github.com/silverdeck/silverdeck/directory"
+	"github.com/silverdeck/silverdeck/gateway"
+	"github.com/silverdeck/silverdeck/member"
+	"github.com/silverdeck/silverdeck/mirror"
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/settings"
+	"github.com/silverdeck/silverdeck/telemetry"
+	"github.com/silverdeck/silverdeck/upstream"
+	"github.com/silverdeck/silverdeck/wait"
+)
+
+// Times of an edge.
+const (
+	// addressTTL is for how long callers keep an answer of the directory.
+	addressTTL = 2 * time.Second
+	// versionMargin is taken from the time in which weights must be replaced.
+	versionMargin = 1500 * time.Millisecond
+	// acceptLeaving is how long a leaving entry takes new connections, for
+	// callers that kept its address.
+	acceptLeaving = 3 * time.Second
+	// stopMargin is taken from the time that a planned stop may take.
+	stopMargin = 400 * time.Millisecond
+	// registerPause is the time between two tries to register in the store.
+	registerPause = 500 * time.Millisecond
+	// behindLimit is how long another entry may know more before it is asked.
+	behindLimit = 500 * time.Millisecond
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery   = 2 * time.Second
+	headerLimit  = 10 * time.Second
+	idleLimit    = 60 * time.Second
+	headerBytes  = 64 << 10
+	directoryEnd = 100 * time.Millisecond
+)
+
+// Edge is the process's state.
+type Edge struct {
+	site     *settings.Site
+	log      *log.Logger
+	registry metrics.Registry
+	store    *platform.Store
+	mirrors  map[string]*mirror.Mirror
+	gateway  *gateway.Gateway
+	balancer *balance.Balancer
+	client   *upstream.Client
+	table    *member.Table
+	self     member.Entry
+	versions *versions
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	pool     *peer.Pool
+	cancel   context.CancelFunc
+	callers  *http.Server
+	side     []*http.Server
+	roster   atomic.Pointer[roster.List]
+	// behindSince is when another entry was first seen to know more, by kind.
+	behindSince map[string]time.Time
+}
+
+// New returns an Edge that is not started.
+func New(site *settings.Site, l *log.Logger, registry metrics.Registry) *Edge {
+	e := &Edge{
+		site:     site,
+		log:      l,
+		registry: registry,
+		store:    platform.NewStore(site.Store),
+		client:   upstream.NewClient(),
+		pool:     newPool(),
+		versions: newVersions(max(site.VersionLimit-versionMargin, 0)),
+		self: member.Entry{
+			Name:    site.VM,
+			Life:    rand.Uint64(),
+			Peer:    site.Peer,
+			Callers: site.Callers,
+			Zone:    site.Zone,
+			Region:  site.Region,
+		},
+		behindSince: map[string]time.Time{},
+	}
+	e.table = member.NewTable(e.self)
+	e.balancer = balance.New(site.Zone, e.table.InFlight, rand.Float64)
+	e.gateway = gateway.New(gateway.Config{
+		Protocol: platform.Protocol(),
+		Balancer: e.balancer,
+		Client:   e.client,
+		Budget:   gateway.NewBudget(site.RetryShare, site.RetryExtra, site.RetryWindow, e.table.Size),
+		Metrics:  gateway.NewMetrics(registry),
+		Log:      l,
+		Floor:    func(model string) int64 { return e.versions.floor(model, time.Now()) },
+		Random:   rand.Float64,
+	})
+	e.mirrors = map[string]*mirror.Mirror{
+		platform.KindConfig:    e.mirror(platform.KindConfig, e.useConfig),
+		platform.KindEndpoints: e.mirror(platform.KindEndpoints, e.useEndpoints),
+		platform.KindVersions:  e.mirror(platform.KindVersions, e.useVersions),
+		platform.KindMembers:   e.mirror(platform.KindMembers, e.useMembers),
+	}
+	return e
+}
+
+func (e *Edge) mirror(kind string, use func(*mirror.State)) *mirror.Mirror {
+	return mirror.New(kind, e.store.Source(kind), rand.Float64, e.log, use)
+}
+
+// Start begins to serve.
+func (e *Edge) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	conn, err := net.ListenPacket("udp4", e.site.Peer)
+	if err != nil {
+		return err
+	}
+	if err := e.listen(); err != nil {
+		return err
+	}
+	beater := member.NewBeater(conn, e.table, e.describe, e.afterBeat)
+	go beater.Run(ctx)
+	for _, m := range e.mirrors {
+		go m.Run(ctx)
+	}
+	go e.register(ctx)
+	go e.sweep(ctx)
+	e.log.Info("started", "callers", e.site.Callers, "peer", e.site.Peer, "life", e.self.Life)
+	return nil
+}
+
+func (e *Edge) listen() error {
+	peers, err := serveSync(e.site.Peer, &Sync{mirrors: e.mirrors})
+	if err != nil {
+		return err
+	}
+	e.side = append(e.side, peers)
+	e.callers = &http.Server{
+		Handler:           e.gateway,
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       idleLimit,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          e.log.StandardLog(),
+	}
+	if err := serve(e.callers, e.site.Callers); err != nil {
+		return err
+	}
+	gin.SetMode(gin.ReleaseMode)
+	if err := e.serveSide(e.site.Ready, e.readyHandler()); err != nil {
+		return err
+	}
+	if err := e.serveSide(e.site.Directory, e.directoryHandler()); err != nil {
+		return err
+	}
+	return e.serveSide(e.site.Observe, telemetry.NewObserveHandler(e.registry, e))
+}
+
+func (e *Edge) serveSide(addr string, h http.Handler) error {
+	if addr == "" {
+		return nil
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	e.side = append(e.side, s)
+	return serve(s, addr)
+}
+
+func serve(s *http.Server, addr string) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+func (e *Edge) readyHandler() http.Handler {
+	router := gin.New()
+	router.GET(platform.ReadyPath, func(c *gin.Context) {
+		if err := e.Ready(); err != nil {
+			c.String(http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		c.String(http.StatusOK, "ready")
+	})
+	return router
+}
+
+func (e *Edge) directoryHandler() http.Handler {
+	router := gin.New()
+	router.GET(platform.ResolvePath, func(c *gin.Context) {
+		q := platform.ParseResolve(c.Request)
+		live := e.table.Live()
+		if e.Ready() == nil {
+			live = append(live, e.self)
+		}
+		addresses := directory.Addresses(live, q.Zone, q.Region)
+		if len(addresses) == 0 {
+			c.String(http.StatusServiceUnavailable, "no entry is ready")
+			return
+		}
+		c.JSON(http.StatusOK, platform.NewResolveAnswer(addresses, e.ttl()))
+	})
+	return router
+}
+
+func (e *Edge) ttl() time.Duration {
+	if e.site.AddressTTL > 0 {
+		return min(addressTTL, e.site.AddressTTL)
+	}
+	return addressTTL
+}
+
+// Errors of readiness.
+var (
+	errLeaving  = errors.New("edge: leaving")
+	errNoConfig = errors.New("edge: no configuration yet")
+	errNoRoster = errors.New("edge: no endpoints yet")
+)
+
+// Ready implements telemetry.Observed.
+func (e *Edge) Ready() error {
+	switch {
+	case e.leaving.Load():
+		return errLeaving
+	case e.gateway.Routes() == nil:
+		return errNoConfig
+	case e.roster.Load() == nil:
+		return errNoRoster
+	}
+	return nil
+}
+
+// State implements telemetry.Observed.
+func (e *Edge) State() any {
+	revisions := map[string]int64{}
+	for kind, m := range e.mirrors {
+		revisions[kind] = m.State().Revision
+	}
+	return struct {
+		Self      member.Entry     `json:"self"`
+		Live      []member.Entry   `json:"live"`
+		Revisions map[string]int64 `json:"revisions"`
+		InFlight  map[string]int   `json:"inFlight"`
+	}{e.self, e.table.Live(), revisions, e.balancer.InFlight()}
+}
+
+// describe returns this entry's heartbeat.
+func (e *Edge) describe() member.Heartbeat {
+	b := member.Heartbeat{Entry: e.self, Ready: e.Ready() == nil, Revisions: map[string]int64{}, InFlight: e.balancer.InFlight()}
+	for kind, m := range e.mirrors {
+		b.Revisions[kind] = m.State().Changed
+	}
+	return b
+}
+
+// afterBeat looks at what the last heartbeats told.
+func (e *Edge) afterBeat(silent []string) {
+	for _, name := range silent {
+		e.log.Warn("entry lost", "entry", name)
+	}
+	for kind, m := range e.mirrors {
+		revision, addr := e.table.Ahead(kind)
+		if revision <= m.State().Changed {
+			delete(e.behindSince, kind)
+			continue
+		}
+		since, known := e.behindSince[kind]
+		if !known {
+			e.behindSince[kind] = time.Now()
+			continue
+		}
+		if time.Since(since) > behindLimit {
+			e.behindSince[kind] = time.Now()
+			go e.catchUp(m, kind, addr, revision)
+		}
+	}
+}
+
+// catchUp takes the copy of kind from another entry that knows more.
+func (e *Edge) catchUp(m *mirror.Mirror, kind, addr string, revision int64) {
+	state, err := fetchState(context.Background(), e.pool, addr, kind)
+	if err != nil {
+		e.log.Debug("no copy from another entry", "kind", kind, "peer", addr, "err", err)
+		return
+	}
+	if m.Take(state) {
+		e.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", revision)
+	}
+}
+
+func (e *Edge) useConfig(s *mirror.State) {
+	stored, found := s.Objects[platform.ConfigName]
+	if !found {
+		return
+	}
+	o, err := platform.DecodeObject(stored.Data)
+	if err != nil {
+		e.log.Error("bad configuration", "err", err)
+		return
+	}
+	config, err := platform.DecodeConfig(o)
+	if err != nil {
+		e.log.Error("bad configuration", "revision", stored.Revision, "err", err)
+		return
+	}
+	if e.gateway.Use(config) {
+		e.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
+	}
+}
+
+func (e *Edge) useEndpoints(s *mirror.State) {
+	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
+	addrs := map[string]bool{}
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			e.log.Error("bad endpoint", "endpoint", name, "err", err)
+			continue
+		}
+		endpoint, err := platform.DecodeEndpoint(o)
+		if err != nil {
+			e.log.Error("bad endpoint", "endpoint", name, "err", err)
+			continue
+		}
+		list.Endpoints[name] = endpoint
+		addrs[endpoint.Addr] = true
+	}
+	e.logRoster(e.roster.Swap(list), list)
+	e.balancer.Update(list)
+	e.client.Keep(addrs, time.Now())
+}
+
+// logRoster writes a line for each endpoint that changed.
+func (e *Edge) logRoster(old, list *roster.List) {
+	for name, now := range list.Endpoints {
+		var before *roster.Endpoint
+		if old != nil {
+			before = old.Endpoints[name]
+		}
+		if before == nil || before.Leaving != now.Leaving || len(before.Weights) != len(now.Weights) ||
+			(len(now.Weights) > 0 && before.Weights[0] != now.Weights[0]) {
+			e.log.Info("endpoint", "endpoint", name, "service", now.Service, "addr", now.Addr, "zone", now.Zone,
+				"leaving", now.Leaving, "weights", now.Weights, "revision", list.Revision)
+		}
+	}
+	if old == nil {
+		return
+	}
+	for name := range old.Endpoints {
+		if list.Endpoints[name] == nil {
+			e.log.Info("endpoint gone", "endpoint", name, "revision", list.Revision)
+		}
+	}
+}
+
+func (e *Edge) useVersions(s *mirror.State) {
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			e.log.Error("bad version", "name", name, "err", err)
+			continue
+		}
+		v, err := platform.DecodeVersion(o)
+		if err != nil {
+			e.log.Error("bad version", "name", name, "err", err)
+			continue
+		}
+		if e.versions.named(v.Model, v.Version, time.Now()) {
+			e.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision)
+		}
+	}
+}
+
+func (e *Edge) useMembers(s *mirror.State) {
+	var entries []member.Entry
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			e.log.Error("bad entry", "name", name, "err", err)
+			continue
+		}
+		entry, err := platform.DecodeMember(o)
+		if err != nil {
+			e.log.Error("bad entry", "name", name, "err", err)
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	e.table.Know(entries)
+}
+
+// register writes this entry's record until the store has taken it.
+func (e *Edge) register(ctx context.Context) {
+	for ctx.Err() == nil && !e.leaving.Load() {
+		err := e.store.Put(ctx, platform.KindMembers, e.self.Name, e.self)
+		if err == nil {
+			e.log.Info("registered", "entry", e.self.Name)
+			return
+		}
+		e.log.Debug("not registered", "err", err)
+		wait.For(ctx, registerPause)
+	}
+}
+
+// sweep closes idle connections that have rested too long.
+func (e *Edge) sweep(ctx context.Context) {
+	for wait.For(ctx, sweepEvery) {
+		list := e.roster.Load()
+		if list == nil {
+			continue
+		}
+		addrs := map[string]bool{}
+		for _, endpoint := range list.Endpoints {
+			addrs[endpoint.Addr] = true
+		}
+		e.client.Keep(addrs, time.Now())
+	}
+}
+
+// Stop ends without cutting requests in progress, for as long as the platform allows.
+func (e *Edge) Stop(ctx context.Context) error {
+	started := time.Now()
+	e.leaving.Store(true)
+	e.gateway.Leave()
+	e.log.Info("stopping", "running", e.gateway.Running().Count())
+	go func() { _ = e.store.Delete(ctx, platform.KindMembers, e.self.Name) }()
+	wait.For(ctx, acceptLeaving)
+	ctx, cancel := context.WithDeadline(ctx, started.Add(e.site.Grace-stopMargin))
+	defer cancel()
+	err := e.callers.Shutdown(ctx)
+	e.cancel()
+	for _, s := range e.side {
+		_ = s.Close()
+	}
+	wait.For(context.Background(), directoryEnd)
+	e.log.Info("stopped", "cut", e.gateway.Running().Count(), "ms", time.Since(started).Milliseconds())
+	return err
+}
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -18,15 +18,30 @@
 	held  Holdings
 	slots chan struct{}
 	queue chan struct{}
+	// gather is how long news is gathered before it is told.
+	gather time.Duration
+}
+
+// ServerOption changes a Server.
+type ServerOption func(*Server)
+
+// WithGather sets how long news of chunks is gathered before it is told.
+func WithGather(d time.Duration) ServerOption {
+	return func(s *Server) { s.gather = d }
 }
 
 // NewServer returns a Server of what held has, that sends slots chunks at once.
-func NewServer(held Holdings, slots int) *Server {
-	return &Server{
-		held:  held,
-		slots: make(chan struct{}, slots),
-		queue: make(chan struct{}, slots*(queueFactor+1)),
+func NewServer(held Holdings, slots int, opts ...ServerOption) *Server {
+	s := &Server{
+		held:   held,
+		slots:  make(chan struct{}, slots),
+		queue:  make(chan struct{}, slots*(queueFactor+1)),
+		gather: haveGather,
+	}
+	for _, o := range opts {
+		o(s)
 	}
+	return s
 }
 
 // Register adds the server's paths to mux.
@@ -48,7 +63,7 @@
 		defer t.Stop()
 		select {
 		case <-more:
-			time.Sleep(haveGather)
+			time.Sleep(s.gather)
 		case <-t.C:
 		}
 		chunks, _ = set.Since(q.Since)
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/silverdeck/silverdeck/balance"
+	"github.com/silverdeck/silverdeck/routes"
+	"github.com/silverdeck/silverdeck/upstream"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// Limits of an attempt.
+const (
+	// streamRoom is the load of model engines, in requests for each slot, above
+	// which requests are refused.
+	streamRoom = 1.25
+	// maxWhole bounds an answer that is read whole before it is passed on, in bytes.
+	maxWhole = 8 << 20
+	// leastTime is what must be left for a request to be sent again.
+	leastTime = 20 * time.Millisecond
+)
+
+// run sends the request to one endpoint after another until one answers, or
+// returns the failure to tell the caller.
+func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, j *job) *verdict.Error {
+	var last *verdict.Error
+	for range j.route.Attempts {
+		if len(j.tried) > 0 && !g.mayRepeat(ctx, j, last) {
+			break
+		}
+		failure := g.attempt(ctx, w, j)
+		if failure == nil {
+			return nil
+		}
+		if failure.Verdict != verdict.NotRun {
+			j.ran = true
+		}
+		last = failure
+	}
+	return g.final(ctx, j, last)
+}
+
+// mayRepeat returns whether the request may go to another endpoint.
+func (g *Gateway) mayRepeat(ctx context.Context, j *job, last *verdict.Error) bool {
+	if ctx.Err() != nil || last.Code == codeFull || time.Until(j.endsAt) < leastTime {
+		return false
+	}
+	if last.Verdict != verdict.NotRun && !j.route.Repeatable() {
+		return false
+	}
+	if last.Code == verdict.CodeUnreachable {
+		return true
+	}
+	return g.cfg.Budget.Repeat(j.service, time.Now())
+}
+
+// final returns the failure as the caller is told it.
+func (g *Gateway) final(ctx context.Context, j *job, last *verdict.Error) *verdict.Error {
+	e := *last
+	if j.ran {
+		e.Verdict = verdict.MayHaveRun
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		e.Code = verdict.CodeCanceled
+	}
+	if e.Verdict == verdict.NotRun && e.RetryAfter == 0 {
+		e.RetryAfter = retrySoon
+	}
+	return &e
+}
+
+// codeFull is the reason when no endpoint has room.
+const codeFull verdict.Code = "full"
+
+// attempt sends the request to one endpoint.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, j *job) *verdict.Error {
+	lease, failure := g.pick(j)
+	if failure != nil {
+		return failure
+	}
+	j.tried = append(j.tried, lease.Record.ID)
+	outcome := balance.Neutral
+	defer func() { lease.Done(outcome, time.Now()) }()
+	x, failure := g.send(ctx, j, lease)
+	if failure != nil {
+		outcome = outcomeOf(failure)
+		return failure
+	}
+	defer x.Close()
+	if x.NewConnection {
+		g.cfg.Metrics.Connections.Inc(1)
+	}
+	if failure, outcome = g.check(j, x); failure != nil {
+		return failure
+	}
+	if j.begun && x.Status != http.StatusOK {
+		outcome = balance.Failed
+		return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d for the rest of a stream", x.Status)
+	}
+	if j.route.Kind == routes.Stream && x.Status == http.StatusOK {
+		failure, outcome = g.stream(ctx, w, j, x)
+		return failure
+	}
+	failure, outcome = g.whole(w, j, x)
+	return failure
+}
+
+func (g *Gateway) pick(j *job) (*balance.Lease, *verdict.Error) {
+	q := &balance.Query{Service: j.service, Exclude: j.tried}
+	if j.route.Kind == routes.Stream {
+		q.Model = j.model
+		q.MinVersion = g.cfg.Floor(j.model)
+		q.Room = streamRoom
+	}
+	lease, shortage := g.cfg.Balancer.Pick(q, time.Now())
+	if lease != nil {
+		return lease, nil
+	}
+	if shortage == balance.AllFull {
+		return nil, verdict.NewError(verdict.NotRun, codeFull, "all endpoints of %s are full", j.service).After(retrySoon)
+	}
+	return nil, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no endpoint of %s", j.service).After(retrySoon)
+}
+
+// send sends the request with what differs from one endpoint to the next.
+func (g *Gateway) send(ctx context.Context, j *job, lease *balance.Lease) (*upstream.Exchange, *verdict.Error) {
+	p := &g.cfg.Protocol
+	q := *j.request
+	q.Header = j.request.Header.Clone()
+	q.Header.Set(p.Instance, lease.Record.ID)
+	left := time.Until(j.endsAt)
+	if left < time.Millisecond {
+		return nil, verdict.NewError(verdict.NotRun, verdict.CodeDeadline, "no time left")
+	}
+	q.Header.Set(p.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	if j.lastEvent != "" {
+		q.Header.Set(p.LastEvent, j.lastEvent)
+	}
+	fresh := !j.route.Repeatable() && len(j.tried) > 1
+	return g.cfg.Client.Do(ctx, lease.Record.Addr, &q, upstream.Options{Fresh: fresh, HeadBy: g.headLimit(j)})
+}
+
+// headLimit returns until when the head of the answer may take.
+func (g *Gateway) headLimit(j *job) time.Time {
+	if j.route.Kind == routes.Stream {
+		return g.silenceLimit(j, true)
+	}
+	if !j.route.Repeatable() || len(j.tried) >= j.route.Attempts {
+		return j.endsAt
+	}
+	if t := time.Now().Add(plainAimFactor * j.route.Aim); t.Before(j.endsAt) {
+		return t
+	}
+	return j.endsAt
+}
+
+// plainAimFactor is how many times a plain route's aim may pass before a
+// request that may be repeated is sent to another endpoint.
+const plainAimFactor = 2
+
+// outcomeOf returns what a failure of sending says of the endpoint.
+func outcomeOf(e *verdict.Error) balance.Outcome {
+	switch {
+	case e.Code == verdict.CodeCanceled:
+		return balance.Neutral
+	case e.Verdict == verdict.NotRun:
+		return balance.Unreachable
+	}
+	return balance.Failed
+}
+
+// check looks at the head of an answer and returns why it can't be passed on.
+func (g *Gateway) check(j *job, x *upstream.Exchange) (*verdict.Error, balance.Outcome) {
+	p := &g.cfg.Protocol
+	switch {
+	case x.Status == http.StatusMisdirectedRequest:
+		return verdict.NewError(verdict.NotRun, verdict.CodeUnreachable, "another endpoint has the address"), balance.Misdirected
+	case x.Header.Get(p.NotRun) != "":
+		drainBody(x)
+		return verdict.NewError(verdict.NotRun, verdict.CodeOverloaded, "refused by the endpoint with %d", x.Status), balance.Refused
+	case x.Header.Get(p.RequestID) != j.id:
+		return verdict.NewError(verdict.MayHaveRun, verdict.CodeCrossed, "answer to another request"), balance.Neutral
+	case x.Status < http.StatusMultipleChoices && x.Header.Get(p.Stamp) == "":
+		return verdict.NewError(verdict.MayHaveRun, verdict.CodeCut, "answer without a signature"), balance.Failed
+	case promises[x.Status]:
+		drainBody(x)
+		return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d of the endpoint", x.Status), balance.Failed
+	}
+	return nil, balance.Neutral
+}
+
+// promises are the statuses that tell a caller that a request was not run.
+var promises = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// drainBody reads a short body so that the connection can be kept.
+func drainBody(x *upstream.Exchange) {
+	x.SetReadLimit(time.Now().Add(shortRead))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxDrain))
+}
+
+const (
+	maxDrain  = 16 << 10
+	shortRead = 50 * time.Millisecond
+)
+
+// whole reads an answer whole and passes it on unchanged.
+func (g *Gateway) whole(w http.ResponseWriter, j *job, x *upstream.Exchange) (*verdict.Error, balance.Outcome) {
+	body, err := io.ReadAll(io.LimitReader(x, maxWhole))
+	if err != nil {
+		return verdict.Classify(verdict.Answering, err), balance.Failed
+	}
+	outcome := balance.Served
+	if x.Status >= http.StatusInternalServerError {
+		outcome = balance.Failed
+	}
+	if outcome == balance.Failed && j.route.Repeatable() && len(j.tried) < j.route.Attempts &&
+		time.Until(j.endsAt) > leastTime {
+		if failure := g.retryError(j, x); failure != nil {
+			return failure, outcome
+		}
+	}
+	copyHeader(w.Header(), x.Header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.begun = true
+	w.WriteHeader(x.Status)
+	_, _ = w.Write(body)
+	return nil, outcome
+}
+
+// retryError returns a failure if an error answer is worth another attempt.
+func (g *Gateway) retryError(j *job, x *upstream.Exchange) *verdict.Error {
+	q := &balance.Query{Service: j.service, Exclude: j.tried}
+	if !g.cfg.Balancer.Has(q, time.Now()) {
+		return nil
+	}
+	return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d of the endpoint", x.Status)
+}
+
+// copyHeader copies an answer's header without what concerns one connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/gateway/budget.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget bounds repeated requests to this entry's part of what all entries may
+// send together, for each service and in a sliding window. It is safe for
+// concurrent use.
+type Budget struct {
+	share, extra float64
+	window       time.Duration
+	// entries returns how many entries share the budget.
+	entries func() int
+	epoch   time.Time
+
+	mu       sync.Mutex
+	services map[string]*history
+}
+
+// budgetSafety is the part of the budget that is used.
+const budgetSafety = 0.7
+
+// windowSteps is the number of parts that a window slides by.
+const windowSteps = 10
+
+type history struct {
+	step              int64
+	requests, repeats [windowSteps]int
+}
+
+// NewBudget returns a Budget of share of the requests in a window and of extra
+// beyond them, for all entries together.
+func NewBudget(share, extra float64, window time.Duration, entries func() int) *Budget {
+	return &Budget{share: share, extra: extra, window: max(window, time.Second), entries: entries, epoch: time.Now(), services: map[string]*history{}}
+}
+
+// Request counts a request for service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.history(service, now)
+	h.requests[h.step%windowSteps]++
+}
+
+// Repeat takes one repeated request for service and returns whether there was one.
+func (b *Budget) Repeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.history(service, now)
+	requests, repeats := 0, 0
+	for i := range windowSteps {
+		requests += h.requests[i]
+		repeats += h.repeats[i]
+	}
+	allowed := budgetSafety * (b.share*float64(requests) + b.extra/float64(max(b.entries(), 1)))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	h.repeats[h.step%windowSteps]++
+	return true
+}
+
+// history returns the counts for service, slid on to now.
+func (b *Budget) history(service string, now time.Time) *history {
+	h := b.services[service]
+	step := int64(now.Sub(b.epoch) / (b.window / windowSteps))
+	if h == nil {
+		h = &history{step: step}
+		b.services[service] = h
+	}
+	if step-h.step >= windowSteps {
+		*h = history{step: step}
+	}
+	for h.step < step {
+		h.step++
+		h.requests[h.step%windowSteps] = 0
+		h.repeats[h.step%windowSteps] = 0
+	}
+	return h
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/silverdeck/silverdeck/balance"
+	"github.com/silverdeck/silverdeck/drain"
+	"github.com/silverdeck/silverdeck/routes"
+	"github.com/silverdeck/silverdeck/upstream"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// Config holds a Gateway's parts and settings.
+type Config struct {
+	Protocol Protocol
+	// Zone is the availability zone of the entry.
+	Balancer *balance.Balancer
+	Client   *upstream.Client
+	Budget   *Budget
+	Metrics  *Metrics
+	Log      *log.Logger
+	// Floor returns the version of a model below which no request may begin.
+	Floor  func(model string) int64
+	Random func() float64
+}
+
+// Gateway serves callers' requests. It is safe for concurrent use.
+type Gateway struct {
+	cfg     Config
+	routes  atomic.Pointer[routes.Config]
+	running *drain.Tracker
+	leaving atomic.Bool
+}
+
+// New returns a Gateway without a configuration.
+func New(cfg Config) *Gateway {
+	return &Gateway{cfg: cfg, running: drain.NewTracker()}
+}
+
+// Use puts c in force for requests that come from now on. An older version
+// than the one in force is ignored.
+func (g *Gateway) Use(c *routes.Config) bool {
+	for {
+		old := g.routes.Load()
+		if old != nil && (c.Revision <= old.Revision || c.Version < old.Version) {
+			return false
+		}
+		if g.routes.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
+
+// Routes returns the configuration in force, or nil.
+func (g *Gateway) Routes() *routes.Config {
+	return g.routes.Load()
+}
+
+// Leave makes answers end their connections.
+func (g *Gateway) Leave() {
+	g.leaving.Store(true)
+}
+
+// Running tells of the requests in progress.
+func (g *Gateway) Running() *drain.Tracker {
+	return g.running
+}
+
+// job is one caller's request on its way.
+type job struct {
+	id      string
+	config  *routes.Config
+	route   *routes.Route
+	account *routes.Account
+	service string
+	request *upstream.Request
+	// model is the model that the caller names, if any.
+	model   string
+	started time.Time
+	// endsAt is when the caller or the route gives up.
+	endsAt time.Time
+	// tried are the endpoints that had the request, by ID.
+	tried []string
+	// lastEvent is the last event that the caller got whole.
+	lastEvent string
+	// begun is set once the answer's head was sent to the caller.
+	begun bool
+	// ran is set once the request may have run somewhere.
+	ran bool
+}
+
+// Refusals.
+const (
+	retrySoon    = 300 * time.Millisecond
+	retryNoRoute = time.Second
+	// defaultDeadline stands for a caller that tells none.
+	defaultDeadline = 30 * time.Second
+	defaultBody     = 4 << 20
+)
+
+// errTimeout is the cause with which a request ends at its time limit.
+var errTimeout = context.DeadlineExceeded
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Enter()
+	defer g.running.Leave()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j, failure := g.accept(w, r)
+	if failure != nil {
+		g.fail(w, j, failure)
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), j.endsAt, errTimeout)
+	defer cancel()
+	g.cfg.Budget.Request(j.service, j.started)
+	failure = g.run(ctx, w, j)
+	if failure == nil {
+		g.served(j)
+		return
+	}
+	g.fail(w, j, failure)
+}
+
+// accept checks a request against the configuration and reads its body.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*job, *verdict.Error) {
+	p := &g.cfg.Protocol
+	j := &job{id: r.Header.Get(p.RequestID), started: time.Now(), config: g.routes.Load()}
+	if j.config == nil {
+		return j, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no configuration yet").After(retryNoRoute)
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	j.route = j.config.Match(r.Host, path)
+	if j.route == nil {
+		return j, verdict.NewError(verdict.NotRun, verdict.CodeNotFound, "no route for %s%s", r.Host, path)
+	}
+	if !j.route.Public && j.config.NeedsKeys() {
+		j.account = j.config.Account(r.Header.Get(p.Key))
+		if j.account == nil {
+			return j, verdict.NewError(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
+		}
+	}
+	body, failure := readBody(w, r, j.config.Limits.BodyBytes)
+	if failure != nil {
+		return j, failure
+	}
+	j.service = j.route.Target(g.cfg.Random())
+	j.model = r.Header.Get(p.Model)
+	j.lastEvent = r.Header.Get(p.LastEvent)
+	j.endsAt = j.started.Add(min(callerDeadline(r.Header.Get(p.Deadline)), j.route.Timeout))
+	j.request = &upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardHeader(r.Header, j), Body: body}
+	return j, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *verdict.Error) {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, verdict.NewError(verdict.NotRun, codeTooLarge, "body of more than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, verdict.NewError(verdict.NotRun, verdict.CodeCanceled, "body not whole").Because(err)
+	}
+	return body, nil
+}
+
+func callerDeadline(s string) time.Duration {
+	ms, err := strconv.ParseFloat(s, 64)
+	if err != nil || ms <= 0 {
+		return defaultDeadline
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// forwardHeader returns the header for endpoints, without what differs from
+// one endpoint to the next.
+func (g *Gateway) forwardHeader(h http.Header, j *job) http.Header {
+	p := &g.cfg.Protocol
+	out := http.Header{}
+	for name, values := range h {
+		if !connectionHeaders[name] {
+			out[name] = values
+		}
+	}
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			out.Del(name)
+		}
+	}
+	for _, name := range []string{p.Key, p.Account, p.Instance, p.Priority, p.Version} {
+		out.Del(name)
+	}
+	if j.account != nil {
+		out.Set(p.Account, j.account.Name)
+	}
+	if j.route.Kind == routes.Stream {
+		out.Set(p.Priority, strconv.Itoa(j.priority()))
+	}
+	return out
+}
+
+// lowestPriority is the last rank that endpoints know.
+const lowestPriority = 9
+
+// priority returns the request's rank at endpoints, 0 first.
+func (j *job) priority() int {
+	n := j.route.Priority
+	if j.account != nil && j.account.Ranked {
+		n = j.account.Priority
+	}
+	return max(0, min(n, lowestPriority))
+}
+
+// connectionHeaders concern a single connection, or are set anew.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Connection":    true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Expect":              true,
+}
+
+// codeTooLarge is the reason of a body over the limit.
+const codeTooLarge verdict.Code = "too_large"
+
+// status returns the HTTP status for a failure. A promise that a request was
+// not run is given only with a verdict that says so.
+func status(e *verdict.Error) int {
+	switch e.Code {
+	case verdict.CodeNotFound:
+		return http.StatusNotFound
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeBadRequest:
+		return http.StatusBadRequest
+	case codeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	if e.Verdict == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	if e.Code == verdict.CodeDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// fail gives the caller a final answer that is not an endpoint's.
+func (g *Gateway) fail(w http.ResponseWriter, j *job, e *verdict.Error) {
+	g.logFailure(j, e)
+	if j.begun {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set(g.cfg.Protocol.RequestID, j.id)
+	h.Set(verdict.Header, e.Verdict.String())
+	if status(e) == http.StatusServiceUnavailable && e.RetryAfter > 0 {
+		h.Set(g.cfg.Protocol.RetryAfter, strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	message := string(e.Code) + ": " + e.Detail + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(message)))
+	w.WriteHeader(status(e))
+	_, _ = io.WriteString(w, message)
+}
--- /dev/null
+++ b/gateway/observe.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// Metrics are a gateway's counters and histograms.
+type Metrics struct {
+	// Served and Failed count final answers, Repeats requests sent again, and
+	// Connections those opened to endpoints.
+	Served, Failed, Repeats, Connections metrics.Counter
+	// Whole is the time to the end of an answer, FirstEvent that to a stream's
+	// first event, in microseconds.
+	Whole, FirstEvent metrics.Histogram
+}
+
+// histogramSample is how many values a histogram keeps.
+const histogramSample = 512
+
+// NewMetrics registers a gateway's metrics in r.
+func NewMetrics(r metrics.Registry) *Metrics {
+	sample := func() metrics.Sample { return metrics.NewUniformSample(histogramSample) }
+	return &Metrics{
+		Served:      metrics.NewRegisteredCounter("gateway.served", r),
+		Failed:      metrics.NewRegisteredCounter("gateway.failed", r),
+		Repeats:     metrics.NewRegisteredCounter("gateway.repeats", r),
+		Connections: metrics.NewRegisteredCounter("gateway.connections", r),
+		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
+		FirstEvent:  metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
+	}
+}
+
+// served notes a request that was answered by an endpoint.
+func (g *Gateway) served(j *job) {
+	took := time.Since(j.started)
+	g.cfg.Metrics.Served.Inc(1)
+	g.cfg.Metrics.Whole.Update(took.Microseconds())
+	if len(j.tried) > 1 {
+		g.cfg.Metrics.Repeats.Inc(int64(len(j.tried) - 1))
+	}
+	g.cfg.Log.Info("answered", "request", j.id, "route", j.route.Name, "config", j.config.Version,
+		"endpoints", j.tried, "ms", took.Milliseconds())
+}
+
+// logFailure notes a request that was not answered by an endpoint.
+func (g *Gateway) logFailure(j *job, e *verdict.Error) {
+	g.cfg.Metrics.Failed.Inc(1)
+	route, version := "", int64(0)
+	if j.route != nil {
+		route = j.route.Name
+	}
+	if j.config != nil {
+		version = j.config.Version
+	}
+	g.cfg.Log.Warn("not answered", "request", j.id, "route", route, "config", version,
+		"endpoints", j.tried, "ms", time.Since(j.started).Milliseconds(), "code", string(e.Code),
+		"verdict", e.Verdict.String(), "detail", e.Detail, "begun", j.begun, "event", j.lastEvent, "err", e.Err)
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,179 @@
+// Package member tells which entries are alive and how busy endpoints are:
+// entries send each other heartbeats by UDP, with their own requests in
+// progress at each endpoint and the revisions of the store that they know.
+package member
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Entry is what an entry tells of itself when it starts.
+type Entry struct {
+	// Name is the VM, Life a number drawn at each start.
+	Name string `json:"name"`
+	Life uint64 `json:"life"`
+	// Peer takes heartbeats and calls, Callers takes callers' requests.
+	Peer    string `json:"peer"`
+	Callers string `json:"callers"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+}
+
+// Heartbeat is what an entry tells regularly.
+type Heartbeat struct {
+	Entry Entry `json:"entry"`
+	// Sequence rises with each heartbeat of one life.
+	Sequence uint64 `json:"seq"`
+	// Ready is set while the entry takes requests.
+	Ready bool `json:"ready"`
+	// Revisions are the revisions of the store that the entry knows, by kind.
+	Revisions map[string]int64 `json:"revisions"`
+	// InFlight counts the entry's requests in progress by endpoint.
+	InFlight map[string]int `json:"inFlight,omitempty"`
+}
+
+// Silence is how long an entry may say nothing before it counts as dead.
+const Silence = 900 * time.Millisecond
+
+type peerState struct {
+	beat    Heartbeat
+	heardAt time.Time
+}
+
+// Table is what an entry knows of the others. It is safe for concurrent use.
+type Table struct {
+	self Entry
+
+	mu    sync.Mutex
+	known map[string]Entry
+	heard map[string]*peerState
+	// counts sums the others' requests in progress by endpoint.
+	counts map[string]int
+}
+
+// NewTable returns the table of self.
+func NewTable(self Entry) *Table {
+	return &Table{self: self, known: map[string]Entry{}, heard: map[string]*peerState{}, counts: map[string]int{}}
+}
+
+// Know replaces the list of entries that are to be told of this one.
+func (t *Table) Know(entries []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known = map[string]Entry{}
+	for _, e := range entries {
+		if e.Name != t.self.Name {
+			t.known[e.Name] = e
+		}
+	}
+}
+
+// Hear takes in a heartbeat and returns whether it is new.
+func (t *Table) Hear(b Heartbeat, now time.Time) bool {
+	if b.Entry.Name == t.self.Name || b.Entry.Name == "" {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.heard[b.Entry.Name]
+	if old != nil && old.beat.Entry.Life == b.Entry.Life && old.beat.Sequence >= b.Sequence {
+		return false
+	}
+	if old != nil {
+		t.count(old.beat.InFlight, -1)
+	}
+	t.count(b.InFlight, 1)
+	t.heard[b.Entry.Name] = &peerState{beat: b, heardAt: now}
+	return true
+}
+
+// Expire forgets what silent entries said of endpoints, and returns the names
+// of entries that have just fallen silent.
+func (t *Table) Expire(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var silent []string
+	for name, p := range t.heard {
+		if now.Sub(p.heardAt) <= Silence {
+			continue
+		}
+		t.count(p.beat.InFlight, -1)
+		delete(t.heard, name)
+		silent = append(silent, name)
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+func (t *Table) count(inFlight map[string]int, sign int) {
+	for id, n := range inFlight {
+		t.counts[id] += sign * n
+		if t.counts[id] <= 0 {
+			delete(t.counts, id)
+		}
+	}
+}
+
+// InFlight returns how many requests the other entries have at endpoint id.
+func (t *Table) InFlight(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts[id]
+}
+
+// Live returns the entries that are alive and ready, without this one.
+func (t *Table) Live() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for _, p := range t.heard {
+		if p.beat.Ready {
+			out = append(out, p.beat.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Others returns the peer addresses of all entries that were ever told of and
+// of those that are heard.
+func (t *Table) Others() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, e := range t.known {
+		out = append(out, e.Peer)
+	}
+	for _, p := range t.heard {
+		if !slices.Contains(out, p.beat.Entry.Peer) {
+			out = append(out, p.beat.Entry.Peer)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Ahead returns the highest revision of kind that a live entry knows and that
+// entry's peer address.
+func (t *Table) Ahead(kind string) (int64, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best int64
+	var addr string
+	for _, p := range t.heard {
+		if r := p.beat.Revisions[kind]; r > best {
+			best, addr = r, p.beat.Entry.Peer
+		}
+	}
+	return best, addr
+}
+
+// Size returns how many entries are alive, with this one.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.heard) + 1
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,236 @@
+// Package mirror keeps a local copy of one kind of objects of the platform's
+// store, by a list and then by watches, and tells others what changed.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/silverdeck/silverdeck/wait"
+)
+
+// Object is one object of the store.
+type Object struct {
+	Name     string
+	Revision int64
+	// Data is the object as the store sent it.
+	Data []byte
+}
+
+// Event is a change of one object.
+type Event struct {
+	Object Object
+	// Gone is set when the object was removed.
+	Gone bool
+}
+
+// Source reads one kind of objects.
+type Source interface {
+	// List returns all objects and the store's revision.
+	List(ctx context.Context) ([]Object, int64, error)
+	// Watch returns the changes after revision as soon as there are some, or
+	// none after a while, and the revision to go on from. It returns
+	// *HistoryGoneError when the store no longer has these changes.
+	Watch(ctx context.Context, revision int64) ([]Event, int64, error)
+}
+
+// HistoryGoneError tells that changes can't be had any more; a list can.
+type HistoryGoneError struct {
+	Revision int64
+}
+
+// Error says so.
+func (e *HistoryGoneError) Error() string {
+	return "mirror: the store's history is gone"
+}
+
+// State is a copy of all objects at one revision.
+type State struct {
+	Revision int64
+	// Changed is the revision at which the objects were last seen to change.
+	Changed int64
+	Objects  map[string]Object
+}
+
+// Pauses between calls that failed.
+const (
+	firstPause = 100 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// Mirror keeps the copy. It is safe for concurrent use.
+type Mirror struct {
+	kind   string
+	source Source
+	log    *log.Logger
+	random func() float64
+	notify func(*State)
+
+	mu      sync.Mutex
+	state   atomic.Pointer[State]
+	behind  atomic.Int64
+	cancel  context.CancelFunc
+	lost    bool
+	freshAt atomic.Int64
+}
+
+// New returns a Mirror of source; notify is called with every new state, one
+// call at a time. kind names the objects in logs.
+func New(kind string, source Source, random func() float64, l *log.Logger, notify func(*State)) *Mirror {
+	m := &Mirror{kind: kind, source: source, random: random, log: l, notify: notify}
+	m.state.Store(&State{})
+	return m
+}
+
+// State returns the newest copy; its revision is 0 before the first.
+func (m *Mirror) State() *State {
+	return m.state.Load()
+}
+
+// Age returns how long ago the store last confirmed the copy.
+func (m *Mirror) Age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, m.freshAt.Load()))
+}
+
+// Run keeps the copy until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := m.once(ctx)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		if m.behind.Load() > m.State().Revision {
+			pause = firstPause
+		}
+		wait.For(ctx, time.Duration((0.5+m.random())*float64(pause)))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// Behind tells that a revision exists elsewhere. A watch that should have
+// brought it is cut and replaced by a list.
+func (m *Mirror) Behind(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.State().Revision || revision <= m.behind.Load() {
+		return
+	}
+	m.behind.Store(revision)
+	if m.cancel != nil {
+		m.cancel()
+	}
+}
+
+// Take takes in a state that was had from elsewhere, if it is newer.
+func (m *Mirror) Take(s *State) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.Revision <= m.State().Revision {
+		return false
+	}
+	m.set(s)
+	if m.cancel != nil {
+		m.cancel()
+	}
+	return true
+}
+
+// once makes one call.
+func (m *Mirror) once(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.mu.Lock()
+	m.cancel = cancel
+	m.mu.Unlock()
+	current := m.State()
+	if current.Revision == 0 || m.behind.Load() > current.Revision {
+		return m.list(ctx)
+	}
+	events, at, err := m.source.Watch(ctx, current.Revision)
+	var gone *HistoryGoneError
+	if errors.As(err, &gone) {
+		m.log.Info("history gone", "kind", m.kind, "revision", current.Revision)
+		return m.list(ctx)
+	}
+	if err != nil {
+		m.failed(err)
+		return err
+	}
+	m.succeeded()
+	m.apply(current, events, at)
+	return nil
+}
+
+func (m *Mirror) list(ctx context.Context) error {
+	objects, at, err := m.source.List(ctx)
+	if err != nil {
+		m.failed(err)
+		return err
+	}
+	m.succeeded()
+	s := &State{Revision: at, Changed: at, Objects: make(map[string]Object, len(objects))}
+	for _, o := range objects {
+		s.Objects[o.Name] = o
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.behind.Store(0)
+	if at > m.State().Revision {
+		m.set(s)
+	}
+	return nil
+}
+
+// apply adds events to the state that they follow.
+func (m *Mirror) apply(base *State, events []Event, at int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.State() != base || at <= base.Revision {
+		return
+	}
+	if len(events) == 0 {
+		m.state.Store(&State{Revision: at, Changed: base.Changed, Objects: base.Objects})
+		return
+	}
+	s := &State{Revision: at, Changed: at, Objects: make(map[string]Object, len(base.Objects)+len(events))}
+	for name, o := range base.Objects {
+		s.Objects[name] = o
+	}
+	for _, e := range events {
+		if e.Gone {
+			delete(s.Objects, e.Object.Name)
+			continue
+		}
+		s.Objects[e.Object.Name] = e.Object
+	}
+	m.set(s)
+}
+
+func (m *Mirror) set(s *State) {
+	m.state.Store(s)
+	m.notify(s)
+}
+
+func (m *Mirror) failed(err error) {
+	if m.lost || errors.Is(err, context.Canceled) {
+		return
+	}
+	m.lost = true
+	m.log.Warn("store lost", "kind", m.kind, "revision", m.State().Revision, "err", err)
+}
+
+func (m *Mirror) succeeded() {
+	m.freshAt.Store(time.Now().UnixNano())
+	if !m.lost {
+		return
+	}
+	m.lost = false
+	m.log.Info("store regained", "kind", m.kind, "revision", m.State().Revision)
+}
--- a/process/process.go
+++ b/process/process.go
@@ -63,15 +63,18 @@
 // Run builds a Service by newService, which takes what fx provides, and runs
 // it until a signal.
 func Run[S Service](name string, id settings.Identity, t settings.Telemetry, stop time.Duration, newService any, opts ...fx.Option) {
+	var out *telemetry.Writer
 	app := fx.New(append(opts,
 		fx.Supply(t, id),
 		fx.Provide(
-			func() *log.Logger { return telemetry.NewLogger(os.Stderr, t.LogLevel, id).With("process", name) },
+			telemetry.NewStandardWriter,
+			func(w *telemetry.Writer) *log.Logger { return telemetry.NewLogger(w, t.LogLevel, id).With("process", name) },
 			func() (*telemetry.Tracer, error) { return telemetry.NewTracer(t, name, id) },
 			metrics.NewRegistry,
 			secure.NewNetwork,
 			newService,
 		),
+		fx.Populate(&out),
 		fx.Invoke(hook[S]),
 		fx.StopTimeout(stop),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -81,6 +84,7 @@
 		os.Exit(1)
 	}
 	app.Run()
+	_ = out.Close()
 }
 
 func hook[S Service](lc fx.Lifecycle, s S, tracer *telemetry.Tracer) {
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,38 @@
+// Package roster holds what the platform tells of endpoints.
+package roster
+
+// Weights is a model that an endpoint holds.
+type Weights struct {
+	Model   string
+	Version int64
+}
+
+// Endpoint is one life of an endpoint.
+type Endpoint struct {
+	// ID names this life; a restart gets a new one.
+	ID      string
+	Service string
+	Addr    string
+	Zone    string
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// Leaving is set ahead of a planned end.
+	Leaving bool
+	Weights []Weights
+}
+
+// Holds returns the version of model that the endpoint holds, or 0.
+func (e *Endpoint) Holds(model string) int64 {
+	for _, w := range e.Weights {
+		if w.Model == model {
+			return w.Version
+		}
+	}
+	return 0
+}
+
+// List is what is known of all endpoints at one revision of the store.
+type List struct {
+	Revision  int64
+	Endpoints map[string]*Endpoint
+}
--- /dev/null
+++ b/settings/site.go
@@ -0,0 +1,43 @@
+package settings
+
+import "time"
+
+// Site is what a process on the users' platform learns from its settings. The
+// adapter in package platform fills it.
+type Site struct {
+	Identity
+	// Regions gives the region of each availability zone.
+	Regions map[string]string
+	// Callers, Ready and Directory are the addresses to serve callers'
+	// requests, readiness checks and questions for addresses; empty on VMs
+	// that serve none.
+	Callers, Ready, Directory string
+	// Peer is this process's address for other processes, by TCP and UDP.
+	Peer string
+	// PeerPort is the port of Peer, the same on all VMs.
+	PeerPort int
+	// Observe is the address of metrics and health.
+	Observe string
+	// Store is the address of the platform's object store.
+	Store string
+	// Endpoint is the address of the endpoint on the same VM, Service its service.
+	Endpoint, Service string
+	// LinkMbps is the bandwidth of the VM's link, in megabits a second.
+	LinkMbps float64
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int
+	// Contact is how long a VM must be undisturbed before time bounds hold for it.
+	Contact time.Duration
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// RetryShare and RetryExtra bound the repeated requests of all entries
+	// together in RetryWindow: RetryShare of the requests, and RetryExtra more.
+	RetryShare, RetryExtra float64
+	RetryWindow            time.Duration
+	// VersionLimit is the time after which no request may begin on older weights.
+	VersionLimit time.Duration
+	// AddressTTL is the longest time for which callers keep an answer.
+	AddressTTL time.Duration
+	// DrainLimit is the time after which a leaving endpoint gets no new requests.
+	DrainLimit time.Duration
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,219 @@
+// Package sidecar is the process beside each endpoint on the users' platform:
+// it keeps the endpoint at the newest weights and gives chunks to other VMs.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/exchange"
+	"github.com/silverdeck/silverdeck/mirror"
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/settings"
+	"github.com/silverdeck/silverdeck/stage"
+	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/telemetry"
+)
+
+// Settings of a sidecar.
+const (
+	// uploads is how many chunks are sent to other VMs at once.
+	uploads = 4
+	// gather is how long news of chunks is gathered before other VMs hear it.
+	gather      = 50 * time.Millisecond
+	dialLimit   = 500 * time.Millisecond
+	headerLimit = 5 * time.Second
+	// originAge is for how long the origin's address is kept.
+	originAge = 10 * time.Second
+)
+
+// Sidecar is the process's state.
+type Sidecar struct {
+	site     *settings.Site
+	log      *log.Logger
+	registry metrics.Registry
+	store    *platform.Store
+	stager   *stage.Stager
+	versions *mirror.Mirror
+	began    bool
+	cancel   context.CancelFunc
+	servers  []*http.Server
+
+	mu       sync.Mutex
+	originAt string
+	foundAt  time.Time
+}
+
+// New returns a Sidecar that is not started.
+func New(site *settings.Site, l *log.Logger, registry metrics.Registry) *Sidecar {
+	c := &Sidecar{site: site, log: l, registry: registry, store: platform.NewStore(site.Store)}
+	dialer := &net.Dialer{Timeout: dialLimit}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: uploads}}
+	c.stager = stage.New(stage.Config{
+		Self:     swarm.Member{VM: site.Peer, Addr: site.Peer, Zone: site.Zone, Region: site.Region},
+		Endpoint: platform.NewEndpoint(site.Endpoint),
+		Origin:   platform.NewOrigin(c.origin),
+		Fleet:    c,
+		Peers:    exchange.NewClient(peer.NewPool(dialer), client, "http"),
+		Limit:    site.VersionLimit,
+		Log:      l,
+	})
+	c.versions = mirror.New(platform.KindVersions, c.store.Source(platform.KindVersions), rand.Float64, l, c.useVersions)
+	return c
+}
+
+// Start begins to serve other VMs and to stage.
+func (c *Sidecar) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	ex := exchange.NewServer(c.stager.Holdings(), uploads, exchange.WithGather(gather))
+	handler, err := peer.NewRPCHandler(map[string]any{exchange.Service: ex})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, handler)
+	ex.Register(mux)
+	if err := c.serve(c.site.Peer, mux); err != nil {
+		return err
+	}
+	if err := c.serve(c.site.Observe, telemetry.NewObserveHandler(c.registry, c)); err != nil {
+		return err
+	}
+	go c.versions.Run(ctx)
+	go c.stager.Run(ctx)
+	c.log.Info("started", "peer", c.site.Peer, "endpoint", c.site.Endpoint, "service", c.site.Service)
+	return nil
+}
+
+func (c *Sidecar) serve(addr string, h http.Handler) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit}
+	c.servers = append(c.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+func (c *Sidecar) useVersions(s *mirror.State) {
+	first := !c.began
+	c.began = true
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			c.log.Error("bad version", "name", name, "err", err)
+			continue
+		}
+		v, err := platform.DecodeVersion(o)
+		if err != nil {
+			c.log.Error("bad version", "name", name, "err", err)
+			continue
+		}
+		if c.stager.Want(v.Model, v.Version, first) {
+			c.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision, "first", first)
+		}
+	}
+}
+
+// Members implements stage.Fleet.
+func (c *Sidecar) Members(ctx context.Context) ([]swarm.Member, error) {
+	objects, err := c.store.ListStale(ctx, platform.KindEndpoints)
+	if err != nil {
+		return nil, err
+	}
+	out := []swarm.Member{{VM: c.site.Peer, Addr: c.site.Peer, Zone: c.site.Zone, Region: c.site.Region}}
+	for _, stored := range objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			return nil, err
+		}
+		e, err := platform.DecodeEndpoint(o)
+		if err != nil {
+			return nil, err
+		}
+		host, _, err := net.SplitHostPort(e.Addr)
+		if err != nil || e.Service != c.site.Service {
+			continue
+		}
+		addr := net.JoinHostPort(host, strconv.Itoa(c.site.PeerPort))
+		if addr != c.site.Peer {
+			out = append(out, swarm.Member{VM: addr, Addr: addr, Zone: e.Zone, Region: c.site.Regions[e.Zone]})
+		}
+	}
+	return out, nil
+}
+
+// errNoOrigin tells that the configuration names no origin of weights.
+var errNoOrigin = errors.New("sidecar: the configuration names no origin")
+
+// origin returns the address of the origin of weights.
+func (c *Sidecar) origin(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.originAt != "" && time.Since(c.foundAt) < originAge {
+		return c.originAt, nil
+	}
+	objects, err := c.store.ListStale(ctx, platform.KindConfig)
+	if err == nil {
+		err = c.takeOrigin(objects)
+	}
+	if c.originAt != "" {
+		return c.originAt, nil
+	}
+	return "", err
+}
+
+func (c *Sidecar) takeOrigin(objects []mirror.Object) error {
+	for _, stored := range objects {
+		if stored.Name != platform.ConfigName {
+			continue
+		}
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			return err
+		}
+		config, err := platform.DecodeConfig(o)
+		if err != nil {
+			return err
+		}
+		for _, s := range config.Services {
+			if s.Origin != "" {
+				c.originAt, c.foundAt = s.Origin, time.Now()
+				return nil
+			}
+		}
+	}
+	return errNoOrigin
+}
+
+// Ready implements telemetry.Observed.
+func (c *Sidecar) Ready() error {
+	return nil
+}
+
+// State implements telemetry.Observed.
+func (c *Sidecar) State() any {
+	return c.versions.State()
+}
+
+// Stop ends the process's work.
+func (c *Sidecar) Stop(context.Context) error {
+	c.log.Info("stopping")
+	c.cancel()
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/stage/stage.go
@@ -0,0 +1,86 @@
+// Package stage brings weights to the endpoint on this VM: it fetches a
+// version chunk by chunk from other VMs and the origin, places the chunks at
+// the endpoint, checks there what was placed, and orders the endpoint to load.
+package stage
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/weights"
+)
+
+// Held is the weights of a model that an endpoint runs.
+type Held struct {
+	Model   string
+	Version int64
+	// Whole is set when all layers are held.
+	Whole bool
+}
+
+// Report is what an endpoint tells of itself.
+type Report struct {
+	Held []Held
+	// Busy is set while an order is under way.
+	Busy bool
+	// Sequence rises with each order.
+	Sequence int64
+	// Running and Queued count requests.
+	Running, Queued int
+}
+
+// Version returns the version of model that is held whole, or 0.
+func (r *Report) Version(model string) int64 {
+	for _, h := range r.Held {
+		if h.Model == model && h.Whole {
+			return h.Version
+		}
+	}
+	return 0
+}
+
+// Endpoint is the endpoint on this VM.
+type Endpoint interface {
+	// Report returns the endpoint's state.
+	Report(ctx context.Context) (*Report, error)
+	// Place puts chunk i of model where a load finds it.
+	Place(ctx context.Context, model string, i int, data []byte) error
+	// Placed returns chunk i of model as it lies there, or nil.
+	Placed(ctx context.Context, model string, i int) ([]byte, error)
+	// Load orders the endpoint to load what was placed as version of model. It
+	// returns *OrderError when the endpoint does not take the order.
+	Load(ctx context.Context, o Order) error
+}
+
+// Order is an order to load weights.
+type Order struct {
+	Model   string
+	Version int64
+	// Sequence is the endpoint's count of orders at which this one holds.
+	Sequence int64
+}
+
+// OrderError tells that an endpoint did not take an order.
+type OrderError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("stage: order refused with status %d", e.Status)
+}
+
+// Origin is where weights come from in the first place.
+type Origin interface {
+	// Manifest returns the digests of a version of model.
+	Manifest(ctx context.Context, model string, version int64) (*weights.Manifest, error)
+	// Chunk returns chunk i of a version of model, unverified.
+	Chunk(ctx context.Context, model string, version int64, i int) ([]byte, error)
+}
+
+// Fleet tells which VMs stage weights for the same service.
+type Fleet interface {
+	// Members returns them, with this VM.
+	Members(ctx context.Context) ([]swarm.Member, error)
+}
--- /dev/null
+++ b/stage/turn.go
@@ -0,0 +1,36 @@
+package stage
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silverdeck/silverdeck/wait"
+)
+
+// When endpoints change to new weights.
+const (
+	// earliestTurn is when the first endpoint may change, from the naming on.
+	earliestTurn = 0.30
+	// latestTurn is when the last should have begun to change, as a part of the limit.
+	latestTurn = 0.62
+)
+
+// waitTurn waits until this endpoint may change to new weights, so that not
+// all of a service change at once. An endpoint without weights need not wait.
+// It returns false when ctx ends first.
+func (s *Stager) waitTurn(ctx context.Context, model string, want target, r *Report) bool {
+	if r.Version(model) == 0 {
+		return ctx.Err() == nil
+	}
+	return wait.For(ctx, time.Until(s.turn(model, want)))
+}
+
+// turn returns when this endpoint may change to want: spread by hash over a
+// part of the time limit.
+func (s *Stager) turn(model string, want target) time.Time {
+	draw := float64(xxhash.Sum64String(model+"\x00"+s.cfg.Self.VM)) / (1 << 64)
+	part := earliestTurn + draw*(latestTurn-earliestTurn)
+	return want.seenAt.Add(time.Duration(part * float64(s.cfg.Limit)))
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,220 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// Request is what is sent to an endpoint.
+type Request struct {
+	Method string
+	// URI is the request target as the caller sent it.
+	URI, Host string
+	Header    http.Header
+	Body      []byte
+}
+
+// Client sends requests to endpoints. It is safe for concurrent use.
+type Client struct {
+	dialer net.Dialer
+
+	mu      sync.Mutex
+	shelves map[string]*shelf
+}
+
+// NewClient returns a Client without connections.
+func NewClient() *Client {
+	return &Client{
+		dialer: net.Dialer{
+			Timeout: dialLimit,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     2 * time.Second,
+				Interval: time.Second,
+				Count:    3,
+			},
+		},
+		shelves: map[string]*shelf{},
+	}
+}
+
+// Keep closes the idle connections of endpoints whose address is not in addrs,
+// and those that have rested too long.
+func (c *Client) Keep(addrs map[string]bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, s := range c.shelves {
+		if addrs[addr] {
+			s.sweep(now)
+			continue
+		}
+		s.sweep(time.Time{})
+		delete(c.shelves, addr)
+	}
+}
+
+func (c *Client) shelf(addr string) *shelf {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.shelves[addr]
+	if s == nil {
+		s = &shelf{}
+		c.shelves[addr] = s
+	}
+	return s
+}
+
+// Exchange is a request whose answer has begun.
+type Exchange struct {
+	Status int
+	Header http.Header
+	// Length is the body's length, or -1 when it is not told.
+	Length int64
+	// NewConnection is set when a connection was opened for it.
+	NewConnection bool
+
+	body   io.ReadCloser
+	conn   *conn
+	shelf  *shelf
+	close  bool
+	stop   func() bool
+	ended  bool
+	finish sync.Once
+}
+
+// Options say how a request is sent.
+type Options struct {
+	// Fresh asks for a connection that was not used before.
+	Fresh bool
+	// HeadBy is until when the head of the answer may take; zero means for ever.
+	HeadBy time.Time
+}
+
+// Do sends q to the endpoint at addr and waits for the head of the answer. A
+// failure is a *verdict.Error. When ctx ends the connection is closed, also
+// while the body is read.
+func (c *Client) Do(ctx context.Context, addr string, q *Request, o Options) (*Exchange, *verdict.Error) {
+	shelf := c.shelf(addr)
+	var cn *conn
+	if !o.Fresh {
+		cn = shelf.take(time.Now())
+	}
+	if cn == nil {
+		opened, err := c.dialer.DialContext(ctx, "tcp4", addr)
+		if err != nil {
+			return nil, verdict.Classify(verdict.Dialing, cause(ctx, err))
+		}
+		cn = &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	_ = cn.SetReadDeadline(o.HeadBy)
+	head, progress, err := cn.roundTrip(q)
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, verdict.Classify(progress, cause(ctx, err))
+	}
+	return &Exchange{
+		Status:        head.StatusCode,
+		Header:        head.Header,
+		Length:        head.ContentLength,
+		NewConnection: !cn.reused,
+		body:          head.Body,
+		conn:          cn,
+		shelf:         shelf,
+		close:         head.Close,
+		stop:          stop,
+	}, nil
+}
+
+// cause prefers the reason for which ctx ended to what that did to a connection.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// roundTrip writes q and reads the head of the answer.
+func (c *conn) roundTrip(q *Request) (*http.Response, verdict.Progress, error) {
+	n, err := c.Write(encode(q))
+	if err != nil {
+		if n == 0 && !errors.Is(err, net.ErrClosed) {
+			return nil, verdict.Connected, err
+		}
+		return nil, verdict.Written, err
+	}
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		if err != nil {
+			return nil, verdict.Written, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, verdict.Answering, nil
+		}
+	}
+}
+
+// encode returns q as it is sent.
+func encode(q *Request) []byte {
+	b := make([]byte, 0, 512+len(q.Body))
+	b = append(b, q.Method...)
+	b = append(b, ' ')
+	b = append(b, q.URI...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, q.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range q.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(q.Body) > 0 || (q.Method != http.MethodGet && q.Method != http.MethodHead) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(q.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, q.Body...)
+}
+
+// Read reads the body; io.EOF says that it is whole.
+func (x *Exchange) Read(p []byte) (int, error) {
+	n, err := x.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		x.ended = true
+	}
+	return n, err
+}
+
+// SetReadLimit bounds the time of reading until t.
+func (x *Exchange) SetReadLimit(t time.Time) {
+	_ = x.conn.SetReadDeadline(t)
+}
+
+// Close ends the exchange. The connection is kept when the whole answer was
+// read and nothing came after it; else it is closed.
+func (x *Exchange) Close() {
+	x.finish.Do(func() {
+		canceled := !x.stop()
+		if !x.ended || x.close || canceled || x.conn.reader.Buffered() > 0 {
+			_ = x.conn.Close()
+			return
+		}
+		_ = x.conn.SetReadDeadline(time.Time{})
+		x.conn.rest(x.Header, time.Now())
+		x.shelf.put(x.conn)
+	})
+}
--- a/weights/digest.go
+++ b/weights/digest.go
@@ -5,6 +5,7 @@
 package weights
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 
@@ -14,7 +15,7 @@
 // DigestSize is the length of a Digest in bytes.
 const DigestSize = 32
 
-// Digest is a BLAKE3 digest.
+// Digest is a digest by BLAKE3, or by another Hash where that is said.
 type Digest [DigestSize]byte
 
 // Sum returns the digest of b.
@@ -22,6 +23,23 @@
 	return blake3.Sum256(b)
 }
 
+// Hash names a hash function; the zero value is BLAKE3.
+type Hash string
+
+// The hash functions of chunks.
+const (
+	HashBLAKE3 Hash = ""
+	HashSHA256 Hash = "sha256"
+)
+
+// Sum returns the digest of b.
+func (h Hash) Sum(b []byte) Digest {
+	if h == HashSHA256 {
+		return sha256.Sum256(b)
+	}
+	return Sum(b)
+}
+
 // String returns d in hex.
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:])
--- a/weights/manifest.go
+++ b/weights/manifest.go
@@ -32,6 +32,9 @@
 	Whole Digest `json:"whole"`
 	// Chunks has the digest of each chunk in order.
 	Chunks []Digest `json:"chunks"`
+	// Hash is the function of the digests in Chunks. With another than BLAKE3
+	// there is no digest of the whole; it is checked chunk by chunk.
+	Hash Hash `json:"hash,omitempty"`
 }
 
 // ManifestError tells why a manifest can't be used.
@@ -79,6 +82,9 @@
 }
 
 func (m *Manifest) check() error {
+	if m.Hash != HashBLAKE3 && m.Hash != HashSHA256 {
+		return &ManifestError{Reason: fmt.Sprintf("hash %q", m.Hash)}
+	}
 	if m.Size <= 0 {
 		return &ManifestError{Reason: fmt.Sprintf("size %d", m.Size)}
 	}
@@ -108,6 +114,13 @@
 	return d
 }
 
+// NewSHA256Manifest returns the manifest of chunks of chunkSize bytes each,
+// which are known by their SHA-256 digests alone.
+func NewSHA256Manifest(chunkSize int64, chunks []Digest) (*Manifest, error) {
+	m := &Manifest{Size: chunkSize * int64(len(chunks)), ChunkSize: chunkSize, Chunks: chunks, Hash: HashSHA256}
+	return m, m.check()
+}
+
 // Range returns the offset and length in bytes of chunk i.
 func (m *Manifest) Range(i int) (off, n int64) {
 	off = int64(i) * m.ChunkSize
--- a/weights/set.go
+++ b/weights/set.go
@@ -60,7 +60,7 @@
 	if i < 0 || i >= len(s.m.Chunks) {
 		return false, &ChunkError{Chunk: i}
 	}
-	if got := Sum(b); got != s.m.Chunks[i] {
+	if got := s.m.Hash.Sum(b); got != s.m.Chunks[i] {
 		return false, &ChunkError{Chunk: i, Got: got, Want: s.m.Chunks[i]}
 	}
 	s.mu.Lock()
@@ -111,6 +111,9 @@
 // VerifyWhole hashes all bytes once more and compares them with the digest of
 // the whole. Nothing is loaded before it has returned nil.
 func (s *Set) VerifyWhole() error {
+	if s.m.Hash != HashBLAKE3 {
+		return s.verifyChunks()
+	}
 	h := blake3.New()
 	if _, err := s.WriteTo(h); err != nil {
 		return err
@@ -123,6 +126,19 @@
 	return nil
 }
 
+// verifyChunks hashes each chunk once more.
+func (s *Set) verifyChunks() error {
+	if !s.Complete() {
+		return &ManifestError{Reason: "set is not complete"}
+	}
+	for i, want := range s.m.Chunks {
+		if got := s.m.Hash.Sum(s.Get(i)); got != want {
+			return &ChunkError{Chunk: i, Got: got, Want: want}
+		}
+	}
+	return nil
+}
+
 // WriteTo writes the complete weights to w, or fails before the first byte.
 func (s *Set) WriteTo(w io.Writer) (int64, error) {
 	if !s.Complete() {
