--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/silverdeck/silverdeck/roster"
@@ -61,6 +62,8 @@
 	record   *roster.Endpoint
 	inFlight int
 	health   health
+	// heardAt is when bytes of an answer last came, in Unix nanoseconds.
+	heardAt atomic.Int64
 }
 
 // Penalties and draws in the choice, in requests for each slot.
@@ -237,6 +240,20 @@
 	endpoint *endpoint
 }
 
+// Heard notes that bytes of an answer came from the endpoint.
+func (l *Lease) Heard(now time.Time) {
+	l.endpoint.heardAt.Store(now.UnixNano())
+}
+
+// Silence returns for how long nothing came from the endpoint, for this or any
+// other request of this entry, at most since.
+func (l *Lease) Silence(since, now time.Time) time.Duration {
+	if heard := time.Unix(0, l.endpoint.heardAt.Load()); heard.After(since) {
+		since = heard
+	}
+	return now.Sub(since)
+}
+
 // Done gives the place back and notes the outcome.
 func (l *Lease) Done(o Outcome, now time.Time) {
 	l.shard.mu.Lock()
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/weights"
 )
@@ -20,6 +23,8 @@
 	queue chan struct{}
 	// gather is how long news is gathered before it is told.
 	gather time.Duration
+	// pace bounds the bytes that are sent; nil means no bound.
+	pace *rate.Limiter
 }
 
 // ServerOption changes a Server.
@@ -30,6 +35,15 @@
 	return func(s *Server) { s.gather = d }
 }
 
+// paceSlice is how many bytes are sent at once under a pace: little enough not
+// to hold up what else the link carries.
+const paceSlice = 4 << 10
+
+// WithPace bounds what is sent to bytesPerSecond.
+func WithPace(bytesPerSecond float64) ServerOption {
+	return func(s *Server) { s.pace = rate.NewLimiter(rate.Limit(bytesPerSecond), paceSlice) }
+}
+
 // NewServer returns a Server of what held has, that sends slots chunks at once.
 func NewServer(held Holdings, slots int, opts ...ServerOption) *Server {
 	s := &Server{
@@ -109,7 +123,25 @@
 	defer s.leave()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLimit))
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	_, _ = w.Write(b)
+	s.send(w, r, b)
+}
+
+// send writes b at the server's pace.
+func (s *Server) send(w http.ResponseWriter, r *http.Request, b []byte) {
+	if s.pace == nil {
+		_, _ = w.Write(b)
+		return
+	}
+	out := http.NewResponseController(w)
+	for slice := range slices.Chunk(b, paceSlice) {
+		if err := s.pace.WaitN(r.Context(), len(slice)); err != nil {
+			return
+		}
+		if _, err := w.Write(slice); err != nil {
+			return
+		}
+		_ = out.Flush()
+	}
 }
 
 func (s *Server) find(root weights.Digest, i int) []byte {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,7 +103,7 @@
 		return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d for the rest of a stream", x.Status)
 	}
 	if j.route.Kind == routes.Stream && x.Status == http.StatusOK {
-		failure, outcome = g.stream(ctx, w, j, x)
+		failure, outcome = g.stream(ctx, w, j, x, lease)
 		return failure
 	}
 	failure, outcome = g.whole(w, j, x)
@@ -142,21 +142,21 @@
 		q.Header.Set(p.LastEvent, j.lastEvent)
 	}
 	fresh := !j.route.Repeatable() && len(j.tried) > 1
-	return g.cfg.Client.Do(ctx, lease.Record.Addr, &q, upstream.Options{Fresh: fresh, HeadBy: g.headLimit(j)})
+	return g.cfg.Client.Do(ctx, lease.Record.Addr, &q, upstream.Options{Fresh: fresh, GiveUp: g.giveUp(j, lease)})
 }
 
-// headLimit returns until when the head of the answer may take.
-func (g *Gateway) headLimit(j *job) time.Time {
-	if j.route.Kind == routes.Stream {
-		return g.silenceLimit(j, true)
-	}
+// giveUp returns what tells that an endpoint is to be given up for another, or
+// nil when the request can't go elsewhere.
+func (g *Gateway) giveUp(j *job, lease *balance.Lease) func() bool {
 	if !j.route.Repeatable() || len(j.tried) >= j.route.Attempts {
-		return j.endsAt
+		return nil
 	}
-	if t := time.Now().Add(plainAimFactor * j.route.Aim); t.Before(j.endsAt) {
-		return t
+	sent := time.Now()
+	if j.route.Kind != routes.Stream {
+		return func() bool { return time.Since(sent) > plainAimFactor*j.route.Aim }
 	}
-	return j.endsAt
+	limit := max(gapFactor*j.route.GapAim, leastGap)
+	return func() bool { return lease.Silence(sent, time.Now()) > limit }
 }
 
 // plainAimFactor is how many times a plain route's aim may pass before a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,11 +16,8 @@
 
 // Silence of an endpoint after which a stream that may be resumed goes on elsewhere.
 const (
-	// firstSilence is the least time that the first event may take.
-	firstSilence = 1200 * time.Millisecond
-	// aimFactor is how many times a route's aim may pass before the first event.
-	aimFactor = 3
-	// gapFactor is how many times the longest pause in time may pass later.
+	// gapFactor is how many times the longest pause in time an endpoint may say
+	// nothing on any stream.
 	gapFactor   = 2
 	leastGap    = 400 * time.Millisecond
 	eventBuffer = 4 << 10
@@ -29,17 +26,19 @@
 )
 
 // stream passes a stream of events on as they come.
-func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, j *job, x *upstream.Exchange) (*verdict.Error, balance.Outcome) {
+func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, j *job, x *upstream.Exchange, lease *balance.Lease) (*verdict.Error, balance.Outcome) {
 	out := http.NewResponseController(w)
 	_ = out.SetWriteDeadline(j.endsAt.Add(writeSlack))
 	var events eventReader
 	events.limit = maxEvent
-	first := true
+	giveUp := g.giveUp(j, lease)
 	for {
-		x.SetReadLimit(g.silenceLimit(j, first))
+		if err := x.Await(giveUp); err != nil {
+			return g.streamFailure(ctx, err), balance.Failed
+		}
 		whole, err := events.next(x)
+		lease.Heard(time.Now())
 		if len(whole) > 0 {
-			first = false
 			if failure := g.passEvents(w, out, j, x, whole); failure != nil {
 				return failure, balance.Neutral
 			}
@@ -60,21 +59,6 @@
 // writeSlack is how long after the request's end an answer may still be written.
 const writeSlack = 100 * time.Millisecond
 
-// silenceLimit returns until when the next event may take.
-func (g *Gateway) silenceLimit(j *job, first bool) time.Time {
-	if !j.route.Resume {
-		return j.endsAt
-	}
-	limit := max(gapFactor*j.route.GapAim, leastGap)
-	if first {
-		limit = max(aimFactor*j.route.Aim, firstSilence)
-	}
-	if t := time.Now().Add(limit); t.Before(j.endsAt) {
-		return t
-	}
-	return j.endsAt
-}
-
 // passEvents writes whole events to the caller.
 func (g *Gateway) passEvents(w http.ResponseWriter, out *http.ResponseController, j *job, x *upstream.Exchange, whole []byte) *verdict.Error {
 	if !j.begun {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -54,7 +54,7 @@
 	Revision int64
 	// Changed is the revision at which the objects were last seen to change.
 	Changed int64
-	Objects  map[string]Object
+	Objects map[string]Object
 }
 
 // Pauses between calls that failed.
@@ -175,9 +175,10 @@
 		return err
 	}
 	m.succeeded()
-	s := &State{Revision: at, Changed: at, Objects: make(map[string]Object, len(objects))}
+	s := &State{Revision: at, Objects: make(map[string]Object, len(objects))}
 	for _, o := range objects {
 		s.Objects[o.Name] = o
+		s.Changed = max(s.Changed, o.Revision)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/process/process.go
+++ b/process/process.go
@@ -68,7 +68,9 @@
 		fx.Supply(t, id),
 		fx.Provide(
 			telemetry.NewStandardWriter,
-			func(w *telemetry.Writer) *log.Logger { return telemetry.NewLogger(w, t.LogLevel, id).With("process", name) },
+			func(w *telemetry.Writer) *log.Logger {
+				return telemetry.NewLogger(w, t.LogLevel, id).With("process", name)
+			},
 			func() (*telemetry.Tracer, error) { return telemetry.NewTracer(t, name, id) },
 			metrics.NewRegistry,
 			secure.NewNetwork,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -19,24 +19,33 @@
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/settings"
 	"github.com/silverdeck/silverdeck/stage"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/telemetry"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // Settings of a sidecar.
 const (
 	// uploads is how many chunks are sent to other VMs at once.
-	uploads = 4
+	uploads = 3
+	// paceShare is the part of the VM's link that chunks may take.
+	paceShare = 0.7
 	// gather is how long news of chunks is gathered before other VMs hear it.
 	gather      = 50 * time.Millisecond
 	dialLimit   = 500 * time.Millisecond
 	headerLimit = 5 * time.Second
 	// originAge is for how long the origin's address is kept.
 	originAge = 10 * time.Second
+	// configPause is the time between two tries to read the configuration.
+	configPause = 500 * time.Millisecond
 )
 
+// bytesPerMegabit turns megabits into bytes.
+const bytesPerMegabit = 1e6 / 8
+
 // Sidecar is the process's state.
 type Sidecar struct {
 	site     *settings.Site
@@ -50,7 +59,7 @@
 	servers  []*http.Server
 
 	mu       sync.Mutex
-	originAt string
+	originAt platform.OriginPlace
 	foundAt  time.Time
 }
 
@@ -76,7 +85,7 @@
 func (c *Sidecar) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
-	ex := exchange.NewServer(c.stager.Holdings(), uploads, exchange.WithGather(gather))
+	ex := exchange.NewServer(c.stager.Holdings(), uploads, exchange.WithGather(gather), exchange.WithPace(paceShare*c.site.LinkMbps*bytesPerMegabit))
 	handler, err := peer.NewRPCHandler(map[string]any{exchange.Service: ex})
 	if err != nil {
 		return err
@@ -91,6 +100,7 @@
 		return err
 	}
 	go c.versions.Run(ctx)
+	go c.wantFirst(ctx)
 	go c.stager.Run(ctx)
 	c.log.Info("started", "peer", c.site.Peer, "endpoint", c.site.Endpoint, "service", c.site.Service)
 	return nil
@@ -127,6 +137,33 @@
 	}
 }
 
+// firstVersion is the version of weights that stands before any is named.
+const firstVersion = 1
+
+// wantFirst wants the first version of each model of the service, as the
+// configuration names them.
+func (c *Sidecar) wantFirst(ctx context.Context) {
+	for ctx.Err() == nil {
+		config, err := c.config(ctx)
+		if err == nil {
+			c.wantModels(config)
+			return
+		}
+		c.log.Debug("no configuration yet", "err", err)
+		wait.For(ctx, configPause)
+	}
+}
+
+func (c *Sidecar) wantModels(config *routes.Config) {
+	service := config.Services[c.site.Service]
+	if service == nil || service.Engine == nil {
+		return
+	}
+	for _, m := range service.Engine.Models {
+		c.stager.Want(m.Name, firstVersion, true)
+	}
+}
+
 // Members implements stage.Fleet.
 func (c *Sidecar) Members(ctx context.Context) ([]swarm.Member, error) {
 	objects, err := c.store.ListStale(ctx, platform.KindEndpoints)
@@ -159,43 +196,52 @@
 var errNoOrigin = errors.New("sidecar: the configuration names no origin")
 
 // origin returns the address of the origin of weights.
-func (c *Sidecar) origin(ctx context.Context) (string, error) {
+func (c *Sidecar) origin(ctx context.Context) (platform.OriginPlace, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.originAt != "" && time.Since(c.foundAt) < originAge {
+	if c.originAt.Address != "" && time.Since(c.foundAt) < originAge {
 		return c.originAt, nil
 	}
-	objects, err := c.store.ListStale(ctx, platform.KindConfig)
+	config, err := c.config(ctx)
 	if err == nil {
-		err = c.takeOrigin(objects)
+		err = c.takeOrigin(config)
 	}
-	if c.originAt != "" {
+	if c.originAt.Address != "" {
 		return c.originAt, nil
 	}
-	return "", err
+	return c.originAt, err
+}
+
+func (c *Sidecar) takeOrigin(config *routes.Config) error {
+	for _, s := range config.Services {
+		if s.Origin != "" {
+			c.originAt, c.foundAt = platform.OriginPlace{Address: s.Origin, LinkMbps: s.LinkMbps}, time.Now()
+			return nil
+		}
+	}
+	return errNoOrigin
 }
 
-func (c *Sidecar) takeOrigin(objects []mirror.Object) error {
+// errNoConfig tells that the store holds no configuration yet.
+var errNoConfig = errors.New("sidecar: no configuration yet")
+
+// config reads the configuration.
+func (c *Sidecar) config(ctx context.Context) (*routes.Config, error) {
+	objects, err := c.store.ListStale(ctx, platform.KindConfig)
+	if err != nil {
+		return nil, err
+	}
 	for _, stored := range objects {
 		if stored.Name != platform.ConfigName {
 			continue
 		}
 		o, err := platform.DecodeObject(stored.Data)
 		if err != nil {
-			return err
-		}
-		config, err := platform.DecodeConfig(o)
-		if err != nil {
-			return err
-		}
-		for _, s := range config.Services {
-			if s.Origin != "" {
-				c.originAt, c.foundAt = s.Origin, time.Now()
-				return nil
-			}
+			return nil, err
 		}
+		return platform.DecodeConfig(o)
 	}
-	return errNoOrigin
+	return nil, errNoConfig
 }
 
 // Ready implements telemetry.Observed.
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -25,6 +25,8 @@
 	// fleetEvery is how often the list of members is read during a download.
 	fleetEvery = time.Second
 	retryPause = 200 * time.Millisecond
+	// parallelChunks is how many chunks are fetched from other VMs at once.
+	parallelChunks = 3
 	// originLateness is how long a chunk may stay away before the next in rank
 	// reads it from the origin.
 	originLateness = 400 * time.Millisecond
@@ -50,9 +52,10 @@
 	cfg      Config
 	holdings *holdings
 
-	mu      sync.Mutex
-	targets map[string]target
-	wake    chan struct{}
+	mu sync.Mutex
+	// targets are the newest versions by model, complete those that are there whole.
+	targets, complete map[string]target
+	wake              chan struct{}
 }
 
 // target is the version of a model that the endpoint should run.
@@ -66,7 +69,7 @@
 
 // New returns a Stager without targets.
 func New(cfg Config) *Stager {
-	return &Stager{cfg: cfg, holdings: newHoldings(), targets: map[string]target{}, wake: make(chan struct{}, 1)}
+	return &Stager{cfg: cfg, holdings: newHoldings(), targets: map[string]target{}, complete: map[string]target{}, wake: make(chan struct{}, 1)}
 }
 
 // Holdings is what this VM can give to others.
@@ -108,6 +111,7 @@
 
 // Run keeps the endpoint up to date until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
+	go s.fetchAll(ctx)
 	for ctx.Err() == nil {
 		settled := true
 		for _, model := range s.models() {
@@ -133,48 +137,96 @@
 	}
 }
 
-// step takes one step towards the target of model and returns whether nothing
-// is left to do.
-func (s *Stager) step(ctx context.Context, model string) bool {
+// fetchAll fetches the newest version of each model, until ctx ends.
+func (s *Stager) fetchAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, model := range s.models() {
+			s.fetchNewest(ctx, model)
+		}
+		wait.For(ctx, lookEvery)
+	}
+}
+
+// fetchNewest fetches the newest version of model. One that is named meanwhile
+// takes over unless most of this one is there already.
+func (s *Stager) fetchNewest(ctx context.Context, model string) {
 	want := s.target(model)
+	if set := s.holdings.version(model, want.version); set != nil && set.Complete() {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.abandon(ctx, cancel, model, want.version)
-	set, err := s.fetch(ctx, model, want.version)
-	if err != nil {
+	if err := s.fetch(ctx, model, want.version); err != nil {
 		s.failed(ctx, "weights not fetched", model, want.version, err)
+		return
+	}
+	s.completed(model, want)
+}
+
+// mostOf is the part of a version that makes it worth being fetched whole
+// although a newer one is named.
+const mostOf = 0.4
+
+// abandon ends the fetching of a version once a newer one is wanted and little
+// of the older is there.
+func (s *Stager) abandon(ctx context.Context, cancel func(), model string, version int64) {
+	for wait.For(ctx, lookEvery) {
+		if s.target(model).version == version {
+			continue
+		}
+		set := s.holdings.version(model, version)
+		if set == nil || float64(set.Len()) < mostOf*float64(len(set.Manifest().Chunks)) {
+			cancel()
+			return
+		}
+	}
+}
+
+// completed notes that a version can be loaded.
+func (s *Stager) completed(model string, t target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.complete[model].version < t.version {
+		s.complete[model] = t
+	}
+}
+
+// loadable returns the newest version of model that is there whole.
+func (s *Stager) loadable(model string) (target, *weights.Set) {
+	s.mu.Lock()
+	t := s.complete[model]
+	s.mu.Unlock()
+	return t, s.holdings.version(model, t.version)
+}
+
+// step takes one step towards the newest version of model that is there and
+// returns whether nothing is left to do.
+func (s *Stager) step(ctx context.Context, model string) bool {
+	want, set := s.loadable(model)
+	if set == nil {
 		return false
 	}
 	report, err := s.report(ctx)
-	if err != nil || report.Version(model) >= want.version {
-		return err == nil
+	if err != nil || report.Busy {
+		return false
+	}
+	if report.Version(model) >= want.version {
+		return true
 	}
-	if report.Busy {
+	if report.Version(model) != 0 && time.Now().Before(s.turn(model, want)) {
 		return false
 	}
 	if err := s.place(ctx, model, set); err != nil {
 		s.failed(ctx, "weights not placed", model, want.version, err)
 		return false
 	}
-	if !s.waitTurn(ctx, model, want, report) {
-		return false
-	}
 	if err := s.load(ctx, model, want, set); err != nil {
 		s.failed(ctx, "weights not loaded", model, want.version, err)
 	}
 	return false
 }
 
-// abandon ends a step once a newer version is wanted.
-func (s *Stager) abandon(ctx context.Context, cancel func(), model string, version int64) {
-	for wait.For(ctx, lookEvery) {
-		if s.target(model).version > version {
-			cancel()
-			return
-		}
-	}
-}
-
 func (s *Stager) failed(ctx context.Context, what, model string, version int64, err error) {
 	if ctx.Err() != nil {
 		return
@@ -189,24 +241,21 @@
 	return s.cfg.Endpoint.Report(ctx)
 }
 
-// fetch returns the complete set of a version.
-func (s *Stager) fetch(ctx context.Context, model string, version int64) (*weights.Set, error) {
+// fetch fills the set of a version.
+func (s *Stager) fetch(ctx context.Context, model string, version int64) error {
 	set := s.holdings.version(model, version)
-	if set != nil && set.Complete() {
-		return set, nil
-	}
 	if set == nil {
 		m, err := s.manifest(ctx, model, version)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		set = s.holdings.add(model, version, m)
 		s.takePlaced(ctx, model, set)
 	}
 	if set.Complete() {
-		return set, nil
+		return nil
 	}
-	return set, s.download(ctx, model, version, set)
+	return s.download(ctx, model, version, set)
 }
 
 func (s *Stager) manifest(ctx context.Context, model string, version int64) (*weights.Manifest, error) {
@@ -242,8 +291,9 @@
 	}
 	source := &versionReader{origin: s.cfg.Origin, model: model, version: version, size: set.Manifest().ChunkSize}
 	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, source,
-		swarm.WithOriginBudget(0, float64(len(members)+1)),
+		swarm.WithOriginBudget(s.cfg.Origin.Rate(), float64(len(members)+1)),
 		swarm.WithLateness(originLateness),
+		swarm.WithParallel(parallelChunks, 1),
 		swarm.WithMinTimeout(chunkLimit))
 	s.holdings.setDownload(set.Root(), d)
 	ctx, cancel := context.WithCancel(ctx)
--- a/stage/turn.go
+++ b/stage/turn.go
@@ -1,12 +1,9 @@
 package stage
 
 import (
-	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/silverdeck/silverdeck/wait"
 )
 
 // When endpoints change to new weights.
@@ -17,16 +14,6 @@
 	latestTurn = 0.62
 )
 
-// waitTurn waits until this endpoint may change to new weights, so that not
-// all of a service change at once. An endpoint without weights need not wait.
-// It returns false when ctx ends first.
-func (s *Stager) waitTurn(ctx context.Context, model string, want target, r *Report) bool {
-	if r.Version(model) == 0 {
-		return ctx.Err() == nil
-	}
-	return wait.For(ctx, time.Until(s.turn(model, want)))
-}
-
 // turn returns when this endpoint may change to want: spread by hash over a
 // part of the time limit.
 func (s *Stager) turn(model string, want target) time.Time {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -88,6 +89,7 @@
 	close  bool
 	stop   func() bool
 	ended  bool
+	read   int64
 	finish sync.Once
 }
 
@@ -95,8 +97,32 @@
 type Options struct {
 	// Fresh asks for a connection that was not used before.
 	Fresh bool
-	// HeadBy is until when the head of the answer may take; zero means for ever.
-	HeadBy time.Time
+	// GiveUp is asked from time to time while the head of the answer is awaited;
+	// nil means never.
+	GiveUp func() bool
+}
+
+// askEvery is how often GiveUp is asked.
+const askEvery = 100 * time.Millisecond
+
+// await waits until bytes have come, or returns os.ErrDeadlineExceeded once
+// giveUp says so. Other errors are left for the next reading.
+func (c *conn) await(giveUp func() bool) error {
+	if giveUp == nil {
+		return nil
+	}
+	for c.reader.Buffered() == 0 {
+		_ = c.SetReadDeadline(time.Now().Add(askEvery))
+		_, err := c.reader.Peek(1)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if giveUp() {
+			return err
+		}
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	return nil
 }
 
 // Do sends q to the endpoint at addr and waits for the head of the answer. A
@@ -116,8 +142,7 @@
 		cn = &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	_ = cn.SetReadDeadline(o.HeadBy)
-	head, progress, err := cn.roundTrip(q)
+	head, progress, err := cn.roundTrip(q, o.GiveUp)
 	if err != nil {
 		stop()
 		_ = cn.Close()
@@ -145,7 +170,7 @@
 }
 
 // roundTrip writes q and reads the head of the answer.
-func (c *conn) roundTrip(q *Request) (*http.Response, verdict.Progress, error) {
+func (c *conn) roundTrip(q *Request, giveUp func() bool) (*http.Response, verdict.Progress, error) {
 	n, err := c.Write(encode(q))
 	if err != nil {
 		if n == 0 && !errors.Is(err, net.ErrClosed) {
@@ -153,6 +178,9 @@
 		}
 		return nil, verdict.Written, err
 	}
+	if err := c.await(giveUp); err != nil {
+		return nil, verdict.Written, err
+	}
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
 		if err != nil {
@@ -190,9 +218,19 @@
 	return append(b, q.Body...)
 }
 
+// Await waits until more of the body has come, or returns
+// os.ErrDeadlineExceeded once giveUp says so.
+func (x *Exchange) Await(giveUp func() bool) error {
+	if x.Length >= 0 && x.read >= x.Length {
+		return nil
+	}
+	return x.conn.await(giveUp)
+}
+
 // Read reads the body; io.EOF says that it is whole.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.body.Read(p)
+	x.read += int64(n)
 	if errors.Is(err, io.EOF) {
 		x.ended = true
 	}
