--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -20,7 +20,7 @@
 }
 
 // budgetSafety is the part of the budget that is used.
-const budgetSafety = 0.7
+const budgetSafety = 0.85
 
 // windowSteps is the number of parts that a window slides by.
 const windowSteps = 10
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,10 @@
 	tried []string
 	// lastEvent is the last event that the caller got whole.
 	lastEvent string
+	// firstEvent is the time to a stream's first event, longestGap the longest
+	// pause after it.
+	firstEvent, longestGap time.Duration
+	eventAt                time.Time
 	// begun is set once the answer's head was sent to the caller.
 	begun bool
 	// ran is set once the request may have run somewhere.
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -43,7 +43,8 @@
 		g.cfg.Metrics.Repeats.Inc(int64(len(j.tried) - 1))
 	}
 	g.cfg.Log.Info("answered", "request", j.id, "route", j.route.Name, "config", j.config.Version,
-		"endpoints", j.tried, "ms", took.Milliseconds())
+		"endpoints", j.tried, "ms", took.Milliseconds(),
+		"firstEventMs", j.firstEvent.Milliseconds(), "longestGapMs", j.longestGap.Milliseconds())
 }
 
 // logFailure notes a request that was not answered by an endpoint.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -61,8 +61,9 @@
 
 // passEvents writes whole events to the caller.
 func (g *Gateway) passEvents(w http.ResponseWriter, out *http.ResponseController, j *job, x *upstream.Exchange, whole []byte) *verdict.Error {
+	j.noteEvent(time.Now())
 	if !j.begun {
-		g.cfg.Metrics.FirstEvent.Update(time.Since(j.started).Microseconds())
+		g.cfg.Metrics.FirstEvent.Update(j.firstEvent.Microseconds())
 	}
 	g.beginAnswer(w, j, x)
 	if id := lastEventID(whole); id != "" {
@@ -77,6 +78,16 @@
 	return nil
 }
 
+// noteEvent measures the pauses of a stream.
+func (j *job) noteEvent(now time.Time) {
+	if j.eventAt.IsZero() {
+		j.firstEvent = now.Sub(j.started)
+	} else {
+		j.longestGap = max(j.longestGap, now.Sub(j.eventAt))
+	}
+	j.eventAt = now
+}
+
 // beginAnswer sends the head of the answer, once.
 func (g *Gateway) beginAnswer(w http.ResponseWriter, j *job, x *upstream.Exchange) {
 	if j.begun {
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -24,6 +24,8 @@
 	callLimit = 2 * time.Second
 	// fleetEvery is how often the list of members is read during a download.
 	fleetEvery = time.Second
+	// settleTime is how long the VMs of a fleet may take to appear.
+	settleTime = 2500 * time.Millisecond
 	retryPause = 200 * time.Millisecond
 	// parallelChunks is how many chunks are fetched from other VMs at once.
 	parallelChunks = 3
@@ -154,6 +156,9 @@
 	if set := s.holdings.version(model, want.version); set != nil && set.Complete() {
 		return
 	}
+	if want.first && !s.settle(ctx, model, want) {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.abandon(ctx, cancel, model, want.version)
@@ -164,6 +169,16 @@
 	s.completed(model, want)
 }
 
+// settle gives the other VMs time to appear in the platform's list when the
+// endpoint has its weights already, and returns false when ctx ends.
+func (s *Stager) settle(ctx context.Context, model string, want target) bool {
+	report, err := s.report(ctx)
+	if err != nil || report.Version(model) < want.version {
+		return ctx.Err() == nil
+	}
+	return wait.For(ctx, time.Until(want.seenAt.Add(settleTime)))
+}
+
 // mostOf is the part of a version that makes it worth being fetched whole
 // although a newer one is named.
 const mostOf = 0.4
