--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,6 +62,8 @@
 	record   *roster.Endpoint
 	inFlight int
 	health   health
+	// told are weights that the process beside the endpoint told of.
+	told roster.Weights
 	// heardAt is when bytes of an answer last came, in Unix nanoseconds.
 	heardAt atomic.Int64
 }
@@ -198,7 +200,7 @@
 	if e.record.Leaving || e.health.gone {
 		return false
 	}
-	if q.Model != "" && e.record.Holds(q.Model) < max(q.MinVersion, 1) {
+	if q.Model != "" && e.holds(q.Model) < max(q.MinVersion, 1) {
 		return false
 	}
 	for _, id := range q.Exclude {
@@ -209,6 +211,38 @@
 	return true
 }
 
+// holds returns the version of model that the endpoint is known to hold.
+func (e *endpoint) holds(model string) int64 {
+	if e.told.Model == model {
+		return max(e.told.Version, e.record.Holds(model))
+	}
+	return e.record.Holds(model)
+}
+
+// Notice leaves the endpoint at addr alone until a time, and notes weights that
+// it runs, if any are told. A time that has passed ends an earlier pause.
+func (b *Balancer) Notice(addr string, until time.Time, told roster.Weights) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, s := range b.services {
+		s.notice(addr, until, told)
+	}
+}
+
+func (s *shard) notice(addr string, until time.Time, told roster.Weights) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		if e.record.Addr != addr {
+			continue
+		}
+		e.health.noticed = until
+		if told.Model != "" {
+			e.told = told
+		}
+	}
+}
+
 // load returns the requests at e of all entries, for each slot.
 func (e *endpoint) load(others func(string) int) float64 {
 	return float64(e.inFlight+others(e.record.ID)) / float64(max(e.record.Slots, 1))
--- a/balance/health.go
+++ b/balance/health.go
@@ -23,6 +23,8 @@
 	failures float64
 	// until is when the endpoint may be tried again.
 	until time.Time
+	// noticed is until when the endpoint asked to be left alone.
+	noticed time.Time
 	// ejections counts those in a row.
 	ejections int
 	// trial is set while a single request tests an endpoint after an ejection.
@@ -31,7 +33,7 @@
 
 // usable returns whether requests may be sent.
 func (h *health) usable(now time.Time) bool {
-	if now.Before(h.until) {
+	if now.Before(h.until) || now.Before(h.noticed) {
 		return false
 	}
 	return !h.trial
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -44,7 +44,11 @@
 	// registerPause is the time between two tries to register in the store.
 	registerPause = 500 * time.Millisecond
 	// behindLimit is how long another entry may know more before it is asked.
-	behindLimit = 500 * time.Millisecond
+	behindLimit = 250 * time.Millisecond
+	// holdEach is a watch's hold for each entry that is alive.
+	holdEach     = time.Second
+	shortestHold = 2500 * time.Millisecond
+	longestHold  = 10 * time.Second
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery   = 2 * time.Second
 	headerLimit  = 10 * time.Second
@@ -119,7 +123,19 @@
 }
 
 func (e *Edge) mirror(kind string, use func(*mirror.State)) *mirror.Mirror {
-	return mirror.New(kind, e.store.Source(kind), rand.Float64, e.log, use)
+	return mirror.New(mirror.Config{
+		Kind:   kind,
+		Source: e.store.Source(kind),
+		Random: rand.Float64,
+		Hold:   e.watchHold,
+		Log:    e.log,
+	}, use)
+}
+
+// watchHold returns for how long a watch may stay unanswered: the more entries
+// there are, the sooner one of them finds out for all that watches were lost.
+func (e *Edge) watchHold() time.Duration {
+	return min(max(holdEach*time.Duration(e.table.Size()), shortestHold), longestHold)
 }
 
 // Start begins to serve.
@@ -133,7 +149,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	beater := member.NewBeater(conn, e.table, e.describe, e.afterBeat)
+	beater := member.NewBeater(conn, e.table, member.Handlers{Describe: e.describe, After: e.afterBeat, Notice: e.notice})
 	go beater.Run(ctx)
 	for _, m := range e.mirrors {
 		go m.Run(ctx)
@@ -291,6 +307,13 @@
 	}
 }
 
+// notice takes in what the process beside an endpoint tells.
+func (e *Edge) notice(n member.Notice) {
+	pause := time.Duration(n.PauseMS) * time.Millisecond
+	e.log.Info("notice", "addr", n.Addr, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version)
+	e.balancer.Notice(n.Addr, time.Now().Add(pause), roster.Weights{Model: n.Model, Version: n.Version})
+}
+
 // catchUp takes the copy of kind from another entry that knows more.
 func (e *Edge) catchUp(m *mirror.Mirror, kind, addr string, revision int64) {
 	state, err := fetchState(context.Background(), e.pool, addr, kind)
--- a/member/wire.go
+++ b/member/wire.go
@@ -13,19 +13,62 @@
 // maxDatagram bounds a heartbeat, in bytes.
 const maxDatagram = 64 << 10
 
+// Notice tells entries that an endpoint is about to change its weights, or has.
+type Notice struct {
+	// Addr is the endpoint's address.
+	Addr string `json:"addr"`
+	// PauseMS is for how many milliseconds it should get no requests.
+	PauseMS int64 `json:"pauseMs"`
+	// Model and Version are weights that it runs now; empty if that is not told.
+	Model   string `json:"model,omitempty"`
+	Version int64  `json:"version,omitempty"`
+}
+
+// message is one datagram; one field is set.
+type message struct {
+	Heartbeat *Heartbeat `json:"beat,omitempty"`
+	Notice    *Notice    `json:"notice,omitempty"`
+}
+
+// Handlers are what a Beater calls.
+type Handlers struct {
+	// Describe fills what changes from one heartbeat to the next.
+	Describe func() Heartbeat
+	// After is called after each round, with the names of entries fallen silent.
+	After func(silent []string)
+	// Notice is called with each notice.
+	Notice func(Notice)
+}
+
 // Beater sends this entry's heartbeats and takes those of others.
 type Beater struct {
-	conn  net.PacketConn
-	table *Table
-	// describe fills what changes from one heartbeat to the next.
-	describe func() Heartbeat
-	// after is called after each round, with the names of entries fallen silent.
-	after func(silent []string)
+	conn     net.PacketConn
+	table    *Table
+	handlers Handlers
 }
 
 // NewBeater returns a Beater on conn.
-func NewBeater(conn net.PacketConn, table *Table, describe func() Heartbeat, after func(silent []string)) *Beater {
-	return &Beater{conn: conn, table: table, describe: describe, after: after}
+func NewBeater(conn net.PacketConn, table *Table, h Handlers) *Beater {
+	return &Beater{conn: conn, table: table, handlers: h}
+}
+
+// Notify sends n to the entries at addrs.
+func Notify(conn net.PacketConn, addrs []string, n Notice) {
+	send(conn, addrs, message{Notice: &n})
+}
+
+func send(conn net.PacketConn, addrs []string, m message) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return
+	}
+	for _, peer := range addrs {
+		addr, err := net.ResolveUDPAddr("udp4", peer)
+		if err != nil {
+			continue
+		}
+		_, _ = conn.WriteTo(data, addr)
+	}
 }
 
 // Run sends and takes heartbeats until ctx ends.
@@ -38,7 +81,7 @@
 	for {
 		sequence++
 		b.send(sequence)
-		b.after(b.table.Expire(time.Now()))
+		b.handlers.After(b.table.Expire(time.Now()))
 		select {
 		case <-ctx.Done():
 			b.send(sequence + 1)
@@ -49,19 +92,9 @@
 }
 
 func (b *Beater) send(sequence uint64) {
-	beat := b.describe()
+	beat := b.handlers.Describe()
 	beat.Sequence = sequence
-	data, err := json.Marshal(beat)
-	if err != nil {
-		return
-	}
-	for _, peer := range b.table.Others() {
-		addr, err := net.ResolveUDPAddr("udp4", peer)
-		if err != nil {
-			continue
-		}
-		_, _ = b.conn.WriteTo(data, addr)
-	}
+	send(b.conn, b.table.Others(), message{Heartbeat: &beat})
 }
 
 func (b *Beater) receive() {
@@ -71,9 +104,15 @@
 		if err != nil {
 			return
 		}
-		var beat Heartbeat
-		if json.Unmarshal(buffer[:n], &beat) == nil {
-			b.table.Hear(beat, time.Now())
+		var m message
+		if json.Unmarshal(buffer[:n], &m) != nil {
+			continue
+		}
+		switch {
+		case m.Heartbeat != nil:
+			b.table.Hear(*m.Heartbeat, time.Now())
+		case m.Notice != nil:
+			b.handlers.Notice(*m.Notice)
 		}
 	}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -35,8 +35,9 @@
 	List(ctx context.Context) ([]Object, int64, error)
 	// Watch returns the changes after revision as soon as there are some, or
 	// none after a while, and the revision to go on from. It returns
-	// *HistoryGoneError when the store no longer has these changes.
-	Watch(ctx context.Context, revision int64) ([]Event, int64, error)
+	// *HistoryGoneError when the store no longer has these changes. hold is how
+	// long the store may wait for changes.
+	Watch(ctx context.Context, revision int64, hold time.Duration) ([]Event, int64, error)
 }
 
 // HistoryGoneError tells that changes can't be had any more; a list can.
@@ -60,15 +61,20 @@
 // Pauses between calls that failed.
 const (
 	firstPause = 100 * time.Millisecond
-	maxPause   = time.Second
+	maxPause   = 400 * time.Millisecond
 )
 
+// holdSpread is the part of a watch's hold that is drawn, so that the watches
+// of many processes do not end together.
+const holdSpread = 0.5
+
 // Mirror keeps the copy. It is safe for concurrent use.
 type Mirror struct {
 	kind   string
 	source Source
 	log    *log.Logger
 	random func() float64
+	hold   func() time.Duration
 	notify func(*State)
 
 	mu      sync.Mutex
@@ -79,10 +85,21 @@
 	freshAt atomic.Int64
 }
 
-// New returns a Mirror of source; notify is called with every new state, one
-// call at a time. kind names the objects in logs.
-func New(kind string, source Source, random func() float64, l *log.Logger, notify func(*State)) *Mirror {
-	m := &Mirror{kind: kind, source: source, random: random, log: l, notify: notify}
+// Config holds a Mirror's settings.
+type Config struct {
+	// Kind names the objects in logs.
+	Kind   string
+	Source Source
+	Random func() float64
+	// Hold returns for how long a watch may stay unanswered. A store that lost
+	// a watch without a word is found out after that time.
+	Hold func() time.Duration
+	Log  *log.Logger
+}
+
+// New returns a Mirror; notify is called with every new state, one call at a time.
+func New(cfg Config, notify func(*State)) *Mirror {
+	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, log: cfg.Log, notify: notify}
 	m.state.Store(&State{})
 	return m
 }
@@ -153,7 +170,7 @@
 	if current.Revision == 0 || m.behind.Load() > current.Revision {
 		return m.list(ctx)
 	}
-	events, at, err := m.source.Watch(ctx, current.Revision)
+	events, at, err := m.source.Watch(ctx, current.Revision, m.drawHold())
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
 		m.log.Info("history gone", "kind", m.kind, "revision", current.Revision)
@@ -168,6 +185,10 @@
 	return nil
 }
 
+func (m *Mirror) drawHold() time.Duration {
+	return time.Duration((1 - holdSpread*m.random()) * float64(m.hold()))
+}
+
 func (m *Mirror) list(ctx context.Context) error {
 	objects, at, err := m.source.List(ctx)
 	if err != nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/exchange"
+	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/platform"
@@ -38,6 +40,8 @@
 	dialLimit   = 500 * time.Millisecond
 	headerLimit = 5 * time.Second
 	// originAge is for how long the origin's address is kept.
+	// watchHold is for how long a watch for new versions may stay unanswered.
+	watchHold = 3 * time.Second
 	originAge = 10 * time.Second
 	// configPause is the time between two tries to read the configuration.
 	configPause = 500 * time.Millisecond
@@ -57,6 +61,9 @@
 	began    bool
 	cancel   context.CancelFunc
 	servers  []*http.Server
+	notices  net.PacketConn
+	// entries are the peer addresses of the entries as last read.
+	entries atomic.Pointer[[]string]
 
 	mu       sync.Mutex
 	originAt platform.OriginPlace
@@ -77,7 +84,13 @@
 		Limit:    site.VersionLimit,
 		Log:      l,
 	})
-	c.versions = mirror.New(platform.KindVersions, c.store.Source(platform.KindVersions), rand.Float64, l, c.useVersions)
+	c.versions = mirror.New(mirror.Config{
+		Kind:   platform.KindVersions,
+		Source: c.store.Source(platform.KindVersions),
+		Random: rand.Float64,
+		Hold:   func() time.Duration { return watchHold },
+		Log:    l,
+	}, c.useVersions)
 	return c
 }
 
@@ -85,6 +98,11 @@
 func (c *Sidecar) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
+	conn, err := net.ListenPacket("udp4", c.site.Peer)
+	if err != nil {
+		return err
+	}
+	c.notices = conn
 	ex := exchange.NewServer(c.stager.Holdings(), uploads, exchange.WithGather(gather), exchange.WithPace(paceShare*c.site.LinkMbps*bytesPerMegabit))
 	handler, err := peer.NewRPCHandler(map[string]any{exchange.Service: ex})
 	if err != nil {
@@ -192,6 +210,46 @@
 	return out, nil
 }
 
+// Pause implements stage.Fleet.
+func (c *Sidecar) Pause(ctx context.Context, d time.Duration) {
+	c.entries.Store(c.findEntries(ctx))
+	c.notify(member.Notice{Addr: c.site.Endpoint, PauseMS: d.Milliseconds()})
+}
+
+// Loaded implements stage.Fleet.
+func (c *Sidecar) Loaded(ctx context.Context, model string, version int64) {
+	if c.entries.Load() == nil {
+		c.entries.Store(c.findEntries(ctx))
+	}
+	c.notify(member.Notice{Addr: c.site.Endpoint, Model: model, Version: version})
+}
+
+func (c *Sidecar) notify(n member.Notice) {
+	if addrs := c.entries.Load(); addrs != nil {
+		member.Notify(c.notices, *addrs, n)
+	}
+}
+
+// findEntries returns the peer addresses of the entries, or those known before
+// when the store can't be read.
+func (c *Sidecar) findEntries(ctx context.Context) *[]string {
+	objects, err := c.store.ListStale(ctx, platform.KindMembers)
+	if err != nil {
+		return c.entries.Load()
+	}
+	addrs := []string{}
+	for _, stored := range objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			continue
+		}
+		if e, err := platform.DecodeMember(o); err == nil {
+			addrs = append(addrs, e.Peer)
+		}
+	}
+	return &addrs
+}
+
 // errNoOrigin tells that the configuration names no origin of weights.
 var errNoOrigin = errors.New("sidecar: the configuration names no origin")
 
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -393,17 +393,50 @@
 	if err != nil || report.Busy || report.Version(model) >= want.version {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	err = s.cfg.Endpoint.Load(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence})
-	if err != nil {
+	if report.Version(model) != 0 {
+		s.cfg.Fleet.Pause(ctx, loadPause)
+		wait.For(ctx, quietTime)
+	}
+	if err := s.order(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence}); err != nil {
 		return err
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
 		"running", report.Running, "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
+	s.awaitLoaded(ctx, model, want.version)
 	return nil
 }
 
+func (s *Stager) order(ctx context.Context, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return s.cfg.Endpoint.Load(ctx, o)
+}
+
+// Timing of a load.
+const (
+	// loadPause is for how long entries are asked to leave the endpoint alone.
+	loadPause = 900 * time.Millisecond
+	// quietTime is how long the entries' last requests may be under way.
+	quietTime = 40 * time.Millisecond
+	// loadedEvery is how often the endpoint is asked whether it has loaded.
+	loadedEvery = 50 * time.Millisecond
+	loadLimit   = 3 * time.Second
+)
+
+// awaitLoaded waits until the endpoint runs a version, and tells the entries.
+func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64) {
+	began := time.Now()
+	for time.Since(began) < loadLimit && wait.For(ctx, loadedEvery) {
+		report, err := s.report(ctx)
+		if err != nil || report.Version(model) < version {
+			continue
+		}
+		s.cfg.Fleet.Loaded(ctx, model, version)
+		s.cfg.Log.Info("weights loaded", "model", model, "version", version, "ms", time.Since(began).Milliseconds())
+		return
+	}
+}
+
 // versionReader reads chunks of one version from the origin.
 type versionReader struct {
 	origin  Origin
