balance: prompts yet to be read count, entries prefer different endpoints, resumed streams the newest weights

Cause: entries chose the same endpoint at the same moment, and several prompts read in one pass held up every stream there (first event over its aim for 8 to 15 in 100, pauses for 3 to 8).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,6 +40,12 @@
 	// Room is the load, in requests for each slot, at which an endpoint is
 	// full; zero means no limit.
 	Room float64
+	// Reading is how long a model engine reads the prompt before the answer
+	// begins; it delays all other requests there.
+	Reading time.Duration
+	// Resumed is set when a request goes on elsewhere; then endpoints with the
+	// newest weights are preferred, since they will not change again soon.
+	Resumed bool
 }
 
 // Balancer chooses endpoints. It is safe for concurrent use.
@@ -62,6 +68,10 @@
 	record   *roster.Endpoint
 	inFlight int
 	health   health
+	// reading is the sum of what this entry's requests there have yet to read.
+	reading time.Duration
+	// owned is set when this entry is the one that prefers the endpoint.
+	owned bool
 	// told are weights that the process beside the endpoint told of.
 	told roster.Weights
 	// heardAt is when bytes of an answer last came, in Unix nanoseconds.
@@ -72,6 +82,12 @@
 const (
 	otherZone = 0.10
 	jitter    = 0.03
+	// otherOwner keeps entries from choosing the same endpoint at the same moment.
+	otherOwner = 0.06
+	// readingUnit is the time of reading that counts as one request for each slot.
+	readingUnit = 250 * time.Millisecond
+	// olderWeights is added for a resumed request.
+	olderWeights = 0.2
 )
 
 // New returns a Balancer for an entry in zone. others returns how many
@@ -146,8 +162,9 @@
 		return nil, NoEndpoint
 	}
 	best.inFlight++
+	best.reading += q.Reading
 	best.health.tried(now)
-	return &Lease{shard: s, endpoint: best, Record: best.record}, 0
+	return &Lease{shard: s, endpoint: best, Record: best.record, reading: q.Reading}, 0
 }
 
 // Shortage says why no endpoint was chosen.
@@ -166,6 +183,7 @@
 	var best, spare *endpoint
 	var bestCost, spareCost float64
 	full := false
+	newest := s.newest(q.Model)
 	for _, e := range s.endpoints {
 		if !e.fits(q) {
 			continue
@@ -175,10 +193,7 @@
 			full = true
 			continue
 		}
-		cost := load + jitter*b.random()
-		if e.record.Zone != b.zone {
-			cost += otherZone
-		}
+		cost := load + jitter*b.random() + b.penalty(e, q, newest)
 		if !e.health.usable(now) {
 			if spare == nil || cost < spareCost {
 				spare, spareCost = e, cost
@@ -195,6 +210,46 @@
 	return best, full
 }
 
+// penalty returns what speaks against e besides its load.
+func (b *Balancer) penalty(e *endpoint, q *Query, newest int64) float64 {
+	cost := float64(e.reading) / float64(readingUnit)
+	if e.record.Zone != b.zone {
+		cost += otherZone
+	}
+	if !e.owned {
+		cost += otherOwner
+	}
+	if q.Resumed && e.holds(q.Model) < newest {
+		cost += olderWeights
+	}
+	return cost
+}
+
+// newest returns the highest version of model that an endpoint holds.
+func (s *shard) newest(model string) int64 {
+	var newest int64
+	if model == "" {
+		return 0
+	}
+	for _, e := range s.endpoints {
+		newest = max(newest, e.holds(model))
+	}
+	return newest
+}
+
+// Own tells which endpoints this entry prefers to others, by ID.
+func (b *Balancer) Own(ids map[string]bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, s := range b.services {
+		s.mu.Lock()
+		for id, e := range s.endpoints {
+			e.owned = ids[id]
+		}
+		s.mu.Unlock()
+	}
+}
+
 // fits returns whether e may take a request of q at all.
 func (e *endpoint) fits(q *Query) bool {
 	if e.record.Leaving || e.health.gone {
@@ -272,6 +327,20 @@
 
 	shard    *shard
 	endpoint *endpoint
+	// reading is what the endpoint has yet to read for the request.
+	reading time.Duration
+}
+
+// Begun notes that the endpoint has read the prompt.
+func (l *Lease) Begun() {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	l.read()
+}
+
+func (l *Lease) read() {
+	l.endpoint.reading -= l.reading
+	l.reading = 0
 }
 
 // Heard notes that bytes of an answer came from the endpoint.
@@ -293,6 +362,7 @@
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
 	l.endpoint.inFlight--
+	l.read()
 	l.endpoint.health.note(o, now)
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -2,6 +2,7 @@
 package directory
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/silverdeck/silverdeck/member"
@@ -10,27 +11,47 @@
 // maxAddresses bounds an answer.
 const maxAddresses = 64
 
+// Addresses returns the addresses of live entries for a caller in zone of
+// region: those of its zone. When there is only one, or none, one or two others
+// stand in, from its region if there are some; turn says which.
+func Addresses(live []member.Entry, zone, region string, turn int) []string {
+	var near, others []member.Entry
+	for _, e := range live {
+		if e.Zone == zone {
+			near = append(near, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	near = append(near, standIns(others, region, enough-len(near), turn)...)
+	out := make([]string, 0, len(near))
+	for _, e := range near[:min(len(near), maxAddresses)] {
+		out = append(out, e.Callers)
+	}
+	return out
+}
+
 // enough is how many entries of a caller's own zone make others needless.
 const enough = 2
 
-// Addresses returns the addresses of live entries for a caller in zone of
-// region: those of its zone, and when there are too few, those of its region
-// and then all others.
-func Addresses(live []member.Entry, zone, region string) []string {
-	var out []string
-	add := func(wanted func(member.Entry) bool) {
-		for _, e := range live {
-			if wanted(e) && !slices.Contains(out, e.Callers) && len(out) < maxAddresses {
-				out = append(out, e.Callers)
-			}
-		}
+// standIns returns n of entries, those of region first.
+func standIns(entries []member.Entry, region string, n, turn int) []member.Entry {
+	if n <= 0 || len(entries) == 0 {
+		return nil
 	}
-	add(func(e member.Entry) bool { return e.Zone == zone })
-	if len(out) < enough {
-		add(func(e member.Entry) bool { return e.Region == region })
+	ordered := make([]member.Entry, 0, len(entries))
+	for i := range entries {
+		ordered = append(ordered, entries[(i+turn)%len(entries)])
 	}
-	if len(out) < enough {
-		add(func(member.Entry) bool { return true })
+	slices.SortStableFunc(ordered, func(a, b member.Entry) int {
+		return cmp.Compare(distance(a, region), distance(b, region))
+	})
+	return ordered[:min(n, len(ordered))]
+}
+
+func distance(e member.Entry, region string) int {
+	if e.Region == region {
+		return 0
 	}
-	return out
+	return 1
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -35,7 +35,7 @@
 	// addressTTL is for how long callers keep an answer of the directory.
 	addressTTL = 2 * time.Second
 	// versionMargin is taken from the time in which weights must be replaced.
-	versionMargin = 1500 * time.Millisecond
+	versionMargin = 800 * time.Millisecond
 	// acceptLeaving is how long a leaving entry takes new connections, for
 	// callers that kept its address.
 	acceptLeaving = 3 * time.Second
@@ -55,6 +55,8 @@
 	idleLimit    = 60 * time.Second
 	headerBytes  = 64 << 10
 	directoryEnd = 100 * time.Millisecond
+	// turns spreads callers over the entries that stand in for others.
+	turns = 1 << 10
 )
 
 // Edge is the process's state.
@@ -224,7 +226,7 @@
 		if e.Ready() == nil {
 			live = append(live, e.self)
 		}
-		addresses := directory.Addresses(live, q.Zone, q.Region)
+		addresses := directory.Addresses(live, q.Zone, q.Region, rand.IntN(turns))
 		if len(addresses) == 0 {
 			c.String(http.StatusServiceUnavailable, "no entry is ready")
 			return
@@ -286,6 +288,7 @@
 
 // afterBeat looks at what the last heartbeats told.
 func (e *Edge) afterBeat(silent []string) {
+	e.balancer.Own(owned(e.roster.Load(), append(e.table.Live(), e.self), e.self.Name))
 	for _, name := range silent {
 		e.log.Warn("entry lost", "entry", name)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -116,6 +116,8 @@
 		q.Model = j.model
 		q.MinVersion = g.cfg.Floor(j.model)
 		q.Room = streamRoom
+		q.Reading = j.reading()
+		q.Resumed = len(j.tried) > 0
 	}
 	lease, shortage := g.cfg.Balancer.Pick(q, time.Now())
 	if lease != nil {
@@ -127,6 +129,15 @@
 	return nil, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no endpoint of %s", j.service).After(retrySoon)
 }
 
+// reading returns the time that an engine takes to read the prompt.
+func (j *job) reading() time.Duration {
+	service := j.config.Services[j.service]
+	if service == nil || service.Engine == nil || service.Engine.ReadPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(j.prompt) / service.Engine.ReadPerSecond * float64(time.Second))
+}
+
 // send sends the request with what differs from one endpoint to the next.
 func (g *Gateway) send(ctx context.Context, j *job, lease *balance.Lease) (*upstream.Exchange, *verdict.Error) {
 	p := &g.cfg.Protocol
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,7 +84,9 @@
 	service string
 	request *upstream.Request
 	// model is the model that the caller names, if any.
-	model   string
+	model string
+	// prompt is how many tokens the engine must read first.
+	prompt  int
 	started time.Time
 	// endsAt is when the caller or the route gives up.
 	endsAt time.Time
@@ -161,6 +163,7 @@
 	}
 	j.service = j.route.Target(g.cfg.Random())
 	j.model = r.Header.Get(p.Model)
+	j.prompt = promptTokens(r.Header.Get(p.Tokens))
 	j.lastEvent = r.Header.Get(p.LastEvent)
 	j.endsAt = j.started.Add(min(callerDeadline(r.Header.Get(p.Deadline)), j.route.Timeout))
 	j.request = &upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardHeader(r.Header, j), Body: body}
@@ -190,6 +193,16 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// promptTokens returns the first number of a header of token counts, or 0.
+func promptTokens(s string) int {
+	first, _, _ := strings.Cut(s, ",")
+	n, err := strconv.Atoi(strings.TrimSpace(first))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // forwardHeader returns the header for endpoints, without what differs from
 // one endpoint to the next.
 func (g *Gateway) forwardHeader(h http.Header, j *job) http.Header {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -22,6 +22,8 @@
 	Version string
 	// Model names the model of a request.
 	Model string
+	// Tokens holds the numbers of prompt tokens and of tokens to make at most.
+	Tokens string
 	// Stamp is an endpoint's signature of its answer.
 	Stamp string
 	// NotRun is set in answers to requests that were not run.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,6 +39,7 @@
 		whole, err := events.next(x)
 		lease.Heard(time.Now())
 		if len(whole) > 0 {
+			lease.Begun()
 			if failure := g.passEvents(w, out, j, x, whole); failure != nil {
 				return failure, balance.Neutral
 			}
--- a/stage/turn.go
+++ b/stage/turn.go
@@ -11,7 +11,7 @@
 	// earliestTurn is when the first endpoint may change, from the naming on.
 	earliestTurn = 0.52
 	// latestTurn is when the last should have begun to change, as a part of the limit.
-	latestTurn = 0.80
+	latestTurn = 0.85
 )
 
 // turn returns when this endpoint may change to want: spread by hash over a
