--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,6 +82,7 @@
 		Fleet:    c,
 		Peers:    exchange.NewClient(peer.NewPool(dialer), client, "http"),
 		Limit:    site.VersionLimit,
+		LinkRate: site.LinkMbps * bytesPerMegabit,
 		Log:      l,
 	})
 	c.versions = mirror.New(mirror.Config{
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -45,7 +45,9 @@
 	Peers    swarm.Transport
 	// Limit is the time after which no request may begin on older weights.
 	Limit time.Duration
-	Log   *log.Logger
+	// LinkRate is the bandwidth of the VM's link, in bytes a second.
+	LinkRate float64
+	Log      *log.Logger
 }
 
 // Stager keeps the endpoint on this VM at the newest version of its models. It
@@ -309,6 +311,7 @@
 		swarm.WithOriginBudget(s.cfg.Origin.Rate(), float64(len(members)+1)),
 		swarm.WithLateness(originLateness),
 		swarm.WithParallel(parallelChunks, 1),
+		swarm.WithLinkRate(s.cfg.LinkRate),
 		swarm.WithMinTimeout(chunkLimit))
 	s.holdings.setDownload(set.Root(), d)
 	ctx, cancel := context.WithCancel(ctx)
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -26,6 +26,9 @@
 	// MinTimeout is the shortest time after which a chunk from a neighbour
 	// counts as stalled.
 	MinTimeout time.Duration
+	// LinkRate is the bandwidth of this VM's own link in bytes a second; 0 means
+	// unknown. A link that carries much less is not filled with several chunks.
+	LinkRate float64
 	// Rand breaks ties.
 	Rand *rand.Rand
 }
@@ -64,6 +67,11 @@
 	return func(cfg *Config) { cfg.MinTimeout = d }
 }
 
+// WithLinkRate sets the bandwidth of this VM's own link, in bytes a second.
+func WithLinkRate(rate float64) Option {
+	return func(cfg *Config) { cfg.LinkRate = rate }
+}
+
 // WithRand sets the source of tie breaks.
 func WithRand(r *rand.Rand) Option {
 	return func(cfg *Config) { cfg.Rand = r }
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -49,6 +49,7 @@
 	usual    time.Duration
 	stats    Stats
 	inject   injection
+	link     congestion
 	inflight sync.WaitGroup
 	// corrupt counts the corrupt chunks of each VM.
 	corrupt map[string]int
@@ -68,6 +69,7 @@
 		avail:   newAvailability(len(set.Manifest().Chunks), cfg.Rand),
 		corrupt: map[string]int{},
 	}
+	d.link = newCongestion(&cfg, set.Manifest().ChunkSize)
 	d.stats.Total = len(set.Manifest().Chunks)
 	for _, c := range first(set.Since(0)) {
 		d.avail.have[c] = true
@@ -270,7 +272,7 @@
 // fetchMore asks neighbours for chunks while there are places for them.
 func (d *Download) fetchMore(ctx context.Context) {
 	now := time.Now()
-	for d.outstanding() < d.cfg.Parallel {
+	for d.outstanding() < d.parallel() {
 		c, i, ok := d.avail.pick(now, d.cfg.PerNeighbour, slowFactor*d.usualTime())
 		if !ok {
 			return
@@ -281,6 +283,14 @@
 	}
 }
 
+// parallel returns how many chunks may come from neighbours at once.
+func (d *Download) parallel() int {
+	if d.link.congested() {
+		return max(1-len(d.inject.reading), 0)
+	}
+	return d.cfg.Parallel
+}
+
 func (d *Download) outstanding() int {
 	n := 0
 	for i := range d.avail.neighbours {
@@ -305,11 +315,14 @@
 	if ctx.Err() != nil {
 		return
 	}
+	var refused *RefusalError
 	d.mu.Lock()
+	if !errors.As(err, &refused) {
+		d.link.took(took, d.outstanding())
+	}
 	d.avail.end(c, i)
 	d.mu.Unlock()
 	defer d.signal()
-	var refused *RefusalError
 	switch {
 	case err == nil:
 		d.arrived(c, i, m, b, took)
--- a/swarm/inject.go
+++ b/swarm/inject.go
@@ -183,7 +183,7 @@
 	now := time.Now()
 	j := &d.inject
 	parallel := originParallel
-	if j.faults > 0 {
+	if j.faults > 0 || d.link.congested() {
 		parallel = 1
 	}
 	for c := range j.due {
