--- a/balance/balance.go
+++ b/balance/balance.go
@@ -331,6 +331,13 @@
 	reading time.Duration
 }
 
+// Holds returns the version of model that the endpoint is known to hold now.
+func (l *Lease) Holds(model string) int64 {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	return l.endpoint.holds(model)
+}
+
 // Begun notes that the endpoint has read the prompt.
 func (l *Lease) Begun() {
 	l.shard.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -159,15 +159,21 @@
 // giveUp returns what tells that an endpoint is to be given up for another, or
 // nil when the request can't go elsewhere.
 func (g *Gateway) giveUp(j *job, lease *balance.Lease) func() bool {
-	if !j.route.Repeatable() || len(j.tried) >= j.route.Attempts {
+	if !j.route.Repeatable() {
 		return nil
 	}
 	sent := time.Now()
+	last := len(j.tried) >= j.route.Attempts
 	if j.route.Kind != routes.Stream {
-		return func() bool { return time.Since(sent) > plainAimFactor*j.route.Aim }
+		return func() bool { return !last && time.Since(sent) > plainAimFactor*j.route.Aim }
 	}
 	limit := max(gapFactor*j.route.GapAim, leastGap)
-	return func() bool { return lease.Silence(sent, time.Now()) > limit }
+	return func() bool {
+		if !j.begun && lease.Holds(j.model) < g.cfg.Floor(j.model) {
+			return true
+		}
+		return !last && lease.Silence(sent, time.Now()) > limit
+	}
 }
 
 // plainAimFactor is how many times a plain route's aim may pass before a
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -398,7 +398,7 @@
 	}
 	if report.Version(model) != 0 {
 		s.cfg.Fleet.Pause(ctx, loadPause)
-		wait.For(ctx, quietTime)
+		s.awaitQuiet(ctx)
 	}
 	if err := s.order(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence}); err != nil {
 		return err
@@ -419,13 +419,32 @@
 const (
 	// loadPause is for how long entries are asked to leave the endpoint alone.
 	loadPause = 900 * time.Millisecond
-	// quietTime is how long the entries' last requests may be under way.
-	quietTime = 40 * time.Millisecond
+	// quietTime is how long the entries' last requests may be under way, and
+	// quietLimit how long they may take to begin.
+	quietTime  = 40 * time.Millisecond
+	quietLimit = 400 * time.Millisecond
+	quietEvery = 20 * time.Millisecond
 	// loadedEvery is how often the endpoint is asked whether it has loaded.
 	loadedEvery = 50 * time.Millisecond
 	loadLimit   = 3 * time.Second
 )
 
+// awaitQuiet waits until no request waits at the endpoint that entries sent
+// before they heard of the pause: it would begin on the old weights, and late
+// if this VM stood still now.
+func (s *Stager) awaitQuiet(ctx context.Context) {
+	wait.For(ctx, quietTime)
+	for began := time.Now(); time.Since(began) < quietLimit; {
+		report, err := s.report(ctx)
+		if err == nil && report.Queued == 0 {
+			return
+		}
+		if !wait.For(ctx, quietEvery) {
+			return
+		}
+	}
+}
+
 // awaitLoaded waits until the endpoint runs a version, and tells the entries.
 func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64) {
 	began := time.Now()
