--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -152,6 +152,9 @@
 	if j.lastEvent != "" {
 		q.Header.Set(p.LastEvent, j.lastEvent)
 	}
+	if j.begun {
+		q.Header.Set(p.Priority, strconv.Itoa(max(0, j.priority()-1)))
+	}
 	fresh := !j.route.Repeatable() && len(j.tried) > 1
 	return g.cfg.Client.Do(ctx, lease.Record.Addr, &q, upstream.Options{Fresh: fresh, GiveUp: g.giveUp(j, lease)})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -34,7 +34,7 @@
 	// uploads is how many chunks are sent to other VMs at once.
 	uploads = 3
 	// paceShare is the part of the VM's link that chunks may take.
-	paceShare = 0.7
+	paceShare = 0.85
 	// gather is how long news of chunks is gathered before other VMs hear it.
 	gather      = 50 * time.Millisecond
 	dialLimit   = 500 * time.Millisecond
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -25,13 +25,13 @@
 	// fleetEvery is how often the list of members is read during a download.
 	fleetEvery = time.Second
 	// settleTime is how long the VMs of a fleet may take to appear.
-	settleTime = 2500 * time.Millisecond
+	settleTime = 5 * time.Second
 	retryPause = 200 * time.Millisecond
 	// parallelChunks is how many chunks are fetched from other VMs at once.
 	parallelChunks = 3
 	// originLateness is how long a chunk may stay away before the next in rank
 	// reads it from the origin.
-	originLateness = 400 * time.Millisecond
+	originLateness = 250 * time.Millisecond
 	// chunkLimit is the shortest time after which a chunk from a VM counts as stalled.
 	chunkLimit = 600 * time.Millisecond
 )
--- a/stage/turn.go
+++ b/stage/turn.go
@@ -9,7 +9,7 @@
 // When endpoints change to new weights.
 const (
 	// earliestTurn is when the first endpoint may change, from the naming on.
-	earliestTurn = 0.52
+	earliestTurn = 0.36
 	// latestTurn is when the last should have begun to change, as a part of the limit.
 	latestTurn = 0.85
 )
