--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,191 @@
+package balance_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/balance"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func nobody(string) int   { return 0 }
+func noDraw() float64     { return 0 }
+func at(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+
+// endpoints returns n endpoints e0, e1 and so on of service s in zone a, with
+// version 1 of model m and two slots.
+func endpoints(n int) *roster.List {
+	l := &roster.List{Revision: 1, Endpoints: map[string]*roster.Endpoint{}}
+	for i := range n {
+		id := fmt.Sprintf("e%d", i)
+		l.Endpoints[id] = &roster.Endpoint{
+			ID: id, Service: "s", Addr: id + ":1", Zone: "a", Slots: 2,
+			Weights: []roster.Weights{{Model: "m", Version: 1}},
+		}
+	}
+	return l
+}
+
+func balancer(l *roster.List) *balance.Balancer {
+	b := balance.New("a", nobody, noDraw)
+	b.Update(l)
+	return b
+}
+
+func pick(b *balance.Balancer, q balance.Query, t time.Time) *balance.Lease {
+	GinkgoHelper()
+	l, shortage := b.Pick(&q, t)
+	Expect(shortage).To(BeZero())
+	return l
+}
+
+// fail makes the endpoint of one lease after another fail until none is given
+// to it any more.
+func fail(b *balance.Balancer, id string, o balance.Outcome, t time.Time) {
+	GinkgoHelper()
+	for range 100 {
+		l := pick(b, balance.Query{Service: "s"}, t)
+		if l.Record.ID != id {
+			l.Done(balance.Neutral, t)
+			return
+		}
+		l.Done(o, t)
+	}
+	Fail("endpoint " + id + " is still chosen")
+}
+
+var _ = Describe("Balancer", func() {
+	s := balance.Query{Service: "s"}
+
+	It("spreads requests by those in progress, also of other entries", func() {
+		others := map[string]int{"e0": 2}
+		b := balance.New("a", func(id string) int { return others[id] }, noDraw)
+		b.Update(endpoints(3))
+		got := map[string]int{}
+		for range 4 {
+			got[pick(b, s, now).Record.ID]++
+		}
+		Expect(got).To(Equal(map[string]int{"e1": 2, "e2": 2}))
+	})
+
+	It("says whether endpoints are full or missing", func() {
+		b := balancer(endpoints(1))
+		q := balance.Query{Service: "s", Room: 1}
+		pick(b, q, now)
+		pick(b, q, now)
+		_, shortage := b.Pick(&q, now)
+		Expect(shortage).To(Equal(balance.AllFull))
+		_, shortage = b.Pick(&balance.Query{Service: "other"}, now)
+		Expect(shortage).To(Equal(balance.NoEndpoint))
+	})
+
+	It("prefers the zone, the owned and those with little to read", func() {
+		l := endpoints(3)
+		l.Endpoints["e0"].Zone = "b"
+		b := balancer(l)
+		b.Own(map[string]bool{"e2": true})
+		q := balance.Query{Service: "s", Reading: 200 * time.Millisecond}
+		first := pick(b, q, now)
+		Expect(first.Record.ID).To(Equal("e2"))
+		first.Done(balance.Served, now)
+		first = pick(b, q, now)
+		Expect(pick(b, q, now).Record.ID).To(Equal("e1"))
+		Expect(pick(b, q, now).Record.ID).To(Equal("e0"), "the others read long prompts")
+		first.Begun()
+	})
+
+	It("leaves out endpoints that leave, were tried or hold old weights", func() {
+		l := endpoints(4)
+		l.Endpoints["e0"].Leaving = true
+		l.Endpoints["e1"].Weights[0].Version = 2
+		l.Endpoints["e2"].Weights = nil
+		b := balancer(l)
+		q := balance.Query{Service: "s", Model: "m", Exclude: []string{"e3"}}
+		Expect(pick(b, q, now).Record.ID).To(Equal("e1"))
+		q = balance.Query{Service: "s", Model: "m", MinVersion: 2}
+		Expect(pick(b, q, now).Record.ID).To(Equal("e1"))
+		q.MinVersion = 3
+		_, shortage := b.Pick(&q, now)
+		Expect(shortage).To(Equal(balance.NoEndpoint))
+	})
+
+	It("believes a notice of new weights before the list tells them", func() {
+		b := balancer(endpoints(1))
+		q := balance.Query{Service: "s", Model: "m", MinVersion: 2}
+		_, shortage := b.Pick(&q, now)
+		Expect(shortage).To(Equal(balance.NoEndpoint))
+		b.Notice("e0:1", now, roster.Weights{Model: "m", Version: 2})
+		lease := pick(b, q, now)
+		Expect(lease.Holds("m")).To(Equal(int64(2)))
+	})
+
+	It("sends nothing to an endpoint that asked for a pause while others are there", func() {
+		b := balancer(endpoints(2))
+		b.Notice("e0:1", at(500), roster.Weights{})
+		for range 4 {
+			Expect(pick(b, s, now).Record.ID).To(Equal("e1"))
+		}
+		Expect(pick(b, s, at(500)).Record.ID).To(Equal("e0"))
+	})
+
+	It("sends a resumed request to the newest weights", func() {
+		l := endpoints(3)
+		l.Endpoints["e2"].Weights[0].Version = 2
+		b := balancer(l)
+		q := balance.Query{Service: "s", Model: "m", Resumed: true}
+		Expect(pick(b, q, now).Record.ID).To(Equal("e2"))
+	})
+
+	It("leaves a failing endpoint alone, tries it with one request and takes it back", func() {
+		b := balancer(endpoints(2))
+		b.Own(map[string]bool{"e0": true})
+		fail(b, "e0", balance.Failed, now)
+		Expect(pick(b, s, at(400)).Record.ID).To(Equal("e1"))
+		b = balancer(endpoints(2))
+		b.Own(map[string]bool{"e0": true})
+		fail(b, "e0", balance.Failed, now)
+		trial := pick(b, s, at(600))
+		Expect(trial.Record.ID).To(Equal("e0"))
+		Expect(pick(b, s, at(600)).Record.ID).To(Equal("e1"), "one trial at a time")
+		trial.Done(balance.Served, at(700))
+		Expect(pick(b, s, at(700)).Record.ID).To(Equal("e0"))
+	})
+
+	It("leaves an unreachable endpoint alone at once, and one whose address has another owner for good", func() {
+		b := balancer(endpoints(2))
+		b.Own(map[string]bool{"e0": true})
+		pick(b, s, now).Done(balance.Unreachable, now)
+		Expect(pick(b, s, at(1)).Record.ID).To(Equal("e1"))
+		b = balancer(endpoints(2))
+		b.Own(map[string]bool{"e0": true})
+		pick(b, s, now).Done(balance.Misdirected, now)
+		Expect(pick(b, s, at(60_000)).Record.ID).To(Equal("e1"))
+	})
+
+	It("uses a failing endpoint when there is no other", func() {
+		b := balancer(endpoints(1))
+		pick(b, s, now).Done(balance.Unreachable, now)
+		Expect(pick(b, s, at(1)).Record.ID).To(Equal("e0"))
+	})
+
+	It("tells for how long an endpoint was silent on all its streams", func() {
+		b := balancer(endpoints(1))
+		one, other := pick(b, s, now), pick(b, s, now)
+		other.Heard(at(300))
+		Expect(one.Silence(now, at(700))).To(Equal(400 * time.Millisecond))
+		Expect(one.Silence(at(500), at(700))).To(Equal(200 * time.Millisecond))
+	})
+
+	It("counts each request until it is done", func() {
+		b := balancer(endpoints(1))
+		l := pick(b, s, now)
+		Expect(b.InFlight()).To(Equal(map[string]int{"e0": 1}))
+		l.Done(balance.Served, now)
+		Expect(b.InFlight()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,304 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/gateway"
+	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// always is a script of one step.
+func always(s step) []step { return []step{s} }
+
+func TestARequestIsPassedOnAsItIs(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("POST", "/unsafe/a%2Fb?q=1", "hello", "Deadline", "500", "Account", "forged", "Instance", "forged", "X-Own", "1", "Connection", "X-Hop", "X-Hop", "1")
+		w.g.Expect(a.Code).To(Equal(200))
+		w.g.Expect(a.Body.String()).To(Equal("done"))
+		w.g.Expect(a.Header().Get("Stamp")).To(Equal("st"))
+		r := w.endpoints["e0"].request()
+		w.g.Expect([]string{r.Method, r.RequestURI, r.Host}).To(Equal([]string{"POST", "/unsafe/a%2Fb?q=1", "h"}))
+		w.g.Expect(w.endpoints["e0"].body()).To(Equal("hello"))
+		w.g.Expect(r.Header.Get("Account")).To(Equal("acme"))
+		w.g.Expect(r.Header.Get("Instance")).To(Equal("e0"))
+		w.g.Expect(r.Header.Get("Deadline")).To(Equal("500"))
+		w.g.Expect(r.Header.Get("X-Own")).To(Equal("1"))
+		w.g.Expect(r.Header).NotTo(Or(HaveKey("Key"), HaveKey("X-Hop"), HaveKey("Connection")))
+	}, always(text(200, "done")))
+}
+
+func TestRequestsThatTheConfigurationDoesNotAllow(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body, key string
+		want            int
+	}{
+		"no route":       {"/none/", "", "secret", 404},
+		"no key":         {"/unsafe/", "", "", 401},
+		"an unknown key": {"/unsafe/", "", "guess", 401},
+		"too long":       {"/unsafe/", strings.Repeat("x", 65), "secret", 413},
+		"public":         {"/public/", "", "", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.askAs(context.Background(), "POST", c.path, c.body, "Key", c.key)
+				w.g.Expect(a.Code).To(Equal(c.want))
+				w.g.Expect(a.Header().Get("Id")).To(Equal("r1"))
+			}, always(text(200, "done")))
+		})
+	}
+}
+
+func TestWithoutAConfigurationRequestsAreRefusedForNow(t *testing.T) {
+	play(t, func(w *world) {
+		g := gateway.New(gateway.Config{Protocol: protocol, Log: log.New(io.Discard), Metrics: gateway.NewMetrics(metrics.NewRegistry())})
+		w.gateway = g
+		a := w.ask("POST", "/unsafe/", "")
+		w.g.Expect(a.Code).To(Equal(503))
+		w.g.Expect(a.Header().Get("Retry-After")).To(Equal("1.000"))
+	})
+}
+
+func TestAnOlderConfigurationIsNotTaken(t *testing.T) {
+	play(t, func(w *world) {
+		newer := configuration()
+		newer.Version, newer.Revision = 2, 5
+		w.g.Expect(w.gateway.Use(newer)).To(BeTrue())
+		w.g.Expect(w.gateway.Use(configuration())).To(BeFalse())
+		w.g.Expect(w.gateway.Routes().Version).To(Equal(int64(2)))
+	})
+}
+
+func TestWhatCertainlyDidNotRunGoesToAnotherEndpoint(t *testing.T) {
+	refuse := text(503, "", "Not-Run: 1")
+	for name, first := range map[string]step{"refused": refuse, "misdirected": text(421, "")} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("POST", "/unsafe/", "x")
+				w.g.Expect(a.Code).To(Equal(200))
+				w.g.Expect(w.endpoints["e0"].count() + w.endpoints["e1"].count()).To(Equal(2))
+			}, always(first), always(text(200, "done")))
+		})
+	}
+	t.Run("unreachable", func(t *testing.T) {
+		play(t, func(w *world) {
+			w.down["e0"] = true
+			w.g.Expect(w.ask("POST", "/unsafe/", "x").Code).To(Equal(200))
+		}, always(hang), always(text(200, "done")))
+	})
+}
+
+func TestARefusalByAllIsAPromiseWithATimeToComeBack(t *testing.T) {
+	refuse := always(text(503, "", "Not-Run: 1"))
+	play(t, func(w *world) {
+		a := w.ask("POST", "/unsafe/", "x")
+		w.g.Expect(a.Code).To(Equal(503))
+		w.g.Expect(a.Header().Get("Retry-After")).NotTo(BeEmpty())
+		w.g.Expect(a.Header().Get("Stamp")).To(BeEmpty())
+		w.g.Expect(a.Header().Get(verdict.Header)).To(Equal("not-run"))
+		w.g.Expect(a.took).To(BeZero(), "at once")
+	}, refuse, refuse, refuse)
+}
+
+func TestWhatMayHaveRunIsNotRepeatedNorPromised(t *testing.T) {
+	for name, first := range map[string]step{
+		"closed":                  raw(""),
+		"nonsense":                raw("what?\r\n\r\n"),
+		"half an answer":          raw("HTTP/1.1 200 OK\r\nId: r1\r\nStamp: st\r\nContent-Length: 9\r\n\r\nhalf"),
+		"no signature":            raw("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok"),
+		"another request's":       raw("HTTP/1.1 200 OK\r\nId: r0\r\nStamp: st\r\nContent-Length: 2\r\n\r\nok"),
+		"503 without a word":      text(503, "busy"),
+		"429 without a word":      text(429, "busy"),
+		"interim, and then close": raw("HTTP/1.1 100 Continue\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("POST", "/unsafe/", "x")
+				w.g.Expect(a.Code).To(Equal(502))
+				w.g.Expect(a.Header().Get("Stamp")).To(BeEmpty())
+				w.g.Expect(a.Header().Get(verdict.Header)).To(Equal("may-have-run"))
+				w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+			}, always(first), always(text(200, "done")))
+		})
+		t.Run(name+", and may be repeated", func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("GET", "/safe/", "")
+				w.g.Expect(a.Code).To(Equal(200))
+				w.g.Expect(a.Body.String()).To(Equal("done"))
+			}, always(first), always(text(200, "done")))
+		})
+	}
+}
+
+func TestAnErrorOfAnEndpointIsPassedOnUnlessAnotherServes(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("POST", "/unsafe/", "x")
+		w.g.Expect([]any{a.Code, a.Body.String(), a.Header().Get("Stamp")}).To(Equal([]any{500, "no", "st"}))
+		w.g.Expect(w.ask("GET", "/safe/", "").Code).To(Equal(200))
+	}, always(text(500, "no")), always(text(200, "done")))
+	play(t, func(w *world) {
+		a := w.ask("GET", "/safe/", "")
+		w.g.Expect([]any{a.Code, a.Body.String(), a.Header().Get("Stamp")}).To(Equal([]any{500, "no", "st"}))
+	}, always(text(500, "no")), always(text(500, "no")))
+}
+
+func TestAHungEndpointIsLeftForAnotherWhereThatIsAllowed(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("GET", "/safe/", "")
+		w.g.Expect(a.Code).To(Equal(200))
+		w.g.Expect(a.took).To(BeNumerically("<=", 300*time.Millisecond))
+	}, always(hang), always(text(200, "done")))
+	play(t, func(w *world) {
+		a := w.ask("POST", "/unsafe/", "x", "Deadline", "700")
+		w.g.Expect(a.Code).To(Equal(504))
+		w.g.Expect(a.took).To(Equal(700 * time.Millisecond))
+		w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+	}, always(hang), always(text(200, "done")))
+}
+
+func TestTheRoutesTimeIsTheLimitAndAtIt(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("POST", "/unsafe/", "x", "Deadline", "60000")
+		w.g.Expect(a.Code).To(Equal(504))
+		w.g.Expect(a.took).To(Equal(2 * time.Second))
+		w.g.Expect(w.endpoints["e0"].request().Header.Get("Deadline")).To(Equal("2000"))
+	}, always(hang))
+}
+
+func TestRepeatedRequestsStayWithinTheBudget(t *testing.T) {
+	refuse := always(text(503, "", "Not-Run: 1"))
+	play(t, func(w *world) {
+		const requests = 300
+		for range requests {
+			w.ask("POST", "/unsafe/", "x")
+		}
+		arrivals := 0
+		for _, e := range w.endpoints {
+			arrivals += e.count()
+		}
+		w.g.Expect(arrivals - requests).To(BeNumerically("<=", 0.2*requests+100))
+		w.g.Expect(arrivals - requests).To(BeNumerically(">", 100))
+	}, refuse, refuse, refuse)
+}
+
+func TestAStreamIsPassedOnAndItsConnectionKept(t *testing.T) {
+	play(t, func(w *world) {
+		for range 2 {
+			a := w.ask("POST", "/stream/", "x")
+			w.g.Expect(a.Code).To(Equal(200))
+			w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3)))
+		}
+		w.g.Expect(w.endpoints["e0"].request().Header.Get("Priority")).To(Equal("3"))
+	}, always(events(50*time.Millisecond, end, 1, 2, 3)))
+}
+
+func TestAStreamGoesOnElsewhereInTheSameAnswer(t *testing.T) {
+	for name, rest := range map[string]step{
+		"cut":                  raw(""),
+		"cut inside an event":  raw("10\r\nid: 3\nda"),
+		"silent":               hang,
+		"ended inside a event": raw("5\r\nid: 3\r\n0\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("POST", "/stream/", "x")
+				w.g.Expect(a.cut).To(BeFalse())
+				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+				w.g.Expect(w.endpoints["e1"].request().Header.Get("Last-Event")).To(Equal("2"))
+				w.g.Expect(w.endpoints["e1"].request().Header.Get("Priority")).To(Equal("2"), "ahead of new ones")
+				w.g.Expect(a.took).To(BeNumerically("<=", time.Second))
+			}, always(events(50*time.Millisecond, rest, 1, 2)), always(events(50*time.Millisecond, end, 3, 4)))
+		})
+	}
+}
+
+func TestAStreamThatCannotGoOnIsCutAndDoesNotLookWhole(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("POST", "/once/", "x")
+		w.g.Expect(a.cut).To(BeTrue())
+		w.g.Expect(a.Body.String()).To(Equal(stream(1)))
+		w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+	}, always(events(50*time.Millisecond, raw(""), 1)), always(events(0, end, 2)))
+	play(t, func(w *world) {
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.cut).To(BeTrue(), "an error answer must not stand inside a stream")
+		w.g.Expect(a.Body.String()).To(Equal(stream(1)))
+	}, always(events(50*time.Millisecond, raw(""), 1)), always(text(500, "no")))
+}
+
+func TestASilentStreamIsNotLeftWhileItsEndpointTalksToOthers(t *testing.T) {
+	play(t, func(w *world) {
+		done := make(chan answer)
+		go func() { done <- w.ask("POST", "/stream/", "x") }()
+		time.Sleep(10 * time.Millisecond)
+		slow := w.ask("POST", "/stream/", "x")
+		w.g.Expect(slow.Body.String()).To(Equal(stream(7)))
+		w.g.Expect(slow.took).To(Equal(1500 * time.Millisecond))
+		w.g.Expect((<-done).Body.String()).To(Equal(stream(1, 2, 3, 4, 5, 6)))
+	}, []step{events(300*time.Millisecond, end, 1, 2, 3, 4, 5, 6), events(1500*time.Millisecond, end, 7)})
+}
+
+func TestAStreamThatWaitsAtOldWeightsIsWithdrawnInTime(t *testing.T) {
+	play(t, func(w *world) {
+		time.AfterFunc(200*time.Millisecond, func() {
+			w.floor.Store(2)
+			w.balancer.Notice("e1", time.Now(), roster.Weights{Model: "m", Version: 2})
+		})
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.Body.String()).To(Equal(stream(1)))
+		w.g.Expect(a.took).To(BeNumerically("<", 500*time.Millisecond))
+	}, always(hang), always(events(0, end, 1)))
+}
+
+func TestACallerThatLeavesEndsTheWorkAtTheEndpoint(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	play(t, func(w *world) {
+		ended = make(chan time.Time, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		a := w.askAs(ctx, "POST", "/stream/", "x", "Key", "secret")
+		w.g.Expect(a.took).To(Equal(300 * time.Millisecond))
+		w.g.Expect((<-ended).Sub(began)).To(Equal(300 * time.Millisecond))
+		w.g.Expect(w.balancer.InFlight()).To(BeEmpty())
+	}, always(func(c net.Conn, r *http.Request) bool {
+		hang(c, r)
+		ended <- time.Now()
+		return false
+	}))
+}
+
+func TestFullEndpointsAreToldAtOnceWithATimeToComeBack(t *testing.T) {
+	play(t, func(w *world) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 3 {
+			go w.askAs(ctx, "POST", "/stream/", "x", "Key", "secret")
+		}
+		time.Sleep(time.Millisecond)
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.Code).To(Equal(503))
+		w.g.Expect(a.took).To(BeZero())
+		w.g.Expect(a.Header().Get("Retry-After")).To(Equal("0.300"))
+		w.g.Expect(w.endpoints["e0"].count()).To(Equal(3))
+	}, always(hang))
+}
+
+func TestALeavingEntryEndsItsConnections(t *testing.T) {
+	play(t, func(w *world) {
+		w.gateway.Leave()
+		a := w.ask("POST", "/unsafe/", "x")
+		w.g.Expect(a.Code).To(Equal(200))
+		w.g.Expect(a.Header().Get("Connection")).To(Equal("close"))
+	}, always(text(200, "done")))
+}
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,253 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverdeck/silverdeck/balance"
+	"github.com/silverdeck/silverdeck/gateway"
+	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/routes"
+	"github.com/silverdeck/silverdeck/upstream"
+)
+
+// protocol has names of this test's own.
+var protocol = gateway.Protocol{
+	RequestID: "Id", Deadline: "Deadline", Key: "Key", Account: "Account", Instance: "Instance",
+	Priority: "Priority", Version: "Version", Model: "Model", Tokens: "Tokens", Stamp: "Stamp",
+	NotRun: "Not-Run", LastEvent: "Last-Event", RetryAfter: "Retry-After",
+}
+
+// endpoint answers requests on a connection as a test wants.
+type endpoint struct {
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+	// script has what is done with each request in turn; the last stays.
+	script []step
+}
+
+// step answers a request on c. It returns whether the connection goes on.
+type step func(c net.Conn, r *http.Request) bool
+
+// world is a gateway before endpoints e0, e1 and so on, on virtual time.
+type world struct {
+	g         *WithT
+	gateway   *gateway.Gateway
+	balancer  *balance.Balancer
+	endpoints map[string]*endpoint
+	down      map[string]bool
+	floor     atomic.Int64
+	client    *upstream.Client
+}
+
+// play runs f in a world of endpoints that answer by scripts.
+func play(t *testing.T, f func(w *world), scripts ...[]step) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{g: NewWithT(t), endpoints: map[string]*endpoint{}, down: map[string]bool{}}
+		list := &roster.List{Revision: 1, Endpoints: map[string]*roster.Endpoint{}}
+		for i, s := range scripts {
+			id := fmt.Sprintf("e%d", i)
+			w.endpoints[id] = &endpoint{script: s}
+			list.Endpoints[id] = &roster.Endpoint{ID: id, Service: "s", Addr: id, Zone: "a", Slots: 2,
+				Weights: []roster.Weights{{Model: "m", Version: 1}}}
+		}
+		w.balancer = balance.New("a", func(string) int { return 0 }, func() float64 { return 0 })
+		w.balancer.Update(list)
+		w.balancer.Own(map[string]bool{"e0": true})
+		w.client = upstream.NewClient(upstream.WithDialer(w))
+		w.gateway = gateway.New(gateway.Config{
+			Protocol: protocol, Balancer: w.balancer, Client: w.client,
+			Budget:  gateway.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
+			Metrics: gateway.NewMetrics(metrics.NewRegistry()), Log: log.New(io.Discard),
+			Floor: func(string) int64 { return w.floor.Load() }, Random: func() float64 { return 0 },
+		})
+		w.gateway.Use(configuration())
+		f(w)
+		synctest.Wait()
+		w.client.Keep(nil, time.Now())
+	})
+}
+
+// configuration has a route of each kind on host h.
+func configuration() *routes.Config {
+	target := []routes.Target{{Service: "s", Weight: 1}}
+	c := routes.New([]*routes.Route{
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routes.Unsafe, Timeout: 2 * time.Second, Aim: 100 * time.Millisecond, Attempts: 2, Targets: target},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Safe, Timeout: 2 * time.Second, Aim: 100 * time.Millisecond, Attempts: 2, Targets: target},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routes.Stream, Timeout: 6 * time.Second, Aim: 400 * time.Millisecond,
+			GapAim: 300 * time.Millisecond, Attempts: 2, Resume: true, Priority: 3, Targets: target},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.Stream, Timeout: 6 * time.Second, Aim: 400 * time.Millisecond,
+			GapAim: 300 * time.Millisecond, Attempts: 2, Targets: target},
+		{Name: "public", Host: "h", Prefix: "/public/", Kind: routes.Unsafe, Timeout: time.Second, Attempts: 1, Public: true, Targets: target},
+	}, map[string]*routes.Account{"secret": {Name: "acme"}})
+	c.Version, c.Revision = 1, 1
+	c.Limits.BodyBytes = 64
+	c.Services["s"] = &routes.Service{Name: "s"}
+	return c
+}
+
+// DialContext implements upstream.Dialer.
+func (w *world) DialContext(_ context.Context, _, addr string) (net.Conn, error) {
+	e := w.endpoints[addr]
+	if e == nil || w.down[addr] {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	go e.serve(far)
+	return near, nil
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		if !e.take(r, string(body))(c, r) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) take(r *http.Request, body string) step {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, r)
+	e.bodies = append(e.bodies, body)
+	s := e.script[0]
+	if len(e.script) > 1 {
+		e.script = e.script[1:]
+	}
+	return s
+}
+
+// body returns the body of the first request that came.
+func (e *endpoint) body() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bodies[0]
+}
+
+// request returns the first request that came.
+func (e *endpoint) request() *http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[0]
+}
+
+func (e *endpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+// answer is what a caller got.
+type answer struct {
+	*httptest.ResponseRecorder
+	// cut is set when the connection was closed in the middle.
+	cut  bool
+	took time.Duration
+}
+
+// ask sends a request with a key and returns the answer.
+func (w *world) ask(method, path, body string, header ...string) answer {
+	return w.askAs(context.Background(), method, path, body, append([]string{"Key", "secret"}, header...)...)
+}
+
+func (w *world) askAs(ctx context.Context, method, path, body string, header ...string) (a answer) {
+	r := httptest.NewRequestWithContext(ctx, method, "http://h"+path, strings.NewReader(body))
+	r.RequestURI = path
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Model", "m")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	a.ResponseRecorder = httptest.NewRecorder()
+	began := time.Now()
+	defer func() {
+		if p := recover(); p != nil {
+			w.g.Expect(p).To(Equal(http.ErrAbortHandler))
+			a.cut = true
+		}
+		a.took = time.Since(began)
+	}()
+	w.gateway.ServeHTTP(a, r)
+	return a
+}
+
+// text answers with status, header lines and a body of known length.
+func text(status int, body string, header ...string) step {
+	return func(c net.Conn, r *http.Request) bool {
+		var b strings.Builder
+		fmt.Fprintf(&b, "HTTP/1.1 %d X\r\nId: %s\r\nStamp: st\r\nContent-Length: %d\r\n", status, r.Header.Get("Id"), len(body))
+		for _, h := range header {
+			b.WriteString(h + "\r\n")
+		}
+		_, err := io.WriteString(c, b.String()+"\r\n"+body)
+		return err == nil
+	}
+}
+
+// raw writes bytes and closes the connection.
+func raw(s string) step {
+	return func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, s)
+		return false
+	}
+}
+
+// hang says nothing until the other side closes.
+func hang(c net.Conn, _ *http.Request) bool {
+	_, _ = io.Copy(io.Discard, c)
+	return false
+}
+
+// events streams events by id, with a pause before each, and then goes on with rest.
+func events(pause time.Duration, rest step, ids ...int) step {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: st\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		for _, id := range ids {
+			time.Sleep(pause)
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+		}
+		return rest(c, r)
+	}
+}
+
+// end ends a stream as it should.
+func end(c net.Conn, _ *http.Request) bool {
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// stream returns the events with ids as a caller sees them.
+func stream(ids ...int) string {
+	var b strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", id)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,230 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/mirror"
+)
+
+// store is a source whose watches can be made to fail in many ways.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]int64
+	events   []event
+	changed  chan struct{}
+	// oldest is the first revision whose changes are still known.
+	oldest int64
+	// deaf makes watches hear nothing, not even their end.
+	deaf  bool
+	down  bool
+	calls int
+}
+
+type event struct {
+	at   int64
+	name string
+	gone bool
+}
+
+func newStore() *store {
+	return &store{objects: map[string]int64{}, changed: make(chan struct{})}
+}
+
+func (s *store) change(name string, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.events = append(s.events, event{at: s.revision, name: name, gone: gone})
+	if gone {
+		delete(s.objects, name)
+	} else {
+		s.objects[name] = s.revision
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+var errDown = errors.New("down")
+
+func (s *store) List(context.Context) ([]mirror.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, errDown
+	}
+	var out []mirror.Object
+	for name, revision := range s.objects {
+		out = append(out, mirror.Object{Name: name, Revision: revision})
+	}
+	return out, s.revision, nil
+}
+
+func (s *store) Watch(ctx context.Context, revision int64, hold time.Duration) ([]mirror.Event, int64, error) {
+	s.mu.Lock()
+	s.calls++
+	deaf, down, gone := s.deaf, s.down, revision < s.oldest
+	s.mu.Unlock()
+	switch {
+	case down:
+		return nil, 0, errDown
+	case gone:
+		return nil, 0, &mirror.HistoryGoneError{Revision: revision}
+	case deaf:
+		return s.silence(ctx, hold)
+	}
+	end := time.After(hold)
+	for {
+		s.mu.Lock()
+		events, at, changed, deaf := s.since(revision), s.revision, s.changed, s.deaf
+		s.mu.Unlock()
+		if deaf {
+			return s.silence(ctx, hold)
+		}
+		if len(events) > 0 {
+			return events, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// silence is a watch that is never answered; the client gives it up.
+func (s *store) silence(ctx context.Context, hold time.Duration) ([]mirror.Event, int64, error) {
+	select {
+	case <-time.After(hold + time.Second):
+		return nil, 0, context.DeadlineExceeded
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+func (s *store) since(revision int64) []mirror.Event {
+	var out []mirror.Event
+	for _, e := range s.events {
+		if e.at > revision {
+			out = append(out, mirror.Event{Object: mirror.Object{Name: e.name, Revision: e.at}, Gone: e.gone})
+		}
+	}
+	return out
+}
+
+const hold = 3 * time.Second
+
+// play runs f with a mirror of a store that holds object a.
+func play(t *testing.T, f func(g *WithT, s *store, m *mirror.Mirror)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.change("a", false)
+		m := mirror.New(mirror.Config{
+			Kind: "things", Source: s, Random: func() float64 { return 0.5 },
+			Hold: func() time.Duration { return hold }, Log: log.New(io.Discard),
+		}, func(*mirror.State) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		go m.Run(ctx)
+		synctest.Wait()
+		f(NewWithT(t), s, m)
+		cancel()
+	})
+}
+
+func names(m *mirror.Mirror) []string {
+	var out []string
+	for name := range m.State().Objects {
+		out = append(out, name)
+	}
+	return out
+}
+
+func TestAMirrorFollowsChanges(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		g.Expect(names(m)).To(ConsistOf("a"))
+		s.change("b", false)
+		synctest.Wait()
+		g.Expect(names(m)).To(ConsistOf("a", "b"))
+		s.change("a", true)
+		synctest.Wait()
+		g.Expect(names(m)).To(ConsistOf("b"))
+		g.Expect(m.State().Changed).To(Equal(int64(3)))
+	})
+}
+
+func TestAMirrorThatFindsHistoryGoneListsAnew(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		s.set(func() { s.deaf = true })
+		s.change("b", false)
+		time.Sleep(hold)
+		s.change("c", false)
+		s.set(func() { s.deaf, s.oldest = false, 3 })
+		time.Sleep(2 * time.Second)
+		g.Expect(names(m)).To(ConsistOf("a", "b", "c"))
+	})
+}
+
+func TestALostWatchIsFoundOutWithinItsHold(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		s.set(func() { s.deaf = true })
+		s.change("b", false)
+		time.Sleep(100 * time.Millisecond)
+		s.set(func() { s.deaf, s.oldest = false, 2 })
+		time.Sleep(hold + time.Second)
+		g.Expect(names(m)).To(ConsistOf("a", "b"))
+	})
+}
+
+func TestAMirrorThatHearsOfMoreListsAtOnce(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		s.set(func() { s.deaf = true })
+		s.change("b", false)
+		synctest.Wait()
+		m.Behind(2)
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(names(m)).To(ConsistOf("a", "b"))
+	})
+}
+
+func TestAMirrorTakesANewerCopyAndNoOlderOne(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		s.set(func() { s.down = true })
+		newer := &mirror.State{Revision: 9, Changed: 9, Objects: map[string]mirror.Object{"z": {Name: "z", Revision: 9}}}
+		g.Expect(m.Take(newer)).To(BeTrue())
+		g.Expect(names(m)).To(ConsistOf("z"))
+		g.Expect(m.Take(&mirror.State{Revision: 8})).To(BeFalse())
+		g.Expect(names(m)).To(ConsistOf("z"))
+	})
+}
+
+func TestAMirrorReturnsSoonAfterAnOutageAndDoesNotPress(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		s.set(func() { s.down, s.calls = true, 0 })
+		s.change("b", false)
+		time.Sleep(20 * time.Second)
+		s.set(func() {
+			g.Expect(s.calls).To(BeNumerically("<", 80))
+			s.down = false
+		})
+		time.Sleep(700 * time.Millisecond)
+		g.Expect(names(m)).To(ConsistOf("a", "b"))
+	})
+}
--- a/session/promise_test.go
+++ b/session/promise_test.go
@@ -73,11 +73,13 @@
 		body := `{"model":"claims","stream":true,"max_tokens":100,"messages":["x"]}`
 		a := w.send(0, "/v1/chat/completions", body)
 		w.g.Expect(strings.TrimSpace(a.body)).To(HaveSuffix("data: [DONE]"))
-		go func() {
+		var killed sync.WaitGroup
+		killed.Go(func() {
 			time.Sleep(500 * time.Millisecond)
 			w.killAgent("runner-0")
-		}()
+		})
 		a = w.send(0, "/v1/chat/completions", body)
+		killed.Wait()
 		w.g.Expect(a.body).NotTo(ContainSubstring("[DONE]"))
 		w.g.Expect(a.body).To(ContainSubstring(`"verdict":"may-have-run"`))
 	})
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -399,6 +399,9 @@
 	if report.Version(model) != 0 {
 		s.cfg.Fleet.Pause(ctx, loadPause)
 		s.awaitQuiet(ctx)
+		if err := s.verify(ctx, model, set); err != nil {
+			return err
+		}
 	}
 	if err := s.order(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence}); err != nil {
 		return err
--- /dev/null
+++ b/stage/stager_test.go
@@ -0,0 +1,345 @@
+package stage_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/stage"
+	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/weights"
+)
+
+const (
+	chunks    = 12
+	chunkSize = 4 << 10
+	limit     = 8 * time.Second
+)
+
+// chunk returns chunk i of a version.
+func chunk(version int64, i int) []byte {
+	return bytes.Repeat([]byte(fmt.Sprintf("%03d%05d", version, i)), chunkSize/8)
+}
+
+// machine is an endpoint, an origin and a fleet of one.
+type machine struct {
+	mu sync.Mutex
+
+	// The endpoint.
+	runs     int64
+	queued   int
+	sequence int64
+	placed   map[int][]byte
+	orders   []order
+	refuse   int
+	warm     time.Duration
+	// rot spoils the next chunk that is placed.
+	rot bool
+
+	// The origin.
+	delay  time.Duration
+	spoilt map[int]int
+	reads  int
+
+	pauses []time.Time
+	told   []int64
+}
+
+// order is an order as the endpoint took it.
+type order struct {
+	version int64
+	at      time.Time
+	queued  int
+	// whole is set when all that lay there was of the version.
+	whole bool
+}
+
+func (m *machine) Report(context.Context) (*stage.Report, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := &stage.Report{Sequence: m.sequence, Queued: m.queued}
+	if m.runs > 0 {
+		r.Held = []stage.Held{{Model: "m", Version: m.runs, Whole: true}}
+	}
+	return r, nil
+}
+
+func (m *machine) Place(_ context.Context, _ string, i int, data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rot {
+		data = append([]byte("rotten"), data[6:]...)
+		m.rot = false
+	}
+	m.placed[i] = data
+	return nil
+}
+
+func (m *machine) Placed(_ context.Context, _ string, i int) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.placed[i], nil
+}
+
+func (m *machine) Load(_ context.Context, o stage.Order) error {
+	m.mu.Lock()
+	if m.refuse > 0 {
+		m.refuse--
+		m.mu.Unlock()
+		return &stage.OrderError{Status: 409}
+	}
+	taken := order{version: o.Version, at: time.Now(), queued: m.queued, whole: true}
+	for i := range chunks {
+		taken.whole = taken.whole && bytes.Equal(m.placed[i], chunk(o.Version, i))
+	}
+	m.orders = append(m.orders, taken)
+	m.sequence++
+	m.mu.Unlock()
+	time.Sleep(m.warm)
+	m.set(func() { m.runs = o.Version })
+	return nil
+}
+
+func (m *machine) Manifest(_ context.Context, _ string, version int64) (*weights.Manifest, error) {
+	var digests []weights.Digest
+	for i := range chunks {
+		digests = append(digests, sha256.Sum256(chunk(version, i)))
+	}
+	return weights.NewSHA256Manifest(chunkSize, digests)
+}
+
+func (m *machine) Chunk(ctx context.Context, _ string, version int64, i int) ([]byte, error) {
+	m.mu.Lock()
+	m.reads++
+	spoilt := m.spoilt[i] > 0
+	if spoilt {
+		m.spoilt[i]--
+	}
+	m.mu.Unlock()
+	select {
+	case <-time.After(m.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if spoilt {
+		return []byte("nonsense"), nil
+	}
+	return chunk(version, i), nil
+}
+
+func (m *machine) Rate() float64 { return 0 }
+
+func (m *machine) Members(context.Context) ([]swarm.Member, error) {
+	return []swarm.Member{self}, nil
+}
+
+func (m *machine) Pause(context.Context, time.Duration) {
+	m.set(func() { m.pauses = append(m.pauses, time.Now()) })
+}
+
+func (m *machine) Loaded(_ context.Context, _ string, version int64) {
+	m.set(func() { m.told = append(m.told, version) })
+}
+
+func (m *machine) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
+}
+
+// seen is what a test looks at.
+type seen struct {
+	orders []order
+	pauses int
+	told   []int64
+	reads  int
+}
+
+func (m *machine) seen() seen {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return seen{orders: slices.Clone(m.orders), pauses: len(m.pauses), told: slices.Clone(m.told), reads: m.reads}
+}
+
+// versions returns the versions of the orders that were taken.
+func (m *machine) versions() []int64 {
+	var out []int64
+	for _, o := range m.seen().orders {
+		out = append(out, o.version)
+	}
+	return out
+}
+
+var self = swarm.Member{VM: "one", Addr: "one:1", Zone: "a", Region: "east"}
+
+// alone is a transport to nobody.
+type alone struct{}
+
+var errNobody = errors.New("nobody")
+
+func (alone) Have(ctx context.Context, _ swarm.Member, _ weights.Digest, _ int) ([]int, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (alone) Chunk(context.Context, swarm.Member, weights.Digest, int) ([]byte, error) {
+	return nil, errNobody
+}
+
+// play runs f with a stager beside an endpoint that runs a version.
+func play(t *testing.T, runs int64, f func(g *WithT, m *machine, s *stage.Stager)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &machine{runs: runs, placed: map[int][]byte{}, spoilt: map[int]int{}, warm: 300 * time.Millisecond, delay: 20 * time.Millisecond}
+		s := stage.New(stage.Config{
+			Self: self, Endpoint: m, Origin: m, Fleet: m, Peers: alone{}, Limit: limit, Log: log.New(io.Discard),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.Run(ctx)
+		f(NewWithT(t), m, s)
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Minute)
+		for _, o := range m.seen().orders {
+			NewWithT(t).Expect(o.whole).To(BeTrue(), "order for version %d on what was not that version", o.version)
+		}
+	})
+}
+
+func TestAnEmptyEndpointLoadsAtOnce(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		s.Want("m", 1, true)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(m.versions()).To(Equal([]int64{1}))
+		g.Expect(m.seen().reads).To(Equal(chunks))
+		g.Expect(m.seen().told).To(Equal([]int64{1}))
+		g.Expect(m.seen().pauses).To(BeZero(), "nothing is sent to an empty endpoint")
+	})
+}
+
+func TestNewWeightsAreLoadedWithinTheLimitAfterAPause(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		named := time.Now()
+		s.Want("m", 2, false)
+		time.Sleep(limit)
+		g.Expect(m.versions()).To(Equal([]int64{2}))
+		g.Expect(m.seen().orders[0].at.Sub(named)).To(BeNumerically(">", limit/3), "not all at once")
+		g.Expect(m.seen().orders[0].at.Sub(named)).To(BeNumerically("<", limit*9/10))
+		g.Expect(m.seen().pauses).To(Equal(1))
+		g.Expect(m.seen().told).To(Equal([]int64{2}))
+	})
+}
+
+func TestALoadWaitsUntilNothingIsQueuedButNotForLong(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.queued = 2 })
+		s.Want("m", 2, false)
+		for m.seen().pauses == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(m.versions()).To(BeEmpty())
+		m.set(func() { m.queued = 0 })
+		time.Sleep(50 * time.Millisecond)
+		g.Expect(m.versions()).To(Equal([]int64{2}))
+	})
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.queued = 2 })
+		s.Want("m", 2, false)
+		time.Sleep(limit)
+		g.Expect(m.versions()).To(Equal([]int64{2}))
+	})
+}
+
+func TestWhatIsSpoiltOnTheWayOrAtTheEndpointIsNotLoaded(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.spoilt[3], m.spoilt[5], m.rot = 1, 2, true })
+		s.Want("m", 1, true)
+		time.Sleep(limit)
+		g.Expect(m.versions()).To(Equal([]int64{1}))
+	})
+}
+
+func TestWhatRotsBetweenPlacingAndTheOrderIsMended(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		s.Want("m", 2, false)
+		for m.seen().pauses == 0 {
+			time.Sleep(time.Millisecond)
+			m.set(func() {
+				if len(m.placed) == chunks && !bytes.Equal(m.placed[7], []byte("rot")) && m.placed[7] != nil && m.reads == chunks {
+					m.placed[7], m.reads = []byte("rot"), 0
+				}
+			})
+		}
+		time.Sleep(limit)
+		g.Expect(m.versions()).To(ContainElement(int64(2)))
+	})
+}
+
+func TestWhatLiesAtTheEndpointIsNotFetchedAgain(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() {
+			for i := range chunks {
+				m.placed[i] = chunk(1, i)
+			}
+		})
+		s.Want("m", 1, true)
+		time.Sleep(time.Second)
+		g.Expect(m.versions()).To(Equal([]int64{1}))
+		g.Expect(m.seen().reads).To(BeZero())
+	})
+}
+
+func TestANewerVersionTakesOverWhenLittleOfTheOlderIsThere(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.delay = time.Second })
+		s.Want("m", 2, false)
+		time.Sleep(1200 * time.Millisecond)
+		s.Want("m", 3, false)
+		time.Sleep(3 * limit)
+		g.Expect(m.versions()).To(Equal([]int64{3}))
+	})
+}
+
+func TestAnOlderVersionThatIsMostlyThereIsLoadedFirst(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.delay = 500 * time.Millisecond })
+		s.Want("m", 2, false)
+		time.Sleep(2200 * time.Millisecond)
+		s.Want("m", 3, false)
+		time.Sleep(1500 * time.Millisecond)
+		m.set(func() { m.delay = 3 * time.Second })
+		time.Sleep(4 * limit)
+		g.Expect(m.versions()).To(Equal([]int64{2, 3}))
+	})
+}
+
+func TestAnEndpointThatWasRestartedLoadsAgain(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		s.Want("m", 1, true)
+		time.Sleep(2 * time.Second)
+		m.set(func() { m.runs, m.sequence = 0, 0 })
+		time.Sleep(2 * time.Second)
+		g.Expect(m.versions()).To(Equal([]int64{1, 1}))
+		g.Expect(m.seen().reads).To(Equal(chunks))
+	})
+}
+
+func TestAnOrderThatWasRefusedIsGivenAgain(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.refuse = 2 })
+		s.Want("m", 1, true)
+		time.Sleep(3 * time.Second)
+		g.Expect(m.versions()).To(Equal([]int64{1}))
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,16 +26,30 @@
 
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
-	dialer net.Dialer
+	dialer Dialer
 
 	mu      sync.Mutex
 	shelves map[string]*shelf
 }
 
+// Dialer opens connections to endpoints.
+type Dialer interface {
+	// DialContext opens a connection to addr; see net.Dialer.
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// ClientOption changes a Client.
+type ClientOption func(*Client)
+
+// WithDialer sets what opens connections.
+func WithDialer(d Dialer) ClientOption {
+	return func(c *Client) { c.dialer = d }
+}
+
 // NewClient returns a Client without connections.
-func NewClient() *Client {
-	return &Client{
-		dialer: net.Dialer{
+func NewClient(opts ...ClientOption) *Client {
+	c := &Client{
+		dialer: &net.Dialer{
 			Timeout: dialLimit,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable:   true,
@@ -46,6 +60,10 @@
 		},
 		shelves: map[string]*shelf{},
 	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Keep closes the idle connections of endpoints whose address is not in addrs,
