--- a/edge/edge.go
+++ b/edge/edge.go
@@ -109,7 +109,7 @@
 		Protocol: platform.Protocol(),
 		Balancer: e.balancer,
 		Client:   e.client,
-		Budget:   gateway.NewBudget(site.RetryShare, site.RetryExtra, site.RetryWindow, e.table.Size),
+		Budget:   gateway.NewBudget(site.RetryShare, site.RetryExtra, site.RetryWindow, e.table.Sharers),
 		Metrics:  gateway.NewMetrics(registry),
 		Log:      l,
 		Floor:    func(model string) int64 { return e.versions.floor(model, time.Now()) },
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	if last.Code == verdict.CodeUnreachable {
-		return true
+		return true // nothing arrived anywhere
 	}
 	return g.cfg.Budget.Repeat(j.service, time.Now())
 }
@@ -77,6 +77,9 @@
 // codeFull is the reason when no endpoint has room.
 const codeFull verdict.Code = "full"
 
+// codeMisdirected is the reason when an address belongs to another endpoint.
+const codeMisdirected verdict.Code = "misdirected"
+
 // attempt sends the request to one endpoint.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, j *job) *verdict.Error {
 	lease, failure := g.pick(j)
@@ -199,7 +202,7 @@
 	p := &g.cfg.Protocol
 	switch {
 	case x.Status == http.StatusMisdirectedRequest:
-		return verdict.NewError(verdict.NotRun, verdict.CodeUnreachable, "another endpoint has the address"), balance.Misdirected
+		return verdict.NewError(verdict.NotRun, codeMisdirected, "another endpoint has the address"), balance.Misdirected
 	case x.Header.Get(p.NotRun) != "":
 		drainBody(x)
 		return verdict.NewError(verdict.NotRun, verdict.CodeOverloaded, "refused by the endpoint with %d", x.Status), balance.Refused
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -11,7 +11,8 @@
 type Budget struct {
 	share, extra float64
 	window       time.Duration
-	// entries returns how many entries share the budget.
+	// entries returns how many entries share the budget, or 0 while that is
+	// unknown; then nothing beyond the share of the requests is used.
 	entries func() int
 	epoch   time.Time
 
@@ -54,7 +55,11 @@
 		requests += h.requests[i]
 		repeats += h.repeats[i]
 	}
-	allowed := budgetSafety * (b.share*float64(requests) + b.extra/float64(max(b.entries(), 1)))
+	allowed := b.share * float64(requests)
+	if n := b.entries(); n > 0 {
+		allowed += b.extra / float64(n)
+	}
+	allowed *= budgetSafety
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -191,6 +191,50 @@
 	}, refuse, refuse, refuse)
 }
 
+func TestMisdirectedRequestsCountAsArrivals(t *testing.T) {
+	g := NewWithT(t)
+	b := gateway.NewBudget(0.2, 100, 10*time.Second, func() int { return 50 })
+	now := time.Now()
+	b.Request("s", now)
+	g.Expect(b.Repeat("s", now)).To(BeTrue())
+	g.Expect(b.Repeat("s", now)).To(BeFalse())
+	other := misdirected(400)
+	play(t, func(w *world) {
+		for range 200 {
+			w.ask("POST", "/unsafe/", "x")
+		}
+		arrivals := 0
+		for _, e := range w.endpoints {
+			arrivals += e.count()
+		}
+		w.g.Expect(arrivals).To(BeNumerically("<=", 200+140))
+	}, other...)
+}
+
+// misdirected returns the scripts of n endpoints whose addresses have other owners.
+func misdirected(n int) [][]step {
+	var out [][]step
+	for range n {
+		out = append(out, always(text(421, "")))
+	}
+	return out
+}
+
+func TestAnEntryThatKnowsNoOthersUsesNoMoreThanItsShare(t *testing.T) {
+	g := NewWithT(t)
+	b := gateway.NewBudget(0.2, 100, 10*time.Second, func() int { return 0 })
+	now := time.Now()
+	for range 100 {
+		b.Request("s", now)
+	}
+	repeats := 0
+	for b.Repeat("s", now) {
+		repeats++
+	}
+	g.Expect(repeats).To(BeNumerically("<=", 20))
+	g.Expect(b.Repeat("s", now.Add(11*time.Second))).To(BeFalse(), "the window has passed")
+}
+
 func TestAStreamIsPassedOnAndItsConnectionKept(t *testing.T) {
 	play(t, func(w *world) {
 		for range 2 {
--- a/member/member.go
+++ b/member/member.go
@@ -49,7 +49,9 @@
 
 	mu    sync.Mutex
 	known map[string]Entry
-	heard map[string]*peerState
+	// listed is set once the store's list was read.
+	listed bool
+	heard  map[string]*peerState
 	// counts sums the others' requests in progress by endpoint.
 	counts map[string]int
 }
@@ -64,6 +66,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.known = map[string]Entry{}
+	t.listed = true
 	for _, e := range entries {
 		if e.Name != t.self.Name {
 			t.known[e.Name] = e
@@ -171,6 +174,23 @@
 	return best, addr
 }
 
+// Sharers returns how many entries there are at most, with this one: those that
+// the store lists and those that are heard. It is 0 until the store's list is known.
+func (t *Table) Sharers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.listed {
+		return 0
+	}
+	n := len(t.known) + 1
+	for name := range t.heard {
+		if _, known := t.known[name]; !known {
+			n++
+		}
+	}
+	return n
+}
+
 // Size returns how many entries are alive, with this one.
 func (t *Table) Size() int {
 	t.mu.Lock()
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -72,6 +72,13 @@
 		Expect(names(t.Live())).To(Equal([]string{"y"}))
 	})
 
+	It("shares with all that are listed or heard, and with nobody knows how many before", func() {
+		t.Hear(beat("y", 1, 1, nil), now)
+		Expect(t.Sharers()).To(BeZero())
+		t.Know([]member.Entry{{Name: "self"}, {Name: "x"}, {Name: "z"}})
+		Expect(t.Sharers()).To(Equal(4))
+	})
+
 	It("knows who is furthest ahead", func() {
 		t.Hear(beat("x", 1, 3, nil), now)
 		t.Hear(beat("y", 1, 8, nil), now)
--- a/stage/stager_test.go
+++ b/stage/stager_test.go
@@ -126,9 +126,10 @@
 	if spoilt {
 		m.spoilt[i]--
 	}
+	delay := m.delay
 	m.mu.Unlock()
 	select {
-	case <-time.After(m.delay):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
