stage: manifests come from other VMs, few connections to the origin; mirror gathers changes

Cause: the origin takes 48 connections, 76 VMs kept theirs; 28 of 31 added endpoints stayed empty on the grown site. Each change of an endpoint woke every entry.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -46,9 +46,12 @@
 	// behindLimit is how long another entry may know more before it is asked.
 	behindLimit = 250 * time.Millisecond
 	// holdEach is a watch's hold for each entry that is alive.
-	holdEach     = time.Second
-	shortestHold = 2500 * time.Millisecond
-	longestHold  = 10 * time.Second
+	holdEach = time.Second
+	// gatherEach is for how long changes are gathered for each entry that is alive.
+	gatherEach    = 15 * time.Millisecond
+	longestGather = 2 * time.Second
+	shortestHold  = 2500 * time.Millisecond
+	longestHold   = 10 * time.Second
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery   = 2 * time.Second
 	headerLimit  = 10 * time.Second
@@ -116,24 +119,35 @@
 		Random:   rand.Float64,
 	})
 	e.mirrors = map[string]*mirror.Mirror{
-		platform.KindConfig:    e.mirror(platform.KindConfig, e.useConfig),
-		platform.KindEndpoints: e.mirror(platform.KindEndpoints, e.useEndpoints),
-		platform.KindVersions:  e.mirror(platform.KindVersions, e.useVersions),
-		platform.KindMembers:   e.mirror(platform.KindMembers, e.useMembers),
+		platform.KindConfig:    e.mirror(platform.KindConfig, nil, e.useConfig),
+		platform.KindEndpoints: e.mirror(platform.KindEndpoints, e.gatherEndpoints, e.useEndpoints),
+		platform.KindVersions:  e.mirror(platform.KindVersions, nil, e.useVersions),
+		platform.KindMembers:   e.mirror(platform.KindMembers, e.gatherMembers, e.useMembers),
 	}
 	return e
 }
 
-func (e *Edge) mirror(kind string, use func(*mirror.State)) *mirror.Mirror {
+func (e *Edge) mirror(kind string, gather func() time.Duration, use func(*mirror.State)) *mirror.Mirror {
 	return mirror.New(mirror.Config{
 		Kind:   kind,
 		Source: e.store.Source(kind),
 		Random: rand.Float64,
 		Hold:   e.watchHold,
+		Gather: gather,
 		Log:    e.log,
 	}, use)
 }
 
+// gatherEndpoints and gatherMembers return for how long changes of endpoints
+// and of entries are gathered: each change costs a call of every entry.
+func (e *Edge) gatherEndpoints() time.Duration {
+	return min(gatherEach*time.Duration(e.table.Size()), e.site.DrainLimit/4)
+}
+
+func (e *Edge) gatherMembers() time.Duration {
+	return min(10*gatherEach*time.Duration(e.table.Size()), longestGather)
+}
+
 // watchHold returns for how long a watch may stay unanswered: the more entries
 // there are, the sooner one of them finds out for all that watches were lost.
 func (e *Edge) watchHold() time.Duration {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -75,6 +75,7 @@
 	log    *log.Logger
 	random func() float64
 	hold   func() time.Duration
+	gather func() time.Duration
 	notify func(*State)
 
 	mu      sync.Mutex
@@ -94,12 +95,15 @@
 	// Hold returns for how long a watch may stay unanswered. A store that lost
 	// a watch without a word is found out after that time.
 	Hold func() time.Duration
-	Log  *log.Logger
+	// Gather returns for how long changes are gathered before they are asked
+	// for once more, so that many changes cost few calls; nil means not at all.
+	Gather func() time.Duration
+	Log    *log.Logger
 }
 
 // New returns a Mirror; notify is called with every new state, one call at a time.
 func New(cfg Config, notify func(*State)) *Mirror {
-	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, log: cfg.Log, notify: notify}
+	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, gather: cfg.Gather, log: cfg.Log, notify: notify}
 	m.state.Store(&State{})
 	return m
 }
@@ -182,6 +186,9 @@
 	}
 	m.succeeded()
 	m.apply(current, events, at)
+	if len(events) > 0 && m.gather != nil {
+		wait.For(ctx, m.gather())
+	}
 	return nil
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -75,12 +75,14 @@
 	c := &Sidecar{site: site, log: l, registry: registry, store: platform.NewStore(site.Store)}
 	dialer := &net.Dialer{Timeout: dialLimit}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: uploads}}
+	pool := peer.NewPool(dialer)
 	c.stager = stage.New(stage.Config{
 		Self:     swarm.Member{VM: site.Peer, Addr: site.Peer, Zone: site.Zone, Region: site.Region},
 		Endpoint: platform.NewEndpoint(site.Endpoint),
 		Origin:   platform.NewOrigin(c.origin),
 		Fleet:    c,
-		Peers:    exchange.NewClient(peer.NewPool(dialer), client, "http"),
+		Peers:    exchange.NewClient(pool, client, "http"),
+		Asker:    stage.NewAsker(pool),
 		Limit:    site.VersionLimit,
 		LinkRate: site.LinkMbps * bytesPerMegabit,
 		Log:      l,
@@ -105,7 +107,7 @@
 	}
 	c.notices = conn
 	ex := exchange.NewServer(c.stager.Holdings(), uploads, exchange.WithGather(gather), exchange.WithPace(paceShare*c.site.LinkMbps*bytesPerMegabit))
-	handler, err := peer.NewRPCHandler(map[string]any{exchange.Service: ex})
+	handler, err := peer.NewRPCHandler(map[string]any{exchange.Service: ex, stage.ManifestService: c.stager.Manifests()})
 	if err != nil {
 		return err
 	}
--- a/stage/holdings.go
+++ b/stage/holdings.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/silverdeck/silverdeck/swarm"
@@ -74,6 +75,18 @@
 	return s
 }
 
+// remove forgets a version.
+func (h *holdings) remove(model string, version int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := versionKey{model, version}
+	root := h.versions[key]
+	delete(h.versions, key)
+	delete(h.sets, root)
+	delete(h.downloads, root)
+	h.order = slices.DeleteFunc(h.order, func(d weights.Digest) bool { return d == root })
+}
+
 func (h *holdings) setDownload(root weights.Digest, d *swarm.Download) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -43,6 +43,7 @@
 	Origin   Origin
 	Fleet    Fleet
 	Peers    swarm.Transport
+	Asker    Asker
 	// Limit is the time after which no request may begin on older weights.
 	Limit time.Duration
 	// LinkRate is the bandwidth of the VM's link, in bytes a second.
@@ -275,12 +276,6 @@
 	return s.download(ctx, model, version, set)
 }
 
-func (s *Stager) manifest(ctx context.Context, model string, version int64) (*weights.Manifest, error) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	return s.cfg.Origin.Manifest(ctx, model, version)
-}
-
 // takePlaced takes what lies at the endpoint already and belongs to the set.
 func (s *Stager) takePlaced(ctx context.Context, model string, set *weights.Set) {
 	for i := range set.Manifest().Chunks {
@@ -317,8 +312,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.refresh(ctx, d)
+	go s.doubt(ctx, cancel, d)
 	began := time.Now()
 	if err := d.Run(ctx); err != nil {
+		if d.Stats().CorruptOrigin > 0 {
+			s.holdings.remove(model, version)
+		}
 		return err
 	}
 	stats := d.Stats()
@@ -328,6 +327,26 @@
 	return nil
 }
 
+// doubtAfter is how long a download may make no progress while chunks of the
+// origin don't match the manifest before the manifest is read anew.
+const doubtAfter = 3 * time.Second
+
+// doubt ends a download whose manifest seems to be wrong.
+func (s *Stager) doubt(ctx context.Context, cancel func(), d *swarm.Download) {
+	have, since := -1, time.Now()
+	for wait.For(ctx, lookEvery) {
+		stats := d.Stats()
+		if stats.Have != have {
+			have, since = stats.Have, time.Now()
+		}
+		if stats.CorruptOrigin > 0 && time.Since(since) > doubtAfter {
+			s.cfg.Log.Warn("manifest in doubt", "have", stats.Have, "corruptOrigin", stats.CorruptOrigin)
+			cancel()
+			return
+		}
+	}
+}
+
 // refresh keeps a download's members up to date.
 func (s *Stager) refresh(ctx context.Context, d *swarm.Download) {
 	for wait.For(ctx, fleetEvery) {
--- a/stage/stager_test.go
+++ b/stage/stager_test.go
@@ -51,6 +51,8 @@
 	delay  time.Duration
 	spoilt map[int]int
 	reads  int
+	// lies is how many manifests are spoilt.
+	lies int
 
 	pauses []time.Time
 	told   []int64
@@ -116,6 +118,12 @@
 	for i := range chunks {
 		digests = append(digests, sha256.Sum256(chunk(version, i)))
 	}
+	m.set(func() {
+		if m.lies > 0 {
+			m.lies--
+			digests[4] = sha256.Sum256([]byte("spoilt"))
+		}
+	})
 	return weights.NewSHA256Manifest(chunkSize, digests)
 }
 
@@ -301,6 +309,15 @@
 	})
 }
 
+func TestAManifestThatNoChunkMatchesIsReadAnew(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.lies = 1 })
+		s.Want("m", 1, true)
+		time.Sleep(20 * time.Second)
+		g.Expect(m.versions()).To(Equal([]int64{1}))
+	})
+}
+
 func TestANewerVersionTakesOverWhenLittleOfTheOlderIsThere(t *testing.T) {
 	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
 		m.set(func() { m.delay = time.Second })
