balance: an entry keeps to its own endpoints until they are much busier than others

Cause: entries saw the same load, 200 ms old, and chose the same endpoint; with 34 entries queues of 1.5 s formed beside idle endpoints.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,7 +83,7 @@
 	otherZone = 0.10
 	jitter    = 0.03
 	// otherOwner keeps entries from choosing the same endpoint at the same moment.
-	otherOwner = 0.06
+	otherOwner = 0.80
 	// readingUnit is the time of reading that counts as one request for each slot.
 	readingUnit = 250 * time.Millisecond
 	// olderWeights is added for a resumed request.
