--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -175,11 +175,33 @@
 	}
 	limit := max(gapFactor*j.route.GapAim, leastGap)
 	return func() bool {
-		if !j.begun && lease.Holds(j.model) < g.cfg.Floor(j.model) {
+		now := time.Now()
+		switch {
+		case !j.begun && lease.Holds(j.model) < g.cfg.Floor(j.model):
+			return true
+		case last:
+			return false
+		case lease.Silence(sent, now) > limit:
 			return true
 		}
-		return !last && lease.Silence(sent, time.Now()) > limit
+		return now.Sub(later(sent, j.eventAt)) > g.ownSilence(j)
+	}
+}
+
+// ownSilence returns for how long a stream may be silent although its endpoint
+// talks on others: then its answer is lost.
+func (g *Gateway) ownSilence(j *job) time.Duration {
+	if j.begun {
+		return max(lostFactor*j.route.GapAim, leastLost)
+	}
+	return max(lostFactor*j.route.Aim, leastLost)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // plainAimFactor is how many times a plain route's aim may pass before a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,8 +18,12 @@
 const (
 	// gapFactor is how many times the longest pause in time an endpoint may say
 	// nothing on any stream.
-	gapFactor   = 2
-	leastGap    = 400 * time.Millisecond
+	gapFactor = 2
+	leastGap  = 400 * time.Millisecond
+	// lostFactor is how many times its aim, or its longest pause in time, a
+	// single stream may be silent.
+	lostFactor  = 3
+	leastLost   = 900 * time.Millisecond
 	eventBuffer = 4 << 10
 	// maxEvent bounds one event, in bytes.
 	maxEvent = 1 << 20
