--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,8 @@
 	zone   string
 	others func(id string) int
 	random func() float64
+	// observe hears of changes of belief; nil means nobody does.
+	observe func(Belief)
 
 	mu       sync.RWMutex
 	services map[string]*shard
@@ -164,7 +166,7 @@
 	best.inFlight++
 	best.reading += q.Reading
 	best.health.tried(now)
-	return &Lease{shard: s, endpoint: best, Record: best.record, reading: q.Reading}, 0
+	return &Lease{shard: s, endpoint: best, Record: best.record, reading: q.Reading, observe: b.observe}, 0
 }
 
 // Shortage says why no endpoint was chosen.
@@ -327,6 +329,7 @@
 
 	shard    *shard
 	endpoint *endpoint
+	observe  func(Belief)
 	// reading is what the endpoint has yet to read for the request.
 	reading time.Duration
 }
@@ -370,7 +373,27 @@
 	defer l.shard.mu.Unlock()
 	l.endpoint.inFlight--
 	l.read()
-	l.endpoint.health.note(o, now)
+	change := l.endpoint.health.note(o, now)
+	if change != Unchanged && l.observe != nil {
+		l.observe(Belief{Endpoint: l.Record.ID, Change: change, Failures: l.endpoint.health.failures, Until: l.endpoint.health.until})
+	}
+}
+
+// Belief is a change of what is believed of an endpoint.
+type Belief struct {
+	// Endpoint is its ID.
+	Endpoint string
+	Change   Change
+	// Failures is the failure rate that decided it.
+	Failures float64
+	// Until is when an endpoint that is left alone is tried again.
+	Until time.Time
+}
+
+// Observe makes f hear of each change of belief. It is called under a lock and
+// must not wait. It is to be called before the first Pick.
+func (b *Balancer) Observe(f func(Belief)) {
+	b.observe = f
 }
 
 // Has returns whether an endpoint for q could be chosen now.
--- a/balance/health.go
+++ b/balance/health.go
@@ -47,7 +47,43 @@
 }
 
 // note takes in the outcome of a request.
-func (h *health) note(o Outcome, now time.Time) {
+func (h *health) note(o Outcome, now time.Time) Change {
+	before := h.ejections
+	h.take(o, now)
+	switch {
+	case o == Misdirected:
+		return Gone
+	case h.ejections > before:
+		return Ejected
+	case before > 0 && h.ejections == 0:
+		return Restored
+	}
+	return Unchanged
+}
+
+// Change is how an outcome changed what is believed of an endpoint.
+type Change int
+
+// The changes.
+const (
+	// Unchanged means that the endpoint is used as before.
+	Unchanged Change = iota
+	// Ejected means that the endpoint is left alone for a while.
+	Ejected
+	// Restored means that the endpoint is used again.
+	Restored
+	// Gone means that the address has another owner.
+	Gone
+)
+
+var changeNames = map[Change]string{Unchanged: "unchanged", Ejected: "ejected", Restored: "restored", Gone: "gone"}
+
+// String returns the change's name.
+func (c Change) String() string {
+	return changeNames[c]
+}
+
+func (h *health) take(o Outcome, now time.Time) {
 	wasTrial := h.trial
 	h.trial = false
 	switch o {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,6 +108,7 @@
 	}
 	e.table = member.NewTable(e.self)
 	e.balancer = balance.New(site.Zone, e.table.InFlight, rand.Float64)
+	e.balancer.Observe(e.logBelief)
 	e.gateway = gateway.New(gateway.Config{
 		Protocol: platform.Protocol(),
 		Balancer: e.balancer,
@@ -306,6 +307,9 @@
 	for _, name := range silent {
 		e.log.Warn("entry lost", "entry", name)
 	}
+	for _, name := range e.table.Arrived() {
+		e.log.Info("entry heard", "entry", name)
+	}
 	for kind, m := range e.mirrors {
 		revision, addr := e.table.Ahead(kind)
 		if revision <= m.State().Changed {
@@ -385,6 +389,12 @@
 	e.client.Keep(addrs, time.Now())
 }
 
+// logBelief writes a line when an endpoint is left alone or used again.
+func (e *Edge) logBelief(b balance.Belief) {
+	e.log.Info("endpoint health", "endpoint", b.Endpoint, "change", b.Change.String(),
+		"failures", b.Failures, "forMs", time.Until(b.Until).Milliseconds())
+}
+
 // logRoster writes a line for each endpoint that changed.
 func (e *Edge) logRoster(old, list *roster.List) {
 	for name, now := range list.Endpoints {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -89,28 +89,33 @@
 	j.tried = append(j.tried, lease.Record.ID)
 	outcome := balance.Neutral
 	defer func() { lease.Done(outcome, time.Now()) }()
+	failure, outcome = g.exchange(ctx, w, j, lease)
+	if failure != nil {
+		g.logAttempt(j, lease, failure)
+	}
+	return failure
+}
+
+// exchange sends the request by lease and passes the answer on.
+func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, j *job, lease *balance.Lease) (*verdict.Error, balance.Outcome) {
 	x, failure := g.send(ctx, j, lease)
 	if failure != nil {
-		outcome = outcomeOf(failure)
-		return failure
+		return failure, outcomeOf(failure)
 	}
 	defer x.Close()
 	if x.NewConnection {
 		g.cfg.Metrics.Connections.Inc(1)
 	}
-	if failure, outcome = g.check(j, x); failure != nil {
-		return failure
+	if failure, outcome := g.check(j, x); failure != nil {
+		return failure, outcome
 	}
 	if j.begun && x.Status != http.StatusOK {
-		outcome = balance.Failed
-		return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d for the rest of a stream", x.Status)
+		return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d for the rest of a stream", x.Status), balance.Failed
 	}
 	if j.route.Kind == routes.Stream && x.Status == http.StatusOK {
-		failure, outcome = g.stream(ctx, w, j, x, lease)
-		return failure
+		return g.stream(ctx, w, j, x, lease)
 	}
-	failure, outcome = g.whole(w, j, x)
-	return failure
+	return g.whole(w, j, x)
 }
 
 func (g *Gateway) pick(j *job) (*balance.Lease, *verdict.Error) {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/balance"
 	"github.com/silverdeck/silverdeck/verdict"
 )
 
@@ -47,6 +48,14 @@
 		"firstEventMs", j.firstEvent.Milliseconds(), "longestGapMs", j.longestGap.Milliseconds())
 }
 
+// logAttempt notes that an endpoint did not answer a request as it should.
+func (g *Gateway) logAttempt(j *job, lease *balance.Lease, e *verdict.Error) {
+	g.cfg.Log.Info("attempt failed", "request", j.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
+		"weights", lease.Holds(j.model), "attempt", len(j.tried), "ms", time.Since(j.started).Milliseconds(),
+		"code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", j.begun,
+		"event", j.lastEvent, "err", e.Err)
+}
+
 // logFailure notes a request that was not answered by an endpoint.
 func (g *Gateway) logFailure(j *job, e *verdict.Error) {
 	g.cfg.Metrics.Failed.Inc(1)
--- a/member/member.go
+++ b/member/member.go
@@ -54,6 +54,8 @@
 	heard  map[string]*peerState
 	// counts sums the others' requests in progress by endpoint.
 	counts map[string]int
+	// arrived are entries heard for the first time, or again, since last asked.
+	arrived []string
 }
 
 // NewTable returns the table of self.
@@ -87,6 +89,8 @@
 	}
 	if old != nil {
 		t.count(old.beat.InFlight, -1)
+	} else {
+		t.arrived = append(t.arrived, b.Entry.Name)
 	}
 	t.count(b.InFlight, 1)
 	t.heard[b.Entry.Name] = &peerState{beat: b, heardAt: now}
@@ -111,6 +115,15 @@
 	return silent
 }
 
+// Arrived returns the entries heard anew since it was last called.
+func (t *Table) Arrived() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.arrived
+	t.arrived = nil
+	return out
+}
+
 func (t *Table) count(inFlight map[string]int, sign int) {
 	for id, n := range inFlight {
 		t.counts[id] += sign * n
