--- a/swarm/download_test.go
+++ b/swarm/download_test.go
@@ -167,3 +167,25 @@
 		n.g.Expect(n.origin.readCount()).To(BeNumerically("<=", 2*chunks*5/4), "each region within its budget")
 	})
 }
+
+func TestARegionTakesFromAnotherWhenTheOriginFails(t *testing.T) {
+	in(t, func(n *network) {
+		_, m := version(0)
+		west, all := members(4, "west"), append(members(4, "west"), members(4, "east")...)
+		n.start(m, west)
+		n.finish(time.Minute)
+		n.origin.set(func(o *fakeOrigin) { o.down = true })
+		for _, x := range members(4, "east") {
+			n.join(m, x, all)
+		}
+		for _, x := range members(4, "east") {
+			v := n.get(x.VM)
+			select {
+			case err := <-v.done:
+				n.g.Expect(err).NotTo(HaveOccurred())
+			case <-time.After(20 * time.Second):
+				n.g.Expect(v.download.Stats()).To(BeNil(), x.VM+" is not complete")
+			}
+		}
+	})
+}
--- a/swarm/inject.go
+++ b/swarm/inject.go
@@ -227,6 +227,9 @@
 		case askAbsent:
 		}
 	}
+	if d.originTroubled() && d.askElsewhere(ctx, c) {
+		return
+	}
 	d.readOrigin(ctx, c, rank)
 }
 
