A randomized fault soak of the real programs, and stand-ins that speak the users' platform

Processes behind loopback proxies; signals, restarts, links that are delayed, reset, cut one way or silenced, a store that is down, silent, forgetful or loses answers. Checked from callers' and endpoints' side.

--- /dev/null
+++ b/cmd/silverdeck-soak/main.go
@@ -0,0 +1,66 @@
+// Command silverdeck-soak runs our programs as processes beside stand-ins,
+// injects random faults and checks what the system promises.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/silverdeck/silverdeck/soak"
+)
+
+type args struct {
+	Seed     uint64 `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds    int    `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Seconds  int    `arg:"--seconds" default:"10" help:"how long faults come, for each seed"`
+	Entries  int    `arg:"--entries" default:"3" help:"how many entries"`
+	Runners  int    `arg:"--runners" default:"3" help:"how many model endpoints, each with a sidecar"`
+	Programs string `arg:"--programs" default:"bin" help:"the folder of the built programs"`
+	Out      string `arg:"--out" default:"out/soak" help:"a folder for settings and logs"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	failed := 0
+	for i := range a.Seeds {
+		if !play(&a, a.Seed+uint64(i)) {
+			failed++
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", a.Seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// play plays one seed and returns whether it kept every promise.
+func play(a *args, seed uint64) bool {
+	work := filepath.Join(a.Out, fmt.Sprint(seed))
+	if err := os.MkdirAll(work, 0o755); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	report, err := soak.Run(soak.Config{
+		Seed: seed, For: time.Duration(a.Seconds) * time.Second, Entries: a.Entries, Runners: a.Runners,
+		Programs: a.Programs, Work: work,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	fmt.Println(report)
+	for _, line := range report.Broken {
+		fmt.Println("  broken:", line)
+	}
+	if len(report.Broken) > 0 {
+		for _, line := range report.Faults {
+			fmt.Println("  fault:", line)
+		}
+	}
+	return len(report.Broken) == 0
+}
--- /dev/null
+++ b/soak/caller.go
@@ -0,0 +1,230 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/silverdeck/silverdeck/standin/site"
+)
+
+// Result counts what callers saw.
+type Result struct {
+	Asked, Served, Refused, Cut, Other atomic.Int64
+}
+
+// caller asks the directory and sends requests, on connections that it keeps.
+type caller struct {
+	world  *world
+	name   string
+	client *http.Client
+	random *rand.Rand
+	result *Result
+	// refused are requests that may not be repeated and were promised not to run.
+	mu      sync.Mutex
+	refused []string
+	sent    int
+}
+
+func newCaller(w *world, n int, r *Result) *caller {
+	return &caller{
+		world: w, name: fmt.Sprintf("c%d", n), result: r,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		random: rand.New(rand.NewPCG(w.cfg.Seed, uint64(n))),
+	}
+}
+
+// Timing of callers.
+const (
+	callerPause   = 15 * time.Millisecond
+	streamLimit   = 6 * time.Second
+	plainLimit    = 1500 * time.Millisecond
+	resolveLimit  = time.Second
+	patienceLimit = 500 * time.Millisecond
+)
+
+// run sends requests one after the other until ctx ends.
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry, addr, found := c.resolve(ctx)
+		if !found {
+			time.Sleep(callerPause)
+			continue
+		}
+		for range 10 {
+			c.ask(entry, addr)
+			time.Sleep(callerPause)
+			if ctx.Err() != nil {
+				return
+			}
+		}
+	}
+}
+
+// resolve asks a directory and returns the entry to use and its address.
+func (c *caller) resolve(ctx context.Context) (*process, string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, resolveLimit)
+	defer cancel()
+	w := c.world
+	from := c.random.IntN(len(w.entryAddrs))
+	url := "http://" + w.entryAddrs[from].directory + "/resolve?name=" + plainHost + "&region=east&zone=a"
+	r, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return nil, "", false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil || len(answer.Addresses) == 0 {
+		return nil, "", false
+	}
+	addr := answer.Addresses[c.random.IntN(len(answer.Addresses))]
+	for i, a := range w.entryAddrs {
+		if a.callers == addr {
+			return w.entries[i], addr, true
+		}
+	}
+	w.witness.Broken("the directory named %s, which is no entry", addr)
+	return nil, "", false
+}
+
+// ask sends one request and checks what comes back.
+func (c *caller) ask(entry *process, addr string) {
+	c.sent++
+	id := fmt.Sprintf("%s-%d", c.name, c.sent)
+	stream := c.random.IntN(2) == 0
+	host, limit := plainHost, plainLimit
+	if stream {
+		host, limit = streamHost, streamLimit
+	}
+	if c.random.IntN(20) == 0 {
+		limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	body := "body of " + id
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(body))
+	r.Host = host
+	r.Header.Set("X-Silverdeck-Attempt-Id", id)
+	r.Header.Set("X-Silverdeck-Credential", apiKey)
+	r.Header.Set("X-Silverdeck-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	if stream {
+		r.Header.Set("X-Silverdeck-Model", model)
+	}
+	r.GetBody = nil
+	c.result.Asked.Add(1)
+	began := time.Now()
+	resp, err := c.client.Do(r)
+	if err == nil {
+		defer func() { _ = resp.Body.Close() }()
+		err = c.check(resp, id, body, stream)
+	}
+	if err != nil {
+		c.result.Cut.Add(1)
+		if ctx.Err() == nil && entry.onlyPlanned(began) && c.world.calm(began) && c.world.witness.Of(id).Count > 0 {
+			c.world.witness.Broken("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
+		}
+	}
+	c.checkRuns(id, body, stream)
+}
+
+// check looks at an answer and returns an error if it was cut.
+func (c *caller) check(resp *http.Response, id, body string, stream bool) error {
+	w := c.world.witness
+	switch {
+	case resp.Header.Get("X-Silverdeck-Attempt-Id") != id:
+		w.Broken("request %s got an answer to %q", id, resp.Header.Get("X-Silverdeck-Attempt-Id"))
+	case resp.StatusCode == http.StatusOK && stream:
+		return c.checkStream(resp, id)
+	case resp.StatusCode == http.StatusOK:
+		got, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return err
+		}
+		if string(got) != site.Answer(id, body) {
+			w.Broken("request %s got %q", id, got)
+		}
+		c.result.Served.Add(1)
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		c.result.Refused.Add(1)
+		if !stream {
+			c.mu.Lock()
+			c.refused = append(c.refused, id)
+			c.mu.Unlock()
+		}
+	case resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusNotFound:
+		w.Broken("request %s was denied with %d", id, resp.StatusCode)
+	default:
+		c.result.Other.Add(1)
+	}
+	return nil
+}
+
+// checkStream reads a stream: its events must come in order, each once, and
+// all of them before it ends.
+func (c *caller) checkStream(resp *http.Response, id string) error {
+	reader := bufio.NewReader(resp.Body)
+	for n := 1; ; n++ {
+		event, err := readEvent(reader)
+		if err == io.EOF && event == "" {
+			if n != site.Events+1 {
+				c.world.witness.Broken("stream %s ended as whole after %d events", id, n-1)
+			}
+			c.result.Served.Add(1)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event != site.Event(id, n) {
+			c.world.witness.Broken("stream %s got %q as event %d", id, event, n)
+			return nil
+		}
+	}
+}
+
+func readEvent(r *bufio.Reader) (string, error) {
+	var event strings.Builder
+	for {
+		line, err := r.ReadString('\n')
+		event.WriteString(line)
+		if err != nil || line == "\n" {
+			return event.String(), err
+		}
+	}
+}
+
+// checkRuns looks at what endpoints saw of a request.
+func (c *caller) checkRuns(id, body string, stream bool) {
+	run := c.world.witness.Of(id)
+	if run.Count == 0 {
+		return
+	}
+	if !stream && run.Count > 1 {
+		c.world.witness.Broken("request %s ran %d times", id, run.Count)
+	}
+	if run.Body != body || run.Tenant != accountName {
+		c.world.witness.Broken("request %s ran as %q for %q", id, run.Body, run.Tenant)
+	}
+}
+
+// checkPromises looks once more at requests that were promised not to run.
+func (c *caller) checkPromises() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.refused {
+		if n := c.world.witness.Of(id).Count; n > 0 {
+			c.world.witness.Broken("request %s was refused and ran %d times", id, n)
+		}
+	}
+}
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/silverdeck/silverdeck/standin/site"
+)
+
+// fault is something that goes wrong for a while.
+type fault struct {
+	name string
+	// begin starts it; end, if there is one, heals it.
+	begin, end func()
+	// disturbs says that it may break off requests at entries that no fault strikes.
+	disturbs bool
+}
+
+// draw returns a fault at random.
+func (w *world) draw(r *rand.Rand) fault {
+	entry, sidecar := w.entries[r.IntN(len(w.entries))], w.sidecars[r.IntN(len(w.sidecars))]
+	runner := w.runners[r.IntN(len(w.runners))]
+	link := w.runnerLinks[r.IntN(len(w.runnerLinks))]
+	storeLink := w.storeLinks[r.IntN(len(w.storeLinks))]
+	heal := func(p *Proxy) func() { return func() { p.Set(Link{}) } }
+	storeFault := func(f site.StoreFault) func() { return func() { w.store.SetFault(f) } }
+	all := []fault{
+		{"entry killed", func() { entry.signal(syscall.SIGKILL) }, nil, false},
+		{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false},
+		{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false},
+		{"entry frozen", func() { entry.signal(syscall.SIGSTOP) }, func() { entry.signal(syscall.SIGCONT) }, false},
+		{"entry reloads", func() { entry.signal(syscall.SIGHUP) }, nil, false},
+		{"sidecar killed", func() { sidecar.signal(syscall.SIGKILL) }, nil, false},
+		{"sidecar frozen", func() { sidecar.signal(syscall.SIGSTOP) }, func() { sidecar.signal(syscall.SIGCONT) }, false},
+		{"runner restarted", func() { runner.restart(w.firstVersion(runner)) }, nil, true},
+		{"runner leaves", runner.leave, func() { runner.restart(w.firstVersion(runner)) }, true},
+		{"runner link reset", func() { link.Set(Link{Refuse: true}) }, heal(link), true},
+		{"runner link slow", func() { link.Set(Link{Delay: 60 * time.Millisecond}) }, heal(link), true},
+		{"runner unheard", func() { link.Set(Link{SilentIn: true}) }, heal(link), true},
+		{"runner unreached", func() { link.Set(Link{SilentOut: true}) }, heal(link), true},
+		{"store link reset", func() { storeLink.Set(Link{Refuse: true}) }, heal(storeLink), false},
+		{"store link silent", func() { storeLink.Set(Link{SilentIn: true}) }, heal(storeLink), false},
+		{"store down", storeFault(site.StoreFault{Status: http.StatusServiceUnavailable}), storeFault(site.StoreFault{}), false},
+		{"store silent", storeFault(site.StoreFault{Silent: true}), storeFault(site.StoreFault{}), false},
+		{"store loses answers", storeFault(site.StoreFault{LostAnswers: true}), storeFault(site.StoreFault{}), false},
+		{"store forgets", w.store.Forget, nil, false},
+		{"configuration", w.configure, nil, false},
+		{"new weights", w.nameVersion, nil, true},
+	}
+	return all[r.IntN(len(all))]
+}
+
+// firstVersion is what a runner holds after a restart.
+func (w *world) firstVersion(s *slot) int64 {
+	if s.cfg.Model == "" {
+		return 1
+	}
+	return 0
+}
+
+func (w *world) nameVersion() {
+	w.version++
+	w.store.Put("versions", model, map[string]any{"model": model, "version": w.version})
+}
+
+// Pace of faults.
+const (
+	leastPause   = 100 * time.Millisecond
+	spreadPause  = 900 * time.Millisecond
+	leastFault   = 200 * time.Millisecond
+	spreadFault  = 3 * time.Second
+	disturbAfter = 4 * time.Second
+)
+
+// disturb injects faults until ctx ends, several at a time, and heals them all.
+func (w *world) disturb(ctx context.Context, note func(string)) {
+	r := rand.New(rand.NewPCG(w.cfg.Seed, 1))
+	var ends []chan struct{}
+	for ctx.Err() == nil {
+		f := w.draw(r)
+		lasts := leastFault + time.Duration(r.Int64N(int64(spreadFault)))
+		note(fmt.Sprintf("%7.3f %s", time.Since(w.began).Seconds(), f.name))
+		if f.disturbs {
+			w.disturbedAt.Store(time.Now().Add(lasts).UnixNano())
+		}
+		f.begin()
+		if f.end != nil {
+			done := make(chan struct{})
+			ends = append(ends, done)
+			time.AfterFunc(lasts, func() { f.end(); close(done) })
+		}
+		time.Sleep(leastPause + time.Duration(r.Int64N(int64(spreadPause))))
+	}
+	for _, done := range ends {
+		<-done
+	}
+}
+
+// calm returns whether nothing disturbed endpoints around a time.
+func (w *world) calm(at time.Time) bool {
+	return time.Unix(0, w.disturbedAt.Load()).Add(disturbAfter).Before(at)
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Report is what came of a soak.
+type Report struct {
+	Seed                                uint64
+	Asked, Served, Refused, Cut, Others int64
+	// Faults has a line for each fault, Broken one for each broken promise.
+	Faults, Broken []string
+}
+
+// String returns the report for people.
+func (r *Report) String() string {
+	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d promises broken",
+		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), len(r.Broken))
+}
+
+// Limits of a soak.
+const (
+	callers = 8
+	// startLimit is how long the system may take until all entries are ready.
+	startLimit = 15 * time.Second
+	// healLimit is how long it may take to serve everything after all faults.
+	healLimit = 20 * time.Second
+	pollEvery = 100 * time.Millisecond
+	// settleTime is how long requests may still be under way at the end.
+	settleTime = time.Second
+)
+
+// Run plays one soak. The error tells that it could not be played.
+func Run(cfg Config) (*Report, error) {
+	w, err := newWorld(cfg)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{Seed: cfg.Seed}
+	if !w.awaitAll(startLimit) {
+		return nil, fmt.Errorf("soak: the system did not become ready within %s", startLimit)
+	}
+	result := &Result{}
+	w.play(result, report)
+	if !w.awaitAll(healLimit) {
+		w.witness.Broken("not every entry serves every route %s after the last fault", healLimit)
+	}
+	report.Asked, report.Served, report.Refused = result.Asked.Load(), result.Served.Load(), result.Refused.Load()
+	report.Cut, report.Others = result.Cut.Load(), result.Other.Load()
+	report.Broken = w.witness.Promises()
+	return report, nil
+}
+
+// play lets callers ask while faults come, and then looks at old promises.
+func (w *world) play(result *Result, report *Report) {
+	ctx, cancel := context.WithTimeout(context.Background(), w.cfg.For)
+	defer cancel()
+	var all []*caller
+	var asking sync.WaitGroup
+	for i := range callers {
+		c := newCaller(w, i, result)
+		all = append(all, c)
+		asking.Go(func() { c.run(ctx) })
+	}
+	w.disturb(ctx, func(line string) { report.Faults = append(report.Faults, line) })
+	asking.Wait()
+	time.Sleep(settleTime)
+	for _, c := range all {
+		c.checkPromises()
+	}
+}
+
+// awaitAll waits until every entry serves a request on each route.
+func (w *world) awaitAll(limit time.Duration) bool {
+	end := time.Now().Add(limit)
+	for i := range w.entryAddrs {
+		for !w.probe(i) {
+			if time.Now().After(end) {
+				return false
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return true
+}
+
+// probe returns whether entry i serves both routes.
+func (w *world) probe(i int) bool {
+	return w.probeRoute(i, plainHost) && w.probeRoute(i, streamHost)
+}
+
+func (w *world) probeRoute(i int, host string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), resolveLimit)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddrs[i].callers+"/go/x", strings.NewReader("probe"))
+	r.Host = host
+	r.Close = true
+	r.Header.Set("X-Silverdeck-Attempt-Id", fmt.Sprintf("probe-%d-%d", i, time.Now().UnixNano()))
+	r.Header.Set("X-Silverdeck-Credential", apiKey)
+	r.Header.Set("X-Silverdeck-Model", model)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/silverdeck/silverdeck/standin/site"
+)
+
+// Config holds a soak's settings.
+type Config struct {
+	// Seed decides the faults.
+	Seed uint64
+	// For is how long faults come.
+	For time.Duration
+	// Entries and Runners are how many of each there are.
+	Entries, Runners int
+	// Programs is the folder of the built programs.
+	Programs string
+	// Work is a folder for settings and logs.
+	Work string
+}
+
+// Names of what the operator configures.
+const (
+	model        = "reader"
+	modelService = "llm"
+	plainService = "portal"
+	streamHost   = "reader.example"
+	plainHost    = "portal.example"
+	apiKey       = "key-of-acme"
+	accountName  = "acme"
+)
+
+// world is the system under soak: stand-ins in this process, our programs as
+// processes of their own, and proxies between them.
+type world struct {
+	cfg     Config
+	net     string
+	store   *site.Store
+	witness *site.Witness
+	// storeLinks has a proxy before the store for each process, runnerLinks
+	// one before each runner.
+	storeLinks, runnerLinks []*Proxy
+	entries, sidecars       []*process
+	entryAddrs              []entryAddr
+	runners                 []*slot
+	servers                 []*http.Server
+	running                 sync.WaitGroup
+	version                 int64
+	configVersion           int64
+	began                   time.Time
+	// disturbedAt is until when endpoints were last disturbed, in Unix nanoseconds.
+	disturbedAt atomic.Int64
+}
+
+// entryAddr is where callers find an entry.
+type entryAddr struct {
+	callers, directory, ready string
+}
+
+// slot is the place of a runner; each restart puts another into it.
+type slot struct {
+	mu     sync.Mutex
+	runner *site.Runner
+	lives  int
+	cfg    site.RunnerConfig
+}
+
+// ServeHTTP implements http.Handler.
+func (s *slot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	runner := s.runner
+	s.mu.Unlock()
+	runner.ServeHTTP(w, r)
+}
+
+// restart puts a new life into the slot.
+func (s *slot) restart(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lives > 0 {
+		s.cfg.Store.Delete("servers", s.cfg.ID)
+	}
+	s.lives++
+	s.cfg.ID = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.cfg.Address, ".", "-"), s.lives)
+	s.runner = site.NewRunner(s.cfg, version)
+}
+
+// leave makes the runner state that it leaves.
+func (s *slot) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Leave()
+}
+
+// Ports of the stand-ins and of our programs; each has an address of its own.
+const (
+	portCallers   = 8005
+	portReady     = 8002
+	portDirectory = 8009
+	portPeer      = 7700
+	portRunner    = 8001
+	portDirect    = 8101
+	portStore     = 8007
+	portOrigin    = 8006
+)
+
+// newWorld starts everything.
+func newWorld(cfg Config) (*world, error) {
+	w := &world{
+		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: site.NewStore(),
+		witness: site.NewWitness(), version: 1, began: time.Now(),
+	}
+	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
+		return nil, err
+	}
+	if err := w.serve(w.addr(251, portOrigin), site.Origin{}); err != nil {
+		return nil, err
+	}
+	w.configure()
+	for i := range cfg.Runners + 1 {
+		if err := w.addRunner(i); err != nil {
+			return w, err
+		}
+	}
+	for i := range cfg.Entries {
+		if err := w.addEntry(i); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) addr(host, port int) string {
+	return fmt.Sprintf("%s.%d:%d", w.net, host, port)
+}
+
+func (w *world) serve(addr string, h http.Handler) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h}
+	w.servers = append(w.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+// addRunner adds a runner; number 0 is the plain one, the others have a sidecar.
+func (w *world) addRunner(i int) error {
+	host := 100 + i
+	s := &slot{cfg: site.RunnerConfig{
+		Service: plainService, Zone: zone(i), Address: w.addr(host, portRunner), Slots: 16, Witness: w.witness, Store: w.store,
+	}}
+	if i > 0 {
+		s.cfg.Service, s.cfg.Model = modelService, model
+	}
+	version := w.version
+	if i > 1 {
+		version = 0
+	}
+	s.restart(version)
+	w.runners = append(w.runners, s)
+	if err := w.serve(w.addr(host, portDirect), s); err != nil {
+		return err
+	}
+	link, err := NewProxy(w.addr(host, portRunner), w.addr(host, portDirect))
+	if err != nil {
+		return err
+	}
+	w.runnerLinks = append(w.runnerLinks, link)
+	if i == 0 {
+		return nil
+	}
+	return w.launch(&w.sidecars, "sidecar", i, host, fmt.Sprintf("app: %q\nservice: %q\n", w.addr(host, portDirect), modelService))
+}
+
+func (w *world) addEntry(i int) error {
+	host := 1 + i
+	a := entryAddr{callers: w.addr(host, portCallers), directory: w.addr(host, portDirectory), ready: w.addr(host, portReady)}
+	w.entryAddrs = append(w.entryAddrs, a)
+	listen := fmt.Sprintf("listen: {front: %q, ready: %q, directory: %q}\n", a.callers, a.ready, a.directory)
+	return w.launch(&w.entries, "gateway", i, host, listen)
+}
+
+// launch writes the settings of a process and starts it behind its own link to
+// the store.
+func (w *world) launch(list *[]*process, role string, i, host int, more string) error {
+	store := w.addr(host, portStore)
+	link, err := NewProxy(store, w.addr(250, portStore))
+	if err != nil {
+		return err
+	}
+	w.storeLinks = append(w.storeLinks, link)
+	name := fmt.Sprintf("%s-%d", role, i)
+	path := filepath.Join(w.cfg.Work, name+".yaml")
+	settings := fmt.Sprintf(settingsFormat, name, zone(i), w.net, host, portPeer, portPeer+10, store) + more
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	logs, err := os.Create(filepath.Join(w.cfg.Work, name+".log"))
+	if err != nil {
+		return err
+	}
+	p := newProcess(name, filepath.Join(w.cfg.Programs, "silverdeck-"+role), []string{"SILVERDECK_CONFIG=" + path}, logs)
+	*list = append(*list, p)
+	w.running.Add(1)
+	go p.run(&w.running)
+	return nil
+}
+
+// settingsFormat is the platform's settings file.
+const settingsFormat = `node: %q
+zone: %q
+region: "east"
+zones: {a: "east", b: "east"}
+ip: "%s.%d"
+internal_ports: [%d, %d]
+limits: {memory_mb: 200, link_mbps: 1000}
+bounds: {grace_s: 8, retry_budget_ratio: 0.2, retry_budget_extra: 100, budget_window_s: 10, version_ms: 8000, ttl_max_s: 5, drain_ms: 2000}
+platform: {address: %q}
+`
+
+func zone(i int) string {
+	return string("ab"[i%2])
+}
+
+// configure writes a new version of the configuration.
+func (w *world) configure() {
+	w.configVersion++
+	routes := []any{
+		route("stream", streamHost, "streaming", modelService, 6000, 400, true),
+		route("plain", plainHost, "unsafe", plainService, 2000, 200, false),
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.configVersion, "routes": routes,
+		"services": []any{
+			map[string]any{"name": modelService, "max_connections": 200, "engine": map[string]any{
+				"slots": 16, "read_per_s": 30000, "chunks": site.Chunks, "chunk_bytes": site.ChunkBytes,
+				"models": []any{map[string]any{"name": model, "warm_s": 0.05}}}},
+			map[string]any{"name": plainService, "max_connections": 200},
+			map[string]any{"name": "weights", "origin": w.addr(251, portOrigin), "link_mbps": 1000},
+		},
+		"limits":  map[string]any{"max_body_bytes": 1 << 16, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": accountName, "api_keys": []string{apiKey}}},
+	})
+}
+
+func route(name, host, kind, service string, timeout, aim int, resume bool) map[string]any {
+	return map[string]any{"name": name, "hostname": host, "path_prefix": "/go/", "kind": kind, "service": service,
+		"timeout_ms": timeout, "target_latency_ms": aim, "gap_target_ms": 300, "max_attempts": 2, "priority": 1, "stream_resume": resume}
+}
+
+// close ends everything that was started.
+func (w *world) close() {
+	for _, p := range append(append([]*process{}, w.entries...), w.sidecars...) {
+		p.stop()
+	}
+	w.running.Wait()
+	for _, l := range append(append([]*Proxy{}, w.storeLinks...), w.runnerLinks...) {
+		l.Close()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/standin/site/origin.go
@@ -0,0 +1,48 @@
+package site
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Size of the stand-in's weights.
+const (
+	Chunks     = 16
+	ChunkBytes = 8 << 10
+)
+
+// Chunk returns chunk i of a version.
+func Chunk(version int64, i int) []byte {
+	return bytes.Repeat([]byte(fmt.Sprintf("%03d%05d", version%1000, i)), ChunkBytes/8)
+}
+
+// Origin is a stand-in of the origin of weights.
+type Origin struct{}
+
+// ServeHTTP implements http.Handler.
+func (Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "which version?", http.StatusBadRequest)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, "/piece/") {
+		i, _ := strconv.Atoi(r.URL.Query().Get("num"))
+		_, _ = w.Write(Chunk(version, i))
+		return
+	}
+	digests := make([]string, Chunks)
+	for i := range digests {
+		sum := sha256.Sum256(Chunk(version, i))
+		digests[i] = hex.EncodeToString(sum[:])
+	}
+	answer(w, http.StatusOK, struct {
+		ChunkBytes int      `json:"chunk_bytes"`
+		Digests    []string `json:"digests"`
+	}{ChunkBytes, digests})
+}
--- /dev/null
+++ b/standin/site/runner.go
@@ -0,0 +1,227 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Events is how many events a stand-in's stream has.
+const Events = 8
+
+// Timing of a stand-in runner.
+const (
+	eventPause = 20 * time.Millisecond
+	workTime   = 10 * time.Millisecond
+	warmTime   = 50 * time.Millisecond
+)
+
+// RunnerConfig holds a Runner's settings.
+type RunnerConfig struct {
+	// ID names this life; Service and Zone stand in its record, with Address.
+	ID, Service, Zone, Address string
+	// Model is empty for a plain endpoint.
+	Model string
+	Slots int
+	// Witness is told of all that runs.
+	Witness *Witness
+	// Store takes the record.
+	Store *Store
+}
+
+// Runner is a stand-in of an endpoint. It is safe for concurrent use.
+type Runner struct {
+	cfg RunnerConfig
+
+	mu       sync.Mutex
+	version  int64
+	sequence int64
+	staged   [Chunks][]byte
+	running  int
+	leaving  bool
+}
+
+// NewRunner returns a Runner that holds a version of its model, 0 for none, and
+// records it in the store.
+func NewRunner(cfg RunnerConfig, version int64) *Runner {
+	r := &Runner{cfg: cfg, version: version}
+	r.record()
+	return r
+}
+
+// Leave states that the runner leaves.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.record()
+}
+
+// record writes the runner's record.
+func (r *Runner) record() {
+	r.mu.Lock()
+	state := "ready"
+	if r.leaving {
+		state = "draining"
+	}
+	spec := map[string]any{"service": r.cfg.Service, "address": r.cfg.Address, "zone": r.cfg.Zone, "slots": r.cfg.Slots,
+		"state": state, "models": r.models()}
+	r.mu.Unlock()
+	r.cfg.Store.Put("servers", r.cfg.ID, spec)
+}
+
+// models returns what the runner tells of its model. The caller holds the lock.
+func (r *Runner) models() []any {
+	if r.cfg.Model == "" || r.version == 0 {
+		return []any{}
+	}
+	return []any{map[string]any{"name": r.cfg.Model, "version": r.version}}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	switch {
+	case q.URL.Path == "/report":
+		r.report(w)
+	case q.URL.Path == "/order":
+		r.order(w, q)
+	case strings.HasPrefix(q.URL.Path, "/stage-"):
+		r.stage(w, q)
+	default:
+		r.serve(w, q)
+	}
+}
+
+func (r *Runner) report(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"models": r.models(), "busy": false, "sequence": r.sequence, "running": r.running})
+}
+
+func (r *Runner) order(w http.ResponseWriter, q *http.Request) {
+	var o struct {
+		Version  int64 `json:"version"`
+		Expected int64 `json:"expected_revision"`
+	}
+	if json.NewDecoder(q.Body).Decode(&o) != nil {
+		http.Error(w, "no order", http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	if o.Expected != r.sequence {
+		r.mu.Unlock()
+		http.Error(w, "another sequence", http.StatusConflict)
+		return
+	}
+	r.sequence++
+	for i, data := range r.staged {
+		if !bytes.Equal(data, Chunk(o.Version, i)) {
+			r.cfg.Witness.Broken("runner %s was ordered to load version %d with chunk %d missing or spoilt", r.cfg.ID, o.Version, i)
+		}
+	}
+	r.mu.Unlock()
+	w.WriteHeader(http.StatusAccepted)
+	time.AfterFunc(warmTime, func() {
+		r.mu.Lock()
+		r.version = o.Version
+		r.mu.Unlock()
+		r.record()
+	})
+}
+
+func (r *Runner) stage(w http.ResponseWriter, q *http.Request) {
+	i, err := strconv.Atoi(q.URL.Query().Get("num"))
+	if err != nil || i < 0 || i >= Chunks {
+		http.Error(w, "no such chunk", http.StatusBadRequest)
+		return
+	}
+	if q.Method == http.MethodPut {
+		data, err := io.ReadAll(q.Body)
+		if err == nil {
+			r.mu.Lock()
+			r.staged[i] = data
+			r.mu.Unlock()
+		}
+		return
+	}
+	r.mu.Lock()
+	data := r.staged[i]
+	r.mu.Unlock()
+	if data == nil {
+		http.NotFound(w, q)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+// serve runs a request, unless it is for another endpoint or there is no slot.
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("X-Silverdeck-Attempt-Id")
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("X-Silverdeck-Attempt-Id", id)
+	if want := q.Header.Get("X-Silverdeck-Expect-Instance"); want != "" && want != r.cfg.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !r.enter() {
+		w.Header().Set("X-Silverdeck-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.leave()
+	r.cfg.Witness.Ran(id, string(body), q.Header.Get("X-Silverdeck-Tenant"))
+	w.Header().Set("X-Silverdeck-Response-Stamp", r.cfg.ID)
+	if r.cfg.Model == "" {
+		time.Sleep(workTime)
+		_, _ = io.WriteString(w, Answer(id, string(body)))
+		return
+	}
+	r.stream(w, q, id)
+}
+
+// Answer returns the body of a plain answer.
+func Answer(id, body string) string {
+	return "answer to " + id + ": " + body
+}
+
+// Event returns an event of a stream.
+func Event(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
+}
+
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, id string) {
+	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := first + 1; n <= Events; n++ {
+		time.Sleep(eventPause)
+		if _, err := io.WriteString(w, Event(id, n)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func (r *Runner) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running >= 2*r.cfg.Slots || (r.cfg.Model != "" && r.version == 0) {
+		return false
+	}
+	r.running++
+	return true
+}
+
+func (r *Runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
