--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,7 +89,7 @@
 	// readingUnit is the time of reading that counts as one request for each slot.
 	readingUnit = 250 * time.Millisecond
 	// olderWeights is added for a resumed request.
-	olderWeights = 0.2
+	olderWeights = 1.0
 )
 
 // New returns a Balancer for an entry in zone. others returns how many
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,7 +56,11 @@
 	if last.Code == verdict.CodeUnreachable {
 		return true // nothing arrived anywhere
 	}
-	return g.cfg.Budget.Repeat(j.service, time.Now())
+	use := Retry
+	if j.begun {
+		use = Resume
+	}
+	return g.cfg.Budget.Repeat(j.service, use, time.Now())
 }
 
 // final returns the failure as the caller is told it.
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -45,8 +45,24 @@
 	h.requests[h.step%windowSteps]++
 }
 
+// Use says what a repeated request is for.
+type Use int
+
+// The uses of the budget.
+const (
+	// Retry is a request of which the caller has got nothing yet; it can be
+	// told to come back.
+	Retry Use = iota
+	// Resume is the rest of an answer that the caller has got in part.
+	Resume
+)
+
+// retryPart is the part of the budget that retries may use; the rest is kept
+// for answers that would otherwise be cut.
+const retryPart = 0.6
+
 // Repeat takes one repeated request for service and returns whether there was one.
-func (b *Budget) Repeat(service string, now time.Time) bool {
+func (b *Budget) Repeat(service string, use Use, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(service, now)
@@ -60,6 +76,9 @@
 		allowed += b.extra / float64(n)
 	}
 	allowed *= budgetSafety
+	if use == Retry {
+		allowed *= retryPart
+	}
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -131,7 +131,8 @@
 	}
 	if err != nil {
 		c.result.Cut.Add(1)
-		if ctx.Err() == nil && entry.onlyPlanned(began) && c.world.calm(began) && c.world.witness.Of(id).Count > 0 {
+		inTime := time.Since(began) < limit.Truncate(time.Millisecond)
+		if inTime && entry.onlyPlanned(began) && c.world.calm(began) && c.world.witness.Of(id).Count > 0 {
 			c.world.witness.Broken("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
 		}
 	}
