--- /dev/null
+++ b/edge/learn.go
@@ -0,0 +1,138 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/silverdeck/silverdeck/balance"
+	"github.com/silverdeck/silverdeck/member"
+	"github.com/silverdeck/silverdeck/mirror"
+	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// notice takes in what the process beside an endpoint tells.
+func (e *Edge) notice(n member.Notice) {
+	pause := time.Duration(n.PauseMS) * time.Millisecond
+	e.log.Info("notice", "addr", n.Addr, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version)
+	e.balancer.Notice(n.Addr, time.Now().Add(pause), roster.Weights{Model: n.Model, Version: n.Version})
+}
+
+// catchUp takes the copy of kind from another entry that knows more.
+func (e *Edge) catchUp(m *mirror.Mirror, kind, addr string, revision int64) {
+	state, err := fetchState(context.Background(), e.pool, addr, kind)
+	if err != nil {
+		e.log.Debug("no copy from another entry", "kind", kind, "peer", addr, "err", err)
+		return
+	}
+	if m.Take(state) {
+		e.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", revision)
+	}
+}
+
+func (e *Edge) useConfig(s *mirror.State) {
+	stored, found := s.Objects[platform.ConfigName]
+	if !found {
+		return
+	}
+	o, err := platform.DecodeObject(stored.Data)
+	if err != nil {
+		e.log.Error("bad configuration", "err", err)
+		return
+	}
+	config, err := platform.DecodeConfig(o)
+	if err != nil {
+		e.log.Error("bad configuration", "revision", stored.Revision, "err", err)
+		return
+	}
+	if e.gateway.Use(config) {
+		e.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
+	}
+}
+
+func (e *Edge) useEndpoints(s *mirror.State) {
+	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
+	addrs := map[string]bool{}
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			e.log.Error("bad endpoint", "endpoint", name, "err", err)
+			continue
+		}
+		endpoint, err := platform.DecodeEndpoint(o)
+		if err != nil {
+			e.log.Error("bad endpoint", "endpoint", name, "err", err)
+			continue
+		}
+		list.Endpoints[name] = endpoint
+		addrs[endpoint.Addr] = true
+	}
+	e.logRoster(e.roster.Swap(list), list)
+	e.balancer.Update(list)
+	e.client.Keep(addrs, time.Now())
+}
+
+// logBelief writes a line when an endpoint is left alone or used again.
+func (e *Edge) logBelief(b balance.Belief) {
+	e.log.Info("endpoint health", "endpoint", b.Endpoint, "change", b.Change.String(),
+		"failures", b.Failures, "forMs", time.Until(b.Until).Milliseconds())
+}
+
+// logRoster writes a line for each endpoint that changed.
+func (e *Edge) logRoster(old, list *roster.List) {
+	for name, now := range list.Endpoints {
+		var before *roster.Endpoint
+		if old != nil {
+			before = old.Endpoints[name]
+		}
+		if before == nil || before.Leaving != now.Leaving || len(before.Weights) != len(now.Weights) ||
+			(len(now.Weights) > 0 && before.Weights[0] != now.Weights[0]) {
+			e.log.Info("endpoint", "endpoint", name, "service", now.Service, "addr", now.Addr, "zone", now.Zone,
+				"leaving", now.Leaving, "weights", now.Weights, "revision", list.Revision)
+		}
+	}
+	if old == nil {
+		return
+	}
+	for name := range old.Endpoints {
+		if list.Endpoints[name] == nil {
+			e.log.Info("endpoint gone", "endpoint", name, "revision", list.Revision)
+		}
+	}
+}
+
+func (e *Edge) useVersions(s *mirror.State) {
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			e.log.Error("bad version", "name", name, "err", err)
+			continue
+		}
+		v, err := platform.DecodeVersion(o)
+		if err != nil {
+			e.log.Error("bad version", "name", name, "err", err)
+			continue
+		}
+		if e.versions.named(v.Model, v.Version, time.Now()) {
+			e.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision)
+		}
+	}
+}
+
+func (e *Edge) useMembers(s *mirror.State) {
+	var entries []member.Entry
+	for name, stored := range s.Objects {
+		o, err := platform.DecodeObject(stored.Data)
+		if err != nil {
+			e.log.Error("bad entry", "name", name, "err", err)
+			continue
+		}
+		entry, err := platform.DecodeMember(o)
+		if err != nil {
+			e.log.Error("bad entry", "name", name, "err", err)
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	e.table.Know(entries)
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -177,7 +178,7 @@
 	reader := bufio.NewReader(resp.Body)
 	for n := 1; ; n++ {
 		event, err := readEvent(reader)
-		if err == io.EOF && event == "" {
+		if errors.Is(err, io.EOF) && event == "" {
 			if n != site.Events+1 {
 				c.world.witness.Broken("stream %s ended as whole after %d events", id, n-1)
 			}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -133,7 +134,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if t, ok := to.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
