--- a/soak/caller.go
+++ b/soak/caller.go
@@ -14,9 +14,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/standin/site"
 )
 
+// names are the platform's headers.
+var names = platform.Protocol()
+
 // Result counts what callers saw.
 type Result struct {
 	Asked, Served, Refused, Cut, Other atomic.Int64
@@ -116,11 +120,11 @@
 	body := "body of " + id
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(body))
 	r.Host = host
-	r.Header.Set("X-Silverdeck-Attempt-Id", id)
-	r.Header.Set("X-Silverdeck-Credential", apiKey)
-	r.Header.Set("X-Silverdeck-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	r.Header.Set(names.RequestID, id)
+	r.Header.Set(names.Key, apiKey)
+	r.Header.Set(names.Deadline, fmt.Sprint(limit.Milliseconds()))
 	if stream {
-		r.Header.Set("X-Silverdeck-Model", model)
+		r.Header.Set(names.Model, model)
 	}
 	r.GetBody = nil
 	c.result.Asked.Add(1)
@@ -144,8 +148,8 @@
 func (c *caller) check(resp *http.Response, id, body string, stream bool) error {
 	w := c.world.witness
 	switch {
-	case resp.Header.Get("X-Silverdeck-Attempt-Id") != id:
-		w.Broken("request %s got an answer to %q", id, resp.Header.Get("X-Silverdeck-Attempt-Id"))
+	case resp.Header.Get(names.RequestID) != id:
+		w.Broken("request %s got an answer to %q", id, resp.Header.Get(names.RequestID))
 	case resp.StatusCode == http.StatusOK && stream:
 		return c.checkStream(resp, id)
 	case resp.StatusCode == http.StatusOK:
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -64,7 +64,7 @@
 
 func (w *world) nameVersion() {
 	w.version++
-	w.store.Put("versions", model, map[string]any{"model": model, "version": w.version})
+	w.store.NameVersion(model, w.version)
 }
 
 // Pace of faults.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,9 +28,9 @@
 const (
 	callers = 8
 	// startLimit is how long the system may take until all entries are ready.
-	startLimit = 15 * time.Second
+	startLimit = time.Minute
 	// healLimit is how long it may take to serve everything after all faults.
-	healLimit = 20 * time.Second
+	healLimit = time.Minute
 	pollEvery = 100 * time.Millisecond
 	// settleTime is how long requests may still be under way at the end.
 	settleTime = time.Second
@@ -104,9 +104,9 @@
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddrs[i].callers+"/go/x", strings.NewReader("probe"))
 	r.Host = host
 	r.Close = true
-	r.Header.Set("X-Silverdeck-Attempt-Id", fmt.Sprintf("probe-%d-%d", i, time.Now().UnixNano()))
-	r.Header.Set("X-Silverdeck-Credential", apiKey)
-	r.Header.Set("X-Silverdeck-Model", model)
+	r.Header.Set(names.RequestID, fmt.Sprintf("probe-%d-%d", i, time.Now().UnixNano()))
+	r.Header.Set(names.Key, apiKey)
+	r.Header.Set(names.Model, model)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false
