gateway: callers come back when endpoints may be there; decoders of the adapter take objects as they come

Cause: callers told to come back after 0.3 s came back into the same outage and were refused for good. The test of full endpoints expects the new time.

--- a/edge/learn.go
+++ b/edge/learn.go
@@ -35,12 +35,7 @@
 	if !found {
 		return
 	}
-	o, err := platform.DecodeObject(stored.Data)
-	if err != nil {
-		e.log.Error("bad configuration", "err", err)
-		return
-	}
-	config, err := platform.DecodeConfig(o)
+	config, err := platform.DecodeConfig(stored.Data)
 	if err != nil {
 		e.log.Error("bad configuration", "revision", stored.Revision, "err", err)
 		return
@@ -54,12 +49,7 @@
 	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
 	addrs := map[string]bool{}
 	for name, stored := range s.Objects {
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			e.log.Error("bad endpoint", "endpoint", name, "err", err)
-			continue
-		}
-		endpoint, err := platform.DecodeEndpoint(o)
+		endpoint, err := platform.DecodeEndpoint(stored.Data)
 		if err != nil {
 			e.log.Error("bad endpoint", "endpoint", name, "err", err)
 			continue
@@ -103,12 +93,7 @@
 
 func (e *Edge) useVersions(s *mirror.State) {
 	for name, stored := range s.Objects {
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			e.log.Error("bad version", "name", name, "err", err)
-			continue
-		}
-		v, err := platform.DecodeVersion(o)
+		v, err := platform.DecodeVersion(stored.Data)
 		if err != nil {
 			e.log.Error("bad version", "name", name, "err", err)
 			continue
@@ -122,17 +107,12 @@
 func (e *Edge) useMembers(s *mirror.State) {
 	var entries []member.Entry
 	for name, stored := range s.Objects {
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			e.log.Error("bad entry", "name", name, "err", err)
-			continue
-		}
-		entry, err := platform.DecodeMember(o)
+		entry, err := platform.DecodeMember(stored.Data)
 		if err != nil {
 			e.log.Error("bad entry", "name", name, "err", err)
 			continue
 		}
-		entries = append(entries, entry)
+		entries = append(entries, *entry)
 	}
 	e.table.Know(entries)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,12 +72,21 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		e.Code = verdict.CodeCanceled
 	}
-	if e.Verdict == verdict.NotRun && e.RetryAfter == 0 {
-		e.RetryAfter = retrySoon
+	if e.Verdict == verdict.NotRun {
+		e.RetryAfter = j.comeBack(e.RetryAfter)
 	}
 	return &e
 }
 
+// comeBack returns when the caller should come back: after wanted, and so that
+// enough of its time is left.
+func (j *job) comeBack(wanted time.Duration) time.Duration {
+	if wanted == 0 {
+		wanted = retrySoon
+	}
+	return min(wanted, max(time.Until(j.endsAt)/callerPatience, retrySoon))
+}
+
 // codeFull is the reason when no endpoint has room.
 const codeFull verdict.Code = "full"
 
@@ -136,9 +145,9 @@
 		return lease, nil
 	}
 	if shortage == balance.AllFull {
-		return nil, verdict.NewError(verdict.NotRun, codeFull, "all endpoints of %s are full", j.service).After(retrySoon)
+		return nil, verdict.NewError(verdict.NotRun, codeFull, "all endpoints of %s are full", j.service).After(retryFull)
 	}
-	return nil, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no endpoint of %s", j.service).After(retrySoon)
+	return nil, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no endpoint of %s", j.service).After(retryMissing)
 }
 
 // reading returns the time that an engine takes to read the prompt.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,8 +106,14 @@
 
 // Refusals.
 const (
-	retrySoon    = 300 * time.Millisecond
-	retryNoRoute = time.Second
+	retrySoon = 300 * time.Millisecond
+	// retryFull and retryMissing are when a caller should come back if all
+	// endpoints are full, and if there is none: new ones take some seconds.
+	retryFull    = 800 * time.Millisecond
+	retryMissing = 2 * time.Second
+	// callerPatience is the part of their time that callers wait: a third.
+	callerPatience = 3
+	retryNoRoute   = time.Second
 	// defaultDeadline stands for a caller that tells none.
 	defaultDeadline = 30 * time.Second
 	defaultBody     = 4 << 20
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -365,11 +365,24 @@
 		a := w.ask("POST", "/stream/", "x")
 		w.g.Expect(a.Code).To(Equal(503))
 		w.g.Expect(a.took).To(BeZero())
-		w.g.Expect(a.Header().Get("Retry-After")).To(Equal("0.300"))
+		w.g.Expect(a.Header().Get("Retry-After")).To(Equal("0.800"))
 		w.g.Expect(w.endpoints["e0"].count()).To(Equal(3))
 	}, always(hang))
 }
 
+func TestCallersComeBackWhenEndpointsMayBeThereAndWhileTheyHaveTime(t *testing.T) {
+	for deadline, want := range map[string]string{"6000": "2.000", "3000": "1.000", "600": "0.300"} {
+		t.Run(deadline, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("POST", "/stream/", "x", "Model", "another", "Deadline", deadline)
+				w.g.Expect(a.Code).To(Equal(503))
+				w.g.Expect(a.took).To(BeZero())
+				w.g.Expect(a.Header().Get("Retry-After")).To(Equal(want))
+			}, always(hang))
+		})
+	}
+}
+
 func TestALeavingEntryEndsItsConnections(t *testing.T) {
 	play(t, func(w *world) {
 		w.gateway.Leave()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -142,12 +142,7 @@
 	first := !c.began
 	c.began = true
 	for name, stored := range s.Objects {
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			c.log.Error("bad version", "name", name, "err", err)
-			continue
-		}
-		v, err := platform.DecodeVersion(o)
+		v, err := platform.DecodeVersion(stored.Data)
 		if err != nil {
 			c.log.Error("bad version", "name", name, "err", err)
 			continue
@@ -193,11 +188,7 @@
 	}
 	out := []swarm.Member{{VM: c.site.Peer, Addr: c.site.Peer, Zone: c.site.Zone, Region: c.site.Region}}
 	for _, stored := range objects {
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			return nil, err
-		}
-		e, err := platform.DecodeEndpoint(o)
+		e, err := platform.DecodeEndpoint(stored.Data)
 		if err != nil {
 			return nil, err
 		}
@@ -242,11 +233,7 @@
 	}
 	addrs := []string{}
 	for _, stored := range objects {
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			continue
-		}
-		if e, err := platform.DecodeMember(o); err == nil {
+		if e, err := platform.DecodeMember(stored.Data); err == nil {
 			addrs = append(addrs, e.Peer)
 		}
 	}
@@ -296,11 +283,7 @@
 		if stored.Name != platform.ConfigName {
 			continue
 		}
-		o, err := platform.DecodeObject(stored.Data)
-		if err != nil {
-			return nil, err
-		}
-		return platform.DecodeConfig(o)
+		return platform.DecodeConfig(stored.Data)
 	}
 	return nil, errNoConfig
 }
