mirror: a watch without news skips nothing; copies are compared by their changes

A watch that ends without events no longer moves the revision on, and another entry's copy is taken when it has newer changes, whatever revision this one had confirmed.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -149,11 +149,11 @@
 	}
 }
 
-// Take takes in a state that was had from elsewhere, if it is newer.
+// Take takes in a state that was had from elsewhere, if it has newer changes.
 func (m *Mirror) Take(s *State) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s.Revision <= m.State().Revision {
+	if s.Changed <= m.State().Changed {
 		return false
 	}
 	m.set(s)
@@ -225,14 +225,16 @@
 		return
 	}
 	if len(events) == 0 {
-		m.state.Store(&State{Revision: at, Changed: base.Changed, Objects: base.Objects})
+		// The revision stays: a store that loses watches may tell one that is
+		// past changes of which this watch heard nothing.
 		return
 	}
-	s := &State{Revision: at, Changed: at, Objects: make(map[string]Object, len(base.Objects)+len(events))}
+	s := &State{Revision: at, Changed: base.Changed, Objects: make(map[string]Object, len(base.Objects)+len(events))}
 	for name, o := range base.Objects {
 		s.Objects[name] = o
 	}
 	for _, e := range events {
+		s.Changed = max(s.Changed, e.Object.Revision)
 		if e.Gone {
 			delete(s.Objects, e.Object.Name)
 			continue
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -24,10 +24,12 @@
 	changed  chan struct{}
 	// oldest is the first revision whose changes are still known.
 	oldest int64
-	// deaf makes watches hear nothing, not even their end.
-	deaf  bool
-	down  bool
-	calls int
+	// deaf makes watches hear nothing, not even their end; hushed ones end, and
+	// tell a revision that is past what they did not hear.
+	deaf   bool
+	hushed bool
+	down   bool
+	calls  int
 }
 
 type event struct {
@@ -93,6 +95,9 @@
 	for {
 		s.mu.Lock()
 		events, at, changed, deaf := s.since(revision), s.revision, s.changed, s.deaf
+		if s.hushed {
+			events = nil
+		}
 		s.mu.Unlock()
 		if deaf {
 			return s.silence(ctx, hold)
@@ -193,6 +198,17 @@
 	})
 }
 
+func TestAWatchThatEndsWithoutNewsSkipsNothing(t *testing.T) {
+	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
+		s.set(func() { s.hushed = true })
+		s.change("b", false)
+		time.Sleep(hold + 100*time.Millisecond)
+		s.set(func() { s.hushed = false })
+		time.Sleep(hold + time.Second)
+		g.Expect(names(m)).To(ConsistOf("a", "b"))
+	})
+}
+
 func TestAMirrorThatHearsOfMoreListsAtOnce(t *testing.T) {
 	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
 		s.set(func() { s.deaf = true })
@@ -210,7 +226,8 @@
 		newer := &mirror.State{Revision: 9, Changed: 9, Objects: map[string]mirror.Object{"z": {Name: "z", Revision: 9}}}
 		g.Expect(m.Take(newer)).To(BeTrue())
 		g.Expect(names(m)).To(ConsistOf("z"))
-		g.Expect(m.Take(&mirror.State{Revision: 8})).To(BeFalse())
+		g.Expect(m.Take(&mirror.State{Revision: 12, Changed: 8})).To(BeFalse(), "confirmed later, and older")
+		g.Expect(m.Take(&mirror.State{Revision: 8, Changed: 8})).To(BeFalse())
 		g.Expect(names(m)).To(ConsistOf("z"))
 	})
 }
