balance: an entry fills its own endpoints and leaves those of others room; a place at a busy endpoint is kept

Waits of 1.2 s in a queue were taken for lost answers, given up without budget to go elsewhere, and ended as 504 (5776).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -186,12 +186,13 @@
 	var bestCost, spareCost float64
 	full := false
 	newest := s.newest(q.Model)
+	owns := s.owns()
 	for _, e := range s.endpoints {
 		if !e.fits(q) {
 			continue
 		}
 		load := e.load(b.others)
-		if q.Room > 0 && load >= q.Room {
+		if q.Room > 0 && load >= e.room(q.Room, owns) {
 			full = true
 			continue
 		}
@@ -212,6 +213,29 @@
 	return best, full
 }
 
+// spareRoom is the load up to which an entry uses other entries' endpoints.
+// What it knows of them is some time old: when almost all are full, all entries
+// would send to the few that seem not to be.
+const spareRoom = 0.8
+
+// room returns the load at which e is full for this entry.
+func (e *endpoint) room(limit float64, owns bool) float64 {
+	if e.owned || !owns {
+		return limit
+	}
+	return min(limit, spareRoom)
+}
+
+// owns returns whether this entry owns endpoints of the service.
+func (s *shard) owns() bool {
+	for _, e := range s.endpoints {
+		if e.owned {
+			return true
+		}
+	}
+	return false
+}
+
 // penalty returns what speaks against e besides its load.
 func (b *Balancer) penalty(e *endpoint, q *Query, newest int64) float64 {
 	cost := float64(e.reading) / float64(readingUnit)
@@ -331,7 +355,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.endpoints {
-		if e.fits(q) && e.health.usable(now) {
+		if e.fits(q) && e.health.usable(now) && (q.Room == 0 || e.load(b.others) < q.Room) {
 			return true
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -99,6 +99,33 @@
 		first.Begun()
 	})
 
+	It("fills its own endpoints and leaves those of others some room", func() {
+		l := endpoints(2)
+		for _, e := range l.Endpoints {
+			e.Slots = 10
+		}
+		b := balancer(l)
+		b.Own(map[string]bool{"e0": true})
+		q := balance.Query{Service: "s", Room: 1.2}
+		got := map[string]int{}
+		for {
+			lease, _ := b.Pick(&q, now)
+			if lease == nil {
+				break
+			}
+			got[lease.Record.ID]++
+		}
+		Expect(got).To(Equal(map[string]int{"e0": 12, "e1": 8}))
+	})
+
+	It("fills all endpoints when it owns none", func() {
+		b := balancer(endpoints(1))
+		q := balance.Query{Service: "s", Room: 1}
+		pick(b, q, now)
+		pick(b, q, now)
+		Expect(b.Has(&q, now)).To(BeFalse())
+	})
+
 	It("leaves out endpoints that leave, were tried or hold old weights", func() {
 		l := endpoints(4)
 		l.Endpoints["e0"].Leaving = true
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,11 +56,7 @@
 	if last.Code == verdict.CodeUnreachable {
 		return true // nothing arrived anywhere
 	}
-	use := Retry
-	if j.begun {
-		use = Resume
-	}
-	return g.cfg.Budget.Repeat(j.service, use, time.Now())
+	return g.cfg.Budget.Repeat(j.service, j.use(), time.Now())
 }
 
 // final returns the failure as the caller is told it.
@@ -202,8 +198,26 @@
 		case lease.Silence(sent, now) > limit:
 			return true
 		}
-		return now.Sub(later(sent, j.eventAt)) > g.ownSilence(j)
+		return now.Sub(later(sent, j.eventAt)) > g.ownSilence(j) && g.better(j, now)
+	}
+}
+
+// idleRoom is the load below which an endpoint is worth leaving another for.
+const idleRoom = 0.8
+
+// better returns whether the request could go on at an endpoint with room now.
+// Else its place at a busy one is the best that there is.
+func (g *Gateway) better(j *job, now time.Time) bool {
+	q := &balance.Query{Service: j.service, Exclude: j.tried, Model: j.model, MinVersion: g.cfg.Floor(j.model), Room: idleRoom}
+	return g.cfg.Balancer.Has(q, now) && g.cfg.Budget.Left(j.service, j.use(), now)
+}
+
+// use returns what a repetition of the request now would be for.
+func (j *job) use() Use {
+	if j.begun {
+		return Resume
 	}
+	return Retry
 }
 
 // ownSilence returns for how long a stream may be silent although its endpoint
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -66,6 +66,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(service, now)
+	if !b.left(h, use) {
+		return false
+	}
+	h.repeats[h.step%windowSteps]++
+	return true
+}
+
+// Left returns whether a repeated request for service could be taken now.
+func (b *Budget) Left(service string, use Use, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.history(service, now), use)
+}
+
+// left returns whether h has room for one repeated request. The caller holds
+// the lock.
+func (b *Budget) left(h *history, use Use) bool {
 	requests, repeats := 0, 0
 	for i := range windowSteps {
 		requests += h.requests[i]
@@ -79,11 +96,7 @@
 	if use == Retry {
 		allowed *= retryPart
 	}
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	h.repeats[h.step%windowSteps]++
-	return true
+	return float64(repeats+1) <= allowed
 }
 
 // history returns the counts for service, slid on to now.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -324,6 +324,18 @@
 	}
 }
 
+func TestAStreamWaitsOnWhereItIsWhenNoOtherHasRoom(t *testing.T) {
+	play(t, func(w *world) {
+		done := make(chan answer)
+		go func() { done <- w.ask("POST", "/stream/", "x") }()
+		time.Sleep(10 * time.Millisecond)
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.Body.String()).To(Equal(stream(7)))
+		w.g.Expect(a.took).To(Equal(1500 * time.Millisecond))
+		<-done
+	}, []step{events(300*time.Millisecond, end, 1, 2, 3, 4, 5, 6, 7, 8, 9), events(1500*time.Millisecond, end, 7)})
+}
+
 func TestAStreamThatWaitsAtOldWeightsIsWithdrawnInTime(t *testing.T) {
 	play(t, func(w *world) {
 		time.AfterFunc(200*time.Millisecond, func() {
