gateway: begun streams go on at full endpoints; silence counts only while others are heard

Copies now come from different entries and later, silence needs somebody else to be heard, a begun stream ignores the limit of room, and is not given up without a place to go on.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,8 @@
 	zone   string
 	others func(id string) int
 	random func() float64
+	// heardAt is when anything was last heard, in Unix nanoseconds; see Touch.
+	heardAt *atomic.Int64
 	// observe hears of changes of belief; nil means nobody does.
 	observe func(Belief)
 
@@ -95,7 +97,13 @@
 // New returns a Balancer for an entry in zone. others returns how many
 // requests other entries have at an endpoint.
 func New(zone string, others func(id string) int, random func() float64) *Balancer {
-	return &Balancer{zone: zone, others: others, random: random, services: map[string]*shard{}}
+	return &Balancer{zone: zone, others: others, random: random, heardAt: &atomic.Int64{}, services: map[string]*shard{}}
+}
+
+// Touch notes that something was heard from outside, so that this entry and its
+// link are well. While nothing is heard at all, no endpoint counts as silent.
+func (b *Balancer) Touch(now time.Time) {
+	b.heardAt.Store(now.UnixNano())
 }
 
 // Update takes in the list of endpoints. What is known of those that stay is kept.
@@ -166,7 +174,7 @@
 	best.inFlight++
 	best.reading += q.Reading
 	best.health.tried(now)
-	return &Lease{shard: s, endpoint: best, Record: best.record, reading: q.Reading, observe: b.observe}, 0
+	return &Lease{shard: s, endpoint: best, Record: best.record, reading: q.Reading, observe: b.observe, heardAt: b.heardAt}, 0
 }
 
 // Shortage says why no endpoint was chosen.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -204,10 +204,20 @@
 		b := balancer(endpoints(1))
 		one, other := pick(b, s, now), pick(b, s, now)
 		other.Heard(at(300))
+		b.Touch(at(650))
 		Expect(one.Silence(now, at(700))).To(Equal(400 * time.Millisecond))
 		Expect(one.Silence(at(500), at(700))).To(Equal(200 * time.Millisecond))
 	})
 
+	It("puts it down to itself when it hears nobody", func() {
+		b := balancer(endpoints(1))
+		lease := pick(b, s, now)
+		lease.Heard(at(100))
+		Expect(lease.Silence(now, at(5000))).To(BeZero())
+		b.Touch(at(4900))
+		Expect(lease.Silence(now, at(5000))).To(Equal(4900 * time.Millisecond))
+	})
+
 	It("counts each request until it is done", func() {
 		b := balancer(endpoints(1))
 		l := pick(b, s, now)
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/silverdeck/silverdeck/roster"
@@ -14,6 +15,7 @@
 	shard    *shard
 	endpoint *endpoint
 	observe  func(Belief)
+	heardAt  *atomic.Int64
 	// reading is what the endpoint has yet to read for the request.
 	reading time.Duration
 }
@@ -40,15 +42,25 @@
 // Heard notes that bytes of an answer came from the endpoint.
 func (l *Lease) Heard(now time.Time) {
 	l.endpoint.heardAt.Store(now.UnixNano())
+	l.heardAt.Store(now.UnixNano())
 }
 
+// deafness is for how long nothing at all may be heard before that is put down
+// to this entry or its link.
+const deafness = 300 * time.Millisecond
+
 // Silence returns for how long nothing came from the endpoint, for this or any
-// other request of this entry, at most since.
+// other request of this entry, at most since. The time in which nothing was
+// heard from anybody does not count.
 func (l *Lease) Silence(since, now time.Time) time.Duration {
 	if heard := time.Unix(0, l.endpoint.heardAt.Load()); heard.After(since) {
 		since = heard
 	}
-	return now.Sub(since)
+	until := now
+	if last := time.Unix(0, l.heardAt.Load()); now.Sub(last) > deafness {
+		until = last
+	}
+	return max(until.Sub(since), 0)
 }
 
 // Done gives the place back and notes the outcome.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,8 +40,11 @@
 	stopMargin = 400 * time.Millisecond
 	// registerPause is the time between two tries to register in the store.
 	registerPause = 500 * time.Millisecond
-	// behindLimit is how long another entry may know more before it is asked.
-	behindLimit = 250 * time.Millisecond
+	// behindEach, for each entry that is alive, is how long another may know more
+	// before it is asked for its copy: the store's own answer may be under way.
+	behindEach     = 30 * time.Millisecond
+	shortestBehind = 250 * time.Millisecond
+	longestBehind  = time.Second
 	// holdEach is a watch's hold for each entry that is alive.
 	holdEach = time.Second
 	// gatherEach is for how long changes are gathered for each entry that is alive.
@@ -145,6 +148,11 @@
 	return min(10*gatherEach*time.Duration(e.table.Size()), longestGather)
 }
 
+// behindLimit returns how long another entry may know more before it is asked.
+func (e *Edge) behindLimit() time.Duration {
+	return min(max(behindEach*time.Duration(e.table.Size()), shortestBehind), longestBehind)
+}
+
 // watchHold returns for how long a watch may stay unanswered: the more entries
 // there are, the sooner one of them finds out for all that watches were lost.
 func (e *Edge) watchHold() time.Duration {
@@ -162,7 +170,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	beater := member.NewBeater(conn, e.table, member.Handlers{Describe: e.describe, After: e.afterBeat, Notice: e.notice})
+	beater := member.NewBeater(conn, e.table, member.Handlers{Describe: e.describe, After: e.afterBeat, Notice: e.notice, Heard: func() { e.balancer.Touch(time.Now()) }})
 	go beater.Run(ctx)
 	for _, m := range e.mirrors {
 		go m.Run(ctx)
@@ -225,9 +233,12 @@
 	for _, name := range e.table.Arrived() {
 		e.log.Info("entry heard", "entry", name)
 	}
+	if e.table.Size() == 1 {
+		e.balancer.Touch(time.Now())
+	}
 	for kind, m := range e.mirrors {
-		revision, addr := e.table.Ahead(kind)
-		if revision <= m.State().Changed {
+		addr := e.table.Ahead(kind, m.State().Changed, rand.Float64())
+		if addr == "" {
 			delete(e.behindSince, kind)
 			continue
 		}
@@ -236,9 +247,9 @@
 			e.behindSince[kind] = time.Now()
 			continue
 		}
-		if time.Since(since) > behindLimit {
+		if time.Since(since) > e.behindLimit() {
 			e.behindSince[kind] = time.Now()
-			go e.catchUp(m, kind, addr, revision)
+			go e.catchUp(m, kind, addr)
 		}
 	}
 }
--- a/edge/learn.go
+++ b/edge/learn.go
@@ -19,14 +19,14 @@
 }
 
 // catchUp takes the copy of kind from another entry that knows more.
-func (e *Edge) catchUp(m *mirror.Mirror, kind, addr string, revision int64) {
+func (e *Edge) catchUp(m *mirror.Mirror, kind, addr string) {
 	state, err := fetchState(context.Background(), e.pool, addr, kind)
 	if err != nil {
 		e.log.Debug("no copy from another entry", "kind", kind, "peer", addr, "err", err)
 		return
 	}
 	if m.Take(state) {
-		e.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", revision)
+		e.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", state.Changed)
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,6 +133,9 @@
 		q.Model = j.model
 		q.MinVersion = g.cfg.Floor(j.model)
 		q.Room = streamRoom
+		if j.begun {
+			q.Room = anyRoom // it would be cut
+		}
 		q.Reading = j.reading()
 		q.Resumed = len(j.tried) > 0
 	}
@@ -196,19 +199,22 @@
 		case last:
 			return false
 		case lease.Silence(sent, now) > limit:
-			return true
+			return g.better(j, anyRoom, now)
 		}
-		return now.Sub(later(sent, j.eventAt)) > g.ownSilence(j) && g.better(j, now)
+		return now.Sub(later(sent, j.eventAt)) > g.ownSilence(j) && g.better(j, idleRoom, now)
 	}
 }
 
+// anyRoom asks for an endpoint however busy it is.
+const anyRoom = 0
+
 // idleRoom is the load below which an endpoint is worth leaving another for.
 const idleRoom = 0.8
 
-// better returns whether the request could go on at an endpoint with room now.
-// Else its place at a busy one is the best that there is.
-func (g *Gateway) better(j *job, now time.Time) bool {
-	q := &balance.Query{Service: j.service, Exclude: j.tried, Model: j.model, MinVersion: g.cfg.Floor(j.model), Room: idleRoom}
+// better returns whether the request could go on now at an endpoint with a load
+// below room. Else its place is the best that there is.
+func (g *Gateway) better(j *job, room float64, now time.Time) bool {
+	q := &balance.Query{Service: j.service, Exclude: j.tried, Model: j.model, MinVersion: g.cfg.Floor(j.model), Room: room}
 	return g.cfg.Balancer.Has(q, now) && g.cfg.Budget.Left(j.service, j.use(), now)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -324,6 +324,22 @@
 	}
 }
 
+func TestAStreamThatHasBegunGoesOnAtAFullEndpointRatherThanBeCut(t *testing.T) {
+	play(t, func(w *world) {
+		w.balancer.Own(map[string]bool{"e1": true})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 3 {
+			go w.askAs(ctx, "POST", "/stream/", "x", "Key", "secret")
+			time.Sleep(time.Millisecond)
+		}
+		w.balancer.Own(map[string]bool{"e0": true})
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.cut).To(BeFalse())
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3)))
+	}, always(events(50*time.Millisecond, raw(""), 1)), []step{hang, hang, hang, events(50*time.Millisecond, end, 2, 3)})
+}
+
 func TestAStreamWaitsOnWhereItIsWhenNoOtherHasRoom(t *testing.T) {
 	play(t, func(w *world) {
 		done := make(chan answer)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -25,6 +25,7 @@
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/upstream"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // protocol has names of this test's own.
@@ -79,12 +80,22 @@
 			Floor: func(string) int64 { return w.floor.Load() }, Random: func() float64 { return 0 },
 		})
 		w.gateway.Use(configuration())
+		ctx, cancel := context.WithCancel(context.Background())
+		go w.touch(ctx)
 		f(w)
+		cancel()
 		synctest.Wait()
 		w.client.Keep(nil, time.Now())
 	})
 }
 
+// touch lets the entry hear others, as heartbeats do.
+func (w *world) touch(ctx context.Context) {
+	for wait.For(ctx, 100*time.Millisecond) {
+		w.balancer.Touch(time.Now())
+	}
+}
+
 // configuration has a route of each kind on host h.
 func configuration() *routes.Config {
 	target := []routes.Target{{Service: "s", Weight: 1}}
--- a/member/member.go
+++ b/member/member.go
@@ -172,19 +172,23 @@
 	return out
 }
 
-// Ahead returns the highest revision of kind that a live entry knows and that
-// entry's peer address.
-func (t *Table) Ahead(kind string) (int64, string) {
+// Ahead returns the peer address of a live entry that knows more of kind than
+// revision, or "" when there is none. draw, in [0, 1), chooses among several,
+// so that not all ask the same one.
+func (t *Table) Ahead(kind string, revision int64, draw float64) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best int64
-	var addr string
+	var ahead []string
 	for _, p := range t.heard {
-		if r := p.beat.Revisions[kind]; r > best {
-			best, addr = r, p.beat.Entry.Peer
+		if p.beat.Revisions[kind] > revision {
+			ahead = append(ahead, p.beat.Entry.Peer)
 		}
 	}
-	return best, addr
+	if len(ahead) == 0 {
+		return ""
+	}
+	slices.Sort(ahead)
+	return ahead[int(draw*float64(len(ahead)))]
 }
 
 // Sharers returns how many entries there are at most, with this one: those that
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -79,11 +79,13 @@
 		Expect(t.Sharers()).To(Equal(4))
 	})
 
-	It("knows who is furthest ahead", func() {
+	It("knows who is ahead, and spreads those who ask", func() {
 		t.Hear(beat("x", 1, 3, nil), now)
 		t.Hear(beat("y", 1, 8, nil), now)
-		revision, addr := t.Ahead("config")
-		Expect(revision).To(Equal(int64(8)))
-		Expect(addr).To(Equal("y:1"))
+		t.Hear(beat("z", 1, 9, nil), now)
+		Expect(t.Ahead("config", 3, 0)).To(Equal("y:1"))
+		Expect(t.Ahead("config", 3, 0.99)).To(Equal("z:1"))
+		Expect(t.Ahead("config", 8, 0)).To(Equal("z:1"))
+		Expect(t.Ahead("config", 9, 0)).To(BeEmpty())
 	})
 })
--- a/member/wire.go
+++ b/member/wire.go
@@ -36,6 +36,8 @@
 	Describe func() Heartbeat
 	// After is called after each round, with the names of entries fallen silent.
 	After func(silent []string)
+	// Heard is called with each message of another entry.
+	Heard func()
 	// Notice is called with each notice.
 	Notice func(Notice)
 }
@@ -111,6 +113,7 @@
 		switch {
 		case m.Heartbeat != nil:
 			b.table.Hear(*m.Heartbeat, time.Now())
+			b.handlers.Heard()
 		case m.Notice != nil:
 			b.handlers.Notice(*m.Notice)
 		}
