--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,7 +22,6 @@
 // Config holds a Gateway's parts and settings.
 type Config struct {
 	Protocol Protocol
-	// Zone is the availability zone of the entry.
 	Balancer *balance.Balancer
 	Client   *upstream.Client
 	Budget   *Budget
