Endpoints whose records lapsed while the store was away are kept until they are back

Cause: while the store is away endpoints can't write their heartbeats, and their records lapse; at its return the list is empty for up to two seconds, and entries refused everything. Entries now keep what vanished around an outage for 2.2 s after the store answers again, and for two thirds of the drain limit when many endpoints of a service vanish at once without a failure seen. One that said that it leaves is not kept.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,9 @@
 	longestGather = 2 * time.Second
 	shortestHold  = 2500 * time.Millisecond
 	longestHold   = 10 * time.Second
+	// retainLapsed is for how long after the store's return endpoints are kept
+	// whose records lapsed meanwhile: they are written again in about two seconds.
+	retainLapsed = 2200 * time.Millisecond
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery   = 2 * time.Second
 	headerLimit  = 10 * time.Second
@@ -81,6 +85,10 @@
 	callers  *http.Server
 	side     []*http.Server
 	roster   atomic.Pointer[roster.List]
+	// rosterMu makes changes of roster one at a time.
+	rosterMu sync.Mutex
+	// retention keeps endpoints that the platform's list has lost for a while.
+	retention *roster.Retention
 	// behindSince is when another entry was first seen to know more, by kind.
 	behindSince map[string]time.Time
 }
@@ -103,6 +111,7 @@
 			Zone:    site.Zone,
 			Region:  site.Region,
 		},
+		retention:   roster.NewRetention(retainLapsed, min(retainLapsed, site.DrainLimit*2/3)),
 		behindSince: map[string]time.Time{},
 	}
 	e.table = member.NewTable(e.self)
@@ -134,6 +143,7 @@
 		Random: rand.Float64,
 		Hold:   e.watchHold,
 		Gather: gather,
+		Reach:  e.storeReach,
 		Log:    e.log,
 	}, use)
 }
@@ -274,11 +284,7 @@
 		if list == nil {
 			continue
 		}
-		addrs := map[string]bool{}
-		for _, endpoint := range list.Endpoints {
-			addrs[endpoint.Addr] = true
-		}
-		e.client.Keep(addrs, time.Now())
+		e.client.Keep(list.Addrs(), time.Now())
 	}
 }
 
--- a/edge/learn.go
+++ b/edge/learn.go
@@ -45,9 +45,30 @@
 	}
 }
 
-func (e *Edge) useEndpoints(s *mirror.State) {
+// useEndpoints puts the copy of the endpoints' records in force, with endpoints
+// that are kept although the platform has lost their records. It looks again
+// when the first of them is to go.
+func (e *Edge) useEndpoints(*mirror.State) {
+	e.rosterMu.Lock()
+	defer e.rosterMu.Unlock()
+	now := time.Now()
+	list := e.decodeRoster(e.mirrors[platform.KindEndpoints].State())
+	listed := len(list.Endpoints)
+	before := e.roster.Load()
+	end := e.retention.Fill(list, before, now)
+	if kept := len(list.Endpoints) - listed; kept > 0 {
+		e.log.Info("lapsed endpoints kept", "endpoints", kept, "forMs", end.Sub(now).Milliseconds(), "revision", list.Revision)
+		time.AfterFunc(end.Sub(now), func() { e.useEndpoints(nil) })
+	}
+	e.roster.Store(list)
+	e.logRoster(before, list)
+	e.balancer.Update(list)
+	e.client.Keep(list.Addrs(), now)
+}
+
+// decodeRoster returns the endpoints that the store lists.
+func (e *Edge) decodeRoster(s *mirror.State) *roster.List {
 	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
-	addrs := map[string]bool{}
 	for name, stored := range s.Objects {
 		endpoint, err := platform.DecodeEndpoint(stored.Data)
 		if err != nil {
@@ -55,11 +76,17 @@
 			continue
 		}
 		list.Endpoints[name] = endpoint
-		addrs[endpoint.Addr] = true
 	}
-	e.logRoster(e.roster.Swap(list), list)
-	e.balancer.Update(list)
-	e.client.Keep(addrs, time.Now())
+	return list
+}
+
+// storeReach takes in that a copy of the store is out of date, or up to date again.
+func (e *Edge) storeReach(lost bool) {
+	if lost {
+		e.retention.StoreLost()
+		return
+	}
+	e.retention.StoreReturned(time.Now())
 }
 
 // logBelief writes a line when an endpoint is left alone or used again.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -77,6 +77,7 @@
 	hold   func() time.Duration
 	gather func() time.Duration
 	notify func(*State)
+	reach  func(lost bool)
 
 	mu      sync.Mutex
 	state   atomic.Pointer[State]
@@ -98,12 +99,18 @@
 	// Gather returns for how long changes are gathered before they are asked
 	// for once more, so that many changes cost few calls; nil means not at all.
 	Gather func() time.Duration
-	Log    *log.Logger
+	// Reach hears when the store stops answering and when it answers again; nil
+	// means nobody does.
+	Reach func(lost bool)
+	Log   *log.Logger
 }
 
 // New returns a Mirror; notify is called with every new state, one call at a time.
 func New(cfg Config, notify func(*State)) *Mirror {
-	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, gather: cfg.Gather, log: cfg.Log, notify: notify}
+	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, gather: cfg.Gather, reach: cfg.Reach, log: cfg.Log, notify: notify}
+	if m.reach == nil {
+		m.reach = func(bool) {}
+	}
 	m.state.Store(&State{})
 	return m
 }
@@ -254,6 +261,7 @@
 		return
 	}
 	m.lost = true
+	m.reach(true)
 	m.log.Warn("store lost", "kind", m.kind, "revision", m.State().Revision, "err", err)
 }
 
@@ -263,5 +271,6 @@
 		return
 	}
 	m.lost = false
+	m.reach(false)
 	m.log.Info("store regained", "kind", m.kind, "revision", m.State().Revision)
 }
--- /dev/null
+++ b/roster/retention.go
@@ -0,0 +1,116 @@
+package roster
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// How many endpoints of a service vanish together only when the platform forgot
+// them: at least massCount and this share of them.
+const (
+	massCount = 3
+	massShare = 0.4
+)
+
+// Retention keeps endpoints that vanish from the platform's list because its
+// store was away and could not take their heartbeats. They are back soon after
+// the store's return; one that is still missing then is gone. It is safe for
+// concurrent use.
+type Retention struct {
+	grace, unnoticed time.Duration
+
+	mu sync.Mutex
+	// away counts the copies of the store that get no answers now.
+	away int
+	// returnedAt is when the store last answered again.
+	returnedAt time.Time
+	// kept tells until when vanished endpoints are kept, by ID.
+	kept map[string]time.Time
+}
+
+// NewRetention returns a Retention that keeps vanished endpoints for grace
+// after the store's return, and for unnoticed when many vanish together although
+// no copy of the store was seen to fail.
+func NewRetention(grace, unnoticed time.Duration) *Retention {
+	return &Retention{grace: grace, unnoticed: unnoticed, kept: map[string]time.Time{}}
+}
+
+// StoreLost notes that a copy of the store gets no answers.
+func (r *Retention) StoreLost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away++
+}
+
+// StoreReturned notes that a copy of the store gets answers again.
+func (r *Retention) StoreReturned(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = max(r.away-1, 0)
+	r.returnedAt = now
+}
+
+// Fill adds to list the endpoints of before that have vanished from it and may
+// be back. It returns when the first of them is to be given up, or the zero
+// time when none was added.
+func (r *Retention) Fill(list, before *List, now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.kept, func(id string, _ time.Time) bool { return list.Endpoints[id] != nil })
+	if before == nil {
+		return time.Time{}
+	}
+	until := r.until(list, before, now)
+	var first time.Time
+	for id, e := range before.Endpoints {
+		if list.Endpoints[id] != nil || e.Leaving {
+			continue
+		}
+		end, known := r.kept[id]
+		if !known {
+			end = until
+			r.kept[id] = end
+		}
+		if !now.Before(end) {
+			delete(r.kept, id)
+			continue
+		}
+		list.Endpoints[id] = e
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first
+}
+
+// until returns for how long endpoints that vanish now are kept. The caller
+// holds the lock.
+func (r *Retention) until(list, before *List, now time.Time) time.Time {
+	if r.away > 0 {
+		return now.Add(r.grace)
+	}
+	until := r.returnedAt.Add(r.grace)
+	if !now.Before(until) && vanishedTogether(list, before) {
+		return now.Add(r.unnoticed)
+	}
+	return until
+}
+
+// vanishedTogether returns whether so many endpoints of one service are missing
+// from list that they can't all have left.
+func vanishedTogether(list, before *List) bool {
+	all, missing := map[string]int{}, map[string]int{}
+	for id, e := range before.Endpoints {
+		all[e.Service]++
+		if list.Endpoints[id] == nil && !e.Leaving {
+			missing[e.Service]++
+		}
+	}
+	for service, n := range missing {
+		if n >= massCount && float64(n) >= massShare*float64(all[service]) {
+			return true
+		}
+	}
+	return false
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -36,3 +36,12 @@
 	Revision  int64
 	Endpoints map[string]*Endpoint
 }
+
+// Addrs returns the addresses of all endpoints.
+func (l *List) Addrs() map[string]bool {
+	out := make(map[string]bool, len(l.Endpoints))
+	for _, e := range l.Endpoints {
+		out[e.Addr] = true
+	}
+	return out
+}
