mirror: the store's return is found out at once; retention counts from the first call that succeeds

An entry that had been cut off noted the store's return only when its next watch brought news, up to 2.6 s late, and kept endpoints whose entries had gone for 2.2 s from then on. Ruled out: the mass rule (one endpoint left). Change: after a failure the next watch is held for 20 ms only, and the first copy that answers ends the outage.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -199,7 +199,14 @@
 	return nil
 }
 
+// confirmHold is a watch's hold after a failure: its answer only has to tell that
+// the store is back.
+const confirmHold = 20 * time.Millisecond
+
 func (m *Mirror) drawHold() time.Duration {
+	if m.lost {
+		return confirmHold
+	}
 	return time.Duration((1 - holdSpread*m.random()) * float64(m.hold()))
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -139,13 +139,20 @@
 
 // play runs f with a mirror of a store that holds object a.
 func play(t *testing.T, f func(g *WithT, s *store, m *mirror.Mirror)) {
+	playWith(t, func(*mirror.Config) {}, f)
+}
+
+// playWith is play with other settings of the mirror.
+func playWith(t *testing.T, set func(*mirror.Config), f func(g *WithT, s *store, m *mirror.Mirror)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.change("a", false)
-		m := mirror.New(mirror.Config{
+		cfg := mirror.Config{
 			Kind: "things", Source: s, Random: func() float64 { return 0.5 },
 			Hold: func() time.Duration { return hold }, Log: log.New(io.Discard),
-		}, func(*mirror.State) {})
+		}
+		set(&cfg)
+		m := mirror.New(cfg, func(*mirror.State) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		go m.Run(ctx)
 		synctest.Wait()
@@ -245,3 +252,16 @@
 		g.Expect(names(m)).To(ConsistOf("a", "b"))
 	})
 }
+
+func TestTheReturnOfTheStoreIsToldSoonThoughNothingChanges(t *testing.T) {
+	var told []bool
+	reach := func(cfg *mirror.Config) { cfg.Reach = func(lost bool) { told = append(told, lost) } }
+	playWith(t, reach, func(g *WithT, s *store, _ *mirror.Mirror) {
+		s.set(func() { s.down = true })
+		time.Sleep(2 * hold)
+		g.Expect(told).To(Equal([]bool{true}))
+		s.set(func() { s.down = false })
+		time.Sleep(time.Second)
+		g.Expect(told).To(Equal([]bool{true, false}))
+	})
+}
--- a/roster/retention.go
+++ b/roster/retention.go
@@ -21,8 +21,8 @@
 	grace, unnoticed time.Duration
 
 	mu sync.Mutex
-	// away counts the copies of the store that get no answers now.
-	away int
+	// away is set while the store does not answer.
+	away bool
 	// returnedAt is when the store last answered again.
 	returnedAt time.Time
 	// kept tells until when vanished endpoints are kept, by ID.
@@ -36,18 +36,21 @@
 	return &Retention{grace: grace, unnoticed: unnoticed, kept: map[string]time.Time{}}
 }
 
-// StoreLost notes that a copy of the store gets no answers.
+// StoreLost notes that a call to the store failed.
 func (r *Retention) StoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away++
+	r.away = true
 }
 
-// StoreReturned notes that a copy of the store gets answers again.
+// StoreReturned notes that a call to the store succeeded after others failed.
 func (r *Retention) StoreReturned(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away = max(r.away-1, 0)
+	if !r.away {
+		return
+	}
+	r.away = false
 	r.returnedAt = now
 }
 
@@ -87,7 +90,7 @@
 // until returns for how long endpoints that vanish now are kept. The caller
 // holds the lock.
 func (r *Retention) until(list, before *List, now time.Time) time.Time {
-	if r.away > 0 {
+	if r.away {
 		return now.Add(r.grace)
 	}
 	until := r.returnedAt.Add(r.grace)
--- a/roster/retention_test.go
+++ b/roster/retention_test.go
@@ -103,3 +103,14 @@
 	few := list("c", "d", "e", "f", "g")
 	g.Expect(roster.NewRetention(grace, unnoticed).Fill(few, before, at(0))).To(BeZero(), "two may have left")
 }
+
+func TestTheReturnIsThatOfTheFirstCallThatSucceeds(t *testing.T) {
+	g := NewWithT(t)
+	r := roster.NewRetention(grace, unnoticed)
+	r.StoreLost()
+	r.StoreReturned(at(0))
+	r.StoreReturned(at(1500))
+	now := list("b", "c", "d")
+	g.Expect(r.Fill(now, list("a", "b", "c", "d"), at(2100))).To(BeZero())
+	g.Expect(ids(now)).To(ConsistOf("b", "c", "d"))
+}
