A few entries of each zone watch the store; others copy from them, and sidecars ask entries

Ruled out: the store's rates (no 429), dials dropped by a full queue (entries beside the store were not hit). Copies are compared by revision and digest, so removals count. Sidecars ask an entry of their zone, which keeps the question until there is news, and read the store only while no entry answers.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,7 +20,6 @@
 	"github.com/silverdeck/silverdeck/gateway"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
-	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/settings"
@@ -41,16 +40,9 @@
 	stopMargin = 400 * time.Millisecond
 	// registerPause is the time between two tries to register in the store.
 	registerPause = 500 * time.Millisecond
-	// behindEach, for each entry that is alive, is how long another may know more
-	// before it is asked for its copy: the store's own answer may be under way.
-	behindEach     = 30 * time.Millisecond
-	shortestBehind = 250 * time.Millisecond
-	longestBehind  = time.Second
-	// holdEach is a watch's hold for each entry that is alive.
-	holdEach = time.Second
-	// gatherEach is for how long changes are gathered for each entry that is alive.
-	gatherEach    = 15 * time.Millisecond
-	longestGather = 2 * time.Second
+	// holdEach is a watch's hold for each entry that watches.
+	holdEach      = time.Second
+	gatherMembers = 2 * time.Second
 	shortestHold  = 2500 * time.Millisecond
 	longestHold   = 10 * time.Second
 	// retainLapsed is for how long after the store's return endpoints are kept
@@ -68,29 +60,33 @@
 
 // Edge is the process's state.
 type Edge struct {
-	site     *settings.Site
-	log      *log.Logger
-	registry metrics.Registry
-	store    *platform.Store
-	mirrors  map[string]*mirror.Mirror
-	gateway  *gateway.Gateway
-	balancer *balance.Balancer
-	client   *upstream.Client
-	table    *member.Table
-	self     member.Entry
-	versions *versions
-	leaving  atomic.Bool
-	pool     *peer.Pool
-	cancel   context.CancelFunc
-	callers  *http.Server
-	side     []*http.Server
-	roster   atomic.Pointer[roster.List]
+	site      *settings.Site
+	log       *log.Logger
+	registry  metrics.Registry
+	store     *platform.Store
+	mirrors   map[string]*mirror.Mirror
+	gateway   *gateway.Gateway
+	balancer  *balance.Balancer
+	client    *upstream.Client
+	table     *member.Table
+	self      member.Entry
+	versions  *versions
+	leaving   atomic.Bool
+	replicas  *replicas
+	inventory *Inventory
+	beater    *member.Beater
+	cancel    context.CancelFunc
+	callers   *http.Server
+	side      []*http.Server
+	roster    atomic.Pointer[roster.List]
 	// rosterMu makes changes of roster one at a time.
 	rosterMu sync.Mutex
+	// decoded are the records of roster as they were decoded, by ID.
+	decoded map[string]decodedEndpoint
 	// retention keeps endpoints that the platform's list has lost for a while.
 	retention *roster.Retention
-	// behindSince is when another entry was first seen to know more, by kind.
-	behindSince map[string]time.Time
+	// outage is set while no entry that watches the store is answered.
+	outage atomic.Bool
 }
 
 // New returns an Edge that is not started.
@@ -101,7 +97,6 @@
 		registry: registry,
 		store:    platform.NewStore(site.Store),
 		client:   upstream.NewClient(),
-		pool:     newPool(),
 		versions: newVersions(max(site.VersionLimit-versionMargin, 0)),
 		self: member.Entry{
 			Name:    site.VM,
@@ -111,8 +106,7 @@
 			Zone:    site.Zone,
 			Region:  site.Region,
 		},
-		retention:   roster.NewRetention(retainLapsed, min(retainLapsed, site.DrainLimit*2/3)),
-		behindSince: map[string]time.Time{},
+		retention: roster.NewRetention(retainLapsed, min(retainLapsed, site.DrainLimit*2/3)),
 	}
 	e.table = member.NewTable(e.self)
 	e.balancer = balance.New(site.Zone, e.table.InFlight, rand.Float64)
@@ -127,12 +121,15 @@
 		Floor:    func(model string) int64 { return e.versions.floor(model, time.Now()) },
 		Random:   rand.Float64,
 	})
+	e.replicas = newReplicas(e.table, l)
+	e.inventory = newInventory(e)
 	e.mirrors = map[string]*mirror.Mirror{
 		platform.KindConfig:    e.mirror(platform.KindConfig, nil, e.useConfig),
 		platform.KindEndpoints: e.mirror(platform.KindEndpoints, e.gatherEndpoints, e.useEndpoints),
 		platform.KindVersions:  e.mirror(platform.KindVersions, nil, e.useVersions),
 		platform.KindMembers:   e.mirror(platform.KindMembers, e.gatherMembers, e.useMembers),
 	}
+	e.replicas.mirrors = e.mirrors
 	return e
 }
 
@@ -143,30 +140,53 @@
 		Random: rand.Float64,
 		Hold:   e.watchHold,
 		Gather: gather,
-		Reach:  e.storeReach,
+		Reach:  func(lost bool) { e.replicas.reach(kind, lost) },
+		Active: func() bool { return e.active(kind) },
 		Log:    e.log,
-	}, use)
+	}, func(s *mirror.State) {
+		use(s)
+		e.tellCopies()
+	})
+}
+
+// active returns whether the copy of kind is kept by calls to the store. The
+// list of entries is read by each at its start.
+func (e *Edge) active(kind string) bool {
+	if kind == platform.KindMembers && e.mirrors[kind].State().Revision == 0 {
+		return true
+	}
+	return e.replicas.active(kind)
 }
 
-// gatherEndpoints and gatherMembers return for how long changes of endpoints
-// and of entries are gathered: each change costs a call of every entry.
+// tellCopies makes an entry that watches the store tell others of its copies.
+func (e *Edge) tellCopies() {
+	if watching, _ := e.replicas.isWatching(); watching && e.beater != nil {
+		e.beater.News()
+	}
+}
+
+// gatherEndpoints returns for how long changes of endpoints are gathered: each
+// costs a call of every entry that watches, and the first to hear of one tells
+// the others.
 func (e *Edge) gatherEndpoints() time.Duration {
-	return min(gatherEach*time.Duration(e.table.Size()), e.site.DrainLimit/4)
+	return e.site.DrainLimit / 4
 }
 
+// gatherMembers is the same for changes of entries, which also tell each other.
 func (e *Edge) gatherMembers() time.Duration {
-	return min(10*gatherEach*time.Duration(e.table.Size()), longestGather)
+	return gatherMembers
 }
 
-// behindLimit returns how long another entry may know more before it is asked.
-func (e *Edge) behindLimit() time.Duration {
-	return min(max(behindEach*time.Duration(e.table.Size()), shortestBehind), longestBehind)
+// watchers returns how many entries watch the store.
+func (e *Edge) watchers() int {
+	watching, _ := e.replicas.isWatching()
+	return e.table.Watchers(watching)
 }
 
 // watchHold returns for how long a watch may stay unanswered: the more entries
-// there are, the sooner one of them finds out for all that watches were lost.
+// watch, the sooner one of them finds out for all that watches were lost.
 func (e *Edge) watchHold() time.Duration {
-	return min(max(holdEach*time.Duration(e.table.Size()), shortestHold), longestHold)
+	return min(max(holdEach*time.Duration(e.watchers()), shortestHold), longestHold)
 }
 
 // Start begins to serve.
@@ -180,8 +200,9 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	beater := member.NewBeater(conn, e.table, member.Handlers{Describe: e.describe, After: e.afterBeat, Notice: e.notice, Heard: func() { e.balancer.Touch(time.Now()) }})
-	go beater.Run(ctx)
+	e.beater = member.NewBeater(conn, e.table, member.Handlers{Describe: e.describe, After: e.afterBeat, Notice: e.notice, Heard: func() { e.afterHeard(ctx) }})
+	go e.beater.Run(ctx)
+	go e.replicas.watchLoop(ctx)
 	for _, m := range e.mirrors {
 		go m.Run(ctx)
 	}
@@ -227,9 +248,10 @@
 
 // describe returns this entry's heartbeat.
 func (e *Edge) describe() member.Heartbeat {
-	b := member.Heartbeat{Entry: e.self, Ready: e.Ready() == nil, Revisions: map[string]int64{}, InFlight: e.balancer.InFlight()}
+	b := member.Heartbeat{Entry: e.self, Ready: e.Ready() == nil, Copies: map[string]mirror.Version{}, InFlight: e.balancer.InFlight()}
+	b.Watching, b.Away = e.replicas.isWatching()
 	for kind, m := range e.mirrors {
-		b.Revisions[kind] = m.State().Changed
+		b.Copies[kind] = m.State().Version()
 	}
 	return b
 }
@@ -246,22 +268,39 @@
 	if e.table.Size() == 1 {
 		e.balancer.Touch(time.Now())
 	}
-	for kind, m := range e.mirrors {
-		addr := e.table.Ahead(kind, m.State().Changed, rand.Float64())
-		if addr == "" {
-			delete(e.behindSince, kind)
-			continue
-		}
-		since, known := e.behindSince[kind]
-		if !known {
-			e.behindSince[kind] = time.Now()
-			continue
-		}
-		if time.Since(since) > e.behindLimit() {
-			e.behindSince[kind] = time.Now()
-			go e.catchUp(m, kind, addr)
-		}
+	e.noteOutage()
+}
+
+// afterHeard looks at what a heartbeat of another entry told.
+func (e *Edge) afterHeard(ctx context.Context) {
+	e.balancer.Touch(time.Now())
+	e.replicas.follow(ctx, time.Now())
+}
+
+// noteOutage takes in whether the store answers anybody.
+func (e *Edge) noteOutage() {
+	away := e.storeAway()
+	if e.outage.Swap(away) == away {
+		return
+	}
+	if away {
+		e.retention.StoreLost()
+		return
+	}
+	e.retention.StoreReturned(time.Now())
+}
+
+// storeAway returns whether the store answers no entry that watches it, as far
+// as this one knows.
+func (e *Edge) storeAway() bool {
+	watching, away := e.replicas.isWatching()
+	switch {
+	case watching && !away:
+		return false
+	case e.table.Watchers(false) == 0:
+		return watching
 	}
+	return e.table.StoreAway()
 }
 
 // register writes this entry's record until the store has taken it.
--- a/edge/learn.go
+++ b/edge/learn.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"time"
 
 	"github.com/silverdeck/silverdeck/balance"
@@ -18,18 +17,6 @@
 	e.balancer.Notice(n.Addr, time.Now().Add(pause), roster.Weights{Model: n.Model, Version: n.Version})
 }
 
-// catchUp takes the copy of kind from another entry that knows more.
-func (e *Edge) catchUp(m *mirror.Mirror, kind, addr string) {
-	state, err := fetchState(context.Background(), e.pool, addr, kind)
-	if err != nil {
-		e.log.Debug("no copy from another entry", "kind", kind, "peer", addr, "err", err)
-		return
-	}
-	if m.Take(state) {
-		e.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", state.Changed)
-	}
-}
-
 func (e *Edge) useConfig(s *mirror.State) {
 	stored, found := s.Objects[platform.ConfigName]
 	if !found {
@@ -42,6 +29,7 @@
 	}
 	if e.gateway.Use(config) {
 		e.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
+		e.inventory.announce()
 	}
 }
 
@@ -66,29 +54,34 @@
 	e.client.Keep(list.Addrs(), now)
 }
 
-// decodeRoster returns the endpoints that the store lists.
+// decodedEndpoint is an endpoint's record as it stood at a revision.
+type decodedEndpoint struct {
+	revision int64
+	endpoint *roster.Endpoint
+}
+
+// decodeRoster returns the endpoints that the store lists. Records that did not
+// change are not decoded again. The caller holds rosterMu.
 func (e *Edge) decodeRoster(s *mirror.State) *roster.List {
 	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
+	decoded := make(map[string]decodedEndpoint, len(s.Objects))
 	for name, stored := range s.Objects {
-		endpoint, err := platform.DecodeEndpoint(stored.Data)
-		if err != nil {
-			e.log.Error("bad endpoint", "endpoint", name, "err", err)
-			continue
+		d := e.decoded[name]
+		if d.endpoint == nil || d.revision != stored.Revision {
+			endpoint, err := platform.DecodeEndpoint(stored.Data)
+			if err != nil {
+				e.log.Error("bad endpoint", "endpoint", name, "err", err)
+				continue
+			}
+			d = decodedEndpoint{revision: stored.Revision, endpoint: endpoint}
 		}
-		list.Endpoints[name] = endpoint
+		decoded[name] = d
+		list.Endpoints[name] = d.endpoint
 	}
+	e.decoded = decoded
 	return list
 }
 
-// storeReach takes in that a copy of the store is out of date, or up to date again.
-func (e *Edge) storeReach(lost bool) {
-	if lost {
-		e.retention.StoreLost()
-		return
-	}
-	e.retention.StoreReturned(time.Now())
-}
-
 // logBelief writes a line when an endpoint is left alone or used again.
 func (e *Edge) logBelief(b balance.Belief) {
 	e.log.Info("endpoint health", "endpoint", b.Endpoint, "change", b.Change.String(),
@@ -127,6 +120,7 @@
 		}
 		if e.versions.named(v.Model, v.Version, time.Now()) {
 			e.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision)
+			e.inventory.announce()
 		}
 	}
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -9,12 +9,13 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/silverdeck/silverdeck/directory"
+	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/telemetry"
 )
 
 func (e *Edge) listen() error {
-	peers, err := serveSync(e.site.Peer, &Sync{mirrors: e.mirrors})
+	peers, err := servePeers(e.site.Peer, map[string]any{syncService: newSync(e.mirrors), inventory.Service: e.inventory})
 	if err != nil {
 		return err
 	}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -1,8 +1,12 @@
 package edge
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/silverdeck/silverdeck/inventory"
 )
 
 // versionNews is when a version of a model was first heard of.
@@ -56,3 +60,15 @@
 	}
 	return floor
 }
+
+// newest returns the newest version of each model, by model.
+func (v *versions) newest() []inventory.Version {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := make([]inventory.Version, 0, len(v.models))
+	for model, news := range v.models {
+		out = append(out, inventory.Version{Model: model, Version: news[len(news)-1].version})
+	}
+	slices.SortFunc(out, func(a, b inventory.Version) int { return cmp.Compare(a.Model, b.Model) })
+	return out
+}
--- a/member/member.go
+++ b/member/member.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/silverdeck/silverdeck/mirror"
 )
 
 // Entry is what an entry tells of itself when it starts.
@@ -29,8 +31,12 @@
 	Sequence uint64 `json:"seq"`
 	// Ready is set while the entry takes requests.
 	Ready bool `json:"ready"`
-	// Revisions are the revisions of the store that the entry knows, by kind.
-	Revisions map[string]int64 `json:"revisions"`
+	// Copies are the versions of the entry's copies of the store, by kind.
+	Copies map[string]mirror.Version `json:"copies"`
+	// Watching is set while the entry watches the store, Away while the store
+	// does not answer it.
+	Watching bool `json:"watching,omitempty"`
+	Away     bool `json:"away,omitempty"`
 	// InFlight counts the entry's requests in progress by endpoint.
 	InFlight map[string]int `json:"inFlight,omitempty"`
 }
@@ -172,25 +178,6 @@
 	return out
 }
 
-// Ahead returns the peer address of a live entry that knows more of kind than
-// revision, or "" when there is none. draw, in [0, 1), chooses among several,
-// so that not all ask the same one.
-func (t *Table) Ahead(kind string, revision int64, draw float64) string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var ahead []string
-	for _, p := range t.heard {
-		if p.beat.Revisions[kind] > revision {
-			ahead = append(ahead, p.beat.Entry.Peer)
-		}
-	}
-	if len(ahead) == 0 {
-		return ""
-	}
-	slices.Sort(ahead)
-	return ahead[int(draw*float64(len(ahead)))]
-}
-
 // Sharers returns how many entries there are at most, with this one: those that
 // the store lists and those that are heard. It is 0 until the store's list is known.
 func (t *Table) Sharers() int {
--- a/member/wire.go
+++ b/member/wire.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"time"
+
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // Interval is the time between two heartbeats.
@@ -36,7 +38,7 @@
 	Describe func() Heartbeat
 	// After is called after each round, with the names of entries fallen silent.
 	After func(silent []string)
-	// Heard is called with each message of another entry.
+	// Heard is called after each new heartbeat of another entry.
 	Heard func()
 	// Notice is called with each notice.
 	Notice func(Notice)
@@ -47,11 +49,24 @@
 	conn     net.PacketConn
 	table    *Table
 	handlers Handlers
+	// news asks for a heartbeat ahead of time.
+	news chan struct{}
 }
 
 // NewBeater returns a Beater on conn.
 func NewBeater(conn net.PacketConn, table *Table, h Handlers) *Beater {
-	return &Beater{conn: conn, table: table, handlers: h}
+	return &Beater{conn: conn, table: table, handlers: h, news: make(chan struct{}, 1)}
+}
+
+// newsGap is the shortest time between two heartbeats.
+const newsGap = 20 * time.Millisecond
+
+// News makes the next heartbeat come at once.
+func (b *Beater) News() {
+	select {
+	case b.news <- struct{}{}:
+	default:
+	}
 }
 
 // Notify sends n to the entries at addrs.
@@ -89,6 +104,8 @@
 			b.send(sequence + 1)
 			return
 		case <-ticker.C:
+		case <-b.news:
+			wait.For(ctx, newsGap)
 		}
 	}
 }
@@ -112,8 +129,9 @@
 		}
 		switch {
 		case m.Heartbeat != nil:
-			b.table.Hear(*m.Heartbeat, time.Now())
-			b.handlers.Heard()
+			if b.table.Hear(*m.Heartbeat, time.Now()) {
+				b.handlers.Heard()
+			}
 		case m.Notice != nil:
 			b.handlers.Notice(*m.Notice)
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,18 +51,12 @@
 	return "mirror: the store's history is gone"
 }
 
-// State is a copy of all objects at one revision.
-type State struct {
-	Revision int64
-	// Changed is the revision at which the objects were last seen to change.
-	Changed int64
-	Objects map[string]Object
-}
-
 // Pauses between calls that failed.
 const (
 	firstPause = 100 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
+	// restPause is how often a mirror that is at rest looks whether it is still.
+	restPause = 100 * time.Millisecond
 )
 
 // holdSpread is the part of a watch's hold that is drawn, so that the watches
@@ -78,13 +73,13 @@
 	gather func() time.Duration
 	notify func(*State)
 	reach  func(lost bool)
+	active func() bool
 
-	mu      sync.Mutex
-	state   atomic.Pointer[State]
-	behind  atomic.Int64
-	cancel  context.CancelFunc
-	lost    bool
-	freshAt atomic.Int64
+	mu     sync.Mutex
+	state  atomic.Pointer[State]
+	behind atomic.Int64
+	cancel context.CancelFunc
+	lost   bool
 }
 
 // Config holds a Mirror's settings.
@@ -102,15 +97,21 @@
 	// Reach hears when the store stops answering and when it answers again; nil
 	// means nobody does.
 	Reach func(lost bool)
-	Log   *log.Logger
+	// Active returns whether this mirror asks the store by itself; one that does
+	// not is at rest and takes copies from elsewhere. Nil means always.
+	Active func() bool
+	Log    *log.Logger
 }
 
 // New returns a Mirror; notify is called with every new state, one call at a time.
 func New(cfg Config, notify func(*State)) *Mirror {
-	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, gather: cfg.Gather, reach: cfg.Reach, log: cfg.Log, notify: notify}
+	m := &Mirror{kind: cfg.Kind, source: cfg.Source, random: cfg.Random, hold: cfg.Hold, gather: cfg.Gather, reach: cfg.Reach, active: cfg.Active, log: cfg.Log, notify: notify}
 	if m.reach == nil {
 		m.reach = func(bool) {}
 	}
+	if m.active == nil {
+		m.active = func() bool { return true }
+	}
 	m.state.Store(&State{})
 	return m
 }
@@ -120,15 +121,14 @@
 	return m.state.Load()
 }
 
-// Age returns how long ago the store last confirmed the copy.
-func (m *Mirror) Age(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, m.freshAt.Load()))
-}
-
 // Run keeps the copy until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if m.resting() {
+			wait.For(ctx, restPause)
+			continue
+		}
 		err := m.once(ctx)
 		if err == nil {
 			pause = firstPause
@@ -142,6 +142,19 @@
 	}
 }
 
+// resting returns whether the mirror makes no calls now. One that comes to rest
+// no longer says that the store is lost.
+func (m *Mirror) resting() bool {
+	if m.active() || m.behind.Load() > m.State().Revision {
+		return false
+	}
+	if m.lost {
+		m.lost = false
+		m.reach(false)
+	}
+	return true
+}
+
 // Behind tells that a revision exists elsewhere. A watch that should have
 // brought it is cut and replaced by a list.
 func (m *Mirror) Behind(revision int64) {
@@ -156,11 +169,11 @@
 	}
 }
 
-// Take takes in a state that was had from elsewhere, if it has newer changes.
+// Take takes in a copy that was had from elsewhere, if it is a newer one.
 func (m *Mirror) Take(s *State) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s.Changed <= m.State().Changed {
+	if !s.Version().NewerThan(m.State().Version()) {
 		return false
 	}
 	m.set(s)
@@ -217,10 +230,9 @@
 		return err
 	}
 	m.succeeded()
-	s := &State{Revision: at, Objects: make(map[string]Object, len(objects))}
+	s := newState(at, len(objects))
 	for _, o := range objects {
-		s.Objects[o.Name] = o
-		s.Changed = max(s.Changed, o.Revision)
+		s.put(o)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -243,17 +255,14 @@
 		// past changes of which this watch heard nothing.
 		return
 	}
-	s := &State{Revision: at, Changed: base.Changed, Objects: make(map[string]Object, len(base.Objects)+len(events))}
-	for name, o := range base.Objects {
-		s.Objects[name] = o
-	}
+	s := &State{Revision: at, Changed: base.Changed, Digest: base.Digest, Objects: maps.Clone(base.Objects)}
 	for _, e := range events {
 		s.Changed = max(s.Changed, e.Object.Revision)
 		if e.Gone {
-			delete(s.Objects, e.Object.Name)
+			s.remove(e.Object.Name)
 			continue
 		}
-		s.Objects[e.Object.Name] = e.Object
+		s.put(e.Object)
 	}
 	m.set(s)
 }
@@ -273,7 +282,6 @@
 }
 
 func (m *Mirror) succeeded() {
-	m.freshAt.Store(time.Now().UnixNano())
 	if !m.lost {
 		return
 	}
--- /dev/null
+++ b/mirror/state.go
@@ -0,0 +1,99 @@
+package mirror
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is a copy of all objects at one revision.
+type State struct {
+	Revision int64
+	// Changed is the highest revision of an object that was seen to change.
+	Changed int64
+	// Digest tells copies with different objects apart.
+	Digest  uint64
+	Objects map[string]Object
+}
+
+// Version tells which of two copies is the newer one.
+type Version struct {
+	Revision int64  `json:"rev"`
+	Digest   uint64 `json:"digest"`
+}
+
+// Version returns the copy's version.
+func (s *State) Version() Version {
+	return Version{Revision: s.Revision, Digest: s.Digest}
+}
+
+// NewerThan returns whether v is a later copy than u with other objects.
+func (v Version) NewerThan(u Version) bool {
+	return v.Revision > u.Revision && (v.Digest != u.Digest || u.Revision == 0)
+}
+
+// digest returns what one object adds to a copy's digest.
+func (o *Object) digest() uint64 {
+	return xxhash.Sum64String(o.Name + "\x00" + strconv.FormatInt(o.Revision, 10))
+}
+
+// put adds o, or puts it in the place of the object of that name.
+func (s *State) put(o Object) {
+	s.remove(o.Name)
+	s.Objects[o.Name] = o
+	s.Digest ^= o.digest()
+	s.Changed = max(s.Changed, o.Revision)
+}
+
+func (s *State) remove(name string) {
+	if old, found := s.Objects[name]; found {
+		s.Digest ^= old.digest()
+		delete(s.Objects, name)
+	}
+}
+
+// newState returns an empty copy at revision with room for n objects.
+func newState(revision int64, n int) *State {
+	return &State{Revision: revision, Objects: make(map[string]Object, n)}
+}
+
+// Delta is what a copy has beyond an older one.
+type Delta struct {
+	Version Version
+	// Names are all objects, Objects those that changed after the older copy.
+	Names   []string
+	Objects []Object
+}
+
+// Since returns what s has beyond a copy that has all changes up to changed.
+func (s *State) Since(changed int64) *Delta {
+	d := &Delta{Version: s.Version(), Names: make([]string, 0, len(s.Objects))}
+	for name, o := range s.Objects {
+		d.Names = append(d.Names, name)
+		if o.Revision > changed {
+			d.Objects = append(d.Objects, o)
+		}
+	}
+	return d
+}
+
+// Apply returns s with d, or false when s lacks more than d has.
+func (s *State) Apply(d *Delta) (*State, bool) {
+	out := newState(d.Version.Revision, len(d.Names))
+	fresh := make(map[string]Object, len(d.Objects))
+	for _, o := range d.Objects {
+		fresh[o.Name] = o
+	}
+	for _, name := range d.Names {
+		o, found := fresh[name]
+		if !found {
+			o, found = s.Objects[name]
+		}
+		if !found {
+			return nil, false
+		}
+		out.put(o)
+	}
+	out.Changed = max(out.Changed, s.Changed)
+	return out, out.Digest == d.Version.Digest
+}
--- /dev/null
+++ b/sidecar/fleet.go
@@ -0,0 +1,261 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/peer"
+	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/settings"
+	"github.com/silverdeck/silverdeck/wait"
+)
+
+// Times of asking for the fleet.
+const (
+	// askWait is for how long an entry may keep a question until there is news,
+	// and askSlack how much later its answer may come.
+	askWait  = time.Second
+	askSlack = 700 * time.Millisecond
+	// avoidTime is for how long an entry that did not answer is not asked.
+	avoidTime = 4 * time.Second
+	// askTries is how many entries are asked in a row before the store is.
+	askTries = 3
+	// storePause is the time between two readings of the store.
+	storePause = 1500 * time.Millisecond
+)
+
+// fleet keeps what this process needs of the platform's store. Entries tell it;
+// the store is read only while none of them answers. It is safe for concurrent use.
+type fleet struct {
+	site  *settings.Site
+	store *platform.Store
+	pool  *peer.Pool
+	log   *log.Logger
+	// use is called with each new reply, one call at a time.
+	use func(*inventory.Inventory)
+
+	mu      sync.Mutex
+	last    *inventory.Inventory
+	places  []inventory.Place
+	avoided map[string]time.Time
+}
+
+func newFleet(site *settings.Site, store *platform.Store, pool *peer.Pool, l *log.Logger, use func(*inventory.Inventory)) *fleet {
+	return &fleet{site: site, store: store, pool: pool, log: l, use: use, avoided: map[string]time.Time{}}
+}
+
+// known returns the last reply, or nil.
+func (f *fleet) known() *inventory.Inventory {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
+// run asks until ctx ends.
+func (f *fleet) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		addr := f.choose(ctx)
+		reply, err := f.ask(ctx, addr)
+		if err == nil {
+			f.take(reply, failures)
+			failures = 0
+			continue
+		}
+		failures++
+		if failures%askTries != 0 && addr != "" {
+			wait.For(ctx, askSlack/askTries)
+			continue
+		}
+		f.readStore(ctx, failures)
+		wait.For(ctx, storePause)
+	}
+}
+
+// take puts a reply in force.
+func (f *fleet) take(reply *inventory.Inventory, failures int) {
+	f.mu.Lock()
+	news := f.last == nil || f.last.Digest != reply.Digest
+	f.last = reply
+	if len(reply.Entries) > 0 {
+		f.places = reply.Entries
+	}
+	f.mu.Unlock()
+	if failures >= askTries {
+		f.log.Info("entries regained", "failures", failures)
+	}
+	if news {
+		f.use(reply)
+	}
+}
+
+// errNoEntry tells that no entry is known.
+var errNoEntry = errors.New("sidecar: no entry known")
+
+// ask asks the entry at addr for news.
+func (f *fleet) ask(ctx context.Context, addr string) (*inventory.Inventory, error) {
+	if addr == "" {
+		return nil, errNoEntry
+	}
+	q := inventory.Query{Service: f.site.Service, Wait: askWait}
+	if last := f.known(); last != nil {
+		q.Known = last.Digest
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWait+askSlack)
+	defer cancel()
+	reply := &inventory.Inventory{}
+	if err := f.pool.Call(ctx, addr, inventory.Method, q, reply); err != nil {
+		f.mu.Lock()
+		f.avoided[addr] = time.Now().Add(avoidTime)
+		f.mu.Unlock()
+		f.log.Debug("entry does not answer", "peer", addr, "err", err)
+		return nil, err
+	}
+	return reply, nil
+}
+
+// choose returns an entry to ask: one of this zone if there is one, or "" when
+// none is known.
+func (f *fleet) choose(ctx context.Context) string {
+	f.mu.Lock()
+	unknown := len(f.places) == 0
+	f.mu.Unlock()
+	if unknown {
+		f.findEntries(ctx)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var near, far []string
+	for _, p := range f.places {
+		switch {
+		case now.Before(f.avoided[p.Addr]):
+		case p.Zone == f.site.Zone:
+			near = append(near, p.Addr)
+		default:
+			far = append(far, p.Addr)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// findEntries reads the list of entries from the store.
+func (f *fleet) findEntries(ctx context.Context) {
+	objects, err := f.store.ListStale(ctx, platform.KindMembers)
+	if err != nil {
+		f.log.Debug("no list of entries", "err", err)
+		return
+	}
+	var inv inventory.Inventory
+	for _, stored := range objects {
+		if e, err := platform.DecodeMember(stored.Data); err == nil {
+			inv.AddEntry(*e)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.places = inv.Entries
+}
+
+// readStore reads from the store what no entry tells.
+func (f *fleet) readStore(ctx context.Context, failures int) {
+	if failures == askTries {
+		f.log.Warn("entries lost", "failures", failures)
+	}
+	f.findEntries(ctx)
+	reply, err := f.readInventory(ctx)
+	if err != nil {
+		f.log.Debug("inventory not read", "err", err)
+		return
+	}
+	f.take(reply, 0)
+}
+
+// readInventory makes the inventory from the store. The configuration, which is
+// large, is read only when nothing is known yet.
+func (f *fleet) readInventory(ctx context.Context) (*inventory.Inventory, error) {
+	inv := &inventory.Inventory{}
+	if last := f.known(); last != nil {
+		inv.Models, inv.Origin, inv.OriginMbps = last.Models, last.Origin, last.OriginMbps
+	} else if err := f.readConfig(ctx, inv); err != nil {
+		return nil, err
+	}
+	if err := f.readVersions(ctx, inv); err != nil {
+		return nil, err
+	}
+	if err := f.readMembers(ctx, inv); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	inv.Entries = slices.Clone(f.places)
+	f.mu.Unlock()
+	inv.Seal()
+	return inv, nil
+}
+
+// errNoConfig tells that the store holds no configuration yet.
+var errNoConfig = errors.New("sidecar: no configuration yet")
+
+func (f *fleet) readConfig(ctx context.Context, inv *inventory.Inventory) error {
+	objects, err := f.store.ListStale(ctx, platform.KindConfig)
+	if err != nil {
+		return err
+	}
+	for _, stored := range objects {
+		if stored.Name != platform.ConfigName {
+			continue
+		}
+		config, err := platform.DecodeConfig(stored.Data)
+		if err != nil {
+			return err
+		}
+		inv.UseConfig(config, f.site.Service)
+		return nil
+	}
+	return errNoConfig
+}
+
+func (f *fleet) readVersions(ctx context.Context, inv *inventory.Inventory) error {
+	objects, _, err := f.store.Source(platform.KindVersions).List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, stored := range objects {
+		v, err := platform.DecodeVersion(stored.Data)
+		if err != nil {
+			return err
+		}
+		inv.Versions = append(inv.Versions, inventory.Version{Model: v.Model, Version: v.Version})
+	}
+	return nil
+}
+
+func (f *fleet) readMembers(ctx context.Context, inv *inventory.Inventory) error {
+	objects, err := f.store.ListStale(ctx, platform.KindEndpoints)
+	if err != nil {
+		return err
+	}
+	for _, stored := range objects {
+		e, err := platform.DecodeEndpoint(stored.Data)
+		if err != nil {
+			return err
+		}
+		if e.Service == f.site.Service {
+			inv.AddEndpoint(e, f.site.PeerPort, f.site.Regions)
+		}
+	}
+	return nil
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,28 +5,23 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/exchange"
+	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/member"
-	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/peer"
 	"github.com/silverdeck/silverdeck/platform"
-	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/settings"
 	"github.com/silverdeck/silverdeck/stage"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/telemetry"
-	"github.com/silverdeck/silverdeck/wait"
 )
 
 // Settings of a sidecar.
@@ -39,12 +34,6 @@
 	gather      = 50 * time.Millisecond
 	dialLimit   = 500 * time.Millisecond
 	headerLimit = 5 * time.Second
-	// originAge is for how long the origin's address is kept.
-	// watchHold is for how long a watch for new versions may stay unanswered.
-	watchHold = 3 * time.Second
-	originAge = 10 * time.Second
-	// configPause is the time between two tries to read the configuration.
-	configPause = 500 * time.Millisecond
 )
 
 // bytesPerMegabit turns megabits into bytes.
@@ -55,27 +44,22 @@
 	site     *settings.Site
 	log      *log.Logger
 	registry metrics.Registry
-	store    *platform.Store
+	fleet    *fleet
 	stager   *stage.Stager
-	versions *mirror.Mirror
-	began    bool
 	cancel   context.CancelFunc
 	servers  []*http.Server
 	notices  net.PacketConn
-	// entries are the peer addresses of the entries as last read.
-	entries atomic.Pointer[[]string]
-
-	mu       sync.Mutex
-	originAt platform.OriginPlace
-	foundAt  time.Time
+	// began is set once the first inventory was taken in.
+	began bool
 }
 
 // New returns a Sidecar that is not started.
 func New(site *settings.Site, l *log.Logger, registry metrics.Registry) *Sidecar {
-	c := &Sidecar{site: site, log: l, registry: registry, store: platform.NewStore(site.Store)}
+	c := &Sidecar{site: site, log: l, registry: registry}
 	dialer := &net.Dialer{Timeout: dialLimit}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: uploads}}
 	pool := peer.NewPool(dialer)
+	c.fleet = newFleet(site, platform.NewStore(site.Store), pool, l, c.useInventory)
 	c.stager = stage.New(stage.Config{
 		Self:     swarm.Member{VM: site.Peer, Addr: site.Peer, Zone: site.Zone, Region: site.Region},
 		Endpoint: platform.NewEndpoint(site.Endpoint),
@@ -87,13 +71,6 @@
 		LinkRate: site.LinkMbps * bytesPerMegabit,
 		Log:      l,
 	})
-	c.versions = mirror.New(mirror.Config{
-		Kind:   platform.KindVersions,
-		Source: c.store.Source(platform.KindVersions),
-		Random: rand.Float64,
-		Hold:   func() time.Duration { return watchHold },
-		Log:    l,
-	}, c.useVersions)
 	return c
 }
 
@@ -120,8 +97,7 @@
 	if err := c.serve(c.site.Observe, telemetry.NewObserveHandler(c.registry, c)); err != nil {
 		return err
 	}
-	go c.versions.Run(ctx)
-	go c.wantFirst(ctx)
+	go c.fleet.run(ctx)
 	go c.stager.Run(ctx)
 	c.log.Info("started", "peer", c.site.Peer, "endpoint", c.site.Endpoint, "service", c.site.Service)
 	return nil
@@ -138,154 +114,76 @@
 	return nil
 }
 
-func (c *Sidecar) useVersions(s *mirror.State) {
+// firstVersion is the version of weights that stands before any is named.
+const firstVersion = 1
+
+// useInventory wants the weights that an inventory names.
+func (c *Sidecar) useInventory(inv *inventory.Inventory) {
 	first := !c.began
 	c.began = true
-	for name, stored := range s.Objects {
-		v, err := platform.DecodeVersion(stored.Data)
-		if err != nil {
-			c.log.Error("bad version", "name", name, "err", err)
-			continue
-		}
+	for _, v := range inv.Versions {
 		if c.stager.Want(v.Model, v.Version, first) {
-			c.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision, "first", first)
+			c.log.Info("version named", "model", v.Model, "version", v.Version, "inventory", inv.Digest, "first", first)
 		}
 	}
-}
-
-// firstVersion is the version of weights that stands before any is named.
-const firstVersion = 1
-
-// wantFirst wants the first version of each model of the service, as the
-// configuration names them.
-func (c *Sidecar) wantFirst(ctx context.Context) {
-	for ctx.Err() == nil {
-		config, err := c.config(ctx)
-		if err == nil {
-			c.wantModels(config)
-			return
-		}
-		c.log.Debug("no configuration yet", "err", err)
-		wait.For(ctx, configPause)
+	for _, model := range inv.Models {
+		c.stager.Want(model, firstVersion, true)
 	}
 }
 
-func (c *Sidecar) wantModels(config *routes.Config) {
-	service := config.Services[c.site.Service]
-	if service == nil || service.Engine == nil {
-		return
-	}
-	for _, m := range service.Engine.Models {
-		c.stager.Want(m.Name, firstVersion, true)
-	}
-}
+// errNoInventory tells that neither an entry nor the store has answered yet.
+var errNoInventory = errors.New("sidecar: no inventory yet")
 
 // Members implements stage.Fleet.
-func (c *Sidecar) Members(ctx context.Context) ([]swarm.Member, error) {
-	objects, err := c.store.ListStale(ctx, platform.KindEndpoints)
-	if err != nil {
-		return nil, err
+func (c *Sidecar) Members(context.Context) ([]swarm.Member, error) {
+	inv := c.fleet.known()
+	if inv == nil {
+		return nil, errNoInventory
 	}
-	out := []swarm.Member{{VM: c.site.Peer, Addr: c.site.Peer, Zone: c.site.Zone, Region: c.site.Region}}
-	for _, stored := range objects {
-		e, err := platform.DecodeEndpoint(stored.Data)
-		if err != nil {
-			return nil, err
-		}
-		host, _, err := net.SplitHostPort(e.Addr)
-		if err != nil || e.Service != c.site.Service {
-			continue
-		}
-		addr := net.JoinHostPort(host, strconv.Itoa(c.site.PeerPort))
-		if addr != c.site.Peer {
-			out = append(out, swarm.Member{VM: addr, Addr: addr, Zone: e.Zone, Region: c.site.Regions[e.Zone]})
-		}
+	self := swarm.Member{VM: c.site.Peer, Addr: c.site.Peer, Zone: c.site.Zone, Region: c.site.Region}
+	out := slices.Clone(inv.Members)
+	if !slices.ContainsFunc(out, func(m swarm.Member) bool { return m.VM == self.VM }) {
+		out = append(out, self)
 	}
 	return out, nil
 }
 
 // Pause implements stage.Fleet.
-func (c *Sidecar) Pause(ctx context.Context, d time.Duration) {
-	c.entries.Store(c.findEntries(ctx))
+func (c *Sidecar) Pause(_ context.Context, d time.Duration) {
 	c.notify(member.Notice{Addr: c.site.Endpoint, PauseMS: d.Milliseconds()})
 }
 
 // Loaded implements stage.Fleet.
-func (c *Sidecar) Loaded(ctx context.Context, model string, version int64) {
-	if c.entries.Load() == nil {
-		c.entries.Store(c.findEntries(ctx))
-	}
+func (c *Sidecar) Loaded(_ context.Context, model string, version int64) {
 	c.notify(member.Notice{Addr: c.site.Endpoint, Model: model, Version: version})
 }
 
+// notify sends n to all live entries.
 func (c *Sidecar) notify(n member.Notice) {
-	if addrs := c.entries.Load(); addrs != nil {
-		member.Notify(c.notices, *addrs, n)
-	}
-}
-
-// findEntries returns the peer addresses of the entries, or those known before
-// when the store can't be read.
-func (c *Sidecar) findEntries(ctx context.Context) *[]string {
-	objects, err := c.store.ListStale(ctx, platform.KindMembers)
-	if err != nil {
-		return c.entries.Load()
+	inv := c.fleet.known()
+	if inv == nil {
+		return
 	}
-	addrs := []string{}
-	for _, stored := range objects {
-		if e, err := platform.DecodeMember(stored.Data); err == nil {
-			addrs = append(addrs, e.Peer)
-		}
+	addrs := make([]string, 0, len(inv.Entries))
+	for _, e := range inv.Entries {
+		addrs = append(addrs, e.Addr)
 	}
-	return &addrs
+	member.Notify(c.notices, addrs, n)
 }
 
 // errNoOrigin tells that the configuration names no origin of weights.
 var errNoOrigin = errors.New("sidecar: the configuration names no origin")
 
-// origin returns the address of the origin of weights.
-func (c *Sidecar) origin(ctx context.Context) (platform.OriginPlace, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.originAt.Address != "" && time.Since(c.foundAt) < originAge {
-		return c.originAt, nil
-	}
-	config, err := c.config(ctx)
-	if err == nil {
-		err = c.takeOrigin(config)
-	}
-	if c.originAt.Address != "" {
-		return c.originAt, nil
-	}
-	return c.originAt, err
-}
-
-func (c *Sidecar) takeOrigin(config *routes.Config) error {
-	for _, s := range config.Services {
-		if s.Origin != "" {
-			c.originAt, c.foundAt = platform.OriginPlace{Address: s.Origin, LinkMbps: s.LinkMbps}, time.Now()
-			return nil
-		}
-	}
-	return errNoOrigin
-}
-
-// errNoConfig tells that the store holds no configuration yet.
-var errNoConfig = errors.New("sidecar: no configuration yet")
-
-// config reads the configuration.
-func (c *Sidecar) config(ctx context.Context) (*routes.Config, error) {
-	objects, err := c.store.ListStale(ctx, platform.KindConfig)
-	if err != nil {
-		return nil, err
-	}
-	for _, stored := range objects {
-		if stored.Name != platform.ConfigName {
-			continue
-		}
-		return platform.DecodeConfig(stored.Data)
+// origin returns where the origin of weights is.
+func (c *Sidecar) origin(context.Context) (platform.OriginPlace, error) {
+	inv := c.fleet.known()
+	switch {
+	case inv == nil:
+		return platform.OriginPlace{}, errNoInventory
+	case inv.Origin == "":
+		return platform.OriginPlace{}, errNoOrigin
 	}
-	return nil, errNoConfig
+	return platform.OriginPlace{Address: inv.Origin, LinkMbps: inv.OriginMbps}, nil
 }
 
 // Ready implements telemetry.Observed.
@@ -295,7 +193,7 @@
 
 // State implements telemetry.Observed.
 func (c *Sidecar) State() any {
-	return c.versions.State()
+	return c.fleet.known()
 }
 
 // Stop ends the process's work.
