--- /dev/null
+++ b/mirror/state_test.go
@@ -0,0 +1,92 @@
+package mirror_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/mirror"
+)
+
+// stateOf returns the copy of a store after changes; a leading "-" removes.
+func stateOf(t *testing.T, changes ...string) *mirror.State {
+	var out *mirror.State
+	play(t, func(_ *WithT, s *store, m *mirror.Mirror) {
+		for _, name := range changes {
+			s.change(name[len(name)-1:], name[0] == '-')
+			synctest.Wait()
+		}
+		out = m.State()
+	})
+	return out
+}
+
+func TestACopyIsBroughtUpToDateByWhatChanged(t *testing.T) {
+	g := NewWithT(t)
+	older := stateOf(t, "b", "c")
+	newer := stateOf(t, "b", "c", "d", "-b", "a")
+	delta := newer.Since(older.Changed)
+	g.Expect(delta.Names).To(ConsistOf("a", "c", "d"))
+	g.Expect(delta.Objects).To(HaveLen(2), "c is known")
+	got, whole := older.Apply(delta)
+	g.Expect(whole).To(BeTrue())
+	g.Expect(got).To(Equal(newer))
+}
+
+func TestADeltaThatDoesNotFitIsNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	newer := stateOf(t, "b", "c", "d")
+	empty := &mirror.State{}
+	_, whole := empty.Apply(newer.Since(3))
+	g.Expect(whole).To(BeFalse())
+	got, whole := empty.Apply(newer.Since(0))
+	g.Expect(whole).To(BeTrue())
+	g.Expect(got).To(Equal(newer))
+}
+
+func TestARemovalMakesANewerCopyAndAConfirmationDoesNot(t *testing.T) {
+	g := NewWithT(t)
+	before, after := stateOf(t, "b"), stateOf(t, "b", "-b")
+	g.Expect(after.Version().NewerThan(before.Version())).To(BeTrue())
+	g.Expect(before.Version().NewerThan(after.Version())).To(BeFalse())
+	confirmed := mirror.Version{Revision: before.Revision + 9, Digest: before.Digest}
+	g.Expect(confirmed.NewerThan(before.Version())).To(BeFalse())
+}
+
+func TestAMirrorAtRestMakesNoCallsButTakesCopiesAndListsWhenBehind(t *testing.T) {
+	active := false
+	set := func(cfg *mirror.Config) { cfg.Active = func() bool { return active } }
+	playWith(t, set, func(g *WithT, s *store, m *mirror.Mirror) {
+		time.Sleep(time.Minute)
+		g.Expect(s.calls).To(BeZero())
+		g.Expect(m.Take(&mirror.State{Revision: 1, Digest: 7})).To(BeTrue())
+		m.Behind(2)
+		s.change("b", false)
+		time.Sleep(time.Second)
+		g.Expect(names(m)).To(ConsistOf("a", "b"))
+		g.Expect(s.calls).To(Equal(1))
+		active = true
+		s.change("c", false)
+		time.Sleep(time.Second)
+		g.Expect(names(m)).To(ConsistOf("a", "b", "c"))
+	})
+}
+
+func TestAMirrorThatComesToRestNoLongerSaysThatTheStoreIsLost(t *testing.T) {
+	active, lost := true, false
+	set := func(cfg *mirror.Config) {
+		cfg.Active = func() bool { return active }
+		cfg.Reach = func(now bool) { lost = now }
+	}
+	playWith(t, set, func(g *WithT, s *store, _ *mirror.Mirror) {
+		s.set(func() { s.down = true })
+		time.Sleep(2 * hold)
+		g.Expect(lost).To(BeTrue())
+		active = false
+		time.Sleep(time.Second)
+		g.Expect(lost).To(BeFalse())
+	})
+}
+
