--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -259,9 +259,11 @@
 	playWith(t, reach, func(g *WithT, s *store, _ *mirror.Mirror) {
 		s.set(func() { s.down = true })
 		time.Sleep(2 * hold)
+		synctest.Wait()
 		g.Expect(told).To(Equal([]bool{true}))
 		s.set(func() { s.down = false })
 		time.Sleep(time.Second)
+		synctest.Wait()
 		g.Expect(told).To(Equal([]bool{true, false}))
 	})
 }
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,18 +57,20 @@
 }
 
 func TestAMirrorAtRestMakesNoCallsButTakesCopiesAndListsWhenBehind(t *testing.T) {
-	active := false
-	set := func(cfg *mirror.Config) { cfg.Active = func() bool { return active } }
+	var active atomic.Bool
+	set := func(cfg *mirror.Config) { cfg.Active = func() bool { return active.Load() } }
 	playWith(t, set, func(g *WithT, s *store, m *mirror.Mirror) {
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		g.Expect(s.calls).To(BeZero())
 		g.Expect(m.Take(&mirror.State{Revision: 1, Digest: 7})).To(BeTrue())
 		m.Behind(2)
 		s.change("b", false)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		g.Expect(names(m)).To(ConsistOf("a", "b"))
 		g.Expect(s.calls).To(Equal(1))
-		active = true
+		active.Store(true)
 		s.change("c", false)
 		time.Sleep(time.Second)
 		g.Expect(names(m)).To(ConsistOf("a", "b", "c"))
@@ -75,18 +78,18 @@
 }
 
 func TestAMirrorThatComesToRestNoLongerSaysThatTheStoreIsLost(t *testing.T) {
-	active, lost := true, false
+	var active, lost atomic.Bool
+	active.Store(true)
 	set := func(cfg *mirror.Config) {
-		cfg.Active = func() bool { return active }
-		cfg.Reach = func(now bool) { lost = now }
+		cfg.Active = func() bool { return active.Load() }
+		cfg.Reach = func(now bool) { lost.Store(now) }
 	}
 	playWith(t, set, func(g *WithT, s *store, _ *mirror.Mirror) {
 		s.set(func() { s.down = true })
 		time.Sleep(2 * hold)
-		g.Expect(lost).To(BeTrue())
-		active = false
+		g.Expect(lost.Load()).To(BeTrue())
+		active.Store(false)
 		time.Sleep(time.Second)
-		g.Expect(lost).To(BeFalse())
+		g.Expect(lost.Load()).To(BeFalse())
 	})
 }
-
