stage: an older version is gone on with while the newest can't be had

Change: a version that makes no progress for 1.2 s lets the one named before it go on; an older version that is there by 0.7 (was 0.4) is still finished first. Test red before: no version was loaded.

--- a/stage/fetch.go
+++ b/stage/fetch.go
@@ -32,6 +32,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.abandon(ctx, cancel, model, want.version)
+	go s.fallBack(ctx, model, want.version)
 	if err := s.fetch(ctx, model, want.version); err != nil {
 		s.failed(ctx, "weights not fetched", model, want.version, err)
 		return
@@ -51,7 +52,7 @@
 
 // mostOf is the part of a version that makes it worth being fetched whole
 // although a newer one is named.
-const mostOf = 0.4
+const mostOf = 0.7
 
 // abandon ends the fetching of a version once a newer one is wanted and little
 // of the older is there.
@@ -68,6 +69,41 @@
 	}
 }
 
+// stalledAfter is how long a version may make no progress before an older one,
+// of which other VMs may have all chunks, is gone on with.
+const stalledAfter = 1200 * time.Millisecond
+
+// fallBack goes on with the version named before when this one makes no
+// progress, as when the origin fails: requests may begin on the older one until
+// its own limit.
+func (s *Stager) fallBack(ctx context.Context, model string, version int64) {
+	have, since := -1, time.Now()
+	for wait.For(ctx, lookEvery) {
+		if n := s.held(model, version); n != have {
+			have, since = n, time.Now()
+		}
+		older, wanted := s.formerTarget(model, version)
+		if !wanted || time.Since(since) < stalledAfter || s.held(model, older.version) == 0 {
+			continue
+		}
+		s.cfg.Log.Info("older weights gone on with", "model", model, "version", older.version,
+			"have", s.held(model, older.version), "instead", version, "haveOfThat", have)
+		if err := s.fetch(ctx, model, older.version); err != nil {
+			s.failed(ctx, "weights not fetched", model, older.version, err)
+			continue
+		}
+		s.completed(model, older)
+	}
+}
+
+// held returns how many chunks of a version are there.
+func (s *Stager) held(model string, version int64) int {
+	if set := s.holdings.version(model, version); set != nil {
+		return set.Len()
+	}
+	return 0
+}
+
 // fetch fills the set of a version.
 func (s *Stager) fetch(ctx context.Context, model string, version int64) error {
 	set := s.holdings.version(model, version)
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -59,7 +59,9 @@
 	mu sync.Mutex
 	// targets are the newest versions by model, complete those that are there whole.
 	targets, complete map[string]target
-	wake              chan struct{}
+	// former are the targets before the newest, by model, the newest of them last.
+	former map[string][]target
+	wake   chan struct{}
 }
 
 // target is the version of a model that the endpoint should run.
@@ -73,7 +75,7 @@
 
 // New returns a Stager without targets.
 func New(cfg Config) *Stager {
-	return &Stager{cfg: cfg, holdings: newHoldings(), targets: map[string]target{}, complete: map[string]target{}, wake: make(chan struct{}, 1)}
+	return &Stager{cfg: cfg, holdings: newHoldings(), targets: map[string]target{}, complete: map[string]target{}, former: map[string][]target{}, wake: make(chan struct{}, 1)}
 }
 
 // Holdings is what this VM can give to others.
@@ -89,6 +91,9 @@
 	if s.targets[model].version >= version {
 		return false
 	}
+	if old, known := s.targets[model]; known {
+		s.former[model] = append(s.former[model], old)
+	}
 	s.targets[model] = target{version: version, seenAt: time.Now(), first: first}
 	select {
 	case s.wake <- struct{}{}:
@@ -103,6 +108,20 @@
 	return s.targets[model]
 }
 
+// formerTarget returns the newest target before version that is not there whole,
+// and whether there is one that is newer than what is.
+func (s *Stager) formerTarget(model string, version int64) (target, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	former := s.former[model]
+	for i := len(former) - 1; i >= 0; i-- {
+		if former[i].version < version {
+			return former[i], former[i].version > s.complete[model].version
+		}
+	}
+	return target{}, false
+}
+
 func (s *Stager) models() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/stage/stager_test.go
+++ b/stage/stager_test.go
@@ -48,7 +48,9 @@
 	rot bool
 
 	// The origin.
-	delay  time.Duration
+	delay time.Duration
+	// lost is a version whose chunks can't be had.
+	lost   int64
 	spoilt map[int]int
 	reads  int
 	// lies is how many manifests are spoilt.
@@ -134,8 +136,11 @@
 	if spoilt {
 		m.spoilt[i]--
 	}
-	delay := m.delay
+	delay, lost := m.delay, m.lost == version
 	m.mu.Unlock()
+	if lost {
+		return nil, errNobody
+	}
 	select {
 	case <-time.After(delay):
 	case <-ctx.Done():
@@ -342,6 +347,20 @@
 	})
 }
 
+func TestAnOlderVersionIsGoneOnWithWhileTheNewestCanNotBeHad(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.delay, m.lost = 700*time.Millisecond, 3 })
+		s.Want("m", 2, false)
+		time.Sleep(1500 * time.Millisecond)
+		s.Want("m", 3, false)
+		time.Sleep(limit - 1500*time.Millisecond)
+		g.Expect(m.versions()).To(Equal([]int64{2}), "within the older one's limit")
+		m.set(func() { m.lost = 0 })
+		time.Sleep(2 * limit)
+		g.Expect(m.versions()).To(Equal([]int64{2, 3}))
+	})
+}
+
 func TestAnEndpointThatWasRestartedLoadsAgain(t *testing.T) {
 	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
 		s.Want("m", 1, true)
