gateway: a stream is refused where its answer would begin too late; shorter aims go first

Change: from the engine's figures in the configuration the entry works out how many may wait so that the answer begins within 0.6 of the service's longest aim; streams of a shorter aim go before others of their rank at the endpoint, so that all kinds are let in up to the same load. The rank sent to endpoints is twice the route's rank, with room between for that and for answers that have begun (test expectations follow).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,9 +16,6 @@
 
 // Limits of an attempt.
 const (
-	// streamRoom is the load of model engines, in requests for each slot, above
-	// which requests are refused.
-	streamRoom = 1.25
 	// maxWhole bounds an answer that is read whole before it is passed on, in bytes.
 	maxWhole = 8 << 20
 	// leastTime is what must be left for a request to be sent again.
@@ -132,7 +129,7 @@
 	if j.route.Kind == routes.Stream {
 		q.Model = j.model
 		q.MinVersion = g.cfg.Floor(j.model)
-		q.Room = streamRoom
+		q.Room = j.room()
 		if j.begun {
 			q.Room = anyRoom // it would be cut
 		}
@@ -173,7 +170,7 @@
 		q.Header.Set(p.LastEvent, j.lastEvent)
 	}
 	if j.begun {
-		q.Header.Set(p.Priority, strconv.Itoa(max(0, j.priority()-1)))
+		q.Header.Set(p.Priority, strconv.Itoa(j.priority()))
 	}
 	fresh := !j.route.Repeatable() && len(j.tried) > 1
 	return g.cfg.Client.Do(ctx, lease.Record.Addr, &q, upstream.Options{Fresh: fresh, GiveUp: g.giveUp(j, lease)})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -235,18 +235,6 @@
 	return out
 }
 
-// lowestPriority is the last rank that endpoints know.
-const lowestPriority = 9
-
-// priority returns the request's rank at endpoints, 0 first.
-func (j *job) priority() int {
-	n := j.route.Priority
-	if j.account != nil && j.account.Ranked {
-		n = j.account.Priority
-	}
-	return max(0, min(n, lowestPriority))
-}
-
 // connectionHeaders concern a single connection, or are set anew.
 var connectionHeaders = map[string]bool{
 	"Connection":          true,
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -104,6 +104,8 @@
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.Safe, Timeout: 2 * time.Second, Aim: 100 * time.Millisecond, Attempts: 2, Targets: target},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routes.Stream, Timeout: 6 * time.Second, Aim: 400 * time.Millisecond,
 			GapAim: 300 * time.Millisecond, Attempts: 2, Resume: true, Priority: 3, Targets: target},
+		{Name: "brief", Host: "h", Prefix: "/brief/", Kind: routes.Stream, Timeout: 6 * time.Second, Aim: 300 * time.Millisecond,
+			GapAim: 300 * time.Millisecond, Attempts: 2, Resume: true, Priority: 3, Targets: target},
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.Stream, Timeout: 6 * time.Second, Aim: 400 * time.Millisecond,
 			GapAim: 300 * time.Millisecond, Attempts: 2, Targets: target},
 		{Name: "public", Host: "h", Prefix: "/public/", Kind: routes.Unsafe, Timeout: time.Second, Attempts: 1, Public: true, Targets: target},
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -139,13 +139,21 @@
 	Limits            Limits
 	hosts             map[string][]*Route
 	accounts          map[string]*Account
+	// aims are the longest aims of streams, by service.
+	aims map[string]time.Duration
 }
 
 // New returns a Config of routes and of accounts by key.
 func New(list []*Route, accounts map[string]*Account) *Config {
-	c := &Config{Services: map[string]*Service{}, hosts: map[string][]*Route{}, accounts: accounts}
+	c := &Config{Services: map[string]*Service{}, hosts: map[string][]*Route{}, accounts: accounts, aims: map[string]time.Duration{}}
 	for _, r := range list {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+		if r.Kind != Stream {
+			continue
+		}
+		for _, t := range r.Targets {
+			c.aims[t.Service] = max(c.aims[t.Service], r.Aim)
+		}
 	}
 	for _, rs := range c.hosts {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -166,6 +174,11 @@
 	return nil
 }
 
+// LongestAim returns the longest aim of the streams that a service answers.
+func (c *Config) LongestAim(service string) time.Duration {
+	return c.aims[service]
+}
+
 // Account returns the account that holds key, or nil.
 func (c *Config) Account(key string) *Account {
 	return c.accounts[key]
