gateway: callers that find no room are told different times to come back

They are now told between 0.4 and 2 s. The spread is what helps; the shorter lower end is kept for short bursts.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -80,6 +80,12 @@
 	return min(wanted, max(time.Until(j.endsAt)/callerPatience, retrySoon))
 }
 
+// later draws when a caller should come back that finds no room.
+func (g *Gateway) later() time.Duration {
+	part := leastRetry + (1-leastRetry)*g.cfg.Random()
+	return time.Duration(part * float64(retryLater))
+}
+
 // codeFull is the reason when no endpoint has room.
 const codeFull verdict.Code = "full"
 
@@ -141,9 +147,9 @@
 		return lease, nil
 	}
 	if shortage == balance.AllFull {
-		return nil, verdict.NewError(verdict.NotRun, codeFull, "all endpoints of %s are full", j.service).After(retryFull)
+		return nil, verdict.NewError(verdict.NotRun, codeFull, "all endpoints of %s are full", j.service).After(g.later())
 	}
-	return nil, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no endpoint of %s", j.service).After(retryMissing)
+	return nil, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no endpoint of %s", j.service).After(g.later())
 }
 
 // reading returns the time that an engine takes to read the prompt.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,10 +106,12 @@
 // Refusals.
 const (
 	retrySoon = 300 * time.Millisecond
-	// retryFull and retryMissing are when a caller should come back if all
-	// endpoints are full, and if there is none: new ones take some seconds.
-	retryFull    = 800 * time.Millisecond
-	retryMissing = 2 * time.Second
+	// retryLater is when a caller should come back at the latest if all endpoints
+	// are full, or if there is none: new ones take some seconds. Callers are told
+	// times between leastRetry of it and all of it, so that those who were refused
+	// together do not come back together.
+	retryLater = 2 * time.Second
+	leastRetry = 0.2
 	// callerPatience is the part of their time that callers wait: a third.
 	callerPatience = 3
 	retryNoRoute   = time.Second
