Entries share which endpoints say nothing

Change: silence on all streams leaves an endpoint alone at once; heartbeats name such endpoints, and other entries leave the trial to the one that suspects it, unless they hear from the endpoint themselves.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,8 +19,10 @@
 	Served Outcome = iota
 	// Refused means that the endpoint said that it did not run the request.
 	Refused
-	// Failed means an error answer, a broken answer or silence.
+	// Failed means an error answer, a broken answer or a lost one.
 	Failed
+	// Silent means that nothing came from the endpoint on any connection.
+	Silent
 	// Unreachable means that no connection could be had.
 	Unreachable
 	// Misdirected means that the address belongs to another endpoint now.
@@ -57,6 +59,8 @@
 	heardAt *atomic.Int64
 	// observe hears of changes of belief; nil means nobody does.
 	observe func(Belief)
+	// suspected returns whether another entry suspects an endpoint; see Listen.
+	suspected func(id string) bool
 
 	mu       sync.RWMutex
 	services map[string]*shard
@@ -97,7 +101,8 @@
 // New returns a Balancer for an entry in zone. others returns how many
 // requests other entries have at an endpoint.
 func New(zone string, others func(id string) int, random func() float64) *Balancer {
-	return &Balancer{zone: zone, others: others, random: random, heardAt: &atomic.Int64{}, services: map[string]*shard{}}
+	return &Balancer{zone: zone, others: others, random: random, heardAt: &atomic.Int64{}, services: map[string]*shard{},
+		suspected: func(string) bool { return false }}
 }
 
 // Touch notes that something was heard from outside, so that this entry and its
@@ -205,7 +210,7 @@
 			continue
 		}
 		cost := load + jitter*b.random() + b.penalty(e, q, newest)
-		if !e.health.usable(now) {
+		if !b.usable(e, now) {
 			if spare == nil || cost < spareCost {
 				spare, spareCost = e, cost
 			}
@@ -363,7 +368,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.endpoints {
-		if e.fits(q) && e.health.usable(now) && (q.Room == 0 || e.load(b.others) < q.Room) {
+		if e.fits(q) && b.usable(e, now) && (q.Room == 0 || e.load(b.others) < q.Room) {
 			return true
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -226,3 +226,47 @@
 		Expect(b.InFlight()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Suspicion", func() {
+	suspect := func(b *balance.Balancer, n int) {
+		for range n {
+			l := pick(b, balance.Query{Service: "s"}, now)
+			l.Done(balance.Silent, now)
+		}
+	}
+	It("of an endpoint that says nothing begins at once, and others hear of it", func() {
+		b := balancer(endpoints(4))
+		l := pick(b, balance.Query{Service: "s"}, now)
+		l.Done(balance.Silent, now)
+		Expect(b.Suspects(now)).To(Equal([]string{l.Record.ID}))
+		Expect(b.Suspects(at(2499))).To(HaveLen(1), "the trial is this entry's")
+		Expect(b.Suspects(at(2500))).To(BeEmpty(), "others need not wait for it for ever")
+	})
+	It("ends with a trial that succeeds", func() {
+		b := balancer(endpoints(1))
+		pick(b, balance.Query{Service: "s"}, now).Done(balance.Silent, now)
+		pick(b, balance.Query{Service: "s"}, at(600)).Done(balance.Served, at(700))
+		Expect(b.Suspects(at(700))).To(BeEmpty())
+	})
+	It("of many endpoints is put down to this entry", func() {
+		b := balancer(endpoints(4))
+		suspect(b, 2)
+		Expect(b.Suspects(now)).To(BeEmpty())
+	})
+	It("of others keeps this entry away, unless it hears from the endpoint", func() {
+		b := balancer(endpoints(2))
+		heard := pick(b, balance.Query{Service: "s"}, now)
+		id := heard.Record.ID
+		b.Listen(func(suspected string) bool { return suspected == id })
+		for range 4 {
+			Expect(pick(b, balance.Query{Service: "s"}, now).Record.ID).NotTo(Equal(id))
+		}
+		heard.Heard(now)
+		Expect(pick(b, balance.Query{Service: "s"}, at(100)).Record.ID).To(Equal(id))
+	})
+	It("does not leave a service without endpoints", func() {
+		b := balancer(endpoints(1))
+		b.Listen(func(string) bool { return true })
+		Expect(pick(b, balance.Query{Service: "s"}, now).Record.ID).To(Equal("e0"))
+	})
+})
--- a/balance/health.go
+++ b/balance/health.go
@@ -103,7 +103,7 @@
 		if wasTrial || h.failures > failureLimit {
 			h.eject(now)
 		}
-	case Unreachable:
+	case Unreachable, Silent:
 		h.failures += failureWeight * (1 - h.failures)
 		h.eject(now)
 	case Misdirected:
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -111,6 +111,7 @@
 	e.table = member.NewTable(e.self)
 	e.balancer = balance.New(site.Zone, e.table.InFlight, rand.Float64)
 	e.balancer.Observe(e.logBelief)
+	e.balancer.Listen(e.table.Suspected)
 	e.gateway = gateway.New(gateway.Config{
 		Protocol: platform.Protocol(),
 		Balancer: e.balancer,
@@ -248,7 +249,7 @@
 
 // describe returns this entry's heartbeat.
 func (e *Edge) describe() member.Heartbeat {
-	b := member.Heartbeat{Entry: e.self, Ready: e.Ready() == nil, Copies: map[string]mirror.Version{}, InFlight: e.balancer.InFlight()}
+	b := member.Heartbeat{Entry: e.self, Ready: e.Ready() == nil, Copies: map[string]mirror.Version{}, InFlight: e.balancer.InFlight(), Suspects: e.balancer.Suspects(time.Now())}
 	b.Watching, b.Away = e.replicas.isWatching()
 	for kind, m := range e.mirrors {
 		b.Copies[kind] = m.State().Version()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,9 +99,13 @@
 		return failure
 	}
 	j.tried = append(j.tried, lease.Record.ID)
+	sent := time.Now()
 	outcome := balance.Neutral
 	defer func() { lease.Done(outcome, time.Now()) }()
 	failure, outcome = g.exchange(ctx, w, j, lease)
+	if outcome == balance.Failed && j.route.Kind == routes.Stream && lease.Silence(sent, time.Now()) > j.silenceLimit() {
+		outcome = balance.Silent
+	}
 	if failure != nil {
 		g.logAttempt(j, lease, failure)
 	}
@@ -193,7 +197,7 @@
 	if j.route.Kind != routes.Stream {
 		return func() bool { return !last && time.Since(sent) > plainAimFactor*j.route.Aim }
 	}
-	limit := max(gapFactor*j.route.GapAim, leastGap)
+	limit := j.silenceLimit()
 	return func() bool {
 		now := time.Now()
 		switch {
@@ -208,6 +212,11 @@
 	}
 }
 
+// silenceLimit returns for how long an endpoint may say nothing on any stream.
+func (j *job) silenceLimit() time.Duration {
+	return max(gapFactor*j.route.GapAim, leastGap)
+}
+
 // anyRoom asks for an endpoint however busy it is.
 const anyRoom = 0
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -56,8 +56,8 @@
 	down      map[string]bool
 	floor     atomic.Int64
 	// draw is what the gateway draws, in thousandths.
-	draw atomic.Int64
-	client    *upstream.Client
+	draw   atomic.Int64
+	client *upstream.Client
 }
 
 // play runs f in a world of endpoints that answer by scripts.
--- a/member/member.go
+++ b/member/member.go
@@ -39,6 +39,8 @@
 	Away     bool `json:"away,omitempty"`
 	// InFlight counts the entry's requests in progress by endpoint.
 	InFlight map[string]int `json:"inFlight,omitempty"`
+	// Suspects are endpoints that fail for this entry.
+	Suspects []string `json:"suspects,omitempty"`
 }
 
 // Silence is how long an entry may say nothing before it counts as dead.
@@ -58,15 +60,16 @@
 	// listed is set once the store's list was read.
 	listed bool
 	heard  map[string]*peerState
-	// counts sums the others' requests in progress by endpoint.
-	counts map[string]int
+	// counts sums the others' requests in progress by endpoint, suspects counts
+	// the others that suspect it.
+	counts, suspects map[string]int
 	// arrived are entries heard for the first time, or again, since last asked.
 	arrived []string
 }
 
 // NewTable returns the table of self.
 func NewTable(self Entry) *Table {
-	return &Table{self: self, known: map[string]Entry{}, heard: map[string]*peerState{}, counts: map[string]int{}}
+	return &Table{self: self, known: map[string]Entry{}, heard: map[string]*peerState{}, counts: map[string]int{}, suspects: map[string]int{}}
 }
 
 // Know replaces the list of entries that are to be told of this one.
@@ -94,11 +97,11 @@
 		return false
 	}
 	if old != nil {
-		t.count(old.beat.InFlight, -1)
+		t.count(&old.beat, -1)
 	} else {
 		t.arrived = append(t.arrived, b.Entry.Name)
 	}
-	t.count(b.InFlight, 1)
+	t.count(&b, 1)
 	t.heard[b.Entry.Name] = &peerState{beat: b, heardAt: now}
 	return true
 }
@@ -113,7 +116,7 @@
 		if now.Sub(p.heardAt) <= Silence {
 			continue
 		}
-		t.count(p.beat.InFlight, -1)
+		t.count(&p.beat, -1)
 		delete(t.heard, name)
 		silent = append(silent, name)
 	}
@@ -130,15 +133,31 @@
 	return out
 }
 
-func (t *Table) count(inFlight map[string]int, sign int) {
-	for id, n := range inFlight {
-		t.counts[id] += sign * n
-		if t.counts[id] <= 0 {
-			delete(t.counts, id)
-		}
+// count adds what a heartbeat says of endpoints, or takes it away.
+func (t *Table) count(b *Heartbeat, sign int) {
+	for id, n := range b.InFlight {
+		add(t.counts, id, sign*n)
+	}
+	for _, id := range b.Suspects {
+		add(t.suspects, id, sign)
+	}
+}
+
+// add adds n to a count and drops it when nothing is left.
+func add(counts map[string]int, id string, n int) {
+	counts[id] += n
+	if counts[id] <= 0 {
+		delete(counts, id)
 	}
 }
 
+// Suspected returns whether another entry suspects endpoint id.
+func (t *Table) Suspected(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects[id] > 0
+}
+
 // InFlight returns how many requests the other entries have at endpoint id.
 func (t *Table) InFlight(id string) int {
 	t.mu.Lock()
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -80,6 +80,15 @@
 		Expect(t.Sharers()).To(Equal(4))
 	})
 
+	It("knows what others suspect, until they no longer say so", func() {
+		b := beat("x", 1, 1, nil)
+		b.Suspects = []string{"e"}
+		t.Hear(b, now)
+		Expect(t.Suspected("e")).To(BeTrue())
+		Expect(t.Suspected("f")).To(BeFalse())
+		t.Hear(beat("x", 1, 2, nil), now)
+		Expect(t.Suspected("e")).To(BeFalse())
+	})
 	It("knows who is ahead", func() {
 		t.Hear(beat("x", 1, 3, nil), now)
 		t.Hear(beat("y", 1, 8, nil), now)
