balance: suspicion is shared only when several requests were silent together

Now one silent request counts as a failure, two in a row leave the endpoint alone here, several together are told to others.

--- a/balance/health.go
+++ b/balance/health.go
@@ -11,6 +11,9 @@
 	// shortestEjection is for how long, at first; it doubles up to the longest.
 	shortestEjection = 500 * time.Millisecond
 	longestEjection  = 4 * time.Second
+	// silencesInRow is how many silent requests in a row, with no other in
+	// progress, leave an endpoint alone.
+	silencesInRow = 2
 	// refusalPause is for how long an endpoint that refused is left alone.
 	refusalPause = 60 * time.Millisecond
 )
@@ -29,6 +32,11 @@
 	ejections int
 	// trial is set while a single request tests an endpoint after an ejection.
 	trial bool
+	// silences counts silent requests in a row.
+	silences int
+	// dark is set when several requests were silent together; one alone may
+	// just have lost its answer.
+	dark bool
 }
 
 // usable returns whether requests may be sent.
@@ -88,6 +96,7 @@
 	h.trial = false
 	switch o {
 	case Served:
+		h.silences, h.dark = 0, false
 		h.failures *= 1 - failureWeight
 		if wasTrial || h.failures < failureLimit/2 {
 			h.ejections = 0
@@ -103,7 +112,13 @@
 		if wasTrial || h.failures > failureLimit {
 			h.eject(now)
 		}
-	case Unreachable, Silent:
+	case Silent:
+		h.failures += failureWeight * (1 - h.failures)
+		h.silences++
+		if wasTrial || h.silences >= silencesInRow {
+			h.eject(now)
+		}
+	case Unreachable:
 		h.failures += failureWeight * (1 - h.failures)
 		h.eject(now)
 	case Misdirected:
@@ -112,6 +127,12 @@
 	}
 }
 
+// darken notes that several requests are silent together.
+func (h *health) darken(now time.Time) {
+	h.dark = true
+	h.eject(now)
+}
+
 func (h *health) eject(now time.Time) {
 	if now.Before(h.until) {
 		return
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -69,9 +69,17 @@
 	defer l.shard.mu.Unlock()
 	l.endpoint.inFlight--
 	l.read()
-	change := l.endpoint.health.note(o, now)
+	h := &l.endpoint.health
+	before := h.ejections
+	change := h.note(o, now)
+	if o == Silent && l.endpoint.inFlight > 0 {
+		h.darken(now)
+		if h.ejections > before {
+			change = Ejected
+		}
+	}
 	if change != Unchanged && l.observe != nil {
-		l.observe(Belief{Endpoint: l.Record.ID, Change: change, Failures: l.endpoint.health.failures, Until: l.endpoint.health.until})
+		l.observe(Belief{Endpoint: l.Record.ID, Change: change, Failures: h.failures, Until: h.until})
 	}
 }
 
--- a/balance/suspect.go
+++ b/balance/suspect.go
@@ -34,8 +34,8 @@
 	return !b.suspected(e.record.ID)
 }
 
-// Suspects returns the endpoints that this entry leaves alone or is about to
-// try, by ID, for other entries to know.
+// Suspects returns the endpoints that were silent on several requests at once,
+// while this entry leaves them alone or is about to try them, by ID.
 func (b *Balancer) Suspects(now time.Time) []string {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
@@ -51,7 +51,7 @@
 	defer s.mu.Unlock()
 	var out []string
 	for id, e := range s.endpoints {
-		if e.health.ejections > 0 && now.Before(e.health.until.Add(suspicionTime)) {
+		if e.health.dark && e.health.ejections > 0 && now.Before(e.health.until.Add(suspicionTime)) {
 			out = append(out, id)
 		}
 	}
