gateway: the rest of a stream does not begin on weights that are too old

Only streams without any event yet were withdrawn at the limit; now any is whose run at this endpoint has not begun.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -201,8 +201,8 @@
 	return func() bool {
 		now := time.Now()
 		switch {
-		case !j.begun && lease.Holds(j.model) < g.cfg.Floor(j.model):
-			return true
+		case !j.eventAt.After(sent) && lease.Holds(j.model) < g.cfg.Floor(j.model):
+			return true // it would begin on weights that are too old
 		case last:
 			return false
 		case lease.Silence(sent, now) > limit:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -365,6 +365,25 @@
 	}, always(hang), always(events(0, end, 1)))
 }
 
+func TestTheRestOfAStreamThatWaitsAtOldWeightsIsWithdrawnInTime(t *testing.T) {
+	play(t, func(w *world) {
+		time.AfterFunc(300*time.Millisecond, func() { w.floor.Store(2) })
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.cut).To(BeTrue())
+		w.g.Expect(a.Body.String()).To(Equal(stream(1)))
+		w.g.Expect(a.took).To(BeNumerically("<", 500*time.Millisecond))
+		w.g.Expect(w.endpoints["e1"].count()).To(Equal(1))
+	}, always(events(50*time.Millisecond, raw(""), 1)), always(hang))
+}
+
+func TestTheRestOfAStreamThatHasBegunOnOldWeightsGoesOn(t *testing.T) {
+	play(t, func(w *world) {
+		time.AfterFunc(300*time.Millisecond, func() { w.floor.Store(2) })
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+	}, always(events(50*time.Millisecond, raw(""), 1)), always(events(150*time.Millisecond, end, 2, 3, 4)))
+}
+
 func TestACallerThatLeavesEndsTheWorkAtTheEndpoint(t *testing.T) {
 	ended := make(chan time.Time, 1)
 	play(t, func(w *world) {
