--- a/soak/fault.go
+++ b/soak/fault.go
@@ -20,8 +20,34 @@
 	disturbs bool
 }
 
-// draw returns a fault at random.
-func (w *world) draw(r *rand.Rand) fault {
+// storeOutage returns an outage of the store. In every other one the records of
+// all runners lapse, and are written again some time after its end.
+func (w *world) storeOutage(lapse bool) fault {
+	begin := func() { w.store.SetFault(site.StoreFault{Status: http.StatusServiceUnavailable}) }
+	end := func() { w.store.SetFault(site.StoreFault{}) }
+	if !lapse {
+		return fault{"store down", begin, end, false}
+	}
+	return fault{"store down, records lapse", func() {
+		begin()
+		for _, s := range w.runners {
+			s.lapse()
+		}
+	}, func() {
+		end()
+		time.Sleep(rewriteAfter)
+		for _, s := range w.runners {
+			s.announce()
+		}
+	}, false}
+}
+
+// rewriteAfter is how long runners take to write records that lapsed.
+const rewriteAfter = time.Second
+
+// draw returns a fault at random. chance decides what r does not, so that what
+// r draws from a seed stays the same.
+func (w *world) draw(r, chance *rand.Rand) fault {
 	entry, sidecar := w.entries[r.IntN(len(w.entries))], w.sidecars[r.IntN(len(w.sidecars))]
 	runner := w.runners[r.IntN(len(w.runners))]
 	link := w.runnerLinks[r.IntN(len(w.runnerLinks))]
@@ -44,7 +70,7 @@
 		{"runner unreached", func() { link.Set(Link{SilentOut: true}) }, heal(link), true},
 		{"store link reset", func() { storeLink.Set(Link{Refuse: true}) }, heal(storeLink), false},
 		{"store link silent", func() { storeLink.Set(Link{SilentIn: true}) }, heal(storeLink), false},
-		{"store down", storeFault(site.StoreFault{Status: http.StatusServiceUnavailable}), storeFault(site.StoreFault{}), false},
+		w.storeOutage(chance.IntN(2) == 0),
 		{"store silent", storeFault(site.StoreFault{Silent: true}), storeFault(site.StoreFault{}), false},
 		{"store loses answers", storeFault(site.StoreFault{LostAnswers: true}), storeFault(site.StoreFault{}), false},
 		{"store forgets", w.store.Forget, nil, false},
@@ -79,9 +105,10 @@
 // disturb injects faults until ctx ends, several at a time, and heals them all.
 func (w *world) disturb(ctx context.Context, note func(string)) {
 	r := rand.New(rand.NewPCG(w.cfg.Seed, 1))
+	chance := rand.New(rand.NewPCG(w.cfg.Seed, 2))
 	var ends []chan struct{}
 	for ctx.Err() == nil {
-		f := w.draw(r)
+		f := w.draw(r, chance)
 		lasts := leastFault + time.Duration(r.Int64N(int64(spreadFault)))
 		note(fmt.Sprintf("%7.3f %s", time.Since(w.began).Seconds(), f.name))
 		if f.disturbs {
--- a/soak/world.go
+++ b/soak/world.go
@@ -94,6 +94,20 @@
 	s.runner = site.NewRunner(s.cfg, version)
 }
 
+// lapse makes the platform forget the runner's record.
+func (s *slot) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Lapse()
+}
+
+// announce makes the runner that is in the slot now write its record.
+func (s *slot) announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Announce()
+}
+
 // leave makes the runner state that it leaves.
 func (s *slot) leave() {
 	s.mu.Lock()
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -63,6 +63,17 @@
 	r.record()
 }
 
+// Lapse removes the runner's record, as the platform does with one whose
+// heartbeats fail.
+func (r *Runner) Lapse() {
+	r.cfg.Store.Delete("servers", r.cfg.ID)
+}
+
+// Announce writes the runner's record anew, as the next heartbeat does.
+func (r *Runner) Announce() {
+	r.record()
+}
+
 // record writes the runner's record.
 func (r *Runner) record() {
 	r.mu.Lock()
