--- a/soak/fault.go
+++ b/soak/fault.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/standin/site"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // fault is something that goes wrong for a while.
@@ -21,7 +22,7 @@
 }
 
 // storeOutage returns an outage of the store. In every other one the records of
-// all runners lapse, and are written again some time after its end.
+// all runners lapse; their next heartbeats write them again.
 func (w *world) storeOutage(lapse bool) fault {
 	begin := func() { w.store.SetFault(site.StoreFault{Status: http.StatusServiceUnavailable}) }
 	end := func() { w.store.SetFault(site.StoreFault{}) }
@@ -33,18 +34,25 @@
 		for _, s := range w.runners {
 			s.lapse()
 		}
-	}, func() {
-		end()
-		time.Sleep(rewriteAfter)
+	}, end, false}
+}
+
+// heartbeatEvery is how often runners write their records.
+const heartbeatEvery = time.Second
+
+// heartbeats writes the records of all runners while the store answers, until
+// ctx ends.
+func (w *world) heartbeats(ctx context.Context) {
+	for wait.For(ctx, heartbeatEvery) {
+		if !w.store.Answers() {
+			continue
+		}
 		for _, s := range w.runners {
 			s.announce()
 		}
-	}, false}
+	}
 }
 
-// rewriteAfter is how long runners take to write records that lapsed.
-const rewriteAfter = time.Second
-
 // draw returns a fault at random. chance decides what r does not, so that what
 // r draws from a seed stays the same.
 func (w *world) draw(r, chance *rand.Rand) fault {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,9 @@
 	if !w.awaitAll(startLimit) {
 		return nil, fmt.Errorf("soak: the system did not become ready within %s", startLimit)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.heartbeats(ctx)
 	result := &Result{}
 	w.play(result, report)
 	if !w.awaitAll(healLimit) {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -64,6 +64,13 @@
 	s.fault = f
 }
 
+// Answers returns whether the store takes calls now.
+func (s *Store) Answers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault.Status == 0 && !s.fault.Silent
+}
+
 // Forget drops the history of changes.
 func (s *Store) Forget() {
 	s.mu.Lock()
