stage, swarm: slow readers of chunks are waited for less; older weights are not loaded past the newest's limit

The logs show that two regions had version 3 only at 29.2 s, though the third had it at 24.6 s: 15 of 48 chunks were left, 0.3 s at a time and up to ten times, to a reader whose link had narrowed; and that one VM loaded version 2 at 29.3 s, after the limit of version 3. That this broke the rule is not shown. Change: a chunk is left to a reader that says it reads it four times; an older version is loaded only if requests may still begin on it.

--- a/stage/fetch.go
+++ b/stage/fetch.go
@@ -146,6 +146,7 @@
 		swarm.WithLateness(originLateness),
 		swarm.WithParallel(parallelChunks, 1),
 		swarm.WithLinkRate(s.cfg.LinkRate),
+		swarm.WithPatience(readerPatience),
 		swarm.WithMinTimeout(chunkLimit))
 	s.holdings.setDownload(set.Root(), d)
 	ctx, cancel := context.WithCancel(ctx)
--- a/stage/stager.go
+++ b/stage/stager.go
@@ -31,6 +31,9 @@
 	// originLateness is how long a chunk may stay away before the next in rank
 	// reads it from the origin.
 	originLateness = 250 * time.Millisecond
+	// readerPatience is how often a chunk is left to a VM that says it reads it: its
+	// link may be narrow, and the time limit is short.
+	readerPatience = 4
 	// chunkLimit is the shortest time after which a chunk from a VM counts as stalled.
 	chunkLimit = 600 * time.Millisecond
 )
@@ -191,6 +194,9 @@
 	if report.Version(model) >= want.version {
 		return true
 	}
+	if s.outdated(model, want) {
+		return false
+	}
 	if report.Version(model) != 0 && time.Now().Before(s.turn(model, want)) {
 		return false
 	}
@@ -204,6 +210,17 @@
 	return false
 }
 
+// lastLoad is how long before the limit of the newest version the load of an
+// older one must begin to be of use.
+const lastLoad = 1500 * time.Millisecond
+
+// outdated returns whether requests could not use version want any more once it
+// is loaded, since the limit of the newest has come.
+func (s *Stager) outdated(model string, want target) bool {
+	newest := s.target(model)
+	return want.version < newest.version && time.Until(newest.seenAt.Add(s.cfg.Limit)) < lastLoad
+}
+
 func (s *Stager) failed(ctx context.Context, what, model string, version int64, err error) {
 	if ctx.Err() != nil {
 		return
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -29,6 +29,9 @@
 	// LinkRate is the bandwidth of this VM's own link in bytes a second; 0 means
 	// unknown. A link that carries much less is not filled with several chunks.
 	LinkRate float64
+	// Patience is how often a chunk is left to a member of the same region that
+	// says it is about to read it.
+	Patience int
 	// Rand breaks ties.
 	Rand *rand.Rand
 }
@@ -72,6 +75,12 @@
 	return func(cfg *Config) { cfg.LinkRate = rate }
 }
 
+// WithPatience sets how often a chunk is left to a member of the same region that
+// says it is about to read it.
+func WithPatience(n int) Option {
+	return func(cfg *Config) { cfg.Patience = n }
+}
+
 // WithRand sets the source of tie breaks.
 func WithRand(r *rand.Rand) Option {
 	return func(cfg *Config) { cfg.Rand = r }
@@ -93,6 +102,7 @@
 		PerNeighbour: 1,
 		OriginCopies: DefaultCopies,
 		MinTimeout:   500 * time.Millisecond,
+		Patience:     defaultPatience,
 	}
 	for _, o := range opts {
 		o(&cfg)
--- a/swarm/download_test.go
+++ b/swarm/download_test.go
@@ -1,10 +1,14 @@
 package swarm_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/weights"
 )
 
 // bound is what the links allow: every VM takes each chunk once.
@@ -189,3 +193,31 @@
 		}
 	})
 }
+
+// promising is a transport to members that say that they read every chunk, and
+// never have one.
+type promising struct{}
+
+func (promising) Have(ctx context.Context, _ swarm.Member, _ weights.Digest, _ int) ([]int, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (promising) Chunk(context.Context, swarm.Member, weights.Digest, int) ([]byte, error) {
+	return nil, &swarm.RefusalError{Refusal: swarm.RefusalReading}
+}
+
+func TestASlowReaderIsWaitedForAsLongAsPatienceSays(t *testing.T) {
+	took := func(opts ...swarm.Option) (d time.Duration) {
+		in(t, func(n *network) {
+			_, m := version(0)
+			list := members(2, "east")
+			opts = append(opts, swarm.WithOriginBudget(originRate, 3), swarm.WithLateness(250*time.Millisecond))
+			began := time.Now()
+			n.g.Expect(swarm.NewDownload(list[0], list, weights.NewSet(m), promising{}, n.origin, opts...).Run(n.ctx)).To(Succeed())
+			d = time.Since(began)
+		})
+		return d
+	}
+	NewWithT(t).Expect(took(swarm.WithPatience(4))).To(BeNumerically("<", took()-time.Second))
+}
--- a/swarm/inject.go
+++ b/swarm/inject.go
@@ -20,9 +20,9 @@
 	// anybodySpread is over how many times the lateness the readings by anybody
 	// are spread, so that they do not come together.
 	anybodySpread = 16
-	// maxPostponed is how often a chunk is left to a member that says it is
+	// defaultPatience is how often a chunk is left to a member that says it is
 	// about to read it. It is patient enough for that member's longest backoff.
-	maxPostponed = 10
+	defaultPatience = 10
 	// maxPostponedFar is the same for a member of another region. It is much
 	// less, so that those who wait for this member outwait its waiting.
 	maxPostponedFar = 2
@@ -286,7 +286,7 @@
 	if m.Region != d.self.Region {
 		return d.inject.postponed[c] < maxPostponedFar
 	}
-	return d.inject.postponed[c] < maxPostponed
+	return d.inject.postponed[c] < d.cfg.Patience
 }
 
 // readOrigin reads chunk c from the origin within this member's budget.
