versions: when versions were named is kept in one package for both programs

Cause: gateways and sidecars each count a limit from when a version was named, by code of their own. Change: gateway/minversion becomes versions, with the platform's own limit; the gateway's margin stands at the gateway.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,7 @@
 //
 // The parts decide: proxy and policy about requests, balance about endpoints,
 // endpoints about which there are, replica about copies of the store, member about
-// who is alive, minversion about which weights are new enough.
+// who is alive, versions about which weights are new enough.
 package gateway
 
 import (
@@ -20,7 +20,6 @@
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/endpoints"
-	"github.com/silverdeck/silverdeck/gateway/minversion"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
 	"github.com/silverdeck/silverdeck/gateway/replica"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
@@ -29,6 +28,7 @@
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/versions"
 )
 
 // Margins to what the platform allows.
@@ -56,7 +56,7 @@
 	beater    *member.Beater
 	self      member.Entry
 	endpoints *endpoints.List
-	versions  *minversion.Versions
+	versions  *versions.History
 	balancer  *balance.Balancer
 	client    *upstream.Client
 	proxy     *proxy.Proxy
@@ -77,7 +77,7 @@
 		registry: registry,
 		store:    platform.NewStore(cfg.Store),
 		client:   upstream.NewClient(),
-		versions: minversion.New(max(cfg.VersionLimit-versionMargin, 0)),
+		versions: versions.New(cfg.VersionLimit),
 		self:     newEntry(cfg),
 	}
 	g.table = member.NewTable(g.self)
@@ -122,7 +122,12 @@
 		Budget:     proxy.NewBudget(g.cfg.RetryShare, g.cfg.RetryExtra, g.cfg.RetryWindow, g.table.Sharers),
 		Metrics:    proxy.NewMetrics(g.registry),
 		Log:        g.log,
-		MinVersion: func(model string) int64 { return g.versions.Required(model, time.Now()) },
+		MinVersion: g.minVersion,
 		Random:     rand.Float64,
 	})
 }
+
+// minVersion returns the version of model below which no request is sent any more.
+func (g *Gateway) minVersion(model string) int64 {
+	return g.versions.Required(model, time.Now().Add(versionMargin))
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -103,7 +103,7 @@
 	}
 	k := &inventory.Known{
 		Config:    inventory.ReadConfig(config, service),
-		Versions:  g.versions.Newest(),
+		Versions:  inventory.Newest(g.versions),
 		Endpoints: list.Endpoints,
 		PeerPort:  g.cfg.PeerPort,
 		Regions:   g.cfg.Regions,
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -18,6 +18,7 @@
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/versions"
 )
 
 // Service is the net/rpc name under which gateways tell inventories.
@@ -41,6 +42,15 @@
 	Version int64
 }
 
+// Newest returns the newest version of each model that h knows, by model.
+func Newest(h *versions.History) []Version {
+	var out []Version
+	for _, n := range h.Newest() {
+		out = append(out, Version{Model: n.Model, Version: n.Version})
+	}
+	return out
+}
+
 // Place is where a gateway takes calls, and its availability zone.
 type Place struct {
 	Addr, Zone string
--- /dev/null
+++ b/versions/versions.go
@@ -0,0 +1,109 @@
+// Package versions remembers when each version of a model was named, and tells from
+// when on no request may begin on older weights.
+package versions
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Naming is when a version of a model was named, as far as is known.
+type Naming struct {
+	Model   string
+	Version int64
+	At      time.Time
+}
+
+// History remembers the newest versions of each model. It is safe for concurrent
+// use.
+type History struct {
+	// limit is the time after a version's naming from which older ones are not to be
+	// used.
+	limit time.Duration
+
+	mu sync.RWMutex
+	// models are the namings by model, in the order of versions.
+	models map[string][]Naming
+}
+
+// New returns a History of no model. limit is the time after the naming of a version
+// from which no request may begin on an older one.
+func New(limit time.Duration) *History {
+	return &History{limit: limit, models: map[string][]Naming{}}
+}
+
+// maxNamings bounds the versions remembered of one model: more are not named within
+// one limit on the deployments seen. Chosen by judgement.
+const maxNamings = 8
+
+// Add takes in that a version of model was named at that time, and returns whether
+// it is the newest. A version that is known already was named at the earlier of the
+// times told.
+func (h *History) Add(model string, version int64, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	namings := h.models[model]
+	i, known := slices.BinarySearchFunc(namings, version, func(n Naming, v int64) int { return cmp.Compare(n.Version, v) })
+	if known {
+		if at.Before(namings[i].At) {
+			namings[i].At = at
+		}
+		return false
+	}
+	newest := i == len(namings)
+	namings = slices.Insert(namings, i, Naming{Model: model, Version: version, At: at})
+	if len(namings) > maxNamings {
+		namings = namings[1:]
+	}
+	h.models[model] = namings
+	return newest
+}
+
+// Required returns the newest version of model that every endpoint must hold by now.
+func (h *History) Required(model string, now time.Time) int64 {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var required int64
+	for _, n := range h.models[model] {
+		if now.Sub(n.At) >= h.limit {
+			required = n.Version
+		}
+	}
+	return required
+}
+
+// Replaced returns when a version of model was first replaced: when the first that
+// is newer was named. It returns false while none is.
+func (h *History) Replaced(model string, version int64) (time.Time, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var at time.Time
+	found := false
+	for _, n := range h.models[model] {
+		if n.Version > version && (!found || n.At.Before(at)) {
+			at, found = n.At, true
+		}
+	}
+	return at, found
+}
+
+// End returns from when on no request may begin on a version of model: the limit
+// after it was first replaced. It returns false while none is newer.
+func (h *History) End(model string, version int64) (time.Time, bool) {
+	at, found := h.Replaced(model, version)
+	return at.Add(h.limit), found
+}
+
+// Newest returns the naming of the newest version of each model, by model.
+func (h *History) Newest() []Naming {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	out := make([]Naming, 0, len(h.models))
+	for _, namings := range h.models {
+		out = append(out, namings[len(namings)-1])
+	}
+	slices.SortFunc(out, func(a, b Naming) int { return cmp.Compare(a.Model, b.Model) })
+	return out
+}
--- /dev/null
+++ b/versions/versions_test.go
@@ -0,0 +1,69 @@
+package versions_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/versions"
+)
+
+// at returns the time that many seconds after an arbitrary one.
+func at(s int) time.Time {
+	return time.Date(2030, 1, 1, 0, 0, s, 0, time.UTC)
+}
+
+func TestTheFloorRisesWithEachVersionAfterTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	g.Expect(h.Add("m", 2, at(0))).To(BeTrue())
+	g.Expect(h.Add("m", 3, at(4))).To(BeTrue())
+	g.Expect(h.Add("m", 2, at(5))).To(BeFalse())
+	for _, c := range []struct {
+		at   int
+		want int64
+	}{{6, 0}, {7, 2}, {10, 2}, {11, 3}} {
+		g.Expect(h.Required("m", at(c.at))).To(Equal(c.want))
+	}
+	g.Expect(h.Required("other", at(60))).To(BeZero())
+}
+
+func TestAVersionEndsTheLimitAfterTheFirstNewerOne(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	h.Add("m", 1, at(0))
+	_, ends := h.End("m", 1)
+	g.Expect(ends).To(BeFalse())
+	h.Add("m", 2, at(10))
+	h.Add("m", 3, at(12))
+	for version, want := range map[int64]time.Time{0: at(7), 1: at(17), 2: at(19)} {
+		end, ends := h.End("m", version)
+		g.Expect(ends).To(BeTrue())
+		g.Expect(end).To(Equal(want), "version %d", version)
+	}
+	_, ends = h.End("m", 3)
+	g.Expect(ends).To(BeFalse())
+}
+
+func TestAnEarlierNamingThatIsHeardOfLaterCounts(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	g.Expect(h.Add("m", 3, at(20))).To(BeTrue())
+	g.Expect(h.Add("m", 2, at(10))).To(BeFalse(), "not the newest")
+	h.Add("m", 3, at(12))
+	h.Add("m", 3, at(30))
+	g.Expect(h.Newest()).To(Equal([]versions.Naming{{Model: "m", Version: 3, At: at(12)}}))
+	g.Expect(h.Required("m", at(17))).To(Equal(int64(2)))
+	g.Expect(h.Required("m", at(19))).To(Equal(int64(3)))
+}
+
+func TestOnlyTheNewestNamingsAreRemembered(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	for v := range 10 {
+		h.Add("m", int64(v+1), at(v))
+	}
+	replaced, _ := h.Replaced("m", 1)
+	g.Expect(replaced).To(Equal(at(2)), "the first two are forgotten")
+}
