Sight: what a gateway and a sidecar know of weights at their limit

Cause: the lines could not tell whether a request was sent in time and arrived late, whether somebody counted the limit from too late, or why the new weights were not there. No decision changes.

--- a/compat/answers_test.go
+++ b/compat/answers_test.go
@@ -78,6 +78,7 @@
 		Budget:  proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
 		Metrics: proxy.NewMetrics(s.registry), Log: log.New(io.Discard),
 		MinVersion: func(string) int64 { return 0 }, Random: draw,
+		WeightsEnd: func(string, int64) (time.Time, bool) { return time.Time{}, false },
 	})
 	return s
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,7 @@
 		Metrics:    proxy.NewMetrics(g.registry),
 		Log:        g.log,
 		MinVersion: g.minVersion,
+		WeightsEnd: g.versions.End,
 		Random:     rand.Float64,
 	})
 }
--- a/gateway/header/header.go
+++ b/gateway/header/header.go
@@ -18,6 +18,8 @@
 	Priority string
 	// Version is the version of weights that a request is for.
 	Version string
+	// Weights is the version of weights that an answer begins on.
+	Weights string
 	// Model names the model of a request.
 	Model string
 	// Tokens holds the numbers of prompt tokens and of tokens to make at most.
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -74,13 +74,13 @@
 	sentAt := time.Now()
 	outcome := balance.Neutral
 	defer func() { lease.Done(outcome, time.Now()) }()
-	failure, outcome = p.exchange(ctx, w, c, lease)
+	failure, outcome = p.exchange(ctx, w, c, lease, sentAt)
 	if outcome == balance.Failed && c.route.Kind == routes.Stream &&
 		lease.Idle(sentAt, time.Now()) > policy.EndpointIdleLimit(c.route.GapTarget) {
 		outcome = balance.Unresponsive
 	}
 	if failure != nil {
-		p.logAttempt(c, lease, failure)
+		p.logAttempt(c, lease, sentAt, failure)
 	}
 	return failure
 }
@@ -113,8 +113,8 @@
 	return verdict.NewError(verdict.NotRun, code, format, service).After(policy.ShortageRetry(p.cfg.Random()))
 }
 
-// exchange sends the request by lease and passes the answer on.
-func (p *Proxy) exchange(ctx context.Context, w http.ResponseWriter, c *call, lease *balance.Lease) (*verdict.Error, balance.Outcome) {
+// exchange sends the request by lease, at sentAt, and passes the answer on.
+func (p *Proxy) exchange(ctx context.Context, w http.ResponseWriter, c *call, lease *balance.Lease, sentAt time.Time) (*verdict.Error, balance.Outcome) {
 	x, failure := p.send(ctx, c, lease)
 	if failure != nil {
 		return failure, sendOutcome(failure)
@@ -130,6 +130,7 @@
 		return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d for the rest of a stream", x.Status), balance.Failed
 	}
 	if c.route.Kind == routes.Stream && x.Status == http.StatusOK {
+		p.noteWeights(c, x, lease, sentAt)
 		return p.stream(ctx, w, c, x, lease)
 	}
 	return p.whole(w, c, x)
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/verdict"
 )
 
@@ -14,6 +16,8 @@
 	// Served and Failed count final answers, Repeats requests sent again, and
 	// Connections those opened to endpoints.
 	Served, Failed, Repeats, Connections metrics.Counter
+	// Overdue counts answers that began on weights past their limit.
+	Overdue metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -31,6 +35,7 @@
 		Failed:      metrics.NewRegisteredCounter("gateway.failed", r),
 		Repeats:     metrics.NewRegisteredCounter("gateway.repeats", r),
 		Connections: metrics.NewRegisteredCounter("gateway.connections", r),
+		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
 		FirstEvent:  metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
 	}
@@ -50,13 +55,31 @@
 }
 
 // logAttempt notes that an endpoint did not answer a request as it should.
-func (p *Proxy) logAttempt(c *call, lease *balance.Lease, e *verdict.Error) {
+func (p *Proxy) logAttempt(c *call, lease *balance.Lease, sentAt time.Time, e *verdict.Error) {
 	p.cfg.Log.Info("attempt failed", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
 		"weights", lease.Holds(c.model), "attempt", len(c.attempted), "ms", time.Since(c.startedAt).Milliseconds(),
-		"code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent,
+		"sentMs", time.Since(sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model), "code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent,
 		"event", c.lastEventID, "err", e.Err)
 }
 
+// noteWeights notes an answer that begins on weights past their limit, which no
+// endpoint should give. It began up to one way earlier than its head is seen here.
+func (p *Proxy) noteWeights(c *call, x *upstream.Exchange, lease *balance.Lease, sentAt time.Time) {
+	version, err := strconv.ParseInt(x.Header.Get(p.cfg.Headers.Weights), 10, 64)
+	if err != nil {
+		return // the endpoint does not tell
+	}
+	end, ends := p.cfg.WeightsEnd(c.model, version)
+	now := time.Now()
+	if !ends || now.Before(end) {
+		return
+	}
+	p.cfg.Metrics.Overdue.Inc(1)
+	p.cfg.Log.Warn("answer on overdue weights", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
+		"weights", version, "known", lease.Holds(c.model), "attempt", len(c.attempted),
+		"sentMs", now.Sub(sentAt).Milliseconds(), "overdueMs", now.Sub(end).Milliseconds())
+}
+
 // logFailure notes a request that was not answered by an endpoint.
 func (p *Proxy) logFailure(c *call, e *verdict.Error) {
 	p.cfg.Metrics.Failed.Inc(1)
--- /dev/null
+++ b/gateway/proxy/overdue_test.go
@@ -0,0 +1,20 @@
+package proxy_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestAnAnswerOnWeightsPastTheirLimitIsCounted(t *testing.T) {
+	play(t, func(w *world) {
+		w.weightsEnd = time.Now().Add(time.Second)
+		w.ask("POST", "/stream/", "x")
+		w.g.Expect(w.metrics.Overdue.Count()).To(BeZero())
+		time.Sleep(time.Second)
+		w.ask("POST", "/stream/", "x")
+		w.g.Expect(w.metrics.Overdue.Count()).To(Equal(int64(1)))
+	}, always(text(http.StatusOK, stream(1), "Weights: 1")))
+}
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -34,6 +35,9 @@
 	Log      *log.Logger
 	// MinVersion returns the version of a model below which no request may begin.
 	MinVersion func(model string) int64
+	// WeightsEnd returns from when on no request may begin on a version of a model,
+	// or false while that is not known.
+	WeightsEnd func(model string, version int64) (time.Time, bool)
 	// Random returns a number from [0, 1).
 	Random func() float64
 }
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -32,7 +32,7 @@
 // names are headers of this test's own.
 var names = header.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Account: "Account", Instance: "Instance",
-	Priority: "Priority", Version: "Version", Model: "Model", Tokens: "Tokens", Stamp: "Stamp",
+	Priority: "Priority", Version: "Version", Weights: "Weights", Model: "Model", Tokens: "Tokens", Stamp: "Stamp",
 	NotRun: "Not-Run", LastEvent: "Last-Event", RetryAfter: "Retry-After",
 }
 
@@ -59,6 +59,10 @@
 	// linkDelay is how long what is sent to an endpoint is on its way.
 	linkDelay  time.Duration
 	minVersion atomic.Int64
+	// weightsEnd is when no request may begin on version 1 any more.
+	weightsEnd time.Time
+	// metrics are the gateway's.
+	metrics *proxy.Metrics
 	// draw is what the gateway draws, in thousandths.
 	draw   atomic.Int64
 	client *upstream.Client
@@ -67,7 +71,7 @@
 // play runs f in a world of endpoints that answer by scripts.
 func play(t *testing.T, f func(w *world), scripts ...[]step) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{g: NewWithT(t), endpoints: map[string]*endpoint{}, down: map[string]bool{}}
+		w := &world{g: NewWithT(t), endpoints: map[string]*endpoint{}, down: map[string]bool{}, metrics: proxy.NewMetrics(metrics.NewRegistry())}
 		list := &roster.List{Revision: 1, Endpoints: map[string]*roster.Endpoint{}}
 		for i, s := range scripts {
 			id := fmt.Sprintf("e%d", i)
@@ -82,7 +86,8 @@
 		w.proxy = proxy.New(proxy.Config{
 			Headers: names, Balancer: w.balancer, Client: w.client,
 			Budget:  proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
-			Metrics: proxy.NewMetrics(metrics.NewRegistry()), Log: log.New(io.Discard),
+			Metrics: w.metrics, Log: log.New(io.Discard),
+			WeightsEnd: func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
 			MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
 		})
 		w.proxy.Use(configuration())
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -175,9 +175,10 @@
 		}
 		return err
 	}
-	stats := d.Stats()
+	stats, delays := d.Stats(), d.Delays()
 	s.cfg.Log.Info("weights fetched", "model", model, "version", version, "ms", time.Since(began).Milliseconds(),
-		"peerBytes", stats.PeerBytes, "originBytes", stats.OriginBytes, "stalled", stats.Stalled,
+		"peerBytes", stats.PeerBytes, "otherRegionBytes", delays.OtherRegionBytes, "originBytes", stats.OriginBytes,
+		"postponed", delays.Postponed, "stalled", stats.Stalled,
 		"corruptPeer", stats.CorruptPeer, "corruptOrigin", stats.CorruptOrigin, "takeovers", stats.Takeovers)
 	return nil
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -10,6 +10,7 @@
 
 	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/swarm"
+	"github.com/silverdeck/silverdeck/versions"
 	"github.com/silverdeck/silverdeck/wait"
 	"github.com/silverdeck/silverdeck/weights"
 )
@@ -47,6 +48,8 @@
 type Stager struct {
 	cfg      Config
 	holdings *holdings
+	// named is when versions were named, as far as this process knows.
+	named *versions.History
 
 	mu sync.Mutex
 	// targets are the newest versions by model, complete those that are there whole.
@@ -67,7 +70,15 @@
 
 // New returns a Stager without targets.
 func New(cfg Config) *Stager {
-	return &Stager{cfg: cfg, holdings: newHoldings(), targets: map[string]target{}, complete: map[string]target{}, former: map[string][]target{}, wake: make(chan struct{}, 1)}
+	return &Stager{
+		cfg:      cfg,
+		holdings: newHoldings(),
+		named:    versions.New(cfg.Limit),
+		targets:  map[string]target{},
+		complete: map[string]target{},
+		former:   map[string][]target{},
+		wake:     make(chan struct{}, 1),
+	}
 }
 
 // Holdings is what this VM can give to others.
@@ -86,7 +97,9 @@
 	if old, known := s.targets[model]; known {
 		s.former[model] = append(s.former[model], old)
 	}
-	s.targets[model] = target{version: version, seenAt: time.Now(), first: first}
+	now := time.Now()
+	s.targets[model] = target{version: version, seenAt: now, first: first}
+	s.named.Add(model, version, now)
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -129,6 +142,7 @@
 // Run keeps the endpoint up to date until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
 	go s.fetchAll(ctx)
+	go s.watchLimits(ctx)
 	for ctx.Err() == nil {
 		settled := true
 		for _, model := range s.models() {
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -36,6 +36,7 @@
 	// usual is the time of a chunk from a neighbour, newer ones weighing more.
 	usual    time.Duration
 	stats    Stats
+	delays   Delays
 	schedule schedule
 	link     congestion.Meter
 	// corrupt counts the corrupt chunks of each VM.
@@ -76,6 +77,13 @@
 	return s
 }
 
+// Delays returns what has held the download up.
+func (d *Download) Delays() Delays {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delays
+}
+
 // Reading returns whether chunk c is being brought in by this member, or is
 // about to be.
 func (d *Download) Reading(c int) bool {
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -90,7 +90,7 @@
 	n := len(b)
 	_, err := d.set.Put(c, b)
 	d.mu.Lock()
-	d.stats.PeerBytes += int64(n)
+	d.countPeer(m, n)
 	if err != nil {
 		d.avail.holders[c] &^= 1 << i
 		d.blame(m)
@@ -110,6 +110,14 @@
 	}
 }
 
+// countPeer counts n bytes from m. The caller holds the lock.
+func (d *Download) countPeer(m Member, n int) {
+	d.stats.PeerBytes += int64(n)
+	if m.Region != d.self.Region {
+		d.delays.OtherRegionBytes += int64(n)
+	}
+}
+
 // blame notes a corrupt chunk from m. The caller holds the lock.
 func (d *Download) blame(m Member) {
 	d.stats.CorruptPeer++
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -111,7 +111,7 @@
 	_, err = d.set.Put(c, b)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stats.PeerBytes += int64(n)
+	d.countPeer(m, n)
 	if err != nil {
 		d.blame(m)
 		return readerLacks
@@ -126,6 +126,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.schedule.postponed[c]++
+	d.delays.Postponed++
 	step := max(d.cfg.lateness(d.set.Manifest().Size), d.cfg.MinTimeout) / postponeDivisor
 	d.schedule.due[c] = time.Now().Add(step)
 }
--- a/swarm/stats.go
+++ b/swarm/stats.go
@@ -15,3 +15,12 @@
 	// Blocked says in words why nothing moves, or is empty.
 	Blocked string
 }
+
+// Delays tells what held a download up. Unlike Stats it stays on its VM.
+type Delays struct {
+	// OtherRegionBytes counts bytes read from members of other regions.
+	OtherRegionBytes int64
+	// Postponed counts how often a chunk was left to another member that should have
+	// read it.
+	Postponed int
+}
