--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -186,6 +186,13 @@
 	return seen{orders: slices.Clone(m.orders), pauses: len(m.pauses), told: slices.Clone(m.told), reads: m.reads}
 }
 
+// begins returns the version on which a request that arrives now begins, or 0.
+func (m *machine) begins() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runs
+}
+
 // versions returns the versions of the orders that were taken.
 func (m *machine) versions() []int64 {
 	var out []int64
