stage: the limit of weights is kept at their endpoint, and counts from what first replaced them

Cause: a request that is on its way can't be taken back, and gateways alone knew of the limit; an endpoint began on old weights whatever arrived. The new weights lay there whole meanwhile where a newer version had been named in between: an endpoint's turn to change, and whether a version is worth a load, counted from the newest version and not from the one that first replaced what it runs.

Change: a sidecar makes its endpoint hold no weights shortly before their limit, if newer ones are not loaded by then; requests are refused there as not run and go elsewhere. Turns count from the first replacement and are spread over what time is left once the weights are whole. Weights past their limit are not loaded again.

--- a/compat/calls_test.go
+++ b/compat/calls_test.go
@@ -94,7 +94,7 @@
 	r, addr := record(t,
 		answer{http.StatusOK, `{"models":[{"name":"m","version":3}],"busy":true,"sequence":4,"queued":1,"running":2}`},
 		answer{http.StatusOK, ""}, answer{http.StatusOK, "chunk"}, answer{http.StatusNotFound, ""},
-		answer{http.StatusOK, ""}, answer{http.StatusConflict, ""})
+		answer{http.StatusOK, ""}, answer{http.StatusConflict, ""}, answer{http.StatusAccepted, ""})
 	e, ctx := platform.NewEndpoint(addr), t.Context()
 	report, err := e.Report(ctx)
 	r.note(report.Version("m"), report.Busy, report.Sequence, report.Running, report.Queued, err)
@@ -106,6 +106,7 @@
 	order := stage.Order{Model: "m", Version: 3, Sequence: 4}
 	r.note(e.Load(ctx, order))
 	r.note(e.Load(ctx, order))
+	r.note(e.Unload(ctx, order))
 	golden(t, "endpoint.golden", r.calls.String())
 }
 
--- a/sidecar/stage/limit_test.go
+++ b/sidecar/stage/limit_test.go
@@ -38,3 +38,42 @@
 		g.Expect(m.begins()).To(Equal(int64(2)), "the new weights are loaded once they are there")
 	})
 }
+
+// An endpoint's turn to change counts from the version that first replaced the one it
+// runs. Counted from a newer one that was named meanwhile, weights lay beside the
+// endpoint whole until after the limit.
+func TestANewerVersionDoesNotPutOffTheChange(t *testing.T) {
+	var alone, followed time.Duration
+	for _, at := range []*time.Duration{&alone, &followed} {
+		play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+			named := time.Now()
+			m.set(func() { m.delay = 100 * time.Millisecond })
+			s.Want("m", 2, false)
+			time.Sleep(200 * time.Millisecond)
+			if at == &followed {
+				s.Want("m", 3, false)
+			}
+			time.Sleep(limit)
+			g.Expect(m.seen().orders).To(HaveLen(1))
+			*at = m.seen().orders[0].at.Sub(named)
+		})
+	}
+	NewWithT(t).Expect(followed).To(BeNumerically("~", alone, 300*time.Millisecond))
+}
+
+// The limit of weights counts from the version that first replaced them also when it is
+// asked whether they are worth a load.
+func TestUnloadedWeightsAreNotLoadedAgain(t *testing.T) {
+	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
+		s.Want("m", 1, true)
+		time.Sleep(2 * time.Second)
+		m.set(func() { m.delay = time.Minute })
+		s.Want("m", 2, false)
+		time.Sleep(limit / 2)
+		s.Want("m", 3, false)
+		time.Sleep(limit)
+		g.Expect(m.versions()).To(Equal([]int64{1}))
+		g.Expect(m.begins()).To(BeZero())
+		g.Expect(m.seen().unloaded).To(Equal(1))
+	})
+}
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// When endpoints change to new weights, as parts of the time limit from the naming
-// of a version on.
+// When endpoints change to new weights, as parts of the time limit from when those that
+// they run were replaced.
 const (
 	// firstChange is when the first endpoint may change: most VMs have the version
 	// whole by then (3.4 s of 8 s on average, "Weights" in docs/MEASUREMENTS.md).
@@ -14,23 +14,30 @@
 	lastChange = 0.85
 )
 
-// ChangeTime returns when an endpoint may change to a version, by when the version
-// was named, by the time limit and by the endpoint's draw from [0, 1). Endpoints
-// change spread over time, so that few are away together.
-func ChangeTime(named time.Time, limit time.Duration, draw float64) time.Time {
-	part := firstChange + draw*(lastChange-firstChange)
-	return named.Add(time.Duration(part * float64(limit)))
+// ChangeTime returns when an endpoint may change to other weights, by when those that
+// it runs were replaced, by the time limit, by when the others were there whole, and by
+// the endpoint's draw from [0, 1). Endpoints change spread over the time that is left,
+// so that few are away together.
+func ChangeTime(replaced time.Time, limit time.Duration, whole time.Time, draw float64) time.Time {
+	first := replaced.Add(time.Duration(firstChange * float64(limit)))
+	last := replaced.Add(time.Duration(lastChange * float64(limit)))
+	if whole.After(first) {
+		first = whole
+	}
+	if !first.Before(last) {
+		return first
+	}
+	return first.Add(time.Duration(draw * float64(last.Sub(first))))
 }
 
-// minUse is how long before the limit of the newest version the load of an older
-// one must begin to be of use: a load takes about half a second. Chosen by
+// minUse is how long before the limit of a version its load must begin to be of use: a load takes about half a second. Chosen by
 // judgement; the rule came from a hunt (docs/FINDINGS.md).
 const minUse = 1500 * time.Millisecond
 
-// Useful returns whether a version is worth loading that is older than the newest,
-// which must be used from newestLimit on.
-func Useful(newestLimit, now time.Time) bool {
-	return newestLimit.Sub(now) >= minUse
+// Useful returns whether a version is worth loading on which no request may begin from
+// end on.
+func Useful(end, now time.Time) bool {
+	return end.Sub(now) >= minUse
 }
 
 // worthFinishing is the part of a version that makes it worth being fetched whole
--- a/sidecar/stage/rules_test.go
+++ b/sidecar/stage/rules_test.go
@@ -10,10 +10,24 @@
 )
 
 func TestEndpointsChangeSpreadOverTheLimit(t *testing.T) {
-	named := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	for draw, want := range map[float64]time.Duration{0: 3600 * time.Millisecond, 0.5: 6050 * time.Millisecond, 1: 8500 * time.Millisecond} {
-		got := stage.ChangeTime(named, 10*time.Second, draw)
-		NewWithT(t).Expect(got.Sub(named)).To(BeNumerically("~", want, time.Microsecond))
+	replaced := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		whole time.Duration
+		draw  float64
+		want  time.Duration
+	}{
+		{0, 0, 3600 * time.Millisecond},
+		{0, 0.5, 6050 * time.Millisecond},
+		{0, 1, 8500 * time.Millisecond},
+		// Weights that come later leave less time to spread over, or none.
+		{6500 * time.Millisecond, 0, 6500 * time.Millisecond},
+		{6500 * time.Millisecond, 0.5, 7500 * time.Millisecond},
+		{6500 * time.Millisecond, 1, 8500 * time.Millisecond},
+		{8500 * time.Millisecond, 1, 8500 * time.Millisecond},
+		{12 * time.Second, 1, 12 * time.Second},
+	} {
+		got := stage.ChangeTime(replaced, 10*time.Second, replaced.Add(c.whole), c.draw)
+		NewWithT(t).Expect(got.Sub(replaced)).To(BeNumerically("~", c.want, time.Microsecond))
 	}
 }
 
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -57,11 +57,15 @@
 	// Load orders the endpoint to load what was placed as version of model. It
 	// returns *OrderError when the endpoint does not take the order.
 	Load(ctx context.Context, o Order) error
+	// Unload orders the endpoint to hold no weights of a model once what runs there has
+	// ended, and to begin nothing on them from now on. It fails as Load does.
+	Unload(ctx context.Context, o Order) error
 }
 
-// Order is an order to load weights.
+// Order is an order to load weights, or to unload those of a model.
 type Order struct {
-	Model   string
+	Model string
+	// Version is the version to load, or that which is to come in an unloaded one's place.
 	Version int64
 	// Sequence is the endpoint's count of orders at which this one holds.
 	Sequence int64
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -66,6 +66,8 @@
 	// there when this process began.
 	seenAt time.Time
 	first  bool
+	// wholeAt is when all of it was there; zero before.
+	wholeAt time.Time
 }
 
 // New returns a Stager without targets.
@@ -142,7 +144,7 @@
 // Run keeps the endpoint up to date until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
 	go s.fetchAll(ctx)
-	go s.watchLimits(ctx)
+	go s.keepLimits(ctx)
 	for ctx.Err() == nil {
 		settled := true
 		for _, model := range s.models() {
@@ -174,6 +176,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.complete[model].version < t.version {
+		t.wholeAt = time.Now()
 		s.complete[model] = t
 	}
 }
@@ -200,10 +203,10 @@
 	if report.Version(model) >= want.version {
 		return true
 	}
-	if s.outdated(model, want) {
+	if s.outdated(model, want.version) {
 		return false
 	}
-	if report.Version(model) != 0 && time.Now().Before(s.changeTime(model, want)) {
+	if held := report.Version(model); held != 0 && time.Now().Before(s.changeTime(model, held, want)) {
 		return false
 	}
 	if err := s.place(ctx, model, set); err != nil {
@@ -216,18 +219,24 @@
 	return false
 }
 
-// outdated returns whether requests could not use version want any more once it
-// is loaded, since the limit of the newest has come.
-func (s *Stager) outdated(model string, want target) bool {
-	newest := s.target(model)
-	return want.version < newest.version && !Useful(newest.seenAt.Add(s.cfg.Limit), time.Now())
+// outdated returns whether requests could not use version any more once it is
+// loaded, since its limit has come.
+func (s *Stager) outdated(model string, version int64) bool {
+	end, ends := s.named.End(model, version)
+	return ends && !Useful(end, time.Now())
 }
 
-// changeTime returns when this endpoint may change to want; its draw is a hash, so
-// that it is the same after a restart.
-func (s *Stager) changeTime(model string, want target) time.Time {
+// changeTime returns when this endpoint, which runs a version, may change to want. The
+// limit counts from the version that first replaced the one it runs, whichever is
+// loaded in the end. The endpoint's draw is a hash, so that it is the same after a
+// restart.
+func (s *Stager) changeTime(model string, held int64, want target) time.Time {
 	draw := float64(xxhash.Sum64String(model+"\x00"+s.cfg.Self.VM)) / (1 << 64)
-	return ChangeTime(want.seenAt, s.cfg.Limit, draw)
+	replaced, found := s.named.Replaced(model, held)
+	if !found {
+		replaced = want.seenAt
+	}
+	return ChangeTime(replaced, s.cfg.Limit, want.wholeAt, draw)
 }
 
 // failed notes a step that failed and waits before the next.
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -56,6 +56,8 @@
 	// lies is how many manifests are spoilt.
 	lies int
 
+	unloaded int
+
 	pauses []time.Time
 	told   []int64
 }
@@ -115,6 +117,15 @@
 	return nil
 }
 
+func (m *machine) Unload(_ context.Context, o stage.Order) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unloaded++
+	m.sequence++
+	m.runs = 0
+	return nil
+}
+
 func (m *machine) Manifest(_ context.Context, _ string, version int64) (*weights.Manifest, error) {
 	var digests []weights.Digest
 	for i := range chunks {
@@ -178,12 +189,14 @@
 	pauses int
 	told   []int64
 	reads  int
+	// unloaded is how many orders to unload were taken.
+	unloaded int
 }
 
 func (m *machine) seen() seen {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return seen{orders: slices.Clone(m.orders), pauses: len(m.pauses), told: slices.Clone(m.told), reads: m.reads}
+	return seen{orders: slices.Clone(m.orders), pauses: len(m.pauses), told: slices.Clone(m.told), reads: m.reads, unloaded: m.unloaded}
 }
 
 // begins returns the version on which a request that arrives now begins, or 0.
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -122,6 +122,9 @@
 	var o struct {
 		Version  int64 `json:"version"`
 		Expected int64 `json:"expected_revision"`
+		// From and To, the layer after the last, are set where not all are meant.
+		From *int `json:"from"`
+		To   *int `json:"target_version"`
 	}
 	if json.NewDecoder(q.Body).Decode(&o) != nil {
 		http.Error(w, "no order", http.StatusBadRequest)
@@ -134,6 +137,13 @@
 		return
 	}
 	r.sequence++
+	if o.From != nil && o.To != nil && *o.From >= *o.To {
+		r.version = 0
+		r.mu.Unlock()
+		w.WriteHeader(http.StatusAccepted)
+		r.record()
+		return
+	}
 	for i, data := range r.staged {
 		if !bytes.Equal(data, Chunk(o.Version, i)) {
 			r.cfg.Witness.Broken("runner %s was ordered to load version %d with chunk %d missing or spoilt", r.cfg.ID, o.Version, i)
