Limits of weights count from the earliest telling of a version

Cause: each process counted from when it heard. A VM behind a narrow link hears up to 1.7 s late, a gateway that was cut off as late as it was, and one that starts gave the version that stood there the whole limit once more, so that after a kill of all processes endpoints that lagged were used for up to 7 s past it.

Change: gateways tell by how long ago versions were named (Inventory.Namings, a new method; older processes go on without it). Gateways ask two others, sidecars the gateway that they ask anyway; times count from when the question was sent, so they may be early by a round trip and are never late. A version that nobody can date is required once most endpoints hold it and the contact time is over; an endpoint with older weights then changes without waiting for a turn.

--- a/compat/rpc_test.go
+++ b/compat/rpc_test.go
@@ -52,6 +52,8 @@
 	of[replica.StateReply]("StateReply"),
 	of[inventory.Query]("Query"),
 	of[inventory.Inventory]("Inventory"),
+	of[inventory.NamingsQuery]("NamingsQuery"),
+	of[inventory.NamingsReply]("NamingsReply"),
 }
 
 // encoded are the messages as they are sent, one a line, made before any test
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
+	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/versions"
@@ -61,6 +63,12 @@
 	client    *upstream.Client
 	proxy     *proxy.Proxy
 	inventory *inventory.Server
+	// peers keeps connections to other gateways for questions about namings.
+	peers *peerconn.Pool
+	// namingsWanted asks for them, see followNamings.
+	namingsWanted chan struct{}
+	// versionsRead is set once a first copy of the named versions was taken in.
+	versionsRead atomic.Bool
 
 	leaving atomic.Bool
 	cancel  context.CancelFunc
@@ -79,6 +87,9 @@
 		client:   upstream.NewClient(),
 		versions: versions.New(cfg.VersionLimit),
 		self:     newEntry(cfg),
+		peers:    peerconn.NewPool(&net.Dialer{Timeout: namingLimit}),
+
+		namingsWanted: make(chan struct{}, 1),
 	}
 	g.table = member.NewTable(g.self)
 	g.endpoints = endpoints.New(endpoints.Config{
@@ -96,7 +107,7 @@
 	})
 	g.proxy = g.newProxy()
 	g.syncer = replica.New(g.table, l)
-	g.inventory = inventory.NewServer(g.describeService)
+	g.inventory = inventory.NewServer(g.describeService, g.versions.Told)
 	g.mirrors = g.newMirrors()
 	g.syncer.Use(g.mirrors, platform.KindMembers)
 	return g
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,19 +39,25 @@
 // startGateway starts a gateway on loopback addresses of this process's own and
 // returns its settings. limits are the configuration's for callers, or empty.
 func startGateway(t *testing.T, limits string) *platform.Settings {
-	g := NewWithT(t)
 	store := standin.NewStore()
 	for _, s := range specs {
 		store.Put(s.kind, s.name, json.RawMessage(strings.Replace(s.spec, "%s", limits, 1)))
 	}
+	return startGatewayBefore(t, store, 1)
+}
+
+// startGatewayBefore starts gateway n before store and returns its settings.
+func startGatewayBefore(t *testing.T, store *standin.Store, n int) *platform.Settings {
+	g := NewWithT(t)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	ip := fmt.Sprintf("127.%d.%d.1", 100+os.Getpid()%100, os.Getpid()/100%250)
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, os.Getpid()/100%250, n)
 	cfg := &platform.Settings{
-		Identity: telemetry.Identity{VM: "gw", Zone: "a"},
+		Identity: telemetry.Identity{VM: fmt.Sprintf("gw%d", n), Zone: "a"},
 		Callers:  ip + ":7000", Ready: ip + ":7001", Directory: ip + ":7002", Peer: ip + ":7003", Observe: ip + ":7004",
 		PeerPort: 7003, Regions: map[string]string{"a": "east"}, Store: strings.TrimPrefix(server.URL, "http://"),
 		DrainLimit: 2 * time.Second, Grace: 4 * time.Second, RetryWindow: time.Second, VersionLimit: 8 * time.Second,
+		ContactTime: 300 * time.Millisecond,
 	}
 	gw := gateway.New(cfg, log.New(io.Discard), metrics.NewRegistry())
 	g.Expect(gw.Start(context.Background())).To(Succeed())
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -49,19 +49,30 @@
 
 // useVersions takes in the versions that are named.
 func (g *Gateway) useVersions(s *mirror.State) {
+	found := !g.versionsRead.Swap(true)
 	for name, stored := range s.Objects {
 		v, err := platform.DecodeVersion(stored.Data)
 		if err != nil {
 			g.log.Error("bad version", "name", name, "err", err)
 			continue
 		}
-		if g.versions.Add(v.Model, v.Version, time.Now()) {
-			g.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision)
+		if g.noteVersion(v.Model, v.Version, found) {
+			g.log.Info("version named", "model", v.Model, "version", v.Version, "revision", stored.Revision, "found", found)
 			g.inventory.Announce()
+			g.wantNamings()
 		}
 	}
 }
 
+// noteVersion takes in a version that is named, or found at the start, and returns
+// whether it is the newest.
+func (g *Gateway) noteVersion(model string, version int64, found bool) bool {
+	if found {
+		return g.versions.Find(model, version, time.Now())
+	}
+	return g.versions.Add(model, version, time.Now())
+}
+
 // useMembers takes in the gateways that the store lists.
 func (g *Gateway) useMembers(s *mirror.State) {
 	var entries []member.Entry
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -53,6 +53,7 @@
 		go m.Run(ctx)
 	}
 	go g.register(ctx)
+	go g.followNamings(ctx)
 	go g.sweep(ctx)
 	g.log.Info("started", "callers", g.cfg.Callers, "peer", g.cfg.Peer, "life", g.self.Life)
 	return nil
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -38,6 +38,18 @@
 	Live      []member.Entry   `json:"live"`
 	Revisions map[string]int64 `json:"revisions"`
 	InFlight  map[string]int   `json:"inFlight"`
+	Versions  []shownVersion   `json:"versions"`
+}
+
+// shownVersion is the newest version of a model as the person on call sees it.
+type shownVersion struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	// AgeMS is how long ago it was named, or found if Found is set.
+	AgeMS int64 `json:"ageMs"`
+	Found bool  `json:"found"`
+	// Required is the version below which no request is sent.
+	Required int64 `json:"required"`
 }
 
 // State implements telemetry.Observed.
@@ -46,7 +58,16 @@
 	for kind, m := range g.mirrors {
 		revisions[kind] = m.State().Revision
 	}
-	return shownState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: g.balancer.InFlight()}
+	return shownState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: g.balancer.InFlight(), Versions: g.shownVersions()}
+}
+
+func (g *Gateway) shownVersions() []shownVersion {
+	var out []shownVersion
+	for _, n := range g.versions.Newest() {
+		out = append(out, shownVersion{Model: n.Model, Version: n.Version, AgeMS: time.Since(n.At).Milliseconds(),
+			Found: n.Found, Required: g.minVersion(n.Model)})
+	}
+	return out
 }
 
 // heartbeat returns this gateway's next heartbeat, without its number.
@@ -81,6 +102,7 @@
 		g.balancer.NoteTraffic(time.Now()) // there is nobody to hear from
 	}
 	g.endpoints.NoteStore(g.syncer.StoreLost(), time.Now())
+	g.requireHeld(time.Now())
 }
 
 // afterOther takes in a heartbeat of another gateway.
--- a/inventory/server.go
+++ b/inventory/server.go
@@ -4,6 +4,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/silverdeck/silverdeck/versions"
 )
 
 // Limits of answers.
@@ -22,6 +24,7 @@
 // and safe for concurrent use.
 type Server struct {
 	describe func(service string) *Inventory
+	named    func() []versions.Naming
 
 	mu sync.Mutex
 	// news is closed when a version is named or the configuration changes.
@@ -29,9 +32,10 @@
 }
 
 // NewServer returns a Server of what describe returns for a service: its sealed
-// inventory, or nil while too little is known.
-func NewServer(describe func(service string) *Inventory) *Server {
-	return &Server{describe: describe, news: make(chan struct{})}
+// inventory, or nil while too little is known. named returns the namings of which it is
+// known when they were.
+func NewServer(describe func(service string) *Inventory, named func() []versions.Naming) *Server {
+	return &Server{describe: describe, named: named, news: make(chan struct{})}
 }
 
 // Announce answers those who wait.
--- a/inventory/server_test.go
+++ b/inventory/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
+	"github.com/silverdeck/silverdeck/versions"
 )
 
 // known is what a gateway knows of the fleet.
@@ -41,7 +42,7 @@
 				return nil
 			}
 			return inventory.Compose(service, now.Load())
-		})
+		}, nil)
 		q := inventory.Query{Service: "llm", Wait: time.Second}
 		var inv inventory.Inventory
 		began := time.Now()
@@ -69,6 +70,24 @@
 	})
 }
 
+func TestNamingsAreToldByTheirAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		history := versions.New(8 * time.Second)
+		history.Find("m", 2, time.Now())
+		history.Add("m", 3, time.Now())
+		history.Add("n", 7, time.Now())
+		s := inventory.NewServer(nil, history.Told)
+		time.Sleep(2 * time.Second)
+		var all, one inventory.NamingsReply
+		g.Expect(s.Namings(inventory.NamingsQuery{}, &all)).To(Succeed())
+		g.Expect(all.Namings).To(Equal([]inventory.NamingAge{
+			{Model: "m", Version: 3, Age: 2 * time.Second}, {Model: "n", Version: 7, Age: 2 * time.Second}}))
+		g.Expect(s.Namings(inventory.NamingsQuery{Model: "n"}, &one)).To(Succeed())
+		g.Expect(one.Namings).To(Equal([]inventory.NamingAge{{Model: "n", Version: 7, Age: 2 * time.Second}}))
+	})
+}
+
 func TestWhatAnInventoryHoldsOfTheConfigurationIsKept(t *testing.T) {
 	g := NewWithT(t)
 	first := known(2)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,3 +49,19 @@
 	}
 	return out
 }
+
+// HeldByMost returns whether more than half of the endpoints that hold a model hold the
+// version or a newer one.
+func (l *List) HeldByMost(model string, version int64) bool {
+	holders, upToDate := 0, 0
+	for _, e := range l.Endpoints {
+		held := e.Holds(model)
+		if held > 0 {
+			holders++
+		}
+		if held >= version {
+			upToDate++
+		}
+	}
+	return 2*upToDate > holders
+}
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/versions"
 	"github.com/silverdeck/silverdeck/wait"
 )
 
@@ -42,8 +43,13 @@
 	store *platform.Store
 	pool  *peerconn.Pool
 	log   *log.Logger
-	// use is called with each new inventory, one call at a time.
-	use func(*inventory.Inventory)
+	// use is called with each new inventory, one call at a time, and named after it with
+	// when versions were named.
+	use   func(*inventory.Inventory)
+	named func(versions.Naming)
+	// learned are the newest versions of which a gateway told when they were named. Only
+	// run uses it.
+	learned []inventory.Version
 
 	mu   sync.Mutex
 	last *inventory.Inventory
@@ -53,8 +59,8 @@
 	avoided map[string]time.Time
 }
 
-func newFleet(cfg *platform.Settings, store *platform.Store, pool *peerconn.Pool, l *log.Logger, use func(*inventory.Inventory)) *fleet {
-	return &fleet{cfg: cfg, store: store, pool: pool, log: l, use: use, avoided: map[string]time.Time{}}
+func newFleet(cfg *platform.Settings, store *platform.Store, pool *peerconn.Pool, l *log.Logger, use func(*inventory.Inventory), named func(versions.Naming)) *fleet {
+	return &fleet{cfg: cfg, store: store, pool: pool, log: l, use: use, named: named, avoided: map[string]time.Time{}}
 }
 
 // known returns the last inventory, or nil.
@@ -72,6 +78,7 @@
 		reply, err := f.ask(ctx, addr)
 		if err == nil {
 			f.take(reply, failures)
+			f.learnNamings(ctx, addr, reply.Versions)
 			failures = 0
 			continue
 		}
@@ -102,6 +109,25 @@
 	}
 }
 
+// learnNamings asks the gateway at addr when versions were named, once for each newest
+// ones. Where it does not answer, another is asked with the next inventory.
+func (f *fleet) learnNamings(ctx context.Context, addr string, newest []inventory.Version) {
+	if slices.Equal(f.learned, newest) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWait+askSlack)
+	defer cancel()
+	namings, err := inventory.AskNamings(ctx, f.pool, addr)
+	if err != nil {
+		f.log.Debug("no namings", "peer", addr, "err", err)
+		return
+	}
+	f.learned = newest
+	for _, n := range namings {
+		f.named(n)
+	}
+}
+
 // errNoGateway tells that no gateway is known.
 var errNoGateway = errors.New("sidecar: no gateway known")
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/telemetry"
+	"github.com/silverdeck/silverdeck/versions"
 )
 
 // Settings of a sidecar.
@@ -68,7 +69,7 @@
 	dialer := &net.Dialer{Timeout: dialLimit}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: uploads}}
 	pool := peerconn.NewPool(dialer)
-	c.fleet = newFleet(cfg, platform.NewStore(cfg.Store), pool, l, c.useInventory)
+	c.fleet = newFleet(cfg, platform.NewStore(cfg.Store), pool, l, c.useInventory, c.useNaming)
 	c.stager = stage.New(stage.Config{
 		Self:     selfMember(cfg),
 		Endpoint: platform.NewEndpoint(cfg.Endpoint),
@@ -135,6 +136,11 @@
 	}
 }
 
+// useNaming takes in when a version was named.
+func (c *Sidecar) useNaming(n versions.Naming) {
+	c.stager.Named(n.Model, n.Version, n.At)
+}
+
 // errNoInventory tells that neither a gateway nor the store has answered yet.
 var errNoInventory = errors.New("sidecar: no inventory yet")
 
--- a/sidecar/stage/limit_test.go
+++ b/sidecar/stage/limit_test.go
@@ -77,3 +77,15 @@
 		g.Expect(m.seen().unloaded).To(Equal(1))
 	})
 }
+
+// A VM behind a narrow link heard of a version 1.7 s after the others.
+func TestTheLimitCountsFromWhenOthersHeardOfAVersion(t *testing.T) {
+	const late = 1700 * time.Millisecond
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.lost = 2 })
+		s.Want("m", 2, false)
+		s.Named("m", 2, time.Now().Add(-late))
+		time.Sleep(limit - late)
+		g.Expect(m.begins()).To(BeZero())
+	})
+}
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -101,7 +101,11 @@
 	}
 	now := time.Now()
 	s.targets[model] = target{version: version, seenAt: now, first: first}
-	s.named.Add(model, version, now)
+	if first {
+		s.named.Find(model, version, now)
+	} else {
+		s.named.Add(model, version, now)
+	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -109,6 +113,11 @@
 	return true
 }
 
+// Named takes in when a version of model was named, as others know it.
+func (s *Stager) Named(model string, version int64, at time.Time) {
+	s.named.Add(model, version, at)
+}
+
 // target returns the newest version that the endpoint should run.
 func (s *Stager) target(model string) target {
 	s.mu.Lock()
@@ -232,11 +241,11 @@
 // restart.
 func (s *Stager) changeTime(model string, held int64, want target) time.Time {
 	draw := float64(xxhash.Sum64String(model+"\x00"+s.cfg.Self.VM)) / (1 << 64)
-	replaced, found := s.named.Replaced(model, held)
-	if !found {
-		replaced = want.seenAt
+	naming, replaced := s.named.Replaced(model, held)
+	if !replaced || naming.Found {
+		return time.Time{} // nobody knows how near the limit is
 	}
-	return ChangeTime(replaced, s.cfg.Limit, want.wholeAt, draw)
+	return ChangeTime(naming.At, s.cfg.Limit, want.wholeAt, draw)
 }
 
 // failed notes a step that failed and waits before the next.
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -13,7 +13,11 @@
 type Naming struct {
 	Model   string
 	Version int64
-	At      time.Time
+	// At is when it was named, or when it was found.
+	At time.Time
+	// Found is set when the version stood there already when this process began, and
+	// nobody has told since when.
+	Found bool
 }
 
 // History remembers the newest versions of each model. It is safe for concurrent
@@ -42,25 +46,42 @@
 // it is the newest. A version that is known already was named at the earlier of the
 // times told.
 func (h *History) Add(model string, version int64, at time.Time) bool {
+	return h.note(Naming{Model: model, Version: version, At: at})
+}
+
+// Find takes in that a version of model stood there when this process began, and
+// returns whether it is the newest. Nothing changes where the version is known.
+func (h *History) Find(model string, version int64, at time.Time) bool {
+	return h.note(Naming{Model: model, Version: version, At: at, Found: true})
+}
+
+func (h *History) note(n Naming) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	namings := h.models[model]
-	i, known := slices.BinarySearchFunc(namings, version, func(n Naming, v int64) int { return cmp.Compare(n.Version, v) })
+	namings := h.models[n.Model]
+	i, known := slices.BinarySearchFunc(namings, n.Version, func(n Naming, v int64) int { return cmp.Compare(n.Version, v) })
 	if known {
-		if at.Before(namings[i].At) {
-			namings[i].At = at
-		}
+		namings[i] = earlier(namings[i], n)
 		return false
 	}
 	newest := i == len(namings)
-	namings = slices.Insert(namings, i, Naming{Model: model, Version: version, At: at})
+	namings = slices.Insert(namings, i, n)
 	if len(namings) > maxNamings {
 		namings = namings[1:]
 	}
-	h.models[model] = namings
+	h.models[n.Model] = namings
 	return newest
 }
 
+// earlier returns which of two tellings of one naming holds: the earlier, and
+// any rather than none.
+func earlier(known, told Naming) Naming {
+	if told.Found || (!known.Found && known.At.Before(told.At)) {
+		return known
+	}
+	return told
+}
+
 // Required returns the newest version of model that every endpoint must hold by now.
 func (h *History) Required(model string, now time.Time) int64 {
 	h.mu.RLock()
@@ -74,26 +95,44 @@
 	return required
 }
 
-// Replaced returns when a version of model was first replaced: when the first that
-// is newer was named. It returns false while none is.
-func (h *History) Replaced(model string, version int64) (time.Time, bool) {
+// Replaced returns the naming by which a version of model was first replaced: the
+// earliest of a newer one. It returns false while there is none.
+func (h *History) Replaced(model string, version int64) (Naming, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	var at time.Time
-	found := false
+	var first Naming
+	replaced := false
 	for _, n := range h.models[model] {
-		if n.Version > version && (!found || n.At.Before(at)) {
-			at, found = n.At, true
+		if n.Version > version && (!replaced || n.At.Before(first.At)) {
+			first, replaced = n, true
 		}
 	}
-	return at, found
+	return first, replaced
 }
 
 // End returns from when on no request may begin on a version of model: the limit
 // after it was first replaced. It returns false while none is newer.
 func (h *History) End(model string, version int64) (time.Time, bool) {
-	at, found := h.Replaced(model, version)
-	return at.Add(h.limit), found
+	n, replaced := h.Replaced(model, version)
+	return n.At.Add(h.limit), replaced
+}
+
+// Told returns the namings of which it is known when they were, by model and version.
+func (h *History) Told() []Naming {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var out []Naming
+	for _, namings := range h.models {
+		for _, n := range namings {
+			if !n.Found {
+				out = append(out, n)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Naming) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
+	return out
 }
 
 // Newest returns the naming of the newest version of each model, by model.
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -65,5 +65,17 @@
 		h.Add("m", int64(v+1), at(v))
 	}
 	replaced, _ := h.Replaced("m", 1)
-	g.Expect(replaced).To(Equal(at(2)), "the first two are forgotten")
+	g.Expect(replaced.At).To(Equal(at(2)), "the first two are forgotten")
+}
+
+func TestWhatIsToldOfAFoundVersionTakesThePlaceOfWhatWasFound(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	g.Expect(h.Find("m", 3, at(10))).To(BeTrue())
+	h.Add("m", 4, at(12))
+	g.Expect(h.Told()).To(Equal([]versions.Naming{{Model: "m", Version: 4, At: at(12)}}))
+	h.Add("m", 3, at(11))
+	h.Find("m", 3, at(1))
+	h.Find("m", 4, at(1))
+	g.Expect(h.Told()).To(Equal([]versions.Naming{{Model: "m", Version: 3, At: at(11)}, {Model: "m", Version: 4, At: at(12)}}))
 }
