--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,9 +35,9 @@
 
 // Margins to what the platform allows.
 const (
-	// versionMargin is taken from the time in which weights must be replaced: a request
-	// may be on its way to an endpoint for so long before it begins there. Chosen by
-	// judgement, not measured.
+	// versionMargin is how long before their limit no request is sent to old weights any
+	// more, since the endpoint would refuse it: its sidecar unloads them 0.5 s before the
+	// limit. What is on its way longer is refused there. Chosen by judgement, not measured.
 	versionMargin = 800 * time.Millisecond
 	// retainLapsed is for how long after the store's return endpoints are kept
 	// whose records lapsed meanwhile: the platform says that they are written again
@@ -50,6 +50,8 @@
 	cfg      *platform.Settings
 	log      *log.Logger
 	registry metrics.Registry
+	// began is when the process started.
+	began time.Time
 
 	store     *platform.Store
 	mirrors   map[string]*mirror.Mirror
@@ -83,6 +85,7 @@
 		cfg:      cfg,
 		log:      l,
 		registry: registry,
+		began:    time.Now(),
 		store:    platform.NewStore(cfg.Store),
 		client:   upstream.NewClient(),
 		versions: versions.New(cfg.VersionLimit),
--- a/gateway/namings.go
+++ b/gateway/namings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/silverdeck/silverdeck/inventory"
@@ -13,17 +14,23 @@
 
 // Asking other gateways when versions were named. All chosen by judgement.
 const (
-	// namingPeers is how many are asked: one may have heard late itself.
+	// namingPeers is how many are to answer: one may have heard late itself.
 	namingPeers = 2
-	// namingTries is how often they are asked; a gateway that starts hears of others
-	// within a heartbeat.
-	namingTries = 5
-	// namingPause is the time before each try.
+	// namingTries is how often others are asked in quick succession; a gateway that starts
+	// hears of them within a heartbeat.
+	namingTries = 10
+	// namingPause is the time before each of these.
 	namingPause = 200 * time.Millisecond
+	// namingPauseLater is that before each further one.
+	namingPauseLater = time.Second
 	// namingLimit bounds one question.
 	namingLimit = time.Second
 )
 
+// foundShare is the part of the contact time after which a found version is required if
+// most endpoints hold it; the rest is for requests on their way. Chosen by judgement.
+const foundShare = 0.5
+
 // followNamings asks other gateways when versions were named, each time this one heard
 // of some, until ctx ends. This one may have been cut off, or have just started: a limit
 // that counted from when it heard would end later than the platform's.
@@ -34,17 +41,32 @@
 			return
 		case <-g.namingsWanted:
 		}
-		for asked, try := 0, 0; asked < namingPeers && try < namingTries; try++ {
-			if !wait.For(ctx, namingPause) {
-				return
+		answered := map[string]bool{}
+		for try := 0; namingsMissing(len(answered), try) && g.namingsMatter(); try++ {
+			pause := namingPause
+			if try >= namingTries {
+				pause = namingPauseLater
 			}
-			if g.askNamings(ctx) {
-				asked++
+			if !wait.For(ctx, pause) {
+				return
 			}
+			g.askNamings(ctx, answered)
 		}
 	}
 }
 
+// namingsMissing returns whether one more gateway is to be asked, where so many have
+// answered in so many tries. One is waited for however long others are out of reach.
+func namingsMissing(answers, tries int) bool {
+	return answers == 0 || (answers < namingPeers && tries < namingTries)
+}
+
+// namingsMatter returns whether it still matters when the newest versions were named:
+// whether one of them is not required yet.
+func (g *Gateway) namingsMatter() bool {
+	return slices.ContainsFunc(g.versions.Newest(), func(n versions.Naming) bool { return g.minVersion(n.Model) < n.Version })
+}
+
 // wantNamings makes followNamings ask.
 func (g *Gateway) wantNamings() {
 	select {
@@ -53,11 +75,12 @@
 	}
 }
 
-// askNamings asks a live gateway, and returns whether it answered.
-func (g *Gateway) askNamings(ctx context.Context) bool {
-	live := g.table.Live()
+// askNamings asks a live gateway that is not in answered, and adds it there if it knew
+// of all versions.
+func (g *Gateway) askNamings(ctx context.Context, answered map[string]bool) {
+	live := slices.DeleteFunc(g.table.Live(), func(e member.Entry) bool { return answered[e.Name] })
 	if len(live) == 0 {
-		return false
+		return
 	}
 	peer := live[rand.IntN(len(live))]
 	ctx, cancel := context.WithTimeout(ctx, namingLimit)
@@ -65,22 +88,17 @@
 	namings, err := inventory.AskNamings(ctx, g.peers, peer.Peer)
 	if err != nil {
 		g.log.Debug("no namings from another entry", "peer", peer.Peer, "err", err)
-		return false
+		return
 	}
-	g.takeNamings(peer, namings)
-	return true
-}
-
-// takeNamings takes in what another gateway knows of when versions were named.
-func (g *Gateway) takeNamings(peer member.Entry, namings []versions.Naming) {
 	for _, n := range namings {
-		before, _ := g.versions.End(n.Model, n.Version-1)
-		g.versions.Add(n.Model, n.Version, n.At)
-		if after, _ := g.versions.End(n.Model, n.Version-1); after.Before(before) {
+		if earlier := g.versions.Correct(n); earlier > 0 {
 			g.log.Info("version named earlier", "model", n.Model, "version", n.Version,
-				"peer", peer.Peer, "byMs", before.Sub(after).Milliseconds())
+				"peer", peer.Peer, "byMs", earlier.Milliseconds())
 		}
 	}
+	if versions.Cover(namings, g.versions.Newest()) {
+		answered[peer.Name] = true
+	}
 }
 
 // requireHeld requires the versions that this gateway found at its start, and that
@@ -90,12 +108,12 @@
 // does not hold a process that has started to its limits.
 func (g *Gateway) requireHeld(now time.Time) {
 	list := g.endpoints.Current()
-	if list == nil {
+	if list == nil || now.Sub(g.began) < time.Duration(foundShare*float64(g.cfg.ContactTime)) {
 		return
 	}
 	for _, n := range g.versions.Newest() {
-		if n.Found && now.Sub(n.At) >= g.cfg.ContactTime && list.HeldByMost(n.Model, n.Version) {
-			g.versions.Add(n.Model, n.Version, now.Add(-g.cfg.VersionLimit))
+		if n.Found && !n.Due && list.HeldByMost(n.Model, n.Version) {
+			g.versions.Require(n.Model, n.Version)
 			g.log.Info("found version required", "model", n.Model, "version", n.Version)
 		}
 	}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -51,6 +51,15 @@
 	return out
 }
 
+// Cover returns whether namings tell of all versions of newest.
+func Cover(namings []versions.Naming, newest []Version) bool {
+	var wanted []versions.Naming
+	for _, v := range newest {
+		wanted = append(wanted, versions.Naming{Model: v.Model, Version: v.Version})
+	}
+	return versions.Cover(namings, wanted)
+}
+
 // Place is where a gateway takes calls, and its availability zone.
 type Place struct {
 	Addr, Zone string
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -31,6 +31,9 @@
 	// askTries is how many gateways are asked in a row before the store is. Chosen by
 	// judgement.
 	askTries = 3
+	// namingAnswers is how many gateways are to tell when a version was named, one with
+	// each inventory. Chosen by judgement.
+	namingAnswers = 3
 	// storePause is the time between two readings of the store, whose calls are priced.
 	// Chosen by judgement.
 	storePause = 1500 * time.Millisecond
@@ -47,9 +50,10 @@
 	// when versions were named.
 	use   func(*inventory.Inventory)
 	named func(versions.Naming)
-	// learned are the newest versions of which a gateway told when they were named. Only
-	// run uses it.
-	learned []inventory.Version
+	// learned are the newest versions, and learnedFrom is how many gateways told when they
+	// were named. Only run uses them.
+	learned     []inventory.Version
+	learnedFrom int
 
 	mu   sync.Mutex
 	last *inventory.Inventory
@@ -109,23 +113,29 @@
 	}
 }
 
-// learnNamings asks the gateway at addr when versions were named, once for each newest
-// ones. Where it does not answer, another is asked with the next inventory.
+// learnNamings asks the gateway at addr when versions were named, after each inventory
+// until so many have told of the newest ones. The first may itself have heard late, or
+// have just started; it knows better once it has asked others.
 func (f *fleet) learnNamings(ctx context.Context, addr string, newest []inventory.Version) {
-	if slices.Equal(f.learned, newest) {
+	if !slices.Equal(f.learned, newest) {
+		f.learned, f.learnedFrom = newest, 0
+	}
+	if f.learnedFrom >= namingAnswers {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, askWait+askSlack)
+	ctx, cancel := context.WithTimeout(ctx, askSlack)
 	defer cancel()
 	namings, err := inventory.AskNamings(ctx, f.pool, addr)
 	if err != nil {
 		f.log.Debug("no namings", "peer", addr, "err", err)
 		return
 	}
-	f.learned = newest
 	for _, n := range namings {
 		f.named(n)
 	}
+	if inventory.Cover(namings, newest) {
+		f.learnedFrom++
+	}
 }
 
 // errNoGateway tells that no gateway is known.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -220,5 +220,5 @@
 	for _, s := range c.servers {
 		_ = s.Close() // nobody waits for what is still open there
 	}
-	return nil
+	return c.notices.Close()
 }
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -106,7 +106,6 @@
 			Idle:      time.Since(since),
 			OlderHave: s.held(model, older.version),
 			Outdated:  s.outdated(model, older.version),
-			Congested: s.congested(),
 		}
 		if !wanted || !FallsBack(progress) {
 			continue
@@ -201,13 +200,6 @@
 	return s.link
 }
 
-// congested returns whether this VM's link is too narrow for a second download.
-func (s *Stager) congested() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.link != nil && s.link.Congested()
-}
-
 // doubt ends a download whose manifest seems to be wrong.
 func (s *Stager) doubt(ctx context.Context, cancel func(), d *swarm.Download) {
 	have, since := -1, time.Now()
--- a/sidecar/stage/limit.go
+++ b/sidecar/stage/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/silverdeck/silverdeck/wait"
@@ -11,11 +13,15 @@
 	// limitEvery is how often the limits of versions are looked at; the endpoint is asked
 	// only once one is near. Chosen by judgement.
 	limitEvery = 50 * time.Millisecond
-	// unloadLead is how long before their limit old weights are unloaded: what waits at
-	// the endpoint then has begun by the limit, and nothing that comes later begins. It
-	// covers the calls to the endpoint on this VM and its queue, not the way of requests.
-	// Chosen by judgement.
-	unloadLead = queueLimit
+	// unloadLead is how long before their limit old weights are unloaded. It covers two
+	// tries on this VM, and not the way of requests. Chosen by judgement.
+	unloadLead = 500 * time.Millisecond
+	// unloadLatest is how long before the limit old weights are unloaded although a load
+	// of new ones is about to be ordered. Chosen by judgement.
+	unloadLatest = 200 * time.Millisecond
+	// limitCall bounds a call to the endpoint meanwhile: one that is lost must leave time
+	// for another. Chosen by judgement.
+	limitCall = 100 * time.Millisecond
 )
 
 // keepLimits unloads weights from the endpoint whose limit comes, until ctx ends.
@@ -34,21 +40,25 @@
 }
 
 // keepLimit unloads what the endpoint holds of model if that is older than version
-// required. It returns whether nothing older is left.
+// required. It returns whether nothing older is left, nor comes: an endpoint that is
+// busy may be loading it, and later no load of it is ordered.
 func (s *Stager) keepLimit(ctx context.Context, model string, required int64) bool {
-	report, err := s.report(ctx)
-	if err != nil {
-		return false
+	s.ordering <- struct{}{}
+	defer func() { <-s.ordering }()
+	report, err := s.reportWithin(ctx, limitCall)
+	if err != nil || report.Busy {
+		return false // while it loads it begins nothing
 	}
 	held := report.Version(model)
 	if held == 0 || held >= required {
 		return true
 	}
-	if report.Busy {
-		return false // it is loading, and begins nothing meanwhile
+	if s.loadComes(model, held, required) {
+		return false
 	}
+	s.cfg.Fleet.Pause(ctx, loadPause)
 	if err := s.unload(ctx, Order{Model: model, Version: required, Sequence: report.Sequence}); err != nil {
-		s.failed(ctx, "old weights not unloaded", model, held, err)
+		s.notUnloaded(ctx, model, held, err)
 		return false
 	}
 	newest := s.target(model).version
@@ -57,10 +67,29 @@
 	return false // until a report says so
 }
 
-// unload gives the endpoint an order to unload, and asks the gateways to send nothing.
+// loadComes returns whether a load of version required or a newer one is about to be
+// ordered in time: it ends the use of the old weights as well, and sooner takes requests.
+func (s *Stager) loadComes(model string, held, required int64) bool {
+	end, _ := s.named.End(model, held)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loading[model] >= required && time.Until(end) > unloadLatest
+}
+
+// unload gives the endpoint an order to unload.
 func (s *Stager) unload(ctx context.Context, o Order) error {
-	s.cfg.Fleet.Pause(ctx, loadPause)
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	ctx, cancel := context.WithTimeout(ctx, limitCall)
 	defer cancel()
 	return s.cfg.Endpoint.Unload(ctx, o)
 }
+
+// notUnloaded notes that an order to unload was not taken. One that was lost, or that
+// came behind another, is given again at once; one that was refused, after a while.
+func (s *Stager) notUnloaded(ctx context.Context, model string, held int64, err error) {
+	var refused *OrderError
+	if errors.As(err, &refused) && refused.Status != http.StatusConflict {
+		s.failed(ctx, "old weights not unloaded", model, held, err)
+		return
+	}
+	s.cfg.Log.Warn("old weights not unloaded", "model", model, "version", held, "err", err)
+}
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -22,6 +22,9 @@
 	queueLimit = 400 * time.Millisecond
 	// queueEvery is how often the endpoint is asked for its queue meanwhile.
 	queueEvery = 20 * time.Millisecond
+	// orderLimit bounds a call with an order: it stays on the VM, and one that is lost may
+	// have been taken, as the next report tells. Chosen by judgement.
+	orderLimit = 300 * time.Millisecond
 	// loadedEvery is how often the endpoint is asked whether it has loaded.
 	loadedEvery = 50 * time.Millisecond
 	// loadLimit is how long a load may take before the endpoint's state is looked at
@@ -96,6 +99,8 @@
 
 // load checks what was placed at the endpoint and orders it to load that.
 func (s *Stager) load(ctx context.Context, model string, want target, set *weights.Set) error {
+	s.noteLoading(model, want.version)
+	defer s.noteLoading(model, 0)
 	if err := s.verify(ctx, model, set); err != nil {
 		return err
 	}
@@ -110,6 +115,9 @@
 			return err
 		}
 	}
+	if s.outdated(model, want.version) {
+		return nil // what came before took too long
+	}
 	if err := s.order(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence}); err != nil {
 		return err
 	}
@@ -119,9 +127,18 @@
 	return nil
 }
 
-// order gives the endpoint an order.
+// noteLoading notes that a version of model is about to be loaded; 0 stands for none.
+func (s *Stager) noteLoading(model string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loading[model] = version
+}
+
+// order gives the endpoint an order to load.
 func (s *Stager) order(ctx context.Context, o Order) error {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	s.ordering <- struct{}{}
+	defer func() { <-s.ordering }()
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	return s.cfg.Endpoint.Load(ctx, o)
 }
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -30,8 +30,9 @@
 	return first.Add(time.Duration(draw * float64(last.Sub(first))))
 }
 
-// minUse is how long before the limit of a version its load must begin to be of use: a load takes about half a second. Chosen by
-// judgement; the rule came from a hunt (docs/FINDINGS.md).
+// minUse is how long before the limit of a version its load must begin to be of use: a
+// load takes about half a second. Chosen by judgement; the rule came from a hunt
+// (docs/FINDINGS.md).
 const minUse = 1500 * time.Millisecond
 
 // Useful returns whether a version is worth loading on which no request may begin from
@@ -63,15 +64,12 @@
 	OlderHave int
 	// Outdated is set when the older one could not be used any more.
 	Outdated bool
-	// Congested is set when the VM's own link is narrow.
-	Congested bool
 }
 
 // FallsBack returns whether an older version is gone on with as well. It is of no use
-// where it comes too late, nor where the VM's own link holds the newest up: the two then
-// share it, and requests wait behind both.
+// where it comes too late: then it only fills the link, behind which requests wait.
 func FallsBack(p Progress) bool {
-	return p.Idle >= stalledAfter && p.OlderHave > 0 && !p.Outdated && !p.Congested
+	return p.Idle >= stalledAfter && p.OlderHave > 0 && !p.Outdated
 }
 
 // doubtAfter is how long a download may make no progress while chunks of the
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -3,7 +3,9 @@
 // checks there what was placed, and orders the endpoint to load.
 //
 // It owns the versions that the endpoint should run and the chunks of the last few,
-// each under a lock. One goroutine fetches, another places and loads. It relies on
+// each under a lock. One goroutine fetches, another places and loads, a third unloads
+// weights whose limit comes; of their orders the endpoint takes the first, since each
+// names the count of orders on which it rests. It relies on
 // the endpoint, the origin, other VMs and the list of members; rules.go has what it
 // decides by. Names of the messages in manifest.go are on the wire.
 package stage
@@ -58,7 +60,8 @@
 	// returns *OrderError when the endpoint does not take the order.
 	Load(ctx context.Context, o Order) error
 	// Unload orders the endpoint to hold no weights of a model once what runs there has
-	// ended, and to begin nothing on them from now on. It fails as Load does.
+	// ended. From the order on it refuses requests that come, as not run. It fails as Load
+	// does.
 	Unload(ctx context.Context, o Order) error
 }
 
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -52,12 +52,18 @@
 	// named is when versions were named, as far as this process knows.
 	named *versions.History
 
+	// ordering has room for one: for who gives an order, and for who asks for the count of
+	// orders on which an order to unload then rests.
+	ordering chan struct{}
+
 	mu sync.Mutex
 	// targets are the newest versions by model, complete those that are there whole.
 	targets, complete map[string]target
 	// former are the targets before the newest, by model, the newest of them last.
 	former map[string][]target
 	wake   chan struct{}
+	// loading is the version that is about to be loaded, by model.
+	loading map[string]int64
 	// link measures the VM's link for chunks of linkChunk bytes; nil before the first.
 	link      *congestion.Meter
 	linkChunk int64
@@ -83,6 +89,8 @@
 		targets:  map[string]target{},
 		complete: map[string]target{},
 		former:   map[string][]target{},
+		loading:  map[string]int64{},
+		ordering: make(chan struct{}, 1),
 		wake:     make(chan struct{}, 1),
 	}
 }
@@ -263,7 +271,11 @@
 
 // report asks the endpoint for its state.
 func (s *Stager) report(ctx context.Context) (*Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	return s.reportWithin(ctx, callLimit)
+}
+
+func (s *Stager) reportWithin(ctx context.Context, limit time.Duration) (*Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return s.cfg.Endpoint.Report(ctx)
 }
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -18,6 +18,8 @@
 	// Found is set when the version stood there already when this process began, and
 	// nobody has told since when.
 	Found bool
+	// Due is set when the version is required whenever it was named; see Require.
+	Due bool
 }
 
 // History remembers the newest versions of each model. It is safe for concurrent
@@ -55,6 +57,50 @@
 	return h.note(Naming{Model: model, Version: version, At: at, Found: true})
 }
 
+// Correct takes in a naming that another process told, and returns by how much earlier
+// than known it was; 0 if it was not, or if the version was not known.
+func (h *History) Correct(told Naming) time.Duration {
+	known, found := h.find(told.Model, told.Version)
+	h.Add(told.Model, told.Version, told.At)
+	if !found {
+		return 0
+	}
+	return max(known.At.Sub(told.At), 0)
+}
+
+func (h *History) find(model string, version int64) (Naming, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, n := range h.models[model] {
+		if n.Version == version {
+			return n, true
+		}
+	}
+	return Naming{}, false
+}
+
+// Cover returns whether told has all versions of newest.
+func Cover(told, newest []Naming) bool {
+	for _, n := range newest {
+		if !slices.ContainsFunc(told, func(t Naming) bool { return t.Model == n.Model && t.Version == n.Version }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Require makes a version that is known required from now on. It changes nothing of when
+// it was named, and others are not told.
+func (h *History) Require(model string, version int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, n := range h.models[model] {
+		if n.Version == version {
+			h.models[model][i].Due = true
+		}
+	}
+}
+
 func (h *History) note(n Naming) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -79,6 +125,7 @@
 	if told.Found || (!known.Found && known.At.Before(told.At)) {
 		return known
 	}
+	told.Due = known.Due
 	return told
 }
 
@@ -88,7 +135,7 @@
 	defer h.mu.RUnlock()
 	var required int64
 	for _, n := range h.models[model] {
-		if now.Sub(n.At) >= h.limit {
+		if n.Due || now.Sub(n.At) >= h.limit {
 			required = n.Version
 		}
 	}
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -79,3 +79,15 @@
 	h.Find("m", 4, at(1))
 	g.Expect(h.Told()).To(Equal([]versions.Naming{{Model: "m", Version: 3, At: at(11)}, {Model: "m", Version: 4, At: at(12)}}))
 }
+
+func TestARequiredVersionIsNotToldAsNamedEarlier(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	h.Find("m", 2, at(0))
+	h.Require("m", 2)
+	h.Require("m", 9)
+	g.Expect(h.Required("m", at(1))).To(Equal(int64(2)))
+	g.Expect(h.Told()).To(BeEmpty())
+	h.Add("m", 2, at(0))
+	g.Expect(h.Required("m", at(1))).To(Equal(int64(2)), "also once it is known when it was named")
+}
