swarm: a reader with a narrow link does not hold up its region

Cause: a chunk was left to its first reader again and again though that one's link was narrow: it said that it reads it, or its answer did not come in time, which counted the same. Once it had a chunk, nobody else read it while it was known there or under way from there.

A member whose own link is congested does not say that it reads. Where most neighbours lag, or several and the own link is congested, nobody is passed over. The wire is as it was.

--- a/swarm/availability.go
+++ b/swarm/availability.go
@@ -20,6 +20,8 @@
 type flight struct {
 	began  time.Time
 	copies int
+	// from are the neighbours that it is under way from.
+	from uint32
 }
 
 // availability knows which neighbour holds which chunk, what is under way, and
@@ -119,6 +121,7 @@
 	f := a.flights[c]
 	f.began = now
 	f.copies++
+	f.from |= 1 << i
 	a.flights[c] = f
 	a.neighbours[i].outstanding++
 }
@@ -128,6 +131,7 @@
 	a.neighbours[i].outstanding--
 	f := a.flights[c]
 	f.copies--
+	f.from &^= 1 << i
 	if f.copies <= 0 {
 		delete(a.flights, c)
 		return
@@ -142,7 +146,8 @@
 	}
 }
 
-// known returns whether some neighbour holds chunk c.
-func (a *availability) known(c int) bool {
-	return a.holders[c] != 0
+// expected returns whether chunk c may be had from one of the neighbours in mask, or
+// is under way from one.
+func (a *availability) expected(c int, mask uint32) bool {
+	return (a.holders[c]|a.flights[c].from)&mask != 0
 }
--- a/swarm/congestion/congestion.go
+++ b/swarm/congestion/congestion.go
@@ -58,3 +58,10 @@
 	defer m.mu.Unlock()
 	return m.free > 0 && m.usual > limitFactor*m.free
 }
+
+// PassOver returns whether the neighbours that lag are to be passed over. Over a narrow
+// link of the VM's own several seem to lag, and nobody is: it would have nobody left to
+// ask but the origin.
+func PassOver(lagging, neighbours int, congested bool) bool {
+	return lagging <= 1 || (!congested && 2*lagging <= neighbours)
+}
--- a/swarm/congestion/congestion_test.go
+++ b/swarm/congestion/congestion_test.go
@@ -49,3 +49,23 @@
 	l.Took(time.Minute, 1)
 	NewWithT(t).Expect(l.Congested()).To(BeFalse())
 }
+
+func TestOnlyAFewNeighboursArePassedOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		lagging, neighbours int
+		congested           bool
+		want                bool
+	}{
+		"one lags":                     {1, 7, false, true},
+		"one lags, own link congested": {1, 7, true, true},
+		"the only one lags":            {1, 1, false, true},
+		"two of four lag":              {2, 4, false, true},
+		"two lag, own link congested":  {2, 7, true, false},
+		"most lag":                     {4, 7, false, false},
+		"all lag":                      {3, 3, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(congestion.PassOver(c.lagging, c.neighbours, c.congested)).To(Equal(c.want))
+		})
+	}
+}
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -40,7 +40,8 @@
 	schedule schedule
 	link     *congestion.Meter
 	// corrupt counts the corrupt chunks of each VM.
-	corrupt map[string]int
+	corrupt  map[string]int
+	laggards laggards
 }
 
 // NewDownload returns a Download of set by self among members.
@@ -56,6 +57,8 @@
 		wake:    make(chan struct{}, 1),
 		avail:   newAvailability(len(set.Manifest().Chunks), cfg.Rand),
 		corrupt: map[string]int{},
+
+		laggards: laggards{},
 	}
 	d.link = cfg.Link
 	if d.link == nil {
@@ -88,7 +91,8 @@
 }
 
 // Reading returns whether chunk c is being brought in by this member, or is
-// about to be.
+// about to be. A member whose own link is narrow does not say so: the next in rank
+// reads at once what would be late here.
 func (d *Download) Reading(c int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,7 +100,7 @@
 		return false
 	}
 	_, n := d.set.Manifest().Range(c)
-	return d.schedule.willRead(c, n)
+	return !d.link.Congested() && d.schedule.willRead(c, n)
 }
 
 // SetMembers replaces the list of members, as VMs join and leave.
--- a/swarm/fakes_test.go
+++ b/swarm/fakes_test.go
@@ -95,11 +95,14 @@
 	cancel   context.CancelFunc
 	done     chan error
 	up       chan struct{}
+	down     chan struct{}
 
 	mu      sync.Mutex
 	dead    bool
 	stalled bool
 	corrupt bool
+	// narrow is what a chunk takes on this VM's link, each way, in place of chunkTime.
+	narrow time.Duration
 }
 
 func (v *vm) update(f func(v *vm)) {
@@ -114,6 +117,72 @@
 	return v.dead, v.stalled, v.corrupt
 }
 
+// narrowed returns what a chunk takes on v's link if that is narrow, or else 0.
+func (v *vm) narrowed() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.narrow
+}
+
+// send passes a chunk over v's link. Only a narrow link is free at once when nobody waits
+// for the chunk any longer.
+func (v *vm) send(ctx context.Context) error {
+	if narrow := v.narrowed(); narrow > 0 {
+		return carry(ctx, v.up, narrow)
+	}
+	v.up <- struct{}{}
+	time.Sleep(chunkTime)
+	<-v.up
+	return nil
+}
+
+// receive passes a chunk that has come as far as v's link over it.
+func (v *vm) receive(ctx context.Context) error {
+	return carry(ctx, v.down, v.narrowed())
+}
+
+// reply passes a request over v's link and the answer back. On a narrow link both wait
+// behind the chunks that are on it.
+func (v *vm) reply(ctx context.Context) error {
+	if v.narrowed() == 0 {
+		return nil
+	}
+	if err := carry(ctx, v.down, 0); err != nil {
+		return err
+	}
+	return carry(ctx, v.up, 0)
+}
+
+// carry takes a link for d, or until ctx ends.
+func carry(ctx context.Context, link chan struct{}, d time.Duration) error {
+	select {
+	case link <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-link }()
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ownLink is the origin as one VM sees it, over its own link.
+type ownLink struct {
+	*fakeOrigin
+	v *vm
+}
+
+func (o ownLink) ReadChunk(ctx context.Context, off, n int64) ([]byte, error) {
+	b, err := o.fakeOrigin.ReadChunk(ctx, off, n)
+	if o.v.narrowed() == 0 || err != nil {
+		return b, err
+	}
+	return b, o.v.receive(ctx)
+}
+
 // network joins fake VMs on virtual time.
 type network struct {
 	g      Gomega
@@ -124,6 +193,10 @@
 	vms   map[string]*vm
 	cut   map[string]bool
 	cross map[string]int
+	// express lets requests and refusals pass the chunks on a narrow link.
+	express bool
+	// options are those of every download, behind the network's own.
+	options []swarm.Option
 }
 
 var errNoRoute = errors.New("no route")
@@ -165,14 +238,15 @@
 }
 
 func (n *network) join(m *weights.Manifest, x swarm.Member, list []swarm.Member) {
-	v := &vm{member: x, set: weights.NewSet(m), done: make(chan error, 1), up: make(chan struct{}, 1)}
+	v := &vm{member: x, set: weights.NewSet(m), done: make(chan error, 1), up: make(chan struct{}, 1), down: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(n.ctx)
 	v.cancel = cancel
 	seed := uint64(len(x.VM)) + uint64(x.VM[len(x.VM)-1])
-	v.download = swarm.NewDownload(x, list, v.set, &dialled{n: n, from: x}, n.origin,
+	opts := append([]swarm.Option{
 		swarm.WithOriginBudget(originRate, swarm.DefaultCopies),
 		swarm.WithRand(rand.New(rand.NewPCG(seed, 1))),
-	)
+	}, n.options...)
+	v.download = swarm.NewDownload(x, list, v.set, &dialled{n: n, from: x, own: v}, ownLink{n.origin, v}, opts...)
 	n.mu.Lock()
 	n.vms[x.VM] = v
 	n.mu.Unlock()
@@ -193,11 +267,16 @@
 
 // finish waits until every living VM is complete, for at most limit.
 func (n *network) finish(limit time.Duration) time.Duration {
+	return n.finishBut(limit, "")
+}
+
+// finishBut waits until every living VM but one is complete, for at most limit.
+func (n *network) finishBut(limit time.Duration, but string) time.Duration {
 	began := time.Now()
 	n.mu.Lock()
 	var list []*vm
 	for _, v := range n.vms {
-		if dead, _, _ := v.state(); !dead {
+		if dead, _, _ := v.state(); !dead && v.member.VM != but {
 			list = append(list, v)
 		}
 	}
@@ -218,6 +297,7 @@
 type dialled struct {
 	n    *network
 	from swarm.Member
+	own  *vm
 }
 
 // reach returns the VM at m, or an error after the time that finding out takes.
@@ -263,6 +343,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !d.n.express {
+		if err := v.reply(ctx); err != nil {
+			return nil, err
+		}
+	}
 	b := v.set.Get(i)
 	if b == nil && v.download.Reading(i) {
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalReading}
@@ -270,9 +355,14 @@
 	if b == nil {
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalAbsent}
 	}
-	v.up <- struct{}{}
-	time.Sleep(chunkTime)
-	<-v.up
+	if err := v.send(ctx); err != nil {
+		return nil, err
+	}
+	if d.own.narrowed() > 0 {
+		if err := d.own.receive(ctx); err != nil {
+			return nil, err
+		}
+	}
 	if _, err := d.reach(ctx, m); err != nil {
 		return nil, err
 	}
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -30,7 +30,8 @@
 		}
 		d.avail.begin(c, i, now)
 		d.inflight.Add(1)
-		go d.fetch(ctx, c, i, d.avail.neighbours[i].member, stallFactor*d.usualTime())
+		late := lagLimit(d.usualTime(), d.cfg.MinTimeout)
+		go d.fetch(ctx, c, i, d.avail.neighbours[i].member, late, stallFactor*d.usualTime())
 	}
 }
 
@@ -56,10 +57,15 @@
 	return max(d.usual, d.cfg.MinTimeout/stallFactor)
 }
 
-// fetch gets chunk c from neighbour i.
-func (d *Download) fetch(ctx context.Context, c, i int, m Member, limit time.Duration) {
+// fetch gets chunk c from neighbour i, who lags after late. It is given up after limit.
+func (d *Download) fetch(ctx context.Context, c, i int, m Member, late, limit time.Duration) {
 	defer d.inflight.Done()
 	began := time.Now()
+	defer time.AfterFunc(late, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.lag(m)
+	}).Stop()
 	fctx, cancel := context.WithTimeout(ctx, limit)
 	b, err := d.peers.Chunk(fctx, m, d.set.Root(), c)
 	cancel()
@@ -77,7 +83,7 @@
 	defer d.signal()
 	switch {
 	case err == nil:
-		d.arrived(c, i, m, b, took)
+		d.arrived(c, i, m, b, took, took < late)
 	case errors.As(err, &refused):
 		d.refused(c, i, m, refused)
 	default:
@@ -86,7 +92,7 @@
 }
 
 // arrived takes in chunk c from neighbour i, if it is as it should be.
-func (d *Download) arrived(c, i int, m Member, b []byte, took time.Duration) {
+func (d *Download) arrived(c, i int, m Member, b []byte, took time.Duration, prompt bool) {
 	n := len(b)
 	_, err := d.set.Put(c, b)
 	d.mu.Lock()
@@ -100,6 +106,9 @@
 	}
 	defer d.mu.Unlock()
 	d.avail.have[c] = true
+	if prompt {
+		delete(d.laggards, m.VM)
+	}
 	d.stats.Blocked = ""
 	if d.usual == 0 {
 		d.usual = took
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -31,11 +31,12 @@
 	if s.faults > 0 || d.link.Congested() {
 		parallel = 1
 	}
+	prompt := d.prompt()
 	for c := range s.due {
 		if len(s.reading) >= parallel {
 			return
 		}
-		if now.Before(s.due[c]) || d.avail.have[c] || s.reading[c] || d.avail.known(c) || d.avail.flights[c].copies > 0 {
+		if now.Before(s.due[c]) || d.avail.have[c] || s.reading[c] || d.avail.expected(c, prompt) {
 			continue
 		}
 		s.reading[c] = true
@@ -57,9 +58,9 @@
 	}()
 	for _, m := range earlier {
 		d.mu.Lock()
-		barred := d.barred(m)
+		passed := d.barred(m) || d.lags(m)
 		d.mu.Unlock()
-		if barred {
+		if passed {
 			continue
 		}
 		switch d.askReader(ctx, c, m) {
@@ -92,7 +93,8 @@
 	readerIsReading
 )
 
-// askReader asks m, who should have read chunk c from the origin, for it.
+// askReader asks m, who should have read chunk c from the origin, for it. One that does
+// not answer in time may be reading; it is passed over from then on.
 func (d *Download) askReader(ctx context.Context, c int, m Member) readerAnswer {
 	actx, cancel := context.WithTimeout(ctx, d.cfg.MinTimeout)
 	defer cancel()
@@ -102,6 +104,9 @@
 		return readerIsReading
 	}
 	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.lag(m)
 		return readerIsReading
 	}
 	if err != nil {
