stage: a manifest is read by more and more VMs while it is awaited

Cause: two VMs named by hash read a version's manifest and all others asked these, six times, before they read it themselves, 5.5 s later: the same as with chunks, a fleet that waits for its slowest members.

Change: two more may read after each 0.3 s, and the readers are asked at once in place of one after the other.

--- a/sidecar/stage/manifest.go
+++ b/sidecar/stage/manifest.go
@@ -21,17 +21,24 @@
 // Who reads a manifest from the origin, which takes few connections. The values are
 // judgement, not measured.
 const (
-	// manifestReaders is how many VMs read a manifest from the origin at once: one may
-	// be dead.
+	// manifestReaders is how many VMs read a manifest from the origin at first, and how
+	// many more may after each manifestStep: the first may be dead, or on narrow links.
 	manifestReaders = 2
-	// manifestTries is how often the others ask before they read it themselves.
-	manifestTries = 6
+	// manifestStep is the time of a reading that goes well, with some slack.
+	manifestStep = 300 * time.Millisecond
 	// manifestPause is the time between two tries.
 	manifestPause = 120 * time.Millisecond
 	// askLimit bounds one question to another VM.
 	askLimit = 400 * time.Millisecond
 )
 
+// ManifestReaders returns how many VMs may read a manifest from the origin once it has
+// been awaited for a time. With two for good, a fleet whose two readers were on narrow
+// links got the manifest 5.5 s late.
+func ManifestReaders(waited time.Duration) int {
+	return manifestReaders * (1 + int(waited/manifestStep))
+}
+
 // ManifestService is the net/rpc name of Manifests.
 const ManifestService = "Stage"
 
@@ -93,31 +100,60 @@
 // manifest gets the manifest of a version: a few VMs, named by hash, read it
 // from the origin, which has few connections, and the others ask them.
 func (s *Stager) manifest(ctx context.Context, model string, version int64) (*weights.Manifest, error) {
-	readers := manifestOrder(s.members(ctx), model, version)
-	readers = readers[:min(manifestReaders, len(readers))]
-	if !slices.Contains(readers, s.cfg.Self) {
-		if m := s.askReaders(ctx, readers, VersionRequest{Model: model, Version: version}); m != nil {
+	order := manifestOrder(s.members(ctx), model, version)
+	rank := slices.Index(order, s.cfg.Self)
+	q := VersionRequest{Model: model, Version: version}
+	for began := time.Now(); ; {
+		readers := order[:min(ManifestReaders(time.Since(began)), len(order))]
+		if rank < len(readers) {
+			return s.readManifest(ctx, q, readers)
+		}
+		if m := s.askReaders(ctx, readers, q); m != nil {
 			return m, nil
 		}
+		if !wait.For(ctx, manifestPause) {
+			return nil, ctx.Err()
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
+}
+
+// readManifest reads a manifest from the origin, or else asks the other readers.
+func (s *Stager) readManifest(ctx context.Context, q VersionRequest, readers []swarm.Member) (*weights.Manifest, error) {
+	originCtx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	return s.cfg.Origin.Manifest(ctx, model, version)
+	m, err := s.cfg.Origin.Manifest(originCtx, q.Model, q.Version)
+	if err == nil {
+		return m, nil
+	}
+	if m := s.askReaders(ctx, readers, q); m != nil {
+		return m, nil
+	}
+	return nil, err
 }
 
-// askReaders asks readers in turn until one has the manifest, or returns nil.
+// askReaders asks all readers but this VM at once, and returns the first manifest that
+// one of them has, or nil.
 func (s *Stager) askReaders(ctx context.Context, readers []swarm.Member, q VersionRequest) *weights.Manifest {
-	for range manifestTries {
-		for _, r := range readers {
-			askCtx, cancel := context.WithTimeout(ctx, askLimit)
-			m, err := s.cfg.Asker.Manifest(askCtx, r, q)
-			cancel()
-			if err == nil {
-				return m
-			}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	answers := make(chan *weights.Manifest, len(readers))
+	asked := 0
+	for _, r := range readers {
+		if r == s.cfg.Self {
+			continue
 		}
-		if !wait.For(ctx, manifestPause) {
-			return nil
+		asked++
+		go func() {
+			m, err := s.cfg.Asker.Manifest(ctx, r, q)
+			if err != nil {
+				m = nil // it does not have it, or can't be asked
+			}
+			answers <- m
+		}()
+	}
+	for range asked {
+		if m := <-answers; m != nil {
+			return m
 		}
 	}
 	return nil
--- a/sidecar/stage/rules_test.go
+++ b/sidecar/stage/rules_test.go
@@ -65,3 +65,9 @@
 	g.Expect(stage.ManifestInDoubt(1, 3*time.Second)).To(BeFalse())
 	g.Expect(stage.ManifestInDoubt(0, time.Hour)).To(BeFalse(), "no chunk was corrupt")
 }
+
+func TestMoreAndMoreVMsMayReadAManifest(t *testing.T) {
+	for waited, want := range map[time.Duration]int{0: 2, 300*time.Millisecond - 1: 2, 300 * time.Millisecond: 4, time.Second: 8} {
+		NewWithT(t).Expect(stage.ManifestReaders(waited)).To(Equal(want), "%v", waited)
+	}
+}
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -53,8 +53,8 @@
 	lost   int64
 	spoilt map[int]int
 	reads  int
-	// lies is how many manifests are spoilt.
-	lies int
+	// lies is how many manifests are spoilt, manifests how many were read.
+	lies, manifests int
 
 	unloaded int
 
@@ -137,6 +137,7 @@
 		digests = append(digests, sha256.Sum256(chunk(version, i)))
 	}
 	m.set(func() {
+		m.manifests++
 		if m.lies > 0 {
 			m.lies--
 			digests[4] = sha256.Sum256([]byte("spoilt"))
@@ -194,14 +195,14 @@
 	pauses int
 	told   []int64
 	reads  int
-	// unloaded is how many orders to unload were taken.
-	unloaded int
+	// unloaded is how many orders to unload were taken, manifests how many were read.
+	unloaded, manifests int
 }
 
 func (m *machine) seen() seen {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return seen{orders: slices.Clone(m.orders), pauses: len(m.pauses), told: slices.Clone(m.told), reads: m.reads, unloaded: m.unloaded}
+	return seen{orders: slices.Clone(m.orders), pauses: len(m.pauses), told: slices.Clone(m.told), reads: m.reads, unloaded: m.unloaded, manifests: m.manifests}
 }
 
 // begins returns the version on which a request that arrives now begins, or 0.
