swarm: a chunk over the VM's own narrow link is waited for

Cause: a chunk that takes longer than 0.6 s counted as stalled and was given up. Over a link of 1.2 Mbit/s, which requests share, nearly each did: the VM got few chunks while its link was narrow (the last VM had a version 10 to 12 s after its naming), and what was given up had filled the link for nothing.

Change: while the own link is congested the usual time of a chunk is at least what earlier ones took there, also for those of a download before.

Result: TestAVMOnANarrowLinkGetsItsChunks, which did not end before.

--- a/swarm/congestion/congestion.go
+++ b/swarm/congestion/congestion.go
@@ -52,6 +52,13 @@
 	m.usual += time.Duration(smoothing * float64(share-m.usual))
 }
 
+// Usual returns the time of a chunk that comes alone.
+func (m *Meter) Usual() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usual
+}
+
 // Congested returns whether chunks should come one at a time.
 func (m *Meter) Congested() bool {
 	m.mu.Lock()
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -52,9 +52,15 @@
 	return n
 }
 
-// usualTime is how long a chunk from a neighbour takes, as measured.
+// usualTime is how long a chunk from a neighbour takes, as measured. Over a narrow link of
+// one's own it is at least what earlier chunks took there: each that was given up sooner
+// filled the link for nothing, and the VM got none while the link was narrow.
 func (d *Download) usualTime() time.Duration {
-	return max(d.usual, d.cfg.MinTimeout/stallFactor)
+	usual := max(d.usual, d.cfg.MinTimeout/stallFactor)
+	if d.link.Congested() {
+		usual = max(usual, d.link.Usual())
+	}
+	return usual
 }
 
 // fetch gets chunk c from neighbour i, who lags after late. It is given up after limit.
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -96,7 +96,7 @@
 // askReader asks m, who should have read chunk c from the origin, for it. One that does
 // not answer in time may be reading; it is passed over from then on.
 func (d *Download) askReader(ctx context.Context, c int, m Member) readerAnswer {
-	actx, cancel := context.WithTimeout(ctx, d.cfg.MinTimeout)
+	actx, cancel := context.WithTimeout(ctx, d.readerLimit())
 	defer cancel()
 	b, err := d.peers.Chunk(actx, m, d.set.Root(), c)
 	var refused *RefusalError
@@ -125,6 +125,16 @@
 	return readerGave
 }
 
+// readerLimit returns how long a reader may take to answer with a chunk.
+func (d *Download) readerLimit() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.link.Congested() {
+		return max(d.cfg.MinTimeout, slowFactor*d.usualTime())
+	}
+	return d.cfg.MinTimeout
+}
+
 // postpone leaves chunk c alone for half the lateness, or for half of what a
 // member that stalls takes to be found out.
 func (d *Download) postpone(c int) {
--- a/swarm/sharedlink_test.go
+++ b/swarm/sharedlink_test.go
@@ -68,18 +68,12 @@
 func TestADownloadKnowsTheLinkFromTheOneBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		data, m := version(1)
-		whole := weights.NewSet(m)
-		for i := range chunks {
-			_, err := whole.Put(i, data[i*chunkSize:(i+1)*chunkSize])
-			g.Expect(err).NotTo(HaveOccurred())
-		}
-		link := &narrowLink{set: whole, chunkTime: 300 * time.Millisecond}
+		link := &narrowLink{set: wholeSet(g), chunkTime: 300 * time.Millisecond}
 		meter := congestion.New(chunkSize/chunkTime.Seconds(), chunkSize)
 		list := members(4, "east")
 		fetch := func() int {
 			link.most = 0
-			d := swarm.NewDownload(list[0], list, weights.NewSet(m), link, noOrigin{}, swarm.WithParallel(3, 1),
+			d := swarm.NewDownload(list[0], list, weights.NewSet(link.set.Manifest()), link, noOrigin{}, swarm.WithParallel(3, 1),
 				swarm.WithLink(meter), swarm.WithLateness(time.Hour), swarm.WithMinTimeout(5*time.Second))
 			g.Expect(d.Run(t.Context())).To(Succeed())
 			return link.most
@@ -89,6 +83,31 @@
 	})
 }
 
+// A chunk takes longer over a narrow link than what makes one count as stalled elsewhere.
+func TestAVMOnANarrowLinkGetsItsChunks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		link := &narrowLink{set: wholeSet(g), chunkTime: time.Second}
+		list := members(4, "east")
+		d := swarm.NewDownload(list[0], list, weights.NewSet(link.set.Manifest()), link, noOrigin{}, swarm.WithParallel(3, 1),
+			swarm.WithLinkRate(chunkSize/chunkTime.Seconds()), swarm.WithLateness(time.Hour), swarm.WithMinTimeout(600*time.Millisecond))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*chunks*link.chunkTime)
+		defer cancel()
+		g.Expect(d.Run(ctx)).To(Succeed())
+	})
+}
+
+// wholeSet returns a version that is complete.
+func wholeSet(g Gomega) *weights.Set {
+	data, m := version(1)
+	whole := weights.NewSet(m)
+	for i := range chunks {
+		_, err := whole.Put(i, data[i*chunkSize:(i+1)*chunkSize])
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	return whole
+}
+
 // noOrigin is an Origin that is not there.
 type noOrigin struct{}
 
