--- a/swarm/sharedlink_test.go
+++ b/swarm/sharedlink_test.go
@@ -21,8 +21,6 @@
 	set       *weights.Set
 	chunkTime time.Duration
 
-	link sync.Mutex
-
 	mu             sync.Mutex
 	underWay, most int
 }
