--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -31,9 +31,6 @@
 	// askTries is how many gateways are asked in a row before the store is. Chosen by
 	// judgement.
 	askTries = 3
-	// namingAnswers is how many gateways are to tell when a version was named, one with
-	// each inventory. Chosen by judgement.
-	namingAnswers = 3
 	// storePause is the time between two readings of the store, whose calls are priced.
 	// Chosen by judgement.
 	storePause = 1500 * time.Millisecond
@@ -46,14 +43,10 @@
 	store *platform.Store
 	pool  *peerconn.Pool
 	log   *log.Logger
-	// use is called with each new inventory, one call at a time, and named after it with
-	// when versions were named.
-	use   func(*inventory.Inventory)
-	named func(versions.Naming)
-	// learned are the newest versions, and learnedFrom is how many gateways told when they
-	// were named. Only run uses them.
-	learned     []inventory.Version
-	learnedFrom int
+	// use is called with each new inventory, one call at a time.
+	use func(*inventory.Inventory)
+	// namings learns when versions were named, after use. Only run uses it.
+	namings *namings
 
 	mu   sync.Mutex
 	last *inventory.Inventory
@@ -64,7 +57,15 @@
 }
 
 func newFleet(cfg *platform.Settings, store *platform.Store, pool *peerconn.Pool, l *log.Logger, use func(*inventory.Inventory), named func(versions.Naming)) *fleet {
-	return &fleet{cfg: cfg, store: store, pool: pool, log: l, use: use, named: named, avoided: map[string]time.Time{}}
+	return &fleet{
+		cfg:     cfg,
+		store:   store,
+		pool:    pool,
+		log:     l,
+		use:     use,
+		namings: &namings{pool: pool, log: l, named: named},
+		avoided: map[string]time.Time{},
+	}
 }
 
 // known returns the last inventory, or nil.
@@ -82,7 +83,7 @@
 		reply, err := f.ask(ctx, addr)
 		if err == nil {
 			f.take(reply, failures)
-			f.learnNamings(ctx, addr, reply.Versions)
+			f.namings.learn(ctx, addr, reply.Versions)
 			failures = 0
 			continue
 		}
@@ -113,31 +114,6 @@
 	}
 }
 
-// learnNamings asks the gateway at addr when versions were named, after each inventory
-// until so many have told of the newest ones. The first may itself have heard late, or
-// have just started; it knows better once it has asked others.
-func (f *fleet) learnNamings(ctx context.Context, addr string, newest []inventory.Version) {
-	if !slices.Equal(f.learned, newest) {
-		f.learned, f.learnedFrom = newest, 0
-	}
-	if f.learnedFrom >= namingAnswers {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, askSlack)
-	defer cancel()
-	namings, err := inventory.AskNamings(ctx, f.pool, addr)
-	if err != nil {
-		f.log.Debug("no namings", "peer", addr, "err", err)
-		return
-	}
-	for _, n := range namings {
-		f.named(n)
-	}
-	if inventory.Cover(namings, newest) {
-		f.learnedFrom++
-	}
-}
-
 // errNoGateway tells that no gateway is known.
 var errNoGateway = errors.New("sidecar: no gateway known")
 
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -40,9 +40,10 @@
 	return &History{limit: limit, models: map[string][]Naming{}}
 }
 
-// maxNamings bounds the versions remembered of one model: more are not named within
-// one limit on the deployments seen. Chosen by judgement.
-const maxNamings = 8
+// maxNamings bounds the versions remembered of one model. The first of those within one
+// limit must stay: limits count from it. Chosen by judgement: 64 within 8 s are eight a
+// second, and take 5 KB.
+const maxNamings = 64
 
 // Add takes in that a version of model was named at that time, and returns whether
 // it is the newest. A version that is known already was named at the earlier of the
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -61,10 +61,14 @@
 func TestOnlyTheNewestNamingsAreRemembered(t *testing.T) {
 	g := NewWithT(t)
 	h := versions.New(7 * time.Second)
-	for v := range 10 {
+	for v := range 64 {
 		h.Add("m", int64(v+1), at(v))
 	}
 	replaced, _ := h.Replaced("m", 1)
+	g.Expect(replaced.At).To(Equal(at(1)))
+	h.Add("m", 65, at(64))
+	h.Add("m", 66, at(65))
+	replaced, _ = h.Replaced("m", 1)
 	g.Expect(replaced.At).To(Equal(at(2)), "the first two are forgotten")
 }
 
