congestion: chunks that share a VM's link are counted over all its downloads

Cause: a chunk's time was shared out among those of its own download only. With two downloads at once, as while the origin fails, free links seemed narrow: their VMs took one chunk at a time and did not promise to read, so that many read the origin.

Change: the meter counts what is under way over the link, also from readers.

--- a/swarm/congestion/congestion.go
+++ b/swarm/congestion/congestion.go
@@ -27,6 +27,8 @@
 	free time.Duration
 
 	mu sync.Mutex
+	// underWay counts the chunks that share the link now.
+	underWay int
 	// usual is the time of a chunk, shared out among those under way together.
 	usual time.Duration
 }
@@ -40,6 +42,22 @@
 	return &Meter{free: time.Duration(float64(chunkSize) / linkRate * float64(time.Second))}
 }
 
+// Begin notes that a chunk is asked for.
+func (m *Meter) Begin() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.underWay++
+}
+
+// End notes that it came, or is given up, and returns how many were under way with it.
+func (m *Meter) End() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	together := m.underWay
+	m.underWay--
+	return together
+}
+
 // Took takes in that a chunk took d, or was given up after d, while together
 // chunks were under way.
 func (m *Meter) Took(d time.Duration, together int) {
--- a/swarm/congestion/congestion_test.go
+++ b/swarm/congestion/congestion_test.go
@@ -69,3 +69,15 @@
 		})
 	}
 }
+
+func TestChunksUnderWayAreCountedOverAllDownloads(t *testing.T) {
+	g := NewWithT(t)
+	l := congestion.New(linkRate, 48<<10)
+	l.Begin()
+	l.Begin()
+	l.Begin()
+	g.Expect(l.End()).To(Equal(3))
+	l.Begin()
+	g.Expect(l.End()).To(Equal(3))
+	g.Expect(l.End()).To(Equal(2))
+}
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -73,7 +73,7 @@
 		d.lag(m)
 	}).Stop()
 	fctx, cancel := context.WithTimeout(ctx, limit)
-	b, err := d.peers.Chunk(fctx, m, d.set.Root(), c)
+	b, together, err := d.getChunk(fctx, m, c)
 	cancel()
 	took := time.Since(began)
 	if ctx.Err() != nil {
@@ -82,7 +82,7 @@
 	var refused *RefusalError
 	d.mu.Lock()
 	if !errors.As(err, &refused) {
-		d.link.Took(took, d.outstanding())
+		d.link.Took(took, together)
 	}
 	d.avail.end(c, i)
 	d.mu.Unlock()
@@ -97,6 +97,13 @@
 	}
 }
 
+// getChunk asks m for chunk c. It also returns how many chunks shared this VM's link.
+func (d *Download) getChunk(ctx context.Context, m Member, c int) ([]byte, int, error) {
+	d.link.Begin()
+	b, err := d.peers.Chunk(ctx, m, d.set.Root(), c)
+	return b, d.link.End(), err
+}
+
 // arrived takes in chunk c from neighbour i, if it is as it should be.
 func (d *Download) arrived(c, i int, m Member, b []byte, took time.Duration, prompt bool) {
 	n := len(b)
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -98,7 +98,7 @@
 func (d *Download) askReader(ctx context.Context, c int, m Member) readerAnswer {
 	actx, cancel := context.WithTimeout(ctx, d.readerLimit())
 	defer cancel()
-	b, err := d.peers.Chunk(actx, m, d.set.Root(), c)
+	b, _, err := d.getChunk(actx, m, c)
 	var refused *RefusalError
 	if errors.As(err, &refused) && refused.Refusal != RefusalAbsent {
 		return readerIsReading
