--- a/gateway/namings.go
+++ b/gateway/namings.go
@@ -25,6 +25,9 @@
 	namingPauseLater = time.Second
 	// namingLimit bounds one question.
 	namingLimit = time.Second
+	// namingNews is how much earlier than known a naming must be to be worth a line; the
+	// way there and back makes up less.
+	namingNews = 100 * time.Millisecond
 )
 
 // foundShare is the part of the contact time after which a found version is required if
@@ -91,7 +94,7 @@
 		return
 	}
 	for _, n := range namings {
-		if earlier := g.versions.Correct(n); earlier > 0 {
+		if earlier := g.versions.Correct(n); earlier >= namingNews {
 			g.log.Info("version named earlier", "model", n.Model, "version", n.Version,
 				"peer", peer.Peer, "byMs", earlier.Milliseconds())
 		}
