--- a/gateway/proxy/slowlink_test.go
+++ b/gateway/proxy/slowlink_test.go
@@ -45,7 +45,7 @@
 	versionLimit = 8 * time.Second
 	// versionMargin is how long before that gateways stop sending to them.
 	versionMargin = 800 * time.Millisecond
-	// linkDelay is what a request to one endpoint took on the bench.
+	// linkDelay is what a request took over a narrow link, where it was longest.
 	linkDelay = 1200 * time.Millisecond
 )
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,6 +72,14 @@
 mutant "lapsed endpoints are not kept" roster/retention.go 's/if !now.Before\(end\)/if true/' ./roster 'Test'
 mutant "a lost watch is waited for" mirror/mirror.go 's/m.behind.Store\(revision\)\n\tif m.cancel != nil/m.behind.Store(revision)\n\tif false/' ./mirror 'Test'
 mutant "corrupt chunks at the endpoint are loaded" sidecar/stage/load.go 's/return set.Manifest\(\).Hash.Sum\(data\) == set.Manifest\(\).Chunks\[i\], nil/return true, nil/' ./sidecar/stage 'Test'
+mutant "old weights stay at their limit" sidecar/stage/limit.go 's/if held == 0 \|\| held >= required/if true/' ./sidecar/stage 'TestNothingBegins'
+mutant "an endpoint's turn counts from the newest version" sidecar/stage/stager.go 's/naming, replaced := s.named.Replaced\(model, held\)/naming, replaced := s.named.Newest()[0], true/' ./sidecar/stage 'TestANewerVersionDoesNotPutOff'
+mutant "two VMs read a manifest, whatever becomes of them" sidecar/stage/manifest.go 's/return manifestReaders \* .*/return manifestReaders/' ./sidecar/stage 'TestAManifestIsRead'
+mutant "a reader that lags is waited for" swarm/laggards.go 's/return ok && time/return false \&\& ok \&\& time/' ./swarm 'TestANarrowReader'
+mutant "each download measures its link anew" swarm/download.go 's/d.link = cfg.Link\n/d.link = nil\n/' ./swarm 'TestADownloadKnows'
+mutant "chunks over a narrow link are given up" swarm/fetch.go 's/if d.link.Congested\(\) \{\n\t\tusual = max/if false {\n\t\tusual = max/' ./swarm 'TestAVMOnANarrowLink'
+mutant "a found version has its whole limit once more" gateway/namings.go 's/g.versions.Require\(n.Model, n.Version\)/_ = n/' ./gateway 'TestAFoundVersion'
+mutant "nobody asks when a version was named" gateway/namings.go 's/g.askNamings\(ctx, answered\)/_ = answered/' ./gateway 'TestAGatewayAsksOthers'
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
