swarm: silent neighbours are not waited for longer and longer

Also: a version that a gateway first learned of as a correction was no news any more, and a sidecar's question over a narrow link ended after 0.7 s.

Change: a chunk that was given up counts for 0.6 s at the most, and over a narrow link the limit is three usual times, not eight. A correction is taken in only for versions up to the newest known. A sidecar waits 1.5 s for the answer.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,7 +77,7 @@
 mutant "two VMs read a manifest, whatever becomes of them" sidecar/stage/manifest.go 's/return manifestReaders \* .*/return manifestReaders/' ./sidecar/stage 'TestAManifestIsRead'
 mutant "a reader that lags is waited for" swarm/laggards.go 's/return ok && time/return false \&\& ok \&\& time/' ./swarm 'TestANarrowReader'
 mutant "each download measures its link anew" swarm/download.go 's/d.link = cfg.Link\n/d.link = nil\n/' ./swarm 'TestADownloadKnows'
-mutant "chunks over a narrow link are given up" swarm/fetch.go 's/if d.link.Congested\(\) \{\n\t\tusual = max/if false {\n\t\tusual = max/' ./swarm 'TestAVMOnANarrowLink'
+mutant "chunks over a narrow link are given up" swarm/fetch.go 's/if d.link.Congested\(\) \{\n\t\tlimit = max/if false {\n\t\tlimit = max/' ./swarm 'TestAVMOnANarrowLink'
 mutant "a found version has its whole limit once more" gateway/namings.go 's/g.versions.Require\(n.Model, n.Version\)/_ = n/' ./gateway 'TestAFoundVersion'
 mutant "nobody asks when a version was named" gateway/namings.go 's/g.askNamings\(ctx, answered\)/_ = answered/' ./gateway 'TestAGatewayAsksOthers'
 
--- a/sidecar/namings.go
+++ b/sidecar/namings.go
@@ -16,9 +16,9 @@
 	// namingAnswers is how often gateways are to tell when the newest versions were
 	// named. Chosen by judgement.
 	namingAnswers = 3
-	// namingLimit bounds one question. Chosen by judgement: the next inventory is asked
-	// for only after it.
-	namingLimit = 700 * time.Millisecond
+	// namingLimit bounds one question: the way there and back over a narrow link took up to
+	// 1.3 s one way. The next inventory is asked for only after it. Chosen by judgement.
+	namingLimit = 1500 * time.Millisecond
 )
 
 // namings learns from gateways when versions were named. It is not safe for concurrent
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -31,7 +31,7 @@
 		d.avail.begin(c, i, now)
 		d.inflight.Add(1)
 		late := lagLimit(d.usualTime(), d.cfg.MinTimeout)
-		go d.fetch(ctx, c, i, d.avail.neighbours[i].member, late, stallFactor*d.usualTime())
+		go d.fetch(ctx, c, i, d.avail.neighbours[i].member, late, d.giveUpLimit())
 	}
 }
 
@@ -52,15 +52,20 @@
 	return n
 }
 
-// usualTime is how long a chunk from a neighbour takes, as measured. Over a narrow link of
-// one's own it is at least what earlier chunks took there: each that was given up sooner
-// filled the link for nothing, and the VM got none while the link was narrow.
+// usualTime is how long a chunk from a neighbour takes, as measured.
 func (d *Download) usualTime() time.Duration {
-	usual := max(d.usual, d.cfg.MinTimeout/stallFactor)
+	return max(d.usual, d.cfg.MinTimeout/stallFactor)
+}
+
+// giveUpLimit returns after how long a chunk from a neighbour is given up. Over a narrow
+// link of one's own it is longer by what earlier chunks took there: each that was given
+// up sooner filled the link for nothing, and the VM got none while the link was narrow.
+func (d *Download) giveUpLimit() time.Duration {
+	limit := stallFactor * d.usualTime()
 	if d.link.Congested() {
-		usual = max(usual, d.link.Usual())
+		limit = max(limit, slowFactor*d.link.Usual())
 	}
-	return usual
+	return limit
 }
 
 // fetch gets chunk c from neighbour i, who lags after late. It is given up after limit.
@@ -82,7 +87,7 @@
 	var refused *RefusalError
 	d.mu.Lock()
 	if !errors.As(err, &refused) {
-		d.link.Took(took, together)
+		d.link.Took(d.linkTime(took, err), together)
 	}
 	d.avail.end(c, i)
 	d.mu.Unlock()
@@ -97,6 +102,16 @@
 	}
 }
 
+// linkTime returns what the time of a chunk says of the own link. One that was given up
+// may never have been sent: counted whole, each silent neighbour would make the next be
+// waited for longer still.
+func (d *Download) linkTime(took time.Duration, err error) time.Duration {
+	if err == nil {
+		return took
+	}
+	return min(took, d.cfg.MinTimeout)
+}
+
 // getChunk asks m for chunk c. It also returns how many chunks shared this VM's link.
 func (d *Download) getChunk(ctx context.Context, m Member, c int) ([]byte, int, error) {
 	d.link.Begin()
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -130,7 +130,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.link.Congested() {
-		return max(d.cfg.MinTimeout, slowFactor*d.usualTime())
+		return max(d.cfg.MinTimeout, slowFactor*d.link.Usual())
 	}
 	return d.cfg.MinTimeout
 }
--- a/swarm/sharedlink_test.go
+++ b/swarm/sharedlink_test.go
@@ -95,6 +95,47 @@
 	})
 }
 
+// silent is a Transport to members that tell of chunks and give none.
+type silent struct {
+	set *weights.Set
+
+	mu     sync.Mutex
+	waited time.Duration
+}
+
+func (s *silent) Have(ctx context.Context, _ swarm.Member, _ weights.Digest, since int) ([]int, error) {
+	news, _ := s.set.Since(since)
+	if len(news) == 0 {
+		<-ctx.Done()
+	}
+	return news, ctx.Err()
+}
+
+func (s *silent) Chunk(ctx context.Context, _ swarm.Member, _ weights.Digest, _ int) ([]byte, error) {
+	began := time.Now()
+	<-ctx.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waited = max(s.waited, time.Since(began))
+	return nil, ctx.Err()
+}
+
+// Neighbours that fell silent look like a narrow link. However many there are, the next is
+// not waited for longer and longer.
+func TestSilentNeighboursAreNotWaitedForLongerAndLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		peers := &silent{set: wholeSet(g)}
+		list := members(10, "east")
+		d := swarm.NewDownload(list[0], list, weights.NewSet(peers.set.Manifest()), peers, noOrigin{}, swarm.WithParallel(3, 1),
+			swarm.WithLinkRate(chunkSize/chunkTime.Seconds()), swarm.WithMinTimeout(600*time.Millisecond))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		g.Expect(d.Run(ctx)).To(MatchError(context.DeadlineExceeded))
+		g.Expect(peers.waited).To(BeNumerically("<=", 2*time.Second))
+	})
+}
+
 // wholeSet returns a version that is complete.
 func wholeSet(g Gomega) *weights.Set {
 	data, m := version(1)
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -59,8 +59,12 @@
 }
 
 // Correct takes in a naming that another process told, and returns by how much earlier
-// than known it was; 0 if it was not, or if the version was not known.
+// than known it was; 0 if it was not, or if the version was not known. One newer than all
+// that are known is left to come as news.
 func (h *History) Correct(told Naming) time.Duration {
+	if !h.reaches(told.Model, told.Version) {
+		return 0
+	}
 	known, found := h.find(told.Model, told.Version)
 	h.Add(told.Model, told.Version, told.At)
 	if !found {
@@ -69,6 +73,14 @@
 	return max(known.At.Sub(told.At), 0)
 }
 
+// reaches returns whether a version of model is known that is as new or newer.
+func (h *History) reaches(model string, version int64) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	namings := h.models[model]
+	return len(namings) > 0 && namings[len(namings)-1].Version >= version
+}
+
 func (h *History) find(model string, version int64) (Naming, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -95,3 +95,15 @@
 	h.Add("m", 2, at(0))
 	g.Expect(h.Required("m", at(1))).To(Equal(int64(2)), "also once it is known when it was named")
 }
+
+func TestACorrectionIsNoNews(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(7 * time.Second)
+	h.Add("m", 3, at(10))
+	g.Expect(h.Correct(versions.Naming{Model: "m", Version: 3, At: at(8)})).To(Equal(2 * time.Second))
+	g.Expect(h.Correct(versions.Naming{Model: "m", Version: 3, At: at(9)})).To(BeZero())
+	g.Expect(h.Correct(versions.Naming{Model: "m", Version: 2, At: at(5)})).To(BeZero(), "was not known")
+	g.Expect(h.Required("m", at(12))).To(Equal(int64(2)))
+	g.Expect(h.Correct(versions.Naming{Model: "m", Version: 4, At: at(9)})).To(BeZero())
+	g.Expect(h.Add("m", 4, at(11))).To(BeTrue(), "it is news still")
+}
