versions: a correction is one step under one lock; a long line is folded

Found on reading the whole change again: Correct took the lock three times and searched twice, beside two loops that looked a version up each in its own way. One search serves all. What Overdue counts is said as it is. Behaviour is as it was: the tests are unchanged and pass.

--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -16,7 +16,7 @@
 	// Served and Failed count final answers, Repeats requests sent again, and
 	// Connections those opened to endpoints.
 	Served, Failed, Repeats, Connections metrics.Counter
-	// Overdue counts answers that began on weights past their limit.
+	// Overdue counts answers whose head came past the limit of their weights.
 	Overdue metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
@@ -58,7 +58,8 @@
 func (p *Proxy) logAttempt(c *call, lease *balance.Lease, sentAt time.Time, e *verdict.Error) {
 	p.cfg.Log.Info("attempt failed", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
 		"weights", lease.Holds(c.model), "attempt", len(c.attempted), "ms", time.Since(c.startedAt).Milliseconds(),
-		"sentMs", time.Since(sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model), "code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent,
+		"sentMs", time.Since(sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model),
+		"code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent,
 		"event", c.lastEventID, "err", e.Err)
 }
 
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -49,12 +49,16 @@
 // it is the newest. A version that is known already was named at the earlier of the
 // times told.
 func (h *History) Add(model string, version int64, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return h.note(Naming{Model: model, Version: version, At: at})
 }
 
 // Find takes in that a version of model stood there when this process began, and
 // returns whether it is the newest. Nothing changes where the version is known.
 func (h *History) Find(model string, version int64, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return h.note(Naming{Model: model, Version: version, At: at, Found: true})
 }
 
@@ -62,34 +66,26 @@
 // than known it was; 0 if it was not, or if the version was not known. One newer than all
 // that are known is left to come as news.
 func (h *History) Correct(told Naming) time.Duration {
-	if !h.reaches(told.Model, told.Version) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	namings := h.models[told.Model]
+	i, known := search(namings, told.Version)
+	if i == len(namings) {
 		return 0
 	}
-	known, found := h.find(told.Model, told.Version)
-	h.Add(told.Model, told.Version, told.At)
-	if !found {
+	if !known {
+		h.note(told)
 		return 0
 	}
-	return max(known.At.Sub(told.At), 0)
-}
-
-// reaches returns whether a version of model is known that is as new or newer.
-func (h *History) reaches(model string, version int64) bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	namings := h.models[model]
-	return len(namings) > 0 && namings[len(namings)-1].Version >= version
+	before := namings[i].At
+	h.note(told)
+	return max(before.Sub(told.At), 0)
 }
 
-func (h *History) find(model string, version int64) (Naming, bool) {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	for _, n := range h.models[model] {
-		if n.Version == version {
-			return n, true
-		}
-	}
-	return Naming{}, false
+// search returns where a version stands among namings in order, or belongs, and whether
+// it is there.
+func search(namings []Naming, version int64) (int, bool) {
+	return slices.BinarySearchFunc(namings, version, func(n Naming, v int64) int { return cmp.Compare(n.Version, v) })
 }
 
 // Cover returns whether told has all versions of newest.
@@ -107,18 +103,16 @@
 func (h *History) Require(model string, version int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for i, n := range h.models[model] {
-		if n.Version == version {
-			h.models[model][i].Due = true
-		}
+	if i, known := search(h.models[model], version); known {
+		h.models[model][i].Due = true
 	}
 }
 
+// note takes in a naming and returns whether it is of the newest version. The caller
+// holds the lock.
 func (h *History) note(n Naming) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	namings := h.models[n.Model]
-	i, known := slices.BinarySearchFunc(namings, n.Version, func(n Naming, v int64) int { return cmp.Compare(n.Version, v) })
+	i, known := search(namings, n.Version)
 	if known {
 		namings[i] = earlier(namings[i], n)
 		return false
