--- a/sidecar/stage/manifest_test.go
+++ b/sidecar/stage/manifest_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/sidecar/stage"
@@ -40,18 +37,13 @@
 // links, and all others asked them six times before they read it themselves.
 func TestAManifestIsReadByOthersWhereItsReadersAreSilent(t *testing.T) {
 	for version := int64(2); version < 8; version++ { // each is read by other VMs first
-		synctest.Test(t, func(t *testing.T) {
+		bubble(t, func(b *stagers) {
 			m := newMachine(0)
 			fleet := silentFleet{m}
-			s := stage.New(stage.Config{Self: self, Endpoint: m, Origin: m, Fleet: fleet, Peers: alone{}, Asker: fleet, Limit: limit, Log: log.New(io.Discard)})
-			ctx, cancel := context.WithCancel(context.Background())
-			go s.Run(ctx)
+			s := b.start(stage.Config{Endpoint: m, Origin: m, Fleet: fleet, Peers: alone{}, Asker: fleet})
 			s.Want("m", version, false)
 			time.Sleep(2 * time.Second)
-			NewWithT(t).Expect(m.seen().manifests).To(BeNumerically(">", 0), "version %d", version)
-			cancel()
-			synctest.Wait()
-			time.Sleep(time.Minute)
+			b.Expect(m.seen().manifests).To(BeNumerically(">", 0), "version %d", version)
 		})
 	}
 }
--- a/sidecar/stage/neighbour_test.go
+++ b/sidecar/stage/neighbour_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
-	"io"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/sidecar/stage"
@@ -80,21 +77,15 @@
 // others have whole, is gone on with.
 func TestADeadNeighbourDoesNotKeepAnOlderVersionFromBeingLoaded(t *testing.T) {
 	for _, rate := range []float64{0, 146e3} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble(t, func(b *stagers) {
 			n := &neighbours{machine: newMachine(1)}
-			s := stage.New(stage.Config{Self: self, Endpoint: n.machine, Origin: noChunks{n.machine}, Fleet: n, Peers: n, Asker: n,
-				Limit: limit, LinkRate: rate, Log: log.New(io.Discard)})
-			ctx, cancel := context.WithCancel(context.Background())
-			go s.Run(ctx)
+			s := b.start(stage.Config{Endpoint: n.machine, Origin: noChunks{n.machine}, Fleet: n, Peers: n, Asker: n, LinkRate: rate})
 			s.Want("m", 2, false)
 			time.Sleep(600 * time.Millisecond)
 			n.givesAll.Store(true)
 			s.Want("m", 3, false)
 			time.Sleep(limit)
-			NewWithT(t).Expect(n.versions()).To(ContainElement(int64(2)), "link rate %v", rate)
-			cancel()
-			synctest.Wait()
-			time.Sleep(time.Minute)
+			b.Expect(n.versions()).To(ContainElement(int64(2)), "link rate %v", rate)
 		})
 	}
 }
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -237,25 +237,42 @@
 	return nil, errNobody
 }
 
-// play runs f with a stager beside an endpoint that runs a version.
-func play(t *testing.T, runs int64, f func(g *WithT, m *machine, s *stage.Stager)) {
+// stagers starts stagers in a bubble of virtual time.
+type stagers struct {
+	*WithT
+	ctx context.Context
+}
+
+// start runs a stager of this VM. What cfg leaves out is the same for all tests.
+func (b *stagers) start(cfg stage.Config) *stage.Stager {
+	cfg.Self, cfg.Limit, cfg.Log = self, limit, log.New(io.Discard)
+	s := stage.New(cfg)
+	go s.Run(b.ctx)
+	return s
+}
+
+// bubble runs f on virtual time, and then lets all end that it started.
+func bubble(t *testing.T, f func(b *stagers)) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMachine(runs)
-		s := stage.New(stage.Config{
-			Self: self, Endpoint: m, Origin: m, Fleet: m, Peers: alone{}, Limit: limit, Log: log.New(io.Discard),
-		})
 		ctx, cancel := context.WithCancel(context.Background())
-		go s.Run(ctx)
-		f(NewWithT(t), m, s)
+		f(&stagers{WithT: NewWithT(t), ctx: ctx})
 		cancel()
 		synctest.Wait()
 		time.Sleep(time.Minute)
-		for _, o := range m.seen().orders {
-			NewWithT(t).Expect(o.whole).To(BeTrue(), "order for version %d on what was not that version", o.version)
-		}
 	})
 }
 
+// play runs f with a stager beside an endpoint that runs a version.
+func play(t *testing.T, runs int64, f func(g *WithT, m *machine, s *stage.Stager)) {
+	m := newMachine(runs)
+	bubble(t, func(b *stagers) {
+		f(b.WithT, m, b.start(stage.Config{Endpoint: m, Origin: m, Fleet: m, Peers: alone{}}))
+	})
+	for _, o := range m.seen().orders {
+		NewWithT(t).Expect(o.whole).To(BeTrue(), "order for version %d on what was not that version", o.version)
+	}
+}
+
 func TestAnEmptyEndpointLoadsAtOnce(t *testing.T) {
 	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
 		s.Want("m", 1, true)
--- a/sidecar/stage/trouble_test.go
+++ b/sidecar/stage/trouble_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/sidecar/stage"
@@ -72,15 +69,9 @@
 
 // playSlow runs f with a stager beside an endpoint that runs version 1.
 func playSlow(t *testing.T, m *slowMachine, f func(g *WithT, s *stage.Stager)) {
-	synctest.Test(t, func(t *testing.T) {
-		m.machine = newMachine(1)
-		s := stage.New(stage.Config{Self: self, Endpoint: m, Origin: m, Fleet: m, Peers: alone{}, Limit: limit, Log: log.New(io.Discard)})
-		ctx, cancel := context.WithCancel(context.Background())
-		go s.Run(ctx)
-		f(NewWithT(t), s)
-		cancel()
-		synctest.Wait()
-		time.Sleep(time.Minute)
+	m.machine = newMachine(1)
+	bubble(t, func(b *stagers) {
+		f(b.WithT, b.start(stage.Config{Endpoint: m, Origin: m, Fleet: m, Peers: alone{}}))
 	})
 }
 
