gateway: connections of callers follow the configuration's limits

Cause: the server of callers was made before the gateway has a configuration and kept constants of its own for the size and time of a head and for rest. Change: serve.Reloadable hands each accepted connection to a server with the newest limits; a connection keeps those it began with. Connections are closed 5 s after the configuration's times, since a frozen VM or a congested link delays what the caller sent within them. Ruled out: closing connections of older limits when limits change, which would cut callers that are about to use them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/serve"
 	"github.com/silverdeck/silverdeck/versions"
 )
 
@@ -75,7 +76,7 @@
 	leaving atomic.Bool
 	cancel  context.CancelFunc
 	// callers serves requests; others are the servers of the other addresses.
-	callers *http.Server
+	callers *serve.Reloadable
 	others  []*http.Server
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,6 +21,8 @@
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/routes"
+	"github.com/silverdeck/silverdeck/serve"
 	"github.com/silverdeck/silverdeck/standin"
 	"github.com/silverdeck/silverdeck/telemetry"
 )
@@ -126,3 +128,18 @@
 	defer func() { _ = resp.Body.Close() }()
 	g.Expect(resp.StatusCode).To(Equal(http.StatusNotFound), "the head is within the configuration's limit")
 }
+
+func TestConnectionsAreBoundedByTheConfigurationAndNotBeforeItsLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		limits routes.Limits
+		want   serve.Limits
+	}{
+		"none":           {routes.Limits{}, serve.Limits{HeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}},
+		"less than ours": {routes.Limits{HeaderBytes: 4096, HeaderTimeout: 2 * time.Second, IdleTimeout: 15 * time.Second}, serve.Limits{HeaderBytes: 4096, HeaderTimeout: 7 * time.Second, IdleTimeout: 20 * time.Second}},
+		"more than ours": {routes.Limits{HeaderBytes: 1 << 20, HeaderTimeout: 20 * time.Second, IdleTimeout: time.Hour}, serve.Limits{HeaderBytes: 1 << 20, HeaderTimeout: 25 * time.Second, IdleTimeout: time.Hour + 5*time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(gateway.ConnectionLimits(c.limits)).To(Equal(c.want))
+		})
+	}
+}
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -31,6 +31,7 @@
 	}
 	if g.proxy.Use(config) {
 		g.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
+		g.callers.SetLimits(ConnectionLimits(config.Limits))
 		g.inventory.Announce()
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,21 +12,42 @@
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/serve"
 	"github.com/silverdeck/silverdeck/telemetry"
 )
 
-// Limits of connections to this gateway.
+// Limits of connections to this gateway where the configuration gives none: before the
+// first, and to the addresses that are not for callers' requests.
 const (
-	// headerLimit is how long the head of a request may take. Chosen by judgement; the
-	// configuration's own limit is not applied (KNOWN-RED.txt).
+	// headerLimit is how long the head of a request may take. Chosen by judgement.
 	headerLimit = 10 * time.Second
-	// idleLimit is how long a connection may rest. Chosen by judgement; as above.
+	// idleLimit is how long a connection may rest. Chosen by judgement.
 	idleLimit = 60 * time.Second
-	// headerBytes is the largest head of a request, in bytes. As above.
+	// headerBytes is the largest head of a request, in bytes. Chosen by judgement.
 	headerBytes = 64 << 10
+	// limitSlack is how long after the configuration's limit a connection is closed: a
+	// VM that froze, or a congested link, delays what the caller sent within it. Longer
+	// than VMs were seen frozen (4 s); chosen by judgement.
+	limitSlack = 5 * time.Second
 )
 
+// ConnectionLimits returns the limits of callers' connections under a configuration's
+// limits for callers, each of which may be 0 for none.
+func ConnectionLimits(l routes.Limits) serve.Limits {
+	out := serve.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	if l.HeaderBytes > 0 {
+		out.HeaderBytes = l.HeaderBytes
+	}
+	if l.HeaderTimeout > 0 {
+		out.HeaderTimeout = l.HeaderTimeout + limitSlack
+	}
+	if l.IdleTimeout > 0 {
+		out.IdleTimeout = l.IdleTimeout + limitSlack
+	}
+	return out
+}
+
 const (
 	// addressTTL is for how long callers keep an answer of the directory, unless the
 	// platform's settings say less: a gateway that is gone is used for that long.
@@ -42,16 +63,11 @@
 	if err := g.servePeers(); err != nil {
 		return err
 	}
-	g.callers = &http.Server{
-		Handler:           g.proxy,
-		ReadHeaderTimeout: headerLimit,
-		IdleTimeout:       idleLimit,
-		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          g.log.StandardLog(),
-	}
-	if err := serve.HTTP(g.callers, g.cfg.Callers, g.log); err != nil {
+	callers, err := serve.Listen(g.cfg.Callers, g.proxy, ConnectionLimits(routes.Limits{}), g.log)
+	if err != nil {
 		return err
 	}
+	g.callers = callers
 	gin.SetMode(gin.ReleaseMode)
 	if err := g.serveOther(g.cfg.Ready, g.readyHandler()); err != nil {
 		return err
--- /dev/null
+++ b/serve/reloadable.go
@@ -0,0 +1,171 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Limits bound what a caller may send on a connection, and for how long it may rest.
+type Limits struct {
+	// HeaderBytes is the largest head of a request, in bytes.
+	HeaderBytes int
+	// HeaderTimeout is how long a head may take, IdleTimeout how long a connection may
+	// rest between two requests.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Reloadable serves one address with limits that can be replaced while it runs. A
+// connection keeps the limits that it began with. It is safe for concurrent use.
+type Reloadable struct {
+	handler  http.Handler
+	log      *log.Logger
+	listener net.Listener
+
+	mu sync.Mutex
+	// current takes new connections.
+	current *limitedServer
+	// servers are all servers by their limits; those that are not current serve the
+	// connections that they have.
+	servers map[Limits]*limitedServer
+}
+
+// limitedServer is an http.Server that takes the connections handed to it.
+type limitedServer struct {
+	http.Server
+	conns handoff
+}
+
+// Listen returns a Reloadable that serves h at addr, by IPv4.
+func Listen(addr string, h http.Handler, limits Limits, l *log.Logger) (*Reloadable, error) {
+	listener, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Reloadable{handler: h, log: l, listener: listener, servers: map[Limits]*limitedServer{}}
+	s.SetLimits(limits)
+	go s.accept()
+	return s, nil
+}
+
+// SetLimits makes limits hold for connections that are accepted from now on.
+func (s *Reloadable) SetLimits(limits Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.servers[limits] == nil {
+		s.servers[limits] = s.serve(limits)
+	}
+	s.current = s.servers[limits]
+}
+
+// serve starts a server with limits.
+func (s *Reloadable) serve(limits Limits) *limitedServer {
+	server := &limitedServer{
+		Server: http.Server{
+			Handler:           s.handler,
+			ReadHeaderTimeout: limits.HeaderTimeout,
+			IdleTimeout:       limits.IdleTimeout,
+			MaxHeaderBytes:    limits.HeaderBytes,
+			ErrorLog:          s.log.StandardLog(),
+		},
+		conns: handoff{addr: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{}), once: &sync.Once{}},
+	}
+	go func() {
+		if err := server.Serve(server.conns); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("server ended", "addr", s.listener.Addr(), "err", err)
+		}
+	}()
+	return server
+}
+
+// acceptPause is the time between two tries to accept after one failed, as when the
+// process is out of descriptors. Chosen by judgement, not measured.
+const acceptPause = 10 * time.Millisecond
+
+// accept hands each new connection to the current server until the listener closes.
+func (s *Reloadable) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			s.log.Warn("connection not accepted", "addr", s.listener.Addr(), "err", err)
+			time.Sleep(acceptPause)
+		default:
+			s.newest().conns.give(conn)
+		}
+	}
+}
+
+func (s *Reloadable) newest() *limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Shutdown takes no new connections and waits until those in use are idle, or for
+// ctx; see http.Server.Shutdown.
+func (s *Reloadable) Shutdown(ctx context.Context) error {
+	err := s.listener.Close()
+	servers := s.all()
+	failures := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() { failures <- server.Shutdown(ctx) }()
+	}
+	for range servers {
+		err = errors.Join(err, <-failures)
+	}
+	return err
+}
+
+func (s *Reloadable) all() []*limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.servers))
+}
+
+// handoff is a net.Listener of connections that another one accepted.
+type handoff struct {
+	addr   net.Addr
+	conns  chan net.Conn
+	closed chan struct{}
+	once   *sync.Once
+}
+
+// give hands conn to whoever accepts, or closes it where nobody does any more.
+func (h handoff) give(conn net.Conn) {
+	select {
+	case h.conns <- conn:
+	case <-h.closed:
+		_ = conn.Close() // the server has ended: nobody is told of it
+	}
+}
+
+// Accept implements net.Listener.
+func (h handoff) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h handoff) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h handoff) Addr() net.Addr {
+	return h.addr
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -1,5 +1,5 @@
 // Package serve opens the listeners of the programs on the users' platform and
-// serves HTTP there.
+// serves HTTP there, where wanted with limits that are replaced while it runs.
 package serve
 
 import (
