mirror: a watch whose history is gone makes the other kinds ask anew

Ruled out: lists that bring older states; a copy between gateways that goes back. Change: a watch that hears 410 makes those of all other kinds be asked anew (Recheck); the watch of the configuration ends within 0.6 of the contact time. Test first: red without the hook.

--- a/gateway/replica/rules_test.go
+++ b/gateway/replica/rules_test.go
@@ -60,6 +60,14 @@
 	}
 }
 
+func TestAWatchOfTheConfigurationEndsWithinTheContactTime(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(replica.ConfigPollTimeout(2, 3*time.Second)).To(Equal(1800 * ms))
+	g.Expect(replica.ConfigPollTimeout(40, 4*time.Second)).To(Equal(2400 * ms))
+	g.Expect(replica.ConfigPollTimeout(2, 20*time.Second)).To(Equal(2500*ms), "never longer than others")
+	g.Expect(replica.ConfigPollTimeout(6, 0)).To(Equal(6*time.Second), "the platform tells none")
+}
+
 func TestWhenTheStoreCountsAsLost(t *testing.T) {
 	for name, c := range map[string]struct {
 		status     replica.Status
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -33,9 +33,10 @@
 		Kind:        kind,
 		Source:      g.store.Source(kind),
 		Random:      rand.Float64,
-		PollTimeout: g.pollTimeout,
+		PollTimeout: func() time.Duration { return g.pollTimeout(kind) },
 		Coalesce:    coalesce,
 		Reach:       func(lost bool) { g.syncer.NoteStore(kind, lost) },
+		HistoryGone: func() { g.recheck(kind) },
 		Active:      func() bool { return g.syncer.KeptByStore(kind) },
 		Log:         g.log,
 	}, func(s *mirror.State) {
@@ -52,7 +53,20 @@
 	}
 }
 
-// pollTimeout returns for how long a watch may stay unanswered.
-func (g *Gateway) pollTimeout() time.Duration {
-	return replica.PollTimeout(g.table.Watchers(g.syncer.Status().Watching))
+// recheck makes the watches of all kinds but one be asked anew.
+func (g *Gateway) recheck(but string) {
+	for kind, m := range g.mirrors {
+		if kind != but {
+			m.Recheck()
+		}
+	}
+}
+
+// pollTimeout returns for how long a watch of kind may stay unanswered.
+func (g *Gateway) pollTimeout(kind string) time.Duration {
+	watchers := g.table.Watchers(g.syncer.Status().Watching)
+	if kind == platform.KindConfig {
+		return replica.ConfigPollTimeout(watchers, g.cfg.ContactTime)
+	}
+	return replica.PollTimeout(watchers)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -88,8 +88,8 @@
 
 	// mu makes changes of state one at a time.
 	mu sync.Mutex
-	// cancel ends the call under way.
-	cancel context.CancelFunc
+	// cancel ends the call under way, cancelWatch only one that is a watch.
+	cancel, cancelWatch context.CancelFunc
 }
 
 // Config holds a Mirror's settings.
@@ -107,6 +107,9 @@
 	// Reach hears when the store stops answering and when it answers again; nil
 	// means nobody does.
 	Reach func(lost bool)
+	// HistoryGone hears when the store no longer has the changes that a watch asked
+	// for; nil means nobody does. Watches of other kinds may be lost then as well.
+	HistoryGone func()
 	// Active returns whether this mirror asks the store by itself; one that does
 	// not is at rest and takes copies from elsewhere. Nil means always.
 	Active func() bool
@@ -118,6 +121,9 @@
 	if cfg.Reach == nil {
 		cfg.Reach = func(bool) {}
 	}
+	if cfg.HistoryGone == nil {
+		cfg.HistoryGone = func() {}
+	}
 	if cfg.Active == nil {
 		cfg.Active = func() bool { return true }
 	}
@@ -179,6 +185,16 @@
 	}
 }
 
+// Recheck makes a watch under way be asked anew: where the store lost it without a
+// word, the new one tells that. A list is not disturbed.
+func (m *Mirror) Recheck() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cancelWatch != nil {
+		m.cancelWatch()
+	}
+}
+
 // Take takes in a copy that was had from elsewhere, if it is a newer one.
 func (m *Mirror) Take(s *State) bool {
 	m.mu.Lock()
@@ -204,10 +220,11 @@
 	if current.Revision == 0 || m.behind.Load() > current.Revision {
 		return m.list(ctx)
 	}
-	events, at, err := m.cfg.Source.Watch(ctx, current.Revision, m.drawPollTimeout())
+	events, at, err := m.watch(ctx, current.Revision)
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
 		m.cfg.Log.Info("history gone", "kind", m.cfg.Kind, "revision", current.Revision)
+		m.cfg.HistoryGone()
 		return m.list(ctx)
 	}
 	if err != nil {
@@ -222,6 +239,21 @@
 	return nil
 }
 
+// watch asks for the changes after revision; Recheck ends it.
+func (m *Mirror) watch(ctx context.Context, revision int64) ([]Event, int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.setCancelWatch(cancel)
+	defer m.setCancelWatch(nil)
+	return m.cfg.Source.Watch(ctx, revision, m.drawPollTimeout())
+}
+
+func (m *Mirror) setCancelWatch(cancel context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cancelWatch = cancel
+}
+
 func (m *Mirror) drawPollTimeout() time.Duration {
 	if m.lost {
 		return confirmPoll
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -227,6 +227,40 @@
 	})
 }
 
+func TestALostWatchIsFoundOutWhenAnotherHearsThatTheHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		lost, heard := newStore(), newStore()
+		mirrors := map[string]*mirror.Mirror{}
+		start := func(ctx context.Context, kind, other string, s *store, hold time.Duration) {
+			s.change("a", false)
+			mirrors[kind] = mirror.New(mirror.Config{
+				Kind: kind, Source: s, Random: func() float64 { return 0.5 }, Log: log.New(io.Discard),
+				PollTimeout: func() time.Duration { return hold },
+				HistoryGone: func() { mirrors[other].Recheck() },
+			}, func(*mirror.State) {})
+			go mirrors[kind].Run(ctx)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		start(ctx, "lost", "heard", lost, time.Hour)
+		start(ctx, "heard", "lost", heard, hold)
+		synctest.Wait()
+		for _, s := range []*store{lost, heard} {
+			s.set(func() { s.deaf = true })
+			s.change("b", false)
+			synctest.Wait()
+			s.set(func() { s.deaf, s.oldest, s.calls = false, 2, 0 })
+		}
+		time.Sleep(hold + 2*time.Second)
+		g.Expect(names(mirrors["lost"])).To(ConsistOf("a", "b"))
+		time.Sleep(10 * time.Second)
+		lost.set(func() {
+			g.Expect(lost.calls).To(BeNumerically("<=", 4), "two that are told do not tell each other for ever")
+		})
+	})
+}
+
 func TestAMirrorTakesANewerCopyAndNoOlderOne(t *testing.T) {
 	play(t, func(g *WithT, s *store, m *mirror.Mirror) {
 		s.set(func() { s.down = true })
