balance: what a load cut is spread over all endpoints

Hypothesis: the rest of a stream that a load cut goes to the few endpoints with newer weights until they are a batch busier, and waits there for the prompts of its like.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -29,9 +29,6 @@
 	// Prefill is how long a model engine reads the prompt before the answer
 	// begins; it delays all other requests there.
 	Prefill time.Duration
-	// Resumed is set when a request goes on elsewhere; then endpoints with the
-	// newest weights are preferred, since they will not change again soon.
-	Resumed bool
 }
 
 // Config holds what a Balancer relies on.
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -18,9 +18,6 @@
 	// slot. Chosen by judgement; that prompts count at all was worth 0.09 on quiet-1
 	// of claimsdesk-ja, together with the preference ("Steps on quiet-1").
 	prefillUnit = 250 * time.Millisecond
-	// olderWeightsCost is added for a resumed request, so that newer weights win
-	// unless they are a whole batch busier. Chosen by judgement, not measured.
-	olderWeightsCost = 1.0
 	// jitter is drawn anew for each endpoint, so that equal ones share requests out.
 	// Chosen by judgement: less than any of the costs above.
 	jitter = 0.03
@@ -42,9 +39,6 @@
 	OtherZone bool
 	// Preferred is set when this is the gateway that prefers it.
 	Preferred bool
-	// Outdated is set when a request goes on elsewhere and another endpoint holds
-	// newer weights.
-	Outdated bool
 	// Draw is a random number from [0, 1).
 	Draw float64
 }
@@ -59,9 +53,6 @@
 	if !c.Preferred {
 		cost += notPreferredCost
 	}
-	if c.Outdated {
-		cost += olderWeightsCost
-	}
 	return cost
 }
 
@@ -114,7 +105,7 @@
 	var usable, unusable cheapest
 	var c Candidate
 	full := false
-	newest, prefersAny := s.newest(q.Model), s.prefers()
+	prefersAny := s.prefers()
 	for _, e := range s.endpoints {
 		if !e.fits(q) {
 			continue
@@ -125,7 +116,7 @@
 			full = true
 			continue
 		}
-		b.describe(&c, e, q, newest)
+		b.describe(&c, e)
 		c.Load = load
 		cost := Cost(&c)
 		if b.usable(e, now) {
@@ -146,10 +137,9 @@
 }
 
 // describe fills c, but for the load, with what the choice sees of e.
-func (b *Balancer) describe(c *Candidate, e *endpoint, q *Query, newest int64) {
+func (b *Balancer) describe(c *Candidate, e *endpoint) {
 	c.Prefill = e.prefill
 	c.OtherZone = e.record.Zone != b.cfg.Zone
 	c.Preferred = e.preferred
-	c.Outdated = q.Resumed && e.holds(q.Model) < newest
 	c.Draw = b.cfg.Random()
 }
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -60,18 +60,6 @@
 	return false
 }
 
-// newest returns the highest version of model that an endpoint holds, or 0.
-func (s *shard) newest(model string) int64 {
-	var newest int64
-	if model == "" {
-		return 0
-	}
-	for _, e := range s.endpoints {
-		newest = max(newest, e.holds(model))
-	}
-	return newest
-}
-
 // fits returns whether e may take a request of q at all.
 func (e *endpoint) fits(q *Query) bool {
 	if e.record.Leaving || e.health.reassigned {
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -92,7 +92,6 @@
 		q.Model = c.model
 		q.MinVersion = p.cfg.MinVersion(c.model)
 		q.Prefill = c.prefill()
-		q.Resumed = len(c.attempted) > 0
 		if !c.headSent { // else the answer would be cut where all are full
 			q.MaxLoad = policy.MaxLoad(c.engine(), c.config.LongestTarget(c.service), c.promptTokens)
 		}
--- a/gateway/proxy/slowlink_test.go
+++ b/gateway/proxy/slowlink_test.go
@@ -107,6 +107,8 @@
 
 func (h *holder) Pause(context.Context, time.Duration) {}
 
+func (h *holder) AnswerTime() time.Duration { return 0 }
+
 func (h *holder) Loaded(context.Context, string, int64) {}
 
 // What a gateway has sent it can't take back: a request that is withdrawn in time arrives
