proxy: late callers take only spare load while others are refused

Change: one who has waited for its latency target since its first try finds an endpoint full at a load of 0.6, for 2 s after a caller was refused who could be served in time. How long it has waited follows from the patience that it tells and the longest that callers of its account on the route told. The rest of an answer is never late.

--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -56,6 +56,24 @@
 	Entry("after two seconds at the latest", 0.999999999, 2*time.Second),
 )
 
+var _ = DescribeTable("a caller is late",
+	func(spent time.Duration, want bool) {
+		Expect(policy.Late(spent, 400*ms)).To(Equal(want))
+	},
+	Entry("once its target has passed", 400*ms, true),
+	Entry("not before", 400*ms-1, false),
+)
+
+var _ = DescribeTable("the load at which an endpoint is full for a late caller",
+	func(limit float64, ago time.Duration, want float64) {
+		Expect(policy.LateMaxLoad(limit, ago)).To(Equal(want))
+	},
+	Entry("is lower while others are refused", 1.06, time.Duration(0), 0.6),
+	Entry("until refused callers may be back", 1.06, 2*time.Second, 0.6),
+	Entry("and that of others afterwards", 1.06, 2*time.Second+1, 1.06),
+	Entry("is never higher than that of others", 0.5, time.Duration(0), 0.5),
+)
+
 var _ = DescribeTable("a caller is told to come back",
 	func(wanted, left, want time.Duration) {
 		Expect(policy.RetryAfter(wanted, left)).To(Equal(want))
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -52,7 +52,11 @@
 	c.model = r.Header.Get(names.Model)
 	c.promptTokens = promptTokens(r.Header.Get(names.Tokens))
 	c.lastEventID = r.Header.Get(names.LastEvent)
-	c.deadline = c.startedAt.Add(min(callerPatience(r.Header.Get(names.Deadline)), c.route.Timeout))
+	patience, told := callerPatience(r.Header.Get(names.Deadline))
+	c.deadline = c.startedAt.Add(min(patience, c.route.Timeout))
+	if told {
+		c.spent = p.patience.spent(c.patienceKey(), patience, c.startedAt)
+	}
 	c.request = &upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: p.forwardHeader(r.Header, c), Body: body}
 	return c, nil
 }
@@ -72,13 +76,14 @@
 	return body, nil
 }
 
-// callerPatience returns how long a caller waits, by a header in milliseconds.
-func callerPatience(s string) time.Duration {
+// callerPatience returns how long a caller waits, by a header in milliseconds, and
+// whether it told that.
+func callerPatience(s string) (time.Duration, bool) {
 	ms, err := strconv.ParseFloat(s, 64)
 	if err != nil || ms <= 0 {
-		return defaultDeadline
+		return defaultDeadline, false
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
 // promptTokens returns the first number of a header of token counts. A caller that
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -93,7 +93,7 @@
 		q.MinVersion = p.cfg.MinVersion(c.model)
 		q.Prefill = c.prefill()
 		if !c.headSent { // else the answer would be cut where all are full
-			q.MaxLoad = policy.MaxLoad(c.engine(), c.config.LongestTarget(c.service), c.promptTokens)
+			q.MaxLoad = p.maxLoad(c)
 		}
 	}
 	lease, err := p.cfg.Balancer.Pick(q, time.Now())
@@ -102,11 +102,23 @@
 	case err == nil:
 		return lease, nil
 	case errors.As(err, &full):
+		if !c.late() {
+			p.refusals.note(c.service, time.Now())
+		}
 		return nil, p.shortage(policy.CodeFull, "all endpoints of %s are full", c.service)
 	}
 	return nil, p.shortage(verdict.CodeNoEndpoint, "no endpoint of %s", c.service)
 }
 
+// maxLoad returns the load at which an endpoint is full for a stream that has not begun.
+func (p *Proxy) maxLoad(c *call) float64 {
+	limit := policy.MaxLoad(c.engine(), c.config.LongestTarget(c.service), c.promptTokens)
+	if !c.late() {
+		return limit
+	}
+	return policy.LateMaxLoad(limit, p.refusals.ago(c.service, time.Now()))
+}
+
 // shortage returns the failure of a request that found no endpoint.
 func (p *Proxy) shortage(code verdict.Code, format, service string) *verdict.Error {
 	return verdict.NewError(verdict.NotRun, code, format, service).After(policy.ShortageRetry(p.cfg.Random()))
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -24,6 +24,9 @@
 	startedAt    time.Time
 	// deadline is when the caller or the route gives up.
 	deadline time.Time
+	// spent is how long the caller has waited since its first try, as far as its patience
+	// tells.
+	spent time.Duration
 
 	progress
 }
@@ -56,6 +59,21 @@
 	p.lastEventAt = now
 }
 
+// patienceKey returns whose callers usually wait as long as this one.
+func (c *call) patienceKey() patienceKey {
+	k := patienceKey{route: c.route.Name}
+	if c.account != nil {
+		k.account = c.account.Name
+	}
+	return k
+}
+
+// late returns whether the caller can't be served in time any more. One that asks for
+// the rest of an answer is not late: it waits for the next event only.
+func (c *call) late() bool {
+	return c.lastEventID == "" && policy.Late(c.spent, c.route.LatencyTarget)
+}
+
 // lastAttempt returns whether the route allows no further attempt.
 func (c *call) lastAttempt() bool {
 	return len(c.attempted) >= c.route.Attempts
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -92,6 +92,6 @@
 		version = c.config.Version
 	}
 	p.cfg.Log.Warn("not answered", "request", c.id, "route", route, "config", version,
-		"endpoints", c.attempted, "ms", time.Since(c.startedAt).Milliseconds(), "code", string(e.Code),
+		"endpoints", c.attempted, "ms", time.Since(c.startedAt).Milliseconds(), "spentMs", c.spent.Milliseconds(), "code", string(e.Code),
 		"verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent, "event", c.lastEventID, "err", e.Err)
 }
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -48,11 +48,14 @@
 	routes  atomic.Pointer[routes.Config]
 	running *drain.Tracker
 	leaving atomic.Bool
+	// patience tells late callers from others, refusals when a service was full.
+	patience *patience
+	refusals *refusals
 }
 
 // New returns a Proxy without a configuration.
 func New(cfg Config) *Proxy {
-	return &Proxy{cfg: cfg, running: drain.NewTracker()}
+	return &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals()}
 }
 
 // Use puts c in force for requests that come from now on. An older version
