stage: an older version is finished before a newer one, by the rates of links

At 20.0 s each VM had 25 to 36 of 64 chunks of version 2 and gave it up; gone on with at 21.5, it lacked chunks that had not left the origin. Nothing could be loaded when version 1 ended, and next to nothing was served from 25.2 to 31 s. Change: WorthFinishing compares the rest over the VM's link with one copy at the origin; the newer version waits for FinishTime, and goes on beside the older one then.

--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -64,14 +64,49 @@
 	return end.Sub(now) >= minUse
 }
 
-// worthFinishing is the part of a version that makes it worth being fetched whole
-// although a newer one is named. Chosen by judgement, not measured.
-const worthFinishing = 0.7
-
-// WorthFinishing returns whether a version of which have of total chunks are there
-// is fetched whole although a newer one is named.
-func WorthFinishing(have, total int) bool {
-	return float64(have) >= worthFinishing*float64(total)
+// Which part of a version makes it worth being fetched whole although a newer one is
+// named.
+const (
+	// worthFinishing is that part where the rates of links are not known, and the
+	// largest. Chosen by judgement, not measured.
+	worthFinishing = 0.7
+	// minWorthFinishing is the least: with less of it here, other VMs may lack chunks
+	// too, which only the origin has. Chosen by judgement.
+	minWorthFinishing = 0.25
+)
+
+// WorthFinishing returns whether a version of which have of total chunks are there is
+// fetched on although a newer one is named: where the rest takes this VM's link no longer than one
+// copy of the newer one takes the origin's, for which the link would wait anyway. Rates
+// are bytes a second, or 0. Without it a fleet that had half of a version gave it up, the
+// origin failed, and next to nothing was served for 8 s (khangai-preorder scale-1).
+func WorthFinishing(have, total int, linkRate, originRate float64) bool {
+	part := worthFinishing
+	if linkRate > 0 && originRate > 0 {
+		part = min(max(1-linkRate/originRate, minWorthFinishing), worthFinishing)
+	}
+	return float64(have) >= part*float64(total)
+}
+
+// How long a newer version waits for the rest of an older one, whose last chunks should
+// leave the origin before it may fail.
+const (
+	// finishFactor is that time, in times that the rest takes on an empty link. Chosen by
+	// judgement.
+	finishFactor = 1.5
+	// minFinish is the least, and what is given where the link's rate is not known. Chosen
+	// by judgement.
+	minFinish = 500 * time.Millisecond
+)
+
+// FinishTime returns for how long a newer version waits for n bytes of an older one over a
+// link of linkRate bytes a second, or 0 where that is not known.
+func FinishTime(n int64, linkRate float64) time.Duration {
+	if linkRate <= 0 {
+		return minFinish
+	}
+	rest := time.Duration(float64(n) / linkRate * float64(time.Second))
+	return max(time.Duration(finishFactor*float64(rest)), minFinish)
 }
 
 // stalledAfter is how long a version may make no progress before an older one is
--- a/sidecar/stage/rules_test.go
+++ b/sidecar/stage/rules_test.go
@@ -54,10 +54,34 @@
 	g.Expect(stage.Useful(limit, limit.Add(-1500*time.Millisecond+1))).To(BeFalse())
 }
 
-func TestMostOfAVersionIsWorthFinishing(t *testing.T) {
+func TestWhatOfAVersionIsWorthFinishing(t *testing.T) {
+	for name, c := range map[string]struct {
+		have         int
+		link, origin float64
+		want         bool
+	}{
+		"most, rates not known":               {70, 0, 0, true},
+		"not most, rates not known":           {69, 0, 0, false},
+		"rest as long as a copy at origin":    {40, 6, 10, true},
+		"rest longer than that":               {39, 6, 10, false},
+		"fast links, a quarter":               {25, 20, 10, true},
+		"fast links, too little":              {24, 20, 10, false},
+		"slow links, most":                    {70, 1, 10, true},
+		"slow links, not most":                {69, 1, 10, false},
+		"the origin's rate alone, most":       {70, 0, 10, true},
+		"the origin's rate alone, not enough": {69, 0, 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(stage.WorthFinishing(c.have, 100, c.link, c.origin)).To(Equal(c.want))
+		})
+	}
+}
+
+func TestHowLongANewerVersionWaitsForTheRestOfAnOlderOne(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(stage.WorthFinishing(7, 10)).To(BeTrue())
-	g.Expect(stage.WorthFinishing(6, 10)).To(BeFalse())
+	g.Expect(stage.FinishTime(1000, 1000)).To(Equal(1500 * time.Millisecond))
+	g.Expect(stage.FinishTime(100, 1000)).To(Equal(500*time.Millisecond), "at the least")
+	g.Expect(stage.FinishTime(1000, 0)).To(Equal(500*time.Millisecond), "the rate is not known")
 }
 
 func TestAnOlderVersionIsGoneOnWithOnceTheNewestStalls(t *testing.T) {
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -349,6 +349,20 @@
 	})
 }
 
+func TestMostOfAVersionIsFetchedOnBesideANewerOneThatIsLost(t *testing.T) {
+	play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+		m.set(func() { m.delay, m.lost = 100*time.Millisecond, 3 })
+		s.Want("m", 2, false)
+		for m.seen().reads < chunks*9/10 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.Want("m", 3, false)
+		time.Sleep(limit)
+		g.Expect(m.versions()).To(Equal([]int64{2}))
+		g.Expect(m.seen().manifests).To(Equal(2), "the newer one was begun as well")
+	})
+}
+
 func TestWhatIsSpoiltOnTheWayOrAtTheEndpointIsNotLoaded(t *testing.T) {
 	play(t, 0, func(g *WithT, m *machine, s *stage.Stager) {
 		m.set(func() { m.spoilt[3], m.spoilt[5], m.rot = 1, 2, true })
