--- a/gateway/replica/rules.go
+++ b/gateway/replica/rules.go
@@ -76,19 +76,19 @@
 	return min(max(pollEach*time.Duration(watchers), minPoll), maxPoll)
 }
 
-// foundShare is the part of the platform's contact time within which a watch that the
+// lostWatchShare is the part of the platform's contact time within which a watch that the
 // store lost must end, so that its renewal and a copy of what it missed fit into the
 // rest. It guards against a configuration that is late: without it two gateways of
 // three zones followed an older one 4.1 s after the newer was acknowledged
 // (docs/FINDINGS.md, CONFIG); the value is judgement.
-const foundShare = 0.6
+const lostWatchShare = 0.6
 
 // ConfigPollTimeout returns for how long a watch of the configuration may stay
 // unanswered where so many gateways watch the store. It ends within the time for which
 // the platform excuses gateways after trouble, contact, and when it tells that the
 // store's history is gone, the copies of all other kinds look again too.
 func ConfigPollTimeout(watchers int, contact time.Duration) time.Duration {
-	limit := time.Duration(foundShare * float64(contact))
+	limit := time.Duration(lostWatchShare * float64(contact))
 	if limit <= 0 {
 		return PollTimeout(watchers)
 	}
