--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,47 +14,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/silverdeck/silverdeck/wait"
 )
 
-// Object is one object of the store.
-type Object struct {
-	Name     string
-	Revision int64
-	// Data is the object as the store sent it.
-	Data []byte
-}
-
-// Event is a change of one object.
-type Event struct {
-	Object Object
-	// Gone is set when the object was removed.
-	Gone bool
-}
-
-// Source reads one kind of objects.
-type Source interface {
-	// List returns all objects and the store's revision.
-	List(ctx context.Context) ([]Object, int64, error)
-	// Watch returns the changes after revision as soon as there are some, or
-	// none after a while, and the revision to go on from. It returns
-	// *HistoryGoneError when the store no longer has these changes. timeout is how
-	// long the store may wait for changes.
-	Watch(ctx context.Context, revision int64, timeout time.Duration) ([]Event, int64, error)
-}
-
-// HistoryGoneError tells that changes can't be had any more; a list can.
-type HistoryGoneError struct {
-	Revision int64
-}
-
-// Error says so.
-func (e *HistoryGoneError) Error() string {
-	return "mirror: the store's history is gone"
-}
-
 // Times of calls.
 const (
 	// minBackoff and maxBackoff bound the pause after a call that failed; it doubles
@@ -92,30 +54,6 @@
 	cancel, cancelWatch context.CancelFunc
 }
 
-// Config holds a Mirror's settings.
-type Config struct {
-	// Kind names the objects in logs.
-	Kind   string
-	Source Source
-	Random func() float64
-	// PollTimeout returns for how long a watch may stay unanswered. A store that lost
-	// a watch without a word is found out after that time.
-	PollTimeout func() time.Duration
-	// Coalesce is for how long changes are coalesced before they are asked for once
-	// more, so that many changes cost few calls.
-	Coalesce time.Duration
-	// Reach hears when the store stops answering and when it answers again; nil
-	// means nobody does.
-	Reach func(lost bool)
-	// HistoryGone hears when the store no longer has the changes that a watch asked
-	// for; nil means nobody does. Watches of other kinds may be lost then as well.
-	HistoryGone func()
-	// Active returns whether this mirror asks the store by itself; one that does
-	// not is at rest and takes copies from elsewhere. Nil means always.
-	Active func() bool
-	Log    *log.Logger
-}
-
 // New returns a Mirror; notify is called with every new state, one call at a time.
 func New(cfg Config, notify func(*State)) *Mirror {
 	if cfg.Reach == nil {
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -104,15 +104,14 @@
 	if err := s.verify(ctx, model, set); err != nil {
 		return err
 	}
-	var drain time.Duration
 	report, err := s.report(ctx)
 	if err != nil || report.Busy || report.Version(model) >= want.version {
 		return err
 	}
+	var drain time.Duration
 	if held := report.Version(model); held != 0 {
 		drain = s.drainTime(model, held, report.Running)
-		s.drain(ctx, drain)
-		if err := s.verify(ctx, model, set); err != nil {
+		if err := s.drainAndVerify(ctx, drain, model, set); err != nil {
 			return err
 		}
 	}
@@ -153,6 +152,13 @@
 	return DrainTime(s.cfg.Fleet.Capacity(), running, time.Until(end))
 }
 
+// drainAndVerify drains the endpoint for limit at the most and checks what was placed
+// there once more: chunks may have turned corrupt meanwhile.
+func (s *Stager) drainAndVerify(ctx context.Context, limit time.Duration, model string, set *weights.Set) error {
+	s.drain(ctx, limit)
+	return s.verify(ctx, model, set)
+}
+
 // drain asks gateways to send the endpoint nothing and waits until it is empty, for limit
 // at the most, and for queueLimit until no request waits there that gateways sent before
 // they heard of the pause: it would begin on the old weights, and late if this VM stood
