--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -172,10 +172,8 @@
 		waited := time.Since(began)
 		queued := err != nil || report.Queued > 0
 		running := err != nil || report.Running > 0
-		if !(queued && waited < queueLimit) && !(running && waited < limit) {
-			return
-		}
-		if !wait.For(ctx, queueEvery) {
+		waits := (queued && waited < queueLimit) || (running && waited < limit)
+		if !waits || !wait.For(ctx, queueEvery) {
 			return
 		}
 	}
