serve: one loop serves and logs for both kinds of server; a dead mutant is mended

Read again: serve.Listen had written the loop of serve.HTTP anew; both call serve now, and the hand-over of connections needs no pointer to its once. No change of behaviour.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -68,7 +68,7 @@
 mutant "a withdrawn request is delivered" gateway/upstream/conn.go 's/_ = tcp.SetLinger\(0\)/_ = tcp/' ./gateway/upstream 'TestARequestThatWasWithdrawn'
 mutant "no endpoint is ejected" gateway/balance/health.go 's/h.ejections\+\+/_ = h/' ./gateway/balance 'TestSuite'
 mutant "an answer to another request is passed on" gateway/policy/answer.go 's/case a.OtherRequest:/case false:/' ./gateway/proxy 'TestWhatMayHaveRunIsNotRepeatedNorPromised'
-mutant "a newer configuration is replaced by an older one" gateway/proxy/proxy.go 's/c.Revision <= old.Revision/false/; s/c.Version < old.Version/false/' ./gateway/proxy 'TestAnOlderConfigurationIsNotTaken'
+mutant "a newer configuration is replaced by an older one" gateway/proxy/proxy.go 's/return old == nil \|\| \(c.Revision > old.Revision && c.Version >= old.Version\)/return true/' ./gateway/proxy 'TestAnOlderConfigurationIsNotTaken'
 mutant "lapsed endpoints are not kept" roster/retention.go 's/if !now.Before\(end\)/if true/' ./roster 'Test'
 mutant "a lost watch is waited for" mirror/mirror.go 's/m.behind.Store\(revision\)\n\tif m.cancel != nil/m.behind.Store(revision)\n\tif false/' ./mirror 'Test'
 mutant "corrupt chunks at the endpoint are loaded" sidecar/stage/load.go 's/return set.Manifest\(\).Hash.Sum\(data\) == set.Manifest\(\).Chunks\[i\], nil/return true, nil/' ./sidecar/stage 'Test'
--- a/serve/reloadable.go
+++ b/serve/reloadable.go
@@ -40,7 +40,7 @@
 // limitedServer is an http.Server that takes the connections handed to it.
 type limitedServer struct {
 	http.Server
-	conns handoff
+	conns *handoff
 }
 
 // Listen returns a Reloadable that serves h at addr, by IPv4.
@@ -60,13 +60,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.servers[limits] == nil {
-		s.servers[limits] = s.serve(limits)
+		s.servers[limits] = s.start(limits)
 	}
 	s.current = s.servers[limits]
 }
 
-// serve starts a server with limits.
-func (s *Reloadable) serve(limits Limits) *limitedServer {
+// start starts a server with limits.
+func (s *Reloadable) start(limits Limits) *limitedServer {
 	server := &limitedServer{
 		Server: http.Server{
 			Handler:           s.handler,
@@ -75,13 +75,9 @@
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ErrorLog:          s.log.StandardLog(),
 		},
-		conns: handoff{addr: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{}), once: &sync.Once{}},
+		conns: &handoff{addr: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})},
 	}
-	go func() {
-		if err := server.Serve(server.conns); !errors.Is(err, http.ErrServerClosed) {
-			s.log.Error("server ended", "addr", s.listener.Addr(), "err", err)
-		}
-	}()
+	go serve(&server.Server, server.conns, s.log)
 	return server
 }
 
@@ -97,7 +93,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			s.log.Warn("connection not accepted", "addr", s.listener.Addr(), "err", err)
+			s.log.Warn("connection not accepted", "addr", s.listener.Addr().String(), "err", err)
 			time.Sleep(acceptPause)
 		default:
 			s.newest().conns.give(conn)
@@ -137,11 +133,11 @@
 	addr   net.Addr
 	conns  chan net.Conn
 	closed chan struct{}
-	once   *sync.Once
+	once   sync.Once
 }
 
 // give hands conn to whoever accepts, or closes it where nobody does any more.
-func (h handoff) give(conn net.Conn) {
+func (h *handoff) give(conn net.Conn) {
 	select {
 	case h.conns <- conn:
 	case <-h.closed:
@@ -150,7 +146,7 @@
 }
 
 // Accept implements net.Listener.
-func (h handoff) Accept() (net.Conn, error) {
+func (h *handoff) Accept() (net.Conn, error) {
 	select {
 	case conn := <-h.conns:
 		return conn, nil
@@ -160,12 +156,12 @@
 }
 
 // Close implements net.Listener.
-func (h handoff) Close() error {
+func (h *handoff) Close() error {
 	h.once.Do(func() { close(h.closed) })
 	return nil
 }
 
 // Addr implements net.Listener.
-func (h handoff) Addr() net.Addr {
+func (h *handoff) Addr() net.Addr {
 	return h.addr
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -17,10 +17,13 @@
 	if err != nil {
 		return err
 	}
-	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			l.Error("server ended", "addr", addr, "err", err)
-		}
-	}()
+	go serve(s, listener, l)
 	return nil
 }
+
+// serve serves s at listener until it is closed; another end is logged.
+func serve(s *http.Server, listener net.Listener, l *log.Logger) {
+	if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		l.Error("server ended", "addr", listener.Addr().String(), "err", err)
+	}
+}
