process: the last lines of a stop that failed are written, signals during the start are waited for

A stop that returns an error ended the process inside the library, before the buffered lines were written. Signals were waited for only once the start had ended; one in between ended the process at once.

--- a/process/process.go
+++ b/process/process.go
@@ -19,6 +19,9 @@
 // ExitUsage is the exit status for settings or arguments that are wrong.
 const ExitUsage = 2
 
+// exitFailed is the exit status of a start or stop that failed.
+const exitFailed = 1
+
 // Service is what a process runs.
 type Service interface {
 	// Start begins to serve and returns.
@@ -51,8 +54,28 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	app.Run()
+	code := serve(app)
 	_ = out.Close() // there is nowhere left to say so
+	os.Exit(code)
+}
+
+// serve runs app until a signal and returns the exit status. The caller exits once the
+// last lines are written: those of a stop that failed are the ones that will be looked for.
+func serve(app *fx.App) int {
+	signals := app.Wait() // before the start, so that no signal ends a program that serves already
+	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	code := (<-signals).ExitCode
+	ctx, cancel = context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		return exitFailed
+	}
+	return code
 }
 
 func hook[S Service](lc fx.Lifecycle, s S, tracer *telemetry.Tracer) {
