gateway: log lines tell why an endpoint was left and why no other was asked

Neither the line of a failed attempt nor the final one told whether the budget, the choice or the policy had said no. New: "endpoint left" with the idle times that decided it, noRetry in "not answered", counters of endpoints left and of answers cut before their time. Nothing is decided otherwise; NoRetry has three names by its reason.

--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -25,14 +25,29 @@
 
 // The decisions about a retry.
 const (
-	// NoRetry ends the request with its last failure.
-	NoRetry Retry = iota
 	// FreeRetry sends it again without taking from the retry budget.
-	FreeRetry
+	FreeRetry Retry = iota
 	// BudgetedRetry sends it again if the retry budget allows it.
 	BudgetedRetry
+	// NoTime ends the request with its last failure, since its time is over or its caller
+	// gone.
+	NoTime
+	// AllFull does so since the other endpoints are full as well.
+	AllFull
+	// NotRepeatable does so since it may have run and must not run twice.
+	NotRepeatable
 )
 
+// retryNames are the names in log lines.
+var retryNames = map[Retry]string{
+	FreeRetry: "free", BudgetedRetry: "budget", NoTime: "no time", AllFull: "all full", NotRepeatable: "not repeatable",
+}
+
+// String returns the decision's name.
+func (r Retry) String() string {
+	return retryNames[r]
+}
+
 // Failure is what is known after a failed attempt.
 type Failure struct {
 	// Code and Verdict tell of the last attempt.
@@ -53,11 +68,11 @@
 func DecideRetry(f Failure) Retry {
 	switch {
 	case f.Canceled || f.Left < minRetryTime:
-		return NoRetry
+		return NoTime
 	case f.Code == CodeFull:
-		return NoRetry // the other endpoints are full as well
+		return AllFull
 	case f.Verdict != verdict.NotRun && !f.Repeatable:
-		return NoRetry
+		return NotRepeatable
 	case f.Code == verdict.CodeUnreachable:
 		return FreeRetry
 	}
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -30,6 +30,9 @@
 			c.mayHaveRun = true
 		}
 	}
+	if c.ended == "" {
+		c.ended = endedByAttempts
+	}
 	return final(ctx, c, last)
 }
 
@@ -43,10 +46,18 @@
 		Canceled:   ctx.Err() != nil,
 		Left:       time.Until(c.deadline),
 	})
-	if decision == policy.BudgetedRetry {
-		return p.cfg.Budget.Take(c.service, c.purpose(), time.Now())
+	switch decision {
+	case policy.FreeRetry:
+		return true
+	case policy.BudgetedRetry:
+		if p.cfg.Budget.Take(c.service, c.purpose(), time.Now()) {
+			return true
+		}
+		c.ended = endedByBudget
+	default:
+		c.ended = decision.String()
 	}
-	return decision == policy.FreeRetry
+	return false
 }
 
 // final returns the failure as the caller is told it.
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -47,8 +47,18 @@
 	// firstEvent is the time to a stream's first event, longestGap the longest pause
 	// after it.
 	firstEvent, longestGap time.Duration
+	// ended says why there was no further attempt, for the log.
+	ended string
 }
 
+// Why there was no further attempt, beside the decisions of policy.DecideRetry.
+const (
+	// endedByAttempts means that the route allows no more.
+	endedByAttempts = "no attempts"
+	// endedByBudget means that the retry budget was used up.
+	endedByBudget = "no budget"
+)
+
 // noteEvent measures the pauses of a stream.
 func (p *progress) noteEvent(now, startedAt time.Time) {
 	if p.lastEventAt.IsZero() {
--- a/gateway/proxy/giveup.go
+++ b/gateway/proxy/giveup.go
@@ -17,11 +17,13 @@
 	sentAt := time.Now()
 	if c.route.Kind != routes.Stream {
 		return func() bool {
-			return p.leaves(c, policy.WaitForPlain(time.Since(sentAt), c.route.LatencyTarget, c.lastAttempt()))
+			s := policy.Stall{LastAttempt: c.lastAttempt(), StreamIdle: time.Since(sentAt)}
+			return p.leaves(c, lease, &s, policy.WaitForPlain(s.StreamIdle, c.route.LatencyTarget, s.LastAttempt))
 		}
 	}
 	return func() bool {
-		return p.leaves(c, policy.WaitForStream(p.stall(c, lease, sentAt, time.Now())))
+		s := p.stall(c, lease, sentAt, time.Now())
+		return p.leaves(c, lease, &s, policy.WaitForStream(s))
 	}
 }
 
@@ -43,17 +45,21 @@
 	}
 }
 
-// leaves carries a decision about waiting out: it returns whether the endpoint is
-// to be left now.
-func (p *Proxy) leaves(c *call, w policy.Wait) bool {
+// leaves carries out a decision about waiting: it returns whether the endpoint is to be
+// left now.
+func (p *Proxy) leaves(c *call, lease *balance.Lease, s *policy.Stall, w policy.Wait) bool {
+	left := false
 	switch w := w.(type) {
 	case policy.Leave:
-		return true
+		left = true
 	case policy.LeaveIfElsewhere:
-		return p.elsewhere(c, w.MaxLoad)
+		left = p.elsewhere(c, w.MaxLoad)
 	case policy.KeepWaiting:
 	}
-	return false
+	if left {
+		p.logLeft(c, lease, s)
+	}
+	return left
 }
 
 // elsewhere returns whether the request could go on now at another endpoint with a
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -18,6 +19,9 @@
 	Served, Failed, Repeats, Connections metrics.Counter
 	// Overdue counts answers whose head came past the limit of their weights.
 	Overdue metrics.Counter
+	// Left counts endpoints that were left because nothing came from them, Cut answers that
+	// ended before they were whole and before their time.
+	Left, Cut metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -35,6 +39,8 @@
 		Failed:      metrics.NewRegisteredCounter("gateway.failed", r),
 		Repeats:     metrics.NewRegisteredCounter("gateway.repeats", r),
 		Connections: metrics.NewRegisteredCounter("gateway.connections", r),
+		Left:        metrics.NewRegisteredCounter("gateway.left", r),
+		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
 		FirstEvent:  metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
@@ -63,6 +69,14 @@
 		"event", c.lastEventID, "err", e.Err)
 }
 
+// logLeft notes that an endpoint is left, and what was known of it then.
+func (p *Proxy) logLeft(c *call, lease *balance.Lease, s *policy.Stall) {
+	p.cfg.Metrics.Left.Inc(1)
+	p.cfg.Log.Info("endpoint left", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
+		"ms", time.Since(c.startedAt).Milliseconds(), "idleMs", s.StreamIdle.Milliseconds(),
+		"endpointIdleMs", s.EndpointIdle.Milliseconds(), "outdated", s.Outdated, "begun", c.headSent, "event", c.lastEventID)
+}
+
 // noteWeights notes an answer that begins on weights past their limit, which no
 // endpoint should give. It began up to one way earlier than its head is seen here.
 func (p *Proxy) noteWeights(c *call, x *upstream.Exchange, lease *balance.Lease, sentAt time.Time) {
@@ -84,6 +98,9 @@
 // logFailure notes a request that was not answered by an endpoint.
 func (p *Proxy) logFailure(c *call, e *verdict.Error) {
 	p.cfg.Metrics.Failed.Inc(1)
+	if c.headSent && time.Now().Before(c.deadline) && e.Code != verdict.CodeCanceled {
+		p.cfg.Metrics.Cut.Inc(1)
+	}
 	route, version := "", int64(0)
 	if c.route != nil {
 		route = c.route.Name
@@ -93,5 +110,5 @@
 	}
 	p.cfg.Log.Warn("not answered", "request", c.id, "route", route, "config", version,
 		"endpoints", c.attempted, "ms", time.Since(c.startedAt).Milliseconds(), "spentMs", c.spent.Milliseconds(), "code", string(e.Code),
-		"verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent, "event", c.lastEventID, "err", e.Err)
+		"verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent, "event", c.lastEventID, "noRetry", c.ended, "err", e.Err)
 }
