--- a/cmd/silverdeck-soak/main.go
+++ b/cmd/silverdeck-soak/main.go
@@ -14,13 +14,18 @@
 )
 
 type args struct {
-	Seed     uint64 `arg:"--seed" default:"1" help:"the first seed"`
-	Seeds    int    `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
-	Seconds  int    `arg:"--seconds" default:"10" help:"how long faults come, for each seed"`
-	Entries  int    `arg:"--entries" default:"3" help:"how many entries"`
-	Runners  int    `arg:"--runners" default:"3" help:"how many model endpoints, each with a sidecar"`
-	Programs string `arg:"--programs" default:"bin" help:"the folder of the built programs"`
-	Out      string `arg:"--out" default:"out/soak" help:"a folder for settings and logs"`
+	Seed     uint64   `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds    int      `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Seconds  int      `arg:"--seconds" default:"10" help:"how long faults come, for each seed"`
+	Entries  int      `arg:"--entries" default:"3" help:"how many entries"`
+	Runners  int      `arg:"--runners" default:"3" help:"how many model endpoints, each with a sidecar"`
+	Callers  int      `arg:"--callers" help:"how many callers send requests at once"`
+	Routes   int      `arg:"--routes" help:"how many more routes the configuration has"`
+	Events   int      `arg:"--events" help:"how many events a stream has"`
+	PauseMS  int      `arg:"--pause-ms" help:"the time between two events of a stream, in milliseconds"`
+	Mix      soak.Mix `arg:"--mix" default:"faults" help:"what happens meanwhile: faults, or long for planned work on busy VMs beside streams of seconds"`
+	Programs string   `arg:"--programs" default:"bin" help:"the folder of the built programs"`
+	Out      string   `arg:"--out" default:"out/soak" help:"a folder for settings and logs"`
 }
 
 func main() {
@@ -47,7 +52,8 @@
 	}
 	report, err := soak.Run(soak.Config{
 		Seed: seed, For: time.Duration(a.Seconds) * time.Second, Entries: a.Entries, Runners: a.Runners,
-		Programs: a.Programs, Work: work,
+		Callers: a.Callers, Routes: a.Routes, Events: a.Events, EventPause: time.Duration(a.PauseMS) * time.Millisecond,
+		Mix: a.Mix, Programs: a.Programs, Work: work,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -37,14 +37,21 @@
 	mu      sync.Mutex
 	refused []string
 	sent    int
+	// holds is for how long it keeps an answer of the directory.
+	holds time.Duration
 }
 
 func newCaller(w *world, n int, r *Result) *caller {
-	return &caller{
+	c := &caller{
 		world: w, name: fmt.Sprintf("c%d", n), result: r,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 		random: rand.New(rand.NewPCG(w.cfg.Seed, uint64(n))),
+		holds:  addressHeld,
 	}
+	if n%5 == 0 {
+		c.holds = addressHeldLong
+	}
+	return c
 }
 
 // Timing of callers.
@@ -57,6 +64,11 @@
 	plainLimit = 1500 * time.Millisecond
 	// resolveLimit is how long it waits for the directory. Chosen by judgement.
 	resolveLimit = time.Second
+	// addressHeld is for how long most callers keep an answer of the directory, and
+	// addressHeldLong for how long some do: three times as long, as the platform says.
+	addressHeld = 2 * time.Second
+	// addressHeldLong is what addressHeld says.
+	addressHeldLong = 3 * addressHeld
 	// patienceLimit is the longest time after which it comes back. Chosen by judgement.
 	patienceLimit = 500 * time.Millisecond
 )
@@ -69,12 +81,16 @@
 			time.Sleep(callerPause)
 			continue
 		}
+		resolved := time.Now()
 		for range 10 {
 			c.ask(entry, addr)
 			time.Sleep(callerPause)
 			if ctx.Err() != nil {
 				return
 			}
+			if time.Since(resolved) > c.holds {
+				break
+			}
 		}
 	}
 }
@@ -122,6 +138,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	var seen sending
+	ctx = seen.trace(ctx)
 	body := "body of " + id
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(body))
 	r.Host = host
@@ -139,8 +157,11 @@
 		defer func() { _ = resp.Body.Close() }()
 		err = c.check(resp, id, body, stream)
 	}
+	ended := time.Now()
+	c.world.ledger.ended(entry.name, ended)
 	if err != nil {
 		c.result.Cut.Add(1)
+		c.noteCut(&Exchange{ID: id, Gateway: entry.name, End: ended, Limit: began.Add(limit.Truncate(time.Millisecond)), Begun: resp != nil}, &seen)
 		inTime := time.Since(began) < limit.Truncate(time.Millisecond)
 		if inTime && entry.onlyPlanned(began) && c.world.calm(began) && c.world.witness.Of(id).Count > 0 {
 			c.world.witness.Broken("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
@@ -149,6 +170,17 @@
 	c.checkRuns(id, body, stream)
 }
 
+// noteCut notes a request whose connection ended before its answer was whole.
+func (c *caller) noteCut(e *Exchange, seen *sending) {
+	var whole bool
+	if e.Kept, e.Sent, whole = seen.result(); !whole {
+		return // no gateway can have read it whole
+	}
+	run := c.world.witness.Of(e.ID)
+	e.PassedOn, e.BrokenOff, e.Working = run.Count > 0, run.BrokenOff, run.Working > 0
+	c.world.ledger.cutOff(e)
+}
+
 // check looks at an answer and returns an error if it was cut.
 func (c *caller) check(resp *http.Response, id, body string, stream bool) error {
 	w := c.world.witness
@@ -188,7 +220,7 @@
 	for n := 1; ; n++ {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && event == "" {
-			if n != standin.Events+1 {
+			if n != c.world.cfg.events()+1 {
 				c.world.witness.Broken("stream %s ended as whole after %d events", id, n-1)
 			}
 			c.result.Served.Add(1)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -123,10 +123,11 @@
 	chance := rand.New(rand.NewPCG(w.cfg.Seed, 2))
 	var ends []chan struct{}
 	for ctx.Err() == nil {
-		f := w.draw(r, chance)
+		f := w.drawOf(r, chance)
 		lasts := leastFault + time.Duration(r.Int64N(int64(spreadFault)))
 		note(fmt.Sprintf("%7.3f %s", time.Since(w.began).Seconds(), f.name))
 		if f.disturbs {
+			w.noteFault(lasts)
 			w.disturbedAt.Store(time.Now().Add(lasts).UnixNano())
 		}
 		f.begin()
--- /dev/null
+++ b/soak/mix.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// Mix says what happens during a soak.
+type Mix string
+
+// The mixes.
+const (
+	// MixFaults has faults of all kinds, one after the other.
+	MixFaults Mix = "faults"
+	// MixLong has planned work in quick succession beside streams of seconds: stops,
+	// reloads, configurations and new weights, on busy VMs where processes and engines
+	// stand still for a while. None of it excuses a request that is lost.
+	MixLong Mix = "long"
+)
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (m *Mix) UnmarshalText(text []byte) error {
+	*m = Mix(text)
+	if *m != MixFaults && *m != MixLong {
+		return fmt.Errorf("soak: no mix %q, only %q and %q", text, MixFaults, MixLong)
+	}
+	return nil
+}
+
+// Pace of standstills in MixLong. Chosen by judgement.
+const (
+	// leastStill and spreadStill bound how long a gateway stands still: shorter than the
+	// time after which others believe it gone, up to longer than a stream's idle limit.
+	leastStill = 300 * time.Millisecond
+	// spreadStill is drawn from, on top of leastStill.
+	spreadStill = 1200 * time.Millisecond
+	// spreadStall bounds in the same way how long engines stall.
+	spreadStall = 2200 * time.Millisecond
+	// stormGap is the time between configurations in quick succession, stormLength how
+	// many there are.
+	stormGap = 150 * time.Millisecond
+	// stormLength is what stormGap says.
+	stormLength = 4
+)
+
+// drawOf returns what happens next in the mix of the settings.
+func (w *world) drawOf(r, chance *rand.Rand) fault {
+	if w.cfg.Mix == MixLong {
+		return w.drawLong(r)
+	}
+	return w.draw(r, chance)
+}
+
+func (w *world) drawLong(r *rand.Rand) fault {
+	entry, sidecar := w.entries[r.IntN(len(w.entries))], w.sidecars[r.IntN(len(w.sidecars))]
+	still := leastStill + time.Duration(r.Int64N(int64(spreadStill)))
+	stall := leastStill + time.Duration(r.Int64N(int64(spreadStall)))
+	first := r.IntN(len(w.runners))
+	stop := fault{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false}
+	all := []fault{
+		stop, stop, stop,
+		{"entry reloads", func() { entry.signal(syscall.SIGHUP) }, nil, false},
+		{"entry stands still", func() { entry.standStill(still) }, nil, false},
+		{"all entries stand still", func() { w.allStandStill(still) }, nil, false},
+		{"sidecar stands still", func() { sidecar.standStill(still) }, nil, false},
+		{"a third of the engines stall", func() { w.stallThird(first, stall) }, nil, false},
+		{"all engines stall", func() { w.stallAll(stall) }, nil, false},
+		{"configuration", w.configure, nil, false},
+		{"configurations in quick succession", w.storm, nil, false},
+		{"new weights", w.nameVersion, nil, false},
+	}
+	return all[r.IntN(len(all))]
+}
+
+func (w *world) allStandStill(d time.Duration) {
+	for _, p := range w.entries {
+		p.standStill(d)
+	}
+}
+
+func (w *world) stallAll(d time.Duration) {
+	for _, s := range w.runners {
+		s.stall(d)
+	}
+}
+
+// stallThird makes every third engine from the first one on stall.
+func (w *world) stallThird(first int, d time.Duration) {
+	for i := first % 3; i < len(w.runners); i += 3 {
+		w.runners[i].stall(d)
+	}
+}
+
+// storm writes several configurations, one shortly after the other.
+func (w *world) storm() {
+	for i := range stormLength {
+		time.AfterFunc(time.Duration(i)*stormGap, w.configure)
+	}
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/silverdeck/silverdeck/standin"
 )
 
 // process is one of our programs, started again whenever it ends. It is safe
@@ -21,7 +23,14 @@
 	down    bool
 	// disturbed is when a fault last struck it, planned when it was last asked to stop.
 	disturbed, planned time.Time
-	starts             int
+	// stops, reloads and faults are all such times.
+	stops, reloads, faults []time.Time
+	// asked is set once the running program was told to end.
+	asked bool
+	// selfEnded is how often it ended without that.
+	selfEnded int
+	// memory is the most that a life of the program held, in kilobytes.
+	memory int
 }
 
 // restartPause is the time between an end and the next start.
@@ -41,6 +50,7 @@
 		}
 		if err == nil {
 			_ = command.Wait()
+			p.noteEnd()
 		}
 		time.Sleep(restartPause)
 	}
@@ -56,7 +66,7 @@
 	p.command.Env = append(os.Environ(), p.env...)
 	p.command.Stdout = p.logs
 	p.command.Stderr = p.logs
-	p.starts++
+	p.asked = false
 	return p.command, p.command.Start()
 }
 
@@ -67,14 +77,70 @@
 	if p.command == nil || p.command.Process == nil {
 		return
 	}
-	if s == syscall.SIGTERM {
-		p.planned = time.Now()
-	} else {
-		p.disturbed = time.Now()
+	now := time.Now()
+	switch s {
+	case syscall.SIGTERM:
+		p.planned = now
+		p.stops = append(p.stops, now)
+		p.asked = true
+	case syscall.SIGHUP:
+		p.disturbed = now
+		p.reloads = append(p.reloads, now)
+	default:
+		p.disturbed = now
+		p.faults = append(p.faults, now)
+		p.asked = p.asked || s == syscall.SIGKILL
 	}
 	_ = p.command.Process.Signal(s)
 }
 
+// standStill keeps the program from running for d, as a busy VM does. It excuses nothing.
+func (p *process) standStill(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || p.command.Process == nil {
+		return
+	}
+	running := p.command.Process
+	_ = running.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { _ = running.Signal(syscall.SIGCONT) })
+}
+
+// noteEnd notes that the running program ended, and whether nobody asked it to.
+func (p *process) noteEnd() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.asked {
+		p.selfEnded++
+	}
+	if usage, ok := p.command.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		p.memory = max(p.memory, int(usage.Maxrss))
+	}
+}
+
+// check notes what the process did that no program of ours may do.
+func (p *process) check(w *standin.Witness) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.selfEnded > 0 {
+		w.Broken("%s ended by itself %d times", p.name, p.selfEnded)
+	}
+	if limit := standin.MemoryMB << 10; p.memory > limit {
+		w.Broken("%s held %d KB of the %d that it may", p.name, p.memory, limit)
+	}
+}
+
+// history returns what was done to the process.
+func (p *process) history() *History {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := &History{Stops: append([]time.Time{}, p.stops...), Reloads: append([]time.Time{}, p.reloads...)}
+	for _, at := range p.faults {
+		h.Faults = append(h.Faults, Span{From: at, To: at.Add(restartPause)})
+	}
+	return h
+}
+
 // stop ends the program for good.
 func (p *process) stop() {
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,19 +14,22 @@
 type Report struct {
 	Seed                                uint64
 	Asked, Served, Refused, Cut, Others int64
+	// MemoryKB is the most that one of our processes held, in kilobytes.
+	MemoryKB int
 	// Faults has a line for each fault, Broken one for each broken promise.
 	Faults, Broken []string
 }
 
 // String returns the report for people.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d promises broken",
-		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), len(r.Broken))
+	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d KB held at the most, %d promises broken",
+		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.MemoryKB, len(r.Broken))
 }
 
 // Limits of a soak.
 const (
-	// callers is how many send requests at once. Chosen by judgement.
+	// callers is how many send requests at once where the settings don't say. Chosen by
+	// judgement.
 	callers = 8
 	// startLimit is how long the system may take until all entries are ready.
 	startLimit = time.Minute
@@ -38,6 +41,9 @@
 	settleTime = time.Second
 )
 
+// platformBounds are the times that the settings of the stand-in tell.
+var platformBounds = Bounds{Contact: faultMemory, Grace: plannedWindow, Apply: 2 * time.Second, Slack: 200 * time.Millisecond}
+
 // Run plays one soak. The error tells that it could not be played.
 func Run(cfg Config) (*Report, error) {
 	w, err := newWorld(cfg)
@@ -56,9 +62,14 @@
 	go w.heartbeats(ctx)
 	result := &Result{}
 	w.play(result, report)
+	for _, line := range w.ledger.judge(w.history, platformBounds) {
+		w.witness.Broken("%s", line)
+	}
 	if !w.awaitAll(healLimit) {
 		w.witness.Broken("not every entry serves every route %s after the last fault", healLimit)
 	}
+	w.endAll()
+	report.MemoryKB = w.checkProcesses()
 	report.Asked, report.Served, report.Refused = result.Asked.Load(), result.Served.Load(), result.Refused.Load()
 	report.Cut, report.Others = result.Cut.Load(), result.Other.Load()
 	report.Broken = w.witness.Promises()
@@ -71,7 +82,7 @@
 	defer cancel()
 	var all []*caller
 	var asking sync.WaitGroup
-	for i := range callers {
+	for i := range w.cfg.callers() {
 		c := newCaller(w, i, result)
 		all = append(all, c)
 		asking.Go(func() { c.run(ctx) })
@@ -104,7 +115,8 @@
 }
 
 func (w *world) probeRoute(i int, host string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), resolveLimit)
+	limit := resolveLimit + time.Duration(w.cfg.events())*w.cfg.EventPause
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.entryAddrs[i].callers+"/go/x", strings.NewReader("probe"))
 	r.Host = host
--- a/soak/world.go
+++ b/soak/world.go
@@ -22,12 +22,38 @@
 	For time.Duration
 	// Entries and Runners are how many of each there are.
 	Entries, Runners int
+	// Callers is how many send requests at once; 0 means a few.
+	Callers int
+	// Routes is how many routes the configuration has beside those that are asked for.
+	Routes int
+	// Events is how many events a stream has and EventPause the time between two; 0 means
+	// few and short.
+	Events     int
+	EventPause time.Duration
+	// Mix is what happens meanwhile.
+	Mix Mix
 	// Programs is the folder of the built programs.
 	Programs string
 	// Work is a folder for settings and logs.
 	Work string
 }
 
+// events returns how many events a stream has.
+func (c *Config) events() int {
+	if c.Events > 0 {
+		return c.Events
+	}
+	return standin.Events
+}
+
+// callers returns how many callers there are.
+func (c *Config) callers() int {
+	if c.Callers > 0 {
+		return c.Callers
+	}
+	return callers
+}
+
 // Names of what the operator configures.
 const (
 	model        = "reader"
@@ -59,6 +85,13 @@
 	began                   time.Time
 	// disturbedAt is until when endpoints were last disturbed, in Unix nanoseconds.
 	disturbedAt atomic.Int64
+	ledger      *ledger
+
+	mu sync.Mutex
+	// changes are the configurations that were written, faults what disturbed endpoints
+	// and links.
+	changes []Change
+	faults  []Span
 }
 
 // entryAddr is where callers find an entry.
@@ -94,6 +127,13 @@
 	s.runner = standin.NewRunner(s.cfg, version)
 }
 
+// stall keeps all streams of the runner without an event for d.
+func (s *slot) stall(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Stall(d)
+}
+
 // lapse makes the platform forget the runner's record.
 func (s *slot) lapse() {
 	s.mu.Lock()
@@ -139,7 +179,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewWitness(), version: 1, began: time.Now(),
+		witness: standin.NewWitness(), version: 1, began: time.Now(), ledger: newLedger(),
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -181,6 +221,7 @@
 	host := 100 + i
 	s := &slot{cfg: standin.RunnerConfig{
 		Service: plainService, Zone: zone(i), Address: w.addr(host, portRunner), Slots: 16, Witness: w.witness, Store: w.store,
+		Events: w.cfg.Events, EventPause: w.cfg.EventPause, LoadCuts: w.cfg.Mix == MixLong,
 	}}
 	if i > 0 {
 		s.cfg.Service, s.cfg.Model = modelService, model
@@ -244,25 +285,88 @@
 
 // configure writes a new version of the configuration.
 func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.configVersion++
+	sent := time.Now()
 	w.store.Configure(standin.Configuration{
 		Version: w.configVersion,
-		Routes: []standin.Route{
+		Routes: append([]standin.Route{
 			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond},
 			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond},
-		},
+		}, w.otherRoutes()...),
 		Model: model, ModelService: modelService, PlainService: plainService,
 		Origin:  w.addr(251, portOrigin),
 		Account: accountName, Key: apiKey,
 	})
+	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
 }
 
-// close ends everything that was started.
-func (w *world) close() {
-	for _, p := range append(append([]*process{}, w.entries...), w.sidecars...) {
+// otherRoutes returns routes that nobody asks for. Some come, go and change from one
+// version to the next.
+func (w *world) otherRoutes() []standin.Route {
+	var out []standin.Route
+	for i := range w.cfg.Routes {
+		if (i+int(w.configVersion))%20 == 0 {
+			continue
+		}
+		out = append(out, standin.Route{Name: fmt.Sprintf("other-%d", i), Host: plainHost, Prefix: fmt.Sprintf("/other/%d/", i),
+			Service: plainService, Timeout: time.Duration(1+w.configVersion%5) * time.Second, LatencyTarget: 200 * time.Millisecond})
+	}
+	return out
+}
+
+// noteFault notes that endpoints or links are disturbed for d from now on.
+func (w *world) noteFault(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.faults = append(w.faults, Span{From: now, To: now.Add(d)})
+}
+
+// history returns what was done to a gateway and around it.
+func (w *world) history(gateway string) *History {
+	for _, p := range w.entries {
+		if p.name != gateway {
+			continue
+		}
+		h := p.history()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		h.Changes = append(h.Changes, w.changes...)
+		h.Faults = append(h.Faults, w.faults...)
+		return h
+	}
+	return &History{}
+}
+
+// processes returns all of our processes.
+func (w *world) processes() []*process {
+	return append(append([]*process{}, w.entries...), w.sidecars...)
+}
+
+// endAll ends all of our processes for good.
+func (w *world) endAll() {
+	for _, p := range w.processes() {
 		p.stop()
 	}
 	w.running.Wait()
+}
+
+// checkProcesses looks at how processes ended and what they held, and returns the most
+// memory that one held, in kilobytes.
+func (w *world) checkProcesses() int {
+	most := 0
+	for _, p := range w.processes() {
+		p.check(w.witness)
+		most = max(most, p.memory)
+	}
+	return most
+}
+
+// close ends everything that was started.
+func (w *world) close() {
+	w.endAll()
 	for _, l := range append(append([]*Proxy{}, w.storeLinks...), w.runnerLinks...) {
 		l.Close()
 	}
--- a/standin/format.go
+++ b/standin/format.go
@@ -20,6 +20,9 @@
 	Endpoint, Service string
 }
 
+// MemoryMB is the memory that the settings grant a process, in megabytes.
+const MemoryMB = 200
+
 const settingsFormat = `node: %q
 zone: %q
 region: "east"
@@ -29,7 +32,7 @@
 listen: {front: %q, ready: %q, directory: %q}
 app: %q
 service: %q
-limits: {memory_mb: 200, link_mbps: 1000}
+limits: {memory_mb: %d, link_mbps: 1000}
 bounds: {grace_s: 8, retry_budget_ratio: 0.2, retry_budget_extra: 100, budget_window_s: 10, version_ms: 8000, ttl_max_s: 5, drain_ms: 2000}
 platform: {address: %q}
 `
@@ -37,12 +40,14 @@
 // Settings returns the machine's settings file.
 func (m *Machine) Settings() []byte {
 	return fmt.Appendf(nil, settingsFormat, m.Name, m.Zone, m.IP, m.Ports[0], m.Ports[1],
-		m.Callers, m.Ready, m.Directory, m.Endpoint, m.Service, m.Store)
+		m.Callers, m.Ready, m.Directory, m.Endpoint, m.Service, MemoryMB, m.Store)
 }
 
 // Route is a route of the stand-in's configuration.
 type Route struct {
-	Name, Host, Service    string
+	Name, Host, Service string
+	// Prefix is that of its paths; empty means RoutePrefix.
+	Prefix                 string
 	Stream                 bool
 	Timeout, LatencyTarget time.Duration
 }
@@ -56,6 +61,9 @@
 	Account, Key                      string
 }
 
+// RoutePrefix is the prefix of the paths of routes that name none.
+const RoutePrefix = "/go/"
+
 type fields = map[string]any
 
 // Configure writes a configuration.
@@ -84,7 +92,11 @@
 	if r.Stream {
 		kind = "streaming"
 	}
-	return fields{"name": r.Name, "hostname": r.Host, "path_prefix": "/go/", "kind": kind, "service": r.Service,
+	prefix := r.Prefix
+	if prefix == "" {
+		prefix = RoutePrefix
+	}
+	return fields{"name": r.Name, "hostname": r.Host, "path_prefix": prefix, "kind": kind, "service": r.Service,
 		"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.LatencyTarget.Milliseconds(), "gap_target_ms": 300,
 		"max_attempts": 2, "priority": 1, "stream_resume": r.Stream}
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -12,12 +12,12 @@
 	"time"
 )
 
-// Events is how many events a stand-in's stream has.
+// Events is how many events a stand-in's stream has where its settings don't say.
 const Events = 8
 
 // Timing of a stand-in runner.
 const (
-	// eventPause is the time between two events of a stream.
+	// eventPause is the time between two events of a stream where the settings don't say.
 	eventPause = 20 * time.Millisecond
 	// workTime is how long a plain request takes.
 	workTime = 10 * time.Millisecond
@@ -32,6 +32,12 @@
 	// Model is empty for a plain endpoint.
 	Model string
 	Slots int
+	// Events is how many events a stream has, EventPause the time between two; zero
+	// means a few and short.
+	Events     int
+	EventPause time.Duration
+	// LoadCuts is set when an order to load cuts the streams that run.
+	LoadCuts bool
 	// Witness is told of all that runs.
 	Witness *Witness
 	// Store takes the record.
@@ -48,16 +54,47 @@
 	staged   [Chunks][]byte
 	running  int
 	leaving  bool
+	// stalledUntil is until when no stream gets an event.
+	stalledUntil time.Time
+	// cut is closed when the streams that run now are cut.
+	cut chan struct{}
 }
 
 // NewRunner returns a Runner that holds a version of its model, 0 for none, and
 // records it in the store.
 func NewRunner(cfg RunnerConfig, version int64) *Runner {
-	r := &Runner{cfg: cfg, version: version}
+	if cfg.Events == 0 {
+		cfg.Events = Events
+	}
+	if cfg.EventPause == 0 {
+		cfg.EventPause = eventPause
+	}
+	r := &Runner{cfg: cfg, version: version, cut: make(chan struct{})}
 	r.record()
 	return r
 }
 
+// Stall keeps all streams without an event for d, as an engine does that reads long
+// prompts or whose VM stands still.
+func (r *Runner) Stall(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stalledUntil = time.Now().Add(d)
+}
+
+// Cut cuts all streams that run, as an engine does that crashes.
+func (r *Runner) Cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutStreams()
+}
+
+// cutStreams cuts all streams that run. The caller holds the lock.
+func (r *Runner) cutStreams() {
+	close(r.cut)
+	r.cut = make(chan struct{})
+}
+
 // Leave states that the runner leaves.
 func (r *Runner) Leave() {
 	r.mu.Lock()
@@ -149,6 +186,9 @@
 			r.cfg.Witness.Broken("runner %s was ordered to load version %d with chunk %d missing or spoilt", r.cfg.ID, o.Version, i)
 		}
 	}
+	if r.cfg.LoadCuts {
+		r.cutStreams()
+	}
 	r.mu.Unlock()
 	w.WriteHeader(http.StatusAccepted)
 	time.AfterFunc(warmTime, func() {
@@ -203,13 +243,18 @@
 	}
 	defer r.leave()
 	r.cfg.Witness.Ran(id, string(body), q.Header.Get("X-Silverdeck-Tenant"))
+	brokenOff := false
+	defer func() { r.cfg.Witness.Ended(id, brokenOff) }()
 	w.Header().Set("X-Silverdeck-Response-Stamp", r.cfg.ID)
 	if r.cfg.Model == "" {
 		time.Sleep(workTime)
 		_, _ = io.WriteString(w, Answer(id, string(body)))
 		return
 	}
-	r.stream(w, q, id)
+	brokenOff = !r.stream(w, q, id)
+	if brokenOff {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // Answer returns the body of a plain answer.
@@ -222,16 +267,44 @@
 	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
 }
 
-func (r *Runner) stream(w http.ResponseWriter, q *http.Request, id string) {
+// stream answers with events and returns false when it was cut.
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, id string) bool {
+	r.mu.Lock()
+	cut := r.cut
+	r.mu.Unlock()
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := first + 1; n <= Events; n++ {
-		time.Sleep(eventPause)
+	for n := first + 1; n <= r.cfg.Events; n++ {
+		if !r.awaitEvent(cut) {
+			return false
+		}
 		if _, err := io.WriteString(w, Event(id, n)); err != nil {
-			return
+			return true
+		}
+		if http.NewResponseController(w).Flush() != nil || q.Context().Err() != nil {
+			return true
+		}
+	}
+	return true
+}
+
+// awaitEvent waits until the next event is there, or returns false when cut closes.
+func (r *Runner) awaitEvent(cut <-chan struct{}) bool {
+	for pause := r.cfg.EventPause; pause > 0; pause = r.stall() {
+		select {
+		case <-cut:
+			return false
+		case <-time.After(pause):
 		}
-		_ = http.NewResponseController(w).Flush()
 	}
+	return true
+}
+
+// stall returns for how long streams get nothing yet.
+func (r *Runner) stall() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Until(r.stalledUntil)
 }
 
 func (r *Runner) enter() bool {
--- a/standin/witness.go
+++ b/standin/witness.go
@@ -10,6 +10,10 @@
 	Count  int
 	Body   string
 	Tenant string
+	// Working is how many of them go on.
+	Working int
+	// BrokenOff is set when an endpoint ended one before its answer was whole.
+	BrokenOff bool
 }
 
 // Witness remembers what ran, and which promises were broken. It is safe for
@@ -30,7 +34,20 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.runs[id]
-	w.runs[id] = Run{Count: r.Count + 1, Body: body, Tenant: tenant}
+	r.Count++
+	r.Working++
+	r.Body, r.Tenant = body, tenant
+	w.runs[id] = r
+}
+
+// Ended notes that a run of the request id is over, and whether its endpoint broke it off.
+func (w *Witness) Ended(id string, brokenOff bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.runs[id]
+	r.Working--
+	r.BrokenOff = r.BrokenOff || brokenOff
+	w.runs[id] = r
 }
 
 // Of returns the runs of the request id.
