--- /dev/null
+++ b/gateway/proxy/handover_test.go
@@ -0,0 +1,112 @@
+package proxy_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/proxy"
+)
+
+// What users saw: five requests that had been accepted ended without an answer, on one run
+// with real processes.
+//
+// Order of events: an endpoint, or the gateway itself, stands still for a second. All of the
+// gateway's streams there get nothing. Each asks whether another endpoint is available and
+// the retry budget has a retry, is told yes, and gives up its endpoint, which is at work.
+// Then they take the retry and the endpoint: those who come second get none, and those whose
+// next endpoint refuses have no attempt left. Their callers' connections are closed.
+//
+// Cause: what worked was left on a check, before the next place was taken and sure.
+//
+// Evidence: on the code before, 143 requests were lost in two seeds of the soak with streams
+// of seconds; the gateways' lines name "endpoint left" for all of them, followed by "no
+// budget" for 113 and by a refusal and "no attempts" for 30. All of the endpoints were at
+// work and would have ended their answers.
+
+// slow is an endpoint that gets one stream: it sends two events, nothing for longer than
+// any wait, and then the rest.
+func slow(c net.Conn, r *http.Request) bool {
+	rest := func(c net.Conn, _ *http.Request) bool {
+		time.Sleep(1500 * time.Millisecond)
+		return chunks(c, stream(3), stream(4)) && end(c, nil)
+	}
+	return events(50*time.Millisecond, rest, 1, 2)(c, r)
+}
+
+func TestAStreamIsNotLeftBeforeAnotherEndpointHasTakenIt(t *testing.T) {
+	for name, next := range map[string]step{
+		"refuses":                text(503, "", "Not-Run: 1"),
+		"refuses late":           after(300*time.Millisecond, text(503, "", "Not-Run: 1")),
+		"has another owner":      text(421, ""),
+		"fails":                  text(500, "no"),
+		"closes":                 raw(""),
+		"is silent":              hang,
+		"answers with a status":  text(404, "no"),
+		"answers to another one": raw("HTTP/1.1 200 OK\r\nId: r0\r\nStamp: st\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("POST", "/stream/", "x")
+				w.g.Expect(a.cut).To(BeFalse())
+				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+				w.g.Expect(w.balancer.InFlight()).To(BeEmpty())
+			}, always(slow), always(next))
+		})
+	}
+	t.Run("is unreachable", func(t *testing.T) {
+		play(t, func(w *world) {
+			w.down["e1"] = true
+			a := w.ask("POST", "/stream/", "x")
+			w.g.Expect(a.cut).To(BeFalse())
+			w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+		}, always(slow), always(hang))
+	})
+	t.Run("has no budget by then", func(t *testing.T) {
+		play(t, func(w *world) {
+			var asked atomic.Int64
+			w.useBudget(proxy.NewBudget(0, 2, 10*time.Second, func() int { return int(asked.Add(1)) }))
+			a := w.ask("POST", "/stream/", "x")
+			w.g.Expect(a.cut).To(BeFalse())
+			w.g.Expect(a.Body.String()).To(HaveSuffix(stream(3, 4)))
+		}, always(slow), always(events(0, end, 3, 4)))
+	})
+}
+
+func TestStreamsThatStallTogetherAreAllAnswered(t *testing.T) {
+	play(t, func(w *world) {
+		w.useBudget(proxy.NewBudget(0, 1.2, 10*time.Second, func() int { return 1 }))
+		answers := make(chan answer, full)
+		for range full {
+			go func() { answers <- w.ask("POST", "/stream/", "x") }()
+		}
+		for range full {
+			a := <-answers
+			w.g.Expect(a.cut).To(BeFalse())
+			w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+		}
+		w.g.Expect(w.endpoints["e1"].count()).To(BeNumerically("<=", 1), "the budget")
+	}, always(slow), always(events(0, end, 3, 4)))
+}
+
+func TestAStreamThatGoesOnMeanwhileStaysWhereItIs(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.cut).To(BeFalse())
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+		w.g.Expect(w.endpoints["e1"].count()).To(Equal(1), "it was asked as well")
+		w.g.Expect(w.balancer.InFlight()).To(BeEmpty(), "and told to stop")
+	}, always(slow), always(after(10*time.Second, events(0, end, 3, 4))))
+}
+
+// after takes a step after a while.
+func after(d time.Duration, s step) step {
+	return func(c net.Conn, r *http.Request) bool {
+		time.Sleep(d)
+		return s(c, r)
+	}
+}
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -66,8 +66,12 @@
 	// draw is what the gateway draws, in thousandths.
 	draw   atomic.Int64
 	client *upstream.Client
+	budget *proxy.Budget
 }
 
+// longestStep is longer than any step of an endpoint takes.
+const longestStep = 20 * time.Second
+
 // play runs f in a world of endpoints that answer by scripts.
 func play(t *testing.T, f func(w *world), scripts ...[]step) {
 	synctest.Test(t, func(t *testing.T) {
@@ -83,23 +87,38 @@
 		w.balancer.Update(list)
 		w.balancer.Prefer(map[string]bool{"e0": true})
 		w.client = upstream.NewClient(upstream.WithDialer(w))
-		w.proxy = proxy.New(proxy.Config{
-			Headers: names, Balancer: w.balancer, Client: w.client,
-			Budget:  proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
-			Metrics: w.metrics, Log: log.New(io.Discard),
-			WeightsEnd: func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
-			MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
-		})
+		w.budget = proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 })
+		w.proxy = w.newProxy()
 		w.proxy.Use(configuration())
 		ctx, cancel := context.WithCancel(context.Background())
 		go w.touch(ctx)
+		defer func() { // also where f ends the test
+			cancel()
+			time.Sleep(longestStep)
+			synctest.Wait()
+			w.client.Keep(nil, time.Now())
+		}()
 		f(w)
-		cancel()
-		synctest.Wait()
-		w.client.Keep(nil, time.Now())
 	})
 }
 
+// newProxy returns a gateway without a configuration.
+func (w *world) newProxy() *proxy.Proxy {
+	return proxy.New(proxy.Config{
+		Headers: names, Balancer: w.balancer, Client: w.client, Budget: w.budget,
+		Metrics: w.metrics, Log: log.New(io.Discard),
+		WeightsEnd: func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
+		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
+	})
+}
+
+// useBudget makes the gateway's retry budget b.
+func (w *world) useBudget(b *proxy.Budget) {
+	w.budget = b
+	w.proxy = w.newProxy()
+	w.proxy.Use(configuration())
+}
+
 // touch lets the entry hear others, as heartbeats do.
 func (w *world) touch(ctx context.Context) {
 	for wait.For(ctx, 100*time.Millisecond) {
@@ -272,6 +291,16 @@
 	}
 }
 
+// chunks sends pieces of a stream and returns whether they went out.
+func chunks(c net.Conn, pieces ...string) bool {
+	for _, piece := range pieces {
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // end ends a stream as it should.
 func end(c net.Conn, _ *http.Request) bool {
 	_, err := io.WriteString(c, "0\r\n\r\n")
