proxy: an endpoint is left only once another one has answered

Cause of the lost requests: giveUp asked whether another endpoint was available and the budget had a retry, the endpoint was left, and only then were retry and place taken. Many streams that stall together were promised one retry; a next endpoint that refused left no attempt. The class is "what works is left on a check"; in its place a request is hedged: the place and the retry are taken first, the other endpoint is asked while the first is still waited for, the first that answers serves it, and a hedge that fails costs nothing but its retry. The same for plain requests that may run twice, and for an endpoint's error answer, which is kept and told where no better one comes. Balancer.Available and Budget.Available, the checks that promised, are gone; nothing asks without taking.

A process that stood still finds its read deadline passed before the bytes that came meanwhile: they are read first now. Times of bytes are kept by the steady clock. A request with no time left no longer ejects its endpoint.

The policy's test of plain requests says Hedge for Leave, as the rule does now.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -9,7 +9,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/silverdeck/silverdeck/roster"
@@ -26,6 +25,9 @@
 	// MaxLoad is the load, in requests for each slot, at which an endpoint is
 	// full; zero means no limit.
 	MaxLoad float64
+	// Healthy asks for an endpoint that is not ejected, paused or suspected, also where
+	// there is no other.
+	Healthy bool
 	// Prefill is how long a model engine reads the prompt before the answer
 	// begins; it delays all other requests there.
 	Prefill time.Duration
@@ -50,9 +52,8 @@
 // Balancer chooses endpoints. It is safe for concurrent use.
 type Balancer struct {
 	cfg Config
-	// lastTraffic is when anything last came from another process, in Unix
-	// nanoseconds; see NoteTraffic.
-	lastTraffic *atomic.Int64
+	// lastTraffic is when anything last came from another process; see NoteTraffic.
+	lastTraffic moment
 
 	mu       sync.RWMutex
 	services map[string]*shard
@@ -66,13 +67,13 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Belief) {}
 	}
-	return &Balancer{cfg: cfg, lastTraffic: &atomic.Int64{}, services: map[string]*shard{}}
+	return &Balancer{cfg: cfg, services: map[string]*shard{}}
 }
 
 // NoteTraffic notes that something came from another process, so that this gateway
 // and its link are well. While nothing comes at all, no endpoint counts as idle.
 func (b *Balancer) NoteTraffic(now time.Time) {
-	b.lastTraffic.Store(now.UnixNano())
+	b.lastTraffic.note(now)
 }
 
 // Update takes in the list of endpoints. What is known of those that stay is kept.
@@ -121,22 +122,6 @@
 	return &Lease{Record: chosen.record, balancer: b, shard: s, endpoint: chosen, prefill: q.Prefill}, nil
 }
 
-// Available returns whether an endpoint for q could be chosen now.
-func (b *Balancer) Available(q *Query, now time.Time) bool {
-	s := b.shard(q.Service)
-	if s == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.endpoints {
-		if e.fits(q) && b.usable(e, now) && (q.MaxLoad == 0 || b.load(e) < q.MaxLoad) {
-			return true
-		}
-	}
-	return false
-}
-
 // Prefer tells which endpoints this gateway prefers to others, by ID.
 func (b *Balancer) Prefer(ids map[string]bool) {
 	b.eachShard(func(s *shard) {
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -119,9 +119,10 @@
 		b.describe(&c, e)
 		c.Load = load
 		cost := Cost(&c)
-		if b.usable(e, now) {
+		switch {
+		case b.usable(e, now):
 			usable.offer(e, cost)
-		} else {
+		case !q.Healthy:
 			unusable.offer(e, cost)
 		}
 	}
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -39,7 +39,7 @@
 
 // Received notes that bytes of an answer came from the endpoint.
 func (l *Lease) Received(now time.Time) {
-	l.endpoint.lastByte.Store(now.UnixNano())
+	l.endpoint.lastByte.note(now)
 	l.balancer.NoteTraffic(now)
 }
 
@@ -52,11 +52,11 @@
 // request of this gateway, at most since. The time in which nothing came from
 // anybody does not count.
 func (l *Lease) Idle(since, now time.Time) time.Duration {
-	if last := l.endpoint.lastByteAt(); last.After(since) {
+	if last := l.endpoint.lastByte.last(); last.After(since) {
 		since = last
 	}
 	until := now
-	if last := time.Unix(0, l.balancer.lastTraffic.Load()); now.Sub(last) > ownIdleLimit {
+	if last := l.balancer.lastTraffic.last(); now.Sub(last) > ownIdleLimit {
 		until = last
 	}
 	return max(until.Sub(since), 0)
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/silverdeck/silverdeck/roster"
@@ -28,8 +27,8 @@
 	// announced are weights that the process beside the endpoint told of; the
 	// record in the store follows later.
 	announced roster.Weights
-	// lastByte is when bytes of an answer last came, in Unix nanoseconds.
-	lastByte atomic.Int64
+	// lastByte is when bytes of an answer last came.
+	lastByte moment
 }
 
 // update replaces the records; what is known of endpoints that stay is kept.
@@ -78,8 +77,3 @@
 	}
 	return e.record.Holds(model)
 }
-
-// lastByteAt returns when bytes of an answer last came.
-func (e *endpoint) lastByteAt() time.Time {
-	return time.Unix(0, e.lastByte.Load())
-}
--- a/gateway/balance/suspect.go
+++ b/gateway/balance/suspect.go
@@ -22,7 +22,7 @@
 	if !e.health.usable(now) {
 		return false
 	}
-	if e.health.ejections > 0 || now.Sub(e.lastByteAt()) < freshByte {
+	if e.health.ejections > 0 || now.Sub(e.lastByte.last()) < freshByte {
 		return true
 	}
 	return !b.cfg.Suspected(e.record.ID)
--- a/gateway/policy/load.go
+++ b/gateway/policy/load.go
@@ -34,6 +34,6 @@
 	return min(1+queue/float64(engine.Slots), defaultMaxLoad)
 }
 
-// idleLoad is the load below which another endpoint is worth leaving a slow one
-// for: it begins there without waiting for a slot. Chosen by judgement.
+// idleLoad is the load below which another endpoint is worth asking beside a slow one:
+// the request begins there without waiting for a slot. Chosen by judgement.
 const idleLoad = 0.8
--- a/gateway/policy/stall.go
+++ b/gateway/policy/stall.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// When an endpoint that does not answer is left for another. Targets are those of
+// When another endpoint is asked for a request whose endpoint does not answer. Targets are those of
 // the request's route.
 const (
 	// gapFactor is how many times the target between events an endpoint may send
@@ -56,7 +56,7 @@
 }
 
 // Wait is what becomes of a request whose endpoint is waited for. It is one of
-// KeepWaiting, Leave and LeaveIfElsewhere.
+// KeepWaiting, Leave and Hedge.
 type Wait interface {
 	wait()
 }
@@ -67,22 +67,23 @@
 // Leave gives the endpoint up, whatever there is elsewhere.
 type Leave struct{}
 
-// LeaveIfElsewhere gives the endpoint up if another one could take the request now
-// and the retry budget has a retry left.
-type LeaveIfElsewhere struct {
+// Hedge goes on waiting and sends the request to another endpoint as well, if one can take
+// it now and the retry budget has a retry. The first that answers serves it: an endpoint is
+// not left on the mere prospect of another, which may refuse, fail or be taken by then.
+type Hedge struct {
 	// MaxLoad is the load below which the other endpoint must be, in requests for
 	// each slot; 0 means any.
 	MaxLoad float64
 }
 
-func (KeepWaiting) wait()      {}
-func (Leave) wait()            {}
-func (LeaveIfElsewhere) wait() {}
+func (KeepWaiting) wait() {}
+func (Leave) wait()       {}
+func (Hedge) wait()       {}
 
 // WaitForStream returns whether a stream goes on waiting for its endpoint. A stream
 // that has not begun must not begin on outdated weights. An endpoint that is idle
-// on all streams is left for any other; one that sends to others is left only for
-// an endpoint with a free slot, since the place in its queue is worth something.
+// on all streams is doubted in favour of any other; one that sends to others only of one
+// with a free slot, since the place in its queue is worth something.
 func WaitForStream(s Stall) Wait {
 	switch {
 	case !s.Begun && s.Outdated:
@@ -90,9 +91,9 @@
 	case s.LastAttempt:
 		return KeepWaiting{}
 	case s.EndpointIdle > s.EndpointIdleLimit:
-		return LeaveIfElsewhere{}
+		return Hedge{}
 	case s.StreamIdle > s.StreamIdleLimit:
-		return LeaveIfElsewhere{MaxLoad: idleLoad}
+		return Hedge{MaxLoad: idleLoad}
 	}
 	return KeepWaiting{}
 }
@@ -102,7 +103,7 @@
 // target.
 func WaitForPlain(waited, target time.Duration, lastAttempt bool) Wait {
 	if !lastAttempt && waited > plainFactor*target {
-		return Leave{}
+		return Hedge{}
 	}
 	return KeepWaiting{}
 }
--- a/gateway/proxy/budget.go
+++ b/gateway/proxy/budget.go
@@ -77,13 +77,6 @@
 	return true
 }
 
-// Available returns whether a repeated request for service could be taken now.
-func (b *Budget) Available(service string, purpose Purpose, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.allows(b.history(service, now), purpose)
-}
-
 // allows returns whether h has room for one repeated request. The caller holds
 // the lock.
 func (b *Budget) allows(h *history, purpose Purpose) bool {
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/routes"
+	"github.com/silverdeck/silverdeck/verdict"
 )
 
 // call is one caller's request on its way, as it was accepted and how far it has
@@ -35,6 +37,12 @@
 type progress struct {
 	// attempted are the endpoints that had the request, by ID, in order.
 	attempted []string
+	// hedge is the attempt under way beside the one that is waited for, or nil.
+	hedge *hedge
+	// watch looks at the endpoint that is waited for; a hedge wakes it.
+	watch atomic.Pointer[upstream.Watch]
+	// fallback is an endpoint's error answer while another one may give a better one.
+	fallback *wholeAnswer
 	// mayHaveRun is set once the request may have run somewhere.
 	mayHaveRun bool
 	// headSent is set once the answer's head was sent to the caller: the status can't
@@ -59,6 +67,13 @@
 	endedByBudget = "no budget"
 )
 
+// noteFailure takes in what a failed attempt tells.
+func (p *progress) noteFailure(e *verdict.Error) {
+	if e.Verdict != verdict.NotRun {
+		p.mayHaveRun = true
+	}
+}
+
 // noteEvent measures the pauses of a stream.
 func (p *progress) noteEvent(now, startedAt time.Time) {
 	if p.lastEventAt.IsZero() {
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -22,6 +22,8 @@
 	// Left counts endpoints that were left because nothing came from them, Cut answers that
 	// ended before they were whole and before their time.
 	Left, Cut metrics.Counter
+	// Hedged counts requests that were sent to another endpoint while theirs was waited for.
+	Hedged metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -40,6 +42,7 @@
 		Repeats:     metrics.NewRegisteredCounter("gateway.repeats", r),
 		Connections: metrics.NewRegisteredCounter("gateway.connections", r),
 		Left:        metrics.NewRegisteredCounter("gateway.left", r),
+		Hedged:      metrics.NewRegisteredCounter("gateway.hedged", r),
 		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
@@ -77,6 +80,20 @@
 		"endpointIdleMs", s.EndpointIdle.Milliseconds(), "outdated", s.Outdated, "begun", c.headSent, "event", c.lastEventID)
 }
 
+// logHedge notes that another endpoint is asked while that of lease is waited for.
+func (p *Proxy) logHedge(c *call, lease *balance.Lease, s *policy.Stall) {
+	p.cfg.Metrics.Hedged.Inc(1)
+	p.cfg.Log.Info("hedged", "request", c.id, "endpoint", lease.Record.ID, "other", c.hedge.lease.Record.ID,
+		"ms", time.Since(c.startedAt).Milliseconds(), "idleMs", s.StreamIdle.Milliseconds(),
+		"endpointIdleMs", s.EndpointIdle.Milliseconds(), "begun", c.headSent, "event", c.lastEventID)
+}
+
+// logHedgeDropped notes that the other endpoint is not needed.
+func (p *Proxy) logHedgeDropped(c *call, h *hedge) {
+	p.cfg.Log.Info("hedge dropped", "request", c.id, "endpoint", h.lease.Record.ID,
+		"ms", time.Since(c.startedAt).Milliseconds(), "sentMs", time.Since(h.sentAt).Milliseconds())
+}
+
 // noteWeights notes an answer that begins on weights past their limit, which no
 // endpoint should give. It began up to one way earlier than its head is seen here.
 func (p *Proxy) noteWeights(c *call, x *upstream.Exchange, lease *balance.Lease, sentAt time.Time) {
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -33,15 +33,16 @@
 	_ = out.SetWriteDeadline(c.deadline.Add(writeSlack)) // fails only once the caller is gone
 	var events eventReader
 	events.limit = maxEvent
-	giveUp := p.giveUp(c, lease)
+	watch := p.watch(ctx, c, lease)
 	for {
-		if err := x.Await(giveUp); err != nil {
+		if err := x.Await(watch); err != nil {
 			return streamFailure(ctx, err), balance.Failed
 		}
 		whole, err := events.next(x)
 		lease.Received(time.Now())
 		if len(whole) > 0 {
 			lease.PrefillDone()
+			p.dropHedge(c)
 			if failure := p.passEvents(w, out, c, x, whole); failure != nil {
 				return failure, balance.Neutral
 			}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -116,9 +115,8 @@
 type Options struct {
 	// Fresh asks for a connection that was not used before.
 	Fresh bool
-	// GiveUp is asked from time to time while the head of the answer is awaited;
-	// nil means never.
-	GiveUp func() bool
+	// Watch is asked while the head of the answer is awaited; nil means never.
+	Watch *Watch
 }
 
 // Probes by which TCP finds a dead endpoint within five seconds. Chosen by judgement.
@@ -131,29 +129,6 @@
 	probeCount = 3
 )
 
-// askEvery is how often GiveUp is asked. Chosen by judgement: half a heartbeat.
-const askEvery = 100 * time.Millisecond
-
-// await waits until bytes have come, or returns os.ErrDeadlineExceeded once
-// giveUp says so. Other errors are left for the next reading.
-func (c *conn) await(giveUp func() bool) error {
-	if giveUp == nil {
-		return nil
-	}
-	for c.reader.Buffered() == 0 {
-		_ = c.SetReadDeadline(time.Now().Add(askEvery))
-		_, err := c.reader.Peek(1)
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			break
-		}
-		if giveUp() {
-			return err
-		}
-	}
-	_ = c.SetReadDeadline(time.Time{})
-	return nil
-}
-
 // Do sends q to the endpoint at addr and waits for the head of the answer. A
 // failure is a *verdict.Error. When ctx ends the connection is closed, also
 // while the body is read.
@@ -171,7 +146,7 @@
 		cn = &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
-	head, progress, err := cn.roundTrip(q, o.GiveUp)
+	head, progress, err := cn.roundTrip(q, o.Watch)
 	if err != nil {
 		stop()
 		cn.abort()
@@ -199,7 +174,7 @@
 }
 
 // roundTrip writes q and reads the head of the answer.
-func (c *conn) roundTrip(q *Request, giveUp func() bool) (*http.Response, verdict.Progress, error) {
+func (c *conn) roundTrip(q *Request, w *Watch) (*http.Response, verdict.Progress, error) {
 	n, err := c.Write(encode(q))
 	if err != nil {
 		if n == 0 && !errors.Is(err, net.ErrClosed) {
@@ -207,7 +182,7 @@
 		}
 		return nil, verdict.Written, err
 	}
-	if err := c.await(giveUp); err != nil {
+	if err := w.await(c); err != nil {
 		return nil, verdict.Written, err
 	}
 	for {
@@ -251,12 +226,12 @@
 }
 
 // Await waits until more of the body has come, or returns
-// os.ErrDeadlineExceeded once giveUp says so.
-func (x *Exchange) Await(giveUp func() bool) error {
+// os.ErrDeadlineExceeded once w gives up.
+func (x *Exchange) Await(w *Watch) error {
 	if x.Length >= 0 && x.read >= x.Length {
 		return nil
 	}
-	return x.conn.await(giveUp)
+	return w.await(x.conn)
 }
 
 // Read reads the body; io.EOF says that it is whole.
