gateway: a planned stop takes only what it can wait for, and answers what it ends

Now whoever may last longer than the gateway is refused at once and served by another; what is ended without the head of an answer gets 503 or 504; whether a connection is at rest is decided under the lock of what is read from it, and a stop closes only those. Nothing is sent to an endpoint once a request's time is over.

The soak counts a caller's time from before its own clock starts: a trace showed a caller that left at its limit counted as cut 0 ms before it.

--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -16,11 +16,16 @@
 	// judgement, not measured.
 	registerPause = 500 * time.Millisecond
 	// acceptLeaving is how long a leaving gateway takes new connections, for callers
-	// that kept its address: longer than addressTTL. Chosen by judgement.
+	// that kept its address: longer than addressTTL. What may not end in time is refused
+	// meanwhile; see policy.EndsInTime. Chosen by judgement.
 	acceptLeaving = 3 * time.Second
 	// stopMargin is taken from the time that a planned stop may take, for what comes
 	// after the last request. Chosen by judgement.
 	stopMargin = 400 * time.Millisecond
+	// lastAnswers is how long before that requests in progress are ended, so that those
+	// without an answer get one. Chosen by judgement: an answer takes some milliseconds, on a
+	// busy VM up to a hundred.
+	lastAnswers = 200 * time.Millisecond
 	// lastLines is how long the process stays after its servers are closed, so that the
 	// last heartbeat and log lines go out. Chosen by judgement.
 	lastLines = 100 * time.Millisecond
@@ -84,13 +89,15 @@
 // Stop ends without cutting requests in progress, for as long as the platform allows.
 func (g *Gateway) Stop(ctx context.Context) error {
 	started := time.Now()
+	last := started.Add(g.cfg.Grace - stopMargin)
 	g.leaving.Store(true)
-	g.proxy.Leave()
+	g.proxy.Leave(last.Add(-lastAnswers))
 	g.log.Info("stopping", "running", g.proxy.Running().Count())
 	go g.unregister(ctx)
 	wait.For(ctx, acceptLeaving)
-	ctx, cancel := context.WithDeadline(ctx, started.Add(g.cfg.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(ctx, last)
 	defer cancel()
+	defer time.AfterFunc(time.Until(last)-lastAnswers, g.proxy.End).Stop()
 	err := g.callers.Shutdown(ctx)
 	g.cancel()
 	for _, s := range g.others {
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -57,6 +57,9 @@
 	if told {
 		c.spent = p.patience.spent(c.patienceKey(), patience, c.startedAt)
 	}
+	if !p.takes(c.deadline) {
+		return c, verdict.NewError(verdict.NotRun, verdict.CodeLeaving, "this gateway ends before the request may").After(policy.RetrySoon)
+	}
 	c.request = &upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: p.forwardHeader(r.Header, c), Body: body}
 	return c, nil
 }
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -95,7 +95,7 @@
 	if c.mayHaveRun {
 		e.Verdict = verdict.MayHaveRun
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		e.Code = verdict.CodeCanceled
 	}
 	if e.Verdict == verdict.NotRun {
@@ -139,7 +139,7 @@
 	}
 	c.attempted = append(c.attempted, lease.Record.ID)
 	a := &attempt{lease: lease, sentAt: time.Now(), outcome: balance.Neutral}
-	if time.Until(c.deadline) < time.Millisecond { // the header holds whole milliseconds
+	if ctx.Err() != nil || time.Until(c.deadline) < time.Millisecond { // the header holds whole milliseconds
 		a.failure = verdict.NewError(verdict.NotRun, verdict.CodeDeadline, "no time left")
 		return a, nil
 	}
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/silverdeck/silverdeck/drain"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/header"
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -47,7 +48,12 @@
 	cfg     Config
 	routes  atomic.Pointer[routes.Config]
 	running *drain.Tracker
-	leaving atomic.Bool
+	// leaving is when the process ends that was told to stop, or nil.
+	leaving atomic.Pointer[time.Time]
+	// ending ends with all requests in progress.
+	ending context.Context
+	// End ends the requests in progress: those without the head of an answer get one.
+	End context.CancelFunc
 	// patience tells late callers from others, refusals when a service was full.
 	patience *patience
 	refusals *refusals
@@ -55,7 +61,9 @@
 
 // New returns a Proxy without a configuration.
 func New(cfg Config) *Proxy {
-	return &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals()}
+	p := &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals()}
+	p.ending, p.End = context.WithCancel(context.Background())
+	return p
 }
 
 // Supersedes returns whether c is newer than the configuration in force.
@@ -86,9 +94,16 @@
 	return p.routes.Load()
 }
 
-// Leave makes answers end their connections.
-func (p *Proxy) Leave() {
-	p.leaving.Store(true)
+// Leave makes answers end their connections. From now on only requests are taken whose time
+// is over by end, when the process stops waiting for them.
+func (p *Proxy) Leave(end time.Time) {
+	p.leaving.Store(&end)
+}
+
+// takes returns whether a request with a deadline is taken.
+func (p *Proxy) takes(deadline time.Time) bool {
+	end := p.leaving.Load()
+	return end == nil || policy.EndsInTime(deadline, *end)
 }
 
 // Running tells of the requests in progress.
@@ -100,7 +115,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.running.Enter()
 	defer p.running.Leave()
-	if p.leaving.Load() {
+	if p.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c, failure := p.accept(w, r)
@@ -118,6 +133,8 @@
 func (p *Proxy) serve(ctx context.Context, w http.ResponseWriter, c *call) *verdict.Error {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer context.AfterFunc(p.ending, func() { end(context.DeadlineExceeded) })()
 	p.cfg.Budget.Request(c.service, c.startedAt)
 	return p.run(ctx, w, c)
 }
--- a/gateway/proxy/proxy_test.go
+++ b/gateway/proxy/proxy_test.go
@@ -437,7 +437,7 @@
 
 func TestALeavingEntryEndsItsConnections(t *testing.T) {
 	play(t, func(w *world) {
-		w.proxy.Leave()
+		w.proxy.Leave(time.Now().Add(time.Minute))
 		a := w.ask("POST", "/unsafe/", "x")
 		w.g.Expect(a.Code).To(Equal(200))
 		w.g.Expect(a.Header().Get("Connection")).To(Equal("close"))
--- a/serve/reloadable.go
+++ b/serve/reloadable.go
@@ -35,6 +35,13 @@
 	// servers are all servers by their limits; those that are not current serve the
 	// connections that they have.
 	servers map[Limits]*limitedServer
+	// stopping is set once no new connections are taken.
+	stopping bool
+
+	// conns are the open connections, from the moment at which they are accepted.
+	conns *connections
+	// accepted is closed once no more are.
+	accepted chan struct{}
 }
 
 // limitedServer is an http.Server that takes the connections handed to it.
@@ -49,7 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Reloadable{handler: h, log: l, listener: listener, servers: map[Limits]*limitedServer{}}
+	s := &Reloadable{
+		handler: h, log: l, listener: listener, servers: map[Limits]*limitedServer{},
+		conns: newConnections(), accepted: make(chan struct{}),
+	}
 	s.SetLimits(limits)
 	go s.accept()
 	return s, nil
@@ -59,6 +69,9 @@
 func (s *Reloadable) SetLimits(limits Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopping {
+		return // a server that starts now would not be waited for
+	}
 	if s.servers[limits] == nil {
 		s.servers[limits] = s.start(limits)
 	}
@@ -74,6 +87,7 @@
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ErrorLog:          s.log.StandardLog(),
+			ConnState:         noteState,
 		},
 		conns: &handoff{addr: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})},
 	}
@@ -87,6 +101,7 @@
 
 // accept hands each new connection to the current server until the listener closes.
 func (s *Reloadable) accept() {
+	defer close(s.accepted)
 	for {
 		conn, err := s.listener.Accept()
 		switch {
@@ -96,7 +111,7 @@
 			s.log.Warn("connection not accepted", "addr", s.listener.Addr().String(), "err", err)
 			time.Sleep(acceptPause)
 		default:
-			s.newest().conns.give(conn)
+			s.newest().conns.give(s.conns.add(conn))
 		}
 	}
 }
@@ -107,19 +122,27 @@
 	return s.current
 }
 
-// Shutdown takes no new connections and waits until those in use are idle, or for
-// ctx; see http.Server.Shutdown.
+// Reading returns on how many connections a request is read or answered.
+func (s *Reloadable) Reading() int {
+	return s.conns.busy()
+}
+
+// Shutdown takes no new connections and closes those at rest. It waits until the others
+// have answered, or for ctx. In place of http.Server.Shutdown, which closes a connection
+// while its next request is being read, and does not wait for one that was just accepted.
 func (s *Reloadable) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
 	err := s.listener.Close()
-	servers := s.all()
-	failures := make(chan error, len(servers))
-	for _, server := range servers {
-		go func() { failures <- server.Shutdown(ctx) }()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // a second shutdown
 	}
-	for range servers {
-		err = errors.Join(err, <-failures)
+	<-s.accepted
+	for _, server := range s.all() {
+		err = errors.Join(err, server.conns.Close())
 	}
-	return err
+	return errors.Join(err, s.conns.shutdown(ctx))
 }
 
 func (s *Reloadable) all() []*limitedServer {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -23,7 +23,7 @@
 
 // serve serves s at listener until it is closed; another end is logged.
 func serve(s *http.Server, listener net.Listener, l *log.Logger) {
-	if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		l.Error("server ended", "addr", listener.Addr().String(), "err", err)
 	}
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -136,6 +136,7 @@
 	if c.random.IntN(20) == 0 {
 		limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
 	}
+	began := time.Now() // before its time begins to count
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var seen sending
@@ -151,7 +152,6 @@
 	}
 	r.GetBody = nil
 	c.result.Asked.Add(1)
-	began := time.Now()
 	resp, err := c.client.Do(r)
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
