proxy: an answer that has begun may go on at an endpoint that had it before

A route bounds how many endpoints a request is sent to, not how often: now such an answer goes on at one of those, twice to each at the most and within the retry budget, 0.2 s after a refusal.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -20,8 +20,9 @@
 	// Model and MinVersion are weights that the endpoint must hold; empty for none.
 	Model      string
 	MinVersion int64
-	// Exclude are endpoints that had the request already, by ID.
-	Exclude []string
+	// Exclude are endpoints that must not have the request, by ID, and Among, unless it is
+	// empty, the only ones that may.
+	Exclude, Among []string
 	// MaxLoad is the load, in requests for each slot, at which an endpoint is
 	// full; zero means no limit.
 	MaxLoad float64
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -67,6 +67,9 @@
 	if q.Model != "" && e.holds(q.Model) < max(q.MinVersion, 1) {
 		return false
 	}
+	if len(q.Among) > 0 && !slices.Contains(q.Among, e.record.ID) {
+		return false
+	}
 	return !slices.Contains(q.Exclude, e.record.ID)
 }
 
--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -37,6 +37,16 @@
 		policy.Failure{Code: verdict.CodeUnreachable, Verdict: verdict.NotRun, Left: 20*ms - 1}, policy.NoTime),
 )
 
+var _ = DescribeTable("an answer that has begun goes on where it was before",
+	func(attempts int, last verdict.Code, want bool) {
+		Expect(policy.Returns(attempts, 2, last)).To(Equal(want))
+	},
+	Entry("after the route's attempts", 2, verdict.CodeCut, true),
+	Entry("up to twice as many", 3, verdict.CodeOverloaded, true),
+	Entry("and no more", 4, verdict.CodeCut, false),
+	Entry("not where no such endpoint may have it", 3, verdict.CodeNoEndpoint, false),
+)
+
 var _ = DescribeTable("an error answer is replaced by another attempt",
 	func(a policy.ErrorAnswer, want bool) {
 		Expect(policy.ReplaceErrorAnswer(a)).To(Equal(want))
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -79,6 +79,24 @@
 	return BudgetedRetry
 }
 
+// When an answer that has begun goes on at an endpoint that had it before.
+const (
+	// ReturnPause is how long it waits before that after a refusal: an endpoint that loads
+	// weights takes requests again a moment later, and an event that comes 0.2 s late is
+	// still in time. Chosen by judgement.
+	ReturnPause = 200 * time.Millisecond
+	// returnFactor is how many times the route's attempts there may be with these. Chosen by
+	// judgement: twice to each endpoint.
+	returnFactor = 2
+)
+
+// Returns returns whether an answer that has begun may go on, after so many attempts, at an
+// endpoint that had it before. maxAttempts is the route's limit of endpoints, last why the
+// last attempt failed.
+func Returns(attempts, maxAttempts int, last verdict.Code) bool {
+	return attempts < returnFactor*maxAttempts && last != verdict.CodeNoEndpoint
+}
+
 // ErrorAnswer is an endpoint's complete answer with a status of 500 or above.
 type ErrorAnswer struct {
 	// Repeatable is set when the route allows a request to run more than once.
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // attempt is a request at one endpoint.
@@ -58,13 +59,24 @@
 	if c.hedge != nil {
 		return true // it is under way
 	}
-	if max(tries, len(c.attempted)) >= c.route.Attempts {
+	if max(tries, len(c.attempted)) >= c.route.Attempts && !returns(ctx, c, tries, last) {
 		c.ended = endedByAttempts
 		return false
 	}
 	return len(c.attempted) == 0 || p.retries(ctx, c, last)
 }
 
+// returns returns whether an answer that has begun goes on, after so many attempts, at an
+// endpoint that had it before: one whose hedge was dropped, or that was left. The route
+// bounds how many endpoints a request is sent to, not how often. Where one has just
+// refused it, it waits before that.
+func returns(ctx context.Context, c *call, tries int, last *verdict.Error) bool {
+	if !c.headSent || !policy.Returns(tries, c.route.Attempts, last.Code) {
+		return false
+	}
+	return last.Verdict != verdict.NotRun || wait.For(ctx, policy.ReturnPause)
+}
+
 // retries returns whether the request goes to another endpoint, and takes the
 // retry from the budget.
 func (p *Proxy) retries(ctx context.Context, c *call, last *verdict.Error) bool {
@@ -130,6 +142,7 @@
 	if h := c.hedge; h != nil {
 		<-h.done
 		c.hedge = nil
+		c.current = h.lease.Record.ID
 		p.noteConnection(&h.attempt)
 		return &h.attempt, nil
 	}
@@ -137,7 +150,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	c.attempted = append(c.attempted, lease.Record.ID)
+	c.noteAttempt(lease.Record.ID)
 	a := &attempt{lease: lease, sentAt: time.Now(), outcome: balance.Neutral}
 	if ctx.Err() != nil || time.Until(c.deadline) < time.Millisecond { // the header holds whole milliseconds
 		a.failure = verdict.NewError(verdict.NotRun, verdict.CodeDeadline, "no time left")
@@ -162,6 +175,9 @@
 // query returns what an endpoint is wanted for.
 func (p *Proxy) query(c *call) *balance.Query {
 	q := &balance.Query{Service: c.service, Exclude: c.attempted}
+	if c.lastAttempt() {
+		q.Exclude, q.Among = []string{c.current}, c.attempted
+	}
 	if c.route.Kind == routes.Stream {
 		q.Model = c.model
 		q.MinVersion = p.cfg.MinVersion(c.model)
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +36,10 @@
 
 // progress is how far a call has come.
 type progress struct {
-	// attempted are the endpoints that had the request, by ID, in order.
+	// attempted are the endpoints that had the request, by ID, in order, current the one
+	// that has it or had it last.
 	attempted []string
+	current   string
 	// hedge is the attempt under way beside the one that is waited for, or nil.
 	hedge *hedge
 	// watch looks at the endpoint that is waited for; a hedge wakes it.
@@ -67,6 +70,14 @@
 	endedByBudget = "no budget"
 )
 
+// noteAttempt notes that the endpoint with id has the request now.
+func (p *progress) noteAttempt(id string) {
+	p.current = id
+	if !slices.Contains(p.attempted, id) {
+		p.attempted = append(p.attempted, id)
+	}
+}
+
 // noteFailure takes in what a failed attempt tells.
 func (p *progress) noteFailure(e *verdict.Error) {
 	if e.Verdict != verdict.NotRun {
--- a/gateway/proxy/handover_test.go
+++ b/gateway/proxy/handover_test.go
@@ -124,6 +124,59 @@
 	}, always(slow), always(after(10*time.Second, events(0, end, 3, 4))))
 }
 
+// A stream whose hedge was dropped, and whose endpoint then broke off, was cut for want of
+// attempts: four such were lost in a soak of the first form of the mend.
+func TestAStreamGoesOnWhereItWasBefore(t *testing.T) {
+	cutAfter := func(ids ...int) step { return events(50*time.Millisecond, raw(""), ids...) }
+	rest := func(ids ...int) step { return events(0, end, ids...) }
+	refuse := text(503, "", "Not-Run: 1")
+	for name, c := range map[string]struct {
+		first, second []step
+		want          string
+		cut           bool
+	}{
+		"at that of a hedge that was dropped": {always(slowThenCut), []step{hang, rest(4, 5)}, stream(1, 2, 3, 4, 5), false},
+		"at the first, after both broke off":  {[]step{cutAfter(1), rest(3, 4)}, always(cutAfter(2)), stream(1, 2, 3, 4), false},
+		"after a refusal":                     {[]step{cutAfter(1), rest(2)}, always(refuse), stream(1, 2), false},
+		"twice at each and no more":           {[]step{cutAfter(1), cutAfter(3), cutAfter(5)}, []step{cutAfter(2), cutAfter(4)}, stream(1, 2, 3, 4), true},
+		"not at the one that has just failed": {[]step{cutAfter(1), raw("")}, []step{refuse, rest(2)}, stream(1, 2), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				a := w.ask("POST", "/stream/", "x")
+				w.g.Expect(a.cut).To(Equal(c.cut))
+				w.g.Expect(a.Body.String()).To(Equal(c.want))
+				w.g.Expect(w.balancer.InFlight()).To(BeEmpty())
+			}, c.first, c.second)
+		})
+	}
+}
+
+func TestAStreamReturnsToNoMoreEndpointsThanItsRouteAllows(t *testing.T) {
+	play(t, func(w *world) {
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.cut).To(BeTrue())
+		asked, requests := 0, 0
+		for _, e := range w.endpoints {
+			asked += min(e.count(), 1)
+			requests += e.count()
+		}
+		w.g.Expect([]int{asked, requests}).To(Equal([]int{2, 4}))
+	}, always(events(0, raw(""), 1)), always(events(0, raw(""), 1)), always(events(0, raw(""), 1)))
+}
+
+// slowThenCut sends two events, a third so late that another endpoint is asked, and breaks
+// off.
+func slowThenCut(c net.Conn, r *http.Request) bool {
+	rest := func(c net.Conn, _ *http.Request) bool {
+		time.Sleep(850 * time.Millisecond)
+		chunks(c, stream(3))
+		time.Sleep(50 * time.Millisecond)
+		return false
+	}
+	return events(50*time.Millisecond, rest, 1, 2)(c, r)
+}
+
 // after takes a step after a while.
 func after(d time.Duration, s step) step {
 	return func(c net.Conn, r *http.Request) bool {
--- a/standin/witness.go
+++ b/standin/witness.go
@@ -12,10 +12,16 @@
 	Tenant string
 	// Working is how many of them go on.
 	Working int
-	// BrokenOff is set when an endpoint ended one before its answer was whole.
+	// BrokenOff is set when the one that ended last was broken off by its endpoint.
 	BrokenOff bool
 }
 
+// EndpointEnded returns whether an endpoint broke the last run off and none goes on: then no
+// gateway has left one that works.
+func (r *Run) EndpointEnded() bool {
+	return r.BrokenOff && r.Working == 0
+}
+
 // Witness remembers what ran, and which promises were broken. It is safe for
 // concurrent use.
 type Witness struct {
@@ -46,7 +52,7 @@
 	defer w.mu.Unlock()
 	r := w.runs[id]
 	r.Working--
-	r.BrokenOff = r.BrokenOff || brokenOff
+	r.BrokenOff = brokenOff
 	w.runs[id] = r
 }
 
