proxy: hedges leave the retry budget's reserve to answers that broke off

Hedges take from the part of retries now. Test red before: a stall and then the endpoint's end, with budget for one.

--- a/gateway/proxy/budget.go
+++ b/gateway/proxy/budget.go
@@ -58,8 +58,8 @@
 
 // The purposes of a repetition.
 const (
-	// Retry is a request of which the caller has got nothing yet; it can be
-	// told to come back.
+	// Retry is a request of which the caller has got nothing yet, which can be told to
+	// come back, or one whose endpoint is still waited for.
 	Retry Purpose = iota
 	// Resume is the rest of an answer that the caller has got in part.
 	Resume
--- a/gateway/proxy/handover_test.go
+++ b/gateway/proxy/handover_test.go
@@ -165,6 +165,16 @@
 	}, always(events(0, raw(""), 1)), always(events(0, raw(""), 1)), always(events(0, raw(""), 1)))
 }
 
+func TestHedgesLeaveBudgetForAnswersThatBrokeOff(t *testing.T) {
+	play(t, func(w *world) {
+		w.useBudget(proxy.NewBudget(0, 1.2, 10*time.Second, func() int { return 1 })) // one rest, no retry
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+		w.g.Expect(a.cut).To(BeFalse())
+		w.g.Expect(w.endpoints["e1"].count()).To(Equal(1), "not asked while the first stalled")
+	}, always(slowThenCut), always(events(0, end, 4)))
+}
+
 // slowThenCut sends two events, a third so late that another endpoint is asked, and breaks
 // off.
 func slowThenCut(c net.Conn, r *http.Request) bool {
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -13,7 +13,8 @@
 
 // hedge is an attempt at another endpoint that begins while the request's endpoint is
 // still waited for. Its place and its retry are taken before anything is given up, and
-// the endpoint is left only once the hedge has an answer.
+// the endpoint is left only once the hedge has an answer. Hedges leave to rests of answers
+// that broke off what the retry budget keeps for those.
 type hedge struct {
 	attempt
 	// done is closed once the attempt has an answer or has failed.
@@ -34,7 +35,7 @@
 	if err != nil {
 		return false // the endpoint is waited for as before
 	}
-	if !p.cfg.Budget.Take(c.service, c.purpose(), now) {
+	if !p.cfg.Budget.Take(c.service, Retry, now) { // a begun answer, too, goes on without it
 		lease.Done(balance.Neutral, now)
 		return false
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -164,7 +164,7 @@
 		c.noteCut(&Exchange{ID: id, Gateway: entry.name, End: ended, Limit: began.Add(limit.Truncate(time.Millisecond)), Begun: resp != nil}, &seen)
 		inTime := time.Since(began) < limit.Truncate(time.Millisecond)
 		run := c.world.witness.Of(id)
-		if inTime && entry.onlyPlanned(began) && c.world.calm(began) && run.Count > 0 && !run.EndpointEnded() {
+		if inTime && entry.onlyPlanned(began) && c.world.calm(began) && run.Count > 0 && !run.EndpointEnded(ended) {
 			c.world.witness.Broken("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
 		}
 	}
@@ -178,7 +178,7 @@
 		return // no gateway can have read it whole
 	}
 	run := c.world.witness.Of(e.ID)
-	e.PassedOn, e.BrokenOff, e.Working = run.Count > 0, run.EndpointEnded(), run.Working > 0
+	e.PassedOn, e.BrokenOff, e.Working = run.Count > 0, run.EndpointEnded(e.End), run.Working > 0
 	c.world.ledger.cutOff(e)
 }
 
