proxy: a final answer may be written however late the process is

The time for writing a stream ends 0.1 s after its deadline. A gateway that stood still past that could not write the 504 either, and its caller's connection closed without an answer. The final answer has a time of its own now. Test red before.

--- a/gateway/proxy/fail.go
+++ b/gateway/proxy/fail.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -16,6 +17,9 @@
 	if c.headSent {
 		panic(http.ErrAbortHandler)
 	}
+	// A process that stood still past the time set for the answer of an endpoint still tells
+	// its caller how the request ended. It fails only once the caller is gone.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeSlack))
 	status := policy.Status(e)
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -56,6 +56,8 @@
 	balancer  *balance.Balancer
 	endpoints map[string]*endpoint
 	down      map[string]bool
+	// still is how long this process stands still once a connection of its has ended.
+	still time.Duration
 	// linkDelay is how long what is sent to an endpoint is on its way.
 	linkDelay  time.Duration
 	minVersion atomic.Int64
@@ -154,6 +156,9 @@
 	}
 	near, far := net.Pipe()
 	go e.serve(far)
+	if w.still > 0 {
+		return &stillConn{Conn: near, still: w.still}, nil
+	}
 	if w.linkDelay == 0 {
 		return near, nil
 	}
