gateway: a stop answers questions for addresses before it closes

The servers of the other addresses were closed at once at the end of a stop; a question for addresses that was being answered was cut. They have the time that the process stays anyway.

--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -26,8 +26,9 @@
 	// without an answer get one. Chosen by judgement: an answer takes some milliseconds, on a
 	// busy VM up to a hundred.
 	lastAnswers = 200 * time.Millisecond
-	// lastLines is how long the process stays after its servers are closed, so that the
-	// last heartbeat and log lines go out. Chosen by judgement.
+	// lastLines is how long the process stays after the last request, so that questions at
+	// its other addresses are answered and the last heartbeat and log lines go out. Chosen
+	// by judgement.
 	lastLines = 100 * time.Millisecond
 	// sweepEvery is how often idle connections to endpoints are looked at. Chosen by
 	// judgement: half of the shortest time for which endpoints keep them.
@@ -100,14 +101,26 @@
 	defer time.AfterFunc(time.Until(last)-lastAnswers, g.proxy.End).Stop()
 	err := g.callers.Shutdown(ctx)
 	g.cancel()
-	for _, s := range g.others {
-		_ = s.Close() // nobody waits for what is still open there
-	}
-	wait.For(context.Background(), lastLines)
+	g.closeOthers()
 	g.log.Info("stopped", "cut", g.proxy.Running().Count(), "ms", time.Since(started).Milliseconds())
 	return err
 }
 
+// closeOthers ends the servers of the other addresses. Short questions, such as those for
+// addresses, are answered first; those that wait for news are asked again elsewhere.
+func (g *Gateway) closeOthers() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastLines)
+	defer cancel()
+	for _, s := range g.others {
+		go func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close() // who still waits there asks elsewhere
+			}
+		}()
+	}
+	<-ctx.Done()
+}
+
 // unregister removes this gateway's record. Where that fails, others see by its
 // heartbeats that it is gone.
 func (g *Gateway) unregister(ctx context.Context) {
