--- a/soak/caller.go
+++ b/soak/caller.go
@@ -124,51 +124,74 @@
 	return nil, "", false
 }
 
-// ask sends one request and checks what comes back.
-func (c *caller) ask(entry *process, addr string) {
+// question is one request as it is to be sent.
+type question struct {
+	id, body string
+	stream   bool
+	// limit is how long its answer is waited for.
+	limit time.Duration
+}
+
+// draw returns the caller's next request.
+func (c *caller) draw() question {
 	c.sent++
-	id := fmt.Sprintf("%s-%d", c.name, c.sent)
-	stream := c.random.IntN(2) == 0
-	host, limit := plainHost, plainLimit
-	if stream {
-		host, limit = streamHost, streamLimit
+	q := question{id: fmt.Sprintf("%s-%d", c.name, c.sent), limit: plainLimit}
+	q.body = "body of " + q.id
+	if c.random.IntN(2) == 0 {
+		q.stream, q.limit = true, streamLimit
 	}
 	if c.random.IntN(20) == 0 {
-		limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
+		q.limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
 	}
-	began := time.Now() // before its time begins to count
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	var seen sending
-	ctx = seen.trace(ctx)
-	body := "body of " + id
-	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(body))
-	r.Host = host
-	r.Header.Set(names.RequestID, id)
+	return q
+}
+
+// request returns the question as it is sent to addr.
+func (q *question) request(ctx context.Context, addr string) *http.Request {
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(q.body))
+	r.Host = plainHost
+	r.Header.Set(names.RequestID, q.id)
 	r.Header.Set(names.Key, apiKey)
-	r.Header.Set(names.Deadline, fmt.Sprint(limit.Milliseconds()))
-	if stream {
+	r.Header.Set(names.Deadline, fmt.Sprint(q.limit.Milliseconds()))
+	if q.stream {
+		r.Host = streamHost
 		r.Header.Set(names.Model, model)
 	}
 	r.GetBody = nil
+	return r
+}
+
+// ask sends one request and checks what comes back.
+func (c *caller) ask(entry *process, addr string) {
+	q := c.draw()
+	began := time.Now() // before its time begins to count
+	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
+	defer cancel()
+	var seen sending
 	c.result.Asked.Add(1)
-	resp, err := c.client.Do(r)
+	resp, err := c.client.Do(q.request(seen.trace(ctx), addr))
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
-		err = c.check(resp, id, body, stream)
+		err = c.check(resp, q.id, q.body, q.stream)
 	}
 	ended := time.Now()
 	c.world.ledger.ended(entry.name, ended)
 	if err != nil {
 		c.result.Cut.Add(1)
-		c.noteCut(&Exchange{ID: id, Gateway: entry.name, End: ended, Limit: began.Add(limit.Truncate(time.Millisecond)), Begun: resp != nil}, &seen)
-		inTime := time.Since(began) < limit.Truncate(time.Millisecond)
-		run := c.world.witness.Of(id)
-		if inTime && entry.onlyPlanned(began) && c.world.calm(began) && run.Count > 0 && !run.EndpointEnded(ended) {
-			c.world.witness.Broken("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
-		}
+		limit := began.Add(q.limit.Truncate(time.Millisecond))
+		c.noteCut(&Exchange{ID: q.id, Gateway: entry.name, End: ended, Limit: limit, Begun: resp != nil}, &seen)
+		c.checkStop(entry, q.id, began, ended, limit, err)
+	}
+	c.checkRuns(q.id, q.body, q.stream)
+}
+
+// checkStop looks at a request that was cut at a gateway that was asked to stop: nothing that
+// an endpoint goes on with may be cut by that.
+func (c *caller) checkStop(entry *process, id string, began, ended, limit time.Time, err error) {
+	run := c.world.witness.Of(id)
+	if ended.Before(limit) && entry.onlyPlanned(began) && c.world.calm(began) && run.Count > 0 && !run.EndpointEnded(ended) {
+		c.world.witness.Broken("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
 	}
-	c.checkRuns(id, body, stream)
 }
 
 // noteCut notes a request whose connection ended before its answer was whole.
--- /dev/null
+++ b/soak/configure.go
@@ -0,0 +1,41 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/silverdeck/silverdeck/standin"
+)
+
+// configure writes a new version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configVersion++
+	sent := time.Now()
+	w.store.Configure(standin.Configuration{
+		Version: w.configVersion,
+		Routes: append([]standin.Route{
+			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond},
+			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond},
+		}, w.otherRoutes()...),
+		Model: model, ModelService: modelService, PlainService: plainService,
+		Origin:  w.addr(251, portOrigin),
+		Account: accountName, Key: apiKey,
+	})
+	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
+}
+
+// otherRoutes returns routes that nobody asks for. Some come, go and change from one
+// version to the next.
+func (w *world) otherRoutes() []standin.Route {
+	var out []standin.Route
+	for i := range w.cfg.Routes {
+		if (i+int(w.configVersion))%20 == 0 {
+			continue
+		}
+		out = append(out, standin.Route{Name: fmt.Sprintf("other-%d", i), Host: plainHost, Prefix: fmt.Sprintf("/other/%d/", i),
+			Service: plainService, Timeout: time.Duration(1+w.configVersion%5) * time.Second, LatencyTarget: 200 * time.Millisecond})
+	}
+	return out
+}
--- /dev/null
+++ b/soak/slot.go
@@ -0,0 +1,67 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/silverdeck/silverdeck/standin"
+)
+
+// slot is the place of a runner; each restart puts another into it.
+type slot struct {
+	mu     sync.Mutex
+	runner *standin.Runner
+	lives  int
+	cfg    standin.RunnerConfig
+}
+
+// ServeHTTP implements http.Handler.
+func (s *slot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	runner := s.runner
+	s.mu.Unlock()
+	runner.ServeHTTP(w, r)
+}
+
+// restart puts a new life into the slot.
+func (s *slot) restart(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lives > 0 {
+		s.cfg.Store.Delete("servers", s.cfg.ID)
+	}
+	s.lives++
+	s.cfg.ID = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.cfg.Address, ".", "-"), s.lives)
+	s.runner = standin.NewRunner(s.cfg, version)
+}
+
+// stall keeps all streams of the runner without an event for d.
+func (s *slot) stall(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Stall(d)
+}
+
+// lapse makes the platform forget the runner's record.
+func (s *slot) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Lapse()
+}
+
+// announce makes the runner that is in the slot now write its record.
+func (s *slot) announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Announce()
+}
+
+// leave makes the runner state that it leaves.
+func (s *slot) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.Leave()
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,62 +100,6 @@
 	callers, directory, ready string
 }
 
-// slot is the place of a runner; each restart puts another into it.
-type slot struct {
-	mu     sync.Mutex
-	runner *standin.Runner
-	lives  int
-	cfg    standin.RunnerConfig
-}
-
-// ServeHTTP implements http.Handler.
-func (s *slot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	runner := s.runner
-	s.mu.Unlock()
-	runner.ServeHTTP(w, r)
-}
-
-// restart puts a new life into the slot.
-func (s *slot) restart(version int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lives > 0 {
-		s.cfg.Store.Delete("servers", s.cfg.ID)
-	}
-	s.lives++
-	s.cfg.ID = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.cfg.Address, ".", "-"), s.lives)
-	s.runner = standin.NewRunner(s.cfg, version)
-}
-
-// stall keeps all streams of the runner without an event for d.
-func (s *slot) stall(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runner.Stall(d)
-}
-
-// lapse makes the platform forget the runner's record.
-func (s *slot) lapse() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runner.Lapse()
-}
-
-// announce makes the runner that is in the slot now write its record.
-func (s *slot) announce() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runner.Announce()
-}
-
-// leave makes the runner state that it leaves.
-func (s *slot) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runner.Leave()
-}
-
 // Ports of the stand-ins and of our programs; each has an address of its own.
 const (
 	// portCallers takes callers' requests at a gateway.
@@ -285,39 +228,6 @@
 	return string("ab"[i%2])
 }
 
-// configure writes a new version of the configuration.
-func (w *world) configure() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.configVersion++
-	sent := time.Now()
-	w.store.Configure(standin.Configuration{
-		Version: w.configVersion,
-		Routes: append([]standin.Route{
-			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond},
-			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond},
-		}, w.otherRoutes()...),
-		Model: model, ModelService: modelService, PlainService: plainService,
-		Origin:  w.addr(251, portOrigin),
-		Account: accountName, Key: apiKey,
-	})
-	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
-}
-
-// otherRoutes returns routes that nobody asks for. Some come, go and change from one
-// version to the next.
-func (w *world) otherRoutes() []standin.Route {
-	var out []standin.Route
-	for i := range w.cfg.Routes {
-		if (i+int(w.configVersion))%20 == 0 {
-			continue
-		}
-		out = append(out, standin.Route{Name: fmt.Sprintf("other-%d", i), Host: plainHost, Prefix: fmt.Sprintf("/other/%d/", i),
-			Service: plainService, Timeout: time.Duration(1+w.configVersion%5) * time.Second, LatencyTarget: 200 * time.Millisecond})
-	}
-	return out
-}
-
 // noteFault notes that endpoints or links are disturbed for d from now on.
 func (w *world) noteFault(d time.Duration) {
 	w.mu.Lock()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -74,27 +73,6 @@
 	return r
 }
 
-// Stall keeps all streams without an event for d, as an engine does that reads long
-// prompts or whose VM stands still.
-func (r *Runner) Stall(d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.stalledUntil = time.Now().Add(d)
-}
-
-// Cut cuts all streams that run, as an engine does that crashes.
-func (r *Runner) Cut() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cutStreams()
-}
-
-// cutStreams cuts all streams that run. The caller holds the lock.
-func (r *Runner) cutStreams() {
-	close(r.cut)
-	r.cut = make(chan struct{})
-}
-
 // Leave states that the runner leaves.
 func (r *Runner) Leave() {
 	r.mu.Lock()
@@ -155,32 +133,55 @@
 	answer(w, http.StatusOK, map[string]any{"models": r.models(), "busy": false, "sequence": r.sequence, "running": r.running})
 }
 
+// order is what an endpoint is told to do.
+type order struct {
+	Version  int64 `json:"version"`
+	Expected int64 `json:"expected_revision"`
+	// From and To, the layer after the last, are set where not all are meant.
+	From *int `json:"from"`
+	To   *int `json:"target_version"`
+}
+
+// unloads returns whether the order leaves no layer.
+func (o *order) unloads() bool {
+	return o.From != nil && o.To != nil && *o.From >= *o.To
+}
+
 func (r *Runner) order(w http.ResponseWriter, q *http.Request) {
-	var o struct {
-		Version  int64 `json:"version"`
-		Expected int64 `json:"expected_revision"`
-		// From and To, the layer after the last, are set where not all are meant.
-		From *int `json:"from"`
-		To   *int `json:"target_version"`
-	}
+	var o order
 	if json.NewDecoder(q.Body).Decode(&o) != nil {
 		http.Error(w, "no order", http.StatusBadRequest)
 		return
 	}
-	r.mu.Lock()
-	if o.Expected != r.sequence {
-		r.mu.Unlock()
+	if !r.take(&o) {
 		http.Error(w, "another sequence", http.StatusConflict)
 		return
 	}
-	r.sequence++
-	if o.From != nil && o.To != nil && *o.From >= *o.To {
-		r.version = 0
-		r.mu.Unlock()
-		w.WriteHeader(http.StatusAccepted)
+	w.WriteHeader(http.StatusAccepted)
+	if o.unloads() {
 		r.record()
 		return
 	}
+	time.AfterFunc(warmTime, func() {
+		r.mu.Lock()
+		r.version = o.Version
+		r.mu.Unlock()
+		r.record()
+	})
+}
+
+// take begins an order, or returns false where it was given for another state.
+func (r *Runner) take(o *order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Expected != r.sequence {
+		return false
+	}
+	r.sequence++
+	if o.unloads() {
+		r.version = 0
+		return true
+	}
 	for i, data := range r.staged {
 		if !bytes.Equal(data, Chunk(o.Version, i)) {
 			r.cfg.Witness.Broken("runner %s was ordered to load version %d with chunk %d missing or spoilt", r.cfg.ID, o.Version, i)
@@ -189,14 +190,7 @@
 	if r.cfg.LoadCuts {
 		r.cutStreams()
 	}
-	r.mu.Unlock()
-	w.WriteHeader(http.StatusAccepted)
-	time.AfterFunc(warmTime, func() {
-		r.mu.Lock()
-		r.version = o.Version
-		r.mu.Unlock()
-		r.record()
-	})
+	return true
 }
 
 func (r *Runner) stage(w http.ResponseWriter, q *http.Request) {
@@ -257,56 +251,6 @@
 	}
 }
 
-// Answer returns the body of a plain answer.
-func Answer(id, body string) string {
-	return "answer to " + id + ": " + body
-}
-
-// Event returns an event of a stream.
-func Event(id string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
-}
-
-// stream answers with events and returns false when it was cut.
-func (r *Runner) stream(w http.ResponseWriter, q *http.Request, id string) bool {
-	r.mu.Lock()
-	cut := r.cut
-	r.mu.Unlock()
-	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-	w.Header().Set("Content-Type", "text/event-stream")
-	for n := first + 1; n <= r.cfg.Events; n++ {
-		if !r.awaitEvent(cut) {
-			return false
-		}
-		if _, err := io.WriteString(w, Event(id, n)); err != nil {
-			return true
-		}
-		if http.NewResponseController(w).Flush() != nil || q.Context().Err() != nil {
-			return true
-		}
-	}
-	return true
-}
-
-// awaitEvent waits until the next event is there, or returns false when cut closes.
-func (r *Runner) awaitEvent(cut <-chan struct{}) bool {
-	for pause := r.cfg.EventPause; pause > 0; pause = r.stall() {
-		select {
-		case <-cut:
-			return false
-		case <-time.After(pause):
-		}
-	}
-	return true
-}
-
-// stall returns for how long streams get nothing yet.
-func (r *Runner) stall() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Until(r.stalledUntil)
-}
-
 func (r *Runner) enter() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
