--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -111,6 +111,7 @@
 
 // dropHedge withdraws a hedge, since the endpoint has answered or the request is over.
 func (p *Proxy) dropHedge(c *call) {
+	p.hedged(c) // one that has failed tells of its endpoint
 	h := c.hedge
 	if h == nil {
 		return
