--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -85,8 +85,9 @@
 	// weights takes requests again a moment later, and an event that comes 0.2 s late is
 	// still in time. Chosen by judgement.
 	ReturnPause = 200 * time.Millisecond
-	// returnFactor is how many times the route's attempts there may be with these. Chosen by
-	// judgement: twice to each endpoint.
+	// returnFactor is how many times the route's attempts there may be with these: twice to
+	// each endpoint. Without any return 4 of 373 requests of a soak were cut for want of
+	// attempts; more than one to each was not tried.
 	returnFactor = 2
 )
 
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -13,8 +13,10 @@
 
 // hedge is an attempt at another endpoint that begins while the request's endpoint is
 // still waited for. Its place and its retry are taken before anything is given up, and
-// the endpoint is left only once the hedge has an answer. Hedges leave to rests of answers
-// that broke off what the retry budget keeps for those.
+// the endpoint is left only once the hedge has an answer. Before, endpoints were left on the
+// mere check that there was another: 143 requests of two soaks with engines that stall were
+// cut while their endpoints were at work, and none since (docs/incidents). Hedges leave to
+// rests of answers that broke off what the retry budget keeps for those.
 type hedge struct {
 	attempt
 	// done is closed once the attempt has an answer or has failed.
--- a/serve/connections.go
+++ b/serve/connections.go
@@ -21,6 +21,7 @@
 
 // connection is an accepted connection. Whether it is at rest is decided under the same
 // lock as what is read from it: it is never closed under a request that a handler sees.
+// http.Server takes one for idle until the whole head of its next request was read.
 type connection struct {
 	net.Conn
 	owner *connections
