--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,10 +11,12 @@
 	Version int64
 }
 
-// Endpoint is one life of an endpoint.
+// Endpoint is what is known of an endpoint, in one of its lives.
 type Endpoint struct {
-	// ID names this life; a restart gets a new one.
-	ID      string
+	// ID names the endpoint, and Born tells which life of that name this is; see Life.
+	ID   string
+	Born int64
+
 	Service string
 	Addr    string
 	Zone    string
@@ -25,6 +27,11 @@
 	Weights []Weights
 }
 
+// Life returns which life of the endpoint this is.
+func (e *Endpoint) Life() Life {
+	return Life{ID: e.ID, Born: e.Born}
+}
+
 // Holds returns the version of model that the endpoint holds, or 0.
 func (e *Endpoint) Holds(model string) int64 {
 	for _, w := range e.Weights {
