--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -29,6 +29,9 @@
 
 // Report is what an endpoint tells of itself.
 type Report struct {
+	// Born is when the endpoint started, in Unix milliseconds by its clock; 0 where it does
+	// not tell. It may start again beside a process that goes on; Sequence then counts anew.
+	Born int64
 	Held []Held
 	// Busy is set while an order is under way.
 	Busy bool
