roster, balance, member, upstream, stage: what is kept of an endpoint belongs to one life of it

Cause: an endpoint may start again under the ID that it had and then holds nothing. Health, ejection, suspicion, requests in progress, announced weights, kept connections and an awaited load were kept by ID, so that the next life inherited them for seconds. Change: one type, roster.Life, compared in one place; records, heartbeats and notices carry the time of the start, older programs leave it out and are taken as before. A late record of an earlier life does not replace the later one, unless it stands longer than a record takes to lapse (a clock that was set back). A sidecar tells gateways of a new start at once and loads anew without waiting for the load that was forgotten.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -38,11 +38,11 @@
 type Config struct {
 	// Zone is this gateway's availability zone.
 	Zone string
-	// OtherLoad returns how many requests other gateways have at an endpoint, by ID.
-	OtherLoad func(id string) int
-	// Suspected returns whether another gateway suspects an endpoint, by ID; nil
-	// means that none does.
-	Suspected func(id string) bool
+	// OtherLoad returns how many requests other gateways have at an endpoint.
+	OtherLoad func(roster.Life) int
+	// Suspected returns whether another gateway suspects an endpoint; nil means that
+	// none does.
+	Suspected func(roster.Life) bool
 	// Random returns a number from [0, 1).
 	Random func() float64
 	// Observe hears of each change of belief. It is called under a lock and must not
@@ -63,7 +63,7 @@
 // New returns a Balancer without endpoints.
 func New(cfg Config) *Balancer {
 	if cfg.Suspected == nil {
-		cfg.Suspected = func(string) bool { return false }
+		cfg.Suspected = func(roster.Life) bool { return false }
 	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(Belief) {}
@@ -132,30 +132,54 @@
 	})
 }
 
-// Announce takes in what the process beside the endpoint at addr told: no request
-// is to be sent there before pausedUntil, and it runs weights, if any are named. A
-// time that has passed ends an earlier pause.
-func (b *Balancer) Announce(addr string, pausedUntil time.Time, weights roster.Weights) {
+// Announcement is what the process beside an endpoint tells of it.
+type Announcement struct {
+	// Addr is the endpoint's address, and Born tells which of its lives is meant, as in
+	// roster.Life.
+	Addr string
+	Born int64
+	// PausedUntil is until when no request is to be sent there. A time that has passed
+	// ends an earlier pause.
+	PausedUntil time.Time
+	// Weights are what it runs, if any are named.
+	Weights roster.Weights
+}
+
+// Announce takes in what the process beside an endpoint told. Where that is of a later
+// life than the record in the store, which follows by a second or two, the endpoint counts
+// as started again; what is told of an earlier one is out of date.
+func (b *Balancer) Announce(a Announcement) {
 	b.eachShard(func(s *shard) {
-		for _, e := range s.endpoints {
-			if e.record.Addr != addr {
+		for id, e := range s.endpoints {
+			told := roster.Life{ID: id, Born: a.Born}
+			if e.record.Addr != a.Addr || told.Before(e.record.Life()) {
 				continue
 			}
-			e.health.pausedUntil = pausedUntil
-			if weights.Model != "" {
-				e.announced = weights
+			if !told.Same(e.record.Life()) {
+				e = s.restart(e, startedAgain(e.record, a.Born))
+			}
+			e.health.pausedUntil = a.PausedUntil
+			if a.Weights.Model != "" {
+				e.announced = a.Weights
 			}
 		}
 	})
 }
 
+// startedAgain returns what is known of an endpoint that started again: it holds nothing.
+func startedAgain(r *roster.Endpoint, born int64) *roster.Endpoint {
+	again := *r
+	again.Born, again.Leaving, again.Weights = born, false, nil
+	return &again
+}
+
 // InFlight returns this gateway's requests in progress by endpoint.
-func (b *Balancer) InFlight() map[string]int {
-	out := map[string]int{}
+func (b *Balancer) InFlight() map[roster.Life]int {
+	out := map[roster.Life]int{}
 	b.eachShard(func(s *shard) {
-		for id, e := range s.endpoints {
+		for _, e := range s.endpoints {
 			if e.inFlight > 0 {
-				out[id] = e.inFlight
+				out[e.record.Life()] = e.inFlight
 			}
 		}
 	})
@@ -163,9 +187,9 @@
 }
 
 // Suspects returns the endpoints that were idle on several requests at once, while
-// this gateway has ejected them or is about to try them, by ID.
-func (b *Balancer) Suspects(now time.Time) []string {
-	var out []string
+// this gateway has ejected them or is about to try them.
+func (b *Balancer) Suspects(now time.Time) []roster.Life {
+	var out []roster.Life
 	b.eachShard(func(s *shard) { out = append(out, s.suspects(now)...) })
 	return out
 }
@@ -189,5 +213,5 @@
 
 // load returns the requests at e of all gateways, for each slot.
 func (b *Balancer) load(e *endpoint) float64 {
-	return float64(e.inFlight+b.cfg.OtherLoad(e.record.ID)) / float64(max(e.record.Slots, 1))
+	return float64(e.inFlight+b.cfg.OtherLoad(e.record.Life())) / float64(max(e.record.Slots, 1))
 }
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -13,9 +13,9 @@
 
 var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func nobody(string) int   { return 0 }
-func noDraw() float64     { return 0 }
-func at(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+func nobody(roster.Life) int { return 0 }
+func noDraw() float64        { return 0 }
+func at(ms int) time.Time    { return now.Add(time.Duration(ms) * time.Millisecond) }
 
 // endpoints returns n endpoints e0, e1 and so on of service s in zone a, with
 // version 1 of model m and two slots.
@@ -36,7 +36,7 @@
 }
 
 // suspecting returns a Balancer that hears from others whom they suspect.
-func suspecting(l *roster.List, suspected func(id string) bool) *balance.Balancer {
+func suspecting(l *roster.List, suspected func(roster.Life) bool) *balance.Balancer {
 	b := balance.New(balance.Config{Zone: "a", OtherLoad: nobody, Random: noDraw, Suspected: suspected})
 	b.Update(l)
 	return b
@@ -79,7 +79,7 @@
 
 	It("spreads requests by those in progress, also of other entries", func() {
 		others := map[string]int{"e0": 2}
-		b := balance.New(balance.Config{Zone: "a", OtherLoad: func(id string) int { return others[id] }, Random: noDraw})
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: func(l roster.Life) int { return others[l.ID] }, Random: noDraw})
 		b.Update(endpoints(3))
 		got := map[string]int{}
 		for range 4 {
@@ -161,14 +161,14 @@
 		q := balance.Query{Service: "s", Model: "m", MinVersion: 2}
 		_, err := b.Pick(&q, now)
 		Expect(err).To(Equal(&balance.NoEndpointError{Service: "s"}))
-		b.Announce("e0:1", now, roster.Weights{Model: "m", Version: 2})
+		b.Announce(balance.Announcement{Addr: "e0:1", PausedUntil: now, Weights: roster.Weights{Model: "m", Version: 2}})
 		lease := pick(b, q, now)
 		Expect(lease.Holds("m")).To(Equal(int64(2)))
 	})
 
 	It("sends nothing to an endpoint that asked for a pause while others are there", func() {
 		b := balancer(endpoints(2))
-		b.Announce("e0:1", at(500), roster.Weights{})
+		b.Announce(balance.Announcement{Addr: "e0:1", PausedUntil: at(500), Weights: roster.Weights{}})
 		for range 4 {
 			Expect(pick(b, s, now).Record.ID).To(Equal("e1"))
 		}
@@ -240,7 +240,7 @@
 	It("counts each request until it is done", func() {
 		b := balancer(endpoints(1))
 		l := pick(b, s, now)
-		Expect(b.InFlight()).To(Equal(map[string]int{"e0": 1}))
+		Expect(b.InFlight()).To(Equal(map[roster.Life]int{{ID: "e0"}: 1}))
 		l.Done(balance.Served, now)
 		Expect(b.InFlight()).To(BeEmpty())
 	})
@@ -275,7 +275,7 @@
 	It("of an endpoint that says nothing on several requests begins at once, and others hear of it", func() {
 		b := balancer(endpoints(4))
 		id := silence(b, 2, now)
-		Expect(b.Suspects(now)).To(Equal([]string{id}))
+		Expect(b.Suspects(now)).To(Equal([]roster.Life{{ID: id}}))
 		Expect(b.Suspects(at(2499))).To(HaveLen(1), "the trial is this entry's")
 		Expect(b.Suspects(at(2500))).To(BeEmpty(), "others need not wait for it for ever")
 	})
@@ -303,7 +303,7 @@
 	})
 	It("of others keeps this entry away, unless it hears from the endpoint", func() {
 		var id string
-		b := suspecting(endpoints(2), func(suspected string) bool { return suspected == id })
+		b := suspecting(endpoints(2), func(suspected roster.Life) bool { return suspected.ID == id })
 		heard := pick(b, balance.Query{Service: "s"}, now)
 		id = heard.Record.ID
 		for range 4 {
@@ -313,7 +313,7 @@
 		Expect(pick(b, balance.Query{Service: "s"}, at(100)).Record.ID).To(Equal(id))
 	})
 	It("does not leave a service without endpoints", func() {
-		b := suspecting(endpoints(1), func(string) bool { return true })
+		b := suspecting(endpoints(1), func(roster.Life) bool { return true })
 		Expect(pick(b, balance.Query{Service: "s"}, now).Record.ID).To(Equal("e0"))
 	})
 })
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -70,7 +70,7 @@
 	l.releasePrefill()
 	h := &l.endpoint.health
 	change := h.note(o, l.endpoint.inFlight, now)
-	if change != Unchanged {
+	if change != Unchanged && l.shard.has(l.endpoint) {
 		l.balancer.cfg.Observe(Belief{Endpoint: l.Record.ID, Change: change, Failures: h.failures, Until: h.ejectedUntil})
 	}
 }
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -31,7 +31,10 @@
 	lastByte moment
 }
 
-// update replaces the records; what is known of endpoints that stay is kept.
+// update replaces the records. What is known of endpoints that stay is kept, but not from
+// one life to the next: ejections, requests in progress and announced weights of an
+// endpoint that crashed say nothing of what started in its place. A record of an earlier
+// life than the one that is known is out of date.
 func (s *shard) update(records map[string]*roster.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,14 +44,32 @@
 		}
 	}
 	for id, r := range records {
-		if e := s.endpoints[id]; e != nil {
+		e := s.endpoints[id]
+		switch {
+		case e == nil:
+			s.endpoints[id] = &endpoint{record: r}
+		case r.Life().Before(e.record.Life()):
+		case r.Life().Same(e.record.Life()):
 			e.record = r
-			continue
+		default:
+			s.restart(e, r)
 		}
-		s.endpoints[id] = &endpoint{record: r}
 	}
 }
 
+// restart puts an endpoint's next life, as r has it, in the place of e. Who has a lease of
+// e gives it back there. The caller holds the lock.
+func (s *shard) restart(e *endpoint, r *roster.Endpoint) *endpoint {
+	next := &endpoint{record: r, preferred: e.preferred}
+	s.endpoints[r.ID] = next
+	return next
+}
+
+// has returns whether e is the life that is known now. The caller holds the lock.
+func (s *shard) has(e *endpoint) bool {
+	return s.endpoints[e.record.ID] == e
+}
+
 // prefers returns whether this gateway prefers any endpoint of the service.
 func (s *shard) prefers() bool {
 	for _, e := range s.endpoints {
--- a/gateway/balance/suspect.go
+++ b/gateway/balance/suspect.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/silverdeck/silverdeck/roster"
+)
 
 // Suspicion of endpoints that gateways share.
 const (
@@ -25,16 +29,16 @@
 	if e.health.ejections > 0 || now.Sub(e.lastByte.last()) < freshByte {
 		return true
 	}
-	return !b.cfg.Suspected(e.record.ID)
+	return !b.cfg.Suspected(e.record.Life())
 }
 
 // suspects returns the endpoints that this gateway tells others to leave to it. The
 // caller holds the lock.
-func (s *shard) suspects(now time.Time) []string {
-	var out []string
-	for id, e := range s.endpoints {
+func (s *shard) suspects(now time.Time) []roster.Life {
+	var out []roster.Life
+	for _, e := range s.endpoints {
 		if e.health.suspect && e.health.ejections > 0 && now.Before(e.health.ejectedUntil.Add(suspicionTime)) {
-			out = append(out, id)
+			out = append(out, e.record.Life())
 		}
 	}
 	if len(out) > 1 && float64(len(out)) > maxSuspectShare*float64(len(s.endpoints)) {
--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -27,7 +27,12 @@
 	Retention *roster.Retention
 	// Changed hears of each new list, one call at a time.
 	Changed func(*roster.List)
-	Log     *log.Logger
+	// Unreadable hears of records that name no endpoint.
+	Unreadable func(name string, err error)
+	// Lapse is the time after which the platform removes a record that its endpoint does
+	// not write any more.
+	Lapse time.Duration
+	Log   *log.Logger
 }
 
 // List is the list in force. It is safe for concurrent use.
@@ -43,10 +48,12 @@
 	decoded map[string]decoded
 }
 
-// decoded is an endpoint's record as it stood at a revision.
+// decoded is a record as it stood at a revision. A record of another writer names no
+// endpoint.
 type decoded struct {
 	revision int64
 	endpoint *roster.Endpoint
+	readAt   time.Time
 }
 
 // New returns a List without endpoints.
@@ -78,9 +85,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	list := l.decode(l.cfg.Records())
+	list := l.decode(l.cfg.Records(), now)
 	listed := len(list.Endpoints)
 	before := l.current.Load()
+	l.keepLaterLives(list, before, now)
 	end := l.cfg.Retention.Fill(list, before, now)
 	if kept := len(list.Endpoints) - listed; kept > 0 {
 		l.cfg.Log.Info("lapsed endpoints kept", "endpoints", kept, "forMs", end.Sub(now).Milliseconds(), "revision", list.Revision)
@@ -92,28 +100,55 @@
 }
 
 // decode returns the endpoints that the store lists. Records that did not change
-// are not decoded again; those that can't be read are left out. The caller holds
-// the lock.
-func (l *List) decode(s *mirror.State) *roster.List {
+// are not decoded again; those of other writers are left out. The caller holds the lock.
+func (l *List) decode(s *mirror.State, now time.Time) *roster.List {
 	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
 	all := make(map[string]decoded, len(s.Objects))
 	for name, stored := range s.Objects {
-		d := l.decoded[name]
-		if d.endpoint == nil || d.revision != stored.Revision {
-			endpoint, err := platform.DecodeEndpoint(stored.Data)
-			if err != nil {
-				l.cfg.Log.Error("bad endpoint", "endpoint", name, "err", err)
-				continue
-			}
-			d = decoded{revision: stored.Revision, endpoint: endpoint}
+		d, known := l.decoded[name]
+		if !known || d.revision != stored.Revision {
+			d = l.read(name, stored, now)
 		}
 		all[name] = d
-		list.Endpoints[name] = d.endpoint
+		if d.endpoint != nil {
+			list.Endpoints[name] = d.endpoint
+		}
 	}
 	l.decoded = all
 	return list
 }
 
+// read decodes a record.
+func (l *List) read(name string, stored mirror.Object, now time.Time) decoded {
+	endpoint, err := platform.DecodeEndpoint(stored.Data)
+	if err != nil {
+		l.cfg.Unreadable(name, err)
+	}
+	return decoded{revision: stored.Revision, endpoint: endpoint, readAt: now}
+}
+
+// keepLaterLives puts endpoints of before in the place of records that tell of an earlier
+// life: a write of that life may be done seconds late, over the record of the next one. A
+// record that stands for longer than it takes to lapse has a writer that lives, whatever
+// its clock says. The caller holds the lock.
+func (l *List) keepLaterLives(list, before *roster.List, now time.Time) {
+	if before == nil {
+		return
+	}
+	for name, e := range list.Endpoints {
+		known := before.Endpoints[name]
+		if known == nil || !e.Life().Before(known.Life()) {
+			continue
+		}
+		left := l.decoded[name].readAt.Add(l.cfg.Lapse).Sub(now)
+		if left <= 0 {
+			continue
+		}
+		list.Endpoints[name] = known
+		time.AfterFunc(left, l.Update)
+	}
+}
+
 // logChanges writes a line for each endpoint that came, changed or went.
 func (l *List) logChanges(before, list *roster.List) {
 	if before == nil {
@@ -122,7 +157,7 @@
 	for name, now := range list.Endpoints {
 		if !sameForRequests(before.Endpoints[name], now) {
 			l.cfg.Log.Info("endpoint", "endpoint", name, "service", now.Service, "addr", now.Addr, "zone", now.Zone,
-				"leaving", now.Leaving, "weights", now.Weights, "revision", list.Revision)
+				"born", now.Born, "leaving", now.Leaving, "weights", now.Weights, "revision", list.Revision)
 		}
 	}
 	for name := range before.Endpoints {
@@ -135,7 +170,7 @@
 // sameForRequests returns whether an endpoint is listed as before in what decides
 // about requests. Endpoints on the platform hold one model each.
 func sameForRequests(before, now *roster.Endpoint) bool {
-	if before == nil || before.Leaving != now.Leaving || len(before.Weights) != len(now.Weights) {
+	if before == nil || before.Born != now.Born || before.Leaving != now.Leaving || len(before.Weights) != len(now.Weights) {
 		return false
 	}
 	return len(now.Weights) == 0 || before.Weights[0] == now.Weights[0]
--- a/gateway/endpoints/endpoints_test.go
+++ b/gateway/endpoints/endpoints_test.go
@@ -15,11 +15,29 @@
 	"github.com/silverdeck/silverdeck/roster"
 )
 
-const retain = 2200 * time.Millisecond
+const (
+	retain = 2200 * time.Millisecond
+	lapse  = 3600 * time.Millisecond
+)
 
 // store is a copy of the endpoints' records.
 type store struct {
 	state *mirror.State
+	// unreadable are the records that were not used, as often as that was told.
+	unreadable []string
+}
+
+// put makes the record of e1 alone the copy at revision.
+func (s *store) put(revision int64, spec string) {
+	d := &mirror.Delta{Version: mirror.Version{Revision: revision}, Names: []string{"e1"}}
+	data := fmt.Sprintf(`{"metadata":{"name":"e1","revision":%d},"spec":%s}`, revision, spec)
+	d.Objects = []mirror.Object{{Name: "e1", Revision: revision, Data: []byte(data)}}
+	s.state, _ = (&mirror.State{}).Apply(d)
+}
+
+// born returns a record of a life that began at ms.
+func born(ms int64, state string) string {
+	return fmt.Sprintf(`{"service":"llm","address":"10.0.0.1:80","zone":"a","slots":4,"state":%q,"born":%d}`, state, ms)
 }
 
 // list makes the records of endpoints e1, e2 and so on the copy at revision.
@@ -36,10 +54,12 @@
 
 func newList(s *store) *endpoints.List {
 	return endpoints.New(endpoints.Config{
-		Records:   func() *mirror.State { return s.state },
-		Retention: roster.NewRetention(retain, retain),
-		Changed:   func(*roster.List) {},
-		Log:       log.New(io.Discard),
+		Records:    func() *mirror.State { return s.state },
+		Retention:  roster.NewRetention(retain, retain),
+		Changed:    func(*roster.List) {},
+		Unreadable: func(name string, _ error) { s.unreadable = append(s.unreadable, name) },
+		Lapse:      lapse,
+		Log:        log.New(io.Discard),
 	})
 }
 
@@ -71,3 +91,75 @@
 	l.Update()
 	g.Expect(l.Current().Endpoints).NotTo(HaveKey("e1"))
 }
+
+// An endpoint crashed and started again under its ID. A write of its first life, which had
+// got no answer, was done after the record of the next one: the gateway believed that the
+// endpoint drained, with what it had held before.
+func TestALateRecordOfAnEarlierLifeIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &store{}
+		l := newList(s)
+		s.put(1, born(5, "ready"))
+		l.Update()
+		s.put(2, born(7, "ready"))
+		l.Update()
+		g.Expect(l.Current().Endpoints["e1"].Born).To(Equal(int64(7)))
+		s.put(3, born(5, "draining"))
+		l.Update()
+		g.Expect(l.Current().Endpoints["e1"].Born).To(Equal(int64(7)))
+		g.Expect(l.Current().Endpoints["e1"].Leaving).To(BeFalse())
+		time.Sleep(lapse / 2)
+		s.put(4, born(7, "draining"))
+		l.Update()
+		g.Expect(l.Current().Endpoints["e1"].Leaving).To(BeTrue(), "the next heartbeat is the later life's")
+	})
+}
+
+// The clock of an endpoint's VM was set back before it started again: its records tell of
+// an earlier time for good. One that drains must not get requests for ever.
+func TestARecordThatStandsIsUsedWhateverItsClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &store{}
+		l := newList(s)
+		s.put(1, born(7, "ready"))
+		l.Update()
+		s.put(2, born(5, "draining"))
+		l.Update()
+		time.Sleep(lapse - time.Millisecond)
+		synctest.Wait()
+		g.Expect(l.Current().Endpoints["e1"].Leaving).To(BeFalse())
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		g.Expect(l.Current().Endpoints["e1"].Leaving).To(BeTrue())
+	})
+}
+
+// An older program beside this one writes records without the time of the start.
+func TestARecordWithoutTheTimeOfItsStartIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{}
+	l := newList(s)
+	s.put(1, born(7, "ready"))
+	l.Update()
+	s.put(2, `{"service":"llm","address":"10.0.0.1:80","zone":"a","slots":4,"state":"draining"}`)
+	l.Update()
+	g.Expect(l.Current().Endpoints["e1"].Leaving).To(BeTrue())
+}
+
+// Another writer left records in the store. They were logged at each change of any
+// endpoint, and one of them was used with slots of -8.
+func TestRecordsOfOtherWritersAreLeftOutAndToldOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{}
+	l := newList(s)
+	for revision := int64(1); revision <= 5; revision++ {
+		s.list(revision, 1, 2)
+		s.state.Objects["x"] = mirror.Object{Name: "x", Revision: 1, Data: []byte(`{"metadata":{"name":"x"},"spec":{"service":"llm","address":"10.0.0.9:80","zone":"a","slots":-8,"state":"ready"}}`)}
+		s.state.Objects["y"] = mirror.Object{Name: "y", Revision: 1, Data: []byte(`{"metadata":{"name":"y"},"spec":null}`)}
+		l.Update()
+		g.Expect(l.Current().Endpoints).To(HaveLen(2))
+	}
+	g.Expect(s.unreadable).To(ConsistOf("x", "y"))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/silverdeck/silverdeck/gateway/endpoints"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
 	"github.com/silverdeck/silverdeck/gateway/replica"
+	"github.com/silverdeck/silverdeck/gateway/unreadable"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/member"
@@ -70,6 +71,8 @@
 	peers *peerconn.Pool
 	// namingsWanted asks for them, see followNamings.
 	namingsWanted chan struct{}
+	// badVersions and badMembers account for records of these kinds that can't be used.
+	badVersions, badMembers *unreadable.Records
 	// versionsRead is set once a first copy of the named versions was taken in.
 	versionsRead atomic.Bool
 
@@ -100,8 +103,13 @@
 		Records:   func() *mirror.State { return g.mirrors[platform.KindEndpoints].State() },
 		Retention: roster.NewRetention(retainLapsed, min(retainLapsed, cfg.DrainLimit*2/3)),
 		Changed:   g.useEndpoints,
-		Log:       l,
+		// Three heartbeats without a write, as the platform has it.
+		Lapse:      3 * cfg.Heartbeat,
+		Unreadable: unreadable.New(platform.KindEndpoints, registry, l).Note,
+		Log:        l,
 	})
+	g.badVersions = unreadable.New(platform.KindVersions, registry, l)
+	g.badMembers = unreadable.New(platform.KindMembers, registry, l)
 	g.balancer = balance.New(balance.Config{
 		Zone:      cfg.Zone,
 		OtherLoad: g.table.InFlight,
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -13,8 +13,13 @@
 // useNotice takes in what the process beside an endpoint tells.
 func (g *Gateway) useNotice(n member.Notice) {
 	pause := time.Duration(n.PauseMS) * time.Millisecond
-	g.log.Info("notice", "addr", n.Addr, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version)
-	g.balancer.Announce(n.Addr, time.Now().Add(pause), roster.Weights{Model: n.Model, Version: n.Version})
+	g.log.Info("notice", "addr", n.Addr, "born", n.Born, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version)
+	g.balancer.Announce(balance.Announcement{
+		Addr:        n.Addr,
+		Born:        n.Born,
+		PausedUntil: time.Now().Add(pause),
+		Weights:     roster.Weights{Model: n.Model, Version: n.Version},
+	})
 }
 
 // useConfig puts the copy of the configuration in force. One that can't be read
@@ -42,7 +47,7 @@
 // useEndpoints puts a list of endpoints in force.
 func (g *Gateway) useEndpoints(list *roster.List) {
 	g.balancer.Update(list)
-	g.client.Keep(list.Addrs(), time.Now())
+	g.client.Keep(list.ByAddr(), time.Now())
 }
 
 // logBelief writes a line when an endpoint is ejected, used again or reassigned.
@@ -57,7 +62,7 @@
 	for name, stored := range s.Objects {
 		v, err := platform.DecodeVersion(stored.Data)
 		if err != nil {
-			g.log.Error("bad version", "name", name, "err", err)
+			g.badVersions.Note(name, err)
 			continue
 		}
 		if g.noteVersion(v.Model, v.Version, found) {
@@ -83,7 +88,7 @@
 	for name, stored := range s.Objects {
 		entry, err := platform.DecodeMember(stored.Data)
 		if err != nil {
-			g.log.Error("bad entry", "name", name, "err", err)
+			g.badMembers.Note(name, err)
 			continue
 		}
 		entries = append(entries, *entry)
--- a/gateway/proxy/proxy_test.go
+++ b/gateway/proxy/proxy_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
@@ -357,7 +358,7 @@
 	play(t, func(w *world) {
 		time.AfterFunc(200*time.Millisecond, func() {
 			w.minVersion.Store(2)
-			w.balancer.Announce("e1", time.Now(), roster.Weights{Model: "m", Version: 2})
+			w.balancer.Announce(balance.Announcement{Addr: "e1", PausedUntil: time.Now(), Weights: roster.Weights{Model: "m", Version: 2}})
 		})
 		a := w.ask("POST", "/stream/", "x")
 		w.g.Expect(a.Body.String()).To(Equal(stream(1)))
--- a/gateway/proxy/slowlink_test.go
+++ b/gateway/proxy/slowlink_test.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/swarm"
@@ -107,6 +108,8 @@
 
 func (h *holder) Pause(context.Context, time.Duration) {}
 
+func (h *holder) Started(context.Context, int64, bool) {}
+
 func (h *holder) Capacity() stage.Capacity { return stage.Capacity{} }
 
 func (h *holder) Loaded(context.Context, string, int64) {}
@@ -124,7 +127,7 @@
 		s.Want("m", 2, false)
 		w.linkDelay = linkDelay
 		time.AfterFunc(versionLimit-versionMargin, func() { w.minVersion.Store(2) })
-		w.balancer.Announce("e1", time.Time{}, roster.Weights{Model: "m", Version: 2})
+		w.balancer.Announce(balance.Announcement{Addr: "e1", PausedUntil: time.Time{}, Weights: roster.Weights{Model: "m", Version: 2}})
 		time.Sleep(versionLimit - versionMargin - 100*time.Millisecond)
 		a := w.ask("POST", "/stream/", "x")
 		w.g.Expect(a.Code).To(Equal(http.StatusOK), "the other endpoint answers")
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -85,7 +85,7 @@
 			list.Endpoints[id] = &roster.Endpoint{ID: id, Service: "s", Addr: id, Zone: "a", Slots: 2,
 				Weights: []roster.Weights{{Model: "m", Version: 1}}}
 		}
-		w.balancer = balance.New(balance.Config{Zone: "a", OtherLoad: func(string) int { return 0 }, Random: func() float64 { return 0 }})
+		w.balancer = balance.New(balance.Config{Zone: "a", OtherLoad: func(roster.Life) int { return 0 }, Random: func() float64 { return 0 }})
 		w.balancer.Update(list)
 		w.balancer.Prefer(map[string]bool{"e0": true})
 		w.client = upstream.NewClient(upstream.WithDialer(w))
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -10,6 +10,7 @@
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // Why a gateway is not ready.
@@ -58,7 +59,16 @@
 	for kind, m := range g.mirrors {
 		revisions[kind] = m.State().Revision
 	}
-	return shownState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: g.balancer.InFlight(), Versions: g.shownVersions()}
+	return shownState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: byID(g.balancer.InFlight()), Versions: g.shownVersions()}
+}
+
+// byID returns counts of endpoints by their IDs.
+func byID(counts map[roster.Life]int) map[string]int {
+	out := make(map[string]int, len(counts))
+	for l, n := range counts {
+		out[l.ID] = n
+	}
+	return out
 }
 
 func (g *Gateway) shownVersions() []shownVersion {
@@ -79,9 +89,8 @@
 		Copies:   map[string]mirror.Version{},
 		Watching: status.Watching,
 		Away:     status.StoreLost,
-		InFlight: g.balancer.InFlight(),
-		Suspects: g.balancer.Suspects(time.Now()),
 	}
+	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
 	for kind, m := range g.mirrors {
 		b.Copies[kind] = m.State().Version()
 	}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/quiet"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // Limits of connections.
@@ -81,6 +82,20 @@
 type idlePool struct {
 	mu   sync.Mutex
 	idle []*conn
+	// owner is the endpoint that has the address; not known before the first Keep.
+	owner roster.Life
+}
+
+// ownedBy notes who has the address and returns whether that is who had it. Connections
+// of an endpoint that crashed silently look sound until something is sent.
+func (p *idlePool) ownedBy(owner roster.Life) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	same := p.owner.ID == "" || p.owner.Same(owner)
+	if !same || owner.Born != 0 {
+		p.owner = owner
+	}
+	return same
 }
 
 // take returns the connection that was used last, or nil.
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/verdict"
 )
 
@@ -65,18 +66,23 @@
 	return c
 }
 
-// Keep closes the idle connections of endpoints whose address is not in addrs,
-// and those that have rested too long.
-func (c *Client) Keep(addrs map[string]bool, now time.Time) {
+// Keep closes the idle connections to addresses that no endpoint has any more, those to
+// one that has started again or that another has now, and those that have rested too long.
+// endpoints tells who has an address.
+func (c *Client) Keep(endpoints map[string]roster.Life, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, s := range c.pools {
-		if addrs[addr] {
-			s.sweep(now)
+	for addr, p := range c.pools {
+		owner, found := endpoints[addr]
+		if !found {
+			p.sweep(time.Time{})
+			delete(c.pools, addr)
 			continue
 		}
-		s.sweep(time.Time{})
-		delete(c.pools, addr)
+		if !p.ownedBy(owner) {
+			p.sweep(time.Time{})
+		}
+		p.sweep(now)
 	}
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/mirror"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // Entry is what a gateway tells of itself when it starts.
@@ -43,6 +44,33 @@
 	InFlight map[string]int `json:"inFlight,omitempty"`
 	// Suspects are endpoints that do not respond to this gateway.
 	Suspects []string `json:"suspects,omitempty"`
+	// Born tells of the endpoints above which of their lives is meant, as in
+	// roster.Life; older programs leave it out.
+	Born map[string]int64 `json:"born,omitempty"`
+}
+
+// SetEndpoints puts in what the gateway tells of endpoints.
+func (b *Heartbeat) SetEndpoints(inFlight map[roster.Life]int, suspects []roster.Life) {
+	b.InFlight, b.Suspects, b.Born = map[string]int{}, nil, map[string]int64{}
+	for l, n := range inFlight {
+		b.InFlight[l.ID] = n
+		b.noteBorn(l)
+	}
+	for _, l := range suspects {
+		b.Suspects = append(b.Suspects, l.ID)
+		b.noteBorn(l)
+	}
+}
+
+func (b *Heartbeat) noteBorn(l roster.Life) {
+	if l.Born != 0 {
+		b.Born[l.ID] = l.Born
+	}
+}
+
+// life returns which life of an endpoint the heartbeat tells of.
+func (b *Heartbeat) life(id string) roster.Life {
+	return roster.Life{ID: id, Born: b.Born[id]}
 }
 
 // Notice tells gateways that an endpoint is about to change its weights, or has.
@@ -54,6 +82,8 @@
 	// Model and Version are weights that it runs now; empty if that is not told.
 	Model   string `json:"model,omitempty"`
 	Version int64  `json:"version,omitempty"`
+	// Born tells which of the endpoint's lives is meant, as in roster.Life.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Times of heartbeats.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -36,9 +37,9 @@
 	It("sums what others have in progress, by their newest word", func() {
 		t.Hear(beat("x", 1, 1, map[string]int{"e": 2}), now)
 		t.Hear(beat("y", 1, 1, map[string]int{"e": 1, "f": 1}), now)
-		Expect(t.InFlight("e")).To(Equal(3))
+		Expect(t.InFlight(roster.Life{ID: "e"})).To(Equal(3))
 		t.Hear(beat("x", 1, 2, map[string]int{"e": 1}), now)
-		Expect(t.InFlight("e")).To(Equal(2))
+		Expect(t.InFlight(roster.Life{ID: "e"})).To(Equal(2))
 	})
 
 	It("ignores heartbeats that are late, its own, and those of nobody", func() {
@@ -54,7 +55,7 @@
 		Expect(t.Expire(at(900))).To(BeEmpty())
 		Expect(t.Expire(at(901))).To(Equal([]string{"x"}))
 		Expect(t.Expire(at(902))).To(BeEmpty())
-		Expect(t.InFlight("e")).To(BeZero())
+		Expect(t.InFlight(roster.Life{ID: "e"})).To(BeZero())
 		Expect(t.Live()).To(BeEmpty())
 	})
 
@@ -84,10 +85,24 @@
 		b := beat("x", 1, 1, nil)
 		b.Suspects = []string{"e"}
 		t.Hear(b, now)
-		Expect(t.Suspected("e")).To(BeTrue())
-		Expect(t.Suspected("f")).To(BeFalse())
+		Expect(t.Suspected(roster.Life{ID: "e"})).To(BeTrue())
+		Expect(t.Suspected(roster.Life{ID: "f"})).To(BeFalse())
 		t.Hear(beat("x", 1, 2, nil), now)
-		Expect(t.Suspected("e")).To(BeFalse())
+		Expect(t.Suspected(roster.Life{ID: "e"})).To(BeFalse())
+	})
+	It("counts by the lives of endpoints", func() {
+		b := beat("x", 1, 1, nil)
+		b.SetEndpoints(map[roster.Life]int{{ID: "e", Born: 5}: 3}, []roster.Life{{ID: "f", Born: 5}})
+		t.Hear(b, now)
+		Expect(t.InFlight(roster.Life{ID: "e", Born: 5})).To(Equal(3))
+		Expect(t.InFlight(roster.Life{ID: "e", Born: 6})).To(BeZero(), "of an earlier life")
+		Expect(t.InFlight(roster.Life{ID: "e"})).To(Equal(3), "this gateway was not told")
+		Expect(t.Suspected(roster.Life{ID: "f", Born: 5})).To(BeTrue())
+		Expect(t.Suspected(roster.Life{ID: "f", Born: 6})).To(BeFalse())
+		t.Hear(beat("y", 1, 1, map[string]int{"e": 2}), now)
+		Expect(t.InFlight(roster.Life{ID: "e", Born: 6})).To(Equal(2), "an older program tells no lives")
+		t.Expire(at(901))
+		Expect(t.InFlight(roster.Life{ID: "e", Born: 5})).To(BeZero())
 	})
 	It("knows who is ahead", func() {
 		t.Hear(beat("x", 1, 3, nil), now)
--- a/member/table.go
+++ b/member/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // peerState is what another gateway told last.
@@ -24,14 +26,14 @@
 	heard  map[string]*peerState
 	// inFlight sums the others' requests in progress by endpoint, suspects counts
 	// the others that suspect it.
-	inFlight, suspects map[string]int
+	inFlight, suspects counts
 	// arrived are gateways heard for the first time, or again, since last asked.
 	arrived []string
 }
 
 // NewTable returns the table of self.
 func NewTable(self Entry) *Table {
-	return &Table{self: self, known: map[string]Entry{}, heard: map[string]*peerState{}, inFlight: map[string]int{}, suspects: map[string]int{}}
+	return &Table{self: self, known: map[string]Entry{}, heard: map[string]*peerState{}, inFlight: counts{}, suspects: counts{}}
 }
 
 // Know replaces the list of gateways that are to be told of this one.
@@ -98,33 +100,25 @@
 // count adds what a heartbeat says of endpoints, or takes it away.
 func (t *Table) count(b *Heartbeat, sign int) {
 	for id, n := range b.InFlight {
-		add(t.inFlight, id, sign*n)
+		t.inFlight.add(b.life(id), sign*n)
 	}
 	for _, id := range b.Suspects {
-		add(t.suspects, id, sign)
-	}
-}
-
-// add adds n to a count and drops it when nothing is left.
-func add(counts map[string]int, id string, n int) {
-	counts[id] += n
-	if counts[id] <= 0 {
-		delete(counts, id)
+		t.suspects.add(b.life(id), sign)
 	}
 }
 
-// Suspected returns whether another gateway suspects endpoint id.
-func (t *Table) Suspected(id string) bool {
+// Suspected returns whether another gateway suspects an endpoint.
+func (t *Table) Suspected(l roster.Life) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects[id] > 0
+	return t.suspects.of(l) > 0
 }
 
-// InFlight returns how many requests the other gateways have at endpoint id.
-func (t *Table) InFlight(id string) int {
+// InFlight returns how many requests the other gateways have at an endpoint.
+func (t *Table) InFlight(l roster.Life) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.inFlight[id]
+	return t.inFlight.of(l)
 }
 
 // Live returns the gateways that are alive and ready, without this one.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,11 +48,14 @@
 	Endpoints map[string]*Endpoint
 }
 
-// Addrs returns the addresses of all endpoints.
-func (l *List) Addrs() map[string]bool {
-	out := make(map[string]bool, len(l.Endpoints))
+// ByAddr returns which endpoint has each address. Where several records name one, the life
+// that began last has it.
+func (l *List) ByAddr() map[string]Life {
+	out := make(map[string]Life, len(l.Endpoints))
 	for _, e := range l.Endpoints {
-		out[e.Addr] = true
+		if known, found := out[e.Addr]; !found || known.Born < e.Born {
+			out[e.Addr] = e.Life()
+		}
 	}
 	return out
 }
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -181,7 +181,7 @@
 	for _, stored := range objects {
 		e, err := platform.DecodeMember(stored.Data)
 		if err != nil {
-			f.log.Error("bad entry", "name", stored.Name, "err", err)
+			f.notUsed(platform.KindMembers, stored.Name, err)
 			continue
 		}
 		places = append(places, inventory.PlaceOf(*e))
@@ -257,7 +257,8 @@
 	for _, stored := range objects {
 		v, err := platform.DecodeVersion(stored.Data)
 		if err != nil {
-			return nil, err
+			f.notUsed(platform.KindVersions, stored.Name, err)
+			continue
 		}
 		out = append(out, inventory.Version{Model: v.Model, Version: v.Version})
 	}
@@ -273,9 +274,16 @@
 	for _, stored := range objects {
 		e, err := platform.DecodeEndpoint(stored.Data)
 		if err != nil {
-			return nil, err
+			f.notUsed(platform.KindEndpoints, stored.Name, err)
+			continue
 		}
 		out[e.ID] = e
 	}
 	return out, nil
 }
+
+// notUsed notes a record that another writer may have left. The store is read seldom, so
+// that the lines are few.
+func (f *fleet) notUsed(kind, name string, err error) {
+	f.log.Warn("record not used", "kind", kind, "name", name, "err", err)
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -58,6 +59,8 @@
 	cancel   context.CancelFunc
 	servers  []*http.Server
 	notices  net.PacketConn
+	// born is when the endpoint started, as it told last.
+	born atomic.Int64
 	// began is set once the first inventory was taken in. Only the fleet's goroutine
 	// uses it.
 	began bool
@@ -173,6 +176,14 @@
 	c.notify(member.Notice{Addr: c.cfg.Endpoint, Model: model, Version: version})
 }
 
+// Started implements stage.Fleet.
+func (c *Sidecar) Started(_ context.Context, born int64, again bool) {
+	c.born.Store(born)
+	if again {
+		c.notify(member.Notice{Addr: c.cfg.Endpoint})
+	}
+}
+
 // Capacity implements stage.Fleet.
 func (c *Sidecar) Capacity() stage.Capacity {
 	inv := c.fleet.known()
@@ -182,8 +193,9 @@
 	return stage.Capacity{Slots: inv.Slots, AnswerTime: inv.AnswerTime}
 }
 
-// notify sends n to all live gateways.
+// notify sends n, which is of the endpoint's present life, to all live gateways.
 func (c *Sidecar) notify(n member.Notice) {
+	n.Born = c.born.Load()
 	inv := c.fleet.known()
 	if inv == nil {
 		return
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -123,7 +123,7 @@
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
 		"running", report.Running, "drainMs", drain.Milliseconds(), "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
-	s.awaitLoaded(ctx, model, want.version)
+	s.awaitLoaded(ctx, model, want.version, &Report{Born: report.Born, Sequence: report.Sequence + 1})
 	return nil
 }
 
@@ -179,12 +179,19 @@
 	}
 }
 
-// awaitLoaded waits until the endpoint runs a version, and tells the gateways.
-func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64) {
+// awaitLoaded waits until the endpoint runs a version, and tells the gateways. ordered is
+// what it tells once it has taken the order: one that has started again since forgot it.
+func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, ordered *Report) {
 	began := time.Now()
 	for time.Since(began) < loadLimit && wait.For(ctx, loadedEvery) {
 		report, err := s.report(ctx)
-		if err != nil || report.Version(model) < version {
+		if err != nil {
+			continue
+		}
+		if report.Restarted(ordered) {
+			return
+		}
+		if report.Version(model) < version {
 			continue
 		}
 		s.cfg.Fleet.Loaded(ctx, model, version)
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -51,6 +51,15 @@
 	return 0
 }
 
+// Restarted returns whether the endpoint has started again since before. One that does not
+// tell when it started is known by its count of orders, which then begins anew.
+func (r *Report) Restarted(before *Report) bool {
+	if r.Born != 0 && before.Born != 0 {
+		return r.Born != before.Born
+	}
+	return r.Sequence < before.Sequence
+}
+
 // Endpoint is the endpoint on this VM.
 type Endpoint interface {
 	// Report returns the endpoint's state.
@@ -105,6 +114,9 @@
 	Pause(ctx context.Context, d time.Duration)
 	// Loaded tells the gateways that the endpoint runs a version of model.
 	Loaded(ctx context.Context, model string, version int64)
+	// Started notes when the endpoint started, as it tells; again says that it had
+	// started before: it holds nothing now, which the gateways do not know yet.
+	Started(ctx context.Context, born int64, again bool)
 	// Capacity returns what is known of how the endpoint runs requests.
 	Capacity() Capacity
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -62,6 +62,8 @@
 	// former are the targets before the newest, by model, the newest of them last.
 	former map[string][]target
 	wake   chan struct{}
+	// born is when the endpoint started, as it told last.
+	born int64
 	// loading is the version that is about to be loaded, by model.
 	loading map[string]int64
 	// link measures the VM's link for chunks of linkChunk bytes; nil before the first.
@@ -277,5 +279,26 @@
 func (s *Stager) reportWithin(ctx context.Context, limit time.Duration) (*Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return s.cfg.Endpoint.Report(ctx)
+	report, err := s.cfg.Endpoint.Report(ctx)
+	if err == nil {
+		s.noteBorn(ctx, report.Born)
+	}
+	return report, err
+}
+
+// noteBorn notes when the endpoint started. Gateways hear at once of a start that comes
+// after another: by the endpoint's record they would send to it for a second or two longer
+// what it can't run.
+func (s *Stager) noteBorn(ctx context.Context, born int64) {
+	s.mu.Lock()
+	before := s.born
+	s.born = born
+	s.mu.Unlock()
+	if born == before {
+		return
+	}
+	if before != 0 {
+		s.cfg.Log.Info("endpoint started again", "born", born, "before", before)
+	}
+	s.cfg.Fleet.Started(ctx, born, before != 0)
 }
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -37,7 +37,12 @@
 	mu sync.Mutex
 
 	// The endpoint.
-	runs     int64
+	runs int64
+	born int64
+	// forgets makes orders come to nothing.
+	forgets bool
+	// restarts are the times of starts that gateways were told of.
+	restarts []int64
 	queued   int
 	sequence int64
 	placed   map[int][]byte
@@ -82,7 +87,7 @@
 func (m *machine) Report(context.Context) (*stage.Report, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := &stage.Report{Sequence: m.sequence, Queued: m.queued, Running: m.running}
+	r := &stage.Report{Born: m.born, Sequence: m.sequence, Queued: m.queued, Running: m.running}
 	if m.runs > 0 {
 		r.Held = []stage.Held{{Model: "m", Version: m.runs, Whole: true}}
 	}
@@ -121,7 +126,11 @@
 	m.sequence++
 	m.mu.Unlock()
 	time.Sleep(m.warm)
-	m.set(func() { m.runs = o.Version })
+	m.set(func() {
+		if !m.forgets {
+			m.runs = o.Version
+		}
+	})
 	return nil
 }
 
@@ -182,6 +191,12 @@
 	m.set(func() { m.pauses = append(m.pauses, time.Now()) })
 }
 
+func (m *machine) Started(_ context.Context, born int64, again bool) {
+	if again {
+		m.set(func() { m.restarts = append(m.restarts, born) })
+	}
+}
+
 func (m *machine) Capacity() stage.Capacity { return m.capacity }
 
 func (m *machine) Loaded(_ context.Context, _ string, version int64) {
