member: heartbeats go by relays where gateways are many

Cause: each gateway sent each other one a heartbeat of everything five times a second, so that bytes and processor time grew with the square of the fleet: at 149 gateways 444 KB a second of each by the messages, 1.88 GB between regions in 32 s as measured by those who filed the issue. What is needed is three answers: who is alive, how busy endpoints are, which copies are new. Change: with more than 12 gateways each sends its heartbeat to the two relays of its zone, which follow from who is alive (nobody is elected); relays send their zone a digest of everybody, with loads of all others by life of an endpoint, and the relays of other zones one of their own. Rolls are told by hash and changes, and asked for whole where they differ. Older programs among the live make all use the mesh. Relays bring copies into their zone. Ruled out: slower heartbeats (measured in the issue: callers lose).

Golden files only grew.

--- a/compat/json_test.go
+++ b/compat/json_test.go
@@ -137,7 +137,7 @@
 	if err := member.Notify(listen(t), []string{notices.LocalAddr().String()}, *notice); err != nil {
 		t.Fatal(err)
 	}
-	golden(t, "datagrams.golden", heartbeat+"\n"+receive(t, notices)+"\n")
+	golden(t, "datagrams.golden", heartbeat+"\n"+receive(t, notices)+"\n"+jsonLine(t, "digest", filled[member.Digest]()))
 }
 
 func listen(t *testing.T) net.PacketConn {
--- a/compat/rpc_test.go
+++ b/compat/rpc_test.go
@@ -16,6 +16,7 @@
 	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/gateway/replica"
 	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/standalone/agent"
 	"github.com/silverdeck/silverdeck/standalone/entry"
@@ -54,6 +55,8 @@
 	of[inventory.Inventory]("Inventory"),
 	of[inventory.NamingsQuery]("NamingsQuery"),
 	of[inventory.NamingsReply]("NamingsReply"),
+	of[member.RollRequest]("RollRequest"),
+	of[member.RollReply]("RollReply"),
 }
 
 // encoded are the messages as they are sent, one a line, made before any test
@@ -104,6 +107,8 @@
 	agent.EntryService:    reflect.TypeFor[*entry.Service](),
 	inventory.Service:     reflect.TypeFor[*inventory.Server](),
 	replica.ServiceName:   reflect.TypeFor[*replica.Service](),
+
+	member.RollServiceName: reflect.TypeFor[*member.RollService](),
 }
 
 func TestMethodsKeepTheirNames(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,9 @@
 	// versionsRead is set once a first copy of the named versions was taken in.
 	versionsRead atomic.Bool
 
+	// dealt is from what endpoints were last dealt out. Only the Beater's goroutine uses it.
+	dealt dealt
+
 	leaving atomic.Bool
 	cancel  context.CancelFunc
 	// callers serves requests; others are the servers of the other addresses.
@@ -134,6 +137,7 @@
 		Callers: cfg.Callers,
 		Zone:    cfg.Zone,
 		Region:  cfg.Region,
+		Relays:  true,
 	}
 }
 
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -50,8 +50,11 @@
 		Describe: g.heartbeat,
 		After:    g.afterHeartbeat,
 		Notice:   g.useNotice,
-		Heard:    func() { g.afterOther(ctx) },
-		Log:      g.log,
+		AskRoll: func(ctx context.Context, addr string) ([]member.Member, error) {
+			return member.AskRoll(ctx, g.peers, addr, g.self.Name)
+		},
+		Heard: func() { g.afterOther(ctx) },
+		Log:   g.log,
 	})
 	go g.beater.Run(ctx)
 	go g.syncer.Run(ctx)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/silverdeck/silverdeck/gateway/directory"
 	"github.com/silverdeck/silverdeck/gateway/replica"
 	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/routes"
@@ -83,6 +84,8 @@
 	mux, err := peerconn.NewMux(map[string]any{
 		replica.ServiceName: replica.NewService(g.mirrors),
 		inventory.Service:   g.inventory,
+
+		member.RollServiceName: member.NewRollService(g.table),
 	})
 	if err != nil {
 		return err
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -100,7 +100,7 @@
 // afterHeartbeat takes in what the last heartbeats of others told. silent are the
 // gateways from which none came any more.
 func (g *Gateway) afterHeartbeat(silent []string) {
-	g.balancer.Prefer(affinity.Preferred(g.endpoints.Current(), g.gateways(), g.self.Name))
+	g.prefer()
 	for _, name := range silent {
 		g.log.Warn("entry lost", "entry", name)
 	}
@@ -114,6 +114,23 @@
 	g.requireHeld(time.Now())
 }
 
+// prefer deals out the endpoints anew where they or the gateways have changed: with 1,900
+// and 340 that is too much work for each heartbeat.
+func (g *Gateway) prefer() {
+	now := dealt{endpoints: g.endpoints.Current(), members: g.table.Changes()}
+	if g.dealt == now {
+		return
+	}
+	g.dealt = now
+	g.balancer.Prefer(affinity.Preferred(now.endpoints, g.gateways(), g.self.Name))
+}
+
+// dealt is from what endpoints were last dealt out to gateways.
+type dealt struct {
+	endpoints *roster.List
+	members   uint64
+}
+
 // afterOther takes in a heartbeat of another gateway.
 func (g *Gateway) afterOther(ctx context.Context) {
 	g.balancer.NoteTraffic(time.Now())
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -45,10 +45,10 @@
 	})
 }
 
-// announceCopies makes a gateway that watches the store tell others of its copies
-// ahead of its next heartbeat.
+// announceCopies makes a gateway from which others take copies tell them of its own ahead
+// of its next heartbeat: one that watches the store, and a relay.
 func (g *Gateway) announceCopies() {
-	if g.syncer.Status().Watching && g.beater != nil {
+	if g.beater != nil && (g.syncer.Status().Watching || g.table.IsRelay()) {
 		g.beater.SendSoon()
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -1,6 +1,13 @@
 // Package member tells which gateways are alive and how busy endpoints are:
-// gateways send each other heartbeats by UDP, with their own requests in progress
-// at each endpoint and the versions of their copies of the store.
+// gateways send heartbeats by UDP, with their own requests in progress at each
+// endpoint and the versions of their copies of the store.
+//
+// A few gateways send theirs to each other. Where there are more, each sends them to the
+// relays of its availability zone, which are the first two of those that are alive, and
+// relays send digests of what they heard: to the gateways of their zone one of everybody,
+// to the relays of other zones one of their own. Nobody is elected: who is a relay follows
+// from what each gateway knows, and two that differ for a moment both send. What a gateway
+// sends and takes then does not grow with the number of gateways.
 //
 // It owns the table of what others told last, under one lock. It relies on the
 // store's list of gateways only to find those that were not heard yet. A gateway
@@ -25,6 +32,8 @@
 	Callers string `json:"callers"`
 	Zone    string `json:"zone"`
 	Region  string `json:"region"`
+	// Relays is set by programs that take and send digests; older ones leave it out.
+	Relays bool `json:"relays,omitempty"`
 }
 
 // Heartbeat is what a gateway tells regularly.
@@ -47,6 +56,33 @@
 	// Born tells of the endpoints above which of their lives is meant, as in
 	// roster.Life; older programs leave it out.
 	Born map[string]int64 `json:"born,omitempty"`
+	// Brief is set where places of Entry and Copies are left out, since they are as in the
+	// last heartbeat that had them.
+	Brief bool `json:"brief,omitempty"`
+}
+
+// bare returns b without what it tells of endpoints.
+func (b Heartbeat) bare() Heartbeat {
+	b.InFlight, b.Suspects, b.Born = nil, nil, nil
+	return b
+}
+
+// shortened returns b without what seldom changes.
+func (b Heartbeat) shortened() Heartbeat {
+	b.Entry = Entry{Name: b.Entry.Name, Life: b.Entry.Life}
+	b.Copies, b.Brief = nil, true
+	return b
+}
+
+// filled returns a brief heartbeat with what the one before had.
+func (b Heartbeat) filled(before *Heartbeat) Heartbeat {
+	b.Entry, b.Copies, b.Brief = before.Entry, before.Copies, false
+	return b
+}
+
+// member returns what the heartbeat tells of its gateway.
+func (b *Heartbeat) member() Member {
+	return Member{Entry: b.Entry, Ready: b.Ready, Watching: b.Watching, Away: b.Away}
 }
 
 // SetEndpoints puts in what the gateway tells of endpoints.
--- /dev/null
+++ b/member/relay.go
@@ -0,0 +1,205 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// relayState is what a relay told last.
+type relayState struct {
+	heardAt time.Time
+	// firstAt is when it was first heard as a relay.
+	firstAt time.Time
+	// fresh is set while the relay is alive, settled once all of its zone have had time to
+	// report to it.
+	fresh, settled bool
+	zone           string
+	life           uint64
+	// roll is who is alive by its word; told is the hash that it told last.
+	roll *roll
+	told uint64
+	// askedAt is when it was last asked for its whole roll.
+	askedAt time.Time
+	loads   loads
+}
+
+// loads are Loads as they were read.
+type loads struct {
+	covers             int
+	inFlight, suspects keyCounts
+}
+
+// hearDigest takes in what the relay of a heartbeat tells of others. The caller holds the
+// lock.
+func (t *Table) hearDigest(from Entry, d *Digest, now time.Time) {
+	r := t.relays[from.Name]
+	if r == nil || r.life != from.Life {
+		r = &relayState{firstAt: now, zone: from.Zone, life: from.Life, roll: newRoll()}
+		t.relays[from.Name] = r
+	}
+	r.heardAt, r.fresh, r.told = now, true, d.Roll.Hash
+	if r.roll.apply(d.Roll.Changes) {
+		t.members = nil
+	}
+	if d.Loads != nil {
+		r.loads = loads{covers: d.Loads.Covers, inFlight: d.Loads.InFlight.unpack(), suspects: d.Loads.Suspects.unpack()}
+	}
+}
+
+// Behind returns the relays whose whole roll is to be asked for now, and notes that it is.
+func (t *Table) Behind(now time.Time) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for name, r := range t.relays {
+		p := t.direct[name]
+		if p == nil || r.told == r.roll.hash || now.Sub(r.askedAt) < askEvery {
+			continue
+		}
+		r.askedAt = now
+		out = append(out, p.beat.Entry)
+	}
+	return out
+}
+
+// TakeRoll takes in the whole roll of a relay.
+func (t *Table) TakeRoll(from Entry, members []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.relays[from.Name]
+	if r == nil || r.life != from.Life {
+		return
+	}
+	r.roll = newRoll()
+	for _, m := range members {
+		r.roll.put(m)
+	}
+	t.members = nil
+}
+
+// WholeRoll returns all members of the roll that this gateway tells as a relay.
+func (t *Table) WholeRoll() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Member, 0, len(t.log.members))
+	for _, m := range t.log.members {
+		out = append(out, m)
+	}
+	return out
+}
+
+// expireRelays forgets what relays told that have been silent. The caller holds the lock.
+func (t *Table) expireRelays(now time.Time) {
+	for name, r := range t.relays {
+		fresh := now.Sub(r.heardAt) <= AliveTime
+		settled := fresh && now.Sub(r.firstAt) >= settleTime
+		if fresh != r.fresh || settled != r.settled {
+			r.fresh, r.settled = fresh, settled
+			t.members = nil
+		}
+		if now.Sub(r.heardAt) > rollTime {
+			delete(t.relays, name)
+			t.members = nil
+		}
+	}
+}
+
+// rolls calls f with the members that each relay that counts told of: those that are
+// alive, and those that are silent where no other has told of their zone for long enough.
+// Of the latter none vouches for another. The caller holds the lock.
+func (t *Table) rolls(f func(r *relayState, m Member)) {
+	covered := map[string]bool{}
+	for _, r := range t.relays {
+		if r.settled {
+			covered[r.zone] = true
+		}
+	}
+	for _, r := range t.relays {
+		if !r.fresh && covered[r.zone] {
+			continue
+		}
+		for name, m := range r.roll.members {
+			if name != t.self.Name && (r.fresh || !t.silent(name)) {
+				f(r, m)
+			}
+		}
+	}
+}
+
+// silent returns whether a gateway told as a relay and does not any more. The caller holds
+// the lock.
+func (t *Table) silent(name string) bool {
+	r := t.relays[name]
+	return r != nil && !r.fresh
+}
+
+// firstHand returns who is alive by what this gateway heard itself: of its own zone by
+// their heartbeats, of others by their relays. Only that is told on, so that no two relays
+// keep a dead gateway alive by each other's word. The caller holds the lock.
+func (t *Table) firstHand() map[string]Member {
+	out := map[string]Member{}
+	t.rolls(func(r *relayState, m Member) {
+		if r.zone != t.self.Zone && m.Entry.Zone == r.zone {
+			out[m.Entry.Name] = m
+		}
+	})
+	for name, p := range t.direct {
+		out[name] = p.beat.member()
+	}
+	return out
+}
+
+// alive returns who is alive: by what this gateway heard itself, and by the word of the
+// relays of its zone. The caller holds the lock and does not change the result.
+func (t *Table) alive() map[string]Member {
+	if t.members != nil {
+		return t.members
+	}
+	out := t.firstHand()
+	t.rolls(func(r *relayState, m Member) {
+		if _, heard := out[m.Entry.Name]; !heard && r.zone == t.self.Zone {
+			out[m.Entry.Name] = m
+		}
+	})
+	t.members = out
+	t.noteChanges(out)
+	return out
+}
+
+// zoneMembers returns those of zone that are alive, with this gateway if it is of zone.
+// The caller holds the lock.
+func (t *Table) zoneMembers(zone string) []Member {
+	var out []Member
+	for _, m := range t.alive() {
+		if m.Entry.Zone == zone {
+			out = append(out, m)
+		}
+	}
+	if zone == t.self.Zone {
+		out = append(out, Member{Entry: t.self, Ready: t.ready})
+	}
+	return out
+}
+
+// IsRelay returns whether this gateway is a relay of its zone.
+func (t *Table) IsRelay() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.usesRelays() && t.isRelay()
+}
+
+func (t *Table) isRelay() bool {
+	return slices.ContainsFunc(Relays(t.zoneMembers(t.self.Zone)), func(m Member) bool { return m.Entry.Name == t.self.Name })
+}
+
+// usesRelays returns whether heartbeats go by relays. The caller holds the lock.
+func (t *Table) usesRelays() bool {
+	if !t.self.Relays {
+		return false
+	}
+	older := false
+	for _, p := range t.direct {
+		older = older || !p.beat.Entry.Relays
+	}
+	return UsesRelays(len(t.everybody())+1, older)
+}
--- /dev/null
+++ b/member/rules.go
@@ -0,0 +1,81 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Who sends to whom.
+const (
+	// meshSize is how many gateways send heartbeats to each other without relays. Each
+	// then sends 55 a second of about 230 bytes, the 13 KB a second that a gateway may
+	// spend for control (the project's brief).
+	meshSize = 12
+	// relaysInZone is how many gateways of a zone are relays: the loss of one costs
+	// nobody what the other tells.
+	relaysInZone = 2
+	// probes is how many of the gateways that are listed and not alive a relay tries each
+	// time; by turns it tries all. Who starts while the store is away knows nobody. Chosen
+	// by judgement.
+	probes = 4
+	// fullEvery is how many heartbeats there are from one that tells everything to the
+	// next: a second. Who missed one waits for no longer.
+	fullEvery = 5
+	// fullAfterNews is how many tell everything after a change: two may be lost.
+	fullAfterNews = 3
+	// loadsEvery is how many digests there are from one with loads to the next. The two
+	// relays of a zone are not in step, so that loads are as old as with one in each.
+	loadsEvery = 2
+)
+
+// Times of digests.
+const (
+	// rollTime is for how long the roll of a relay that has gone silent is used where no
+	// other tells of its zone: both relays may die at once, and the next two are known
+	// after AliveTime. Without it the whole zone would count as dead meanwhile.
+	rollTime = 2 * AliveTime
+	// settleTime is how long all gateways of a zone take to report to a new relay, as they
+	// do once they know of it: what it tells before that lacks some who are alive.
+	settleTime = 3 * Interval
+	// changeTime is for how long a change of a roll is told: five digests, of which four
+	// may be lost.
+	changeTime = time.Second
+	// maxChanges is how many changes a digest tells. Where more come at once, as when
+	// many gateways die, the whole roll is asked for, which is smaller than that many
+	// changes in each of five digests. Chosen by judgement.
+	maxChanges = 16
+	// askEvery is the time between two questions for a relay's whole roll. Chosen by
+	// judgement.
+	askEvery = 300 * time.Millisecond
+)
+
+// Member is what is known of a gateway that is alive.
+type Member struct {
+	Entry Entry `json:"entry"`
+	// Ready, Watching and Away are as in its heartbeat.
+	Ready    bool `json:"ready,omitempty"`
+	Watching bool `json:"watching,omitempty"`
+	Away     bool `json:"away,omitempty"`
+}
+
+// Relays returns the relays among the gateways of one zone that are alive, best first:
+// those that are ready, by name. It sorts members.
+func Relays(members []Member) []Member {
+	slices.SortFunc(members, func(a, b Member) int {
+		if a.Ready != b.Ready {
+			if a.Ready {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Entry.Name, b.Entry.Name)
+	})
+	return members[:min(relaysInZone, len(members))]
+}
+
+// UsesRelays returns whether heartbeats go by relays, where so many gateways are known,
+// this one among them, and some of those that are alive know no relays.
+func UsesRelays(gateways int, someOlder bool) bool {
+	return gateways > meshSize && !someOlder
+}
--- a/member/table.go
+++ b/member/table.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/silverdeck/silverdeck/roster"
 )
 
 // peerState is what another gateway told last.
@@ -23,17 +21,42 @@
 	known map[string]Entry
 	// listed is set once the store's list was read.
 	listed bool
-	heard  map[string]*peerState
-	// inFlight sums the others' requests in progress by endpoint, suspects counts
-	// the others that suspect it.
+	// direct is what other gateways told themselves, by name.
+	direct map[string]*peerState
+	// inFlight sums their requests in progress by endpoint, suspects counts those of them
+	// that suspect it.
 	inFlight, suspects counts
-	// arrived are gateways heard for the first time, or again, since last asked.
-	arrived []string
+	// relays is what relays told of others, by the relay's name; see relay.go.
+	relays map[string]*relayState
+	// members are all that are alive, by name, nil when they are to be worked out anew;
+	// see alive. sums are what they told of endpoints, likewise; see currentSums.
+	members map[string]Member
+	sums    *sums
+	// reported are the members of which Arrived and Expire have told, or are to tell:
+	// arrived and lost.
+	reported      map[string]bool
+	arrived, lost []string
+	// changes counts how often the members changed.
+	changes uint64
+	// log is the roll that this gateway tells as a relay.
+	log *rollLog
+	// sent is what this gateway told last; see plan.
+	sent  sent
+	ready bool
 }
 
 // NewTable returns the table of self.
 func NewTable(self Entry) *Table {
-	return &Table{self: self, known: map[string]Entry{}, heard: map[string]*peerState{}, inFlight: counts{}, suspects: counts{}}
+	return &Table{
+		self:     self,
+		known:    map[string]Entry{},
+		direct:   map[string]*peerState{},
+		inFlight: counts{},
+		suspects: counts{},
+		relays:   map[string]*relayState{},
+		reported: map[string]bool{},
+		log:      newRollLog(),
+	}
 }
 
 // Know replaces the list of gateways that are to be told of this one.
@@ -51,22 +74,46 @@
 
 // Hear takes in a heartbeat and returns whether it is new.
 func (t *Table) Hear(b Heartbeat, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hear(b, now)
+}
+
+// HearRelay takes in a relay's heartbeat with its digest, and returns whether they are new.
+func (t *Table) HearRelay(b Heartbeat, d Digest, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.hear(b, now) {
+		return false
+	}
+	t.hearDigest(t.direct[b.Entry.Name].beat.Entry, &d, now)
+	return true
+}
+
+func (t *Table) hear(b Heartbeat, now time.Time) bool {
 	if b.Entry.Name == t.self.Name || b.Entry.Name == "" {
 		return false
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old := t.heard[b.Entry.Name]
-	if old != nil && old.beat.Entry.Life == b.Entry.Life && old.beat.Sequence >= b.Sequence {
+	old := t.direct[b.Entry.Name]
+	sameLife := old != nil && old.beat.Entry.Life == b.Entry.Life
+	if sameLife && old.beat.Sequence >= b.Sequence {
 		return false
 	}
+	if b.Brief {
+		if !sameLife {
+			return false // the next one that is whole comes within a second
+		}
+		b = b.filled(&old.beat)
+	}
+	if old == nil || old.beat.member() != b.member() {
+		t.members = nil
+	}
 	if old != nil {
-		t.count(&old.beat, -1)
-	} else {
-		t.arrived = append(t.arrived, b.Entry.Name)
+		old.beat.countInto(t.inFlight, t.suspects, -1)
 	}
-	t.count(&b, 1)
-	t.heard[b.Entry.Name] = &peerState{beat: b, heardAt: now}
+	b.countInto(t.inFlight, t.suspects, 1)
+	t.direct[b.Entry.Name] = &peerState{beat: b, heardAt: now}
+	t.sums = nil
 	return true
 }
 
@@ -75,50 +122,67 @@
 func (t *Table) Expire(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var dead []string
-	for name, p := range t.heard {
+	for name, p := range t.direct {
 		if now.Sub(p.heardAt) <= AliveTime {
 			continue
 		}
-		t.count(&p.beat, -1)
-		delete(t.heard, name)
-		dead = append(dead, name)
+		p.beat.countInto(t.inFlight, t.suspects, -1)
+		delete(t.direct, name)
+		t.members = nil
 	}
+	t.expireRelays(now)
+	t.sums = nil
+	t.alive()
+	dead := t.lost
+	t.lost = nil
 	slices.Sort(dead)
 	return dead
 }
 
-// Arrived returns the gateways heard anew since it was last called.
+// Arrived returns the gateways that are alive anew since it was last called.
 func (t *Table) Arrived() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.alive()
 	out := t.arrived
 	t.arrived = nil
 	return out
 }
 
-// count adds what a heartbeat says of endpoints, or takes it away.
-func (t *Table) count(b *Heartbeat, sign int) {
-	for id, n := range b.InFlight {
-		t.inFlight.add(b.life(id), sign*n)
+// noteChanges notes who has come and gone. The caller holds the lock.
+func (t *Table) noteChanges(members map[string]Member) {
+	t.changes++
+	for name := range members {
+		if !t.reported[name] {
+			t.reported[name] = true
+			t.arrived = append(t.arrived, name)
+		}
 	}
-	for _, id := range b.Suspects {
-		t.suspects.add(b.life(id), sign)
+	for name := range t.reported {
+		if _, still := members[name]; !still {
+			delete(t.reported, name)
+			t.lost = append(t.lost, name)
+		}
 	}
 }
 
-// Suspected returns whether another gateway suspects an endpoint.
-func (t *Table) Suspected(l roster.Life) bool {
+// Changes counts how often what is known of members changed: what follows from them alone
+// need not be worked out anew while it stays.
+func (t *Table) Changes() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects.of(l) > 0
+	t.alive()
+	return t.changes
 }
 
-// InFlight returns how many requests the other gateways have at an endpoint.
-func (t *Table) InFlight(l roster.Life) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.inFlight.of(l)
+// countInto adds what the heartbeat says of endpoints to counts, or takes it away.
+func (b *Heartbeat) countInto(inFlight, suspects counts, sign int) {
+	for id, n := range b.InFlight {
+		inFlight.add(b.life(id), sign*n)
+	}
+	for _, id := range b.Suspects {
+		suspects.add(b.life(id), sign)
+	}
 }
 
 // Live returns the gateways that are alive and ready, without this one.
@@ -126,9 +190,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Entry
-	for _, p := range t.heard {
-		if p.beat.Ready {
-			out = append(out, p.beat.Entry)
+	for _, m := range t.alive() {
+		if m.Ready {
+			out = append(out, m.Entry)
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
@@ -136,43 +200,50 @@
 }
 
 // Others returns the peer addresses of all gateways that were ever told of and
-// of those that are heard.
+// of those that are alive.
 func (t *Table) Others() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.others()
+}
+
+func (t *Table) others() []string {
 	var out []string
-	for _, e := range t.known {
+	for _, e := range t.everybody() {
 		out = append(out, e.Peer)
 	}
-	for _, p := range t.heard {
-		if !slices.Contains(out, p.beat.Entry.Peer) {
-			out = append(out, p.beat.Entry.Peer)
-		}
-	}
 	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// everybody returns all gateways that the store lists, those that any relay tells of and
+// those that are alive, by name. The caller holds the lock.
+func (t *Table) everybody() map[string]Entry {
+	out := make(map[string]Entry, len(t.known))
+	for name, e := range t.known {
+		out[name] = e
+	}
+	t.rolls(func(_ *relayState, m Member) { out[m.Entry.Name] = m.Entry })
+	for name, m := range t.alive() {
+		out[name] = m.Entry
+	}
 	return out
 }
 
 // Sharers returns how many gateways there are at most, with this one: those that
-// the store lists and those that are heard. It is 0 until the store's list is known.
+// the store lists and those that are alive. It is 0 until the store's list is known.
 func (t *Table) Sharers() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.listed {
 		return 0
 	}
-	n := len(t.known) + 1
-	for name := range t.heard {
-		if _, known := t.known[name]; !known {
-			n++
-		}
-	}
-	return n
+	return len(t.everybody()) + 1
 }
 
 // Size returns how many gateways are alive, with this one.
 func (t *Table) Size() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.heard) + 1
+	return len(t.alive()) + 1
 }
--- a/member/watch.go
+++ b/member/watch.go
@@ -32,12 +32,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before, answered := 0, 0
-	for name, p := range t.heard {
-		if p.beat.Entry.Zone != t.self.Zone || name > t.self.Name {
+	for name, m := range t.alive() {
+		if m.Entry.Zone != t.self.Zone || name > t.self.Name {
 			continue
 		}
 		before++
-		if !p.beat.Away {
+		if !m.Away {
 			answered++
 		}
 	}
@@ -53,8 +53,8 @@
 	if watching {
 		n++
 	}
-	for _, p := range t.heard {
-		if p.beat.Watching {
+	for _, m := range t.alive() {
+		if m.Watching {
 			n++
 		}
 	}
@@ -67,11 +67,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	lost := false
-	for _, p := range t.heard {
-		if !p.beat.Watching {
+	for _, m := range t.alive() {
+		if !m.Watching {
 			continue
 		}
-		if !p.beat.Away {
+		if !m.Away {
 			return false
 		}
 		lost = true
@@ -79,13 +79,15 @@
 	return lost
 }
 
-// Newer returns the peer addresses of live gateways that have a newer copy of kind
-// than mine, those of this gateway's zone alone where there are some.
+// Newer returns the peer addresses of gateways that have a newer copy of kind than mine,
+// of those that this one hears itself: where there are relays, these bring a copy into
+// their zone, and the others take it from them. Those of this gateway's zone come alone
+// where there are some.
 func (t *Table) Newer(kind string, mine mirror.Version) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var near, far []string
-	for _, p := range t.heard {
+	for _, p := range t.direct {
 		switch {
 		case !p.beat.Copies[kind].NewerThan(mine):
 		case p.beat.Entry.Zone == t.self.Zone:
--- a/member/wire.go
+++ b/member/wire.go
@@ -14,10 +14,15 @@
 // maxDatagram bounds a heartbeat, in bytes: the largest datagram of UDP.
 const maxDatagram = 64 << 10
 
-// message is one datagram; one field is set.
+// rollLimit bounds a question for a whole roll, some tens of kilobytes: a link between
+// regions may be full. Chosen by judgement.
+const rollLimit = time.Second
+
+// message is one datagram: a heartbeat, with a relay's also its digest, or a notice.
 type message struct {
 	Heartbeat *Heartbeat `json:"beat,omitempty"`
 	Notice    *Notice    `json:"notice,omitempty"`
+	Digest    *Digest    `json:"digest,omitempty"`
 }
 
 // Handlers are what a Beater calls, each from a goroutine of the Beater's.
@@ -31,6 +36,8 @@
 	Heard func()
 	// Notice is called with each notice.
 	Notice func(Notice)
+	// AskRoll asks the relay at addr for its whole roll; see RollService.
+	AskRoll func(ctx context.Context, addr string) ([]Member, error)
 	// Log takes lines about datagrams that can't be sent or read.
 	Log *log.Logger
 }
@@ -89,7 +96,7 @@
 
 // Run sends and takes heartbeats until ctx ends.
 func (b *Beater) Run(ctx context.Context) {
-	go b.receive()
+	go b.receive(ctx)
 	defer func() { _ = b.conn.Close() }() // ends receive
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
@@ -112,13 +119,15 @@
 func (b *Beater) send(sequence uint64) {
 	beat := b.handlers.Describe()
 	beat.Sequence = sequence
-	if err := send(b.conn, b.table.Others(), message{Heartbeat: &beat}); err != nil {
-		b.handlers.Log.Debug("heartbeat not sent to all", "err", err)
+	for _, p := range b.table.plan(beat, time.Now()) {
+		if err := send(b.conn, p.addrs, p.message); err != nil {
+			b.handlers.Log.Debug("heartbeat not sent to all", "err", err)
+		}
 	}
 }
 
 // receive takes datagrams until the connection is closed.
-func (b *Beater) receive() {
+func (b *Beater) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := b.conn.ReadFrom(buffer)
@@ -132,11 +141,40 @@
 		}
 		switch {
 		case m.Heartbeat != nil:
-			if b.table.Hear(*m.Heartbeat, time.Now()) {
-				b.handlers.Heard()
-			}
+			b.hear(ctx, &m)
 		case m.Notice != nil:
 			b.handlers.Notice(*m.Notice)
 		}
 	}
 }
+
+// hear takes in a heartbeat, and what a relay sends with it.
+func (b *Beater) hear(ctx context.Context, m *message) {
+	now := time.Now()
+	if m.Digest == nil {
+		if b.table.Hear(*m.Heartbeat, now) {
+			b.handlers.Heard()
+		}
+		return
+	}
+	if !b.table.HearRelay(*m.Heartbeat, *m.Digest, now) {
+		return
+	}
+	b.handlers.Heard()
+	for _, relay := range b.table.Behind(now) {
+		go b.askRoll(ctx, relay)
+	}
+}
+
+// askRoll takes the whole roll of a relay. Where that fails, it is asked for again with a
+// later digest.
+func (b *Beater) askRoll(ctx context.Context, relay Entry) {
+	ctx, cancel := context.WithTimeout(ctx, rollLimit)
+	defer cancel()
+	members, err := b.handlers.AskRoll(ctx, relay.Peer)
+	if err != nil {
+		b.handlers.Log.Debug("no roll from a relay", "peer", relay.Peer, "err", err)
+		return
+	}
+	b.table.TakeRoll(relay, members)
+}
