swarm, stage, platform: the origin is read by turns from the first call on, after an outage and for a version that is replaced

Changes: the rate comes from the configuration; turns begin anew with each fault of the origin and with the first success after; the first readers bring in what is left of a version's first copies beside the newer one, where half of a copy's time has passed and it can still be used.

Tests red before: 57 of 64 chunks out by 129 reads and whole 2.36 s after an outage (now 64 by 79, 0.8 s); a replaced version is never loaded when the origin dies; the rate.

--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -34,6 +34,9 @@
 	// chunkLimit is the shortest time after which a chunk from a VM counts as stalled.
 	// Chosen by judgement, not measured.
 	chunkLimit = 600 * time.Millisecond
+	// firstCopiesLimit bounds the bringing in of first copies of a version that is not the
+	// newest: a copy takes 1.3 to 1.7 s on the sites' origins. Chosen by judgement.
+	firstCopiesLimit = 2 * time.Second
 )
 
 // fetchAll fetches the newest version of each model, until ctx ends.
@@ -56,11 +59,16 @@
 	if want.first && !s.settle(ctx, model, want) {
 		return
 	}
+	whole := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.abandon(ctx, cancel, model, want.version)
 	go s.fallBack(ctx, model, want.version)
-	if err := s.fetch(ctx, model, want.version); err != nil {
+	err := s.fetch(ctx, model, want.version)
+	if s.firstCopiesOfUse(whole, model, want) {
+		go s.bringFirstCopies(whole, model, want.version)
+	}
+	if err != nil {
 		s.failed(ctx, "weights not fetched", model, want.version, err)
 		return
 	}
@@ -92,6 +100,38 @@
 	}
 }
 
+// firstCopiesOfUse returns whether the rest of the first copies of want is to be brought in
+// although a newer version is named; see the rule of that name.
+func (s *Stager) firstCopiesOfUse(ctx context.Context, model string, want target) bool {
+	set := s.holdings.version(model, want.version)
+	rate := s.cfg.Origin.Rate(ctx)
+	if set == nil || set.Complete() || rate <= 0 || s.target(model).version == want.version {
+		return false
+	}
+	oneCopy := time.Duration(float64(set.Manifest().Size) / rate * float64(time.Second))
+	return FirstCopiesOfUse(time.Since(want.seenAt), oneCopy, !s.outdated(model, want.version))
+}
+
+// bringFirstCopies reads the chunks of a version that this VM is the first of all to read,
+// beside the fetch of the newer one.
+func (s *Stager) bringFirstCopies(ctx context.Context, model string, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, firstCopiesLimit)
+	defer cancel()
+	set := s.holdings.version(model, version)
+	if set == nil {
+		return
+	}
+	before := set.Len()
+	members := s.members(ctx)
+	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, s.reader(model, version, set),
+		swarm.WithOriginBudget(s.cfg.Origin.Rate(ctx), float64(len(members)+1)),
+		swarm.WithLink(s.linkMeter(set.Manifest().ChunkSize)),
+		swarm.WithFirstCopies())
+	s.holdings.SetDownload(set.Root(), d)
+	err := d.Run(ctx)
+	s.cfg.Log.Info("first copies brought in", "model", model, "version", version, "chunks", set.Len()-before, "err", err)
+}
+
 // fallBack goes on with the version named before when this one makes no
 // progress, as when the origin fails: requests may begin on the older one until
 // its own limit.
@@ -161,9 +201,8 @@
 // download fills set from other VMs and the origin.
 func (s *Stager) download(ctx context.Context, model string, version int64, set *weights.Set) error {
 	members := s.members(ctx)
-	source := &versionReader{origin: s.cfg.Origin, model: model, version: version, size: set.Manifest().ChunkSize}
-	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, source,
-		swarm.WithOriginBudget(s.cfg.Origin.Rate(), float64(len(members)+1)),
+	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, s.reader(model, version, set),
+		swarm.WithOriginBudget(s.cfg.Origin.Rate(ctx), float64(len(members)+1)),
 		swarm.WithLateness(originLateness),
 		swarm.WithParallel(parallelChunks, perMember),
 		swarm.WithLink(s.linkMeter(set.Manifest().ChunkSize)),
@@ -236,6 +275,11 @@
 	return members
 }
 
+// reader returns what reads the chunks of a version's set from the origin.
+func (s *Stager) reader(model string, version int64, set *weights.Set) *versionReader {
+	return &versionReader{origin: s.cfg.Origin, model: model, version: version, size: set.Manifest().ChunkSize}
+}
+
 // versionReader reads chunks of one version from the origin.
 type versionReader struct {
 	origin  Origin
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -92,6 +92,19 @@
 	return float64(have) >= worthFinishing*float64(total)
 }
 
+// firstCopiesShare is the part of a copy's time on the origin's link that a version must
+// have had for the rest of its first copies to be brought in although a newer one is named:
+// with less, the rest would hold the newer one up for longer than that. Chosen by judgement.
+const firstCopiesShare = 0.5
+
+// FirstCopiesOfUse returns whether the rest of the first copies of a version that was named
+// before is brought in, for so long it was fetched, by what a copy takes on the origin's
+// link (0 if that is not known) and whether the version could still be of use. The origin
+// may fail, and what has left it can be had from other VMs.
+func FirstCopiesOfUse(fetched, oneCopy time.Duration, useful bool) bool {
+	return useful && oneCopy > 0 && float64(fetched) >= firstCopiesShare*float64(oneCopy)
+}
+
 // stalledAfter is how long a version may make no progress before an older one is
 // gone on with, of which other VMs may have all chunks. Chosen by judgement; the
 // rule came from claimsdesk-ja-grown scale-1 (docs/FINDINGS.md).
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -103,7 +103,7 @@
 	// Chunk returns chunk i of a version of model, unverified.
 	Chunk(ctx context.Context, model string, version int64, i int) ([]byte, error)
 	// Rate is the bandwidth of the origin's link in bytes a second, or 0.
-	Rate() float64
+	Rate(ctx context.Context) float64
 }
 
 // Fleet tells which VMs stage weights for the same service.
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -37,6 +37,9 @@
 	// Patience is how often a chunk is left to a member of the same region that
 	// says it is about to read it.
 	Patience int
+	// FirstCopies makes a member read only the chunks that it is the first of all to read
+	// from the origin, at once, and end with them.
+	FirstCopies bool
 	// Rand breaks ties.
 	Rand *rand.Rand
 }
@@ -91,6 +94,11 @@
 	return func(cfg *Config) { cfg.Patience = n }
 }
 
+// WithFirstCopies makes a member bring in only what it is the first of all to read.
+func WithFirstCopies() Option {
+	return func(cfg *Config) { cfg.FirstCopies = true }
+}
+
 // WithRand sets the source of tie breaks; tests that must repeat set it.
 func WithRand(r *rand.Rand) Option {
 	return func(cfg *Config) { cfg.Rand = r }
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -71,6 +71,9 @@
 	}
 	d.members = slices.Clone(members)
 	d.schedule = newSchedule(d)
+	if !cfg.FirstCopies {
+		d.standby = d.freshCandidates()
+	}
 	return d
 }
 
@@ -126,13 +129,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.inflight.Wait()
 	defer cancel()
-	d.mu.Lock()
-	d.standby = d.freshCandidates()
-	d.fillNeighbours(ctx)
-	d.mu.Unlock()
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	for !d.set.Complete() {
+	for !d.finished() {
 		d.step(ctx)
 		select {
 		case <-ctx.Done():
@@ -144,10 +143,29 @@
 	return nil
 }
 
+// finished returns whether all is there that the download is for.
+func (d *Download) finished() bool {
+	if !d.cfg.FirstCopies || d.set.Complete() {
+		return d.set.Complete()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.avail.have {
+		if d.schedule.firstOfAll(c) && !d.avail.have[c] {
+			return false
+		}
+	}
+	return true
+}
+
 // step starts whatever can be started now.
 func (d *Download) step(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cfg.FirstCopies {
+		d.startDue(ctx)
+		return
+	}
 	d.fillNeighbours(ctx)
 	d.startDue(ctx)
 	d.fetchMore(ctx)
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -45,6 +45,9 @@
 		if s.countReading(home) >= parallel {
 			return
 		}
+		if d.cfg.FirstCopies && !s.firstOfAll(c) {
+			continue
+		}
 		if s.home[c] != home || now.Before(s.due[c]) || d.avail.have[c] || s.reading[c] || d.avail.expected(c, prompt) {
 			continue
 		}
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -37,7 +37,10 @@
 		d.originCorrupt(c)
 		return
 	}
-	d.schedule.faults = 0
+	if d.schedule.faults > 0 {
+		d.schedule.faults = 0
+		d.schedule.beginAnew(d)
+	}
 	d.avail.have[c] = true
 	d.stats.Blocked = ""
 	if rank > 0 {
@@ -91,7 +94,7 @@
 	}
 	d.stats.Blocked = "origin: " + err.Error()
 	// It is the origin's fault that chunks are late, and no other member's.
-	clear(s.postponed)
+	s.beginAnew(d)
 	s.backOff(d)
 }
 
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -25,6 +25,8 @@
 // schedule decides which chunks this member reads from the origin for its region,
 // and when. It is guarded by the Download's lock.
 type schedule struct {
+	// from is when the first chunk has its turn on the origin's link.
+	from time.Time
 	// due is when this member may obtain each chunk, earlier are the members to ask
 	// for it first, and rank is this member's place among its readers, 0 first.
 	due     []time.Time
@@ -56,6 +58,7 @@
 func newSchedule(d *Download) schedule {
 	n := len(d.set.Manifest().Chunks)
 	s := schedule{
+		from:    d.began,
 		due:     make([]time.Time, n),
 		earlier: make([][]Member, n),
 		rank:    make([]int, n),
@@ -89,6 +92,16 @@
 	return rate.Limit(d.cfg.OriginRate / members), int(max(s.quota, d.set.Manifest().ChunkSize))
 }
 
+// beginAnew lets the turns on the origin's link begin now. Chunks that were due while the
+// origin failed would else be read by all members at once when it is back: with three
+// regions 57 of 64 chunks had left it when it had sent two copies, and all had the version
+// after twice the time (TestAfterAnOutage…).
+func (s *schedule) beginAnew(d *Download) {
+	s.from = time.Now()
+	clear(s.postponed)
+	s.assign(d)
+}
+
 // share returns how many bytes of the origin this member may read: the chunks
 // that it is the first to bring in, and its part of the spare copies. Shares
 // add up to the budget; a part of a chunk is drawn by lot, the same each time.
@@ -125,7 +138,7 @@
 	oneCopy := turnOnLink(d.cfg.OriginRate, m, len(m.Chunks))
 	region := inRegion(d.members, d.self.Region)
 	for c := range m.Chunks {
-		turn := d.began.Add(turnOnLink(d.cfg.OriginRate, m, c))
+		turn := s.from.Add(turnOnLink(d.cfg.OriginRate, m, c))
 		ranks := ranked(d.set.Root(), c, region, maxRanks)
 		s.earlier[c], s.rank[c] = earlierReaders(ranks, d.self.VM)
 		wait := time.Duration(s.rank[c]) * late
@@ -144,9 +157,17 @@
 		if !s.home[c] {
 			s.originAt[c] = s.due[c].Add(oneCopy)
 		}
+		if d.cfg.FirstCopies {
+			s.due[c], s.originAt[c] = s.from, s.from
+		}
 	}
 }
 
+// firstOfAll returns whether this member is the first of all to read chunk c.
+func (s *schedule) firstOfAll(c int) bool {
+	return s.home[c] && s.rank[c] == 0
+}
+
 // setBudget changes the ceilings on the origin while chunks travel.
 func (s *schedule) setBudget(d *Download, rate, copies float64) {
 	before := s.share(d)
