--- a/compat/answers_test.go
+++ b/compat/answers_test.go
@@ -13,8 +13,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
+	"github.com/silverdeck/silverdeck/gateway/unreadable"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
@@ -154,6 +156,10 @@
 
 func TestMetricsKeepTheirNames(t *testing.T) {
 	s := newSite(t)
+	gateway.NewSentCounters(s.registry)
+	for _, kind := range []string{platform.KindEndpoints, platform.KindVersions, platform.KindMembers} {
+		unreadable.New(kind, s.registry, log.New(io.Discard))
+	}
 	var out strings.Builder
 	if err := telemetry.WriteMetrics(&out, s.registry); err != nil {
 		t.Fatal(err)
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -50,6 +50,7 @@
 		Describe: g.heartbeat,
 		After:    g.afterHeartbeat,
 		Notice:   g.useNotice,
+		Sent:     NewSentCounters(g.registry).Count,
 		AskRoll: func(ctx context.Context, addr string) ([]member.Member, error) {
 			return member.AskRoll(ctx, g.peers, addr, g.self.Name)
 		},
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -55,6 +55,8 @@
 	inFlight map[roster.Life]int
 	suspects []roster.Life
 	copies   int64
+	// told is how many bytes it has sent by its own count.
+	told int
 	// lost are all that were believed dead, in order.
 	lost []string
 }
@@ -144,6 +146,7 @@
 			n.lost = append(n.lost, dead...)
 		},
 		Heard:   func() {},
+		Sent:    n.counted,
 		Notice:  func(member.Notice) {},
 		AskRoll: n.askRoll,
 		Log:     log.New(io.Discard),
@@ -158,6 +161,13 @@
 	return n
 }
 
+// counted notes what the gateway itself counts of what it sends.
+func (n *node) counted(_ member.Kind, bytes, gateways int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told += bytes * gateways
+}
+
 func (n *node) describe() member.Heartbeat {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -478,6 +488,9 @@
 			f.mu.Unlock()
 			time.Sleep(10 * time.Second)
 			last := f.sent[nameOf(size-1)]
+			nodes[size-1].mu.Lock()
+			f.Expect(nodes[size-1].told).To(BeNumerically(">", last.bytes), "all that was sent is counted")
+			nodes[size-1].mu.Unlock()
 			perSecond[size] = traffic{datagrams: last.datagrams / 10, bytes: last.bytes / 10}
 			for _, s := range f.sent {
 				busiest[size] = max(busiest[size], s.bytes/10)
--- a/member/wire.go
+++ b/member/wire.go
@@ -25,6 +25,24 @@
 	Digest    *Digest    `json:"digest,omitempty"`
 }
 
+// Kind is what a datagram between gateways carries, for those who count.
+type Kind string
+
+// The kinds of datagrams.
+const (
+	KindHeartbeat Kind = "heartbeat"
+	// KindDigest is a heartbeat with a relay's digest.
+	KindDigest Kind = "digest"
+)
+
+// kind returns the kind of a message between gateways.
+func (m *message) kind() Kind {
+	if m.Digest != nil {
+		return KindDigest
+	}
+	return KindHeartbeat
+}
+
 // Handlers are what a Beater calls, each from a goroutine of the Beater's.
 type Handlers struct {
 	// Describe returns the next heartbeat, without its number.
@@ -38,6 +56,9 @@
 	Notice func(Notice)
 	// AskRoll asks the relay at addr for its whole roll; see RollService.
 	AskRoll func(ctx context.Context, addr string) ([]Member, error)
+	// Sent hears of each message that was sent, of how many bytes and to how many gateways;
+	// nil means that nobody does.
+	Sent func(kind Kind, bytes, gateways int)
 	// Log takes lines about datagrams that can't be sent or read.
 	Log *log.Logger
 }
@@ -53,6 +74,9 @@
 
 // NewBeater returns a Beater on conn.
 func NewBeater(conn net.PacketConn, table *Table, h Handlers) *Beater {
+	if h.Sent == nil {
+		h.Sent = func(Kind, int, int) {}
+	}
 	return &Beater{conn: conn, table: table, handlers: h, soon: make(chan struct{}, 1)}
 }
 
@@ -67,14 +91,15 @@
 // Notify sends n to the gateways at addrs. It returns the first error; a notice
 // that is lost is made up for by the endpoint's record in the store.
 func Notify(conn net.PacketConn, addrs []string, n Notice) error {
-	return send(conn, addrs, message{Notice: &n})
+	_, err := send(conn, addrs, message{Notice: &n})
+	return err
 }
 
-// send sends m to all addrs and returns the first error.
-func send(conn net.PacketConn, addrs []string, m message) error {
+// send sends m to all addrs. It returns its size in bytes and the first error.
+func send(conn net.PacketConn, addrs []string, m message) (int, error) {
 	data, err := json.Marshal(m)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var first error
 	for _, peer := range addrs {
@@ -82,7 +107,7 @@
 			first = err
 		}
 	}
-	return first
+	return len(data), first
 }
 
 func sendTo(conn net.PacketConn, peer string, data []byte) error {
@@ -120,9 +145,11 @@
 	beat := b.handlers.Describe()
 	beat.Sequence = sequence
 	for _, p := range b.table.plan(beat, time.Now()) {
-		if err := send(b.conn, p.addrs, p.message); err != nil {
+		n, err := send(b.conn, p.addrs, p.message)
+		if err != nil {
 			b.handlers.Log.Debug("heartbeat not sent to all", "err", err)
 		}
+		b.handlers.Sent(p.message.kind(), n, len(p.addrs))
 	}
 }
 
