--- a/member/relay.go
+++ b/member/relay.go
@@ -39,7 +39,7 @@
 	}
 	r.heardAt, r.fresh, r.told = now, true, d.Roll.Hash
 	if r.roll.apply(d.Roll.Changes) {
-		t.members = nil
+		t.forget()
 	}
 	if d.Loads != nil {
 		r.loads = loads{covers: d.Loads.Covers, inFlight: d.Loads.InFlight.unpack(), suspects: d.Loads.Suspects.unpack()}
@@ -74,7 +74,7 @@
 	for _, m := range members {
 		r.roll.put(m)
 	}
-	t.members = nil
+	t.forget()
 }
 
 // WholeRoll returns all members of the roll that this gateway tells as a relay.
@@ -95,11 +95,11 @@
 		settled := fresh && now.Sub(r.firstAt) >= settleTime
 		if fresh != r.fresh || settled != r.settled {
 			r.fresh, r.settled = fresh, settled
-			t.members = nil
+			t.forget()
 		}
 		if now.Sub(r.heardAt) > rollTime {
 			delete(t.relays, name)
-			t.members = nil
+			t.forget()
 		}
 	}
 }
--- a/member/table.go
+++ b/member/table.go
@@ -32,6 +32,9 @@
 	// see alive. sums are what they told of endpoints, likewise; see currentSums.
 	members map[string]Member
 	sums    *sums
+	// all are the members and all others that are known of, nil when they are to be worked
+	// out anew; see everybody.
+	all map[string]Entry
 	// reported are the members of which Arrived and Expire have told, or are to tell:
 	// arrived and lost.
 	reported      map[string]bool
@@ -65,6 +68,7 @@
 	defer t.mu.Unlock()
 	t.known = map[string]Entry{}
 	t.listed, t.selfListed = true, false
+	t.forget()
 	for _, e := range entries {
 		if e.Name == t.self.Name {
 			t.selfListed = true
@@ -74,6 +78,12 @@
 	}
 }
 
+// forget makes what follows from who is known and alive be worked out anew. The caller holds
+// the lock.
+func (t *Table) forget() {
+	t.members, t.all = nil, nil
+}
+
 // Hear takes in a heartbeat and returns whether it is new.
 func (t *Table) Hear(b Heartbeat, now time.Time) bool {
 	t.mu.Lock()
@@ -108,7 +118,7 @@
 		b = b.filled(&old.beat)
 	}
 	if old == nil || old.beat.member() != b.member() {
-		t.members = nil
+		t.forget()
 	}
 	if old != nil {
 		old.beat.countInto(t.inFlight, t.suspects, -1)
@@ -130,7 +140,7 @@
 		}
 		p.beat.countInto(t.inFlight, t.suspects, -1)
 		delete(t.direct, name)
-		t.members = nil
+		t.forget()
 	}
 	t.expireRelays(now)
 	t.sums = nil
@@ -219,8 +229,11 @@
 }
 
 // everybody returns all gateways that the store lists, those that any relay tells of and
-// those that are alive, by name. The caller holds the lock.
+// those that are alive, by name. The caller holds the lock and does not change the result.
 func (t *Table) everybody() map[string]Entry {
+	if t.all != nil {
+		return t.all
+	}
 	out := make(map[string]Entry, len(t.known))
 	for name, e := range t.known {
 		out[name] = e
@@ -229,6 +242,7 @@
 	for name, m := range t.alive() {
 		out[name] = m.Entry
 	}
+	t.all = out
 	return out
 }
 
