--- a/spec/check.sh
+++ b/spec/check.sh
@@ -57,6 +57,10 @@
 caught config 0 -DNOREADBACK
 caught config 0 -DNOADVANCE
 caught config 1 -DNOSPREAD
+good vouch 0
+good vouch 1 -DLIVE
+caught vouch 0 -DONEWORD
+caught vouch 1 -DLIVE -DSECONDHAND
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
