--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -487,6 +487,8 @@
 			f.sent = map[string]traffic{}
 			f.mu.Unlock()
 			time.Sleep(10 * time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			last := f.sent[nameOf(size-1)]
 			nodes[size-1].mu.Lock()
 			f.Expect(nodes[size-1].told).To(BeNumerically(">", last.bytes), "all that was sent is counted")
--- a/sidecar/stage/restart_test.go
+++ b/sidecar/stage/restart_test.go
@@ -1,6 +1,7 @@
 package stage_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,13 @@
 	m.set(func() { m.runs, m.sequence, m.born = 0, 0, born })
 }
 
+// restarted returns the times of starts that gateways were told of.
+func (m *machine) restarted() []int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.restarts)
+}
+
 // The endpoint crashed while it loaded and was back at once under its ID. The process
 // beside it waited three seconds for a load that nobody had ordered any more.
 func TestAnEndpointThatStartsAgainDuringALoadLoadsAnewAtOnce(t *testing.T) {
@@ -48,10 +56,10 @@
 		s := b.start(stage.Config{Endpoint: m, Origin: m, Fleet: m, Peers: alone{}})
 		s.Want("m", 1, true)
 		time.Sleep(10 * time.Second)
-		b.Expect(m.restarts).To(BeEmpty())
+		b.Expect(m.restarted()).To(BeEmpty())
 		m.crash(9)
 		time.Sleep(600 * time.Millisecond)
-		b.Expect(m.restarts).To(Equal([]int64{9}))
+		b.Expect(m.restarted()).To(Equal([]int64{9}))
 		time.Sleep(600 * time.Millisecond)
 		b.Expect(m.begins()).To(Equal(int64(1)), "what lies there is loaded again")
 	})
