--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -90,5 +90,20 @@
 mutant "a found version has its whole limit once more" gateway/namings.go 's/g.versions.Require\(n.Model, n.Version\)/_ = n/' ./gateway 'TestAFoundVersion'
 mutant "nobody asks when a version was named" gateway/namings.go 's/g.askNamings\(ctx, answered\)/_ = answered/' ./gateway 'TestAGatewayAsksOthers'
 
+mutant "an endpoint's next life inherits what was believed" gateway/balance/shard.go 's/case r.Life\(\).Same\(e.record.Life\(\)\):/case true:/' ./gateway/balance 'TestSuite'
+mutant "a late record of an earlier life is used" gateway/endpoints/endpoints.go 's/l.keepLaterLives\(list, before, now\)/_ = now/' ./gateway/endpoints 'TestALateRecord'
+mutant "connections of an earlier life are kept" gateway/upstream/upstream.go 's/if !p.ownedBy\(owner\)/if !p.ownedBy(owner) \&\& false/' ./gateway/upstream 'TestConnectionsOf'
+mutant "a load is awaited after a restart" sidecar/stage/load.go 's/if report.Restarted\(ordered\)/if false/' ./sidecar/stage 'TestAnEndpointThatStartsAgain'
+mutant "records of other writers are used" platform/endpoint.go 's/err = f.check\(\)/err = nil/' ./platform 'TestSuite'
+mutant "one record fails the list" platform/source.go 's/s.store.unreadable.Add\(1\)\n\t\t\tcontinue/return nil/' ./platform 'TestAnObjectThatCannotBeRead'
+mutant "relays tell on what they were told" member/relay.go 's/r.zone != t.self.Zone && m.Entry.Zone == r.zone/true/' ./member 'TestAZoneThatIsCutOff|TestADeadGateway'
+mutant "a deaf relay is believed" member/sums.go 's/r.loads.covers <= own.covers/false/; s/r.loads.covers != s.loads.covers/false/' ./member 'TestARelayThatHearsNobody'
+mutant "a new relay counts at once" member/relay.go 's/fresh && now.Sub\(r.firstAt\) >= settleTime/fresh/' ./member 'TestADeadGateway'
+mutant "who is silent is not tried" member/plan.go 's/t.tried\(own.Sequence\)/nil/' ./member 'TestWhoStartsWithoutTheStore'
+mutant "other regions do not wait for the first copy" swarm/schedule.go 's/s.originAt\[c\] = s.due\[c\].Add\(oneCopy\)/_ = oneCopy/' ./swarm 'TestAfterAnOutage'
+mutant "turns do not begin anew" swarm/schedule.go 's/s.from = time.Now\(\)/_ = time.Now()/' ./swarm 'TestAfterAnOutage'
+mutant "a replaced version is left half way" sidecar/stage/fetch.go 's/go s.bringFirstCopies\(whole, model, want.version\)/_ = whole/' ./sidecar/stage 'TestFirstCopiesOfAVersion'
+mutant "nobody reads the store before it has listened" gateway/replica/rules.go 's/return watches && first/return false/' ./gateway/replica 'TestTheFirstThatTheStoreLists'
+
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
