member: two comments say what is so

The package's comment left out that a relay's bytes grow with its zone; another named a type that does not exist. Comments only, built and formatted.

--- a/member/digest.go
+++ b/member/digest.go
@@ -28,7 +28,7 @@
 
 // Roll tells who is alive, by what has changed of late.
 type Roll struct {
-	// Hash is that of all members; see rollHash.
+	// Hash is that of all members; see roll.
 	Hash    uint64   `json:"hash"`
 	Changes []Change `json:"changes,omitempty"`
 }
--- a/member/member.go
+++ b/member/member.go
@@ -7,7 +7,8 @@
 // relays send digests of what they heard: to the gateways of their zone one of everybody,
 // to the relays of other zones one of their own. Nobody is elected: who is a relay follows
 // from what each gateway knows, and two that differ for a moment both send. What a gateway
-// sends and takes then does not grow with the number of gateways.
+// that is no relay sends then does not grow with the number of gateways; what a relay sends
+// grows with those of its zone.
 //
 // It owns the table of what others told last, under one lock. It relies on the
 // store's list of gateways only to find those that were not heard yet. A gateway
