affinity, balance: a gateway prefers three endpoints, and compares two drawn ones besides

Cause: each gateway preferred one or two endpoints where a zone has about as many of both, and sent what was too much for these to the least loaded of all by loads told 0.1 to 0.3 s before, as all others did, to the same ones.

Endpoints are kept in order, so that the same draws choose the same one. Two tests of spreading had gateways that prefer nothing and a draw that is always 0; they prefer all of the few endpoints now, as such a gateway does, and expect the same.

--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -81,6 +82,7 @@
 		others := map[string]int{"e0": 2}
 		b := balance.New(balance.Config{Zone: "a", OtherLoad: func(l roster.Life) int { return others[l.ID] }, Random: noDraw})
 		b.Update(endpoints(3))
+		b.Prefer(map[string]bool{"e0": true, "e1": true, "e2": true})
 		got := map[string]int{}
 		for range 4 {
 			got[pick(b, s, now).Record.ID]++
@@ -88,6 +90,35 @@
 		Expect(got).To(Equal(map[string]int{"e1": 2, "e2": 2}))
 	})
 
+	It("compares two of those that others prefer", func() {
+		draw := rand.New(rand.NewPCG(1, 1))
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: nobody, Random: draw.Float64})
+		b.Update(endpoints(20))
+		got := map[string]int{}
+		const picks = 4000
+		for range picks {
+			l := pick(b, s, now)
+			got[l.Record.ID]++
+			l.Done(balance.Neutral, now)
+		}
+		for id, n := range got {
+			Expect(n).To(BeNumerically("~", picks/20, picks/40), id)
+		}
+		Expect(got).To(HaveLen(20))
+	})
+
+	It("does not refuse while any that others prefer has room", func() {
+		draw := rand.New(rand.NewPCG(1, 1))
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: nobody, Random: draw.Float64})
+		b.Update(endpoints(20))
+		full := balance.Query{Service: "s", MaxLoad: 1}
+		for range 20 * 2 {
+			pick(b, full, now)
+		}
+		_, err := b.Pick(&full, now)
+		Expect(err).To(Equal(&balance.FullError{Service: "s"}))
+	})
+
 	It("says whether endpoints are full or missing", func() {
 		b := balancer(endpoints(1))
 		q := balance.Query{Service: "s", MaxLoad: 1}
@@ -179,6 +210,7 @@
 		l := endpoints(4)
 		l.Endpoints["e3"].Weights[0].Version = 2
 		b := balancer(l)
+		b.Prefer(map[string]bool{"e0": true, "e1": true, "e2": true, "e3": true})
 		q := balance.Query{Service: "s", Model: "m", Exclude: []string{"e0"}}
 		chosen := map[string]int{}
 		for range 6 {
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -98,15 +98,16 @@
 	}
 }
 
-// choose returns the endpoint with the lowest cost. One that is ejected, paused or
-// suspected is taken only when there is no other and none is merely full. The
-// caller holds the shard's lock.
+// choose returns the endpoint with the lowest cost of those that the gateway prefers, and
+// of a few that are drawn from its own zone and from others. One that is ejected, paused
+// or suspected is taken only when there is no other and none is merely full. The caller
+// holds the shard's lock.
 func (b *Balancer) choose(s *shard, q *Query, now time.Time) (*endpoint, error) {
 	var usable, unusable cheapest
-	var c Candidate
+	near, far := sample{random: b.cfg.Random}, sample{random: b.cfg.Random}
 	full := false
 	prefersAny := s.prefers()
-	for _, e := range s.endpoints {
+	for _, e := range s.ordered {
 		if !e.fits(q) {
 			continue
 		}
@@ -116,16 +117,22 @@
 			full = true
 			continue
 		}
-		b.describe(&c, e)
-		c.Load = load
-		cost := Cost(&c)
 		switch {
-		case b.usable(e, now):
-			usable.offer(e, cost)
-		case !q.Healthy:
-			unusable.offer(e, cost)
+		case !b.usable(e, now):
+			if !q.Healthy {
+				unusable.offer(e, b.cost(e, load))
+			}
+		case e.preferred:
+			usable.offer(e, b.cost(e, load))
+		case e.record.Zone == b.cfg.Zone:
+			near.add(e, load)
+		default:
+			far.add(e, load)
 		}
 	}
+	for _, x := range append(near.drawn(), far.drawn()...) {
+		usable.offer(x.endpoint, b.cost(x.endpoint, x.load))
+	}
 	switch {
 	case usable.endpoint != nil:
 		return usable.endpoint, nil
@@ -137,10 +144,13 @@
 	return nil, &NoEndpointError{Service: q.Service}
 }
 
-// describe fills c, but for the load, with what the choice sees of e.
-func (b *Balancer) describe(c *Candidate, e *endpoint) {
-	c.Prefill = e.prefill
-	c.OtherZone = e.record.Zone != b.cfg.Zone
-	c.Preferred = e.preferred
-	c.Draw = b.cfg.Random()
+// cost returns what a choice of e costs, whose load is given.
+func (b *Balancer) cost(e *endpoint, load float64) float64 {
+	return Cost(&Candidate{
+		Load:      load,
+		Prefill:   e.prefill,
+		OtherZone: e.record.Zone != b.cfg.Zone,
+		Preferred: e.preferred,
+		Draw:      b.cfg.Random(),
+	})
 }
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 type shard struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	// ordered are the endpoints by ID, so that the same draws choose the same one.
+	ordered []*endpoint
 }
 
 // endpoint is what this gateway knows of one endpoint. But for lastByte, its
@@ -55,6 +58,15 @@
 			s.restart(e, r)
 		}
 	}
+	s.order()
+}
+
+// order lists the endpoints by ID. The caller holds the lock.
+func (s *shard) order() {
+	s.ordered = s.ordered[:0]
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		s.ordered = append(s.ordered, s.endpoints[id])
+	}
 }
 
 // restart puts an endpoint's next life, as r has it, in the place of e. Who has a lease of
@@ -62,6 +74,9 @@
 func (s *shard) restart(e *endpoint, r *roster.Endpoint) *endpoint {
 	next := &endpoint{record: r, preferred: e.preferred}
 	s.endpoints[r.ID] = next
+	if i := slices.Index(s.ordered, e); i >= 0 {
+		s.ordered[i] = next
+	}
 	return next
 }
 
