--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -98,14 +98,40 @@
 	}
 }
 
+// options are the endpoints that a request may go to.
+type options struct {
+	// usable is the best of those that the gateway prefers and of those that were drawn,
+	// unusable the best of those that are ejected, paused or suspected.
+	usable, unusable cheapest
+	// near and far are drawn from those that others prefer, in this zone and elsewhere.
+	near, far sample
+	// full is set when any was left out because it is full.
+	full bool
+}
+
 // choose returns the endpoint with the lowest cost of those that the gateway prefers, and
 // of a few that are drawn from its own zone and from others. One that is ejected, paused
 // or suspected is taken only when there is no other and none is merely full. The caller
 // holds the shard's lock.
 func (b *Balancer) choose(s *shard, q *Query, now time.Time) (*endpoint, error) {
-	var usable, unusable cheapest
-	near, far := sample{random: b.cfg.Random}, sample{random: b.cfg.Random}
-	full := false
+	o := b.options(s, q, now)
+	for _, x := range append(o.near.drawn(), o.far.drawn()...) {
+		o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load))
+	}
+	switch {
+	case o.usable.endpoint != nil:
+		return o.usable.endpoint, nil
+	case o.full:
+		return nil, &FullError{Service: q.Service}
+	case o.unusable.endpoint != nil && !q.Healthy:
+		return o.unusable.endpoint, nil
+	}
+	return nil, &NoEndpointError{Service: q.Service}
+}
+
+// options returns the endpoints that a request of q may go to.
+func (b *Balancer) options(s *shard, q *Query, now time.Time) options {
+	o := options{near: sample{random: b.cfg.Random}, far: sample{random: b.cfg.Random}}
 	prefersAny := s.prefers()
 	for _, e := range s.ordered {
 		if !e.fits(q) {
@@ -113,35 +139,20 @@
 		}
 		load := b.load(e)
 		limit := MaxLoad(q.MaxLoad, e.preferred, prefersAny)
-		if limit > 0 && load >= limit {
-			full = true
-			continue
-		}
 		switch {
+		case limit > 0 && load >= limit:
+			o.full = true
 		case !b.usable(e, now):
-			if !q.Healthy {
-				unusable.offer(e, b.cost(e, load))
-			}
+			o.unusable.offer(e, b.cost(e, load))
 		case e.preferred:
-			usable.offer(e, b.cost(e, load))
+			o.usable.offer(e, b.cost(e, load))
 		case e.record.Zone == b.cfg.Zone:
-			near.add(e, load)
+			o.near.add(e, load)
 		default:
-			far.add(e, load)
+			o.far.add(e, load)
 		}
 	}
-	for _, x := range append(near.drawn(), far.drawn()...) {
-		usable.offer(x.endpoint, b.cost(x.endpoint, x.load))
-	}
-	switch {
-	case usable.endpoint != nil:
-		return usable.endpoint, nil
-	case full:
-		return nil, &FullError{Service: q.Service}
-	case unusable.endpoint != nil:
-		return unusable.endpoint, nil
-	}
-	return nil, &NoEndpointError{Service: q.Service}
+	return o
 }
 
 // cost returns what a choice of e costs, whose load is given.
