--- a/gateway/affinity/affinity_test.go
+++ b/gateway/affinity/affinity_test.go
@@ -81,9 +81,15 @@
 	}
 }
 
-func TestEveryEndpointHasOneOwnerWhereThereAreEnough(t *testing.T) {
+// Where there are endpoints enough for all gateways, each has one that prefers it.
+func TestEveryEndpointHasOneOwnerOfItsZone(t *testing.T) {
 	g := NewWithT(t)
-	for id, n := range preferredBy(zones(12, "a", "b"), append(gateways(4, "a"), gateways(3, "b")...)) {
+	list := zones(24, "a", "b", "c")
+	live := append(gateways(4, "a"), gateways(3, "b")...)
+	owners := preferredBy(list, live)
+	g.Expect(owners).To(HaveLen(3 * 24))
+	for id, n := range owners {
 		g.Expect(n).To(Equal(1), id)
 	}
+	g.Expect(affinity.Preferred(list, live, "a00")).To(HaveLen(24/4 + 4))
 }
