--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -115,8 +115,10 @@
 // holds the shard's lock.
 func (b *Balancer) choose(s *shard, q *Query, now time.Time) (*endpoint, error) {
 	o := b.options(s, q, now)
-	for _, x := range append(o.near.drawn(), o.far.drawn()...) {
-		o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load))
+	for _, drawn := range [][]loaded{o.near.drawn(), o.far.drawn()} {
+		for _, x := range drawn {
+			o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load))
+		}
 	}
 	switch {
 	case o.usable.endpoint != nil:
--- a/member/plan.go
+++ b/member/plan.go
@@ -120,14 +120,16 @@
 // farRelays returns the addresses of the relays of all other zones. The caller holds the
 // lock.
 func (t *Table) farRelays() []string {
-	zones := map[string]bool{}
+	zones := map[string][]Member{}
 	for _, m := range t.alive() {
-		zones[m.Entry.Zone] = m.Entry.Zone != t.self.Zone
+		if m.Entry.Zone != t.self.Zone {
+			zones[m.Entry.Zone] = append(zones[m.Entry.Zone], m)
+		}
 	}
 	var out []string
-	for zone, other := range zones {
-		if other {
-			out = append(out, peers(t.zoneRelays(zone))...)
+	for _, members := range zones {
+		for _, m := range Relays(members) {
+			out = append(out, m.Entry.Peer)
 		}
 	}
 	return out
--- a/sidecar/stage/firstcopies.go
+++ b/sidecar/stage/firstcopies.go
@@ -15,8 +15,11 @@
 // although a newer version is named; see the rule of that name.
 func (s *Stager) firstCopiesOfUse(ctx context.Context, model string, want target) bool {
 	set := s.holdings.version(model, want.version)
+	if set == nil || set.Complete() || s.target(model).version == want.version {
+		return false
+	}
 	rate := s.cfg.Origin.Rate(ctx)
-	if set == nil || set.Complete() || rate <= 0 || s.target(model).version == want.version {
+	if rate <= 0 {
 		return false
 	}
 	oneCopy := time.Duration(float64(set.Manifest().Size) / rate * float64(time.Second))
--- a/swarm/firstcopy_test.go
+++ b/swarm/firstcopy_test.go
@@ -39,6 +39,16 @@
 	return len(o.reads)
 }
 
+// expectAllLeft checks that all chunks had left the origin, by so many reads, and that n
+// regions had them less than limit later.
+func expectAllLeft(t *testing.T, n, left, reads int, took, limit time.Duration) {
+	t.Helper()
+	t.Logf("%d regions: %d of %d chunks left the origin by %d reads; whole everywhere %v later", n, left, chunks, reads, took)
+	g := NewWithT(t)
+	g.Expect(left).To(Equal(chunks), "%d regions", n)
+	g.Expect(took).To(BeNumerically("<", limit), "%d regions", n)
+}
+
 // The origin died two and a half seconds after a version was named. In that time its link
 // could have carried two copies; it had carried some chunks five times, one for each region
 // whose reader had not waited, and others not at all, so that nobody had the version.
@@ -58,10 +68,7 @@
 			}
 			took = net.finish(time.Minute)
 		})
-		t.Logf("%d regions: %d of %d chunks left the origin by %d reads; whole everywhere %v later", n, left, chunks, reads, took)
-		g := NewWithT(t)
-		g.Expect(left).To(Equal(chunks), "%d regions", n)
-		g.Expect(took).To(BeNumerically("<", 2*bound), "%d regions", n)
+		expectAllLeft(t, n, left, reads, took, 2*bound)
 	}
 }
 
--- a/swarm/outage_test.go
+++ b/swarm/outage_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	. "github.com/onsi/gomega"
 )
 
 // The origin was away for six seconds. On its return all VMs had all chunks due at once and
@@ -26,9 +24,6 @@
 			left, reads = net.origin.distinct(), net.origin.readCount()-failed
 			took = net.finish(time.Minute)
 		})
-		t.Logf("%d regions: %d of %d chunks left the origin by %d reads; whole everywhere %v later", n, left, chunks, reads, took)
-		g := NewWithT(t)
-		g.Expect(left).To(Equal(chunks), "%d regions", n)
-		g.Expect(took).To(BeNumerically("<", 3*bound/2), "%d regions", n)
+		expectAllLeft(t, n, left, reads, took, 3*bound/2)
 	}
 }
