proxy: the end of an endpoint is told, with what copies of a request share

Cause: lines could not tell whether the requests that broke off at each end were the same: each attempt of a caller has an ID of its own, and that an endpoint's process ended stood nowhere. Change: a broken connection is followed by one look whether the address refuses; then each request that was there writes a line with its key, a digest of method, path, account and body. No decision changes.

--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -25,6 +25,20 @@
 	return l.endpoint.holds(model)
 }
 
+// Leaving returns whether the endpoint is known to leave.
+func (l *Lease) Leaving() bool {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	return l.endpoint.record.Leaving
+}
+
+// Others returns how many requests besides this one the gateway has at the endpoint.
+func (l *Lease) Others() int {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	return l.endpoint.inFlight - 1
+}
+
 // PrefillDone notes that the endpoint has read the prompt.
 func (l *Lease) PrefillDone() {
 	l.shard.mu.Lock()
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -133,6 +133,7 @@
 	if a.failure != nil {
 		c.noteFailure(a.failure)
 		p.logAttempt(c, a.lease, a.sentAt, a.failure)
+		p.noteEnd(c, a.lease, a.failure)
 	}
 	return a.failure
 }
--- a/gateway/proxy/handover_test.go
+++ b/gateway/proxy/handover_test.go
@@ -81,7 +81,7 @@
 	}
 	t.Run("is unreachable", func(t *testing.T) {
 		play(t, func(w *world) {
-			w.down["e1"] = true
+			w.setDown("e1", true)
 			a := w.ask("POST", "/stream/", "x")
 			w.g.Expect(a.cut).To(BeFalse())
 			w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -105,9 +105,10 @@
 		return true
 	}
 	c.hedge = nil
-	h.end()
 	c.noteFailure(h.failure)
 	p.logAttempt(c, h.lease, h.sentAt, h.failure)
+	p.noteEnd(c, h.lease, h.failure)
+	h.end()
 	return false
 }
 
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -22,6 +22,8 @@
 	// Left counts endpoints that were left because nothing came from them, Cut answers that
 	// ended before they were whole and before their time.
 	Left, Cut metrics.Counter
+	// Ended counts requests under which an endpoint ended.
+	Ended metrics.Counter
 	// Hedged counts requests that were sent to another endpoint while theirs was waited for.
 	Hedged metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
@@ -42,6 +44,7 @@
 		Repeats:     metrics.NewRegisteredCounter("gateway.repeats", r),
 		Connections: metrics.NewRegisteredCounter("gateway.connections", r),
 		Left:        metrics.NewRegisteredCounter("gateway.left", r),
+		Ended:       metrics.NewRegisteredCounter("gateway.ended", r),
 		Hedged:      metrics.NewRegisteredCounter("gateway.hedged", r),
 		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
@@ -72,6 +75,14 @@
 		"event", c.lastEventID, "err", e.Err)
 }
 
+// logEnd notes that an endpoint ended while it had a request. Lines with one key are of one
+// request that was sent again; those with one endpoint, of all that it took along.
+func (p *Proxy) logEnd(c *call, lease *balance.Lease) {
+	p.cfg.Metrics.Ended.Inc(1)
+	p.cfg.Log.Warn("endpoint ended", "request", c.id, "key", c.poisonRequest().Key().String(), "endpoint", lease.Record.ID,
+		"born", lease.Record.Born, "addr", lease.Record.Addr, "others", lease.Others(), "begun", c.headSent, "event", c.lastEventID)
+}
+
 // logLeft notes that an endpoint is left, and what was known of it then.
 func (p *Proxy) logLeft(c *call, lease *balance.Lease, s *policy.Stall) {
 	p.cfg.Metrics.Left.Inc(1)
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -57,11 +57,13 @@
 	// patience tells late callers from others, refusals when a service was full.
 	patience *patience
 	refusals *refusals
+	// ends finds out which endpoints have ended.
+	ends *ends
 }
 
 // New returns a Proxy without a configuration.
 func New(cfg Config) *Proxy {
-	p := &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals()}
+	p := &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals(), ends: newEnds(cfg.Client.Refuses)}
 	p.ending, p.End = context.WithCancel(context.Background())
 	return p
 }
--- a/gateway/proxy/proxy_test.go
+++ b/gateway/proxy/proxy_test.go
@@ -94,7 +94,7 @@
 	}
 	t.Run("unreachable", func(t *testing.T) {
 		play(t, func(w *world) {
-			w.down["e0"] = true
+			w.setDown("e0", true)
 			w.g.Expect(w.ask("POST", "/unsafe/", "x").Code).To(Equal(200))
 		}, always(hang), always(text(200, "done")))
 	})
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -55,7 +57,9 @@
 	proxy     *proxy.Proxy
 	balancer  *balance.Balancer
 	endpoints map[string]*endpoint
-	down      map[string]bool
+	// down has the endpoints that no connection can be opened to.
+	downMu sync.Mutex
+	down   map[string]bool
 	// still is how long this process stands still once a connection of its has ended.
 	still time.Duration
 	// linkDelay is how long what is sent to an endpoint is on its way.
@@ -69,6 +73,35 @@
 	draw   atomic.Int64
 	client *upstream.Client
 	budget *proxy.Budget
+	// lines are what the gateway logs, in JSON.
+	lines lines
+}
+
+// lines takes log lines of several goroutines.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// with returns the lines with a message.
+func (l *lines) with(message string) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []map[string]any
+	for _, line := range bytes.Split(l.b.Bytes(), []byte("\n")) {
+		var fields map[string]any
+		if json.Unmarshal(line, &fields) == nil && fields["msg"] == message {
+			out = append(out, fields)
+		}
+	}
+	return out
 }
 
 // longestStep is longer than any step of an endpoint takes.
@@ -108,12 +141,25 @@
 func (w *world) newProxy() *proxy.Proxy {
 	return proxy.New(proxy.Config{
 		Headers: names, Balancer: w.balancer, Client: w.client, Budget: w.budget,
-		Metrics: w.metrics, Log: log.New(io.Discard),
+		Metrics: w.metrics, Log: log.NewWithOptions(&w.lines, log.Options{Formatter: log.JSONFormatter}),
 		WeightsEnd: func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
 	})
 }
 
+// setDown makes connections to an endpoint be refused, or taken again.
+func (w *world) setDown(id string, down bool) {
+	w.downMu.Lock()
+	defer w.downMu.Unlock()
+	w.down[id] = down
+}
+
+func (w *world) isDown(id string) bool {
+	w.downMu.Lock()
+	defer w.downMu.Unlock()
+	return w.down[id]
+}
+
 // useBudget makes the gateway's retry budget b.
 func (w *world) useBudget(b *proxy.Budget) {
 	w.budget = b
@@ -151,7 +197,7 @@
 // DialContext implements upstream.Dialer.
 func (w *world) DialContext(_ context.Context, _, addr string) (net.Conn, error) {
 	e := w.endpoints[addr]
-	if e == nil || w.down[addr] {
+	if e == nil || w.isDown(addr) {
 		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
