proxy, soak: failing tests of a request that ends each endpoint that runs it

Cause: nothing is remembered of a request from one attempt to the next. Change: no logic. The endpoint of the tests and the stand-in of the soak can end under a request; mix crash has one beside endpoints that end by themselves and killed gateways.

--- a/cmd/silverdeck-soak/main.go
+++ b/cmd/silverdeck-soak/main.go
@@ -23,7 +23,7 @@
 	Routes   int      `arg:"--routes" help:"how many more routes the configuration has"`
 	Events   int      `arg:"--events" help:"how many events a stream has"`
 	PauseMS  int      `arg:"--pause-ms" help:"the time between two events of a stream, in milliseconds"`
-	Mix      soak.Mix `arg:"--mix" default:"faults" help:"what happens meanwhile: faults, or long for planned work on busy VMs beside streams of seconds"`
+	Mix      soak.Mix `arg:"--mix" default:"faults" help:"what happens meanwhile: faults, long for planned work on busy VMs beside streams of seconds, or crash for a request that ends each endpoint that runs it"`
 	Programs string   `arg:"--programs" default:"bin" help:"the folder of the built programs"`
 	Out      string   `arg:"--out" default:"out/soak" help:"a folder for settings and logs"`
 }
--- a/gateway/proxy/ended_test.go
+++ b/gateway/proxy/ended_test.go
@@ -12,11 +12,17 @@
 // none can be opened until it is back.
 func (w *world) crash(id string) step {
 	return func(net.Conn, *http.Request) bool {
-		w.setDown(id, true)
+		w.end(id)
 		return false
 	}
 }
 
+// end ends an endpoint's process.
+func (w *world) end(id string) {
+	w.setDown(id, true)
+	w.endpoints[id].closeAll()
+}
+
 func TestTheEndOfAnEndpointIsToldWithWhatTheRequestsCopiesShare(t *testing.T) {
 	play(t, func(w *world) {
 		w.endpoints["e0"].script = []step{w.crash("e0")}
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -46,6 +46,8 @@
 	bodies   []string
 	// script has what is done with each request in turn; the last stays.
 	script []step
+	// conns are its open connections.
+	conns map[net.Conn]bool
 }
 
 // step answers a request on c. It returns whether the connection goes on.
@@ -201,6 +203,7 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
+	e.keep(far)
 	go e.serve(far)
 	if w.still > 0 {
 		return &stillConn{Conn: near, still: w.still}, nil
@@ -211,6 +214,25 @@
 	return &slowLink{Conn: near, delay: w.linkDelay}, nil
 }
 
+func (e *endpoint) keep(c net.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns == nil {
+		e.conns = map[net.Conn]bool{}
+	}
+	e.conns[c] = true
+}
+
+// closeAll breaks all connections.
+func (e *endpoint) closeAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		_ = c.Close()
+	}
+	e.conns = nil
+}
+
 func (e *endpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
@@ -220,6 +242,7 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		if !e.take(r, string(body))(c, r) {
 			return
 		}
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -18,13 +18,17 @@
 	// reloads, configurations and new weights, on busy VMs where processes and engines
 	// stand still for a while. None of it excuses a request that is lost.
 	MixLong Mix = "long"
+	// MixCrash has a request that ends each endpoint that begins it, sent again and again by
+	// several callers through all gateways, beside endpoints that end by themselves, killed
+	// gateways and planned work.
+	MixCrash Mix = "crash"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if *m != MixFaults && *m != MixLong {
-		return fmt.Errorf("soak: no mix %q, only %q and %q", text, MixFaults, MixLong)
+	if *m != MixFaults && *m != MixLong && *m != MixCrash {
+		return fmt.Errorf("soak: no mix %q, only %q, %q and %q", text, MixFaults, MixLong, MixCrash)
 	}
 	return nil
 }
@@ -47,12 +51,29 @@
 
 // drawOf returns what happens next in the mix of the settings.
 func (w *world) drawOf(r, chance *rand.Rand) fault {
-	if w.cfg.Mix == MixLong {
+	switch w.cfg.Mix {
+	case MixLong:
 		return w.drawLong(r)
+	case MixCrash:
+		return w.drawCrash(r)
 	}
 	return w.draw(r, chance)
 }
 
+// drawCrash returns what happens beside a request that ends endpoints.
+func (w *world) drawCrash(r *rand.Rand) fault {
+	entry := w.entries[r.IntN(len(w.entries))]
+	runner := w.runners[1+r.IntN(len(w.runners)-1)]
+	down := leastDown + time.Duration(r.Int64N(int64(spreadDown)))
+	all := []fault{
+		{"runner ends by itself", func() { runner.crash(down, 0) }, nil, true},
+		{"entry killed", func() { entry.signal(syscall.SIGKILL) }, nil, false},
+		{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false},
+		{"configuration", w.configure, nil, false},
+	}
+	return all[r.IntN(len(all))]
+}
+
 func (w *world) drawLong(r *rand.Rand) fault {
 	entry, sidecar := w.entries[r.IntN(len(w.entries))], w.sidecars[r.IntN(len(w.sidecars))]
 	still := leastStill + time.Duration(r.Int64N(int64(spreadStill)))
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,6 +17,8 @@
 	Delay time.Duration
 	// Refuse resets connections, old and new.
 	Refuse bool
+	// Gone does so and takes no new ones, as where the process that listened has ended.
+	Gone bool
 	// SilentOut and SilentIn hold back what goes to the target, and what comes
 	// from it.
 	SilentOut, SilentIn bool
@@ -24,12 +26,12 @@
 
 // Proxy passes TCP connections on to a target. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	addr, target string
 
-	mu    sync.Mutex
-	link  Link
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	link     Link
+	conns    map[net.Conn]bool
 }
 
 // NewProxy starts a Proxy on addr before target.
@@ -38,8 +40,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
-	go p.accept()
+	p := &Proxy{addr: addr, target: target, listener: l, conns: map[net.Conn]bool{}}
+	go p.accept(l)
 	return p, nil
 }
 
@@ -48,7 +50,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = l
-	if !l.Refuse {
+	p.listen(!l.Gone)
+	if !l.Refuse && !l.Gone {
 		return
 	}
 	for c := range p.conns {
@@ -56,10 +59,27 @@
 	}
 }
 
+// listen takes new connections, or takes none any more. The caller holds the lock.
+func (p *Proxy) listen(wanted bool) {
+	if wanted == (p.listener != nil) {
+		return
+	}
+	if !wanted {
+		_ = p.listener.Close()
+		p.listener = nil
+		return
+	}
+	l, err := net.Listen("tcp4", p.addr)
+	if err != nil {
+		return // as if it had not come back; the next change tries again
+	}
+	p.listener = l
+	go p.accept(l)
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.Set(Link{Refuse: true})
+	p.Set(Link{Gone: true})
 }
 
 func (p *Proxy) current() Link {
@@ -68,9 +88,9 @@
 	return p.link
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -79,7 +99,7 @@
 }
 
 func (p *Proxy) pass(near net.Conn) {
-	if p.current().Refuse {
+	if l := p.current(); l.Refuse || l.Gone {
 		reset(near)
 		return
 	}
--- a/soak/slot.go
+++ b/soak/slot.go
@@ -16,16 +16,44 @@
 	runner *standin.Runner
 	lives  int
 	cfg    standin.RunnerConfig
+	// link is before the runner; down is set while its process has ended.
+	link *Proxy
+	down bool
 }
 
 // ServeHTTP implements http.Handler.
 func (s *slot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	runner := s.runner
+	runner, down := s.runner, s.down
 	s.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	runner.ServeHTTP(w, r)
 }
 
+// crash ends the runner's process: its connections break and its port refuses others. Its
+// record stands until it lapses. After a while another life starts in its place. It returns
+// false where it has ended already.
+func (s *slot) crash(d time.Duration, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
+	s.down = true
+	s.link.Set(Link{Gone: true})
+	s.runner.Cut()
+	time.AfterFunc(d, func() {
+		s.restart(version)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.down = false
+		s.link.Set(Link{})
+	})
+	return true
+}
+
 // restart puts a new life into the slot.
 func (s *slot) restart(version int64) {
 	s.mu.Lock()
@@ -56,6 +84,9 @@
 func (s *slot) announce() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return
+	}
 	s.runner.Announce()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,14 +16,17 @@
 	Asked, Served, Refused, Cut, Others int64
 	// MemoryKB is the most that one of our processes held, in kilobytes.
 	MemoryKB int
+	// Ended is how many endpoints ended under the request that ends them, LateSends how many
+	// times it reached one once all gateways in touch must have known.
+	Ended, LateSends int
 	// Faults has a line for each fault, Broken one for each broken promise.
 	Faults, Broken []string
 }
 
 // String returns the report for people.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d KB held at the most, %d promises broken",
-		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.MemoryKB, len(r.Broken))
+	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d ended under one request, %d KB held at the most, %d promises broken",
+		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.Ended, r.MemoryKB, len(r.Broken))
 }
 
 // Limits of a soak.
@@ -66,6 +69,7 @@
 	for _, line := range w.ledger.judge(w.history, platformBounds) {
 		w.witness.Broken("%s", line)
 	}
+	w.fatal.judge(w, report)
 	if !w.awaitAll(healLimit) {
 		w.witness.Broken("not every entry serves every route %s after the last fault", healLimit)
 	}
@@ -88,6 +92,9 @@
 		all = append(all, c)
 		asking.Go(func() { c.run(ctx) })
 	}
+	if w.cfg.Mix == MixCrash {
+		asking.Go(func() { w.sendFatal(ctx) })
+	}
 	w.disturb(ctx, func(line string) { report.Faults = append(report.Faults, line) })
 	asking.Wait()
 	time.Sleep(settleTime)
--- a/soak/world.go
+++ b/soak/world.go
@@ -87,6 +87,7 @@
 	// disturbedAt is until when endpoints were last disturbed, in Unix nanoseconds.
 	disturbedAt atomic.Int64
 	ledger      *ledger
+	fatal       *fatal
 
 	mu sync.Mutex
 	// changes are the configurations that were written, faults what disturbed endpoints
@@ -124,7 +125,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewWitness(), version: 1, began: time.Now(), ledger: newLedger(),
+		witness: standin.NewWitness(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -168,6 +169,9 @@
 		Service: plainService, Zone: zone(i), Address: w.addr(host, portRunner), Slots: 16, Witness: w.witness, Store: w.store,
 		Events: w.cfg.Events, EventPause: w.cfg.EventPause, LoadCuts: w.cfg.Mix == MixLong,
 	}}
+	if w.cfg.Mix == MixCrash {
+		s.cfg.EndsUnder = func(id, body string) bool { return w.fatal.begins(s, id, body) }
+	}
 	if i > 0 {
 		s.cfg.Service, s.cfg.Model = modelService, model
 	}
@@ -184,6 +188,7 @@
 	if err != nil {
 		return err
 	}
+	s.link = link
 	w.runnerLinks = append(w.runnerLinks, link)
 	if i == 0 {
 		return nil
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -37,6 +37,9 @@
 	EventPause time.Duration
 	// LoadCuts is set when an order to load cuts the streams that run.
 	LoadCuts bool
+	// EndsUnder is asked when a run begins, and returns whether the runner ends under it;
+	// nil means that it never does. Whoever says so takes its connections away.
+	EndsUnder func(id, body string) bool
 	// Witness is told of all that runs.
 	Witness *Witness
 	// Store takes the record.
@@ -239,6 +242,10 @@
 	r.cfg.Witness.Ran(id, string(body), q.Header.Get("X-Silverdeck-Tenant"))
 	brokenOff := false
 	defer func() { r.cfg.Witness.Ended(id, brokenOff) }()
+	if r.cfg.EndsUnder != nil && r.cfg.EndsUnder(id, string(body)) {
+		brokenOff = true
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Silverdeck-Response-Stamp", r.cfg.ID)
 	if r.cfg.Model == "" {
 		time.Sleep(workTime)
