poison: what others tell does not end what a gateway tells of its own; tests of spreading

Cause: a record that was joined with another gateway's counted as told, so that a lost datagram was not sent again. Found by the test of six gateways with a loss of one in twenty. Change: own changes are told for their time, whatever comes meanwhile.

--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -81,10 +81,11 @@
 // request is what is known of one request.
 type request struct {
 	Record
-	// changedAt is when the record changed last, newsUntil until when it is told.
-	changedAt, newsUntil time.Time
-	// own is set when the last change was this gateway's own.
-	own bool
+	// changedAt is when the record changed last.
+	changedAt time.Time
+	// ownUntil is until when the last change of this gateway's own is told, however much others
+	// tell meanwhile, newsUntil the same for a change that any gateway told.
+	ownUntil, newsUntil time.Time
 }
 
 // NewTable returns an empty table. changed is called with each change of a state, and with
@@ -184,7 +185,7 @@
 			continue // it is not suspected here
 		}
 		if before != nil && before.Round > r.Round {
-			before.newsUntil, before.own = now.Add(newsTime), true // who told does not know
+			before.ownUntil = now.Add(newsTime) // who told does not know
 			continue
 		}
 		if before != nil {
@@ -213,7 +214,10 @@
 	if joined.equal(&q.Record) {
 		return before
 	}
-	q.Record, q.changedAt, q.newsUntil, q.own = joined, now, now.Add(newsTime), own
+	q.Record, q.changedAt, q.newsUntil = joined, now, now.Add(newsTime)
+	if own {
+		q.ownUntil = q.newsUntil
+	}
 	if own || q.State() != before {
 		t.changed(Change{Record: joined, Before: before, Cause: cause})
 	}
@@ -281,7 +285,7 @@
 	}
 	var told []*request
 	for _, q := range t.requests {
-		fresh := (q.own || all) && now.Before(q.newsUntil)
+		fresh := now.Before(q.ownUntil) || all && now.Before(q.newsUntil)
 		if fresh || whole && q.State() == Quarantined {
 			told = append(told, q)
 		}
--- a/gateway/poison/table_test.go
+++ b/gateway/poison/table_test.go
@@ -169,3 +169,13 @@
 		})
 	}
 }
+
+// Two gateways see one end each at the same moment. What one hears of the other must not end
+// its own telling: a third gateway may have lost it.
+func TestWhatOthersTellDoesNotEndWhatIsTold(t *testing.T) {
+	g, x, y := NewWithT(t), newGateway(), newGateway()
+	x.Ended(request(), life(1), began)
+	y.Ended(request(), life(2), began)
+	x.Take(y.News(false, began), began)
+	g.Expect(x.News(false, at(900*time.Millisecond))).To(HaveLen(1))
+}
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/roster"
@@ -55,6 +56,8 @@
 	inFlight map[roster.Life]int
 	suspects []roster.Life
 	copies   int64
+	// poison is what it knows of requests under which endpoints ended.
+	poison *poison.Table
 	// told is how many bytes it has sent by its own count.
 	told int
 	// lost are all that were believed dead, in order.
@@ -128,6 +131,11 @@
 		change(&entry)
 	}
 	n := &node{fleet: f, entry: entry, table: member.NewTable(entry)}
+	n.poison = poison.NewTable(func(c poison.Change) {
+		if c.Cause != poison.CauseTold {
+			n.beater.SendSoon()
+		}
+	})
 	n.conn = &conn{node: n, addr: peerOf(i), queue: make(chan []byte, 1<<12), done: make(chan struct{})}
 	var known []member.Entry
 	for j := range listed {
@@ -146,6 +154,7 @@
 			n.lost = append(n.lost, dead...)
 		},
 		Heard:   func() {},
+		Poison:  n.hearPoison,
 		Sent:    n.counted,
 		Notice:  func(member.Notice) {},
 		AskRoll: n.askRoll,
@@ -173,9 +182,17 @@
 	defer n.mu.Unlock()
 	b := member.Heartbeat{Entry: n.entry, Ready: true, Copies: map[string]mirror.Version{"config": {Revision: n.copies, Digest: uint64(n.copies)}}}
 	b.SetEndpoints(n.inFlight, n.suspects)
+	b.Poison = poison.Pack(n.poison.News(n.table.IsRelay(), time.Now()))
 	return b
 }
 
+// hearPoison takes in what another gateway tells, and as a relay tells it on.
+func (n *node) hearPoison(data []byte) {
+	if n.poison.Take(poison.Unpack(data), time.Now()) && n.table.IsRelay() {
+		n.beater.SendSoon()
+	}
+}
+
 func (n *node) set(inFlight map[roster.Life]int, suspects ...roster.Life) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/member/news_test.go
@@ -0,0 +1,93 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/poison"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// fatal is a request under which endpoints end.
+var fatal = &poison.Request{Method: "POST", URI: "/go", Account: "acme", Body: []byte("fatal")}
+
+// ends makes an endpoint end under the request at each of three gateways.
+func ends(nodes []*node) {
+	for i := range 3 {
+		at := nodes[i*(len(nodes)-1)/2]
+		at.poison.Ended(fatal, roster.Life{ID: fmt.Sprint("e", i)}, time.Now())
+	}
+}
+
+// quarantinedBy returns how many of nodes have quarantined the request.
+func quarantinedBy(nodes []*node) int {
+	count := 0
+	for _, n := range nodes {
+		if state, _ := n.poison.Look(fatal); state == poison.Quarantined {
+			count++
+		}
+	}
+	return count
+}
+
+// Copies of a request come to many gateways within tens of milliseconds. Each that has not
+// heard of its ends sends it to one endpoint more.
+func TestEndsUnderARequestAreKnownByAllSoon(t *testing.T) {
+	for _, c := range []struct {
+		size int
+		loss float64
+		// within is a way of some milliseconds and a wait of 20 ms for each step, of which
+		// there are three by relays; what is lost comes with the next heartbeat.
+		within time.Duration
+	}{
+		{6, 0, 50 * time.Millisecond},
+		{39, 0, 100 * time.Millisecond},
+		{60, 0, 100 * time.Millisecond},
+		{6, 0.05, 600 * time.Millisecond},
+		{39, 0.05, 600 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d gateways, loss %g", c.size, c.loss), func(t *testing.T) {
+			playFleet(t, c.size, func(f *fleet, nodes []*node) {
+				f.mu.Lock()
+				f.loss = c.loss
+				f.mu.Unlock()
+				ends(nodes)
+				time.Sleep(c.within)
+				f.Expect(quarantinedBy(nodes)).To(Equal(c.size))
+			})
+		})
+	}
+}
+
+// A gateway that was cut off or has just started is told before it counts as in touch.
+func TestWhoWasCutOffIsToldOfQuarantinedRequests(t *testing.T) {
+	for _, size := range []int{6, 39} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			playFleet(t, size, func(f *fleet, nodes []*node) {
+				away := nodes[size-1]
+				f.mu.Lock()
+				f.cut = func(from, to string) bool { return from == away.entry.Name || to == away.entry.Name }
+				f.mu.Unlock()
+				for i := range 3 {
+					nodes[i].poison.Ended(fatal, roster.Life{ID: fmt.Sprint("e", i)}, time.Now())
+				}
+				time.Sleep(5 * time.Second)
+				f.Expect(quarantinedBy(nodes)).To(Equal(size - 1))
+				f.mu.Lock()
+				f.cut = nil
+				f.mu.Unlock()
+				time.Sleep(2500 * time.Millisecond) // of the platform's contact time of 3 s
+				f.Expect(quarantinedBy(nodes)).To(Equal(size))
+			})
+		})
+	}
+}
+
+func TestNothingIsToldWhileNoEndpointEnds(t *testing.T) {
+	playFleet(t, 6, func(f *fleet, nodes []*node) {
+		f.Expect(nodes[0].describe().Poison).To(BeEmpty())
+	})
+}
