process: a further signal during a stop changes nothing

Cause: one signal was waited for, and fx lets go of the signals when a stop begins; a second SIGTERM then had its default effect and ended the process with its requests and without its last lines. The soak asks processes that stop again and again, and sidecars too.

--- a/process/process.go
+++ b/process/process.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,6 +35,7 @@
 // Run builds a Service by newService, which takes what fx provides, and runs
 // it until a signal.
 func Run[S Service](name string, id telemetry.Identity, t telemetry.Settings, stop time.Duration, newService any, opts ...fx.Option) {
+	asked := takeSignals()
 	var out *telemetry.Writer
 	app := fx.New(append(opts,
 		fx.Supply(t, id),
@@ -54,28 +57,38 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	code := serve(app)
+	code := serve(app, asked)
 	_ = out.Close() // there is nowhere left to say so
 	os.Exit(code)
 }
 
+// takeSignals takes the signals of a planned stop until the process is gone, so that none has
+// its default effect: one that comes before the start is over stops the service once it is,
+// and a further one during the stop changes nothing. What fx takes of them it lets go of when
+// a stop begins; the next signal then ended the process with the requests that it was to
+// bring to an end, and without its last lines.
+func takeSignals() <-chan os.Signal {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, os.Interrupt)
+	return asked
+}
+
 // serve runs app until a signal and returns the exit status. The caller exits once the
 // last lines are written: those of a stop that failed are the ones that will be looked for.
-func serve(app *fx.App) int {
-	signals := app.Wait() // before the start, so that no signal ends a program that serves already
+func serve(app *fx.App, asked <-chan os.Signal) int {
 	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	code := (<-signals).ExitCode
+	<-asked
 	ctx, cancel = context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(ctx); err != nil {
 		return exitFailed
 	}
-	return code
+	return 0
 }
 
 func hook[S Service](lc fx.Lifecycle, s S, tracer *telemetry.Tracer) {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -64,8 +64,8 @@
 	storeFault := func(f standin.StoreFault) func() { return func() { w.store.SetFault(f) } }
 	all := []fault{
 		{"entry killed", func() { entry.signal(syscall.SIGKILL) }, nil, false},
-		{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false},
-		{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false},
+		{"entry stopped", entry.askToStop, nil, false},
+		{"entry stopped", entry.askToStop, nil, false},
 		{"entry frozen", func() { entry.signal(syscall.SIGSTOP) }, func() { entry.signal(syscall.SIGCONT) }, false},
 		{"entry reloads", func() { entry.signal(syscall.SIGHUP) }, nil, false},
 		{"sidecar killed", func() { sidecar.signal(syscall.SIGKILL) }, nil, false},
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -63,12 +63,14 @@
 // drawCrash returns what happens beside a request that ends endpoints.
 func (w *world) drawCrash(r *rand.Rand) fault {
 	entry := w.entries[r.IntN(len(w.entries))]
+	sidecar := w.sidecars[r.IntN(len(w.sidecars))]
 	runner := w.runners[1+r.IntN(len(w.runners)-1)]
 	down := leastDown + time.Duration(r.Int64N(int64(spreadDown)))
 	all := []fault{
 		{"runner ends by itself", func() { runner.crash(down, 0) }, nil, true},
 		{"entry killed", func() { entry.signal(syscall.SIGKILL) }, nil, false},
-		{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false},
+		{"entry stopped", entry.askToStop, nil, false},
+		{"sidecar stopped", sidecar.askToStop, nil, false},
 		{"configuration", w.configure, nil, false},
 	}
 	return all[r.IntN(len(all))]
@@ -79,7 +81,7 @@
 	still := leastStill + time.Duration(r.Int64N(int64(spreadStill)))
 	stall := leastStill + time.Duration(r.Int64N(int64(spreadStall)))
 	first := r.IntN(len(w.runners))
-	stop := fault{"entry stopped", func() { entry.signal(syscall.SIGTERM) }, nil, false}
+	stop := fault{"entry stopped", entry.askToStop, nil, false}
 	all := []fault{
 		stop, stop, stop,
 		{"entry reloads", func() { entry.signal(syscall.SIGHUP) }, nil, false},
--- a/soak/process.go
+++ b/soak/process.go
@@ -96,6 +96,29 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// Gaps of a series of signals, as of a supervisor that asks again. Chosen by judgement.
+const (
+	// askedAgain is when a process is asked to stop once more, in the middle of its stop.
+	askedAgain = 150 * time.Millisecond
+	// askedOften is how often it is asked again.
+	askedOften = 8
+)
+
+// askToStop asks the running program to stop, again and again as long as it runs. Only the
+// first counts as planned: the others must change nothing.
+func (p *process) askToStop() {
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || p.command.Process == nil {
+		return
+	}
+	running := p.command.Process
+	for i := range askedOften {
+		time.AfterFunc(time.Duration(i+1)*askedAgain, func() { _ = running.Signal(syscall.SIGTERM) })
+	}
+}
+
 // standStill keeps the program from running for d, as a busy VM does. It excuses nothing.
 func (p *process) standStill(d time.Duration) {
 	p.mu.Lock()
