--- a/cmd/silverdeck-soak/main.go
+++ b/cmd/silverdeck-soak/main.go
@@ -25,6 +25,7 @@
 	PauseMS  int      `arg:"--pause-ms" help:"the time between two events of a stream, in milliseconds"`
 	Mix      soak.Mix `arg:"--mix" default:"faults" help:"what happens meanwhile: faults, long for planned work on busy VMs beside streams of seconds, or crash for a request that ends each endpoint that runs it"`
 	Programs string   `arg:"--programs" default:"bin" help:"the folder of the built programs"`
+	Previous string   `arg:"--previous" help:"a folder of programs of an earlier release, from which processes start and are replaced one by one"`
 	Out      string   `arg:"--out" default:"out/soak" help:"a folder for settings and logs"`
 }
 
@@ -53,7 +54,7 @@
 	report, err := soak.Run(soak.Config{
 		Seed: seed, For: time.Duration(a.Seconds) * time.Second, Entries: a.Entries, Runners: a.Runners,
 		Callers: a.Callers, Routes: a.Routes, Events: a.Events, EventPause: time.Duration(a.PauseMS) * time.Millisecond,
-		Mix: a.Mix, Programs: a.Programs, Work: work,
+		Mix: a.Mix, Programs: a.Programs, Previous: a.Previous, Work: work,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -44,13 +44,14 @@
 type arrival struct {
 	at      time.Time
 	gateway string
+	// ended is set when the endpoint ended under it.
+	ended bool
 }
 
 // fatal remembers what became of the request. It is safe for concurrent use.
 type fatal struct {
 	mu       sync.Mutex
 	arrivals []arrival
-	ends     []time.Time
 	answers  map[int]int
 }
 
@@ -64,10 +65,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	gateway, _, _ := strings.Cut(id, "/")
-	f.arrivals = append(f.arrivals, arrival{at: now, gateway: gateway})
-	if ended {
-		f.ends = append(f.ends, now)
-	}
+	f.arrivals = append(f.arrivals, arrival{at: now, gateway: gateway, ended: ended})
 	return true
 }
 
@@ -117,14 +115,18 @@
 func (f *fatal) judge(w *world, report *Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report.Ended = len(f.ends)
-	if len(f.ends) < endsBefore {
-		return
-	}
-	third := f.ends[endsBefore-1]
-	late, afterNews := 0, 0
+	var third time.Time
+	known, late, afterNews := 0, 0, 0
 	for _, a := range f.arrivals {
-		if a.at.Before(third.Add(newsLimit)) || !w.inTouch(a.gateway, a.at) {
+		if a.ended {
+			report.Ended++
+		}
+		today := w.runsToday(a.gateway, a.at)
+		if a.ended && today && known < endsBefore {
+			known++
+			third = a.at
+		}
+		if known < endsBefore || !today || a.at.Before(third.Add(newsLimit)) || !w.inTouch(a.gateway, a.at) {
 			continue
 		}
 		afterNews++
@@ -135,7 +137,7 @@
 	report.LateSends = afterNews
 	if late > lateAllowed {
 		w.witness.Broken("a request under which %d endpoints had ended reached endpoints %d times more, %s after the third end; %d ended in all",
-			endsBefore, late, platformBounds.Contact, len(f.ends))
+			endsBefore, late, platformBounds.Contact, report.Ended)
 	}
 	if afterNews > 0 {
 		w.witness.Broken("a request under which %d endpoints had ended reached endpoints %d times more, %s after the third end",
@@ -143,6 +145,16 @@
 	}
 }
 
+// runsToday returns whether a gateway had run today's program for a while.
+func (w *world) runsToday(gateway string, at time.Time) bool {
+	for _, p := range w.entries {
+		if p.name == gateway {
+			return p.isToday(at)
+		}
+	}
+	return false
+}
+
 // inTouch returns whether a gateway ran undisturbed for a while before a time.
 func (w *world) inTouch(gateway string, at time.Time) bool {
 	for _, p := range w.entries {
--- a/soak/process.go
+++ b/soak/process.go
@@ -27,6 +27,10 @@
 	disturbed, planned time.Time
 	// stops, reloads and faults are all such times.
 	stops, reloads, faults []time.Time
+	// replacement is the program that takes the place of program, or empty; replacedAt is when
+	// it did.
+	replacement string
+	replacedAt  time.Time
 	// asked is set once the running program was told to end.
 	asked bool
 	// selfEnded is how often it ended without that.
@@ -113,12 +117,35 @@
 	if p.command == nil || p.command.Process == nil {
 		return
 	}
+	if p.replacement != "" {
+		return // the release before ended at the second signal
+	}
 	running := p.command.Process
 	for i := range askedOften {
 		time.AfterFunc(time.Duration(i+1)*askedAgain, func() { _ = running.Signal(syscall.SIGTERM) })
 	}
 }
 
+// replace ends the program as planned and starts its replacement in its place, if it has one.
+func (p *process) replace() {
+	p.mu.Lock()
+	program := p.replacement
+	if program != "" {
+		p.program, p.replacement, p.replacedAt = program, "", time.Now()
+	}
+	p.mu.Unlock()
+	if program != "" {
+		p.signal(syscall.SIGTERM)
+	}
+}
+
+// isToday returns whether at a time the process had run today's program for a while.
+func (p *process) isToday(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.replacement == "" && at.Sub(p.replacedAt) > plannedWindow
+}
+
 // standStill keeps the program from running for d, as a busy VM does. It excuses nothing.
 func (p *process) standStill(d time.Duration) {
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,6 +92,9 @@
 		all = append(all, c)
 		asking.Go(func() { c.run(ctx) })
 	}
+	if w.cfg.Previous != "" {
+		asking.Go(func() { w.upgrade(ctx) })
+	}
 	if w.cfg.Mix == MixCrash {
 		asking.Go(func() { w.sendFatal(ctx) })
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -33,8 +33,9 @@
 	EventPause time.Duration
 	// Mix is what happens meanwhile.
 	Mix Mix
-	// Programs is the folder of the built programs.
-	Programs string
+	// Programs is the folder of the built programs. Where Previous is another such folder, of
+	// an earlier release, processes start from that and are replaced one by one.
+	Programs, Previous string
 	// Work is a folder for settings and logs.
 	Work string
 }
@@ -223,6 +224,10 @@
 		return err
 	}
 	p := newProcess(name, filepath.Join(w.cfg.Programs, "silverdeck-"+role), []string{standin.SettingsVariable + "=" + path}, logs)
+	if w.cfg.Previous != "" {
+		p.replacement = p.program
+		p.program = filepath.Join(w.cfg.Previous, "silverdeck-"+role)
+	}
 	*list = append(*list, p)
 	w.running.Add(1)
 	go p.run(&w.running)
