suspend: limits of weights count the time for which the VM was suspended

Cause: the steady clock stands still while a VM is suspended; a gateway went on sending to weights past their limit, and a sidecar left them in use, for as long as that was. Measured: tests with a clock that they set.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/serve"
+	"github.com/silverdeck/silverdeck/suspend"
 	"github.com/silverdeck/silverdeck/versions"
 )
 
@@ -87,6 +88,8 @@
 	// versionsRead is set once a first copy of the named versions was taken in.
 	versionsRead atomic.Bool
 
+	// suspension tells when the VM was suspended. Only the Beater's goroutine uses it.
+	suspension *suspend.Watch
 	// dealt is from what endpoints were last dealt out. Only the Beater's goroutine uses it.
 	dealt dealt
 
@@ -110,6 +113,8 @@
 		self:     newEntry(cfg),
 		peers:    peerconn.NewPool(&net.Dialer{Timeout: namingLimit}),
 
+		suspension: suspend.NewWatch(suspend.SystemClocks),
+
 		namingsWanted: make(chan struct{}, 1),
 	}
 	g.quarantineKnown, g.knowQuarantine = context.WithCancel(context.Background())
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -105,6 +105,7 @@
 // afterHeartbeat takes in what the last heartbeats of others told. silent are the
 // gateways from which none came any more.
 func (g *Gateway) afterHeartbeat(silent []string) {
+	g.noteSuspended(g.suspension.Suspended())
 	g.prefer()
 	for _, name := range silent {
 		g.log.Warn("entry lost", "entry", name)
@@ -119,6 +120,15 @@
 	g.requireHeld(time.Now())
 }
 
+// noteSuspended takes in that the VM was suspended for d.
+func (g *Gateway) noteSuspended(d time.Duration) {
+	if d == 0 {
+		return
+	}
+	g.log.Warn("suspended", "forMs", d.Milliseconds())
+	g.versions.Suspended(d)
+}
+
 // prefer deals out the endpoints anew where they or the gateways have changed: with 1,900
 // and 340 that is too much work for each heartbeat.
 func (g *Gateway) prefer() {
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/suspend"
 	"github.com/silverdeck/silverdeck/versions"
 	"github.com/silverdeck/silverdeck/wait"
 )
@@ -47,6 +48,9 @@
 	use func(*inventory.Inventory)
 	// namings learns when versions were named, after use. Only run uses it.
 	namings *namings
+	// suspension tells when the VM was suspended, and suspended is told. Only run uses them.
+	suspension *suspend.Watch
+	suspended  func(time.Duration)
 
 	mu   sync.Mutex
 	last *inventory.Inventory
@@ -56,15 +60,28 @@
 	avoided map[string]time.Time
 }
 
-func newFleet(cfg *platform.Settings, store *platform.Store, pool *peerconn.Pool, l *log.Logger, use func(*inventory.Inventory), named func(versions.Naming)) *fleet {
+// fleetHandlers are what a fleet calls, one call at a time.
+type fleetHandlers struct {
+	// use takes each new inventory.
+	use func(*inventory.Inventory)
+	// named takes when versions were named.
+	named func(versions.Naming)
+	// suspended takes for how long the VM was suspended.
+	suspended func(time.Duration)
+}
+
+func newFleet(cfg *platform.Settings, store *platform.Store, pool *peerconn.Pool, l *log.Logger, h fleetHandlers) *fleet {
 	return &fleet{
 		cfg:     cfg,
 		store:   store,
 		pool:    pool,
 		log:     l,
-		use:     use,
-		namings: &namings{pool: pool, log: l, named: named},
-		avoided: map[string]time.Time{},
+		use:     h.use,
+		namings: &namings{pool: pool, log: l, named: h.named},
+
+		suspension: suspend.NewWatch(suspend.SystemClocks),
+		suspended:  h.suspended,
+		avoided:    map[string]time.Time{},
 	}
 }
 
@@ -79,6 +96,9 @@
 func (f *fleet) run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
+		if d := f.suspension.Suspended(); d > 0 {
+			f.suspended(d)
+		}
 		addr := f.choose(ctx)
 		reply, err := f.ask(ctx, addr)
 		if err == nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -72,7 +72,9 @@
 	dialer := &net.Dialer{Timeout: dialLimit}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: uploads}}
 	pool := peerconn.NewPool(dialer)
-	c.fleet = newFleet(cfg, platform.NewStore(cfg.Store), pool, l, c.useInventory, c.useNaming)
+	c.fleet = newFleet(cfg, platform.NewStore(cfg.Store), pool, l, fleetHandlers{
+		use: c.useInventory, named: c.useNaming, suspended: func(d time.Duration) { c.stager.Suspended(d) },
+	})
 	c.stager = stage.New(stage.Config{
 		Self:     selfMember(cfg),
 		Endpoint: platform.NewEndpoint(cfg.Endpoint),
--- a/sidecar/stage/target.go
+++ b/sidecar/stage/target.go
@@ -47,6 +47,12 @@
 	s.named.Add(model, version, at)
 }
 
+// Suspended takes in that the VM was suspended for d.
+func (s *Stager) Suspended(d time.Duration) {
+	s.cfg.Log.Warn("suspended", "forMs", d.Milliseconds())
+	s.named.Suspended(d)
+}
+
 // target returns the newest version that the endpoint should run.
 func (s *Stager) target(model string) target {
 	s.mu.Lock()
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -98,6 +98,19 @@
 	return true
 }
 
+// Suspended takes in that this process's clock stood still for d while the platform's went on:
+// all namings are that much longer ago. Without it, requests would be sent to weights past
+// their limit for as long as the VM was suspended.
+func (h *History) Suspended(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, namings := range h.models {
+		for i := range namings {
+			namings[i].At = namings[i].At.Add(-d)
+		}
+	}
+}
+
 // Require makes a version that is known required from now on. It changes nothing of when
 // it was named, and others are not told.
 func (h *History) Require(model string, version int64) {
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -107,3 +107,16 @@
 	g.Expect(h.Correct(versions.Naming{Model: "m", Version: 4, At: at(9)})).To(BeZero())
 	g.Expect(h.Add("m", 4, at(11))).To(BeTrue(), "it is news still")
 }
+
+// A VM was suspended for five seconds, which its steady clock does not count. Its gateway then
+// sent requests to weights for five seconds past their limit.
+func TestTimeThatTheVMWasSuspendedCountsTowardsLimits(t *testing.T) {
+	g := NewWithT(t)
+	h := versions.New(8 * time.Second)
+	h.Add("m", 2, at(0))
+	h.Suspended(5 * time.Second)
+	g.Expect(h.Required("m", at(2))).To(BeZero())
+	g.Expect(h.Required("m", at(3))).To(Equal(int64(2)))
+	end, _ := h.End("m", 1)
+	g.Expect(end).To(Equal(at(3)))
+}
