stage: an endpoint that ends under loads is left alone for longer and longer

Weights that end the endpoint which loads them were ordered as often as it was back. Change: after three ends in a row under loads of a version the next order waits, 1 s to 64 s; another version is loaded at once. Measured: the new test has 8 orders in a minute; without the pause it fails.

--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -123,10 +123,46 @@
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
 		"running", report.Running, "drainMs", drain.Milliseconds(), "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
-	s.awaitLoaded(ctx, model, want.version, &Report{Born: report.Born, Sequence: report.Sequence + 1})
+	s.noteLoad(model, want.version, s.awaitLoaded(ctx, model, want.version, &Report{Born: report.Born, Sequence: report.Sequence + 1}))
 	return nil
 }
 
+// endedLoads are the loads of a version in a row under which the endpoint ended.
+type endedLoads struct {
+	version int64
+	ended   int
+	// until is until when the endpoint is left alone.
+	until time.Time
+}
+
+// noteLoad notes whether the endpoint ended under a load.
+func (s *Stager) noteLoad(model string, version int64, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ended {
+		delete(s.ended, model)
+		return
+	}
+	e := s.ended[model]
+	if e.version != version {
+		e = endedLoads{version: version}
+	}
+	e.ended++
+	pause := LoadPause(e.ended)
+	e.until = time.Now().Add(pause)
+	s.ended[model] = e
+	s.cfg.Log.Warn("endpoint ended under a load", "model", model, "version", version, "times", e.ended, "pauseMs", pause.Milliseconds())
+}
+
+// leftAlone returns whether the endpoint is left alone for now, since it ended under loads of a
+// version.
+func (s *Stager) leftAlone(model string, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.ended[model]
+	return e.version == version && time.Now().Before(e.until)
+}
+
 // noteLoading notes that a version of model is about to be loaded; 0 stands for none.
 func (s *Stager) noteLoading(model string, version int64) {
 	s.mu.Lock()
@@ -180,22 +216,26 @@
 }
 
 // awaitLoaded waits until the endpoint runs a version, and tells the gateways. ordered is
-// what it tells once it has taken the order: one that has started again since forgot it.
-func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, ordered *Report) {
+// what it tells once it has taken the order: one that has started again since forgot it. It
+// returns whether the endpoint did, or is away.
+func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, ordered *Report) (restarted bool) {
 	began := time.Now()
+	away := false
 	for time.Since(began) < loadLimit && wait.For(ctx, loadedEvery) {
 		report, err := s.report(ctx)
-		if err != nil {
+		away = err != nil
+		if away {
 			continue
 		}
 		if report.Restarted(ordered) {
-			return
+			return true
 		}
 		if report.Version(model) < version {
 			continue
 		}
 		s.cfg.Fleet.Loaded(ctx, model, version)
 		s.cfg.Log.Info("weights loaded", "model", model, "version", version, "ms", time.Since(began).Milliseconds())
-		return
+		return false
 	}
+	return away && ctx.Err() == nil
 }
--- a/sidecar/stage/restart_test.go
+++ b/sidecar/stage/restart_test.go
@@ -80,3 +80,27 @@
 		NewWithT(t).Expect(c.now.Restarted(&c.before)).To(Equal(c.want), c.name)
 	}
 }
+
+// Weights that end the endpoint which loads them: it was ordered to load them again whenever
+// it was back, several times a second where it starts quickly.
+func TestWeightsThatEndTheEndpointAreLoadedLessAndLessOften(t *testing.T) {
+	m := newMachine(1)
+	m.warm, m.forgets = 0, true
+	bubble(t, func(b *stagers) {
+		s := b.start(stage.Config{Endpoint: m, Origin: m, Fleet: m, Peers: alone{}})
+		s.Want("m", 2, false)
+		end := time.Now().Add(time.Minute)
+		for born, ordered := int64(7), 0; time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if n := len(m.versions()); n > ordered {
+				ordered, born = n, born+1
+				m.crash(born)
+			}
+		}
+		b.Expect(len(m.versions())).To(BeNumerically("~", 8, 1), "three at once, then after 1, 2, 4, 8, 16 and 32 s")
+
+		m.set(func() { m.forgets = false })
+		s.Want("m", 3, false)
+		time.Sleep(2 * time.Second)
+		b.Expect(m.versions()).To(ContainElement(int64(3)), "another version is loaded at once")
+	})
+}
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -149,6 +149,28 @@
 	return p.Idle >= StallLimit(p.ChunkTime) && p.OlderHave > 0 && !p.Outdated
 }
 
+const (
+	// freeLoads is how many loads an endpoint may end under, one after the other, before it is
+	// left alone for a while: any endpoint may end once, in the third of a second that a load
+	// takes. Chosen by judgement.
+	freeLoads = 3
+	// firstLoadPause is that while, which doubles with each further end, maxLoadDoublings
+	// times: up to a minute. Chosen by judgement: a newer version is loaded at once in any
+	// case.
+	firstLoadPause = time.Second
+	// maxLoadDoublings is what firstLoadPause says.
+	maxLoadDoublings = 6
+)
+
+// LoadPause returns for how long an endpoint is left alone that has ended under so many loads
+// of a version in a row: weights that end it would do so again, as often as it starts.
+func LoadPause(ended int) time.Duration {
+	if ended < freeLoads {
+		return 0
+	}
+	return firstLoadPause << min(ended-freeLoads, maxLoadDoublings)
+}
+
 // doubtAfter is how long a download may make no progress while chunks of the
 // origin don't match the manifest before the manifest is read anew. Chosen by
 // judgement, not measured.
--- a/sidecar/stage/rules_test.go
+++ b/sidecar/stage/rules_test.go
@@ -113,3 +113,11 @@
 		NewWithT(t).Expect(stage.ManifestReaders(waited)).To(Equal(want), "%v", waited)
 	}
 }
+
+func TestAnEndpointIsLeftAloneLongerWithEachLoadUnderWhichItEnded(t *testing.T) {
+	for ended, want := range map[int]time.Duration{
+		0: 0, 2: 0, 3: time.Second, 4: 2 * time.Second, 9: 64 * time.Second, 10: 64 * time.Second, 1000: 64 * time.Second,
+	} {
+		NewWithT(t).Expect(stage.LoadPause(ended)).To(Equal(want), "%d", ended)
+	}
+}
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -63,6 +63,8 @@
 	wake   chan struct{}
 	// born is when the endpoint started, as it told last.
 	born int64
+	// ended are the loads under which the endpoint ended, by model.
+	ended map[string]endedLoads
 	// loading is the version that is about to be loaded, by model.
 	loading map[string]int64
 	// link measures the VM's link for chunks of linkChunk bytes; nil before the first.
@@ -80,6 +82,7 @@
 		complete: map[string]target{},
 		former:   map[string][]target{},
 		loading:  map[string]int64{},
+		ended:    map[string]endedLoads{},
 		ordering: make(chan struct{}, 1),
 		wake:     make(chan struct{}, 1),
 	}
@@ -134,7 +137,7 @@
 	if report.Version(model) >= want.version {
 		return true
 	}
-	if s.outdated(model, want.version) {
+	if s.outdated(model, want.version) || s.leftAlone(model, want.version) {
 		return false
 	}
 	if held := report.Version(model); held != 0 && time.Now().Before(s.changeTime(model, held, want)) {
