--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,15 +120,7 @@
 	g.quarantineKnown, g.knowQuarantine = context.WithCancel(context.Background())
 	g.poison, g.trials = poison.NewTable(g.notePoison), poison.NewTrials()
 	g.table = member.NewTable(g.self)
-	g.endpoints = endpoints.New(endpoints.Config{
-		Records:   func() *mirror.State { return g.mirrors[platform.KindEndpoints].State() },
-		Retention: roster.NewRetention(retainLapsed, min(retainLapsed, cfg.DrainLimit*2/3)),
-		Changed:   g.useEndpoints,
-		// Three heartbeats without a write, as the platform has it.
-		Lapse:      3 * cfg.Heartbeat,
-		Unreadable: unreadable.New(platform.KindEndpoints, registry, l).Note,
-		Log:        l,
-	})
+	g.endpoints = g.newEndpoints()
 	g.badVersions = unreadable.New(platform.KindVersions, registry, l)
 	g.badMembers = unreadable.New(platform.KindMembers, registry, l)
 	g.badQuarantines = unreadable.New(platform.KindQuarantine, registry, l)
@@ -160,6 +152,18 @@
 	}
 }
 
+func (g *Gateway) newEndpoints() *endpoints.List {
+	return endpoints.New(endpoints.Config{
+		Records:   func() *mirror.State { return g.mirrors[platform.KindEndpoints].State() },
+		Retention: roster.NewRetention(retainLapsed, min(retainLapsed, g.cfg.DrainLimit*2/3)),
+		Changed:   g.useEndpoints,
+		// Three heartbeats without a write, as the platform has it.
+		Lapse:      3 * g.cfg.Heartbeat,
+		Unreadable: unreadable.New(platform.KindEndpoints, g.registry, g.log).Note,
+		Log:        g.log,
+	})
+}
+
 func (g *Gateway) newProxy() *proxy.Proxy {
 	return proxy.New(proxy.Config{
 		Headers:    platform.HeaderNames(),
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -1,10 +1,6 @@
 package poison
 
 import (
-	"cmp"
-	"encoding/hex"
-	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,14 +14,6 @@
 	// least of late goes first, suspected ones before quarantined ones. Endpoints of 16 slots
 	// with as many waiting then end 128 times before one is forgotten. Chosen by judgement.
 	maxRequests = 4096
-	// newsTime is for how long a change is told: five heartbeats, of which four may be lost.
-	newsTime = time.Second
-	// maxNews is how many records are told at once, some 7 KB: four ends of full endpoints.
-	// Chosen by judgement.
-	maxNews = 128
-	// quarantinedEvery is how often all quarantined requests are told, for who has just
-	// started or was cut off.
-	quarantinedEvery = time.Second
 )
 
 // Cause says why a request was quarantined or cleared.
@@ -52,16 +40,6 @@
 	Cause  Cause
 }
 
-// UnknownKeyError tells that no suspected or quarantined request has a key.
-type UnknownKeyError struct {
-	Key string
-}
-
-// Error names the key.
-func (e *UnknownKeyError) Error() string {
-	return fmt.Sprintf("poison: no request is suspected that has the key %q", e.Key)
-}
-
 // Table is what a gateway knows of requests under which endpoints ended. It is safe for
 // concurrent use.
 type Table struct {
@@ -154,18 +132,6 @@
 	t.clear(k, CauseAnswered, now)
 }
 
-// Clear lets the request with a digest, in hexadecimal, be sent again. The error is an
-// *UnknownKeyError.
-func (t *Table) Clear(digest string, now time.Time) error {
-	for _, l := range t.List(now) {
-		if l.Key == digest {
-			t.clear(l.record.Key, CauseOperator, now)
-			return nil
-		}
-	}
-	return &UnknownKeyError{Key: digest}
-}
-
 func (t *Table) clear(k Key, cause Cause, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -268,67 +234,3 @@
 		}
 	}
 }
-
-// News returns what is to be told to other gateways now: what changed of late and, once in a
-// while, all that are quarantined. all asks also for changes that others told, as for who
-// passes them on.
-func (t *Table) News(all bool, now time.Time) []Record {
-	if t.size.Load() == 0 {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	whole := now.Sub(t.toldAt) >= quarantinedEvery
-	if whole {
-		t.toldAt = now
-	}
-	var told []*request
-	for _, q := range t.requests {
-		fresh := now.Before(q.ownUntil) || all && now.Before(q.newsUntil)
-		if fresh || whole && q.State() == Quarantined {
-			told = append(told, q)
-		}
-	}
-	slices.SortFunc(told, func(a, b *request) int { return b.changedAt.Compare(a.changedAt) })
-	out := make([]Record, 0, len(told))
-	for _, q := range told[:min(len(told), maxNews)] {
-		out = append(out, q.Record)
-	}
-	return out
-}
-
-// Listed is a request as the person on call sees it.
-type Listed struct {
-	Key string `json:"key"`
-	// Quarantined is set when it is sent to no endpoint; else it is suspected.
-	Quarantined bool `json:"quarantined"`
-	// Ends is how many endpoints ended under it, Relapses how many quarantines have run out.
-	Ends     int   `json:"ends"`
-	Relapses uint8 `json:"relapses"`
-	// AgeMS is how long ago that changed, LeftMS how long the quarantine lasts.
-	AgeMS  int64 `json:"ageMs"`
-	LeftMS int64 `json:"leftMs,omitempty"`
-
-	record Record
-}
-
-// List returns the requests that are suspected or quarantined, the latest first.
-func (t *Table) List(now time.Time) []Listed {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Listed
-	for _, q := range t.requests {
-		if q.State() == Clear {
-			continue
-		}
-		age := now.Sub(q.changedAt)
-		l := Listed{Key: hex.EncodeToString(q.Key.Digest[:]), Ends: len(q.Ends), Relapses: q.Relapses, AgeMS: age.Milliseconds(), record: q.Record}
-		if q.State() == Quarantined {
-			l.Quarantined, l.LeftMS = true, (QuarantineTime(q.Relapses) - age).Milliseconds()
-		}
-		out = append(out, l)
-	}
-	slices.SortFunc(out, func(a, b Listed) int { return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Key, b.Key)) })
-	return out
-}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/standin"
 )
@@ -124,43 +125,6 @@
 	return nil, "", false
 }
 
-// question is one request as it is to be sent.
-type question struct {
-	id, body string
-	stream   bool
-	// limit is how long its answer is waited for.
-	limit time.Duration
-}
-
-// draw returns the caller's next request.
-func (c *caller) draw() question {
-	c.sent++
-	q := question{id: fmt.Sprintf("%s-%d", c.name, c.sent), limit: plainLimit}
-	q.body = "body of " + q.id
-	if c.random.IntN(2) == 0 {
-		q.stream, q.limit = true, streamLimit
-	}
-	if c.random.IntN(20) == 0 {
-		q.limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
-	}
-	return q
-}
-
-// request returns the question as it is sent to addr.
-func (q *question) request(ctx context.Context, addr string) *http.Request {
-	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(q.body))
-	r.Host = plainHost
-	r.Header.Set(names.RequestID, q.id)
-	r.Header.Set(names.Key, apiKey)
-	r.Header.Set(names.Deadline, fmt.Sprint(q.limit.Milliseconds()))
-	if q.stream {
-		r.Host = streamHost
-		r.Header.Set(names.Model, model)
-	}
-	r.GetBody = nil
-	return r
-}
-
 // ask sends one request and checks what comes back.
 func (c *caller) ask(entry *process, addr string) {
 	q := c.draw()
@@ -233,10 +197,21 @@
 		w.Broken("request %s was denied with %d", id, resp.StatusCode)
 	default:
 		c.result.Other.Add(1)
+		return c.checkFailure(resp, id)
 	}
 	return nil
 }
 
+// checkFailure looks at an answer that tells of a failure: no request of these callers ends
+// endpoints, however many ended while they had it.
+func (c *caller) checkFailure(resp *http.Response, id string) error {
+	body, err := io.ReadAll(resp.Body)
+	if strings.HasPrefix(string(body), string(policy.CodeQuarantined)) {
+		c.world.witness.Broken("request %s was taken for one that ends endpoints", id)
+	}
+	return err
+}
+
 // checkStream reads a stream: its events must come in order, each once, and
 // all of them before it ends.
 func (c *caller) checkStream(resp *http.Response, id string) error {
--- /dev/null
+++ b/soak/question.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// question is one request as it is to be sent.
+type question struct {
+	id, body string
+	stream   bool
+	// limit is how long its answer is waited for.
+	limit time.Duration
+}
+
+// draw returns the caller's next request.
+func (c *caller) draw() question {
+	c.sent++
+	q := question{id: fmt.Sprintf("%s-%d", c.name, c.sent), limit: plainLimit}
+	q.body = "body of " + q.id
+	if c.random.IntN(2) == 0 {
+		q.stream, q.limit = true, streamLimit
+	}
+	if c.random.IntN(20) == 0 {
+		q.limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
+	}
+	return q
+}
+
+// request returns the question as it is sent to addr.
+func (q *question) request(ctx context.Context, addr string) *http.Request {
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(q.body))
+	r.Host = plainHost
+	r.Header.Set(names.RequestID, q.id)
+	r.Header.Set(names.Key, apiKey)
+	r.Header.Set(names.Deadline, fmt.Sprint(q.limit.Milliseconds()))
+	if q.stream {
+		r.Host = streamHost
+		r.Header.Set(names.Model, model)
+	}
+	r.GetBody = nil
+	return r
+}
