proxy: the rest of an answer waits for the lease on its request

Cause: streams of copies that were in progress at one endpoint are all suspected when it ends; all but the one that got the lease were cut, though their callers can't come back. Change: what has begun asks for the lease again until it gets it or the request is cleared or quarantined. The store is given what is known of a request at the time of writing. An endpoint whose record is gone counts as leaving: its end is nobody's fault. Measured: the new test fails without the wait.

--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -25,11 +25,12 @@
 	return l.endpoint.holds(model)
 }
 
-// Leaving returns whether the endpoint is known to leave.
+// Leaving returns whether the endpoint is known to leave or to be gone: some leave without
+// saying so, their record goes, and they serve on for a while.
 func (l *Lease) Leaving() bool {
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
-	return l.endpoint.record.Leaving
+	return l.endpoint.record.Leaving || !l.shard.has(l.endpoint)
 }
 
 // Others returns how many requests besides this one the gateway has at the endpoint.
--- a/gateway/proxy/poison_test.go
+++ b/gateway/proxy/poison_test.go
@@ -128,6 +128,32 @@
 	}, six()...)
 }
 
+// Two callers ask for the same at the same time, and their streams are in progress at one
+// endpoint when that ends by itself. One goes on elsewhere at once, the other after it.
+func TestStreamsOfCopiesThatHaveBegunWaitForEachOther(t *testing.T) {
+	play(t, func(w *world) {
+		first := events(50*time.Millisecond, hang, 1, 2)
+		rest := func(c net.Conn, r *http.Request) bool {
+			return events(50*time.Millisecond, end, 3, 4)(c, r)
+		}
+		w.endpoints["e0"].script = always(first)
+		w.endpoints["e1"].script = always(rest)
+		const callers = 2
+		answers := make(chan answer, callers)
+		for range callers {
+			go func() { answers <- w.ask("POST", "/stream/", other) }()
+		}
+		time.Sleep(200 * time.Millisecond)
+		w.end("e0")
+		for range callers {
+			a := <-answers
+			w.g.Expect(a.cut).To(BeFalse())
+			w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+		}
+		w.g.Expect(w.lines.with("endpoint ended")).To(HaveLen(callers))
+	}, always(hang), always(hang))
+}
+
 func othersAreServedBesideIt(t *testing.T) {
 	play(t, func(w *world) {
 		w.mortals(events(20*time.Millisecond, end, 1, 2, 3))
--- a/gateway/proxy/withhold.go
+++ b/gateway/proxy/withhold.go
@@ -8,6 +8,7 @@
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/verdict"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // suspicion returns how far the call's request is suspected.
@@ -37,15 +38,31 @@
 	if c.trial != nil {
 		return nil
 	}
-	end, given := p.cfg.Trial(ctx, key, time.Until(c.deadline))
-	switch {
-	case given:
-		c.trial = end
-		return nil
-	case p.quarantined(c): // as who keeps the lease has told
-		return withheld(policy.CodeQuarantined)
+	return p.beginTrial(ctx, c, key)
+}
+
+// trialPause is the time between two questions for a lease. Chosen by judgement: a third of the
+// shortest pause between events at which the sites' streams are still in time.
+const trialPause = 100 * time.Millisecond
+
+// beginTrial takes the lease on a suspected request, or returns why it is withheld. The rest of
+// an answer that has begun waits for the lease: its caller can't be told to come back.
+func (p *Proxy) beginTrial(ctx context.Context, c *call, key poison.Key) *verdict.Error {
+	for {
+		end, given := p.cfg.Trial(ctx, key, time.Until(c.deadline))
+		if given {
+			c.trial = end
+			return nil
+		}
+		switch {
+		case p.quarantined(c): // as who keeps the lease may have told
+			return withheld(policy.CodeQuarantined)
+		case !c.headSent || !wait.For(ctx, trialPause):
+			return withheld(policy.CodeOnTrial)
+		case p.suspicion(c) == poison.Clear:
+			return nil
+		}
 	}
-	return withheld(policy.CodeOnTrial)
 }
 
 // endTrial gives back the lease on the call's request, if it has one.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -48,7 +48,7 @@
 		g.log.Info("request cleared", "key", key, "cause", string(c.Cause), "quarantined", c.Before == poison.Quarantined)
 	}
 	if g.storesChange(&c) {
-		go g.storeQuarantine(c.Record)
+		go g.storeQuarantine(c.Record.Key)
 	}
 }
 
@@ -117,25 +117,25 @@
 	}
 }
 
-// storeQuarantine writes a quarantine to the store, or removes it.
-func (g *Gateway) storeQuarantine(r poison.Record) {
+// storeQuarantine makes the store hold what is known of a request: its quarantine, or nothing.
+func (g *Gateway) storeQuarantine(k poison.Key) {
 	ctx := context.Background()
-	key := r.Key.String()
 	for range quarantineTries {
-		var err error
-		if r.State() == poison.Quarantined {
-			err = g.store.Put(ctx, platform.KindQuarantine, key, platform.NewQuarantine(r, time.Now().Add(poison.QuarantineTime(r.Relapses))))
-		} else {
-			err = g.store.Delete(ctx, platform.KindQuarantine, key)
-		}
+		err := g.storeRecord(ctx, g.poison.Record(k)) // as it is by now
 		if err == nil || platform.IsNotFound(err) {
 			return
 		}
-		g.log.Debug("quarantine not stored", "key", key, "err", err)
-		if !wait.For(ctx, quarantinePause) {
-			return
-		}
+		g.log.Debug("quarantine not stored", "key", k.String(), "err", err)
+		wait.For(ctx, quarantinePause)
+	}
+}
+
+func (g *Gateway) storeRecord(ctx context.Context, r poison.Record) error {
+	if r.State() != poison.Quarantined {
+		return g.store.Delete(ctx, platform.KindQuarantine, r.Key.String())
 	}
+	until := time.Now().Add(poison.QuarantineTime(r.Relapses))
+	return g.store.Put(ctx, platform.KindQuarantine, r.Key.String(), platform.NewQuarantine(r, until))
 }
 
 // awaitQuarantine waits until this gateway knows which requests are quarantined, or has waited
@@ -154,8 +154,7 @@
 		case err != nil:
 			g.badQuarantines.Note(o.Name, err)
 		case !now.Before(until):
-			r.Ends = nil
-			go g.storeQuarantine(r)
+			go g.storeQuarantine(r.Key)
 		default:
 			began := until.Add(-poison.QuarantineTime(r.Relapses))
 			g.poison.Take([]poison.Record{r}, now.Add(min(began.Sub(now), 0)))
