--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -112,5 +112,20 @@
 mutant "a replaced version is left half way" sidecar/stage/fetch.go 's/go s.bringFirstCopies\(whole, model, want.version\)/_ = whole/' ./sidecar/stage 'TestFirstCopiesOfAVersion'
 mutant "nobody reads the store before it has listened" gateway/replica/rules.go 's/return watches && first/return false/' ./gateway/replica 'TestTheFirstThatTheStoreLists'
 
+mutant "an end is charged to nobody" gateway/proxy/ended.go 's/p.cfg.Poison.Ended\(c.copies, a.lease.Record.Life\(\), time.Now\(\)\)/_ = c/' ./gateway/proxy 'TestARequestThatEnds'
+mutant "an answer that breaks off counts as an end" gateway/upstream/refused.go 's/return errors.Is/return true || errors.Is/; s/put\(cn\)\n\treturn false/put(cn)\n\treturn true/' ./gateway/proxy 'TestAnAnswerThatBreaksOff'
+mutant "copies are tried side by side" gateway/proxy/withhold.go 's/case poison.Clear:\n\t\treturn nil\n\t\}/case poison.Clear, poison.Suspected:\n\t\treturn nil\n\t}/' ./gateway/proxy 'TestARequestThatEnds'
+mutant "a whole answer clears nothing" gateway/poison/table.go 's/t.clear\(k, CauseAnswered, now\)/_ = k/' ./gateway/poison 'TestAWholeAnswer'
+mutant "one end counts at each gateway" gateway/poison/record.go 's/out.Ends = slices.Compact\(out.Ends\)/_ = out/' ./gateway/poison 'TestAnEndThatSeveral|TestRecordsAreJoined'
+mutant "what others tell ends what is told" gateway/poison/table.go 's/\tif own \{\n/\tq.ownUntil = time.Time{}\n\tif own {\n/' ./gateway/poison 'TestWhatOthersTell'
+mutant "who was cut off is not told" gateway/poison/news.go 's/\|\| whole && q.State\(\) == Quarantined//' ./member 'TestWhoWasCutOff'
+mutant "relays keep news of ends" gateway/poison/news.go 's/ \|\| all && now.Before\(q.newsUntil\)//' ./member 'TestEndsUnderARequest'
+mutant "a gateway that starts knows nothing" gateway/quarantine.go 's/g.takeQuarantine\(objects\)/_ = objects/' ./gateway 'TestAGatewayThatStartsKnows'
+mutant "what has begun does not wait for its lease" gateway/proxy/withhold.go 's/case !c.headSent \|\| !wait/case c.headSent || !wait/' ./gateway/proxy 'TestStreamsOfCopies'
+mutant "attempts without a connection use up the route's" gateway/proxy/call.go 's/n - min\(p.unreached, maxUnreached\)/n/' ./gateway/proxy 'TestARequestThatEnds'
+mutant "a further signal ends a process" process/process.go 's/signal.Notify\(asked, syscall.SIGTERM, os.Interrupt\)/signal.Notify(asked, syscall.SIGTERM, os.Interrupt)\n\tgo func() { time.Sleep(200 * time.Millisecond); signal.Reset() }()/' ./process 'TestFurtherSignals'
+mutant "time suspended does not count" versions/versions.go 's/namings\[i\].At.Add\(-d\)/namings[i].At.Add(0 * d)/' ./versions 'TestTimeThatTheVM'
+mutant "loads that end the endpoint go on" sidecar/stage/stager.go 's/ \|\| s.leftAlone\(model, want.version\)//' ./sidecar/stage 'TestWeightsThatEnd'
+
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
