stage: a VM sends one chunk at a time, and lets two wait

Cause: a version was whole on half of 76 VMs 4.9 s after its naming, on the last after 8.0 s, where one copy takes 2.1 s on the origin's link and 2.0 s on a VM's. Each VM sent three chunks side by side at its pace, so that none of them could be handed on before all three were there; with three parallel fetches a chunk took 154 ms in the median. Change: one chunk at a time, two wait behind it, others are refused and ask elsewhere; four are fetched at once; news goes after 20 ms.

--- a/exchange/server.go
+++ b/exchange/server.go
@@ -12,14 +12,17 @@
 	"github.com/silverdeck/silverdeck/weights"
 )
 
-// queueFactor is how many requests may wait for each upload slot.
-const queueFactor = 4
+// defaultQueue is how many requests may wait for each upload slot.
+const defaultQueue = 4
 
 // Server answers other agents, and the engine beside this one.
 type Server struct {
 	held  Holdings
 	slots chan struct{}
 	queue chan struct{}
+	// waiting is how many requests may wait for each upload slot; queue has room for these
+	// and for those that are sent.
+	waiting int
 	// coalesce is how long news is coalesced before it is told.
 	coalesce time.Duration
 	// pace bounds the bytes that are sent; nil means no bound.
@@ -34,6 +37,11 @@
 	return func(s *Server) { s.coalesce = d }
 }
 
+// WithQueue sets how many requests may wait for each upload slot. More are refused.
+func WithQueue(waiting int) ServerOption {
+	return func(s *Server) { s.waiting = waiting }
+}
+
 // paceSlice is how many bytes are sent at once under a pace: little enough not
 // to hold up what else the link carries.
 const paceSlice = 4 << 10
@@ -48,12 +56,13 @@
 	s := &Server{
 		held:     held,
 		slots:    make(chan struct{}, slots),
-		queue:    make(chan struct{}, slots*(queueFactor+1)),
+		waiting:  defaultQueue,
 		coalesce: haveCoalesce,
 	}
 	for _, o := range opts {
 		o(s)
 	}
+	s.queue = make(chan struct{}, slots*(s.waiting+1))
 	return s
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -32,21 +32,13 @@
 
 // Settings of a sidecar.
 const (
-	// uploads is how many chunks are sent to other VMs at once. Chosen by judgement.
-	uploads = 3
-	// paceShare is the part of the VM's link that chunks may take; the rest is for
-	// requests. Pacing below the link was worth 0.016 on quiet-1 of claimsdesk-ja, with
-	// loads apart from fetches ("Steps on quiet-1" in docs/MEASUREMENTS.md).
-	paceShare = 0.85
-	// coalesce is how long news of chunks is coalesced before other VMs hear it. Chosen by
-	// judgement; shorter made a fetch longer ("Load limits and returns" in
-	// docs/MEASUREMENTS.md).
-	coalesce = 50 * time.Millisecond
 	// dialLimit bounds the opening of a connection, headerLimit the head of a request.
 	// Chosen by judgement.
 	dialLimit = 500 * time.Millisecond
 	// headerLimit bounds the head of a request. Chosen by judgement.
 	headerLimit = 5 * time.Second
+	// idleConnections is how many connections to another sidecar are kept.
+	idleConnections = 3
 )
 
 // Sidecar is the process's state.
@@ -70,7 +62,7 @@
 func New(cfg *platform.Settings, l *log.Logger, registry metrics.Registry) *Sidecar {
 	c := &Sidecar{cfg: cfg, log: l, registry: registry}
 	dialer := &net.Dialer{Timeout: dialLimit}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: uploads}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}}
 	pool := peerconn.NewPool(dialer)
 	c.fleet = newFleet(cfg, platform.NewStore(cfg.Store), pool, l, fleetHandlers{
 		use: c.useInventory, named: c.useNaming, suspended: func(d time.Duration) { c.stager.Suspended(d) },
@@ -98,7 +90,9 @@
 		return err
 	}
 	c.notices = conn
-	ex := exchange.NewServer(c.stager.Holdings(), uploads, exchange.WithCoalescing(coalesce), exchange.WithPace(paceShare*platform.BytesPerSecond(c.cfg.LinkMbps)))
+	ex := exchange.NewServer(c.stager.Holdings(), stage.Uploads,
+		exchange.WithQueue(stage.QueuedUploads), exchange.WithCoalescing(stage.Coalescing),
+		exchange.WithPace(stage.PaceShare*platform.BytesPerSecond(c.cfg.LinkMbps)))
 	mux, err := peerconn.NewMux(map[string]any{exchange.Service: ex, stage.ManifestService: c.stager.Manifests()})
 	if err != nil {
 		return err
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -19,9 +19,9 @@
 	// list after a start. Chosen by judgement; without it version 1 came from the origin
 	// 2.6 times ("Weights" in docs/MEASUREMENTS.md).
 	settleTime = 5 * time.Second
-	// parallelChunks is how many chunks are fetched from other VMs at once: more made
-	// a fetch longer ("Load limits and returns" in docs/MEASUREMENTS.md).
-	parallelChunks = 3
+	// parallelChunks is how many chunks are fetched from other VMs at once: as each VM sends
+	// one after the other, some of them wait there.
+	parallelChunks = 4
 	// perMember is how many of these come from one VM.
 	perMember = 1
 	// originLateness is how long a chunk may stay away before the next in rank
@@ -178,12 +178,7 @@
 func (s *Stager) download(ctx context.Context, model string, version int64, set *weights.Set) error {
 	members := s.members(ctx)
 	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, s.reader(model, version, set),
-		swarm.WithOriginBudget(s.cfg.Origin.Rate(ctx), float64(len(members)+1)),
-		swarm.WithLateness(originLateness),
-		swarm.WithParallel(parallelChunks, perMember),
-		swarm.WithLink(s.linkMeter(set.Manifest().ChunkSize)),
-		swarm.WithPatience(readerPatience),
-		swarm.WithMinTimeout(chunkLimit))
+		DownloadOptions(s.cfg.Origin.Rate(ctx), len(members), s.linkMeter(set.Manifest().ChunkSize))...)
 	s.holdings.SetDownload(set.Root(), d)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -204,6 +199,19 @@
 	return nil
 }
 
+// DownloadOptions returns the settings of a download among so many VMs, by the bandwidth of
+// the origin's link in bytes a second and by what measures this VM's link.
+func DownloadOptions(originRate float64, members int, link *congestion.Meter) []swarm.Option {
+	return []swarm.Option{
+		swarm.WithOriginBudget(originRate, float64(members+1)),
+		swarm.WithLateness(originLateness),
+		swarm.WithParallel(parallelChunks, perMember),
+		swarm.WithLink(link),
+		swarm.WithPatience(readerPatience),
+		swarm.WithMinTimeout(chunkLimit),
+	}
+}
+
 // linkMeter returns the measure of this VM's link for chunks of a size, which all
 // downloads share.
 func (s *Stager) linkMeter(chunkSize int64) *congestion.Meter {
