--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -86,14 +86,21 @@
 	return wait.For(ctx, time.Until(want.seenAt.Add(settleTime)))
 }
 
-// abandon ends the fetching of a version once a newer one is wanted and little
-// of the older is there.
+// abandon ends the fetching of a version once a newer one is wanted and little of the older
+// is there. It waits for the manifest of the newer one: while the origin is away nothing of
+// that comes, and the older one may be whole elsewhere.
 func (s *Stager) abandon(ctx context.Context, cancel func(), model string, version int64) {
 	for wait.For(ctx, lookEvery) {
-		if s.target(model).version == version {
+		newest := s.target(model).version
+		if newest == version {
 			continue
 		}
 		set := s.holdings.version(model, version)
+		if set != nil && !WorthFinishing(set.Len(), len(set.Manifest().Chunks)) {
+			if _, err := s.listed(ctx, model, newest); err != nil {
+				continue
+			}
+		}
 		if set == nil || !WorthFinishing(set.Len(), len(set.Manifest().Chunks)) {
 			cancel()
 			return
