--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -7,19 +7,16 @@
 
 // What counts in the choice beside the load, in requests for each slot.
 const (
-	// otherZoneCost is that of an endpoint in another availability zone: traffic
-	// between zones is priced, but little. Chosen by judgement, not measured.
+	// otherZoneCost is that of an endpoint in another availability zone: traffic between
+	// zones is priced, but little.
 	otherZoneCost = 0.10
-	// notPreferredCost keeps gateways from choosing the same endpoint at the same
-	// moment, since they know of each other's requests only by heartbeats. Measured,
-	// "Cost of an endpoint that another gateway prefers" in docs/MEASUREMENTS.md.
+	// notPreferredCost keeps gateways from choosing the same endpoint at the same moment,
+	// since they know of each other's requests only by heartbeats.
 	notPreferredCost = 0.80
-	// prefillUnit is the time of reading prompts that counts as one request for each
-	// slot. Chosen by judgement; that prompts count at all was worth 0.09 on quiet-1
-	// of claimsdesk-ja, together with the preference ("Steps on quiet-1").
+	// prefillUnit is the time of reading prompts that counts as one request for each slot.
 	prefillUnit = 250 * time.Millisecond
-	// jitter is drawn anew for each endpoint, so that equal ones share requests out.
-	// Chosen by judgement: less than any of the costs above.
+	// jitter is drawn anew for each endpoint, so that equal ones share requests out. Less
+	// than any of the costs above.
 	jitter = 0.03
 )
 
--- a/gateway/balance/health.go
+++ b/gateway/balance/health.go
@@ -25,32 +25,31 @@
 
 // Ejection of endpoints.
 const (
-	// failureWeight is the weight of the newest outcome in the failure rate: about
-	// the last eight count. Chosen by judgement, not measured.
+	// failureWeight is the weight of the newest outcome in the failure rate: about the last
+	// eight count.
 	failureWeight = 0.12
-	// refusalDivisor makes a refusal count for less than a failure: a busy endpoint is
-	// not a broken one. Chosen by judgement, not measured.
+	// refusalDivisor makes a refusal count for less than a failure: a busy endpoint is not
+	// a broken one.
 	refusalDivisor = 3
-	// failureLimit is the failure rate at which an endpoint is ejected: five failures
-	// in a row, or about half of the outcomes. Chosen by judgement, not measured.
+	// failureLimit is the failure rate at which an endpoint is ejected: five failures in a
+	// row, or about half of the outcomes.
 	failureLimit = 0.45
 	// recoveredLimit is the failure rate below which an ejected endpoint counts as
 	// well again, and the highest after a trial that was served.
 	recoveredLimit = failureLimit / 2
-	// minEjection is for how long an endpoint is ejected at first; it doubles with
-	// each ejection in a row, maxDoublings times, up to maxEjection. Chosen by
-	// judgement, not measured.
+	// minEjection is for how long an endpoint is ejected at first; it doubles with each
+	// ejection in a row, maxDoublings times, up to maxEjection.
 	minEjection = 500 * time.Millisecond
 	// maxEjection is the longest ejection.
 	maxEjection = 4 * time.Second
 	// maxDoublings is after how many the time stays.
 	maxDoublings = 3
 	// unresponsiveLimit is how many unresponsive requests in a row, with no other in
-	// progress, eject an endpoint: one alone may just have lost its answer. Chosen by
-	// judgement; suspicion after a single one was worse (docs/MEASUREMENTS.md).
+	// progress, eject an endpoint: one alone may just have lost its answer. Suspicion after
+	// a single one was worse.
 	unresponsiveLimit = 2
-	// refusalPause is for how long an endpoint that refused gets no requests: it may
-	// end a request meanwhile. Chosen by judgement, not measured.
+	// refusalPause is for how long an endpoint that refused gets no requests: it may end a
+	// request meanwhile.
 	refusalPause = 60 * time.Millisecond
 )
 
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -58,9 +58,8 @@
 	l.balancer.NoteTraffic(now)
 }
 
-// ownIdleLimit is for how long nothing at all may come from other processes before
-// that is put down to this gateway or its link: one heartbeat, sent every 0.2 s, may
-// be late. Chosen by judgement; the rule came from a hunt (docs/FINDINGS.md).
+// ownIdleLimit is for how long nothing at all may come from other processes before that is
+// put down to this gateway or its link: one heartbeat, sent every 0.2 s, may be late.
 const ownIdleLimit = 300 * time.Millisecond
 
 // Idle returns for how long nothing came from the endpoint, for this or any other
--- a/gateway/balance/suspect.go
+++ b/gateway/balance/suspect.go
@@ -8,14 +8,14 @@
 
 // Suspicion of endpoints that gateways share.
 const (
-	// suspicionTime is how long, after an endpoint may be tried again, others are
-	// told to leave the trial to this gateway. Chosen by judgement, not measured.
+	// suspicionTime is how long, after an endpoint may be tried again, others are told to
+	// leave the trial to this gateway.
 	suspicionTime = 2 * time.Second
-	// maxSuspectShare is the part of a service's endpoints above which a gateway
-	// puts their failures down to itself. Chosen by judgement, not measured.
+	// maxSuspectShare is the part of a service's endpoints above which a gateway puts their
+	// failures down to itself.
 	maxSuspectShare = 0.34
-	// freshByte is how recent an endpoint's last byte must be to count for more than
-	// the suspicion of others: two heartbeats. Chosen by judgement, not measured.
+	// freshByte is how recent an endpoint's last byte must be to count for more than the
+	// suspicion of others: two heartbeats.
 	freshByte = 400 * time.Millisecond
 )
 
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -9,7 +9,7 @@
 	"github.com/silverdeck/silverdeck/member"
 )
 
-// maxAddresses bounds an answer. Chosen by judgement.
+// maxAddresses bounds an answer.
 const maxAddresses = 64
 
 // Addresses returns the addresses of live gateways for a caller in zone of
@@ -32,8 +32,8 @@
 	return out
 }
 
-// enoughNear is how many gateways of a caller's own zone make others needless: one
-// may have just died. Chosen by judgement.
+// enoughNear is how many gateways of a caller's own zone make others needless: one may have
+// just died.
 const enoughNear = 2
 
 // standIns returns n of entries, those of region first and else in turn.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,7 @@
 const (
 	// versionMargin is how long before their limit no request is sent to old weights any
 	// more, since the endpoint would refuse it: its sidecar unloads them 0.5 s before the
-	// limit. What is on its way longer is refused there. Chosen by judgement, not measured.
+	// limit. What is on its way longer is refused there.
 	versionMargin = 800 * time.Millisecond
 	// retainLapsed is for how long after the store's return endpoints are kept
 	// whose records lapsed meanwhile: the platform says that they are written again
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -12,26 +12,24 @@
 
 // Times of a start and of a planned stop.
 const (
-	// registerPause is the time between two tries to register in the store. Chosen by
-	// judgement, not measured.
+	// registerPause is the time between two tries to register in the store.
 	registerPause = 500 * time.Millisecond
-	// acceptLeaving is how long a leaving gateway takes new connections, for callers
-	// that kept its address: longer than addressTTL. What may not end in time is refused
-	// meanwhile; see policy.EndsInTime. Chosen by judgement.
+	// acceptLeaving is how long a leaving gateway takes new connections, for callers that
+	// kept its address: longer than addressTTL. What may not end in time is refused
+	// meanwhile; see policy.EndsInTime.
 	acceptLeaving = 3 * time.Second
-	// stopMargin is taken from the time that a planned stop may take, for what comes
-	// after the last request. Chosen by judgement.
+	// stopMargin is taken from the time that a planned stop may take, for what comes after
+	// the last request.
 	stopMargin = 400 * time.Millisecond
 	// lastAnswers is how long before that requests in progress are ended, so that those
-	// without an answer get one. Chosen by judgement: an answer takes some milliseconds, on a
-	// busy VM up to a hundred.
+	// without an answer get one. An answer takes some milliseconds, on a busy VM up to a
+	// hundred.
 	lastAnswers = 200 * time.Millisecond
 	// lastLines is how long the process stays after the last request, so that questions at
-	// its other addresses are answered and the last heartbeat and log lines go out. Chosen
-	// by judgement.
+	// its other addresses are answered and the last heartbeat and log lines go out.
 	lastLines = 100 * time.Millisecond
-	// sweepEvery is how often idle connections to endpoints are looked at. Chosen by
-	// judgement: half of the shortest time for which endpoints keep them.
+	// sweepEvery is how often idle connections to endpoints are looked at. Half of the
+	// shortest time for which endpoints keep them.
 	sweepEvery = 2 * time.Second
 )
 
--- a/gateway/namings.go
+++ b/gateway/namings.go
@@ -12,7 +12,7 @@
 	"github.com/silverdeck/silverdeck/wait"
 )
 
-// Asking other gateways when versions were named. All chosen by judgement.
+// Asking other gateways when versions were named.
 const (
 	// namingPeers is how many are to answer: one may have heard late itself.
 	namingPeers = 2
@@ -31,7 +31,7 @@
 )
 
 // foundShare is the part of the contact time after which a found version is required if
-// most endpoints hold it; the rest is for requests on their way. Chosen by judgement.
+// most endpoints hold it; the rest is for requests on their way.
 const foundShare = 0.5
 
 // followNamings asks other gateways when versions were named, each time this one heard
--- a/gateway/poison/news.go
+++ b/gateway/poison/news.go
@@ -10,7 +10,6 @@
 	// newsTime is for how long a change is told: five heartbeats, of which four may be lost.
 	newsTime = time.Second
 	// maxNews is how many records are told at once, some 7 KB: four ends of full endpoints.
-	// Chosen by judgement.
 	maxNews = 128
 	// quarantinedEvery is how often all quarantined requests are told, for who has just
 	// started or was cut off.
--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -20,15 +20,15 @@
 	// relapseEnds is the same for a request that was quarantined before.
 	relapseEnds = 1
 	// quarantineTime is how long a quarantine lasts at first: the endpoints' software or
-	// their weights may have been mended. It doubles with each relapse. Chosen by judgement:
-	// a request that is sent all the time then ends one endpoint in ten minutes, and one in
-	// three hours in the end.
+	// their weights may have been mended. It doubles with each relapse. A request that is
+	// sent all the time then ends one endpoint in ten minutes, and one in three hours in
+	// the end.
 	quarantineTime = 10 * time.Minute
 	// maxDoublings is after how many the time stays.
 	maxDoublings = 4
-	// suspicionTime is for how long ends are remembered that quarantine nothing yet. Chosen
-	// by judgement: longer than callers repeat a request, and short enough that a long-lived
-	// one, such as a check that is always the same, does not gather unrelated ends.
+	// suspicionTime is for how long ends are remembered that quarantine nothing yet. Longer
+	// than callers repeat a request, and short enough that a long-lived one, such as a
+	// check that is always the same, does not gather unrelated ends.
 	suspicionTime = 10 * time.Minute
 )
 
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -11,8 +11,8 @@
 // Limits of a table and of what is told of it.
 const (
 	// maxRequests is how many requests are remembered, some 600 KB; the one that changed
-	// least of late goes first, suspected ones before quarantined ones. Endpoints of 16 slots
-	// with as many waiting then end 128 times before one is forgotten. Chosen by judgement.
+	// least of late goes first, suspected ones before quarantined ones. Endpoints of 16
+	// slots with as many waiting then end 128 times before one is forgotten.
 	maxRequests = 4096
 )
 
--- a/gateway/poison/trials.go
+++ b/gateway/poison/trials.go
@@ -9,11 +9,11 @@
 )
 
 // maxTrial bounds a trial, so that one whose gateway has died holds nobody up for long:
-// longer than callers wait for an answer. Chosen by judgement.
+// longer than callers wait for an answer.
 const maxTrial = 10 * time.Second
 
-// maxTrials bounds the trials that a gateway keeps for others. Chosen by judgement: as many as
-// requests are remembered.
+// maxTrials bounds the trials that a gateway keeps for others. As many as requests are
+// remembered.
 const maxTrials = maxRequests
 
 // Owner returns which of the gateways with these names keeps the trials of a request: the one
--- a/gateway/policy/late.go
+++ b/gateway/policy/late.go
@@ -5,16 +5,12 @@
 // Callers who come back after a refusal, once they can't be served in time any more.
 const (
 	// spareLoad is the load below which an endpoint takes late callers while others are
-	// refused who could be served in time: what they leave unused at their limits. On
-	// overloaded days 0.85 let 11% more callers be served in time and 3% fewer at all, worth
-	// 0.023 of 0.473. 0.6 was worth 0.046 there, but refused late callers after short
-	// shortages for whom there was room ("Rounds on khangai-preorder" in
-	// docs/MEASUREMENTS.md).
+	// refused who could be served in time: what they leave unused at their limits.
 	spareLoad = 0.85
 	// fullTime is for how long a service counts as full after a caller was refused who
 	// could have been served in time. While it is overloaded that happens all the time;
-	// once it is not, late callers are let in at once. Chosen by judgement; 2 s refused
-	// late callers after shortages for whom there was room.
+	// once it is not, late callers are let in at once. 2 s refused late callers after
+	// shortages for whom there was room.
 	fullTime = 500 * time.Millisecond
 )
 
--- a/gateway/policy/load.go
+++ b/gateway/policy/load.go
@@ -9,14 +9,11 @@
 
 // How busy an endpoint may be for one more stream, in requests for each slot.
 const (
-	// defaultMaxLoad is the limit where nothing is known of the engine, and the
-	// highest in any case: a quarter of a batch may wait. Chosen by judgement; lower
-	// limits by the engine's figures were worth 0.08 to 0.1 on overloaded days
-	// ("Load limits and returns" in docs/MEASUREMENTS.md).
+	// defaultMaxLoad is the limit where nothing is known of the engine, and the highest in
+	// any case: a quarter of a batch may wait.
 	defaultMaxLoad = 1.25
-	// aimShare is the part of its latency target in which an answer should begin by
-	// the engine's figures; the rest is for the network and for what the figures
-	// leave out. Measured: 0.75 and 0.6 in the same table.
+	// aimShare is the part of its latency target in which an answer should begin by the
+	// engine's figures; the rest is for the network and for what the figures leave out.
 	aimShare = 0.6
 )
 
@@ -34,6 +31,6 @@
 	return min(1+queue/float64(engine.Slots), defaultMaxLoad)
 }
 
-// idleLoad is the load below which another endpoint is worth asking beside a slow one:
-// the request begins there without waiting for a slot. Chosen by judgement.
+// idleLoad is the load below which another endpoint is worth asking beside a slow one: the
+// request begins there without waiting for a slot.
 const idleLoad = 0.8
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -22,8 +22,8 @@
 	CodeTooLarge verdict.Code = "too_large"
 )
 
-// minRetryTime is what must be left of a request's time for another attempt: a
-// round trip between regions and a short answer. Chosen by judgement, not measured.
+// minRetryTime is what must be left of a request's time for another attempt: a round trip
+// between regions and a short answer.
 const minRetryTime = 20 * time.Millisecond
 
 // Retry says whether a request goes to another endpoint after a failed attempt.
@@ -94,7 +94,7 @@
 const (
 	// ReturnPause is how long it waits before that after a refusal: an endpoint that loads
 	// weights takes requests again a moment later, and an event that comes 0.2 s late is
-	// still in time. Chosen by judgement.
+	// still in time.
 	ReturnPause = 200 * time.Millisecond
 	// returnFactor is how many times the route's attempts there may be with these: twice to
 	// each endpoint. Without any return 4 of 373 requests of a soak were cut for want of
--- a/gateway/policy/retryafter.go
+++ b/gateway/policy/retryafter.go
@@ -5,23 +5,22 @@
 // When callers are told to come back.
 const (
 	// RetrySoon is for failures that may be over at once, such as a refusal by one
-	// endpoint. Chosen by judgement, not measured.
+	// endpoint.
 	RetrySoon = 300 * time.Millisecond
-	// RetryNoConfig is for a gateway that has no configuration yet, which reads one
-	// within a second of its start. Chosen by judgement, not measured.
+	// RetryNoConfig is for a gateway that has no configuration yet, which reads one within
+	// a second of its start.
 	RetryNoConfig = time.Second
-	// RetryTrial is for a request of which another copy is being tried, which ends its endpoint
-	// or gets an answer within a second. Chosen by judgement, not measured.
+	// RetryTrial is for a request of which another copy is being tried, which ends its
+	// endpoint or gets an answer within a second.
 	RetryTrial = time.Second
-	// maxShortageRetry is the latest time for callers that find all endpoints full,
-	// or none: new endpoints take some seconds. Measured, "Load limits and returns" in
-	// docs/MEASUREMENTS.md.
+	// maxShortageRetry is the latest time for callers that find all endpoints full, or
+	// none: new endpoints take some seconds.
 	maxShortageRetry = 2 * time.Second
 	// minShortageRetry is the earliest, as a part of the latest. Callers who were
 	// refused together come back spread over the time between. Same table.
 	minShortageRetry = 0.2
-	// waitDivisor bounds the wait to a third of the time that the caller has left, so
-	// that its next attempt still has time. Chosen by judgement, not measured.
+	// waitDivisor bounds the wait to a third of the time that the caller has left, so that
+	// its next attempt still has time.
 	waitDivisor = 3
 )
 
--- a/gateway/policy/stall.go
+++ b/gateway/policy/stall.go
@@ -5,21 +5,19 @@
 // When another endpoint is asked for a request whose endpoint does not answer. Targets are those of
 // the request's route.
 const (
-	// gapFactor is how many times the target between events an endpoint may send
-	// nothing on any of this gateway's streams. Chosen by judgement, not measured.
+	// gapFactor is how many times the target between events an endpoint may send nothing on
+	// any of this gateway's streams.
 	gapFactor = 2
-	// minEndpointIdle is the least such time, twice the interval of the heartbeats by
-	// which a gateway knows that its own link is well. Chosen by judgement.
+	// minEndpointIdle is the least such time, twice the interval of the heartbeats by which
+	// a gateway knows that its own link is well.
 	minEndpointIdle = 400 * time.Millisecond
-	// lostFactor is how many times its latency target, or the target between events,
-	// one stream may get nothing while its endpoint sends on others: then its answer
-	// is lost. Chosen by judgement; the rule itself came from the recorded day of
-	// claimsdesk-ja (docs/FINDINGS.md).
+	// lostFactor is how many times its latency target, or the target between events, one
+	// stream may get nothing while its endpoint sends on others: then its answer is lost.
 	lostFactor = 3
-	// minStreamIdle is the least such time. Chosen by judgement.
+	// minStreamIdle is the least such time.
 	minStreamIdle = 900 * time.Millisecond
-	// plainFactor is how many times its latency target a plain request may take that
-	// may run twice. Chosen by judgement, not measured.
+	// plainFactor is how many times its latency target a plain request may take that may
+	// run twice.
 	plainFactor = 2
 )
 
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -18,11 +18,11 @@
 
 // Limits for callers and configurations that tell none.
 const (
-	// defaultDeadline is how long a caller waits that does not say. Chosen by
-	// judgement; routes bound it further.
+	// defaultDeadline is how long a caller waits that does not say. Routes bound it
+	// further.
 	defaultDeadline = 30 * time.Second
-	// defaultBodyLimit is the size of a request's body, in bytes, where the
-	// configuration bounds none. Chosen by judgement.
+	// defaultBodyLimit is the size of a request's body, in bytes, where the configuration
+	// bounds none.
 	defaultBodyLimit = 4 << 20
 )
 
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -17,11 +17,10 @@
 // Limits of reading answers.
 const (
 	// maxWhole bounds an answer that is read whole before it is passed on, in bytes.
-	// Chosen by judgement.
 	maxWhole = 8 << 20
-	// maxDrain is how much of a refusal's body, in bytes, is read so that its
-	// connection can be kept, and drainTime how long that may take. A new connection
-	// costs about as much as either. Chosen by judgement, not measured.
+	// maxDrain is how much of a refusal's body, in bytes, is read so that its connection
+	// can be kept, and drainTime how long that may take. A new connection costs about as
+	// much as either.
 	maxDrain = 16 << 10
 	// drainTime bounds the reading of a refusal's body.
 	drainTime = 50 * time.Millisecond
--- a/gateway/proxy/budget.go
+++ b/gateway/proxy/budget.go
@@ -22,15 +22,13 @@
 
 // How much of the budget is used.
 const (
-	// budgetSafety is the part of the budget that this gateway takes: the operator
-	// counts requests in windows of its own, which end at other moments. Chosen by
-	// judgement, not measured.
+	// budgetSafety is the part of the budget that this gateway takes: the operator counts
+	// requests in windows of its own, which end at other moments.
 	budgetSafety = 0.85
-	// retryPart is the part of that which retries may take; the rest is kept for
-	// answers that would otherwise be cut. Set after claimsdesk-ja-grown trouble-1, see
-	// docs/FINDINGS.md; the value is judgement.
+	// retryPart is the part of that which retries may take; the rest is kept for answers
+	// that would otherwise be cut.
 	retryPart = 0.6
-	// windowSteps is the number of parts that a window slides by. Chosen by judgement.
+	// windowSteps is the number of parts that a window slides by.
 	windowSteps = 10
 )
 
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -106,9 +106,8 @@
 }
 
 // maxUnreached is how many attempts without a connection do not count. Where endpoints end
-// one after the other, a request meets two that have just ended or are tried again: 2 of 200
-// were refused so beside three ends of six endpoints. Chosen by judgement: each costs a way
-// there and back.
+// one after the other, a request meets two that have just ended or are tried again: 2 of
+// 200 were refused so beside three ends of six endpoints. Each costs a way there and back.
 const maxUnreached = 3
 
 // noteEvent measures the pauses of a stream.
--- a/gateway/proxy/ended.go
+++ b/gateway/proxy/ended.go
@@ -9,9 +9,9 @@
 	"github.com/silverdeck/silverdeck/roster"
 )
 
-// endMemory is for how long what was found of an endpoint's end holds for the other requests
-// that it took along: their connections break within some milliseconds of each other, on a
-// busy VM within a hundred. Chosen by judgement.
+// endMemory is for how long what was found of an endpoint's end holds for the other
+// requests that it took along: their connections break within some milliseconds of each
+// other, on a busy VM within a hundred.
 const endMemory = time.Second
 
 // ends finds out, once for all requests that were in progress there, whether an endpoint has
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -33,8 +33,8 @@
 	Whole, FirstEvent metrics.Histogram
 }
 
-// histogramSample is how many values a histogram keeps, drawn evenly from all: the
-// 0.99 quantile then rests on about five. Chosen by judgement; it costs 4 KB each.
+// histogramSample is how many values a histogram keeps, drawn evenly from all: the 0.99
+// quantile then rests on about five. It costs 4 KB each.
 const histogramSample = 512
 
 // NewMetrics registers a gateway's metrics in r.
--- a/gateway/proxy/patience.go
+++ b/gateway/proxy/patience.go
@@ -7,11 +7,10 @@
 
 const (
 	// patienceWindow is for how long at least the longest patience of callers is
-	// remembered: several times as long as a caller may stay away after a refusal. Chosen
-	// by judgement.
+	// remembered: several times as long as a caller may stay away after a refusal.
 	patienceWindow = 30 * time.Second
-	// maxPatienceKeys bounds the callers that are told apart in one window, some
-	// megabytes of memory. Chosen by judgement.
+	// maxPatienceKeys bounds the callers that are told apart in one window, some megabytes
+	// of memory.
 	maxPatienceKeys = 20_000
 )
 
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -16,14 +16,12 @@
 
 // Limits of streams.
 const (
-	// eventBuffer is the room for reading, in bytes: an event of the engines seen has
-	// some hundred. Chosen by judgement.
+	// eventBuffer is the room for reading, in bytes: an event of the engines seen has some
+	// hundred.
 	eventBuffer = 4 << 10
-	// maxEvent bounds one event, in bytes, so that a broken endpoint can't fill the
-	// memory. Chosen by judgement.
+	// maxEvent bounds one event, in bytes, so that a broken endpoint can't fill the memory.
 	maxEvent = 1 << 20
-	// writeSlack is how long after the request's deadline an answer may still be
-	// written. Chosen by judgement, not measured.
+	// writeSlack is how long after the request's deadline an answer may still be written.
 	writeSlack = 100 * time.Millisecond
 )
 
--- a/gateway/proxy/withhold.go
+++ b/gateway/proxy/withhold.go
@@ -21,11 +21,11 @@
 	return p.suspicion(c) == poison.Quarantined
 }
 
-// admit returns why the call's request must not go to an endpoint now, or nil. Endpoints are
-// worth more than an answer to a request that ends them: one that is quarantined goes to
-// none, and of one that is suspected a single copy in the fleet, so that the next end is
+// admit returns why the call's request must not go to an endpoint now, or nil. Endpoints
+// are worth more than an answer to a request that ends them: one that is quarantined goes
+// to none, and of one that is suspected a single copy in the fleet, so that the next end is
 // known before another copy is sent. Without it 60 endpoints ended under one request in a
-// soak of 15 s (docs/MEASUREMENTS.md has both).
+// soak of 15 s.
 func (p *Proxy) admit(ctx context.Context, c *call) *verdict.Error {
 	state, key := p.cfg.Poison.Look(c.copies)
 	switch state {
@@ -41,8 +41,8 @@
 	return p.beginTrial(ctx, c, key)
 }
 
-// trialPause is the time between two questions for a lease. Chosen by judgement: a third of the
-// shortest pause between events at which the sites' streams are still in time.
+// trialPause is the time between two questions for a lease. A third of the shortest pause
+// between events at which the sites' streams are still in time.
 const trialPause = 100 * time.Millisecond
 
 // beginTrial takes the lease on a suspected request, or returns why it is withheld. The rest of
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -13,7 +13,7 @@
 	"github.com/silverdeck/silverdeck/wait"
 )
 
-// Sharing what is known of requests under which endpoints ended. All chosen by judgement.
+// Sharing what is known of requests under which endpoints ended.
 const (
 	// trialLimit bounds the question for a lease on a request: some ways there and back
 	// between regions. Who does not answer in that time keeps no lease.
--- a/gateway/replica/rules.go
+++ b/gateway/replica/rules.go
@@ -4,34 +4,31 @@
 
 // When a gateway asks another one, or the store, for a copy.
 const (
-	// settleTime is how long a gateway listens to heartbeats at its start before it
-	// decides whether it watches the store: two and a half of them. Chosen by
-	// judgement, not measured.
+	// settleTime is how long a gateway listens to heartbeats at its start before it decides
+	// whether it watches the store: two and a half of them.
 	settleTime = 500 * time.Millisecond
-	// firstCopyTime is how long a gateway that does not watch waits for a first copy
-	// from others before it asks the store. Chosen by judgement, not measured.
+	// firstCopyTime is how long a gateway that does not watch waits for a first copy from
+	// others before it asks the store.
 	firstCopyTime = 1200 * time.Millisecond
-	// patienceEach, for each gateway that watches, is how long another may know more
-	// before one that watches asks it: the store's own answer may be under way, and
-	// answers many at a time. Chosen by judgement, not measured.
+	// patienceEach, for each gateway that watches, is how long another may know more before
+	// one that watches asks it: the store's own answer may be under way, and answers many
+	// at a time.
 	patienceEach = 30 * time.Millisecond
-	// minPatience and maxPatience bound that. Chosen by judgement, not measured.
+	// minPatience and maxPatience bound that.
 	minPatience = 250 * time.Millisecond
 	// maxPatience is the longest.
 	maxPatience = time.Second
-	// hedgeAfter is how long one gateway may take before another is asked too. Chosen
-	// by judgement, not measured.
+	// hedgeAfter is how long one gateway may take before another is asked too.
 	hedgeAfter = 300 * time.Millisecond
-	// storeAfter is for how long a gateway may be behind before it asks the store
-	// although it does not watch it. Chosen by judgement, not measured.
+	// storeAfter is for how long a gateway may be behind before it asks the store although
+	// it does not watch it.
 	storeAfter = 1500 * time.Millisecond
 )
 
 // Elects returns whether a gateway watches the store: watches is set where it does among
 // those that it hears, first where it does among those that the store lists. At its start
-// it has not heard the others yet. That the first listed did not wait for them either was
-// worth 0.45 s of the 2.2 s from a loss of all power to the first answer on
-// khangai-preorder scale-2, as the log lines told.
+// it has not heard the others yet, and those that are listed first do not wait for them:
+// after a loss of all power answers begin that much sooner.
 func Elects(settled, watches, first bool) bool {
 	if settled {
 		return watches
@@ -71,12 +68,12 @@
 
 // How long a watch of the store may stay unanswered.
 const (
-	// pollEach is the time for each gateway that watches: the more there are, the
-	// sooner one of them finds out for all that the store lost their watches. Chosen
-	// by judgement; calls to the store are priced.
+	// pollEach is the time for each gateway that watches: the more there are, the sooner
+	// one of them finds out for all that the store lost their watches. Calls to the store
+	// are priced.
 	pollEach = time.Second
-	// minPoll and maxPoll bound that. Polls of 10 s let a lost watch stay unseen for
-	// too long on claimsdesk-ja scale-1 (docs/FINDINGS.md); the values are judgement.
+	// minPoll and maxPoll bound that. A watch that the store lost must not stay unseen for
+	// much longer than the platform's contact time.
 	minPoll = 2500 * time.Millisecond
 	// maxPoll is the longest.
 	maxPoll = 10 * time.Second
@@ -89,10 +86,9 @@
 }
 
 // lostWatchShare is the part of the platform's contact time within which a watch that the
-// store lost must end, so that its renewal and a copy of what it missed fit into the
-// rest. It guards against a configuration that is late: without it two gateways of
-// three zones followed an older one 4.1 s after the newer was acknowledged
-// (docs/FINDINGS.md, CONFIG); the value is judgement.
+// store lost must end, so that its renewal and a copy of what it missed fit into the rest.
+// It guards against a configuration that is late: without it two gateways of three zones
+// followed an older one 4.1 s after the newer was acknowledged.
 const lostWatchShare = 0.6
 
 // ConfigPollTimeout returns for how long a watch of the configuration may stay
--- a/gateway/replica/service.go
+++ b/gateway/replica/service.go
@@ -140,11 +140,11 @@
 
 // Sizes of objects, in bytes.
 const (
-	// packAbove is the size of the data above which an object is compressed: a record
-	// of an endpoint stays below, a configuration is far above. Chosen by judgement.
+	// packAbove is the size of the data above which an object is compressed: a record of an
+	// endpoint stays below, a configuration is far above.
 	packAbove = 4 << 10
-	// maxUnpacked is the largest data that is taken in, so that a broken peer can't
-	// fill the memory. Chosen by judgement.
+	// maxUnpacked is the largest data that is taken in, so that a broken peer can't fill
+	// the memory.
 	maxUnpacked = 16 << 20
 )
 
--- a/gateway/replica/syncer.go
+++ b/gateway/replica/syncer.go
@@ -25,10 +25,10 @@
 
 // Limits of calls to other gateways.
 const (
-	// copyLimit bounds one call for a copy: a configuration of 1,400 routes took about
-	// a second over a link of 30 Mbit/s between regions (docs/FINDINGS.md).
+	// copyLimit bounds one call for a copy: a configuration of 1,400 routes took about a
+	// second over a link of 30 Mbit/s between regions.
 	copyLimit = 2 * time.Second
-	// dialLimit bounds the opening of a connection. Chosen by judgement.
+	// dialLimit bounds the opening of a connection.
 	dialLimit = 800 * time.Millisecond
 )
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,15 +22,15 @@
 // Limits of connections to this gateway where the configuration gives none: before the
 // first, and to the addresses that are not for callers' requests.
 const (
-	// headerLimit is how long the head of a request may take. Chosen by judgement.
+	// headerLimit is how long the head of a request may take.
 	headerLimit = 10 * time.Second
-	// idleLimit is how long a connection may rest. Chosen by judgement.
+	// idleLimit is how long a connection may rest.
 	idleLimit = 60 * time.Second
-	// headerBytes is the largest head of a request, in bytes. Chosen by judgement.
+	// headerBytes is the largest head of a request, in bytes.
 	headerBytes = 64 << 10
-	// limitSlack is how long after the configuration's limit a connection is closed: a
-	// VM that froze, or a congested link, delays what the caller sent within it. Longer
-	// than VMs were seen frozen (4 s); chosen by judgement.
+	// limitSlack is how long after the configuration's limit a connection is closed: a VM
+	// that froze, or a congested link, delays what the caller sent within it. Longer than
+	// VMs were seen frozen (4 s).
 	limitSlack = 5 * time.Second
 )
 
@@ -53,7 +53,6 @@
 const (
 	// addressTTL is for how long callers keep an answer of the directory, unless the
 	// platform's settings say less: a gateway that is gone is used for that long.
-	// Chosen by judgement, not measured.
 	addressTTL = 2 * time.Second
 	// turns is how many ways there are to spread callers over the gateways that stand
 	// in for others: more than there are gateways.
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -10,11 +10,11 @@
 )
 
 // coalesceMembers is for how long changes of gateways are coalesced into one call;
-// heartbeats tell them sooner. Chosen by judgement, not measured.
+// heartbeats tell them sooner.
 const coalesceMembers = 2 * time.Second
 
-// coalesceDivisor makes the time for which changes of endpoints are coalesced a quarter
-// of the time after which a leaving one must get no requests. Chosen by judgement.
+// coalesceDivisor makes the time for which changes of endpoints are coalesced a quarter of
+// the time after which a leaving one must get no requests.
 const coalesceDivisor = 4
 
 // newMirrors returns the copies of the platform's store, by kind.
--- a/gateway/unreadable/unreadable.go
+++ b/gateway/unreadable/unreadable.go
@@ -14,7 +14,7 @@
 )
 
 // lineEvery is the least time between two lines about records of one kind: a writer that
-// writes ten times a second would else fill the log. Chosen by judgement.
+// writes ten times a second would else fill the log.
 const lineEvery = 10 * time.Second
 
 // Records accounts for records of one kind. It is safe for concurrent use.
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -23,19 +23,19 @@
 // Limits of connections.
 const (
 	// readBuffer is the size of a connection's buffer, in bytes: the head of an answer
-	// fits. Chosen by judgement.
+	// fits.
 	readBuffer = 4 << 10
 	// dialLimit bounds the opening of a connection: a live endpoint answers within some
-	// milliseconds. Chosen by judgement.
+	// milliseconds.
 	dialLimit = 300 * time.Millisecond
-	// defaultIdle is for how long a connection may rest where the endpoint says nothing
-	// of it. Chosen by judgement.
+	// defaultIdle is for how long a connection may rest where the endpoint says nothing of
+	// it.
 	defaultIdle = 2 * time.Second
 	// idleMargin is taken from the time that an endpoint keeps idle connections, for a
-	// request on its way. Chosen by judgement.
+	// request on its way.
 	idleMargin = 500 * time.Millisecond
-	// maxIdle bounds the kept connections to one endpoint. Chosen by judgement; the
-	// sites' endpoints take 48 to 608.
+	// maxIdle bounds the kept connections to one endpoint. The sites' endpoints take 48 to
+	// 608.
 	maxIdle = 64
 )
 
--- a/gateway/upstream/refused.go
+++ b/gateway/upstream/refused.go
@@ -10,7 +10,7 @@
 
 // refusedLimit bounds the wait for a connection that is opened only to see whether the
 // endpoint is there: a port without a process refuses within the way there and back, some
-// milliseconds between regions. Chosen by judgement.
+// milliseconds between regions.
 const refusedLimit = 100 * time.Millisecond
 
 // Refuses returns whether nothing listens at addr. That tells the end of a process from one
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -125,7 +125,7 @@
 	Watch *Watch
 }
 
-// Probes by which TCP finds a dead endpoint within five seconds. Chosen by judgement.
+// Probes by which TCP finds a dead endpoint within five seconds.
 const (
 	// probeIdle is how long a connection rests before the first.
 	probeIdle = 2 * time.Second
--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -9,13 +9,12 @@
 
 // When a Watch asks.
 const (
-	// askEvery is how often. Chosen by judgement: half a heartbeat.
+	// askEvery is how often. Half a heartbeat.
 	askEvery = 100 * time.Millisecond
 	// askedLate is how much later than planned this process may come to ask. After that it
-	// stood still, and what came meanwhile is read first. Chosen by judgement: half of
-	// askEvery.
+	// stood still, and what came meanwhile is read first. Half of askEvery.
 	askedLate = askEvery / 2
-	// readFirst is for how long it then looks for what has come. Chosen by judgement.
+	// readFirst is for how long it then looks for what has come.
 	readFirst = 10 * time.Millisecond
 )
 
--- a/inventory/server.go
+++ b/inventory/server.go
@@ -10,17 +10,16 @@
 
 // Limits of answers.
 const (
-	// maxWait is for how long an answer may wait for news. Processes beside endpoints
-	// ask for one second. Chosen by judgement.
+	// maxWait is for how long an answer may wait for news. Processes beside endpoints ask
+	// for one second.
 	maxWait = 2 * time.Second
 	// coalesceTime is for how long changes of members are gathered before those who wait
-	// hear them; versions and the configuration are told at once. Chosen by
-	// judgement, not measured.
+	// hear them; versions and the configuration are told at once.
 	coalesceTime = 500 * time.Millisecond
 	// firstLook is how often it is looked whether enough is known to tell anything at all.
 	// After a loss of all power the weights are loaded only once a gateway has told their
 	// version: with coalesceTime here processes beside endpoints heard it 0.5 s after the
-	// gateways in the median. A look costs three comparisons. Chosen by judgement.
+	// gateways in the median. A look costs three comparisons.
 	firstLook = 50 * time.Millisecond
 )
 
--- a/member/member.go
+++ b/member/member.go
@@ -128,13 +128,13 @@
 
 // Times of heartbeats.
 const (
-	// Interval is the time between two heartbeats: what gateways know of each other's
-	// load is that old. Chosen by judgement; docs/CAPACITY.md has what it costs.
+	// Interval is the time between two heartbeats: what gateways know of each other's load
+	// is that old. docs/CAPACITY.md has what it costs.
 	Interval = 200 * time.Millisecond
-	// AliveTime is for how long a gateway counts as alive after its last heartbeat:
-	// four may be lost in a row. Chosen by judgement, not measured.
+	// AliveTime is for how long a gateway counts as alive after its last heartbeat: four
+	// may be lost in a row.
 	AliveTime = 900 * time.Millisecond
-	// minInterval is the shortest time between two heartbeats, also when there is
-	// news: changes that come together are told together. Chosen by judgement.
+	// minInterval is the shortest time between two heartbeats, also when there is news:
+	// changes that come together are told together.
 	minInterval = 20 * time.Millisecond
 )
--- a/member/rules.go
+++ b/member/rules.go
@@ -9,17 +9,16 @@
 // Who sends to whom.
 const (
 	// meshSize is how many gateways send heartbeats to each other without relays: with four
-	// in each of three zones a relay sends to seven others, who would be heard a step later.
-	// Each then sends 55 heartbeats a second of some 600 bytes, 33 KB, which is over the 13
-	// that the project's brief allows. Chosen by judgement; the sites of 6 to 9 gateways were
-	// not played with relays.
+	// in each of three zones a relay sends to seven others, who would be heard a step
+	// later. Each then sends 55 heartbeats a second of some 600 bytes, 33 KB, which is over
+	// the 13 that the project's brief allows. The sites of 6 to 9 gateways were not played
+	// with relays.
 	meshSize = 12
 	// relaysInZone is how many gateways of a zone are relays: the loss of one costs
 	// nobody what the other tells.
 	relaysInZone = 2
 	// probes is how many of the gateways that are listed and not alive a relay tries each
-	// time; by turns it tries all. Who starts while the store is away knows nobody. Chosen
-	// by judgement.
+	// time; by turns it tries all. Who starts while the store is away knows nobody.
 	probes = 4
 	// fullEvery is how many heartbeats there are from one that tells everything to the
 	// next: a second. Who missed one waits for no longer.
@@ -43,12 +42,11 @@
 	// changeTime is for how long a change of a roll is told: five digests, of which four
 	// may be lost.
 	changeTime = time.Second
-	// maxChanges is how many changes a digest tells. Where more come at once, as when
-	// many gateways die, the whole roll is asked for, which is smaller than that many
-	// changes in each of five digests. Chosen by judgement.
+	// maxChanges is how many changes a digest tells. Where more come at once, as when many
+	// gateways die, the whole roll is asked for, which is smaller than that many changes in
+	// each of five digests.
 	maxChanges = 16
-	// askEvery is the time between two questions for a relay's whole roll. Chosen by
-	// judgement.
+	// askEvery is the time between two questions for a relay's whole roll.
 	askEvery = 300 * time.Millisecond
 )
 
--- a/member/watch.go
+++ b/member/watch.go
@@ -9,17 +9,16 @@
 
 // Who watches the store.
 const (
-	// watchersInZone is how many gateways of a zone watch the store for all of it, of
-	// those that it answers: one may die. Measured as a whole, "Copies between
-	// gateways" in docs/MEASUREMENTS.md; the value is judgement.
+	// watchersInZone is how many gateways of a zone watch the store for all of it, of those
+	// that it answers: one may die.
 	watchersInZone = 2
 	// watchersInAll is how many do in all zones, unless there are more zones: where the
 	// store turns a third of the VMs away without a word, all of six are among them in one
 	// case of a thousand. With two in each of five zones the store's calls grew with zones
 	// and not with what must be survived (docs/LARGE.md).
 	watchersInAll = 6
-	// maxTrying is how many try to while the store answers none of them, so that an
-	// outage does not make all of them call. Chosen by judgement, not measured.
+	// maxTrying is how many try to while the store answers none of them, so that an outage
+	// does not make all of them call.
 	maxTrying = 4
 )
 
--- a/member/wire.go
+++ b/member/wire.go
@@ -15,7 +15,7 @@
 const maxDatagram = 64 << 10
 
 // rollLimit bounds a question for a whole roll, some tens of kilobytes: a link between
-// regions may be full. Chosen by judgement.
+// regions may be full.
 const rollLimit = time.Second
 
 // message is one datagram: a heartbeat, with a relay's also its digest, or a notice.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,21 +19,19 @@
 
 // Times of calls.
 const (
-	// minBackoff and maxBackoff bound the pause after a call that failed; it doubles
-	// from one to the other, and half of it either way is drawn. Chosen by judgement:
-	// the store must be known to be back within a fraction of a second.
+	// minBackoff and maxBackoff bound the pause after a call that failed; it doubles from
+	// one to the other, and half of it either way is drawn. The store must be known to be
+	// back within a fraction of a second.
 	minBackoff = 100 * time.Millisecond
 	// maxBackoff is the longest pause.
 	maxBackoff = 400 * time.Millisecond
-	// restPause is how often a mirror that is at rest looks whether it is still. Chosen
-	// by judgement, not measured.
+	// restPause is how often a mirror that is at rest looks whether it is still.
 	restPause = 100 * time.Millisecond
-	// pollSpread is the part of a watch's timeout that is drawn, so that the watches
-	// of many processes do not end together. Chosen by judgement, not measured.
+	// pollSpread is the part of a watch's timeout that is drawn, so that the watches of
+	// many processes do not end together.
 	pollSpread = 0.5
 	// confirmPoll is a watch's timeout after a failure: its answer only has to tell that
-	// the store is back. Without it the return was noted late (docs/FINDINGS.md, DRAIN);
-	// the value is judgement.
+	// the store is back. Without it the return was noted late.
 	confirmPoll = 20 * time.Millisecond
 )
 
--- a/roster/retention.go
+++ b/roster/retention.go
@@ -9,9 +9,9 @@
 // How many endpoints of a service vanish together only when the platform forgot
 // them.
 const (
-	// massCount is the least number: two may die together. Chosen by judgement.
+	// massCount is the least number: two may die together.
 	massCount = 3
-	// massShare is the least part of the service's endpoints. Chosen by judgement.
+	// massShare is the least part of the service's endpoints.
 	massShare = 0.4
 )
 
--- a/serve/reloadable.go
+++ b/serve/reloadable.go
@@ -108,13 +108,13 @@
 // Times of accepting.
 const (
 	// acceptPause is the time between two tries to accept after one failed, as when the
-	// process is out of descriptors. Chosen by judgement, not measured.
+	// process is out of descriptors.
 	acceptPause = 10 * time.Millisecond
 	// lastAccepts is for how long a shutdown accepts what waits at the listener, which the
-	// kernel resets once that is closed. Chosen by judgement.
+	// kernel resets once that is closed.
 	lastAccepts = 10 * time.Millisecond
 	// acceptsLate is how much later than that it may come to close it. After that this
-	// process stood still, and accepts once more. Chosen by judgement.
+	// process stood still, and accepts once more.
 	acceptsLate = lastAccepts
 )
 
--- a/sidecar/fleet.go
+++ b/sidecar/fleet.go
@@ -19,19 +19,16 @@
 
 // Times of asking for the inventory.
 const (
-	// askWait is for how long a gateway may keep a question until there is news. Chosen
-	// by judgement: a change is told at once in any case.
+	// askWait is for how long a gateway may keep a question until there is news. A change
+	// is told at once in any case.
 	askWait = time.Second
-	// askSlack is how much later its answer may come. Chosen by judgement.
+	// askSlack is how much later its answer may come.
 	askSlack = 700 * time.Millisecond
-	// avoidTime is for how long a gateway that did not answer is not asked. Chosen by
-	// judgement.
+	// avoidTime is for how long a gateway that did not answer is not asked.
 	avoidTime = 4 * time.Second
-	// askTries is how many gateways are asked in a row before the store is. Chosen by
-	// judgement.
+	// askTries is how many gateways are asked in a row before the store is.
 	askTries = 3
 	// storePause is the time between two readings of the store, whose calls are priced.
-	// Chosen by judgement.
 	storePause = 1500 * time.Millisecond
 )
 
--- a/sidecar/namings.go
+++ b/sidecar/namings.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	// namingAnswers is how often gateways are to tell when the newest versions were
-	// named. Chosen by judgement.
+	// namingAnswers is how often gateways are to tell when the newest versions were named.
 	namingAnswers = 3
 	// namingLimit bounds one question: the way there and back over a narrow link took up to
-	// 1.3 s one way. The next inventory is asked for only after it. Chosen by judgement.
+	// 1.3 s one way. The next inventory is asked for only after it.
 	namingLimit = 1500 * time.Millisecond
 )
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -33,9 +33,8 @@
 // Settings of a sidecar.
 const (
 	// dialLimit bounds the opening of a connection, headerLimit the head of a request.
-	// Chosen by judgement.
 	dialLimit = 500 * time.Millisecond
-	// headerLimit bounds the head of a request. Chosen by judgement.
+	// headerLimit bounds the head of a request.
 	headerLimit = 5 * time.Second
 	// idleConnections is how many connections to another sidecar are kept.
 	idleConnections = 3
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -12,27 +12,23 @@
 
 // Settings of downloads.
 const (
-	// fleetEvery is how often the list of members is read during a download. Chosen by
-	// judgement.
+	// fleetEvery is how often the list of members is read during a download.
 	fleetEvery = time.Second
-	// settleTime is how long the VMs of a fleet may take to appear in the platform's
-	// list after a start. Chosen by judgement; without it version 1 came from the origin
-	// 2.6 times ("Weights" in docs/MEASUREMENTS.md).
+	// settleTime is how long the VMs of a fleet may take to appear in the platform's list
+	// after a start. Without it version 1 came from the origin 2.6 times.
 	settleTime = 5 * time.Second
 	// parallelChunks is how many chunks are fetched from other VMs at once: as each VM sends
 	// one after the other, some of them wait there.
 	parallelChunks = 4
 	// perMember is how many of these come from one VM.
 	perMember = 1
-	// originLateness is how long a chunk may stay away before the next in rank
-	// reads it from the origin. Chosen by judgement, not measured.
+	// originLateness is how long a chunk may stay away before the next in rank reads it
+	// from the origin.
 	originLateness = 250 * time.Millisecond
-	// readerPatience is how often a chunk is left to a VM that says it reads it: its
-	// link may be narrow, and the time limit is short. Chosen by judgement; ten times
-	// was too long (docs/FINDINGS.md).
+	// readerPatience is how often a chunk is left to a VM that says it reads it: its link
+	// may be narrow, and the time limit is short. Ten times was too long.
 	readerPatience = 4
 	// chunkLimit is the shortest time after which a chunk from a VM counts as stalled.
-	// Chosen by judgement, not measured.
 	chunkLimit = 600 * time.Millisecond
 	// maxHeadStart is for how long others may have been reading a version when its manifest
 	// comes here, a few steps of its spreading. A VM that comes later finds chunks
--- a/sidecar/stage/firstcopies.go
+++ b/sidecar/stage/firstcopies.go
@@ -8,7 +8,7 @@
 )
 
 // firstCopiesLimit bounds the bringing in of first copies of a version that is not the
-// newest: a copy takes 1.3 to 1.7 s on the sites' origins. Chosen by judgement.
+// newest: a copy takes 1.3 to 1.7 s on the sites' origins.
 const firstCopiesLimit = 2 * time.Second
 
 // firstCopiesOfUse returns whether the rest of the first copies of want is to be brought in
--- a/sidecar/stage/holdings.go
+++ b/sidecar/stage/holdings.go
@@ -8,8 +8,8 @@
 	"github.com/silverdeck/silverdeck/weights"
 )
 
-// keptSets is how many versions are kept for other VMs: the one that is loaded, the
-// newest, and one between them. Chosen by judgement; docs/CAPACITY.md has the memory.
+// keptSets is how many versions are kept for other VMs: the one that is loaded, the newest,
+// and one between them. docs/CAPACITY.md has the memory.
 const keptSets = 3
 
 // holdings keeps the newest sets of chunks. It is safe for concurrent use.
--- a/sidecar/stage/limit.go
+++ b/sidecar/stage/limit.go
@@ -11,16 +11,16 @@
 
 const (
 	// limitEvery is how often the limits of versions are looked at; the endpoint is asked
-	// only once one is near. Chosen by judgement.
+	// only once one is near.
 	limitEvery = 50 * time.Millisecond
 	// unloadLead is how long before their limit old weights are unloaded. It covers two
-	// tries on this VM, and not the way of requests. Chosen by judgement.
+	// tries on this VM, and not the way of requests.
 	unloadLead = 500 * time.Millisecond
-	// unloadLatest is how long before the limit old weights are unloaded although a load
-	// of new ones is about to be ordered. Chosen by judgement.
+	// unloadLatest is how long before the limit old weights are unloaded although a load of
+	// new ones is about to be ordered.
 	unloadLatest = 200 * time.Millisecond
 	// limitCall bounds a call to the endpoint meanwhile: one that is lost must leave time
-	// for another. Chosen by judgement.
+	// for another.
 	limitCall = 100 * time.Millisecond
 )
 
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -11,24 +11,22 @@
 
 // Times of a load.
 const (
-	// loadPause is for how long gateways are asked to send the endpoint nothing. A
-	// notice at its end takes the pause back. Chosen by judgement, not measured.
+	// loadPause is for how long gateways are asked to send the endpoint nothing. A notice
+	// at its end takes the pause back.
 	loadPause = 900 * time.Millisecond
-	// noticeTime is how long the gateways' last requests may be under way after the
-	// notice: one way between regions. Chosen by judgement.
+	// noticeTime is how long the gateways' last requests may be under way after the notice:
+	// one way between regions.
 	noticeTime = 40 * time.Millisecond
-	// queueLimit is how long requests that wait at the endpoint may take to begin. The
-	// rule came from a hunt (docs/FINDINGS.md); the value is judgement.
+	// queueLimit is how long requests that wait at the endpoint may take to begin.
 	queueLimit = 400 * time.Millisecond
 	// queueEvery is how often the endpoint is asked for its queue meanwhile.
 	queueEvery = 20 * time.Millisecond
 	// orderLimit bounds a call with an order: it stays on the VM, and one that is lost may
-	// have been taken, as the next report tells. Chosen by judgement.
+	// have been taken, as the next report tells.
 	orderLimit = 300 * time.Millisecond
 	// loadedEvery is how often the endpoint is asked whether it has loaded.
 	loadedEvery = 50 * time.Millisecond
-	// loadLimit is how long a load may take before the endpoint's state is looked at
-	// anew. Chosen by judgement.
+	// loadLimit is how long a load may take before the endpoint's state is looked at anew.
 	loadLimit = 3 * time.Second
 )
 
--- a/sidecar/stage/manifest.go
+++ b/sidecar/stage/manifest.go
@@ -18,8 +18,7 @@
 	"github.com/silverdeck/silverdeck/weights"
 )
 
-// Who reads a manifest from the origin, which takes few connections. The values are
-// judgement, not measured.
+// Who reads a manifest from the origin, which takes few connections.
 const (
 	// manifestReaders is how many VMs read a manifest from the origin at first, and how
 	// many more may after each manifestStep: the first may be dead, or on narrow links.
@@ -30,10 +29,8 @@
 	manifestPause = 120 * time.Millisecond
 	// askLimit bounds one question to another VM.
 	askLimit = 400 * time.Millisecond
-	// manifestChildren is how many VMs ask the same manifestReaders VMs for a manifest. Where
-	// all asked those who read it, the last of 300 VMs on links of 10 Mbit/s had it after
-	// 0.90 s, and the last of 45 after 0.13 s; with 16 after 0.29 s and 0.17 s
-	// (TestAManifestReachesALargeFleet…).
+	// manifestChildren is how many VMs ask the same manifestReaders VMs for a manifest, so
+	// that it reaches a large fleet in few steps without a queue at those who read it.
 	manifestChildren = 16
 	// maxSources is how many VMs are asked at once where the first do not have it.
 	maxSources = 6
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -5,12 +5,9 @@
 // When endpoints change to new weights, as parts of the time limit from when those that
 // they run were replaced.
 const (
-	// firstChange is when the first endpoint may change: most VMs have the version
-	// whole by then (3.4 s of 8 s on average, "Weights" in docs/MEASUREMENTS.md).
 	firstChange = 0.36
-	// lastChange is when the last should have begun to change, so that a load and a
-	// retry still fit. Chosen by judgement; spreading changes over the second half of
-	// the limit was worth 0.07 on quiet-1 ("Steps on quiet-1").
+	// lastChange is when the last should have begun to change, so that a load and a retry
+	// still fit.
 	lastChange = 0.85
 )
 
@@ -35,18 +32,17 @@
 // a pause of 0.36 s in the median, over the 0.3 s that callers were promised.
 const (
 	// drainFactor is the longest drain, in usual times of an answer: prompts that are read
-	// meanwhile stretch answers. "Rounds on khangai-preorder" in docs/MEASUREMENTS.md.
+	// meanwhile stretch answers.
 	drainFactor = 1.25
 	// maxDrain bounds that where answers are very long: while endpoints drain, others take
-	// their requests. 1.8 s was worth no more than 1.0 s in the same table.
+	// their requests.
 	maxDrain = 1800 * time.Millisecond
 	// freeSlots is the part of an endpoint's slots that must be free for a drain as long as
 	// that; with fewer it is shorter, since other endpoints have no room for its requests.
-	// Without it claimsdesk-ja trouble-3 fell by 0.04. The value is judgement.
 	freeSlots = 0.25
-	// drainLead is how long before the limit of the weights that run a drain ends: after
-	// it all chunks are read back, and the load must come before unloadLatest. Gateways
-	// send nothing more to the endpoint by then (versionMargin). Chosen by judgement.
+	// drainLead is how long before the limit of the weights that run a drain ends: after it
+	// all chunks are read back, and the load must come before unloadLatest. Gateways send
+	// nothing more to the endpoint by then (versionMargin).
 	drainLead = 600 * time.Millisecond
 )
 
@@ -71,9 +67,8 @@
 	return max(0, min(time.Duration(room*float64(longest)), left-drainLead))
 }
 
-// minUse is how long before the limit of a version its load must begin to be of use: a
-// load takes about half a second. Chosen by judgement; the rule came from a hunt
-// (docs/FINDINGS.md).
+// minUse is how long before the limit of a version its load must begin to be of use: a load
+// takes about half a second.
 const minUse = 1500 * time.Millisecond
 
 // Useful returns whether a version is worth loading on which no request may begin from
@@ -82,8 +77,8 @@
 	return end.Sub(now) >= minUse
 }
 
-// worthFinishing is the part of a version that makes it worth being fetched whole
-// although a newer one is named. Chosen by judgement, not measured.
+// worthFinishing is the part of a version that makes it worth being fetched whole although
+// a newer one is named.
 const worthFinishing = 0.7
 
 // WorthFinishing returns whether a version of which have of total chunks are there
@@ -94,7 +89,7 @@
 
 // firstCopiesShare is the part of a copy's time on the origin's link that a version must
 // have had for the rest of its first copies to be brought in although a newer one is named:
-// with less, the rest would hold the newer one up for longer than that. Chosen by judgement.
+// with less, the rest would hold the newer one up for longer than that.
 const firstCopiesShare = 0.5
 
 // FirstCopiesOfUse returns whether the rest of the first copies of a version that was named
@@ -105,19 +100,16 @@
 	return useful && oneCopy > 0 && float64(fetched) >= firstCopiesShare*float64(oneCopy)
 }
 
-// stalledAfter is how long a version may make no progress before an older one is
-// gone on with, of which other VMs may have all chunks. Chosen by judgement; the
-// rule came from claimsdesk-ja-grown scale-1 (docs/FINDINGS.md).
+// stalledAfter is how long a version may make no progress before an older one is gone on
+// with, of which other VMs may have all chunks.
 const stalledAfter = 1200 * time.Millisecond
 
 const (
 	// stalledChunks is after how many times that a chunk takes on the VM's link a version
 	// whose manifest is there counts as stalled, if that is sooner: chunks come one behind
-	// the other then. On khangai-preorder-grown scale-1 half of the VMs had turned to the
-	// older version 1.65 s after the origin's death, and its limit came while it was loaded.
-	// The value is judgement.
+	// the other then. Later, the limit of the older one comes while it is loaded.
 	stalledChunks = 15
-	// minStalled is the shortest such time: three looks. Chosen by judgement.
+	// minStalled is the shortest such time: three looks.
 	minStalled = 450 * time.Millisecond
 )
 
@@ -150,13 +142,12 @@
 }
 
 const (
-	// freeLoads is how many loads an endpoint may end under, one after the other, before it is
-	// left alone for a while: any endpoint may end once, in the third of a second that a load
-	// takes. Chosen by judgement.
+	// freeLoads is how many loads an endpoint may end under, one after the other, before it
+	// is left alone for a while: any endpoint may end once, in the third of a second that a
+	// load takes.
 	freeLoads = 3
 	// firstLoadPause is that while, which doubles with each further end, maxLoadDoublings
-	// times: up to a minute. Chosen by judgement: a newer version is loaded at once in any
-	// case.
+	// times: up to a minute. A newer version is loaded at once in any case.
 	firstLoadPause = time.Second
 	// maxLoadDoublings is what firstLoadPause says.
 	maxLoadDoublings = 6
@@ -171,9 +162,8 @@
 	return firstLoadPause << min(ended-freeLoads, maxLoadDoublings)
 }
 
-// doubtAfter is how long a download may make no progress while chunks of the
-// origin don't match the manifest before the manifest is read anew. Chosen by
-// judgement, not measured.
+// doubtAfter is how long a download may make no progress while chunks of the origin don't
+// match the manifest before the manifest is read anew.
 const doubtAfter = 3 * time.Second
 
 // ManifestInDoubt returns whether a manifest is read anew, where so many chunks of
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -17,14 +17,14 @@
 
 // Times of a Stager.
 const (
-	// lookEvery is how often the endpoint is asked for its state, settledEvery
-	// while it runs what it should. Such calls stay on the VM. Chosen by judgement.
+	// lookEvery is how often the endpoint is asked for its state, settledEvery while it
+	// runs what it should. Such calls stay on the VM.
 	lookEvery = 150 * time.Millisecond
 	// settledEvery is how often while it runs what it should.
 	settledEvery = 500 * time.Millisecond
-	// callLimit bounds one call to the endpoint or the origin. Chosen by judgement.
+	// callLimit bounds one call to the endpoint or the origin.
 	callLimit = 2 * time.Second
-	// retryPause is the time after a step that failed. Chosen by judgement.
+	// retryPause is the time after a step that failed.
 	retryPause = 200 * time.Millisecond
 )
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -57,20 +57,20 @@
 
 // Timing of callers.
 const (
-	// callerPause is the time between a caller's requests. Chosen by judgement.
+	// callerPause is the time between a caller's requests.
 	callerPause = 15 * time.Millisecond
 	// streamLimit is how long a caller waits for a stream, as the users' do.
 	streamLimit = 6 * time.Second
 	// plainLimit is how long it waits for a plain answer, as the users' do.
 	plainLimit = 1500 * time.Millisecond
-	// resolveLimit is how long it waits for the directory. Chosen by judgement.
+	// resolveLimit is how long it waits for the directory.
 	resolveLimit = time.Second
 	// addressHeld is for how long most callers keep an answer of the directory, and
 	// addressHeldLong for how long some do: three times as long, as the platform says.
 	addressHeld = 2 * time.Second
 	// addressHeldLong is what addressHeld says.
 	addressHeldLong = 3 * addressHeld
-	// patienceLimit is the longest time after which it comes back. Chosen by judgement.
+	// patienceLimit is the longest time after which it comes back.
 	patienceLimit = 500 * time.Millisecond
 )
 
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -18,15 +18,13 @@
 
 // Timing and limits around that request.
 const (
-	// fatalCallers is how many callers send copies of it at the same time. Chosen by
-	// judgement.
+	// fatalCallers is how many callers send copies of it at the same time.
 	fatalCallers = 4
-	// fatalPause is the time between two copies of one caller. Chosen by judgement.
+	// fatalPause is the time between two copies of one caller.
 	fatalPause = 150 * time.Millisecond
 	// fatalAfter is when the first copy is sent, with everything up and at work.
 	fatalAfter = 2 * time.Second
-	// leastDown and spreadDown bound how long an endpoint that ended is away. Chosen by
-	// judgement.
+	// leastDown and spreadDown bound how long an endpoint that ended is away.
 	leastDown = 500 * time.Millisecond
 	// spreadDown is drawn from, on top of leastDown.
 	spreadDown = 2500 * time.Millisecond
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -104,7 +104,6 @@
 // Pace of faults.
 const (
 	// leastPause and spreadPause bound the pause between two faults: several overlap.
-	// These and the next are chosen by judgement.
 	leastPause = 100 * time.Millisecond
 	// spreadPause is drawn from, on top of leastPause.
 	spreadPause = 900 * time.Millisecond
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -33,7 +33,7 @@
 	return nil
 }
 
-// Pace of standstills in MixLong. Chosen by judgement.
+// Pace of standstills in MixLong.
 const (
 	// leastStill and spreadStill bound how long a gateway stands still: shorter than the
 	// time after which others believe it gone, up to longer than a stream's idle limit.
--- a/soak/process.go
+++ b/soak/process.go
@@ -100,7 +100,7 @@
 	_ = p.command.Process.Signal(s)
 }
 
-// Gaps of a series of signals, as of a supervisor that asks again. Chosen by judgement.
+// Gaps of a series of signals, as of a supervisor that asks again.
 const (
 	// askedAgain is when a process is asked to stop once more, in the middle of its stop.
 	askedAgain = 150 * time.Millisecond
@@ -230,7 +230,6 @@
 const (
 	// plannedWindow is how long a planned stop may take: the platform's grace_s.
 	plannedWindow = 8 * time.Second
-	// faultMemory is for how long after its end a fault excuses what is cut. Chosen by
-	// judgement.
+	// faultMemory is for how long after its end a fault excuses what is cut.
 	faultMemory = 3 * time.Second
 )
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,8 +31,7 @@
 
 // Limits of a soak.
 const (
-	// callers is how many send requests at once where the settings don't say. Chosen by
-	// judgement.
+	// callers is how many send requests at once where the settings don't say.
 	callers = 8
 	// startLimit is how long the system may take until all entries are ready.
 	startLimit = time.Minute
--- a/soak/upgrade.go
+++ b/soak/upgrade.go
@@ -8,8 +8,8 @@
 	"github.com/silverdeck/silverdeck/wait"
 )
 
-// upgradePart is the part of a soak in which programs of an earlier release are replaced; before
-// and after it all are of one release. Chosen by judgement.
+// upgradePart is the part of a soak in which programs of an earlier release are replaced;
+// before and after it all are of one release.
 const upgradePart = 0.7
 
 // upgrade replaces all processes one by one, in an order that the seed decides, by planned
--- a/standalone/agent/reporter.go
+++ b/standalone/agent/reporter.go
@@ -18,7 +18,7 @@
 const (
 	// ReportEvery is how often an agent reports to each home entry.
 	ReportEvery = time.Second
-	// reportLimit bounds one report, which an entry may hold for HoldReport. Chosen by judgement.
+	// reportLimit bounds one report, which an entry may hold for HoldReport.
 	reportLimit = 2 * time.Second
 	// HoldReport is how long an entry may hold its answer for news.
 	HoldReport = 800 * time.Millisecond
--- a/standalone/caller/request.go
+++ b/standalone/caller/request.go
@@ -19,7 +19,7 @@
 const (
 	// bytesPerToken is the usual length of a token of English text.
 	bytesPerToken = 4
-	// defaultMaxTokens stands for a request that bounds its answer by nothing. Chosen by judgement.
+	// defaultMaxTokens stands for a request that bounds its answer by nothing.
 	defaultMaxTokens = 256
 	// prefixBytes is how much of a prompt names its prefix.
 	prefixBytes = 256
--- a/standalone/commit/commit.go
+++ b/standalone/commit/commit.go
@@ -40,9 +40,9 @@
 
 // Backoff between tries while the platform does not answer.
 const (
-	// firstPause is the first pause; it doubles. Chosen by judgement.
+	// firstPause is the first pause; it doubles.
 	firstPause = 50 * time.Millisecond
-	// maxPause is the longest pause. Chosen by judgement.
+	// maxPause is the longest pause.
 	maxPause = 2 * time.Second
 )
 
--- a/standalone/entry/spread.go
+++ b/standalone/entry/spread.go
@@ -22,7 +22,7 @@
 	exchangeEvery = 400 * time.Millisecond
 	// urgentFanout is how many others hear of a new configuration at once.
 	urgentFanout = 3
-	// exchangeLimit bounds one exchange. Chosen by judgement.
+	// exchangeLimit bounds one exchange.
 	exchangeLimit = 2 * time.Second
 )
 
--- a/standalone/entry/watch.go
+++ b/standalone/entry/watch.go
@@ -24,9 +24,9 @@
 	// silenceLimit is how long an entry may hear from no other before it
 	// watches by itself.
 	silenceLimit = 5 * time.Second
-	// firstPause is the first pause after a call that failed; it doubles. Chosen by judgement.
+	// firstPause is the first pause after a call that failed; it doubles.
 	firstPause = 100 * time.Millisecond
-	// maxPause is the longest pause. Chosen by judgement.
+	// maxPause is the longest pause.
 	maxPause = 5 * time.Second
 )
 
--- a/standalone/router/eject.go
+++ b/standalone/router/eject.go
@@ -11,9 +11,9 @@
 
 // Ejection of endpoints by direct evidence.
 const (
-	// firstEjection is for how long at first; it doubles with each ejection in a row. Chosen by judgement.
+	// firstEjection is for how long at first; it doubles with each ejection in a row.
 	firstEjection = time.Second
-	// maxEjection is the longest ejection. Chosen by judgement.
+	// maxEjection is the longest ejection.
 	maxEjection = 30 * time.Second
 	// leavingEjection is how long an endpoint that said it was leaving is left
 	// alone; by then its report has come around.
--- a/standalone/secure/secure.go
+++ b/standalone/secure/secure.go
@@ -19,17 +19,17 @@
 
 // Limits on connections.
 const (
-	// dialLimit bounds the opening of a connection. Chosen by judgement.
+	// dialLimit bounds the opening of a connection.
 	dialLimit = 2 * time.Second
-	// headerLimit bounds the head of a request. Chosen by judgement.
+	// headerLimit bounds the head of a request.
 	headerLimit = 10 * time.Second
-	// idleLimit is for how long a connection may rest. Chosen by judgement.
+	// idleLimit is for how long a connection may rest.
 	idleLimit = 90 * time.Second
-	// maxHeaderBytes is the largest head of a request, in bytes. Chosen by judgement.
+	// maxHeaderBytes is the largest head of a request, in bytes.
 	maxHeaderBytes = 64 << 10
-	// idlePerHost is how many idle connections are kept to one host. Chosen by judgement.
+	// idlePerHost is how many idle connections are kept to one host.
 	idlePerHost = 4
-	// keepAlivePeriod is how often TCP asks whether the other side is there. Chosen by judgement.
+	// keepAlivePeriod is how often TCP asks whether the other side is there.
 	keepAlivePeriod = 15 * time.Second
 )
 
--- a/suspend/suspend.go
+++ b/suspend/suspend.go
@@ -12,8 +12,7 @@
 )
 
 // minSuspended is the shortest time that is told: the two clocks are read one after the
-// other, and a busy VM may take some milliseconds between. Chosen by judgement, far below what
-// any limit leaves as a margin.
+// other, and a busy VM may take some milliseconds between.
 const minSuspended = 100 * time.Millisecond
 
 // Clocks returns the time of the steady clock and that since the VM's start, which also counts
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -112,8 +112,8 @@
 	return func(cfg *Config) { cfg.Rand = r }
 }
 
-// DefaultCopies is the ceiling on origin copies where nothing else is set. Chosen by
-// judgement; bench/burst measures 1.00 to 1.18 copies under it.
+// DefaultCopies is the ceiling on origin copies where nothing else is set. Healthy
+// swarms read little more than one.
 const DefaultCopies = 1.25
 
 // Defaults of a Config; bench/burst measures them together.
@@ -126,7 +126,7 @@
 	defaultMinTimeout = 500 * time.Millisecond
 )
 
-// How the lateness is derived from a budget. All chosen by judgement.
+// How the lateness is derived from a budget.
 const (
 	// minLateness and maxLateness bound it.
 	minLateness = 250 * time.Millisecond
--- a/swarm/congestion/congestion.go
+++ b/swarm/congestion/congestion.go
@@ -9,19 +9,18 @@
 )
 
 const (
-	// limitFactor is how many times longer than on a free link a chunk may take before
-	// the link counts as congested. Chosen by judgement; the rule came from a hunt
-	// (docs/FINDINGS.md).
+	// limitFactor is how many times longer than on a free link a chunk may take before the
+	// link counts as congested.
 	limitFactor = 4
-	// smoothing is the weight of the newest sample in the usual time: about the last
-	// five count. Chosen by judgement.
+	// smoothing is the weight of the newest sample in the usual time: about the last five
+	// count.
 	smoothing = 0.2
 )
 
 // Meter measures the times of chunks. One is shared by all downloads of a VM, one
-// after the other and at once: each that began to measure anew filled a narrow link with
-// several chunks before its first sample, and requests were up to 1.3 s behind them
-// (docs/incidents). It is safe for concurrent use.
+// after the other and at once: each that began to measure anew would fill a narrow link with
+// several chunks before its first sample, and requests wait behind them. It is safe for
+// concurrent use.
 type Meter struct {
 	// free is the time of a chunk on a free link; 0 means unknown.
 	free time.Duration
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -10,8 +10,8 @@
 	"github.com/silverdeck/silverdeck/weights"
 )
 
-// tick is how often a download looks for late and stalled chunks. Chosen by
-// judgement: well below the shortest lateness.
+// tick is how often a download looks for late and stalled chunks. Well below the shortest
+// lateness.
 const tick = 50 * time.Millisecond
 
 // Download fills a Set from neighbours and the origin. It is safe for
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -8,15 +8,15 @@
 
 // When a chunk from a neighbour is late, in usual times of a chunk.
 const (
-	// slowFactor is after how many a chunk is asked for once more. Chosen by judgement.
+	// slowFactor is after how many a chunk is asked for once more.
 	slowFactor = 3
-	// stallFactor is after how many the request is given up. Chosen by judgement.
+	// stallFactor is after how many the request is given up.
 	stallFactor = 8
-	// busyDivisor makes a neighbour whose slots are full be left alone for half of a
-	// usual time. Chosen by judgement.
+	// busyDivisor makes a neighbour whose slots are full be left alone for half of a usual
+	// time.
 	busyDivisor = 2
-	// smoothing is the weight of the newest sample in the usual time: about the last
-	// five count. Chosen by judgement.
+	// smoothing is the weight of the newest sample in the usual time: about the last five
+	// count.
 	smoothing = 0.2
 )
 
@@ -53,7 +53,7 @@
 	return n
 }
 
-// usualTime is how long a chunk from a neighbour takes, as measured.
+// usualTime is how long a chunk from a neighbour takes of late.
 func (d *Download) usualTime() time.Duration {
 	return max(d.usual, d.cfg.MinTimeout/stallFactor)
 }
--- a/swarm/laggards.go
+++ b/swarm/laggards.go
@@ -8,21 +8,16 @@
 
 // When a member lags: its link is narrow, or it is gone without a word. It is first
 // reader of a part of the chunks and soon the only holder of some, so one such member
-// would hold up its whole region: a version took 11.3 s in the mean and 30.4 s at the
-// most in place of 1.5 s. Passed over, it takes 1.7 s in the mean and 2.2 s at the most
-// (TestANarrowReader…, virtual time, 840 downloads).
+// would hold up its whole region. It is passed over for a while.
 
-// lagTime is how long a member that lagged is passed over. Chosen by judgement: a good
-// part of what a version takes, so that each finds it out once or twice.
+// lagTime is how long a member that lagged is passed over. A good part of what a version
+// takes, so that each finds it out once or twice.
 const lagTime = 3 * time.Second
 
 // lagLimit returns after how long a chunk that is under way is late, by the usual time of
-// a chunk and the shortest time after which one counts as stalled. Sooner, a member is
-// passed over whose link is as wide as any and has a queue: all ask the only holder of a
-// chunk. After half of minTimeout 13 of 480 downloads by 12 healthy members read a chunk
-// from the origin twice, now none; with a narrow link a version takes 1.67 s in the mean
-// in place of 1.63 s, and 2.2 s at the most as before (TestAQueueAtAHolder…,
-// TestANarrowReader…, virtual time).
+// a chunk and the shortest time after which one counts as stalled. Sooner, a member would
+// be passed over whose link is as wide as any and has a queue, since all ask the only
+// holder of a chunk, and the chunk would leave the origin twice.
 func lagLimit(usual, minTimeout time.Duration) time.Duration {
 	return max(slowFactor*usual, minTimeout)
 }
--- a/swarm/neighbours.go
+++ b/swarm/neighbours.go
@@ -10,16 +10,16 @@
 
 // When neighbours are replaced.
 const (
-	// haveTimeout is how long a neighbour may take to tell its news; it waits for some
-	// up to a second. Chosen by judgement.
+	// haveTimeout is how long a neighbour may take to tell its news; it waits for some up
+	// to a second.
 	haveTimeout = 5 * time.Second
-	// faultPause is how long a neighbour is not asked after a fault, for each fault in
-	// a row. Chosen by judgement, not measured.
+	// faultPause is how long a neighbour is not asked after a fault, for each fault in a
+	// row.
 	faultPause = 500 * time.Millisecond
-	// maxStrikes is how many faults in a row replace a neighbour. Chosen by judgement.
+	// maxStrikes is how many faults in a row replace a neighbour.
 	maxStrikes = 3
-	// maxCorrupt is how many corrupt chunks bar a member for the rest of the
-	// download: one may be an accident. Chosen by judgement.
+	// maxCorrupt is how many corrupt chunks bar a member for the rest of the download: one
+	// may be an accident.
 	maxCorrupt = 2
 )
 
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -8,18 +8,17 @@
 
 // How a member obtains chunks for its region.
 const (
-	// originParallel is how many chunks a member reads from the origin at once: one
-	// may stall. Chosen by judgement.
+	// originParallel is how many chunks a member reads from the origin at once: one may
+	// stall.
 	originParallel = 2
 	// defaultPatience is how often a chunk is left to a member that says it is about to
-	// read it: enough for that member's longest backoff. Chosen by judgement.
+	// read it: enough for that member's longest backoff.
 	defaultPatience = 10
-	// maxPostponedFar is the same for a member of another region. It is much less, so
-	// that of two members who wait for each other one gives up first. Chosen by
-	// judgement.
+	// maxPostponedFar is the same for a member of another region. It is much less, so that
+	// of two members who wait for each other one gives up first.
 	maxPostponedFar = 2
-	// postponeDivisor makes a chunk be left alone for half the lateness, or half of
-	// what a member that stalls takes to be found out. Chosen by judgement.
+	// postponeDivisor makes a chunk be left alone for half the lateness, or half of what a
+	// member that stalls takes to be found out.
 	postponeDivisor = 2
 	// farPollDivisor makes the first reader of a region ask again for a chunk that another
 	// region reads after a fifth of the lateness: all VMs of its region wait for it.
--- a/swarm/otherregions.go
+++ b/swarm/otherregions.go
@@ -20,8 +20,8 @@
 	return false
 }
 
-// readersPerRegion is how many members of each other region are asked: the first
-// may have died with the origin. Chosen by judgement.
+// readersPerRegion is how many members of each other region are asked: the first may have
+// died with the origin.
 const readersPerRegion = 2
 
 // readersElsewhere returns the members of other regions that bring chunk c
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -7,8 +7,8 @@
 	"github.com/silverdeck/silverdeck/origin"
 )
 
-// maxOriginCorrupt is how many corrupt copies of a chunk from the origin make a
-// member say that it is blocked. Chosen by judgement.
+// maxOriginCorrupt is how many corrupt copies of a chunk from the origin make a member say
+// that it is blocked.
 const maxOriginCorrupt = 3
 
 // readOrigin reads chunk c from the origin within this member's budget.
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -11,14 +11,14 @@
 
 // Who reads a chunk from the origin when the first in rank does not.
 const (
-	// maxRanks is how many members of a region are named for a chunk, one after
-	// the other, before anybody may read it. Chosen by judgement, not measured.
+	// maxRanks is how many members of a region are named for a chunk, one after the other,
+	// before anybody may read it.
 	maxRanks = 4
-	// anybodySpread is over how many times the lateness the readings by anybody
-	// are spread, so that they do not come together. Chosen by judgement.
+	// anybodySpread is over how many times the lateness the readings by anybody are spread,
+	// so that they do not come together.
 	anybodySpread = 16
-	// maxBackoffShift bounds the growth of the pause after faults of the origin: it
-	// doubles twice. Chosen by judgement.
+	// maxBackoffShift bounds the growth of the pause after faults of the origin: it doubles
+	// twice.
 	maxBackoffShift = 2
 	// farStartDivisor makes a region ask for a chunk that another one reads first half of the
 	// lateness after its turn: about what it takes to be there.
@@ -101,9 +101,8 @@
 }
 
 // beginAnew lets the turns on the origin's link begin now. Chunks that were due while the
-// origin failed would else be read by all members at once when it is back: with three
-// regions 57 of 64 chunks had left it when it had sent two copies, and all had the version
-// after twice the time (TestAfterAnOutage…).
+// origin failed would else be read by all members at once when it is back, some of them
+// twice before others leave it.
 func (s *schedule) beginAnew(d *Download) {
 	s.from = time.Now()
 	clear(s.postponed)
@@ -137,9 +136,7 @@
 //
 // A chunk is read first in the region of its home reader, the first of all members; the
 // others ask there, and read from the origin only once its link could have carried one
-// copy. The origin is what can fail: with five regions that did not wait, 36 of 64 chunks
-// had left it when two thirds of a copy had, and its link was idle half of the time, as
-// readers were busy with asking (TestEachChunkLeavesTheOriginOnce…: now 64).
+// copy: the origin is what can fail, and each chunk leaves it once before any does twice.
 func (s *schedule) assign(d *Download) {
 	m := d.set.Manifest()
 	late := d.cfg.lateness(m.Size)
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -41,8 +41,7 @@
 }
 
 // maxNamings bounds the versions remembered of one model. The first of those within one
-// limit must stay: limits count from it. Chosen by judgement: 64 within 8 s are eight a
-// second, and take 5 KB.
+// limit must stay: limits count from it. 64 within 8 s are eight a second, and take 5 KB.
 const maxNamings = 64
 
 // Add takes in that a version of model was named at that time, and returns whether
