--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -127,5 +127,10 @@
 mutant "time suspended does not count" versions/versions.go 's/namings\[i\].At.Add\(-d\)/namings[i].At.Add(0 * d)/' ./versions 'TestTimeThatTheVM'
 mutant "loads that end the endpoint go on" sidecar/stage/stager.go 's/ \|\| s.leftAlone\(model, want.version\)//' ./sidecar/stage 'TestWeightsThatEnd'
 
+mutant "three chunks are sent side by side" sidecar/stage/sending.go 's/Uploads = 1/Uploads = 3/' ./sidecar/stage 'TestAVersionIsWholeEverywhereSoon'
+mutant "turns count from each VM's own start" swarm/schedule.go 's/d.began.Add\(-d.cfg.HeadStart\)/d.began/; s/turnShare = 0.9/turnShare = 1.0/' ./sidecar/stage 'TestAVersionIsWholeEverywhereThough'
+mutant "a version is left before the manifest of the newer is there" sidecar/stage/fetch.go 's/err != nil \{\n\t\t\t\tcontinue/false {\n\t\t\t\tcontinue/; s/if _, err := s.listed\(ctx, model, newest\); false/if false/' ./sidecar/stage 'TestAVersionIsNotLeft'
+mutant "all who ask for a chunk wait" exchange/server.go 's/s.waiting = waiting/s.waiting = 100 + waiting/' ./exchange 'TestChunksAreSent'
+
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
