--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -91,19 +91,25 @@
 		if newest == version {
 			continue
 		}
-		set := s.holdings.version(model, version)
-		if set != nil && !WorthFinishing(set.Len(), len(set.Manifest().Chunks)) {
-			if _, err := s.listed(ctx, model, newest); err != nil {
+		if set := s.holdings.version(model, version); set != nil {
+			if finishes(set) {
+				continue
+			}
+			// Chunks of this version come meanwhile.
+			if _, err := s.listed(ctx, model, newest); err != nil || finishes(set) {
 				continue
 			}
 		}
-		if set == nil || !WorthFinishing(set.Len(), len(set.Manifest().Chunks)) {
-			cancel()
-			return
-		}
+		cancel()
+		return
 	}
 }
 
+// finishes returns whether a set is fetched whole although a newer version is named.
+func finishes(set *weights.Set) bool {
+	return WorthFinishing(set.Len(), len(set.Manifest().Chunks))
+}
+
 // fallBack goes on with the version named before when this one makes no
 // progress, as when the origin fails: requests may begin on the older one until
 // its own limit.
