--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the tests of all packages but the sessions under the race detector, without
+# Runs the tests of all packages but the sessions and swarm under the race detector, without
 # those that the argument, a regular expression, names. The detector's own runtime
 # sometimes dies in a bubble of virtual time ("CHECK failed" in tsan_rtl, or a fault
 # in its stack depot); that says nothing about the tests, and the package is run
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-packages=$(go list ./... | grep -v '/standalone/session$')
+packages=$(go list ./... | grep -vE '/(standalone/session|swarm)$')
 for try in 1 2 3 4 5; do
   # shellcheck disable=SC2086 # one word for each package
   go test -race -timeout 10m -skip "$1" $packages 2>&1 | tee "$out"
