Reading the change again: a constant's comment is back, dead state of the model of a fleet is gone

The clean-up of comments had taken firstChange's away. The model kept the number of uploads and took it as an argument, where it is always the sidecar's setting. No assertion differs.

--- a/scripts/race-sessions.sh
+++ b/scripts/race-sessions.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Runs each session, and each test of swarm, under the race detector in a process of its own. The race
-# detector's own runtime sometimes dies in a bubble of virtual time ("CHECK
-# failed" in tsan_rtl, or a fault in its stack depot); such a run says nothing
-# about the test, and is made again, five times at the most. A failed test or a
-# reported race is final at once.
+# Runs each session, and each test of swarm, under the race detector in a process
+# of its own. The race detector's own runtime sometimes dies in a bubble of virtual
+# time ("CHECK failed" in tsan_rtl, or a fault in its stack depot); such a run says
+# nothing about the test, and is made again, five times at the most. A failed test
+# or a reported race is final at once.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p out
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -5,6 +5,8 @@
 // When endpoints change to new weights, as parts of the time limit from when those that
 // they run were replaced.
 const (
+	// firstChange is when the first endpoint may change: most VMs have the version whole by
+	// then.
 	firstChange = 0.36
 	// lastChange is when the last should have begun to change, so that a load and a retry
 	// still fit.
--- a/sidecar/stage/spread_test.go
+++ b/sidecar/stage/spread_test.go
@@ -99,7 +99,6 @@
 // spread is a version on its way to a fleet, on virtual time.
 type spread struct {
 	site    site
-	uploads int
 	data    []byte
 	origin  *pipe
 	open    chan struct{}
@@ -235,13 +234,13 @@
 }
 
 // newSpread returns a fleet of count VMs in so many regions.
-func newSpread(x site, count, regions, uploads int) *spread {
+func newSpread(x site, count, regions int) *spread {
 	x.chunkSize /= scale
 	x.origin /= scale
 	x.own /= scale
 	x.otherRegion /= scale
 	s := &spread{
-		site: x, uploads: uploads, data: make([]byte, x.chunks*x.chunkSize),
+		site: x, data: make([]byte, x.chunks*x.chunkSize),
 		origin: &pipe{rate: x.origin}, open: make(chan struct{}, maxOpen),
 		between: map[string]*pipe{}, vms: map[string]*fleetVM{},
 		begins: func(int) time.Duration { return 0 }, left: map[int64]time.Time{},
@@ -260,7 +259,7 @@
 		s.vms[vm] = &fleetVM{
 			member: swarm.Member{VM: vm, Addr: vm, Zone: name(i % regions), Region: name(i % regions)},
 			up:     &pipe{rate: stage.PaceShare * x.own}, down: &pipe{rate: x.own},
-			slots: make(chan struct{}, uploads), queue: make(chan struct{}, uploads*(stage.QueuedUploads+1)),
+			slots: make(chan struct{}, stage.Uploads), queue: make(chan struct{}, stage.Uploads*(stage.QueuedUploads+1)),
 		}
 	}
 	return s
@@ -351,7 +350,7 @@
 	var sent float64
 	for range plays {
 		synctest.Test(t, func(t *testing.T) {
-			first, half, last, copies, across := newSpread(sites[f.site], f.count, f.regions, stage.Uploads).play(t)
+			first, half, last, copies, across := newSpread(sites[f.site], f.count, f.regions).play(t)
 			t.Logf("whole after %v, %v, %v (bound %v), %.2f copies left the origin, %.2f crossed", first, half, last, bound, copies, across)
 			lasts = append(lasts, last)
 			sent += copies / plays
@@ -385,7 +384,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			x := sites[f.site]
 			x.origin = 8.4 * megabit // a copy takes 2.25 s
-			s := newSpread(x, f.count, f.regions, stage.Uploads)
+			s := newSpread(x, f.count, f.regions)
 			s.begins = func(i int) time.Duration { return time.Duration(100+i*37%150) * time.Millisecond }
 			named := time.Now()
 			s.down = [2]time.Time{named.Add(died), named.Add(died + away)}
