gateway: tells what a retry budget that is used up was used for

A stream that an endpoint cut ended with 'no budget', and no line said what had used the budget: retries, hedges, or rests of other streams. A line for each service, once a second at most, and a counter of refused repetitions. No decision changes: a hedge has a purpose of its own, with the allowance that it had.

--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -99,7 +99,7 @@
 	case policy.FreeRetry:
 		return true
 	case policy.BudgetedRetry:
-		if p.cfg.Budget.Take(c.service, c.purpose(), time.Now()) {
+		if p.takeRepeat(c, c.purpose(), time.Now()) {
 			return true
 		}
 		c.ended = endedByBudget
--- a/gateway/proxy/budget.go
+++ b/gateway/proxy/budget.go
@@ -32,9 +32,13 @@
 	windowSteps = 10
 )
 
+// history counts what was sent for one service, by parts of the window.
 type history struct {
-	step              int64
-	requests, repeats [windowSteps]int
+	step     int64
+	requests [windowSteps]int
+	repeats  [purposes][windowSteps]int
+	// toldAt is when it was last told that the budget is used up.
+	toldAt time.Time
 }
 
 // NewBudget returns a Budget of ratio of the requests in a window and of extra
@@ -57,10 +61,14 @@
 // The purposes of a repetition.
 const (
 	// Retry is a request of which the caller has got nothing yet, which can be told to
-	// come back, or one whose endpoint is still waited for.
+	// come back.
 	Retry Purpose = iota
+	// Hedge is a request whose endpoint is still waited for.
+	Hedge
 	// Resume is the rest of an answer that the caller has got in part.
 	Resume
+	// purposes is how many there are.
+	purposes = int(Resume) + 1
 )
 
 // Take takes one repeated request for service and returns whether there was one.
@@ -71,29 +79,72 @@
 	if !b.allows(h, purpose) {
 		return false
 	}
-	h.repeats[h.step%windowSteps]++
+	h.repeats[purpose][h.step%windowSteps]++
 	return true
 }
 
+// BudgetUse is what a service's retry budget was used for within the window.
+type BudgetUse struct {
+	Requests, Retries, Hedges, Resumes int
+	// Allowed is how many repetitions there may be in all, for any purpose.
+	Allowed float64
+}
+
+// toldEvery is how often it is told that the budget of a service is used up.
+const toldEvery = time.Second
+
+// UsedUp returns what the budget of a service that has just refused a repetition was used
+// for, or false where that was told a moment ago.
+func (b *Budget) UsedUp(service string, now time.Time) (BudgetUse, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.history(service, now)
+	if now.Sub(h.toldAt) < toldEvery {
+		return BudgetUse{}, false
+	}
+	h.toldAt = now
+	return BudgetUse{
+		Requests: sum(h.requests),
+		Retries:  sum(h.repeats[Retry]),
+		Hedges:   sum(h.repeats[Hedge]),
+		Resumes:  sum(h.repeats[Resume]),
+		Allowed:  b.allowed(h),
+	}, true
+}
+
+// sum adds the parts of a window.
+func sum(parts [windowSteps]int) int {
+	n := 0
+	for _, part := range parts {
+		n += part
+	}
+	return n
+}
+
 // allows returns whether h has room for one repeated request. The caller holds
 // the lock.
 func (b *Budget) allows(h *history, purpose Purpose) bool {
-	requests, repeats := 0, 0
-	for i := range windowSteps {
-		requests += h.requests[i]
-		repeats += h.repeats[i]
-	}
-	allowed := b.ratio * float64(requests)
-	if n := b.sharers(); n > 0 {
-		allowed += b.extra / float64(n)
+	repeats := 0
+	for _, parts := range h.repeats {
+		repeats += sum(parts)
 	}
-	allowed *= budgetSafety
-	if purpose == Retry {
+	allowed := b.allowed(h)
+	if purpose != Resume {
 		allowed *= retryPart
 	}
 	return float64(repeats+1) <= allowed
 }
 
+// allowed returns how many repeated requests there may be in the window, for any purpose.
+// The caller holds the lock.
+func (b *Budget) allowed(h *history) float64 {
+	allowed := b.ratio * float64(sum(h.requests))
+	if n := b.sharers(); n > 0 {
+		allowed += b.extra / float64(n)
+	}
+	return allowed * budgetSafety
+}
+
 // history returns the counts for service, slid on to now.
 func (b *Budget) history(service string, now time.Time) *history {
 	h := b.services[service]
@@ -103,12 +154,14 @@
 		b.services[service] = h
 	}
 	if step-h.step >= windowSteps {
-		*h = history{step: step}
+		*h = history{step: step, toldAt: h.toldAt}
 	}
 	for h.step < step {
 		h.step++
 		h.requests[h.step%windowSteps] = 0
-		h.repeats[h.step%windowSteps] = 0
+		for p := range h.repeats {
+			h.repeats[p][h.step%windowSteps] = 0
+		}
 	}
 	return h
 }
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return false // the endpoint is waited for as before
 	}
-	if !p.cfg.Budget.Take(c.service, Retry, now) { // a begun answer, too, goes on without it
+	if !p.takeRepeat(c, Hedge, now) { // a begun answer, too, goes on without it
 		lease.Done(balance.Neutral, now)
 		return false
 	}
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -28,6 +28,8 @@
 	Withheld metrics.Counter
 	// Hedged counts requests that were sent to another endpoint while theirs was waited for.
 	Hedged metrics.Counter
+	// OverBudget counts repetitions that the retry budget refused.
+	OverBudget metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -49,6 +51,7 @@
 		Ended:       metrics.NewRegisteredCounter("gateway.ended", r),
 		Withheld:    metrics.NewRegisteredCounter("gateway.withheld", r),
 		Hedged:      metrics.NewRegisteredCounter("gateway.hedged", r),
+		OverBudget:  metrics.NewRegisteredCounter("gateway.over_budget", r),
 		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
@@ -70,6 +73,20 @@
 		"firstEventMs", c.firstEvent.Milliseconds(), "longestGapMs", c.longestGap.Milliseconds())
 }
 
+// takeRepeat takes one repetition of c from the retry budget and returns whether there was
+// one.
+func (p *Proxy) takeRepeat(c *call, purpose Purpose, now time.Time) bool {
+	if p.cfg.Budget.Take(c.service, purpose, now) {
+		return true
+	}
+	p.cfg.Metrics.OverBudget.Inc(1)
+	if use, news := p.cfg.Budget.UsedUp(c.service, now); news {
+		p.cfg.Log.Warn("retry budget used up", "service", c.service, "requests", use.Requests, "allowed", use.Allowed,
+			"retries", use.Retries, "hedges", use.Hedges, "resumes", use.Resumes)
+	}
+	return false
+}
+
 // logAttempt notes that an endpoint did not answer a request as it should.
 func (p *Proxy) logAttempt(c *call, lease *balance.Lease, sentAt time.Time, e *verdict.Error) {
 	p.cfg.Log.Info("attempt failed", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
--- a/gateway/proxy/proxy_test.go
+++ b/gateway/proxy/proxy_test.go
@@ -237,6 +237,25 @@
 	g.Expect(retries + resumes).To(BeNumerically("<=", 100))
 }
 
+// Guards against a budget that is used up without a word on what it was used for.
+func TestABudgetThatIsUsedUpTellsWhatForOnceASecond(t *testing.T) {
+	g := NewWithT(t)
+	b := proxy.NewBudget(0.2, 10, 10*time.Second, func() int { return 1 })
+	now := time.Now()
+	b.Request("s", now)
+	g.Expect(b.Take("s", proxy.Retry, now)).To(BeTrue())
+	g.Expect(b.Take("s", proxy.Hedge, now)).To(BeTrue())
+	for b.Take("s", proxy.Resume, now) {
+	}
+	use, told := b.UsedUp("s", now)
+	g.Expect(told).To(BeTrue())
+	g.Expect(use).To(Equal(proxy.BudgetUse{Requests: 1, Retries: 1, Hedges: 1, Resumes: 6, Allowed: 0.85 * 10.2}))
+	_, told = b.UsedUp("s", now.Add(900*time.Millisecond))
+	g.Expect(told).To(BeFalse())
+	_, told = b.UsedUp("s", now.Add(time.Second))
+	g.Expect(told).To(BeTrue())
+}
+
 func TestAnEntryThatKnowsNoOthersUsesNoMoreThanItsShare(t *testing.T) {
 	g := NewWithT(t)
 	b := proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 0 })
