gateway: a stream is hedged only to an endpoint that answers

Cause: each stream that got nothing for 0.6 s took a retry for a hedge at an endpoint that was as silent.

An endpoint is asked in the place of an idle one only if it sent something within half of the time after which that one counts as idle; where most of those that have streams of this gateway are idle, also one of which nothing is known is not asked.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -29,6 +29,10 @@
 	// Healthy asks for an endpoint that is not ejected, paused or suspected, also where
 	// there is no other.
 	Healthy bool
+	// MaxIdle, unless it is 0, asks for an endpoint that answers: not one that sent nothing
+	// for longer on any of this gateway's requests, nor, while most are so, one of which
+	// nothing is known.
+	MaxIdle time.Duration
 	// Apart asks for the least busy endpoint, whoever prefers it.
 	Apart bool
 	// Prefill is how long a model engine reads the prompt before the answer
@@ -119,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	chosen.inFlight++
+	chosen.begin(now)
 	chosen.prefill += q.Prefill
 	chosen.health.beginTrial(now)
 	return &Lease{Record: chosen.record, balancer: b, shard: s, endpoint: chosen, prefill: q.Prefill}, nil
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -128,8 +128,9 @@
 	o := options{near: sample{random: b.cfg.Random}, far: sample{random: b.cfg.Random}}
 	usable, preferred := b.preferred(s, q, now)
 	shared := SharedLoad(usable, preferred)
+	answers := b.answers(s, q.MaxIdle, now)
 	for _, e := range s.ordered {
-		if !e.fits(q) {
+		if !e.fits(q) || !answers(e) {
 			continue
 		}
 		load := b.load(e)
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -58,22 +58,11 @@
 	l.balancer.NoteTraffic(now)
 }
 
-// ownIdleLimit is for how long nothing at all may come from other processes before that is
-// put down to this gateway or its link: one heartbeat, sent every 0.2 s, may be late.
-const ownIdleLimit = 300 * time.Millisecond
-
 // Idle returns for how long nothing came from the endpoint, for this or any other
 // request of this gateway, at most since. The time in which nothing came from
 // anybody does not count.
 func (l *Lease) Idle(since, now time.Time) time.Duration {
-	if last := l.endpoint.lastByte.last(); last.After(since) {
-		since = last
-	}
-	until := now
-	if last := l.balancer.lastTraffic.last(); now.Sub(last) > ownIdleLimit {
-		until = last
-	}
-	return max(until.Sub(since), 0)
+	return l.balancer.idle(l.endpoint, since, now)
 }
 
 // Done gives the place back and notes the outcome.
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -22,7 +22,9 @@
 type endpoint struct {
 	record   *roster.Endpoint
 	inFlight int
-	health   health
+	// busySince is when the first of the requests in progress began.
+	busySince time.Time
+	health    health
 	// prefill is the time that this gateway's requests there have yet to be read.
 	prefill time.Duration
 	// preferred is set when this is the gateway that prefers the endpoint.
@@ -99,6 +101,14 @@
 	return !slices.Contains(q.Exclude, e.record.ID)
 }
 
+// begin counts a request that is sent now.
+func (e *endpoint) begin(now time.Time) {
+	if e.inFlight == 0 {
+		e.busySince = now
+	}
+	e.inFlight++
+}
+
 // holds returns the version of model that the endpoint is known to hold, or 0.
 func (e *endpoint) holds(model string) int64 {
 	if e.announced.Model == model {
--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -197,3 +197,11 @@
 	Entry("may have run", verdict.MayHaveRun, verdict.CodeCut, 502),
 	Entry("ran", verdict.Ran, verdict.CodeCut, 502),
 )
+
+var _ = DescribeTable("how recently an endpoint must have sent something to be asked in the place of an idle one",
+	func(gapTarget, want time.Duration) {
+		Expect(policy.AnsweringLimit(gapTarget)).To(Equal(want))
+	},
+	Entry("no target", time.Duration(0), 200*time.Millisecond),
+	Entry("a usual target", 300*time.Millisecond, 300*time.Millisecond),
+)
--- a/gateway/policy/stall.go
+++ b/gateway/policy/stall.go
@@ -27,6 +27,17 @@
 	return max(gapFactor*gapTarget, minEndpointIdle)
 }
 
+// answeringShare is the part of EndpointIdleLimit within which an endpoint must have sent
+// something to be asked in the place of another: where all stand still, each reaches that
+// limit a moment before or after the others.
+const answeringShare = 0.5
+
+// AnsweringLimit returns for how long an endpoint may have sent nothing on any stream that
+// is asked in the place of an idle one, where gapTarget is the target between two events.
+func AnsweringLimit(gapTarget time.Duration) time.Duration {
+	return time.Duration(answeringShare * float64(EndpointIdleLimit(gapTarget)))
+}
+
 // StreamIdleLimit returns for how long one stream may get nothing although its
 // endpoint sends on others. target is that of the first event, or that between
 // events once the answer has begun.
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -116,5 +116,5 @@
 		MaxAttempts: c.route.Attempts,
 		Left:        time.Until(c.deadline),
 	})
-	return c.hedge != nil || wanted && p.hedge(ctx, c, 0)
+	return c.hedge != nil || wanted && p.hedge(ctx, c, 0, 0)
 }
--- a/gateway/proxy/handover_test.go
+++ b/gateway/proxy/handover_test.go
@@ -194,3 +194,44 @@
 		return s(c, r)
 	}
 }
+
+// Guards against hedges to endpoints that are silent themselves, which use up the retry
+// budget before the streams that an order to load cuts need it.
+func TestACommonStallLeavesTheRetryBudgetToStreamsThatAreCut(t *testing.T) {
+	cut := func(c net.Conn, _ *http.Request) bool {
+		chunks(c, stream(3))
+		time.Sleep(50 * time.Millisecond)
+		return false
+	}
+	whole := func(c net.Conn, r *http.Request) bool { return chunks(c, stream(3), stream(4)) && end(c, r) }
+	play(t, func(w *world) {
+		w.useBudget(proxy.NewBudget(0, 6, 10*time.Second, func() int { return 1 })) // five rests, or three hedges and two rests
+		const streams = 8
+		answers := make(chan answer, streams)
+		for range streams {
+			go func() { answers <- w.ask("POST", "/stream/", "x") }()
+		}
+		for range streams {
+			a := <-answers
+			w.g.Expect(a.cut).To(BeFalse())
+			w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4)))
+		}
+		w.g.Expect(w.metrics.Hedged.Count()).To(BeZero())
+		rests := 0
+		for _, e := range w.endpoints {
+			rests += e.rests()
+		}
+		w.g.Expect(rests).To(Equal(5), "of the streams that e0 and e1 cut")
+	}, always(stalled(cut)), always(stalled(cut)), always(stalled(whole)), always(stalled(whole)))
+}
+
+// stalled sends two events, nothing for 0.77 s, and goes on with rest. Of the rest of a stream
+// it sends the last event at once.
+func stalled(rest step) step {
+	return func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Last-Event") != "" {
+			return events(0, end, 4)(c, r)
+		}
+		return events(50*time.Millisecond, after(770*time.Millisecond, rest), 1, 2)(c, r)
+	}
+}
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -25,15 +25,17 @@
 }
 
 // hedge sends the request to another endpoint with a load below maxLoad, in requests for
-// each slot, or 0 for any. It returns false where none can take it now or the retry budget
-// has no retry; then nothing has changed.
-func (p *Proxy) hedge(ctx context.Context, c *call, maxLoad float64) bool {
+// each slot, or 0 for any, that was not idle for longer than maxIdle, or 0 for any time. One
+// that is idle itself would use up the retry budget, which streams need that are cut. It
+// returns false where none can take it now or the retry budget has no retry; then nothing
+// has changed.
+func (p *Proxy) hedge(ctx context.Context, c *call, maxLoad float64, maxIdle time.Duration) bool {
 	if p.suspicion(c) != poison.Clear {
 		return false // its endpoint may end under it, and another one as well
 	}
 	now := time.Now()
 	q := p.query(c)
-	q.Healthy = true
+	q.Healthy, q.MaxIdle = true, maxIdle
 	if maxLoad > 0 && (q.MaxLoad == 0 || maxLoad < q.MaxLoad) {
 		q.MaxLoad = maxLoad
 	}
@@ -59,6 +61,15 @@
 	return true
 }
 
+// answeringLimit returns for how long an endpoint may have been idle that is asked as well;
+// 0 for plain answers, whose endpoints send nothing before the end.
+func (p *Proxy) answeringLimit(c *call) time.Duration {
+	if c.route.Kind != routes.Stream {
+		return 0
+	}
+	return policy.AnsweringLimit(c.route.GapTarget)
+}
+
 // hedgeOptions returns how a hedge is sent. It is withdrawn where its endpoint's weights
 // get too old for a stream to begin on.
 func (p *Proxy) hedgeOptions(c *call, lease *balance.Lease) upstream.Options {
@@ -139,7 +150,7 @@
 	case policy.Leave:
 		left = true
 	case policy.Hedge:
-		if c.hedge == nil && p.hedge(ctx, c, w.MaxLoad) {
+		if c.hedge == nil && p.hedge(ctx, c, w.MaxLoad, p.answeringLimit(c)) {
 			p.logHedge(c, lease, s)
 		}
 	case policy.KeepWaiting:
