gateway: the rest of a stream that a load cut is not cut by the next load

The rest of a stream now prefers endpoints with the newest weights, drawn as other kinds are, so that all gateways do not take the same one; and where only one that is about to load is left, it waits for that, for a second at most.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -20,6 +20,9 @@
 	// Model and MinVersion are weights that the endpoint must hold; empty for none.
 	Model      string
 	MinVersion int64
+	// Lasting, unless it is 0, is the version of Model that endpoints stay with: one that
+	// holds an older one loads it soon, and cuts then what runs there.
+	Lasting int64
 	// Exclude are endpoints that must not have the request, by ID, and Among, unless it is
 	// empty, the only ones that may.
 	Exclude, Among []string
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -13,6 +13,10 @@
 	// notPreferredCost keeps gateways from choosing the same endpoint at the same moment,
 	// since they know of each other's requests only by heartbeats.
 	notPreferredCost = 0.80
+	// changingCost is added for an endpoint that loads newer weights soon, for a request that
+	// is to last: one slot's worth of a full endpoint, so that a few that have changed do not
+	// get all of them.
+	changingCost = 1.0
 	// prefillUnit is the time of reading prompts that counts as one request for each slot.
 	prefillUnit = 250 * time.Millisecond
 	// jitter is drawn anew for each endpoint, so that equal ones share requests out. Less
@@ -31,6 +35,8 @@
 	OtherZone bool
 	// Preferred is set when this is the gateway that prefers it.
 	Preferred bool
+	// Changing is set when it loads newer weights soon, which the request would not outlast.
+	Changing bool
 	// Draw is a random number from [0, 1).
 	Draw float64
 }
@@ -45,6 +51,9 @@
 	if !c.Preferred {
 		cost += notPreferredCost
 	}
+	if c.Changing {
+		cost += changingCost
+	}
 	return cost
 }
 
@@ -95,8 +104,9 @@
 	// usable is the best of those that the gateway prefers and of those that were drawn,
 	// unusable the best of those that are ejected, paused or suspected.
 	usable, unusable cheapest
-	// near and far are drawn from those that others prefer, in this zone and elsewhere.
-	near, far sample
+	// near and far are drawn from those that others prefer, in this zone and elsewhere,
+	// lasting from those that keep their weights, where the request is to last.
+	near, far, lasting sample
 	// full is set when any was left out because it is full.
 	full bool
 }
@@ -107,9 +117,9 @@
 // holds the shard's lock.
 func (b *Balancer) choose(s *shard, q *Query, now time.Time) (*endpoint, error) {
 	o := b.options(s, q, now)
-	for _, drawn := range [][]loaded{o.near.drawn(), o.far.drawn()} {
+	for _, drawn := range [][]loaded{o.near.drawn(), o.far.drawn(), o.lasting.drawn()} {
 		for _, x := range drawn {
-			o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load))
+			o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load, q))
 		}
 	}
 	switch {
@@ -125,7 +135,8 @@
 
 // options returns the endpoints that a request of q may go to.
 func (b *Balancer) options(s *shard, q *Query, now time.Time) options {
-	o := options{near: sample{random: b.cfg.Random}, far: sample{random: b.cfg.Random}}
+	draw := sample{random: b.cfg.Random}
+	o := options{near: draw, far: draw, lasting: draw}
 	usable, preferred := b.preferred(s, q, now)
 	shared := SharedLoad(usable, preferred)
 	answers := b.answers(s, q.MaxIdle, now)
@@ -139,11 +150,13 @@
 		case limit > 0 && load >= limit:
 			o.full = true
 		case !b.usable(e, now):
-			o.unusable.offer(e, b.cost(e, load))
+			o.unusable.offer(e, b.cost(e, load, q))
 		case q.Apart:
 			o.usable.offer(e, load)
 		case e.preferred:
-			o.usable.offer(e, b.cost(e, load))
+			o.usable.offer(e, b.cost(e, load, q))
+		case q.Lasting > 0 && !e.changes(q):
+			o.lasting.add(e, load)
 		case e.record.Zone == b.cfg.Zone:
 			o.near.add(e, load)
 		default:
@@ -168,13 +181,14 @@
 	return usable, preferred
 }
 
-// cost returns what a choice of e costs, whose load is given.
-func (b *Balancer) cost(e *endpoint, load float64) float64 {
+// cost returns what a choice of e, whose load is given, costs a request of q.
+func (b *Balancer) cost(e *endpoint, load float64, q *Query) float64 {
 	return Cost(&Candidate{
 		Load:      load,
 		Prefill:   e.prefill,
 		OtherZone: e.record.Zone != b.cfg.Zone,
 		Preferred: e.preferred,
+		Changing:  e.changes(q),
 		Draw:      b.cfg.Random(),
 	})
 }
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -33,6 +33,14 @@
 	return l.endpoint.record.Leaving || !l.shard.has(l.endpoint)
 }
 
+// Paused returns whether the endpoint asked to get no requests now, since it is about to
+// load weights.
+func (l *Lease) Paused(now time.Time) bool {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	return now.Before(l.endpoint.health.pausedUntil)
+}
+
 // Others returns how many requests besides this one the gateway has at the endpoint.
 func (l *Lease) Others() int {
 	l.shard.mu.Lock()
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -101,6 +101,12 @@
 	return !slices.Contains(q.Exclude, e.record.ID)
 }
 
+// changes returns whether the endpoint loads newer weights soon, which matters to a request
+// of q.
+func (e *endpoint) changes(q *Query) bool {
+	return q.Lasting > 0 && e.holds(q.Model) < q.Lasting
+}
+
 // begin counts a request that is sent now.
 func (e *endpoint) begin(now time.Time) {
 	if e.inFlight == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,6 +173,7 @@
 		Metrics:    proxy.NewMetrics(g.registry),
 		Log:        g.log,
 		MinVersion: g.minVersion,
+		Newest:     g.versions.Latest,
 		WeightsEnd: g.versions.End,
 		Poison:     g.poison,
 		Trial:      g.beginTrial,
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -102,6 +102,22 @@
 	returnFactor = 2
 )
 
+const (
+	// PauseWait is after how long an answer that has begun looks again for an endpoint that
+	// takes requests, where the only ones are about to load weights: such a load would cut
+	// it once more.
+	PauseWait = 100 * time.Millisecond
+	// maxPauseWait is for how long it does: a load takes less than that, and callers give
+	// streams up after two seconds.
+	maxPauseWait = time.Second
+)
+
+// AwaitsLoad returns whether an answer that has begun goes on waiting, after so long, for an
+// endpoint that is paused.
+func AwaitsLoad(begun, paused bool, waited time.Duration) bool {
+	return begun && paused && waited < maxPauseWait
+}
+
 // Returns returns whether an answer that has begun may go on, after so many attempts, at an
 // endpoint that had it before. maxAttempts is the route's limit of endpoints, last why the
 // last attempt failed.
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -161,7 +161,7 @@
 	if failure := p.admit(ctx, c); failure != nil {
 		return nil, failure
 	}
-	lease, failure := p.pick(c)
+	lease, failure := p.pickLoaded(ctx, c)
 	if failure != nil {
 		return nil, failure
 	}
--- /dev/null
+++ b/gateway/proxy/loads_test.go
@@ -0,0 +1,55 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// announceLoaded tells what the process beside an endpoint tells of its weights.
+func (w *world) announceLoaded(id string, version int64) {
+	w.balancer.Announce(balance.Announcement{Addr: id, Weights: roster.Weights{Model: "m", Version: version}})
+}
+
+// announcePause tells that an endpoint is about to load weights.
+func (w *world) announcePause(id string, d time.Duration) {
+	w.balancer.Announce(balance.Announcement{Addr: id, PausedUntil: time.Now().Add(d)})
+}
+
+// Guards against the rest of a stream, cut by a load, that goes to an endpoint which loads
+// the same version next and cuts it once more.
+func TestTheRestOfAStreamGoesWhereWeightsAreNew(t *testing.T) {
+	play(t, func(w *world) {
+		w.newest.Store(2)
+		w.announceLoaded("e2", 2)
+		a := w.ask("POST", "/stream/", "x")
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2)))
+		w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+		w.g.Expect(w.endpoints["e2"].rests()).To(Equal(1))
+	}, always(events(0, raw(""), 1)), always(events(0, end, 2)), always(events(0, end, 2)))
+}
+
+// Guards against the rest of a stream that goes to an endpoint which has said that it is
+// about to load weights.
+func TestTheRestOfAStreamWaitsForALoad(t *testing.T) {
+	for name, c := range map[string]struct{ pause, loaded, want time.Duration }{
+		"until it is over":             {5 * time.Second, 250 * time.Millisecond, 300 * time.Millisecond},
+		"not beyond what callers bear": {5 * time.Second, 4 * time.Second, time.Second},
+		"not where there is none":      {0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				w.announcePause("e1", c.pause)
+				time.AfterFunc(c.loaded, func() { w.announceLoaded("e1", 2) })
+				began := time.Now()
+				a := w.ask("POST", "/stream/", "x")
+				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2)))
+				w.g.Expect(w.endpoints["e1"].arrivals()[0].Sub(began)).To(Equal(c.want))
+			}, always(events(0, raw(""), 1)), always(events(0, end, 2)))
+		})
+	}
+}
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
+	"github.com/silverdeck/silverdeck/wait"
 )
 
 // query returns what an endpoint is wanted for.
@@ -20,8 +22,10 @@
 		q.Model = c.model
 		q.MinVersion = p.cfg.MinVersion(c.model)
 		q.Prefill = c.prefill()
-		if !c.headSent { // else the answer would be cut where all are full
-			q.MaxLoad = p.maxLoad(c)
+		if c.headSent {
+			q.Lasting = p.cfg.Newest(c.model)
+		} else {
+			q.MaxLoad = p.maxLoad(c) // a begun answer would be cut where all are full
 		}
 	}
 	return q
@@ -43,6 +47,21 @@
 	return nil, p.shortage(verdict.CodeNoEndpoint, "no endpoint of %s", c.service)
 }
 
+// pickLoaded chooses an endpoint as pick does, and waits for a while where the rest of an
+// answer would go to one that is about to load weights.
+func (p *Proxy) pickLoaded(ctx context.Context, c *call) (*balance.Lease, *verdict.Error) {
+	lease, failure := p.pick(c)
+	began := time.Now()
+	for failure == nil && policy.AwaitsLoad(c.headSent, lease.Paused(time.Now()), time.Since(began)) {
+		lease.Done(balance.Neutral, time.Now())
+		if !wait.For(ctx, policy.PauseWait) {
+			return nil, verdict.Classify(verdict.Answering, context.Cause(ctx))
+		}
+		lease, failure = p.pick(c)
+	}
+	return lease, failure
+}
+
 // maxLoad returns the load at which an endpoint is full for a stream that has not begun.
 func (p *Proxy) maxLoad(c *call) float64 {
 	limit := policy.MaxLoad(c.engine(), c.config.LongestTarget(c.service), c.promptTokens)
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -37,6 +37,9 @@
 	Log      *log.Logger
 	// MinVersion returns the version of a model below which no request may begin.
 	MinVersion func(model string) int64
+	// Newest returns the newest version of a model that was named, or 0; nil means that none
+	// ever is.
+	Newest func(model string) int64
 	// WeightsEnd returns from when on no request may begin on a version of a model,
 	// or false while that is not known.
 	WeightsEnd func(model string, version int64) (time.Time, bool)
@@ -69,6 +72,9 @@
 
 // New returns a Proxy without a configuration.
 func New(cfg Config) *Proxy {
+	if cfg.Newest == nil {
+		cfg.Newest = func(string) int64 { return 0 }
+	}
 	p := &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals(), ends: newEnds(cfg.Client.Refuses)}
 	p.ending, p.End = context.WithCancel(context.Background())
 	return p
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -68,6 +68,8 @@
 	// linkDelay is how long what is sent to an endpoint is on its way.
 	linkDelay  time.Duration
 	minVersion atomic.Int64
+	// newest is the newest version that was named.
+	newest atomic.Int64
 	// weightsEnd is when no request may begin on version 1 any more.
 	weightsEnd time.Time
 	// metrics are the gateway's.
@@ -151,6 +153,7 @@
 		Headers: names, Balancer: w.balancer, Client: w.client, Budget: w.budget,
 		Metrics: w.metrics, Log: log.NewWithOptions(&w.lines, log.Options{Formatter: log.JSONFormatter}),
 		WeightsEnd: func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
+		Newest:     func(string) int64 { return w.newest.Load() },
 		Poison:     w.poison, Trial: w.trial,
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
 	})
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -201,6 +201,17 @@
 	return out
 }
 
+// Latest returns the newest version of model that was named, or 0.
+func (h *History) Latest(model string) int64 {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	namings := h.models[model]
+	if len(namings) == 0 {
+		return 0
+	}
+	return namings[len(namings)-1].Version
+}
+
 // Newest returns the naming of the newest version of each model, by model.
 func (h *History) Newest() []Naming {
 	h.mu.RLock()
