gateway: what a sidecar tells reaches its endpoint behind another port

Callers saw streams cut by loads although the sidecar had asked for a pause 45 ms to 2 s before: in the soak no gateway ever took a pause or the news of loaded weights in. Cause: a notice names the endpoint by the address that its sidecar knows, and gateways compared that with the address in its record; the soak has a proxy before each endpoint, so that the ports differ (notice of 10x:8101, record 10x:8001).

A notice is of the endpoint with its address, or where none has it, of that of its VM. Everything else already takes a VM for one endpoint (inventory.addEndpoint). The new check of balance fails without it.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -143,8 +143,8 @@
 
 // Announcement is what the process beside an endpoint tells of it.
 type Announcement struct {
-	// Addr is the endpoint's address, and Born tells which of its lives is meant, as in
-	// roster.Life.
+	// Addr is the endpoint's address as that process knows it, and Born tells which of its
+	// lives is meant, as in roster.Life.
 	Addr string
 	Born int64
 	// PausedUntil is until when no request is to be sent there. A time that has passed
@@ -158,10 +158,11 @@
 // life than the record in the store, which follows by a second or two, the endpoint counts
 // as started again; what is told of an earlier one is out of date.
 func (b *Balancer) Announce(a Announcement) {
+	isMeant := b.meant(a.Addr)
 	b.eachShard(func(s *shard) {
 		for id, e := range s.endpoints {
 			told := roster.Life{ID: id, Born: a.Born}
-			if e.record.Addr != a.Addr || told.Before(e.record.Life()) {
+			if !isMeant(e.record) || told.Before(e.record.Life()) {
 				continue
 			}
 			if !told.Same(e.record.Life()) {
@@ -175,6 +176,22 @@
 	})
 }
 
+// meant returns which endpoints the process beside one means by an address: that with the
+// address, or where none has it, those of the VM.
+func (b *Balancer) meant(addr string) func(*roster.Endpoint) bool {
+	known := false
+	b.eachShard(func(s *shard) {
+		for _, e := range s.endpoints {
+			known = known || e.record.Addr == addr
+		}
+	})
+	if known {
+		return func(r *roster.Endpoint) bool { return r.Addr == addr }
+	}
+	vm := roster.VM(addr)
+	return func(r *roster.Endpoint) bool { return roster.VM(r.Addr) == vm }
+}
+
 // startedAgain returns what is known of an endpoint that started again: it holds nothing.
 func startedAgain(r *roster.Endpoint, born int64) *roster.Endpoint {
 	again := *r
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -206,6 +206,28 @@
 		Expect(pick(b, s, at(500)).Record.ID).To(Equal("e0"))
 	})
 
+	// Guards against pauses and weights that no gateway takes in, where the process beside an
+	// endpoint knows it by another port than callers.
+	It("takes what is told of an address on the VM for its endpoint", func() {
+		l := endpoints(2)
+		l.Endpoints["e0"].Addr, l.Endpoints["e1"].Addr = "10.0.0.1:80", "10.0.0.2:80"
+		b := balancer(l)
+		b.Announce(balance.Announcement{Addr: "10.0.0.1:81", PausedUntil: at(500)})
+		for range 4 {
+			Expect(pick(b, s, now).Record.ID).To(Equal("e1"))
+		}
+	})
+
+	It("takes what is told of an address for the endpoint that has it", func() {
+		l := endpoints(2)
+		l.Endpoints["e0"].Addr, l.Endpoints["e1"].Addr = "10.0.0.1:80", "10.0.0.1:81"
+		b := balancer(l)
+		b.Announce(balance.Announcement{Addr: "10.0.0.1:81", PausedUntil: at(500)})
+		for range 4 {
+			Expect(pick(b, s, now).Record.ID).To(Equal("e0"))
+		}
+	})
+
 	It("spreads what a load cut over all endpoints, also those with older weights", func() {
 		l := endpoints(4)
 		l.Endpoints["e3"].Weights[0].Version = 2
