balance: hedges try endpoints one after the other where none answers

Two silent endpoints are too few to say that all stand still, so another is tried; but while nothing has come from that one, no other is.

--- a/gateway/balance/idle.go
+++ b/gateway/balance/idle.go
@@ -14,12 +14,21 @@
 )
 
 // AllStandStill returns whether the endpoints of a service are taken to stand still
-// together, where so many of those that have requests of this gateway are idle. What is
-// known of none says nothing of an endpoint then.
+// together, where so many of those that have requests of this gateway are idle.
 func AllStandStill(idle, busy int) bool {
 	return busy >= minJudged && float64(idle) > maxIdleShare*float64(busy)
 }
 
+// TakesUnknown returns whether a request is tried at an endpoint of which nothing is known,
+// where so many others are silent and so many answer: not while all stand still, and one
+// after the other where none answers. tried is set while one is being tried.
+func TakesUnknown(silent, answering int, tried bool) bool {
+	if AllStandStill(silent, silent+answering) {
+		return false
+	}
+	return silent == 0 || answering > 0 || !tried
+}
+
 // idle returns for how long nothing came from e, at most since.
 func (b *Balancer) idle(e *endpoint, since, now time.Time) time.Duration {
 	if last := e.lastByte.last(); last.After(since) {
@@ -32,27 +41,47 @@
 	return max(until.Sub(since), 0)
 }
 
+// pulse is what the streams of this gateway at an endpoint show of it.
+type pulse int
+
+// The pulses.
+const (
+	// unknown means that it has no requests of this gateway, or that they began a moment ago.
+	unknown pulse = iota
+	// answering means that it sent something a moment ago.
+	answering
+	// silent means that it sent nothing for longer than it may.
+	silent
+)
+
+// pulse returns the pulse of e, which may be idle for maxIdle.
+func (b *Balancer) pulse(e *endpoint, maxIdle time.Duration, now time.Time) pulse {
+	switch {
+	case e.inFlight == 0:
+		return unknown
+	case b.idle(e, e.busySince, now) > maxIdle:
+		return silent
+	case e.lastByte.last().After(e.busySince):
+		return answering
+	}
+	return unknown
+}
+
 // answers returns which endpoints answer, as Query.MaxIdle asks. The caller holds the
 // shard's lock.
 func (b *Balancer) answers(s *shard, maxIdle time.Duration, now time.Time) func(*endpoint) bool {
 	if maxIdle == 0 {
 		return func(*endpoint) bool { return true }
 	}
-	isIdle := func(e *endpoint) bool {
-		return e.inFlight > 0 && b.idle(e, e.busySince, now) > maxIdle
-	}
-	idle, busy := 0, 0
+	count, tried := map[pulse]int{}, false
 	for _, e := range s.ordered {
-		if e.inFlight == 0 {
-			continue
-		}
-		busy++
-		if isIdle(e) {
-			idle++
-		}
+		p := b.pulse(e, maxIdle, now)
+		count[p]++
+		tried = tried || p == unknown && e.inFlight > 0
 	}
-	together := AllStandStill(idle, busy)
+	takesUnknown := TakesUnknown(count[silent], count[answering], tried)
 	return func(e *endpoint) bool {
-		return !isIdle(e) && (e.inFlight > 0 || !together)
+		p := b.pulse(e, maxIdle, now)
+		return p == answering || p == unknown && takesUnknown
 	}
 }
