endpoints load weights as many at once as the others can carry, and drain meanwhile

Cause: each endpoint changed at a time of its own draw and ordered its load without waiting.

Change: from the first moment at which it may change an endpoint asks one gateway, the owner of its service, for a lease. It gets one if the others can carry all requests, and then drains for as long as answers take. Without a lease all is as it was: in overload there is no room, and the spread by draws holds. Where the configuration does not tell how long answers take, routes' timeouts bound it. An owner that does not answer, or an older one, gives no lease.

--- a/compat/rpc_test.go
+++ b/compat/rpc_test.go
@@ -17,6 +17,7 @@
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/replica"
 	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/standalone/agent"
@@ -62,6 +63,8 @@
 	of[poison.BeginReply]("BeginReply"),
 	of[poison.EndRequest]("EndRequest"),
 	of[poison.EndReply]("EndReply"),
+	of[leases.LoadRequest]("LoadRequest"),
+	of[leases.LoadReply]("LoadReply"),
 }
 
 // encoded are the messages as they are sent, one a line, made before any test
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -14,9 +14,8 @@
 	// since they know of each other's requests only by heartbeats.
 	notPreferredCost = 0.80
 	// changingCost is added for an endpoint that loads newer weights soon, for a request that
-	// is to last: one slot's worth of a full endpoint, so that a few that have changed do not
-	// get all of them.
-	changingCost = 1.0
+	// is to last. Half of the slots are less than a few that have changed get full by.
+	changingCost = 0.5
 	// prefillUnit is the time of reading prompts that counts as one request for each slot.
 	prefillUnit = 250 * time.Millisecond
 	// jitter is drawn anew for each endpoint, so that equal ones share requests out. Less
--- /dev/null
+++ b/gateway/balance/places.go
@@ -0,0 +1,37 @@
+package balance
+
+import "time"
+
+// Place is what is known of an endpoint's room.
+type Place struct {
+	// Addr is the endpoint's address.
+	Addr string
+	// Slots is how many requests it runs at once, InFlight how many all gateways have there;
+	// those of others are as old as their last heartbeat.
+	Slots, InFlight int
+	// Usable is set when it takes requests of the query.
+	Usable bool
+}
+
+// Places returns the endpoints of q's service that do not leave.
+func (b *Balancer) Places(q *Query, now time.Time) []Place {
+	s := b.shard(q.Service)
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Place, 0, len(s.ordered))
+	for _, e := range s.ordered {
+		if e.record.Leaving {
+			continue
+		}
+		out = append(out, Place{
+			Addr:     e.record.Addr,
+			Slots:    e.record.Slots,
+			InFlight: e.inFlight + b.cfg.OtherLoad(e.record.Life()),
+			Usable:   e.fits(q) && b.usable(e, now),
+		})
+	}
+	return out
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/silverdeck/silverdeck/gateway/unreadable"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/peerconn"
@@ -72,6 +73,8 @@
 	// on them that this gateway keeps.
 	poison *poison.Table
 	trials *poison.Trials
+	// loads are the leases on loads of weights that this gateway gives.
+	loads *leases.Table
 	// quarantineKnown ends once this gateway knows which requests are quarantined, as
 	// knowQuarantine says; see awaitQuarantine.
 	quarantineKnown context.Context
@@ -119,6 +122,7 @@
 	}
 	g.quarantineKnown, g.knowQuarantine = context.WithCancel(context.Background())
 	g.poison, g.trials = poison.NewTable(g.notePoison), poison.NewTrials()
+	g.loads = leases.NewTable()
 	g.table = member.NewTable(g.self)
 	g.endpoints = g.newEndpoints()
 	g.badVersions = unreadable.New(platform.KindVersions, registry, l)
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -14,6 +14,9 @@
 func (g *Gateway) useNotice(n member.Notice) {
 	pause := time.Duration(n.PauseMS) * time.Millisecond
 	g.log.Info("notice", "addr", n.Addr, "born", n.Born, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version)
+	if n.Version != 0 {
+		g.loads.End(roster.VM(n.Addr))
+	}
 	g.balancer.Announce(balance.Announcement{
 		Addr:        n.Addr,
 		Born:        n.Born,
--- a/gateway/proxy/slowlink_test.go
+++ b/gateway/proxy/slowlink_test.go
@@ -110,6 +110,10 @@
 
 func (h *holder) Started(context.Context, int64, bool) {}
 
+func (h *holder) LeaseLoad(context.Context, string, time.Duration) (bool, time.Duration) {
+	return false, time.Second
+}
+
 func (h *holder) Capacity() stage.Capacity { return stage.Capacity{} }
 
 func (h *holder) Loaded(context.Context, string, int64) {}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/replica"
 	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/peerconn"
 	"github.com/silverdeck/silverdeck/platform"
@@ -87,6 +88,7 @@
 
 		member.RollServiceName: member.NewRollService(g.table),
 		poison.ServiceName:     poison.NewService(g.poison, g.trials),
+		leases.ServiceName:     leases.NewService(g.loads, g.leasable),
 	})
 	if err != nil {
 		return err
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/affinity"
+	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/inventory"
+	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
@@ -157,6 +159,17 @@
 	return append(g.table.Live(), g.self)
 }
 
+// leasable returns what is known of the endpoints of a service that run a model, for leases
+// on their loads.
+func (g *Gateway) leasable(service, model string) []leases.Endpoint {
+	places := g.balancer.Places(&balance.Query{Service: service, Model: model, MinVersion: g.minVersion(model)}, time.Now())
+	out := make([]leases.Endpoint, 0, len(places))
+	for _, p := range places {
+		out = append(out, leases.Endpoint{VM: roster.VM(p.Addr), Slots: p.Slots, InFlight: p.InFlight, Away: !p.Usable})
+	}
+	return out
+}
+
 // describeService returns the inventory of a service, or nil while too little is
 // known.
 func (g *Gateway) describeService(service string) *inventory.Inventory {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -123,7 +123,7 @@
 	var out FromConfig
 	if s := config.Services[service]; s != nil && s.Engine != nil {
 		out.Models = append(out.Models, s.Engine.Models...)
-		out.AnswerTime, out.Slots = s.Engine.AnswerTime(), s.Engine.Slots
+		out.AnswerTime, out.Slots = config.AnswerTime(service), s.Engine.Slots
 	}
 	for _, s := range config.Services {
 		if s.Origin != "" {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -127,13 +127,17 @@
 	Limits            Limits
 	hosts             map[string][]*Route
 	accounts          map[string]*Account
-	// longestTargets are the longest latency targets of streams, by service.
-	longestTargets map[string]time.Duration
+	// longestTargets are the longest latency targets of streams, longestTimeouts the longest
+	// times for which they are held, by service.
+	longestTargets, longestTimeouts map[string]time.Duration
 }
 
 // New returns a Config of routes and of accounts by key.
 func New(list []*Route, accounts map[string]*Account) *Config {
-	c := &Config{Services: map[string]*Service{}, hosts: map[string][]*Route{}, accounts: accounts, longestTargets: map[string]time.Duration{}}
+	c := &Config{
+		Services: map[string]*Service{}, hosts: map[string][]*Route{}, accounts: accounts,
+		longestTargets: map[string]time.Duration{}, longestTimeouts: map[string]time.Duration{},
+	}
 	for _, r := range list {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
 		if r.Kind != Stream {
@@ -141,6 +145,7 @@
 		}
 		for _, t := range r.Targets {
 			c.longestTargets[t.Service] = max(c.longestTargets[t.Service], r.LatencyTarget)
+			c.longestTimeouts[t.Service] = max(c.longestTimeouts[t.Service], r.Timeout)
 		}
 	}
 	for _, rs := range c.hosts {
@@ -167,6 +172,20 @@
 	return c.longestTargets[service]
 }
 
+// AnswerTime returns how long an endpoint of a service usually writes an answer, as its
+// engine is described. Where that is not told, it is the longest for which a stream of the
+// service is held, which no answer outlasts; 0 where the service has no engine.
+func (c *Config) AnswerTime(service string) time.Duration {
+	s := c.Services[service]
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	if told := s.Engine.AnswerTime(); told > 0 {
+		return told
+	}
+	return c.longestTimeouts[service]
+}
+
 // Account returns the account that holds key, or nil.
 func (c *Config) Account(key string) *Account {
 	return c.accounts[key]
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -1,6 +1,8 @@
 package routes_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -35,3 +37,34 @@
 		Entry("a stream that may go on elsewhere", routes.Route{Kind: routes.Stream, Resume: true}, true),
 	)
 })
+
+// Guards against loads that do not wait for what runs where the configuration does not tell
+// how long that takes.
+var _ = Describe("The time of an answer", func() {
+	streams := func(timeouts ...time.Duration) *routes.Config {
+		var list []*routes.Route
+		for _, d := range timeouts {
+			list = append(list, &routes.Route{Kind: routes.Stream, Timeout: d, Targets: []routes.Target{{Service: "s", Weight: 1}}})
+		}
+		return routes.New(list, nil)
+	}
+
+	It("is what the engine's figures say", func() {
+		c := streams(6 * time.Second)
+		c.Services["s"] = &routes.Service{Engine: &routes.Engine{Step: 10 * time.Millisecond, Stride: 5, UsualAnswer: 100}}
+		Expect(c.AnswerTime("s")).To(Equal(time.Second))
+	})
+
+	It("is else the longest for which a stream of the service is held", func() {
+		c := streams(2*time.Second, 6*time.Second, time.Second)
+		c.Services["s"] = &routes.Service{Engine: &routes.Engine{Slots: 16}}
+		Expect(c.AnswerTime("s")).To(Equal(6 * time.Second))
+	})
+
+	It("is not known of a service without engines", func() {
+		c := streams(6 * time.Second)
+		c.Services["s"] = &routes.Service{}
+		Expect(c.AnswerTime("s")).To(BeZero())
+		Expect(c.AnswerTime("t")).To(BeZero())
+	})
+})
--- /dev/null
+++ b/sidecar/leases.go
@@ -0,0 +1,38 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/silverdeck/silverdeck/leases"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+const (
+	// leaseLimit bounds a question for a lease: without one the endpoint changes at the time
+	// that it drew.
+	leaseLimit = 300 * time.Millisecond
+	// leaseRetry is the time before the next question where there was no answer.
+	leaseRetry = 500 * time.Millisecond
+)
+
+// LeaseLoad implements stage.Fleet: it asks the gateway that owns the leases of the service.
+func (c *Sidecar) LeaseLoad(ctx context.Context, model string, d time.Duration) (given bool, again time.Duration) {
+	inv := c.fleet.known()
+	if inv == nil {
+		return false, leaseRetry
+	}
+	addrs := make([]string, 0, len(inv.Entries))
+	for _, e := range inv.Entries {
+		addrs = append(addrs, e.Addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseLimit)
+	defer cancel()
+	owner := leases.Owner(c.cfg.Service, addrs)
+	reply, err := leases.AskBegin(ctx, c.pool, owner, leases.LoadRequest{Service: c.cfg.Service, Model: model, VM: roster.VM(c.cfg.Endpoint), For: d})
+	if err != nil {
+		c.log.Debug("no answer about a lease on a load", "peer", owner, "err", err)
+		return false, leaseRetry
+	}
+	return reply.Given, reply.Again
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -46,6 +46,7 @@
 	log      *log.Logger
 	registry metrics.Registry
 	fleet    *fleet
+	pool     *peerconn.Pool
 	stager   *stage.Stager
 	cancel   context.CancelFunc
 	servers  []*http.Server
@@ -63,6 +64,7 @@
 	dialer := &net.Dialer{Timeout: dialLimit}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}}
 	pool := peerconn.NewPool(dialer)
+	c.pool = pool
 	c.fleet = newFleet(cfg, platform.NewStore(cfg.Store), pool, l, fleetHandlers{
 		use: c.useInventory, named: c.useNaming, suspended: func(d time.Duration) { c.stager.Suspended(d) },
 	})
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -26,6 +26,9 @@
 	orderLimit = 300 * time.Millisecond
 	// loadedEvery is how often the endpoint is asked whether it has loaded.
 	loadedEvery = 50 * time.Millisecond
+	// loadTime is how long an endpoint with a lease takes at the most from the end of its
+	// drain until it runs the new weights, with the placing of chunks before.
+	loadTime = 2 * time.Second
 	// loadLimit is how long a load may take before the endpoint's state is looked at anew.
 	loadLimit = 3 * time.Second
 )
@@ -95,8 +98,9 @@
 	return nil
 }
 
-// load checks what was placed at the endpoint and orders it to load that.
-func (s *Stager) load(ctx context.Context, model string, want target, set *weights.Set) error {
+// load checks what was placed at the endpoint and orders it to load that. leased says that
+// the others carry its requests meanwhile, so that it drains for as long as it takes.
+func (s *Stager) load(ctx context.Context, model string, want target, set *weights.Set, leased bool) error {
 	s.noteLoading(model, want.version)
 	defer s.noteLoading(model, 0)
 	if err := s.verify(ctx, model, set); err != nil {
@@ -108,7 +112,11 @@
 	}
 	var drain time.Duration
 	if held := report.Version(model); held != 0 {
-		drain = s.drainTime(model, held, report.Running)
+		running := report.Running
+		if leased {
+			running = 0
+		}
+		drain = s.drainTime(model, held, running)
 		if err := s.drainAndVerify(ctx, drain, model, set); err != nil {
 			return err
 		}
@@ -120,7 +128,7 @@
 		return err
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
-		"running", report.Running, "drainMs", drain.Milliseconds(), "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
+		"running", report.Running, "drainMs", drain.Milliseconds(), "leased", leased, "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
 	s.noteLoad(model, want.version, s.awaitLoaded(ctx, model, want.version, &Report{Born: report.Born, Sequence: report.Sequence + 1}))
 	return nil
 }
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -13,16 +13,23 @@
 	lastChange = 0.85
 )
 
-// ChangeTime returns when an endpoint may change to other weights, by when those that
+// FirstChange returns from when on an endpoint may change to other weights that has a lease:
+// the others carry its requests meanwhile. The arguments are those of ChangeTime.
+func FirstChange(replaced time.Time, limit time.Duration, whole time.Time) time.Time {
+	first := replaced.Add(time.Duration(firstChange * float64(limit)))
+	if whole.After(first) {
+		return whole
+	}
+	return first
+}
+
+// ChangeTime returns when an endpoint changes to other weights without a lease, by when those that
 // it runs were replaced, by the time limit, by when the others were there whole, and by
 // the endpoint's draw from [0, 1). Endpoints change spread over the time that is left,
 // so that few are away together.
 func ChangeTime(replaced time.Time, limit time.Duration, whole time.Time, draw float64) time.Time {
-	first := replaced.Add(time.Duration(firstChange * float64(limit)))
+	first := FirstChange(replaced, limit, whole)
 	last := replaced.Add(time.Duration(lastChange * float64(limit)))
-	if whole.After(first) {
-		first = whole
-	}
 	if !first.Before(last) {
 		return first
 	}
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -117,6 +117,9 @@
 	// Started notes when the endpoint started, as it tells; again says that it had
 	// started before: it holds nothing now, which the gateways do not know yet.
 	Started(ctx context.Context, born int64, again bool)
+	// LeaseLoad asks for a lease on a load of a model, which lasts for d or until the load. It
+	// returns whether it was given, and if not, after what time to ask again.
+	LeaseLoad(ctx context.Context, model string, d time.Duration) (given bool, again time.Duration)
 	// Capacity returns what is known of how the endpoint runs requests.
 	Capacity() Capacity
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -51,6 +51,9 @@
 	// named is when versions were named, as far as this process knows.
 	named *versions.History
 
+	// leaseAgain is from when on a lease on a load is asked for again. Only Run uses it.
+	leaseAgain time.Time
+
 	// ordering has room for one: for who gives an order, and for who asks for the count of
 	// orders on which an order to unload then rests.
 	ordering chan struct{}
@@ -140,14 +143,17 @@
 	if s.outdated(model, want.version) || s.leftAlone(model, want.version) {
 		return false
 	}
+	leased := false
 	if held := report.Version(model); held != 0 && time.Now().Before(s.changeTime(model, held, want)) {
-		return false
+		if leased = s.leasesLoad(ctx, model, held, want); !leased {
+			return false
+		}
 	}
 	if err := s.place(ctx, model, set); err != nil {
 		s.failed(ctx, "weights not placed", model, want.version, err)
 		return false
 	}
-	if err := s.load(ctx, model, want, set); err != nil {
+	if err := s.load(ctx, model, want, set, leased); err != nil {
 		s.failed(ctx, "weights not loaded", model, want.version, err)
 	}
 	return false
@@ -173,6 +179,19 @@
 	return ChangeTime(naming.At, s.cfg.Limit, want.wholeAt, draw)
 }
 
+// leasesLoad returns whether the endpoint, which runs a version, has a lease by which it
+// changes to want now. It asks for one once it may change.
+func (s *Stager) leasesLoad(ctx context.Context, model string, held int64, want target) bool {
+	naming, _ := s.named.Replaced(model, held)
+	now := time.Now()
+	if now.Before(FirstChange(naming.At, s.cfg.Limit, want.wholeAt)) || now.Before(s.leaseAgain) {
+		return false
+	}
+	given, again := s.cfg.Fleet.LeaseLoad(ctx, model, s.drainTime(model, held, 0)+loadTime)
+	s.leaseAgain = now.Add(again)
+	return given
+}
+
 // failed notes a step that failed and waits before the next.
 func (s *Stager) failed(ctx context.Context, what, model string, version int64, err error) {
 	if ctx.Err() != nil {
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -70,6 +70,10 @@
 	// running are requests in progress.
 	running  int
 	capacity stage.Capacity
+	// leases is set when others carry its requests while it loads, leasesAsked is when it was
+	// asked whether they do.
+	leases      bool
+	leasesAsked []time.Time
 }
 
 // order is an order as the endpoint took it.
@@ -199,6 +203,13 @@
 	}
 }
 
+func (m *machine) LeaseLoad(context.Context, string, time.Duration) (bool, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leasesAsked = append(m.leasesAsked, time.Now())
+	return m.leases, 100 * time.Millisecond
+}
+
 func (m *machine) Capacity() stage.Capacity { return m.capacity }
 
 func (m *machine) Loaded(_ context.Context, _ string, version int64) {
