--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -128,7 +128,8 @@
 		return err
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
-		"running", report.Running, "drainMs", drain.Milliseconds(), "leased", leased, "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
+		"running", report.Running, "drainMs", drain.Milliseconds(), "leased", leased, "leasesRefused", s.leasesRefused, "sinceNamedMs", time.Since(want.seenAt).Milliseconds())
+	s.leasesRefused = 0
 	s.noteLoad(model, want.version, s.awaitLoaded(ctx, model, want.version, &Report{Born: report.Born, Sequence: report.Sequence + 1}))
 	return nil
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -53,6 +53,8 @@
 
 	// leaseAgain is from when on a lease on a load is asked for again. Only Run uses it.
 	leaseAgain time.Time
+	// leasesRefused is how many were not given since the last load. Only Run uses it.
+	leasesRefused int
 
 	// ordering has room for one: for who gives an order, and for who asks for the count of
 	// orders on which an order to unload then rests.
@@ -189,6 +191,9 @@
 	}
 	given, again := s.cfg.Fleet.LeaseLoad(ctx, model, s.drainTime(model, held, 0)+loadTime)
 	s.leaseAgain = now.Add(again)
+	if !given {
+		s.leasesRefused++
+	}
 	return given
 }
 
