roster: endpoints that vanish together are kept while the store is away

Cause: for how long vanished endpoints are kept was decided as they vanished. All seven lapsed with the store at 34.456 and were kept for 1.3 s; that the store was away was found out at 34.958, and changed nothing; at 35.790 they were gone, and the store was back at 38.3.

Many that vanish together are now kept until 2.2 s after the store's return, whenever it is found to be away within the time that they are kept. With the store answering nothing changes, and a single one is kept as before.

TestManyThatVanishedTogetherAreKeptWhileTheStoreIsAway fails in all four cases without the change.

--- a/roster/retention.go
+++ b/roster/retention.go
@@ -27,15 +27,23 @@
 	storeLost bool
 	// returnedAt is when the store last answered again.
 	returnedAt time.Time
-	// kept tells until when vanished endpoints are kept, by ID.
-	kept map[string]time.Time
+	// kept are the vanished endpoints, by ID.
+	kept map[string]term
+}
+
+// term is for how long a vanished endpoint is kept.
+type term struct {
+	until time.Time
+	// together is set for one that vanished with many others. While the store is away it is
+	// kept, also where the store was found to be away only afterwards.
+	together bool
 }
 
 // NewRetention returns a Retention that keeps vanished endpoints for grace
 // after the store's return, and for unnoticed when many vanish together although
 // no copy of the store was seen to fail.
 func NewRetention(grace, unnoticed time.Duration) *Retention {
-	return &Retention{grace: grace, unnoticed: unnoticed, kept: map[string]time.Time{}}
+	return &Retention{grace: grace, unnoticed: unnoticed, kept: map[string]term{}}
 }
 
 // StoreLost notes that the store answers no gateway that watches it.
@@ -62,21 +70,23 @@
 func (r *Retention) Fill(list, before *List, now time.Time) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.kept, func(id string, _ time.Time) bool { return list.Endpoints[id] != nil })
+	maps.DeleteFunc(r.kept, func(id string, _ term) bool { return list.Endpoints[id] != nil })
 	if before == nil {
 		return time.Time{}
 	}
-	until := r.until(list, before, now)
+	together := vanishedTogether(list, before)
+	until := r.until(together, now)
 	var first time.Time
 	for id, e := range before.Endpoints {
 		if list.Endpoints[id] != nil || e.Leaving {
 			continue
 		}
-		end, known := r.kept[id]
+		t, known := r.kept[id]
 		if !known {
-			end = until
-			r.kept[id] = end
+			t = term{until: until, together: together}
+			r.kept[id] = t
 		}
+		end := r.end(t, now)
 		if !now.Before(end) {
 			delete(r.kept, id)
 			continue
@@ -89,14 +99,28 @@
 	return first
 }
 
-// until returns for how long endpoints that vanish now are kept. The caller
-// holds the lock.
-func (r *Retention) until(list, before *List, now time.Time) time.Time {
+// end returns until when an endpoint is kept, as it looks now. The caller holds the lock.
+func (r *Retention) end(t term, now time.Time) time.Time {
+	if !t.together {
+		return t.until
+	}
+	if r.storeLost {
+		return now.Add(r.grace)
+	}
+	if returned := r.returnedAt.Add(r.grace); returned.After(t.until) {
+		return returned
+	}
+	return t.until
+}
+
+// until returns for how long endpoints that vanish now, together with many others or not,
+// are kept. The caller holds the lock.
+func (r *Retention) until(together bool, now time.Time) time.Time {
 	if r.storeLost {
 		return now.Add(r.grace)
 	}
 	until := r.returnedAt.Add(r.grace)
-	if !now.Before(until) && vanishedTogether(list, before) {
+	if !now.Before(until) && together {
 		return now.Add(r.unnoticed)
 	}
 	return until
--- a/roster/retention_test.go
+++ b/roster/retention_test.go
@@ -104,6 +104,55 @@
 	g.Expect(roster.NewRetention(grace, unnoticed).Fill(few, before, at(0))).To(BeZero(), "two may have left")
 }
 
+// Guards against a fleet that is unknown to all gateways while the store is away: its records
+// lapse with the store, which is found to be away only later.
+func TestManyThatVanishedTogetherAreKeptWhileTheStoreIsAway(t *testing.T) {
+	before := list("a", "b", "c", "d")
+	for name, c := range map[string]struct{ lost, returned int }{
+		"found out before they vanished": {-100, 5000},
+		"found out afterwards":           {500, 5000},
+		"found out in the end":           {999, 5000},
+		"and returned at once":           {500, 600},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := roster.NewRetention(grace, unnoticed)
+			kept := before
+			look := func(ms int) []string {
+				next := list("d")
+				r.Fill(next, kept, at(ms))
+				kept = next
+				return ids(next)
+			}
+			for ms := -100; ms < c.returned+2000; ms++ {
+				if ms == c.lost {
+					r.StoreLost()
+				}
+				if ms == c.returned {
+					r.StoreReturned(at(ms))
+				}
+				if ms >= 0 {
+					g.Expect(look(ms)).To(HaveLen(4), "at %d ms", ms)
+				}
+			}
+			g.Expect(look(c.returned + 2000)).To(ConsistOf("d"))
+		})
+	}
+}
+
+func TestManyThatVanishedTogetherLongBeforeTheStoreWasAwayAreGone(t *testing.T) {
+	g := NewWithT(t)
+	r := roster.NewRetention(grace, unnoticed)
+	kept := list("d")
+	r.Fill(kept, list("a", "b", "c", "d"), at(0))
+	g.Expect(ids(kept)).To(HaveLen(4))
+	r.Fill(list("d"), kept, at(1000))
+	r.StoreLost()
+	last := list("d")
+	g.Expect(r.Fill(last, list("d"), at(1001))).To(BeZero())
+	g.Expect(ids(last)).To(ConsistOf("d"))
+}
+
 func TestTheReturnIsThatOfTheFirstCallThatSucceeds(t *testing.T) {
 	g := NewWithT(t)
 	r := roster.NewRetention(grace, unnoticed)
