--- a/gateway/proxy/poison_test.go
+++ b/gateway/proxy/poison_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -179,3 +180,50 @@
 		w.g.Expect(served).To(Equal(asked))
 	}, six()...)
 }
+
+// Guards against loads of weights, which break streams off as ends do, that hide a request
+// which ends endpoints, or that are taken for such ends.
+func TestARequestThatEndsEndpointsBesideLoads(t *testing.T) {
+	play(t, func(w *world) {
+		w.newest.Store(2)
+		arrivals := w.mortals(threeEvents)
+		var others sync.WaitGroup
+		others.Go(func() {
+			for range 40 {
+				w.ask("POST", "/stream/", deadly)
+				time.Sleep(250 * time.Millisecond)
+			}
+		})
+		others.Go(func() {
+			for i := range 12 {
+				id := fmt.Sprintf("e%d", i%6)
+				w.announcePause(id, 300*time.Millisecond)
+				time.Sleep(100 * time.Millisecond)
+				w.endpoints[id].closeAll()
+				w.announceLoaded(id, 2)
+				time.Sleep(400 * time.Millisecond)
+			}
+		})
+		served := 0
+		const asked = 120
+		for i := range asked {
+			time.Sleep(50 * time.Millisecond)
+			a := w.ask("POST", "/stream/", other+fmt.Sprint(i))
+			if !a.cut && a.Body.String() == stream(1, 2, 3) {
+				served++
+			}
+		}
+		others.Wait()
+		w.g.Expect(served).To(Equal(asked))
+		w.g.Expect(arrivals()).To(Equal(3))
+	}, six()...)
+}
+
+// threeEvents sends a stream of three events, or the rest of one.
+func threeEvents(c net.Conn, r *http.Request) bool {
+	ids := []int{1, 2, 3}
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event")); err == nil {
+		ids = ids[last:]
+	}
+	return events(20*time.Millisecond, end, ids...)(c, r)
+}
