gateway: a stream goes on at an endpoint that has loaded what cut it

The rest of a stream now also waits, for a second at most, where endpoints that may have it are paused for a load, and goes on at the one that cut it once that holds newer weights than it had. A route's limit of endpoints holds as before, and so does the limit of attempts.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -26,6 +26,8 @@
 	// Exclude are endpoints that must not have the request, by ID, and Among, unless it is
 	// empty, the only ones that may.
 	Exclude, Among []string
+	// Reloaded is an endpoint that may have the request although it is excluded.
+	Reloaded Reloaded
 	// MaxLoad is the load, in requests for each slot, at which an endpoint is
 	// full; zero means no limit.
 	MaxLoad float64
@@ -43,6 +45,13 @@
 	Prefill time.Duration
 }
 
+// Reloaded is an endpoint that had a request and may have it again once it holds a newer
+// version of its model than From: it broke off what ran there to load that.
+type Reloaded struct {
+	ID   string
+	From int64
+}
+
 // Config holds what a Balancer relies on.
 type Config struct {
 	// Zone is this gateway's availability zone.
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -79,6 +79,9 @@
 // NoEndpointError tells that no endpoint of a service may take the request.
 type NoEndpointError struct {
 	Service string
+	// Loading is set when one that may have the request is paused: it takes requests again
+	// once it has loaded weights.
+	Loading bool
 }
 
 // Error names the service.
@@ -106,8 +109,9 @@
 	// near and far are drawn from those that others prefer, in this zone and elsewhere,
 	// lasting from those that keep their weights, where the request is to last.
 	near, far, lasting sample
-	// full is set when any was left out because it is full.
-	full bool
+	// full is set when any was left out because it is full, loading when any that is paused
+	// does not fit.
+	full, loading bool
 }
 
 // choose returns the endpoint with the lowest cost of those that the gateway prefers, and
@@ -129,7 +133,7 @@
 	case o.unusable.endpoint != nil && !q.Healthy:
 		return o.unusable.endpoint, nil
 	}
-	return nil, &NoEndpointError{Service: q.Service}
+	return nil, &NoEndpointError{Service: q.Service, Loading: o.loading}
 }
 
 // options returns the endpoints that a request of q may go to.
@@ -141,6 +145,7 @@
 	answers := b.answers(s, q.MaxIdle, now)
 	for _, e := range s.ordered {
 		if !e.fits(q) || !answers(e) {
+			o.loading = o.loading || e.among(q) && e.health.paused(now)
 			continue
 		}
 		load := b.load(e)
--- a/gateway/balance/health.go
+++ b/gateway/balance/health.go
@@ -75,12 +75,18 @@
 
 // usable returns whether requests may be sent.
 func (h *health) usable(now time.Time) bool {
-	if now.Before(h.ejectedUntil) || now.Before(h.pausedUntil) {
+	if now.Before(h.ejectedUntil) || h.paused(now) {
 		return false
 	}
 	return !h.trial
 }
 
+// paused returns whether the endpoint asked to get no requests now, since it is about to load
+// weights.
+func (h *health) paused(now time.Time) bool {
+	return now.Before(h.pausedUntil)
+}
+
 // beginTrial notes that a request is sent; the first after an ejection is a trial.
 func (h *health) beginTrial(now time.Time) {
 	if h.ejections > 0 && !now.Before(h.ejectedUntil) {
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -38,7 +38,7 @@
 func (l *Lease) Paused(now time.Time) bool {
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
-	return now.Before(l.endpoint.health.pausedUntil)
+	return l.endpoint.health.paused(now)
 }
 
 // Others returns how many requests besides this one the gateway has at the endpoint.
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -95,10 +95,17 @@
 	if q.Model != "" && e.holds(q.Model) < max(q.MinVersion, 1) {
 		return false
 	}
-	if len(q.Among) > 0 && !slices.Contains(q.Among, e.record.ID) {
-		return false
-	}
-	return !slices.Contains(q.Exclude, e.record.ID)
+	return e.among(q) && (!slices.Contains(q.Exclude, e.record.ID) || e.reloaded(q))
+}
+
+// reloaded returns whether the endpoint has loaded newer weights since it had a request of q.
+func (e *endpoint) reloaded(q *Query) bool {
+	return q.Model != "" && e.record.ID == q.Reloaded.ID && e.holds(q.Model) > q.Reloaded.From
+}
+
+// among returns whether e is one of those that may have a request of q.
+func (e *endpoint) among(q *Query) bool {
+	return len(q.Among) == 0 || slices.Contains(q.Among, e.record.ID)
 }
 
 // changes returns whether the endpoint loads newer weights soon, which matters to a request
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -113,9 +113,9 @@
 )
 
 // AwaitsLoad returns whether an answer that has begun goes on waiting, after so long, for an
-// endpoint that is paused.
-func AwaitsLoad(begun, paused bool, waited time.Duration) bool {
-	return begun && paused && waited < maxPauseWait
+// endpoint that loads weights or is about to.
+func AwaitsLoad(begun, loading bool, waited time.Duration) bool {
+	return begun && loading && waited < maxPauseWait
 }
 
 // Returns returns whether an answer that has begun may go on, after so many attempts, at an
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -154,7 +154,7 @@
 	if h := c.hedge; h != nil {
 		<-h.done
 		c.hedge = nil
-		c.current = h.lease.Record.ID
+		c.noteAttempt(h.lease.Record.ID, h.lease.Holds(c.model))
 		p.noteConnection(&h.attempt)
 		return &h.attempt, nil
 	}
@@ -165,7 +165,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	c.noteAttempt(lease.Record.ID)
+	c.noteAttempt(lease.Record.ID, lease.Holds(c.model))
 	a := &attempt{lease: lease, sentAt: time.Now(), outcome: balance.Neutral}
 	if ctx.Err() != nil || time.Until(c.deadline) < time.Millisecond { // the header holds whole milliseconds
 		a.failure = verdict.NewError(verdict.NotRun, verdict.CodeDeadline, "no time left")
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -43,6 +43,8 @@
 	// that has it or had it last.
 	attempted []string
 	current   string
+	// currentWeights is the version of the model that current held when it got the request.
+	currentWeights int64
 	// unreached is how many attempts found no connection.
 	unreached int
 	// hedge is the attempt under way beside the one that is waited for, or nil.
@@ -81,9 +83,10 @@
 	endedByBudget = "no budget"
 )
 
-// noteAttempt notes that the endpoint with id has the request now.
-func (p *progress) noteAttempt(id string) {
-	p.current = id
+// noteAttempt notes that the endpoint with id, which holds a version of the model, has the
+// request now.
+func (p *progress) noteAttempt(id string, weights int64) {
+	p.current, p.currentWeights = id, weights
 	if !slices.Contains(p.attempted, id) {
 		p.attempted = append(p.attempted, id)
 	}
--- a/gateway/proxy/loads_test.go
+++ b/gateway/proxy/loads_test.go
@@ -53,3 +53,25 @@
 		})
 	}
 }
+
+// Guards against a stream that is lost because both endpoints that it may be sent to load
+// weights: both cut it, and their old weights may not be used any more.
+func TestTheRestOfAStreamReturnsToAnEndpointThatHasLoaded(t *testing.T) {
+	for name, loads := range map[string]string{"the first one": "e0", "the one that cut it last": "e1"} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *world) {
+				time.AfterFunc(15*time.Millisecond, func() {
+					w.minVersion.Store(2)
+					w.announcePause("e0", time.Second)
+					w.announcePause("e1", time.Second)
+				})
+				time.AfterFunc(250*time.Millisecond, func() { w.announceLoaded(loads, 2) })
+				a := w.ask("POST", "/stream/", "x")
+				w.g.Expect(a.cut).To(BeFalse())
+				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3)))
+				w.g.Expect(a.took).To(BeNumerically("<", 500*time.Millisecond))
+			}, []step{events(10*time.Millisecond, raw(""), 1), events(0, end, 3)},
+				[]step{events(10*time.Millisecond, raw(""), 2), events(0, end, 3)})
+		})
+	}
+}
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -20,6 +20,7 @@
 	}
 	if c.route.Kind == routes.Stream {
 		q.Model = c.model
+		q.Reloaded = balance.Reloaded{ID: c.current, From: c.currentWeights}
 		q.MinVersion = p.cfg.MinVersion(c.model)
 		q.Prefill = c.prefill()
 		if c.headSent {
@@ -31,35 +32,50 @@
 	return q
 }
 
-// pick chooses an endpoint and counts the request there.
-func (p *Proxy) pick(c *call) (*balance.Lease, *verdict.Error) {
-	lease, err := p.cfg.Balancer.Pick(p.query(c), time.Now())
+// pickFailure returns what a caller is told whose request found no endpoint; nil without err.
+func (p *Proxy) pickFailure(c *call, err error) *verdict.Error {
 	var full *balance.FullError
 	switch {
 	case err == nil:
-		return lease, nil
+		return nil
 	case errors.As(err, &full):
 		if !c.late() {
 			p.refusals.note(c.service, time.Now())
 		}
-		return nil, p.shortage(policy.CodeFull, "all endpoints of %s are full", c.service)
+		return p.shortage(policy.CodeFull, "all endpoints of %s are full", c.service)
 	}
-	return nil, p.shortage(verdict.CodeNoEndpoint, "no endpoint of %s", c.service)
+	return p.shortage(verdict.CodeNoEndpoint, "no endpoint of %s", c.service)
 }
 
-// pickLoaded chooses an endpoint as pick does, and waits for a while where the rest of an
-// answer would go to one that is about to load weights.
+// pickLoaded chooses an endpoint as pick does. The rest of an answer waits for a while where
+// it would go to an endpoint that is about to load weights, or could go only to one that is
+// loading them.
 func (p *Proxy) pickLoaded(ctx context.Context, c *call) (*balance.Lease, *verdict.Error) {
-	lease, failure := p.pick(c)
 	began := time.Now()
-	for failure == nil && policy.AwaitsLoad(c.headSent, lease.Paused(time.Now()), time.Since(began)) {
-		lease.Done(balance.Neutral, time.Now())
+	q := p.query(c)
+	for {
+		lease, err := p.cfg.Balancer.Pick(q, time.Now())
+		if !policy.AwaitsLoad(c.headSent, loading(lease, err), time.Since(began)) {
+			return lease, p.pickFailure(c, err)
+		}
+		if lease != nil {
+			lease.Done(balance.Neutral, time.Now())
+		}
 		if !wait.For(ctx, policy.PauseWait) {
 			return nil, verdict.Classify(verdict.Answering, context.Cause(ctx))
 		}
-		lease, failure = p.pick(c)
+		q = p.query(c)
+	}
+}
+
+// loading returns whether what was chosen is about to load weights, or could have been chosen
+// but for that.
+func loading(lease *balance.Lease, err error) bool {
+	var none *balance.NoEndpointError
+	if errors.As(err, &none) {
+		return none.Loading
 	}
-	return lease, failure
+	return lease != nil && lease.Paused(time.Now())
 }
 
 // maxLoad returns the load at which an endpoint is full for a stream that has not begun.
