proxy: a refusal is written also after the gateway stood still meanwhile

The gateway had decided at once: 'not answered', full, not-run, 0 ms, at 20.347.

Cause: a final answer had 100 ms to be written from when it was decided. Where the process stands still between setting that and writing, the write fails and the connection is closed. A standstill of seconds is what busy VMs do. The answer fits into the kernel's buffers, so that the bound only has to end a connection whose caller reads nothing: 10 s.

TestAFinalAnswerIsWrittenAfterAStandstill fails without the change. An older finding, a caller's connection that closed 1.0 s after its run had ended well, may be the same (only suspected: its logs are lost, and it was an answer, not a refusal).

--- a/gateway/proxy/fail.go
+++ b/gateway/proxy/fail.go
@@ -10,6 +10,11 @@
 	"github.com/silverdeck/silverdeck/verdict"
 )
 
+// finalLimit is how long a final answer may take to be written. It fits into the buffers of
+// the kernel, so that only a standstill of this process in the middle of it takes time: VMs
+// stand still for up to seconds.
+const finalLimit = 10 * time.Second
+
 // fail gives the caller a final answer that is not an endpoint's. A caller that has
 // got a part of its answer already sees its connection end.
 func (p *Proxy) fail(w http.ResponseWriter, c *call, e *verdict.Error) {
@@ -19,7 +24,7 @@
 	}
 	// A process that stood still past the time set for the answer of an endpoint still tells
 	// its caller how the request ended. It fails only once the caller is gone.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeSlack))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(finalLimit))
 	status := policy.Status(e)
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/proxy/still_test.go
+++ b/gateway/proxy/still_test.go
@@ -61,3 +61,33 @@
 		return hang(c, r)
 	}))
 }
+
+// Guards against a caller whose connection is closed without an answer, because the gateway
+// stood still after it had decided on a refusal.
+func TestAFinalAnswerIsWrittenAfterAStandstill(t *testing.T) {
+	play(t, func(w *world) {
+		w.setDown("e0", true)
+		r := httptest.NewRequest(http.MethodPost, "http://h/once/", nil)
+		r.RequestURI = "/once/"
+		for name, value := range map[string]string{"Id": "r1", "Model": "m", "Key": "secret"} {
+			r.Header.Set(name, value)
+		}
+		d := &stillDeadlines{deadlines{ResponseRecorder: httptest.NewRecorder()}}
+		w.proxy.ServeHTTP(d, r)
+		w.g.Expect(d.Code).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(d.until).To(BeTemporally(">", d.written))
+	}, always(hang))
+}
+
+// stillDeadlines are deadlines of a process that stands still once it has set one.
+type stillDeadlines struct {
+	deadlines
+}
+
+func (d *stillDeadlines) SetWriteDeadline(t time.Time) error {
+	defer time.Sleep(longestStandstill)
+	return d.deadlines.SetWriteDeadline(t)
+}
+
+// longestStandstill is how long processes of busy VMs stand still in the soak, and some more.
+const longestStandstill = 3 * time.Second
