sidecar: a gateway that starts while an endpoint drains is told of the pause

A notice goes to the gateways that are alive when it is sent. Those that the next inventory names as new are told while the pause lasts; to the others nothing is sent twice, since each notice is a datagram for each gateway.

(Waiting for any endpoint with weights that are too old, paused or not, was tried first and contradicts TestTheRestOfAStreamThatWaitsAtOldWeightsIsWithdrawnInTime.)

--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -14,7 +14,8 @@
 	// since they know of each other's requests only by heartbeats.
 	notPreferredCost = 0.80
 	// changingCost is added for an endpoint that loads newer weights soon, for a request that
-	// is to last. Half of the slots are less than a few that have changed get full by.
+	// is to last. It is less than a full endpoint's load, so that the few that have changed
+	// do not get all such requests.
 	changingCost = 0.5
 	// prefillUnit is the time of reading prompts that counts as one request for each slot.
 	prefillUnit = 250 * time.Millisecond
--- a/sidecar/leases.go
+++ b/sidecar/leases.go
@@ -22,13 +22,9 @@
 	if inv == nil {
 		return false, leaseRetry
 	}
-	addrs := make([]string, 0, len(inv.Entries))
-	for _, e := range inv.Entries {
-		addrs = append(addrs, e.Addr)
-	}
 	ctx, cancel := context.WithTimeout(ctx, leaseLimit)
 	defer cancel()
-	owner := leases.Owner(c.cfg.Service, addrs)
+	owner := leases.Owner(c.cfg.Service, gatewayAddrs(inv))
 	reply, err := leases.AskBegin(ctx, c.pool, owner, leases.LoadRequest{Service: c.cfg.Service, Model: model, VM: roster.VM(c.cfg.Endpoint), For: d})
 	if err != nil {
 		c.log.Debug("no answer about a lease on a load", "peer", owner, "err", err)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,6 +53,8 @@
 	notices  net.PacketConn
 	// born is when the endpoint started, as it told last.
 	born atomic.Int64
+	// pause is that for which gateways send the endpoint nothing.
+	pause Pause
 	// began is set once the first inventory was taken in. Only the fleet's goroutine
 	// uses it.
 	began bool
@@ -134,6 +136,21 @@
 	for _, model := range inv.Models {
 		c.stager.Want(model, firstVersion, true)
 	}
+	if untold, left := c.pause.Untold(gatewayAddrs(inv), time.Now()); len(untold) > 0 {
+		c.notify(untold, member.Notice{Addr: c.cfg.Endpoint, PauseMS: left.Milliseconds()})
+	}
+}
+
+// gatewayAddrs returns where the live gateways take calls and notices.
+func gatewayAddrs(inv *inventory.Inventory) []string {
+	if inv == nil {
+		return nil
+	}
+	addrs := make([]string, 0, len(inv.Entries))
+	for _, e := range inv.Entries {
+		addrs = append(addrs, e.Addr)
+	}
+	return addrs
 }
 
 // useNaming takes in when a version was named.
@@ -165,19 +182,23 @@
 
 // Pause implements stage.Fleet.
 func (c *Sidecar) Pause(_ context.Context, d time.Duration) {
-	c.notify(member.Notice{Addr: c.cfg.Endpoint, PauseMS: d.Milliseconds()})
+	addrs := gatewayAddrs(c.fleet.known())
+	c.pause.Begin(time.Now().Add(d), addrs)
+	c.notify(addrs, member.Notice{Addr: c.cfg.Endpoint, PauseMS: d.Milliseconds()})
 }
 
 // Loaded implements stage.Fleet.
 func (c *Sidecar) Loaded(_ context.Context, model string, version int64) {
-	c.notify(member.Notice{Addr: c.cfg.Endpoint, Model: model, Version: version})
+	c.pause.End()
+	c.notify(gatewayAddrs(c.fleet.known()), member.Notice{Addr: c.cfg.Endpoint, Model: model, Version: version})
 }
 
 // Started implements stage.Fleet.
 func (c *Sidecar) Started(_ context.Context, born int64, again bool) {
 	c.born.Store(born)
 	if again {
-		c.notify(member.Notice{Addr: c.cfg.Endpoint})
+		c.pause.End()
+		c.notify(gatewayAddrs(c.fleet.known()), member.Notice{Addr: c.cfg.Endpoint})
 	}
 }
 
@@ -190,17 +211,9 @@
 	return stage.Capacity{Slots: inv.Slots, AnswerTime: inv.AnswerTime}
 }
 
-// notify sends n, which is of the endpoint's present life, to all live gateways.
-func (c *Sidecar) notify(n member.Notice) {
+// notify sends n, which is of the endpoint's present life, to the gateways at addrs.
+func (c *Sidecar) notify(addrs []string, n member.Notice) {
 	n.Born = c.born.Load()
-	inv := c.fleet.known()
-	if inv == nil {
-		return
-	}
-	addrs := make([]string, 0, len(inv.Entries))
-	for _, e := range inv.Entries {
-		addrs = append(addrs, e.Addr)
-	}
 	if err := member.Notify(c.notices, addrs, n); err != nil {
 		c.log.Debug("notice not sent to all", "err", err)
 	}
