sidecar: a gateway in its planned stop hears of loads until its last streams have ended

Cause: sidecars tell the gateways that are live, and one that stops is not. They now tell those that left for as long as a planned stop takes.

--- a/gateway/proxy/loads_test.go
+++ b/gateway/proxy/loads_test.go
@@ -10,9 +10,9 @@
 	"github.com/silverdeck/silverdeck/roster"
 )
 
-// announceLoaded tells what the process beside an endpoint tells of its weights.
-func (w *world) announceLoaded(id string, version int64) {
-	w.balancer.Announce(balance.Announcement{Addr: id, Weights: roster.Weights{Model: "m", Version: version}})
+// announceLoaded tells what the process beside an endpoint tells once that runs version 2.
+func (w *world) announceLoaded(id string) {
+	w.balancer.Announce(balance.Announcement{Addr: id, Weights: roster.Weights{Model: "m", Version: 2}})
 }
 
 // announcePause tells that an endpoint is about to load weights.
@@ -25,7 +25,7 @@
 func TestTheRestOfAStreamGoesWhereWeightsAreNew(t *testing.T) {
 	play(t, func(w *world) {
 		w.newest.Store(2)
-		w.announceLoaded("e2", 2)
+		w.announceLoaded("e2")
 		a := w.ask("POST", "/stream/", "x")
 		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2)))
 		w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
@@ -44,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			play(t, func(w *world) {
 				w.announcePause("e1", c.pause)
-				time.AfterFunc(c.loaded, func() { w.announceLoaded("e1", 2) })
+				time.AfterFunc(c.loaded, func() { w.announceLoaded("e1") })
 				began := time.Now()
 				a := w.ask("POST", "/stream/", "x")
 				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2)))
@@ -65,7 +65,7 @@
 					w.announcePause("e0", time.Second)
 					w.announcePause("e1", time.Second)
 				})
-				time.AfterFunc(250*time.Millisecond, func() { w.announceLoaded(loads, 2) })
+				time.AfterFunc(250*time.Millisecond, func() { w.announceLoaded(loads) })
 				a := w.ask("POST", "/stream/", "x")
 				w.g.Expect(a.cut).To(BeFalse())
 				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3)))
--- a/gateway/proxy/poison_test.go
+++ b/gateway/proxy/poison_test.go
@@ -200,7 +200,7 @@
 				w.announcePause(id, 300*time.Millisecond)
 				time.Sleep(100 * time.Millisecond)
 				w.endpoints[id].closeAll()
-				w.announceLoaded(id, 2)
+				w.announceLoaded(id)
 				time.Sleep(400 * time.Millisecond)
 			}
 		})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,8 +53,9 @@
 	notices  net.PacketConn
 	// born is when the endpoint started, as it told last.
 	born atomic.Int64
-	// pause is that for which gateways send the endpoint nothing.
-	pause Pause
+	// gateways are told of the endpoint; pause is that for which they send it nothing.
+	gateways *Gateways
+	pause    Pause
 	// began is set once the first inventory was taken in. Only the fleet's goroutine
 	// uses it.
 	began bool
@@ -62,7 +63,7 @@
 
 // New returns a Sidecar that is not started.
 func New(cfg *platform.Settings, l *log.Logger, registry metrics.Registry) *Sidecar {
-	c := &Sidecar{cfg: cfg, log: l, registry: registry}
+	c := &Sidecar{cfg: cfg, log: l, registry: registry, gateways: NewGateways(cfg.Grace)}
 	dialer := &net.Dialer{Timeout: dialLimit}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections}}
 	pool := peerconn.NewPool(dialer)
@@ -126,6 +127,8 @@
 
 // useInventory wants the weights that an inventory names.
 func (c *Sidecar) useInventory(inv *inventory.Inventory) {
+	now := time.Now()
+	c.gateways.Use(gatewayAddrs(inv), now)
 	first := !c.began
 	c.began = true
 	for _, v := range inv.Versions {
@@ -136,16 +139,13 @@
 	for _, model := range inv.Models {
 		c.stager.Want(model, firstVersion, true)
 	}
-	if untold, left := c.pause.Untold(gatewayAddrs(inv), time.Now()); len(untold) > 0 {
+	if untold, left := c.pause.Untold(gatewayAddrs(inv), now); len(untold) > 0 {
 		c.notify(untold, member.Notice{Addr: c.cfg.Endpoint, PauseMS: left.Milliseconds()})
 	}
 }
 
 // gatewayAddrs returns where the live gateways take calls and notices.
 func gatewayAddrs(inv *inventory.Inventory) []string {
-	if inv == nil {
-		return nil
-	}
 	addrs := make([]string, 0, len(inv.Entries))
 	for _, e := range inv.Entries {
 		addrs = append(addrs, e.Addr)
@@ -182,15 +182,16 @@
 
 // Pause implements stage.Fleet.
 func (c *Sidecar) Pause(_ context.Context, d time.Duration) {
-	addrs := gatewayAddrs(c.fleet.known())
-	c.pause.Begin(time.Now().Add(d), addrs)
+	now := time.Now()
+	addrs := c.gateways.Told(now)
+	c.pause.Begin(now.Add(d), addrs)
 	c.notify(addrs, member.Notice{Addr: c.cfg.Endpoint, PauseMS: d.Milliseconds()})
 }
 
 // Loaded implements stage.Fleet.
 func (c *Sidecar) Loaded(_ context.Context, model string, version int64) {
 	c.pause.End()
-	c.notify(gatewayAddrs(c.fleet.known()), member.Notice{Addr: c.cfg.Endpoint, Model: model, Version: version})
+	c.notify(c.gateways.Told(time.Now()), member.Notice{Addr: c.cfg.Endpoint, Model: model, Version: version})
 }
 
 // Started implements stage.Fleet.
@@ -198,7 +199,7 @@
 	c.born.Store(born)
 	if again {
 		c.pause.End()
-		c.notify(gatewayAddrs(c.fleet.known()), member.Notice{Addr: c.cfg.Endpoint})
+		c.notify(c.gateways.Told(time.Now()), member.Notice{Addr: c.cfg.Endpoint})
 	}
 }
 
