stage: an endpoint waits for a lease that is to come

An endpoint whose lease is refused only for those that are away now is told so, and goes on asking up to 0.85 of the limit, when the last endpoints change in any case. An answer of an older gateway does not say so and changes nothing.

TestAnEndpointWaitsForALeaseThatIsToCome and the test of leases came with the change.

--- a/gateway/proxy/slowlink_test.go
+++ b/gateway/proxy/slowlink_test.go
@@ -110,8 +110,8 @@
 
 func (h *holder) Started(context.Context, int64, bool) {}
 
-func (h *holder) LeaseLoad(context.Context, string, time.Duration) (bool, time.Duration) {
-	return false, time.Second
+func (h *holder) LeaseLoad(context.Context, string, time.Duration) stage.Lease {
+	return stage.Lease{Again: time.Second}
 }
 
 func (h *holder) Capacity() stage.Capacity { return stage.Capacity{} }
--- a/leases/leases.go
+++ b/leases/leases.go
@@ -48,6 +48,19 @@
 	return float64(away) <= awayShare*float64(len(endpoints)) && float64(inFlight) <= carriedShare*float64(slots)
 }
 
+// Comes returns whether a lease that was not given comes later: the others could carry the
+// requests of one endpoint, but for those that are away now.
+func Comes(endpoints []Endpoint, vm string) bool {
+	inFlight, slots := 0, 0
+	for _, e := range endpoints {
+		inFlight += e.InFlight
+		if e.VM != vm {
+			slots += e.Slots
+		}
+	}
+	return float64(inFlight) <= carriedShare*float64(slots)
+}
+
 const (
 	// minAgain is the least time between two questions for one lease.
 	minAgain = 100 * time.Millisecond
--- a/leases/leases_test.go
+++ b/leases/leases_test.go
@@ -56,6 +56,14 @@
 	}
 }
 
+func TestALeaseComesWhereThereIsRoomButForThoseThatAreAway(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(leases.Comes(away(4, fleet(8, 4)), "a")).To(BeTrue())
+	g.Expect(leases.Comes(fleet(4, 9), "a")).To(BeTrue())
+	g.Expect(leases.Comes(fleet(4, 10), "a")).To(BeFalse(), "the others are too full")
+	g.Expect(leases.Comes(fleet(1, 1), "a")).To(BeFalse(), "there is no other")
+}
+
 func TestALeaseEndsWithTheLoadOrRunsOut(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
--- a/leases/service.go
+++ b/leases/service.go
@@ -33,10 +33,12 @@
 	For time.Duration
 }
 
-// LoadReply says whether the lease was given, and if not, after what time to ask again.
+// LoadReply says whether the lease was given, and if not, after what time to ask again and
+// whether it comes later.
 type LoadReply struct {
 	Given bool
 	Again time.Duration
+	Comes bool
 }
 
 // Begin gives a lease.
@@ -44,6 +46,7 @@
 	endpoints := s.endpoints(q.Service, q.Model)
 	reply.Given = s.table.Begin(q.Service, q.VM, endpoints, min(q.For, maxLease), time.Now())
 	reply.Again = Again(len(endpoints))
+	reply.Comes = Comes(endpoints, q.VM)
 	return nil
 }
 
--- a/sidecar/leases.go
+++ b/sidecar/leases.go
@@ -6,6 +6,7 @@
 
 	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/sidecar/stage"
 )
 
 const (
@@ -17,10 +18,10 @@
 )
 
 // LeaseLoad implements stage.Fleet: it asks the gateway that owns the leases of the service.
-func (c *Sidecar) LeaseLoad(ctx context.Context, model string, d time.Duration) (given bool, again time.Duration) {
+func (c *Sidecar) LeaseLoad(ctx context.Context, model string, d time.Duration) stage.Lease {
 	inv := c.fleet.known()
 	if inv == nil {
-		return false, leaseRetry
+		return stage.Lease{Again: leaseRetry}
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseLimit)
 	defer cancel()
@@ -28,7 +29,7 @@
 	reply, err := leases.AskBegin(ctx, c.pool, owner, leases.LoadRequest{Service: c.cfg.Service, Model: model, VM: roster.VM(c.cfg.Endpoint), For: d})
 	if err != nil {
 		c.log.Debug("no answer about a lease on a load", "peer", owner, "err", err)
-		return false, leaseRetry
+		return stage.Lease{Again: leaseRetry}
 	}
-	return reply.Given, reply.Again
+	return stage.Lease{Given: reply.Given, Comes: reply.Comes, Again: reply.Again}
 }
--- a/sidecar/stage/lease_test.go
+++ b/sidecar/stage/lease_test.go
@@ -40,3 +40,24 @@
 		g.Expect(len(m.leasesAsked)).To(BeNumerically("<=", 40), "no more often than it is told to")
 	})
 }
+
+// Guards against an endpoint that cuts all that runs there, at a time of its own, although
+// others could carry its requests a moment later.
+func TestAnEndpointWaitsForALeaseThatIsToCome(t *testing.T) {
+	for name, c := range map[string]struct{ given, want time.Duration }{
+		"and comes":            {limit * 80 / 100, limit*80/100 + 1540*time.Millisecond},
+		"and comes in no time": {limit, limit * 85 / 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 1, func(g *WithT, m *machine, s *stage.Stager) {
+				m.set(func() { m.running, m.capacity, m.leaseComes = 16, answers, true })
+				named := time.Now()
+				s.Want("m", 2, false)
+				time.AfterFunc(c.given, func() { m.set(func() { m.leases = true }) })
+				time.Sleep(limit)
+				g.Expect(m.versions()).To(Equal([]int64{2}))
+				g.Expect(m.seen().orders[0].at.Sub(named)).To(BeNumerically("~", min(c.want, limit-600*time.Millisecond), 250*time.Millisecond))
+			})
+		})
+	}
+}
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -23,13 +23,19 @@
 	return first
 }
 
+// LastChange returns when an endpoint changes that has waited for a lease in vain. The
+// arguments are those of ChangeTime.
+func LastChange(replaced time.Time, limit time.Duration) time.Time {
+	return replaced.Add(time.Duration(lastChange * float64(limit)))
+}
+
 // ChangeTime returns when an endpoint changes to other weights without a lease, by when those that
 // it runs were replaced, by the time limit, by when the others were there whole, and by
 // the endpoint's draw from [0, 1). Endpoints change spread over the time that is left,
 // so that few are away together.
 func ChangeTime(replaced time.Time, limit time.Duration, whole time.Time, draw float64) time.Time {
 	first := FirstChange(replaced, limit, whole)
-	last := replaced.Add(time.Duration(lastChange * float64(limit)))
+	last := LastChange(replaced, limit)
 	if !first.Before(last) {
 		return first
 	}
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -117,9 +117,18 @@
 	// Started notes when the endpoint started, as it tells; again says that it had
 	// started before: it holds nothing now, which the gateways do not know yet.
 	Started(ctx context.Context, born int64, again bool)
-	// LeaseLoad asks for a lease on a load of a model, which lasts for d or until the load. It
-	// returns whether it was given, and if not, after what time to ask again.
-	LeaseLoad(ctx context.Context, model string, d time.Duration) (given bool, again time.Duration)
+	// LeaseLoad asks for a lease on a load of a model, which lasts for d or until the load.
+	LeaseLoad(ctx context.Context, model string, d time.Duration) Lease
 	// Capacity returns what is known of how the endpoint runs requests.
 	Capacity() Capacity
 }
+
+// Lease says whether an endpoint may load while others carry its requests.
+type Lease struct {
+	Given bool
+	// Comes is set where it was not given and is to be had later: there is room for it, but for
+	// endpoints that load now.
+	Comes bool
+	// Again is after what time to ask again.
+	Again time.Duration
+}
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -51,7 +51,9 @@
 	// named is when versions were named, as far as this process knows.
 	named *versions.History
 
-	// leaseAgain is from when on a lease on a load is asked for again. Only Run uses it.
+	// lease is the last answer about a lease on a load, leaseAgain from when on it is asked for
+	// again. Only Run uses them.
+	lease      Lease
 	leaseAgain time.Time
 	// leasesRefused is how many were not given since the last load. Only Run uses it.
 	leasesRefused int
@@ -145,11 +147,9 @@
 	if s.outdated(model, want.version) || s.leftAlone(model, want.version) {
 		return false
 	}
-	leased := false
-	if held := report.Version(model); held != 0 && time.Now().Before(s.changeTime(model, held, want)) {
-		if leased = s.leasesLoad(ctx, model, held, want); !leased {
-			return false
-		}
+	leased, may := s.mayChange(ctx, model, report.Version(model), want)
+	if !may {
+		return false
 	}
 	if err := s.place(ctx, model, set); err != nil {
 		s.failed(ctx, "weights not placed", model, want.version, err)
@@ -168,33 +168,48 @@
 	return ends && !Useful(end, time.Now())
 }
 
-// changeTime returns when this endpoint, which runs a version, may change to want. The
-// limit counts from the version that first replaced the one it runs, whichever is
-// loaded in the end. The endpoint's draw is a hash, so that it is the same after a
-// restart.
-func (s *Stager) changeTime(model string, held int64, want target) time.Time {
-	draw := float64(xxhash.Sum64String(model+"\x00"+s.cfg.Self.VM)) / (1 << 64)
+// mayChange returns whether this endpoint, which runs a version or none, may change to want
+// now, and whether it has a lease for that. It asks for one from the first moment at which it
+// may change. Without, it changes at a time of its own, or where a lease is to come, at the
+// last moment. The limit counts from the version that first replaced the one it runs,
+// whichever is loaded in the end.
+func (s *Stager) mayChange(ctx context.Context, model string, held int64, want target) (leased, may bool) {
 	naming, replaced := s.named.Replaced(model, held)
-	if !replaced || naming.Found {
-		return time.Time{} // nobody knows how near the limit is
+	if held == 0 || !replaced || naming.Found {
+		return false, true // it is empty, or nobody knows how near the limit is
+	}
+	now := time.Now()
+	if now.Before(FirstChange(naming.At, s.cfg.Limit, want.wholeAt)) {
+		return false, false
+	}
+	if s.leasesLoad(ctx, model, held, now) {
+		return true, true
 	}
-	return ChangeTime(naming.At, s.cfg.Limit, want.wholeAt, draw)
+	at := ChangeTime(naming.At, s.cfg.Limit, want.wholeAt, s.draw(model))
+	if s.lease.Comes {
+		at = LastChange(naming.At, s.cfg.Limit)
+	}
+	return false, !now.Before(at)
 }
 
-// leasesLoad returns whether the endpoint, which runs a version, has a lease by which it
-// changes to want now. It asks for one once it may change.
-func (s *Stager) leasesLoad(ctx context.Context, model string, held int64, want target) bool {
-	naming, _ := s.named.Replaced(model, held)
-	now := time.Now()
-	if now.Before(FirstChange(naming.At, s.cfg.Limit, want.wholeAt)) || now.Before(s.leaseAgain) {
+// draw returns the endpoint's draw from [0, 1). It is a hash, so that it is the same after a
+// restart.
+func (s *Stager) draw(model string) float64 {
+	return float64(xxhash.Sum64String(model+"\x00"+s.cfg.Self.VM)) / (1 << 64)
+}
+
+// leasesLoad returns whether the endpoint, which runs a version, has a lease on a load. It is
+// asked for no more often than the last answer said.
+func (s *Stager) leasesLoad(ctx context.Context, model string, held int64, now time.Time) bool {
+	if now.Before(s.leaseAgain) {
 		return false
 	}
-	given, again := s.cfg.Fleet.LeaseLoad(ctx, model, s.drainTime(model, held, 0)+loadTime)
-	s.leaseAgain = now.Add(again)
-	if !given {
+	s.lease = s.cfg.Fleet.LeaseLoad(ctx, model, s.drainTime(model, held, 0)+loadTime)
+	s.leaseAgain = now.Add(s.lease.Again)
+	if !s.lease.Given {
 		s.leasesRefused++
 	}
-	return given
+	return s.lease.Given
 }
 
 // failed notes a step that failed and waits before the next.
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -70,10 +70,10 @@
 	// running are requests in progress.
 	running  int
 	capacity stage.Capacity
-	// leases is set when others carry its requests while it loads, leasesAsked is when it was
-	// asked whether they do.
-	leases      bool
-	leasesAsked []time.Time
+	// leases is set when others carry its requests while it loads, leaseComes when they will;
+	// leasesAsked is when it was asked whether they do.
+	leases, leaseComes bool
+	leasesAsked        []time.Time
 }
 
 // order is an order as the endpoint took it.
@@ -203,11 +203,11 @@
 	}
 }
 
-func (m *machine) LeaseLoad(context.Context, string, time.Duration) (bool, time.Duration) {
+func (m *machine) LeaseLoad(context.Context, string, time.Duration) stage.Lease {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.leasesAsked = append(m.leasesAsked, time.Now())
-	return m.leases, 100 * time.Millisecond
+	return stage.Lease{Given: m.leases, Comes: m.leaseComes, Again: 100 * time.Millisecond}
 }
 
 func (m *machine) Capacity() stage.Capacity { return m.capacity }
