sidecar: a gateway that starts again under its address is told of the pause anew

Seen in reading the change again: gateways that left are told as well now, and counted as told when they were back, so that just the case of c36-15 (stopped at 19.076, started at its address 0.1 s later, a pause in between) would not have been told. Who is not live any more does not count as told.

--- a/sidecar/pause.go
+++ b/sidecar/pause.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,14 +32,16 @@
 	p.until = time.Time{}
 }
 
-// Untold returns which of the gateways at addrs have yet to be told of the pause, and for how
-// long it still lasts. They count as told from then on.
+// Untold returns which of the live gateways, at addrs, have yet to be told of the pause, and
+// for how long it still lasts. They count as told from then on, until they are not live any
+// more: who comes back has started anew.
 func (p *Pause) Untold(addrs []string, now time.Time) (untold []string, left time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !now.Before(p.until) {
 		return nil, 0
 	}
+	maps.DeleteFunc(p.told, func(addr string, _ bool) bool { return !slices.Contains(addrs, addr) })
 	for _, addr := range addrs {
 		if !p.told[addr] {
 			p.told[addr] = true
