gateway: one query in the loop that chooses an endpoint, one sum of requests in progress

Read again: pickLoaded built its query at two places and its comment named a function that is gone; Places repeated the sum of load. No behaviour changes.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -248,5 +248,11 @@
 
 // load returns the requests at e of all gateways, for each slot.
 func (b *Balancer) load(e *endpoint) float64 {
-	return float64(e.inFlight+b.cfg.OtherLoad(e.record.Life())) / float64(max(e.record.Slots, 1))
+	return float64(b.allInFlight(e)) / float64(max(e.record.Slots, 1))
+}
+
+// allInFlight returns the requests at e of all gateways; those of others are as old as their
+// last heartbeat.
+func (b *Balancer) allInFlight(e *endpoint) int {
+	return e.inFlight + b.cfg.OtherLoad(e.record.Life())
 }
--- a/gateway/balance/places.go
+++ b/gateway/balance/places.go
@@ -29,7 +29,7 @@
 		out = append(out, Place{
 			Addr:     e.record.Addr,
 			Slots:    e.record.Slots,
-			InFlight: e.inFlight + b.cfg.OtherLoad(e.record.Life()),
+			InFlight: b.allInFlight(e),
 			Usable:   e.fits(q) && b.usable(e, now),
 		})
 	}
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -47,14 +47,13 @@
 	return p.shortage(verdict.CodeNoEndpoint, "no endpoint of %s", c.service)
 }
 
-// pickLoaded chooses an endpoint as pick does. The rest of an answer waits for a while where
-// it would go to an endpoint that is about to load weights, or could go only to one that is
-// loading them.
+// pickLoaded chooses an endpoint and counts the request there. The rest of an answer waits for
+// a while where it would go to an endpoint that is about to load weights, or could go only to
+// one that is loading them.
 func (p *Proxy) pickLoaded(ctx context.Context, c *call) (*balance.Lease, *verdict.Error) {
 	began := time.Now()
-	q := p.query(c)
 	for {
-		lease, err := p.cfg.Balancer.Pick(q, time.Now())
+		lease, err := p.cfg.Balancer.Pick(p.query(c), time.Now())
 		if !policy.AwaitsLoad(c.headSent, loading(lease, err), time.Since(began)) {
 			return lease, p.pickFailure(c, err)
 		}
@@ -64,7 +63,6 @@
 		if !wait.For(ctx, policy.PauseWait) {
 			return nil, verdict.Classify(verdict.Answering, context.Cause(ctx))
 		}
-		q = p.query(c)
 	}
 }
 
