gateway: what endpoints name as their limit is read, counted and logged

The adapter reads the header into a typed value, every head of an answer is looked at before it is judged, and a line says who named what in which request. Nothing is decided by it yet.

--- /dev/null
+++ b/gateway/advisory/advisory.go
@@ -0,0 +1,28 @@
+// Package advisory has what endpoints say of themselves in the heads of their answers. The
+// platform's adapter reads it from the wire.
+package advisory
+
+// Advisory is what the head of one answer says of the endpoint that gave it.
+type Advisory struct {
+	// Limit is what it says of the rate of requests.
+	Limit Limit
+	// Unreadable are the headers of these that could not be read, as name and value.
+	Unreadable []string
+}
+
+// Limit is what an answer says of the rate of requests that its endpoint takes of all
+// gateways together: Unlimited, PerSecond or Unknown.
+type Limit interface{ isLimit() }
+
+// Unlimited says that the endpoint names no limit.
+type Unlimited struct{}
+
+// PerSecond is a limit in requests a second, finite and not negative.
+type PerSecond float64
+
+// Unknown says nothing: what the endpoint named could not be read.
+type Unknown struct{}
+
+func (Unlimited) isLimit() {}
+func (PerSecond) isLimit() {}
+func (Unknown) isLimit()   {}
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -32,6 +32,10 @@
 	// announced are weights that the process beside the endpoint told of; the
 	// record in the store follows later.
 	announced roster.Weights
+	// limit is the rate of requests that the endpoint named in its answers.
+	limit limit
+	// unreadable is set once a head of its answers could not be read whole.
+	unreadable bool
 	// lastByte is when bytes of an answer last came.
 	lastByte moment
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,18 +170,20 @@
 
 func (g *Gateway) newProxy() *proxy.Proxy {
 	return proxy.New(proxy.Config{
-		Headers:    platform.HeaderNames(),
-		Balancer:   g.balancer,
-		Client:     g.client,
-		Budget:     proxy.NewBudget(g.cfg.RetryShare, g.cfg.RetryExtra, g.cfg.RetryWindow, g.table.Sharers),
-		Metrics:    proxy.NewMetrics(g.registry),
-		Log:        g.log,
-		MinVersion: g.minVersion,
-		Newest:     g.versions.Latest,
-		WeightsEnd: g.versions.End,
-		Poison:     g.poison,
-		Trial:      g.beginTrial,
-		Random:     rand.Float64,
+		Headers:      platform.HeaderNames(),
+		Balancer:     g.balancer,
+		Client:       g.client,
+		Budget:       proxy.NewBudget(g.cfg.RetryShare, g.cfg.RetryExtra, g.cfg.RetryWindow, g.table.Sharers),
+		Metrics:      proxy.NewMetrics(g.registry),
+		Log:          g.log,
+		MinVersion:   g.minVersion,
+		Newest:       g.versions.Latest,
+		WeightsEnd:   g.versions.End,
+		ReadAdvisory: platform.ReadAdvisory,
+
+		Poison: g.poison,
+		Trial:  g.beginTrial,
+		Random: rand.Float64,
 	})
 }
 
--- a/gateway/policy/answer.go
+++ b/gateway/policy/answer.go
@@ -36,6 +36,12 @@
 	return nil
 }
 
+// SpeaksForEndpoint returns whether what an answer says of its endpoint is of the one that was
+// asked. A 421 is of another endpoint, and an answer that is due to another request may be.
+func SpeaksForEndpoint(a AnswerHead) bool {
+	return a.Status != http.StatusMisdirectedRequest && !a.OtherRequest
+}
+
 // promisesNotRun returns whether status tells a caller that its request was not
 // run, which an endpoint has to say in a header of its own.
 func promisesNotRun(status int) bool {
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -29,13 +29,7 @@
 // judge looks at the head of an answer and returns why it can't be passed on, and
 // what that says of the endpoint.
 func (p *Proxy) judge(c *call, x *upstream.Exchange) (*verdict.Error, balance.Outcome) {
-	names := &p.cfg.Headers
-	failure := policy.JudgeAnswer(policy.AnswerHead{
-		Status:       x.Status,
-		NotRun:       x.Header.Get(names.NotRun) != "",
-		OtherRequest: x.Header.Get(names.RequestID) != c.id,
-		Signed:       x.Header.Get(names.Stamp) != "",
-	})
+	failure := policy.JudgeAnswer(p.head(c, x))
 	if failure == nil {
 		return nil, balance.Neutral
 	}
@@ -53,6 +47,17 @@
 	return failure, balance.Failed
 }
 
+// head returns the head of an answer as it is judged.
+func (p *Proxy) head(c *call, x *upstream.Exchange) policy.AnswerHead {
+	names := &p.cfg.Headers
+	return policy.AnswerHead{
+		Status:       x.Status,
+		NotRun:       x.Header.Get(names.NotRun) != "",
+		OtherRequest: x.Header.Get(names.RequestID) != c.id,
+		Signed:       x.Header.Get(names.Stamp) != "",
+	}
+}
+
 // drainBody reads a short body so that the connection can be kept. Where that
 // fails the connection is closed with the exchange.
 func drainBody(x *upstream.Exchange) {
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -173,6 +173,7 @@
 	}
 	fresh := !c.route.Repeatable() && len(c.attempted) > 1
 	a.x, a.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, p.prepare(c, lease), upstream.Options{Fresh: fresh, Watch: p.watch(ctx, c, lease)})
+	p.hear(c, a)
 	if a.failure != nil {
 		a.outcome = sendOutcome(a.failure)
 	}
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -56,6 +56,7 @@
 		defer c.watch.Load().Wake()
 		defer close(h.done)
 		h.x, h.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, request, p.hedgeOptions(c, lease))
+		p.hear(c, &h.attempt)
 		p.settle(c, &h.attempt, resumed)
 	}()
 	return true
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -30,6 +30,9 @@
 	Hedged metrics.Counter
 	// OverBudget counts repetitions that the retry budget refused.
 	OverBudget metrics.Counter
+	// Limits counts changes of the limits that endpoints name in answers, Unreadable headers of
+	// answers that could not be read.
+	Limits, Unreadable metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -54,6 +57,8 @@
 		OverBudget:  metrics.NewRegisteredCounter("gateway.over_budget", r),
 		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
+		Limits:      metrics.NewRegisteredCounter("gateway.limits", r),
+		Unreadable:  metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
 		FirstEvent:  metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
 	}
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/silverdeck/silverdeck/drain"
+	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/header"
 	"github.com/silverdeck/silverdeck/gateway/poison"
@@ -43,6 +44,9 @@
 	// WeightsEnd returns from when on no request may begin on a version of a model,
 	// or false while that is not known.
 	WeightsEnd func(model string, version int64) (time.Time, bool)
+	// ReadAdvisory reads what the head of an answer says of its endpoint; nil means that it
+	// says nothing.
+	ReadAdvisory func(http.Header) advisory.Advisory
 	// Poison is what is known of requests under which endpoints ended.
 	Poison *poison.Table
 	// Trial asks for the lease on a suspected request for at most d, and returns whether it
@@ -75,6 +79,9 @@
 	if cfg.Newest == nil {
 		cfg.Newest = func(string) int64 { return 0 }
 	}
+	if cfg.ReadAdvisory == nil {
+		cfg.ReadAdvisory = func(http.Header) advisory.Advisory { return advisory.Advisory{Limit: advisory.Unknown{}} }
+	}
 	p := &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals(), ends: newEnds(cfg.Client.Refuses)}
 	p.ending, p.End = context.WithCancel(context.Background())
 	return p
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/header"
 	"github.com/silverdeck/silverdeck/gateway/poison"
@@ -152,13 +154,27 @@
 	return proxy.New(proxy.Config{
 		Headers: names, Balancer: w.balancer, Client: w.client, Budget: w.budget,
 		Metrics: w.metrics, Log: log.NewWithOptions(&w.lines, log.Options{Formatter: log.JSONFormatter}),
-		WeightsEnd: func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
-		Newest:     func(string) int64 { return w.newest.Load() },
-		Poison:     w.poison, Trial: w.trial,
+		WeightsEnd:   func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
+		Newest:       func(string) int64 { return w.newest.Load() },
+		ReadAdvisory: readAdvisory,
+		Poison:       w.poison, Trial: w.trial,
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
 	})
 }
 
+// readAdvisory reads the headers of this test's own.
+func readAdvisory(h http.Header) advisory.Advisory {
+	a := advisory.Advisory{Limit: advisory.Unlimited{}}
+	if value := h.Get("Limit"); value != "" {
+		rate, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return advisory.Advisory{Limit: advisory.Unknown{}, Unreadable: []string{"Limit: " + value}}
+		}
+		a.Limit = advisory.PerSecond(rate)
+	}
+	return a
+}
+
 // setDown makes connections to an endpoint be refused, or taken again.
 func (w *world) setDown(id string, down bool) {
 	w.downMu.Lock()
