proxy, soak: endpoints that name a limit get more than it, failing

The soak has a mix of it: real gateways that are killed, stopped and frozen beside runners that name limits for 5 to 9 s. Who had been told is read off the answers that callers got, which gateway sent a request off its ID.

--- a/gateway/proxy/limit_test.go
+++ b/gateway/proxy/limit_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,29 @@
 		text(421, "", "Limit: 2"),
 	}, []step{text(200, "ok")})
 }
+
+// limitWindow is the span in which what reaches an endpoint is compared with its limit.
+const limitWindow = 4 * time.Second
+
+// allowed returns how many requests a limit allows in limitWindow.
+func allowed(perSecond float64) int {
+	return int(1.5*perSecond*limitWindow.Seconds()) + 5
+}
+
+// Gateways send an endpoint, all together, what it says that it takes a second.
+func TestEndpointsGetMoreThanTheLimitThatTheyNamed(t *testing.T) {
+	for _, n := range []int{1, 2, 6, 34} {
+		for _, limit := range []float64{0, 0.5, 1, 5} {
+			t.Run(fmt.Sprintf("%d gateways, %g a second", n, limit), func(t *testing.T) {
+				limited := text(200, "ok", fmt.Sprintf("Limit: %g", limit))
+				playFleet(t, n, func(f *fleet) {
+					began := time.Now()
+					f.ask("/safe/x", 40*time.Millisecond, 15*time.Second)
+					told := began.Add(time.Second)
+					f.g.Expect(f.endpoints["e0"].most(limitWindow, told)).To(BeNumerically("<=", allowed(limit)))
+					f.g.Expect(f.endpoints["e0"].since(told)).To(BeNumerically(">=", int(limit*14/2)), "it gets requests")
+				}, []step{after(10*time.Millisecond, limited)}, []step{after(10*time.Millisecond, text(200, "ok"))})
+			})
+		}
+	}
+}
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -86,6 +86,9 @@
 	trials *poison.Trials
 	// lines are what the gateway logs, in JSON.
 	lines lines
+	// beat is what the gateway had in progress at its last heartbeat.
+	beatMu sync.Mutex
+	beat   map[roster.Life]int
 }
 
 // lines takes log lines of several goroutines.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -127,7 +127,7 @@
 
 // ask sends one request and checks what comes back.
 func (c *caller) ask(entry *process, addr string) {
-	q := c.draw()
+	q := c.draw(entry)
 	began := time.Now() // before its time begins to count
 	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
 	defer cancel()
@@ -136,6 +136,7 @@
 	resp, err := c.client.Do(q.request(seen.trace(ctx), addr))
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
+		c.noteAdvice(entry, resp.Header)
 		err = c.check(resp, q.id, q.body, q.stream)
 	}
 	ended := time.Now()
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -22,13 +23,16 @@
 	// several callers through all gateways, beside endpoints that end by themselves, killed
 	// gateways and planned work.
 	MixCrash Mix = "crash"
+	// MixAnswers has runners that tell of themselves in their answers, beside gateways that
+	// are killed, stopped and frozen and a store that is away.
+	MixAnswers Mix = "answers"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if *m != MixFaults && *m != MixLong && *m != MixCrash {
-		return fmt.Errorf("soak: no mix %q, only %q, %q and %q", text, MixFaults, MixLong, MixCrash)
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers}; !slices.Contains(all, *m) {
+		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
 }
@@ -56,6 +60,8 @@
 		return w.drawLong(r)
 	case MixCrash:
 		return w.drawCrash(r)
+	case MixAnswers:
+		return w.drawAnswers(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/question.go
+++ b/soak/question.go
@@ -16,10 +16,10 @@
 	limit time.Duration
 }
 
-// draw returns the caller's next request.
-func (c *caller) draw() question {
+// draw returns the caller's next request, which an entry gets. Its ID tells which one that is.
+func (c *caller) draw(entry *process) question {
 	c.sent++
-	q := question{id: fmt.Sprintf("%s-%d", c.name, c.sent), limit: plainLimit}
+	q := question{id: fmt.Sprintf("%s/%s-%d", entry.name, c.name, c.sent), limit: plainLimit}
 	q.body = "body of " + q.id
 	if c.random.IntN(2) == 0 {
 		q.stream, q.limit = true, streamLimit
--- a/soak/slot.go
+++ b/soak/slot.go
@@ -19,6 +19,8 @@
 	// link is before the runner; down is set while its process has ended.
 	link *Proxy
 	down bool
+	// lifted notes that the runner names no limit any more, or is nil while it names none.
+	lifted func()
 }
 
 // ServeHTTP implements http.Handler.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,9 @@
 	for _, line := range w.ledger.judge(w.history, platformBounds) {
 		w.witness.Broken("%s", line)
 	}
+	for _, line := range w.heeded.judge(w.ownHistory, platformBounds) {
+		w.witness.Broken("%s", line)
+	}
 	w.fatal.judge(w, report)
 	if !w.awaitAll(healLimit) {
 		w.witness.Broken("not every entry serves every route %s after the last fault", healLimit)
--- a/soak/world.go
+++ b/soak/world.go
@@ -89,6 +89,7 @@
 	disturbedAt atomic.Int64
 	ledger      *ledger
 	fatal       *fatal
+	heeded      *heeded
 
 	mu sync.Mutex
 	// changes are the configurations that were written, faults what disturbed endpoints
@@ -101,7 +102,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewWitness(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{},
+		witness: standin.NewWitness(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(),
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -139,7 +140,7 @@
 	host := 100 + i
 	s := &slot{cfg: standin.RunnerConfig{
 		Service: plainService, Zone: zone(i), Address: w.addr(host, portRunner), Slots: 16, Witness: w.witness, Store: w.store,
-		Events: w.cfg.Events, EventPause: w.cfg.EventPause, LoadCuts: w.cfg.Mix == MixLong,
+		Events: w.cfg.Events, EventPause: w.cfg.EventPause, LoadCuts: w.cfg.Mix == MixLong, Reached: w.heeded.reached,
 	}}
 	if w.cfg.Mix == MixCrash {
 		s.cfg.EndsUnder = func(id, body string) bool { return w.fatal.begins(s, id, body) }
@@ -233,6 +234,16 @@
 	return &History{}
 }
 
+// ownHistory returns what was done to a gateway itself.
+func (w *world) ownHistory(gateway string) *History {
+	for _, p := range w.entries {
+		if p.name == gateway {
+			return p.history()
+		}
+	}
+	return &History{}
+}
+
 // processes returns all of our processes.
 func (w *world) processes() []*process {
 	return append(append([]*process{}, w.entries...), w.sidecars...)
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -40,6 +40,9 @@
 	// EndsUnder is asked when a run begins, and returns whether the runner ends under it;
 	// nil means that it never does. Whoever says so takes its connections away.
 	EndsUnder func(id, body string) bool
+	// Reached is told of each request that reaches it, by the runner's ID and its own; nil
+	// means that nobody is.
+	Reached func(runner, id string)
 	// Witness is told of all that runs.
 	Witness *Witness
 	// Store takes the record.
@@ -56,6 +59,8 @@
 	staged   [Chunks][]byte
 	running  int
 	leaving  bool
+	// limit is what it says of the rate that it takes, or empty.
+	limit string
 	// stalledUntil is until when no stream gets an event.
 	stalledUntil time.Time
 	// cut is closed when the streams that run now are cut.
@@ -229,6 +234,10 @@
 		return
 	}
 	w.Header().Set("X-Silverdeck-Attempt-Id", id)
+	if r.cfg.Reached != nil {
+		r.cfg.Reached(r.cfg.ID, id)
+	}
+	r.advise(w.Header())
 	if want := q.Header.Get("X-Silverdeck-Expect-Instance"); want != "" && want != r.cfg.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
