rendezvous: the hashing by which leases choose their owner stands in a package of its own

What holds an endpoint's limit is to be chosen in the same way. No behaviour changed: leases choose as before, which a test with literal choices holds.

--- a/leases/leases.go
+++ b/leases/leases.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/silverdeck/silverdeck/rendezvous"
 )
 
 // Endpoint is what is known of one endpoint of a service.
@@ -76,13 +76,7 @@
 
 // Owner returns which of the gateways, by address, gives the leases of a service.
 func Owner(service string, gateways []string) string {
-	owner, highest := "", uint64(0)
-	for _, addr := range gateways {
-		if h := xxhash.Sum64String(service + "\x00" + addr); owner == "" || h > highest {
-			owner, highest = addr, h
-		}
-	}
-	return owner
+	return rendezvous.Choose(service, gateways)
 }
 
 // Table holds the leases that were given. It is safe for concurrent use.
