gateway: what an endpoint says that it takes a second is kept to by all gateways together

Cause: nothing read the header, so each gateway sent as many requests as slots and load asked for (hypothesis 1: one gateway alone sent 101 in 4 s, at an even rate; the lines showed the heads). The class: what an endpoint says of itself on the way that always works, its answers, was not heard.

Design: one fact for each life of an endpoint, kept in balance and passed by everything that sends, in the loop that chooses: first tries, retries, hedges, rests, returns, trials after an ejection and the fall-back on ejected ones. One gateway holds an endpoint, by rendezvous among the ready ones of its zone, and sends one request at a time at the named rate; the others send none from their first word on, whoever heard it, so the sum does not grow with the gateways nor with how late news are. A limit ends with an answer, to a request sent after it was last named, that lacks it. Heartbeats carry what was heard with its age, at once and once a second, also through relays; older programs pass it over and hold nothing. Places, leases on loads and the limit for others' endpoints no longer count the slots of a limited one. What limits leave no room for is refused at once, code closed, with a Retry-After by the rates.

--- a/compat/rpc_test.go
+++ b/compat/rpc_test.go
@@ -16,6 +16,7 @@
 	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/replica"
+	"github.com/silverdeck/silverdeck/gateway/tokens"
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
@@ -65,6 +66,8 @@
 	of[poison.EndReply]("EndReply"),
 	of[leases.LoadRequest]("LoadRequest"),
 	of[leases.LoadReply]("LoadReply"),
+	of[tokens.TakeRequest]("TakeRequest"),
+	of[tokens.TakeReply]("TakeReply"),
 }
 
 // encoded are the messages as they are sent, one a line, made before any test
@@ -117,6 +120,7 @@
 	replica.ServiceName:   reflect.TypeFor[*replica.Service](),
 
 	member.RollServiceName: reflect.TypeFor[*member.RollService](),
+	tokens.ServiceName:     reflect.TypeFor[*tokens.Service](),
 }
 
 func TestMethodsKeepTheirNames(t *testing.T) {
--- /dev/null
+++ b/gateway/advice.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/silverdeck/silverdeck/gateway/advisory"
+	"github.com/silverdeck/silverdeck/gateway/affinity"
+	"github.com/silverdeck/silverdeck/gateway/tokens"
+	"github.com/silverdeck/silverdeck/member"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// tokenLimit bounds the question for a token: some ways there and back between regions.
+const tokenLimit = 150 * time.Millisecond
+
+// noteAdvised tells other gateways at once that an endpoint said something new. It is called
+// under a lock.
+func (g *Gateway) noteAdvised() {
+	if g.beater != nil {
+		g.beater.SendSoon()
+	}
+}
+
+// useAdvice takes in what another gateway tells of endpoints. A relay tells it on at once.
+func (g *Gateway) useAdvice(told []member.Advice) {
+	now := time.Now()
+	changed := g.balancer.Learn(advisory.Unpack(told, now), now)
+	for _, r := range changed {
+		rate, limited := r.Limit.(advisory.PerSecond)
+		g.log.Info("endpoint limit told", "endpoint", r.Endpoint.ID, "born", r.Endpoint.Born, "limited", limited,
+			"perSecond", float64(rate), "heardMs", now.Sub(r.HeardAt).Milliseconds())
+	}
+	if len(changed) > 0 && g.table.IsRelay() {
+		g.beater.SendSoon()
+	}
+}
+
+// readyGateways returns the gateways among which endpoints are held: those that are ready, as all
+// others see them.
+func (g *Gateway) readyGateways() []member.Entry {
+	live := g.table.Live()
+	if g.Ready() == nil {
+		live = append(live, g.self)
+	}
+	return live
+}
+
+// askToken implements proxy.Config.AskToken.
+func (g *Gateway) askToken(ctx context.Context, l roster.Life) bool {
+	list := g.endpoints.Current()
+	if list == nil || list.Endpoints[l.ID] == nil {
+		return false
+	}
+	holder, found := affinity.Holder(list.Endpoints[l.ID], g.readyGateways())
+	if !found || holder.Name == g.self.Name {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, tokenLimit)
+	defer cancel()
+	reply, err := tokens.Ask(ctx, g.peers, holder.Peer, l)
+	if err != nil {
+		g.log.Debug("no token from the holder of an endpoint", "endpoint", l.ID, "peer", holder.Peer, "err", err)
+		return false
+	}
+	g.balancer.Answered(l, reply.Granted, reply.OpensIn, time.Now())
+	return reply.Granted
+}
+
+// askUnheard implements balance.Config.Unheard.
+func (g *Gateway) askUnheard(l roster.Life) {
+	go g.askToken(context.Background(), l)
+}
--- a/gateway/advisory/advisory.go
+++ b/gateway/advisory/advisory.go
@@ -1,7 +1,13 @@
-// Package advisory has what endpoints say of themselves in the heads of their answers. The
-// platform's adapter reads it from the wire.
+// Package advisory has what endpoints say of themselves in the heads of their answers, and what
+// gateways tell each other of it. The platform's adapter reads it from the wire.
 package advisory
 
+import (
+	"time"
+
+	"github.com/silverdeck/silverdeck/roster"
+)
+
 // Advisory is what the head of one answer says of the endpoint that gave it.
 type Advisory struct {
 	// Limit is what it says of the rate of requests.
@@ -26,3 +32,15 @@
 func (Unlimited) isLimit() {}
 func (PerSecond) isLimit() {}
 func (Unknown) isLimit()   {}
+
+// Record is what gateways tell each other of an endpoint's answers.
+type Record struct {
+	Endpoint roster.Life
+	// Limit is the limit that it named, or Unlimited once it names none any more.
+	Limit Limit
+	// HeardAt is when a gateway last heard that from the endpoint itself.
+	HeardAt time.Time
+	// ConfirmedAt is when the gateway that holds the endpoint last told that the limit
+	// stands; zero if it never did.
+	ConfirmedAt time.Time
+}
--- /dev/null
+++ b/gateway/affinity/held_test.go
@@ -0,0 +1,82 @@
+package affinity_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/affinity"
+	"github.com/silverdeck/silverdeck/member"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// heeding are gateways that keep to limits, two in each of so many zones.
+func heeding(zones string) []member.Entry {
+	var out []member.Entry
+	for _, z := range zones {
+		for i := range 2 {
+			out = append(out, member.Entry{Name: fmt.Sprintf("g-%c-%d", z, i), Zone: string(z), Heeds: true})
+		}
+	}
+	return out
+}
+
+// endpointsIn has n endpoints in each of the zones.
+func endpointsIn(zones string, n int) *roster.List {
+	list := &roster.List{Endpoints: map[string]*roster.Endpoint{}}
+	for _, z := range zones {
+		for i := range n {
+			id := fmt.Sprintf("e-%c-%d", z, i)
+			list.Endpoints[id] = &roster.Endpoint{ID: id, Zone: string(z)}
+		}
+	}
+	return list
+}
+
+// holders returns who holds each endpoint, as all gateways of live see it.
+func holders(list *roster.List, live []member.Entry) map[string][]string {
+	out := map[string][]string{}
+	for _, e := range live {
+		for id := range affinity.Held(list, live, e.Name) {
+			out[id] = append(out[id], e.Name)
+		}
+	}
+	return out
+}
+
+// Two gateways that hold an endpoint both send at its limit.
+func TestOneGatewayHoldsAnEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	list, live := endpointsIn("abc", 20), heeding("ab")
+	for id, by := range holders(list, live) {
+		g.Expect(by).To(HaveLen(1), id)
+		if id[2] != 'c' {
+			g.Expect(by[0][2]).To(Equal(id[2]), "one of its zone")
+		}
+	}
+	g.Expect(holders(list, live)).To(HaveLen(60))
+	g.Expect(holders(list, nil)).To(BeEmpty())
+}
+
+// An older program knows nothing of limits and must not be left to keep them.
+func TestAnOlderProgramHoldsNoEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	list, live := endpointsIn("a", 20), heeding("ab")
+	live[0].Heeds, live[1].Heeds = false, false
+	for id, by := range holders(list, live) {
+		g.Expect(by).To(HaveLen(1), id)
+		g.Expect(by[0]).To(HavePrefix("g-b"))
+	}
+	g.Expect(holders(list, live)).To(HaveLen(20))
+}
+
+// Gateways hear of an endpoint at different times.
+func TestAnotherEndpointMovesNone(t *testing.T) {
+	g := NewWithT(t)
+	live := heeding("a")
+	few, many := holders(endpointsIn("a", 20), live), holders(endpointsIn("a", 30), live)
+	for id, by := range few {
+		g.Expect(many[id]).To(Equal(by))
+	}
+}
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -66,6 +66,12 @@
 	// Observe hears of each change of belief. It is called under a lock and must not
 	// wait; nil means that nobody does.
 	Observe func(Belief)
+	// Advised hears that an endpoint said something new in an answer, to be told to other
+	// gateways. It is called under a lock and must not wait; nil means that nobody does.
+	Advised func()
+	// Unheard hears of an endpoint with a limit of which nothing was heard for long, so that
+	// its holder is asked for a token. It is called as Advised is.
+	Unheard func(roster.Life)
 }
 
 // Balancer chooses endpoints. It is safe for concurrent use.
@@ -86,6 +92,12 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Belief) {}
 	}
+	if cfg.Advised == nil {
+		cfg.Advised = func() {}
+	}
+	if cfg.Unheard == nil {
+		cfg.Unheard = func(roster.Life) {}
+	}
 	return &Balancer{cfg: cfg, services: map[string]*shard{}}
 }
 
@@ -136,6 +148,7 @@
 		return nil, err
 	}
 	chosen.begin(now)
+	chosen.said.limit.take(now)
 	chosen.prefill += q.Prefill
 	chosen.health.beginTrial(now)
 	return &Lease{Record: chosen.record, balancer: b, shard: s, endpoint: chosen, prefill: q.Prefill}, nil
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // What counts in the choice beside the load, in requests for each slot.
@@ -70,6 +72,11 @@
 // FullError tells that endpoints of a service exist and all are at their limit.
 type FullError struct {
 	Service string
+	// OpensIn is after what time the first takes a request again, where all that may have it
+	// take none now by their own word; 0 if another is merely full.
+	OpensIn time.Duration
+	// Ask is one of these whose holder can be asked for a token, if there is any.
+	Ask roster.Life
 }
 
 // Error names the service.
@@ -113,6 +120,35 @@
 	// full is set when any was left out because it is full, loading when any that is paused
 	// does not fit.
 	full, loading bool
+	// opensIn is the least time after which one takes the request that takes none now by its
+	// own word; 0 if there is none.
+	opensIn time.Duration
+	// ask is one whose holder can be asked for a token, unheard one of which nothing was heard
+	// for long; nil if there is none.
+	ask, unheard *endpoint
+}
+
+// noteClosed notes an endpoint that takes a request only after a time.
+func (o *options) noteClosed(e *endpoint, opensIn time.Duration, now time.Time) {
+	if o.opensIn == 0 || opensIn < o.opensIn {
+		o.opensIn = opensIn
+	}
+	if !e.asks(now) {
+		return
+	}
+	o.ask = e
+	if e.said.limit.unheard(now) {
+		o.unheard = e
+	}
+}
+
+// asked returns the endpoint whose holder is to be asked, if there is one.
+func (o *options) asked(now time.Time) roster.Life {
+	if o.ask == nil || o.ask == o.unheard {
+		return roster.Life{}
+	}
+	o.ask.said.limit.ask(now)
+	return o.ask.record.Life()
 }
 
 // choose returns the endpoint with the lowest cost of those that the gateway prefers, and
@@ -121,6 +157,10 @@
 // holds the shard's lock.
 func (b *Balancer) choose(s *shard, q *Query, now time.Time) (*endpoint, error) {
 	o := b.options(s, q, now)
+	if e := o.unheard; e != nil {
+		e.said.limit.ask(now)
+		b.cfg.Unheard(e.record.Life())
+	}
 	for _, drawn := range [][]loaded{o.near.drawn(), o.far.drawn(), o.lasting.drawn()} {
 		for _, x := range drawn {
 			o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load, q))
@@ -133,6 +173,8 @@
 		return nil, &FullError{Service: q.Service}
 	case o.unusable.endpoint != nil && !q.Healthy:
 		return o.unusable.endpoint, nil
+	case o.opensIn > 0:
+		return nil, &FullError{Service: q.Service, OpensIn: o.opensIn, Ask: o.asked(now)}
 	}
 	return nil, &NoEndpointError{Service: q.Service, Loading: o.loading}
 }
@@ -149,6 +191,10 @@
 			o.loading = o.loading || e.among(q) && e.health.paused(now)
 			continue
 		}
+		if opensIn := e.opensIn(now); opensIn > 0 {
+			o.noteClosed(e, opensIn, now)
+			continue
+		}
 		load := b.load(e)
 		limit := MaxLoad(q.MaxLoad, shared, e.preferred, preferred > 0)
 		switch {
@@ -158,7 +204,7 @@
 			o.unusable.offer(e, b.cost(e, load, q))
 		case q.Apart:
 			o.usable.offer(e, load)
-		case e.preferred:
+		case e.preferred || e.limited(now):
 			o.usable.offer(e, b.cost(e, load, q))
 		case q.Lasting > 0 && !e.changes(q):
 			o.lasting.add(e, load)
@@ -179,7 +225,7 @@
 			continue
 		}
 		preferred++
-		if e.fits(q) && b.usable(e, now) {
+		if e.fits(q) && b.usable(e, now) && !e.limited(now) {
 			usable++
 		}
 	}
@@ -192,7 +238,7 @@
 		Load:      load,
 		Prefill:   e.prefill,
 		OtherZone: e.record.Zone != b.cfg.Zone,
-		Preferred: e.preferred,
+		Preferred: e.preferred || e.said.limit.named, // nobody else sends there now
 		Changing:  e.changes(q),
 		Draw:      b.cfg.Random(),
 	})
--- a/gateway/balance/places.go
+++ b/gateway/balance/places.go
@@ -6,8 +6,8 @@
 type Place struct {
 	// Addr is the endpoint's address.
 	Addr string
-	// Slots is how many requests it runs at once, InFlight how many all gateways have there;
-	// those of others are as old as their last heartbeat.
+	// Slots is how many requests it runs at once, 0 while it names a limit; InFlight is how
+	// many all gateways have there, those of others as old as their last heartbeat.
 	Slots, InFlight int
 	// Usable is set when it takes requests of the query.
 	Usable bool
@@ -26,12 +26,11 @@
 		if e.record.Leaving {
 			continue
 		}
-		out = append(out, Place{
-			Addr:     e.record.Addr,
-			Slots:    e.record.Slots,
-			InFlight: b.allInFlight(e),
-			Usable:   e.fits(q) && b.usable(e, now),
-		})
+		p := Place{Addr: e.record.Addr, InFlight: b.allInFlight(e)}
+		if !e.limited(now) {
+			p.Slots, p.Usable = e.record.Slots, e.fits(q) && b.usable(e, now)
+		}
+		out = append(out, p)
 	}
 	return out
 }
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -15,6 +15,8 @@
 	endpoints map[string]*endpoint
 	// ordered are the endpoints by ID, so that the same draws choose the same one.
 	ordered []*endpoint
+	// departed are endpoints that have no record any more, by ID.
+	departed map[string]*departed
 }
 
 // endpoint is what this gateway knows of one endpoint. But for lastByte, its
@@ -32,10 +34,10 @@
 	// announced are weights that the process beside the endpoint told of; the
 	// record in the store follows later.
 	announced roster.Weights
-	// limit is the rate of requests that the endpoint named in its answers.
-	limit limit
-	// unreadable is set once a head of its answers could not be read whole.
-	unreadable bool
+	// said is what the endpoint said of itself in its answers.
+	said *said
+	// held is set when this is the gateway that sends it requests while it names a limit.
+	held bool
 	// lastByte is when bytes of an answer last came.
 	lastByte moment
 }
@@ -47,8 +49,9 @@
 func (s *shard) update(records map[string]*roster.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.endpoints {
+	for id, e := range s.endpoints {
 		if records[id] == nil {
+			s.depart(e)
 			delete(s.endpoints, id)
 		}
 	}
@@ -56,7 +59,7 @@
 		e := s.endpoints[id]
 		switch {
 		case e == nil:
-			s.endpoints[id] = &endpoint{record: r}
+			s.endpoints[id] = s.come(r)
 		case r.Life().Before(e.record.Life()):
 		case r.Life().Same(e.record.Life()):
 			e.record = r
@@ -78,7 +81,7 @@
 // restart puts an endpoint's next life, as r has it, in the place of e. Who has a lease of
 // e gives it back there. The caller holds the lock.
 func (s *shard) restart(e *endpoint, r *roster.Endpoint) *endpoint {
-	next := &endpoint{record: r, preferred: e.preferred}
+	next := &endpoint{record: r, preferred: e.preferred, held: e.held, said: &said{}}
 	s.endpoints[r.ID] = next
 	if i := slices.Index(s.ordered, e); i >= 0 {
 		s.ordered[i] = next
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,8 @@
 		Suspected: g.table.Suspected,
 		Random:    rand.Float64,
 		Observe:   g.logBelief,
+		Advised:   g.noteAdvised,
+		Unheard:   g.askUnheard,
 	})
 	g.proxy = g.newProxy()
 	g.syncer = replica.New(g.table, l)
@@ -153,6 +155,7 @@
 		Zone:    cfg.Zone,
 		Region:  cfg.Region,
 		Relays:  true,
+		Heeds:   true,
 	}
 }
 
@@ -180,6 +183,7 @@
 		Newest:       g.versions.Latest,
 		WeightsEnd:   g.versions.End,
 		ReadAdvisory: platform.ReadAdvisory,
+		AskToken:     g.askToken,
 
 		Poison: g.poison,
 		Trial:  g.beginTrial,
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -49,6 +49,7 @@
 		After:    g.afterHeartbeat,
 		Notice:   g.useNotice,
 		Poison:   g.usePoison,
+		Advice:   g.useAdvice,
 		Sent:     NewSentCounters(g.registry).Count,
 		AskRoll: func(ctx context.Context, addr string) ([]member.Member, error) {
 			return member.AskRoll(ctx, g.peers, addr, g.self.Name)
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -10,6 +10,9 @@
 const (
 	// CodeFull means that all endpoints of the service are at their limit.
 	CodeFull verdict.Code = "full"
+	// CodeClosed means that all endpoints of the service take no more requests for a while, by
+	// what they say in their answers.
+	CodeClosed verdict.Code = "closed"
 	// CodeMisdirected means that an address belongs to another endpoint now.
 	CodeMisdirected verdict.Code = "misdirected"
 	// CodeQuarantined means that endpoints ended under the request, or under another copy of
@@ -80,7 +83,7 @@
 		return Withheld
 	case f.Canceled || f.Left < minRetryTime:
 		return NoTime
-	case f.Code == CodeFull:
+	case f.Code == CodeFull || f.Code == CodeClosed:
 		return AllFull
 	case f.Verdict != verdict.NotRun && !f.Repeatable:
 		return NotRepeatable
@@ -118,6 +121,12 @@
 	return begun && loading && waited < maxPauseWait
 }
 
+// OpensSoon returns whether an answer that has begun waits for an endpoint that takes requests
+// again after d, by its own word; 0 means that there is none.
+func OpensSoon(d time.Duration) bool {
+	return d > 0 && d <= maxPauseWait
+}
+
 // Returns returns whether an answer that has begun may go on, after so many attempts, at an
 // endpoint that had it before. maxAttempts is the route's limit of endpoints, last why the
 // last attempt failed.
--- a/gateway/policy/retryafter.go
+++ b/gateway/policy/retryafter.go
@@ -31,6 +31,12 @@
 	return time.Duration(part * float64(maxShortageRetry))
 }
 
+// OpeningRetry returns when a caller should come back whose request no endpoint takes before
+// so much time has passed, by their own word. draw is a random number from [0, 1).
+func OpeningRetry(opensIn time.Duration, draw float64) time.Duration {
+	return min(opensIn, maxShortageRetry) + ShortageRetry(draw)
+}
+
 // RetryAfter returns what a caller is told whose request was not run: wanted, or
 // RetrySoon where that is zero, but at most a third of the time that the caller
 // has left.
--- a/gateway/proxy/fleet_test.go
+++ b/gateway/proxy/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,10 +12,12 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway/affinity"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/wait"
 )
@@ -22,14 +25,58 @@
 // fleet is several gateways before the same endpoints, on virtual time.
 type fleet struct {
 	g         *WithT
-	gateways  []*world
 	endpoints map[string]*endpoint
+
+	mu       sync.Mutex
+	gateways []*world
+	// dead are gateways that have ended.
+	dead map[*world]bool
+}
+
+// alive returns the gateways that have not ended.
+func (f *fleet) alive() []*world {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*world
+	for _, w := range f.gateways {
+		if !f.dead[w] {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// kill ends a gateway: it sends nothing more, and others know of it after a while.
+func (f *fleet) kill(w *world) {
+	f.mu.Lock()
+	f.dead[w] = true
+	f.mu.Unlock()
+	time.AfterFunc(member.AliveTime, f.hold)
+}
+
+// holder returns the gateway that holds an endpoint.
+func (f *fleet) holder(id string) *world {
+	live := f.alive()
+	for _, w := range live {
+		if affinity.Held(f.list(), entries(live), w.self.Name)[id] {
+			return w
+		}
+	}
+	return nil
+}
+
+func entries(gateways []*world) []member.Entry {
+	var out []member.Entry
+	for _, w := range gateways {
+		out = append(out, w.self)
+	}
+	return out
 }
 
 // playFleet runs f with n gateways before endpoints that answer by scripts.
 func playFleet(t *testing.T, n int, f func(f *fleet), scripts ...[]step) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := &fleet{g: NewWithT(t), endpoints: map[string]*endpoint{}}
+		fl := &fleet{g: NewWithT(t), endpoints: map[string]*endpoint{}, dead: map[*world]bool{}}
 		for i, s := range scripts {
 			fl.endpoints[fmt.Sprintf("e%d", i)] = &endpoint{script: s}
 		}
@@ -50,13 +97,15 @@
 }
 
 // add starts one more gateway.
-func (f *fleet) add(ctx context.Context) *world {
+func (f *fleet) add(ctx context.Context) {
 	w := &world{g: f.g, endpoints: f.endpoints, down: map[string]bool{}, metrics: proxy.NewMetrics(metrics.NewRegistry())}
 	w.balancer = balance.New(balance.Config{
 		Zone:      "a",
 		OtherLoad: func(l roster.Life) int { return f.othersAt(w, l) },
 		Random:    func() float64 { return 0.5 },
+		Unheard:   func(l roster.Life) { go f.askToken(w, l) },
 	})
+	w.askToken = func(_ context.Context, l roster.Life) bool { return f.askToken(w, l) }
 	w.balancer.Update(f.list())
 	w.client = upstream.NewClient(upstream.WithDialer(w))
 	w.budget = proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 })
@@ -64,8 +113,19 @@
 	w.proxy = w.newProxy()
 	w.proxy.Use(configuration())
 	go w.touch(ctx)
+	f.mu.Lock()
+	w.self = member.Entry{Name: fmt.Sprintf("g%d", len(f.gateways)), Zone: "a", Heeds: true}
 	f.gateways = append(f.gateways, w)
-	return w
+	f.mu.Unlock()
+	f.hold()
+}
+
+// hold deals the endpoints out to the gateways that are alive.
+func (f *fleet) hold() {
+	live := f.alive()
+	for _, w := range live {
+		w.balancer.Hold(affinity.Held(f.list(), entries(live), w.self.Name), time.Now())
+	}
 }
 
 // list returns the endpoints as the store has them.
@@ -81,7 +141,7 @@
 // othersAt returns how many requests all gateways but w have at an endpoint.
 func (f *fleet) othersAt(w *world, l roster.Life) int {
 	n := 0
-	for _, other := range f.gateways {
+	for _, other := range f.alive() {
 		if other != w {
 			n += other.sentTo(l)
 		}
@@ -99,33 +159,55 @@
 // heartbeat is the time between two.
 const heartbeat = 200 * time.Millisecond
 
-// beats lets gateways tell each other what they have in progress, until ctx ends.
+// beats lets gateways tell each other what they have in progress and what endpoints said,
+// until ctx ends.
 func (f *fleet) beats(ctx context.Context) {
 	for wait.For(ctx, heartbeat) {
-		for _, w := range f.gateways {
+		for _, w := range f.alive() {
 			inFlight := w.balancer.InFlight()
 			w.beatMu.Lock()
 			w.beat = inFlight
 			w.beatMu.Unlock()
+			f.tell(w)
+		}
+	}
+}
+
+// tell lets other gateways learn what endpoints said to one.
+func (f *fleet) tell(w *world) {
+	now := time.Now()
+	told := w.balancer.Advisories(false, now)
+	for _, other := range f.alive() {
+		if other != w {
+			other.balancer.Learn(told, now)
 		}
 	}
 }
 
-// ask lets each gateway have a request of a path every so often for d, and returns how many
-// were answered with success.
-func (f *fleet) ask(path string, every, d time.Duration) int {
+// ask lets each gateway have a request of a path every so often for d.
+func (f *fleet) ask(path string, every, d time.Duration) {
+	f.askOf(f.alive(), path, every, d)
+}
+
+// without returns the gateways that have not ended but one.
+func (f *fleet) without(one *world) []*world {
+	return slices.DeleteFunc(f.alive(), func(w *world) bool { return w == one })
+}
+
+// askOf does so with some gateways, and returns how many were answered with success.
+func (f *fleet) askOf(live []*world, path string, every, d time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	go f.beats(ctx)
 	var mu sync.Mutex
 	served := 0
 	var asking sync.WaitGroup
-	for i, w := range f.gateways {
-		time.Sleep(every / time.Duration(len(f.gateways)))
+	for _, w := range live {
+		time.Sleep(every / time.Duration(len(live)))
 		asking.Go(func() {
-			for n := 0; wait.For(ctx, every); n++ {
+			for n := 0; wait.For(ctx, every) && !f.ended(w); n++ {
 				asking.Go(func() {
-					a := w.ask("POST", path, "", "Id", fmt.Sprintf("%d-%d", i, n))
+					a := w.ask("POST", path, "", "Id", fmt.Sprintf("%s-%d", w.self.Name, n))
 					mu.Lock()
 					defer mu.Unlock()
 					if a.Code == 200 {
@@ -139,6 +221,26 @@
 	return served
 }
 
+// askToken asks the holder of an endpoint, some milliseconds away, for a request there.
+func (f *fleet) askToken(w *world, l roster.Life) bool {
+	holder := f.holder(l.ID)
+	if holder == nil || holder == w {
+		return false
+	}
+	time.Sleep(4 * time.Millisecond)
+	now := time.Now()
+	granted, opensIn := holder.balancer.Grant(l, now)
+	w.balancer.Answered(l, granted, opensIn, now)
+	return granted
+}
+
+// ended returns whether a gateway has ended.
+func (f *fleet) ended(w *world) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dead[w]
+}
+
 // most returns the most requests that reached an endpoint in a span of d, of those that came
 // after a time.
 func (e *endpoint) most(d time.Duration, after time.Time) int {
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -33,6 +33,8 @@
 	// Limits counts changes of the limits that endpoints name in answers, Unreadable headers of
 	// answers that could not be read.
 	Limits, Unreadable metrics.Counter
+	// Closed counts requests that no endpoint took by what they say in answers.
+	Closed metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
 	// first event, in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -58,6 +60,7 @@
 		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
 		Limits:      metrics.NewRegisteredCounter("gateway.limits", r),
+		Closed:      metrics.NewRegisteredCounter("gateway.closed", r),
 		Unreadable:  metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
 		FirstEvent:  metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
@@ -161,6 +164,9 @@
 	if policy.Withholds(e.Code) {
 		p.cfg.Metrics.Withheld.Inc(1)
 	}
+	if e.Code == policy.CodeClosed {
+		p.cfg.Metrics.Closed.Inc(1)
+	}
 	if c.headSent && time.Now().Before(c.deadline) && e.Code != verdict.CodeCanceled {
 		p.cfg.Metrics.Cut.Inc(1)
 	}
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -42,6 +42,9 @@
 		if !c.late() {
 			p.refusals.note(c.service, time.Now())
 		}
+		if full.OpensIn > 0 {
+			return p.closed(c.service, full.OpensIn)
+		}
 		return p.shortage(policy.CodeFull, "all endpoints of %s are full", c.service)
 	}
 	return p.shortage(verdict.CodeNoEndpoint, "no endpoint of %s", c.service)
@@ -53,7 +56,7 @@
 func (p *Proxy) pickLoaded(ctx context.Context, c *call) (*balance.Lease, *verdict.Error) {
 	began := time.Now()
 	for {
-		lease, err := p.cfg.Balancer.Pick(p.query(c), time.Now())
+		lease, err := p.pick(ctx, p.query(c))
 		if !policy.AwaitsLoad(c.headSent, loading(lease, err), time.Since(began)) {
 			return lease, p.pickFailure(c, err)
 		}
@@ -66,13 +69,28 @@
 	}
 }
 
+// pick chooses an endpoint. Where all take no more for now by their own word, the gateway that
+// holds one of them is asked for a request there.
+func (p *Proxy) pick(ctx context.Context, q *balance.Query) (*balance.Lease, error) {
+	lease, err := p.cfg.Balancer.Pick(q, time.Now())
+	var full *balance.FullError
+	if errors.As(err, &full) && full.Ask.ID != "" && p.cfg.AskToken(ctx, full.Ask) {
+		return p.cfg.Balancer.Pick(q, time.Now())
+	}
+	return lease, err
+}
+
 // loading returns whether what was chosen is about to load weights, or could have been chosen
-// but for that.
+// but for that, or but for what an endpoint said of itself a moment ago.
 func loading(lease *balance.Lease, err error) bool {
 	var none *balance.NoEndpointError
 	if errors.As(err, &none) {
 		return none.Loading
 	}
+	var full *balance.FullError
+	if errors.As(err, &full) {
+		return policy.OpensSoon(full.OpensIn)
+	}
 	return lease != nil && lease.Paused(time.Now())
 }
 
@@ -85,6 +103,13 @@
 	return policy.LateMaxLoad(limit, p.refusals.ago(c.service, time.Now()))
 }
 
+// closed returns the failure of a request that no endpoint takes before a time has passed, by
+// their own word.
+func (p *Proxy) closed(service string, opensIn time.Duration) *verdict.Error {
+	e := verdict.NewError(verdict.NotRun, policy.CodeClosed, "all endpoints of %s take no more for now, by their own word", service)
+	return e.After(policy.OpeningRetry(opensIn, p.cfg.Random()))
+}
+
 // shortage returns the failure of a request that found no endpoint.
 func (p *Proxy) shortage(code verdict.Code, format, service string) *verdict.Error {
 	return verdict.NewError(verdict.NotRun, code, format, service).After(policy.ShortageRetry(p.cfg.Random()))
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -52,6 +53,9 @@
 	// Trial asks for the lease on a suspected request for at most d, and returns whether it
 	// was given and what ends it.
 	Trial func(ctx context.Context, k poison.Key, d time.Duration) (end func(), given bool)
+	// AskToken asks for one request at an endpoint that another gateway holds, and returns
+	// whether it was given; nil means that none ever is.
+	AskToken func(ctx context.Context, l roster.Life) bool
 	// Random returns a number from [0, 1).
 	Random func() float64
 }
@@ -82,6 +86,9 @@
 	if cfg.ReadAdvisory == nil {
 		cfg.ReadAdvisory = func(http.Header) advisory.Advisory { return advisory.Advisory{Limit: advisory.Unknown{}} }
 	}
+	if cfg.AskToken == nil {
+		cfg.AskToken = func(context.Context, roster.Life) bool { return false }
+	}
 	p := &Proxy{cfg: cfg, running: drain.NewTracker(), patience: newPatience(), refusals: newRefusals(), ends: newEnds(cfg.Client.Refuses)}
 	p.ending, p.End = context.WithCancel(context.Background())
 	return p
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -29,6 +29,7 @@
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/wait"
@@ -89,6 +90,10 @@
 	// beat is what the gateway had in progress at its last heartbeat.
 	beatMu sync.Mutex
 	beat   map[roster.Life]int
+	// self is the gateway in a fleet.
+	self member.Entry
+	// askToken asks another gateway for a request at an endpoint that it holds.
+	askToken func(context.Context, roster.Life) bool
 }
 
 // lines takes log lines of several goroutines.
@@ -135,6 +140,11 @@
 		w.balancer = balance.New(balance.Config{Zone: "a", OtherLoad: func(roster.Life) int { return 0 }, Random: func() float64 { return 0 }})
 		w.balancer.Update(list)
 		w.balancer.Prefer(map[string]bool{"e0": true})
+		held := map[string]bool{}
+		for id := range list.Endpoints {
+			held[id] = true
+		}
+		w.balancer.Hold(held, time.Now())
 		w.client = upstream.NewClient(upstream.WithDialer(w))
 		w.budget = proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 })
 		w.poison, w.trials = poison.NewTable(func(poison.Change) {}), poison.NewTrials()
@@ -160,6 +170,7 @@
 		WeightsEnd:   func(string, int64) (time.Time, bool) { return w.weightsEnd, !w.weightsEnd.IsZero() },
 		Newest:       func(string) int64 { return w.newest.Load() },
 		ReadAdvisory: readAdvisory,
+		AskToken:     w.askToken,
 		Poison:       w.poison, Trial: w.trial,
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.draw.Load()) / 1000 },
 	})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/silverdeck/silverdeck/gateway/directory"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/replica"
+	"github.com/silverdeck/silverdeck/gateway/tokens"
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
@@ -89,6 +90,7 @@
 		member.RollServiceName: member.NewRollService(g.table),
 		poison.ServiceName:     poison.NewService(g.poison, g.trials),
 		leases.ServiceName:     leases.NewService(g.loads, g.leasable),
+		tokens.ServiceName:     tokens.NewService(g.balancer),
 	})
 	if err != nil {
 		return err
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/affinity"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/poison"
@@ -97,7 +98,9 @@
 		Away:     status.StoreLost,
 	}
 	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
-	b.Poison = poison.Pack(g.poison.News(g.table.IsRelay(), time.Now()))
+	now := time.Now()
+	b.Poison = poison.Pack(g.poison.News(g.table.IsRelay(), now))
+	b.Advice = advisory.Pack(g.balancer.Advisories(g.table.IsRelay(), now), now)
 	for kind, m := range g.mirrors {
 		b.Copies[kind] = m.State().Version()
 	}
@@ -134,18 +137,20 @@
 // prefer deals out the endpoints anew where they or the gateways have changed: with 1,900
 // and 340 that is too much work for each heartbeat.
 func (g *Gateway) prefer() {
-	now := dealt{endpoints: g.endpoints.Current(), members: g.table.Changes()}
+	now := dealt{endpoints: g.endpoints.Current(), members: g.table.Changes(), ready: g.Ready() == nil}
 	if g.dealt == now {
 		return
 	}
 	g.dealt = now
 	g.balancer.Prefer(affinity.Preferred(now.endpoints, g.gateways(), g.self.Name))
+	g.balancer.Hold(affinity.Held(now.endpoints, g.readyGateways(), g.self.Name), time.Now())
 }
 
 // dealt is from what endpoints were last dealt out to gateways.
 type dealt struct {
 	endpoints *roster.List
 	members   uint64
+	ready     bool
 }
 
 // afterOther takes in a heartbeat of another gateway.
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -14,6 +14,8 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/gateway/advisory"
+	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
@@ -58,6 +60,8 @@
 	copies   int64
 	// poison is what it knows of requests under which endpoints ended.
 	poison *poison.Table
+	// balancer is what it knows of an endpoint.
+	balancer *balance.Balancer
 	// told is how many bytes it has sent by its own count.
 	told int
 	// lost are all that were believed dead, in order.
@@ -136,6 +140,8 @@
 			n.beater.SendSoon()
 		}
 	})
+	n.balancer = balance.New(balance.Config{OtherLoad: n.table.InFlight, Random: rand.Float64, Advised: func() { n.beater.SendSoon() }})
+	n.balancer.Update(advised)
 	n.conn = &conn{node: n, addr: peerOf(i), queue: make(chan []byte, 1<<12), done: make(chan struct{})}
 	var known []member.Entry
 	for j := range listed {
@@ -155,6 +161,7 @@
 		},
 		Heard:   func() {},
 		Poison:  n.hearPoison,
+		Advice:  n.hearAdvice,
 		Sent:    n.counted,
 		Notice:  func(member.Notice) {},
 		AskRoll: n.askRoll,
@@ -182,10 +189,20 @@
 	defer n.mu.Unlock()
 	b := member.Heartbeat{Entry: n.entry, Ready: true, Copies: map[string]mirror.Version{"config": {Revision: n.copies, Digest: uint64(n.copies)}}}
 	b.SetEndpoints(n.inFlight, n.suspects)
-	b.Poison = poison.Pack(n.poison.News(n.table.IsRelay(), time.Now()))
+	now := time.Now()
+	b.Poison = poison.Pack(n.poison.News(n.table.IsRelay(), now))
+	b.Advice = advisory.Pack(n.balancer.Advisories(n.table.IsRelay(), now), now)
 	return b
 }
 
+// hearAdvice takes in what another gateway tells of endpoints, and as a relay tells it on.
+func (n *node) hearAdvice(told []member.Advice) {
+	now := time.Now()
+	if len(n.balancer.Learn(advisory.Unpack(told, now), now)) > 0 && n.table.IsRelay() {
+		n.beater.SendSoon()
+	}
+}
+
 // hearPoison takes in what another gateway tells, and as a relay tells it on.
 func (n *node) hearPoison(data []byte) {
 	if n.poison.Take(poison.Unpack(data), time.Now()) && n.table.IsRelay() {
--- a/member/member.go
+++ b/member/member.go
@@ -35,6 +35,9 @@
 	Region  string `json:"region"`
 	// Relays is set by programs that take and send digests; older ones leave it out.
 	Relays bool `json:"relays,omitempty"`
+	// Heeds is set by programs that keep to what endpoints say in their answers and tell each
+	// other of it; older ones leave it out.
+	Heeds bool `json:"heeds,omitempty"`
 }
 
 // Heartbeat is what a gateway tells regularly.
@@ -63,6 +66,9 @@
 	// Poison is what the gateway tells of requests under which endpoints ended, as package
 	// poison packs it; older programs leave it out and pass it over.
 	Poison []byte `json:"poison,omitempty"`
+	// Advice is what the gateway tells of what endpoints said in their answers; older programs
+	// leave it out and pass it over.
+	Advice []Advice `json:"advice,omitempty"`
 }
 
 // bare returns b without what it tells of endpoints.
--- a/member/wire.go
+++ b/member/wire.go
@@ -55,6 +55,9 @@
 	// Poison is called with what a new heartbeat tells of requests under which endpoints
 	// ended; nil means that nobody wants it.
 	Poison func([]byte)
+	// Advice is called with what a new heartbeat tells of endpoints' answers; nil means that
+	// nobody wants it.
+	Advice func([]Advice)
 	// Notice is called with each notice.
 	Notice func(Notice)
 	// AskRoll asks the relay at addr for its whole roll; see RollService.
@@ -83,6 +86,9 @@
 	if h.Poison == nil {
 		h.Poison = func([]byte) {}
 	}
+	if h.Advice == nil {
+		h.Advice = func([]Advice) {}
+	}
 	return &Beater{conn: conn, table: table, handlers: h, soon: make(chan struct{}, 1)}
 }
 
@@ -204,6 +210,9 @@
 	if len(beat.Poison) > 0 {
 		b.handlers.Poison(beat.Poison)
 	}
+	if len(beat.Advice) > 0 {
+		b.handlers.Advice(beat.Advice)
+	}
 	b.handlers.Heard()
 }
 
