--- a/gateway/advisory/advisory.go
+++ b/gateway/advisory/advisory.go
@@ -12,6 +12,10 @@
 type Advisory struct {
 	// Limit is what it says of the rate of requests.
 	Limit Limit
+	// Leaving is set when the endpoint says that it leaves.
+	Leaving bool
+	// Rest is for how long it wants no request of the gateway that it refused one; 0 for none.
+	Rest time.Duration
 	// Unreadable are the headers of these that could not be read, as name and value.
 	Unreadable []string
 }
--- a/gateway/balance/said.go
+++ b/gateway/balance/said.go
@@ -11,10 +11,33 @@
 // the store's list nor an ejection that ends undoes it.
 type said struct {
 	limit limit
+	// leaving is set once it said that it leaves.
+	leaving bool
+	// restUntil is until when it wants no requests of this gateway.
+	restUntil time.Time
 	// unreadable is set once a head of its answers could not be read whole.
 	unreadable bool
 }
 
+// leave takes in whether the endpoint says that it leaves, and returns whether that is new.
+// Nothing takes it back: late heads of other connections may lack it.
+func (s *said) leave(leaving bool) bool {
+	changed := leaving && !s.leaving
+	s.leaving = s.leaving || leaving
+	return changed
+}
+
+// rest takes in for how long the endpoint wants no requests, and returns whether that is
+// longer than was known. No answer ends a rest.
+func (s *said) rest(d time.Duration, now time.Time) bool {
+	until := now.Add(d)
+	if d == 0 || !until.After(s.restUntil) {
+		return false
+	}
+	s.restUntil = until
+	return true
+}
+
 // keepDeparted is for how long what an endpoint said is kept after its record has gone: a
 // store that comes back from an outage may bring the record again.
 const keepDeparted = time.Minute
@@ -81,6 +104,10 @@
 // Heard is what an answer's head changed in what is known of its endpoint.
 type Heard struct {
 	Limit LimitChange
+	// Leaves is set for the first head that says that the endpoint leaves.
+	Leaves bool
+	// Rests is set where the endpoint asked for a longer rest than was known.
+	Rests bool
 	// FirstUnreadable is set for the first head of an endpoint's life that could not be read
 	// whole.
 	FirstUnreadable bool
@@ -94,7 +121,12 @@
 	s := l.endpoint.said
 	first := len(a.Unreadable) > 0 && !s.unreadable
 	s.unreadable = s.unreadable || first
-	heard := Heard{Limit: s.limit.hear(a.Limit, sentAt, now), FirstUnreadable: first}
+	heard := Heard{
+		Limit:           s.limit.hear(a.Limit, sentAt, now),
+		Leaves:          s.leave(a.Leaving),
+		Rests:           s.rest(a.Rest, now),
+		FirstUnreadable: first,
+	}
 	if heard.Limit != LimitSame {
 		l.balancer.cfg.Advised()
 	}
--- a/gateway/proxy/hear.go
+++ b/gateway/proxy/hear.go
@@ -15,11 +15,17 @@
 	if a.x == nil || !policy.SpeaksForEndpoint(p.head(c, a.x)) {
 		return
 	}
-	told := p.cfg.ReadAdvisory(a.x.Header)
+	told := p.cfg.ReadAdvisory(a.x.Status, a.x.Header)
 	heard := a.lease.Hear(told, a.sentAt, time.Now())
 	if heard.Limit != balance.LimitSame {
 		p.logLimit(c, a.lease, told.Limit, heard.Limit)
 	}
+	if heard.Leaves {
+		p.logLeaving(c, a.lease)
+	}
+	if heard.Rests {
+		p.logRest(c, a.lease, told.Rest)
+	}
 	p.cfg.Metrics.Unreadable.Inc(int64(len(told.Unreadable)))
 	if heard.FirstUnreadable {
 		p.cfg.Log.Warn("unreadable headers", "request", c.id, "endpoint", a.lease.Record.ID, "headers", told.Unreadable)
@@ -33,3 +39,17 @@
 	p.cfg.Log.Info("endpoint limit", "request", c.id, "endpoint", lease.Record.ID, "born", lease.Record.Born,
 		"change", change.String(), "perSecond", float64(rate))
 }
+
+// logLeaving notes that an endpoint says that it leaves.
+func (p *Proxy) logLeaving(c *call, lease *balance.Lease) {
+	p.cfg.Metrics.Leavings.Inc(1)
+	p.cfg.Log.Info("endpoint leaves", "request", c.id, "endpoint", lease.Record.ID, "born", lease.Record.Born,
+		"recorded", lease.Record.Leaving)
+}
+
+// logRest notes that an endpoint wants no requests of this gateway for d.
+func (p *Proxy) logRest(c *call, lease *balance.Lease, d time.Duration) {
+	p.cfg.Metrics.Rests.Inc(1)
+	p.cfg.Log.Info("endpoint rests", "request", c.id, "endpoint", lease.Record.ID, "born", lease.Record.Born,
+		"forMs", d.Milliseconds())
+}
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -33,6 +33,8 @@
 	// Limits counts changes of the limits that endpoints name in answers, Unreadable headers of
 	// answers that could not be read.
 	Limits, Unreadable metrics.Counter
+	// Leavings counts endpoints that said that they leave, Rests the rests that they asked for.
+	Leavings, Rests metrics.Counter
 	// Closed counts requests that no endpoint took by what they say in answers.
 	Closed metrics.Counter
 	// Whole is the time to the end of an answer, FirstEvent that to a stream's
@@ -60,6 +62,8 @@
 		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
 		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
 		Limits:      metrics.NewRegisteredCounter("gateway.limits", r),
+		Leavings:    metrics.NewRegisteredCounter("gateway.leavings", r),
+		Rests:       metrics.NewRegisteredCounter("gateway.rests", r),
 		Closed:      metrics.NewRegisteredCounter("gateway.closed", r),
 		Unreadable:  metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -47,7 +47,7 @@
 	WeightsEnd func(model string, version int64) (time.Time, bool)
 	// ReadAdvisory reads what the head of an answer says of its endpoint; nil means that it
 	// says nothing.
-	ReadAdvisory func(http.Header) advisory.Advisory
+	ReadAdvisory func(status int, h http.Header) advisory.Advisory
 	// Poison is what is known of requests under which endpoints ended.
 	Poison *poison.Table
 	// Trial asks for the lease on a suspected request for at most d, and returns whether it
@@ -84,7 +84,7 @@
 		cfg.Newest = func(string) int64 { return 0 }
 	}
 	if cfg.ReadAdvisory == nil {
-		cfg.ReadAdvisory = func(http.Header) advisory.Advisory { return advisory.Advisory{Limit: advisory.Unknown{}} }
+		cfg.ReadAdvisory = func(int, http.Header) advisory.Advisory { return advisory.Advisory{Limit: advisory.Unknown{}} }
 	}
 	if cfg.AskToken == nil {
 		cfg.AskToken = func(context.Context, roster.Life) bool { return false }
--- a/gateway/proxy/world_test.go
+++ b/gateway/proxy/world_test.go
@@ -177,8 +177,11 @@
 }
 
 // readAdvisory reads the headers of this test's own.
-func readAdvisory(h http.Header) advisory.Advisory {
-	a := advisory.Advisory{Limit: advisory.Unlimited{}}
+func readAdvisory(status int, h http.Header) advisory.Advisory {
+	a := advisory.Advisory{Limit: advisory.Unlimited{}, Leaving: h.Get("Leaving") != ""}
+	if rest, err := time.ParseDuration(h.Get("Rest")); err == nil && status == http.StatusServiceUnavailable {
+		a.Rest = rest
+	}
 	if value := h.Get("Limit"); value != "" {
 		rate, err := strconv.ParseFloat(value, 64)
 		if err != nil {
