proxy, soak: endpoints that leave or want rest get requests on, failing

The soak's mix says both as well, beside limits: runners whose records still say ready, and runners that refuse each third request in spells.

--- /dev/null
+++ b/gateway/proxy/rest_test.go
@@ -0,0 +1,82 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// restless refuses the first request of each gateway in each spell and asks for rest, and
+// answers all others. It counts what comes of a gateway while it should rest.
+type restless struct {
+	rest time.Duration
+
+	mu sync.Mutex
+	// until is when each gateway's rest ends, since when it began.
+	until, since map[string]time.Time
+	// during counts requests of gateways that came during their rest.
+	during map[string]int
+}
+
+// step answers a request, whose ID begins with the gateway's name.
+func (e *restless) step(c net.Conn, r *http.Request) bool {
+	gateway, _, _ := strings.Cut(r.Header.Get("Id"), "-")
+	e.mu.Lock()
+	now := time.Now()
+	resting := now.Before(e.until[gateway])
+	if resting && now.Sub(e.since[gateway]) > 500*time.Millisecond {
+		e.during[gateway]++
+	}
+	again := now.After(e.until[gateway].Add(e.rest))
+	if !resting && again {
+		e.since[gateway], e.until[gateway] = now, now.Add(e.rest)
+	}
+	e.mu.Unlock()
+	if !resting && again {
+		return text(503, "", "Not-Run: 1", fmt.Sprintf("Rest: %s", e.rest))(c, r)
+	}
+	return says()(c, r)
+}
+
+// most returns the most requests that came of a gateway during its rests.
+func (e *restless) most() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, during := range e.during {
+		n = max(n, during)
+	}
+	return n
+}
+
+// A refusal's pause is short; the rest that an endpoint asks for with it may take seconds.
+func TestRequestsReachEndpointsThatAskedForRest(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+		for _, resting := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d of 3 endpoints", path, resting), func(t *testing.T) {
+				var all []*restless
+				var scripts [][]step
+				for range resting {
+					e := &restless{rest: 3 * time.Second, until: map[string]time.Time{}, since: map[string]time.Time{}, during: map[string]int{}}
+					all, scripts = append(all, e), append(scripts, []step{e.step})
+				}
+				for len(scripts) < 3 {
+					scripts = append(scripts, []step{says()})
+				}
+				playFleet(t, 3, func(f *fleet) {
+					f.ask(path, pace, 20*time.Second)
+					for _, e := range all {
+						f.g.Expect(e.since).NotTo(BeEmpty())
+						f.g.Expect(e.most()).To(BeZero())
+					}
+				}, scripts...)
+			})
+		}
+	}
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -136,7 +136,7 @@
 	resp, err := c.client.Do(q.request(seen.trace(ctx), addr))
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
-		c.noteAdvice(entry, resp.Header)
+		c.world.heeded.passedOn(entry.name, resp.Header)
 		err = c.check(resp, q.id, q.body, q.stream)
 	}
 	ended := time.Now()
--- a/soak/world.go
+++ b/soak/world.go
@@ -140,7 +140,7 @@
 	host := 100 + i
 	s := &slot{cfg: standin.RunnerConfig{
 		Service: plainService, Zone: zone(i), Address: w.addr(host, portRunner), Slots: 16, Witness: w.witness, Store: w.store,
-		Events: w.cfg.Events, EventPause: w.cfg.EventPause, LoadCuts: w.cfg.Mix == MixLong, Reached: w.heeded.reached,
+		Events: w.cfg.Events, EventPause: w.cfg.EventPause, LoadCuts: w.cfg.Mix == MixLong, Reached: w.heeded.reached, Rested: w.heeded.rested,
 	}}
 	if w.cfg.Mix == MixCrash {
 		s.cfg.EndsUnder = func(id, body string) bool { return w.fatal.begins(s, id, body) }
