balance: an endpoint that says in an answer that it leaves gets no request more

The same class as limits in answers, and the same place now keeps it: one fact for each life, in what the endpoint said, which neither a list, nor an older record, nor a late head without it takes back; a new life starts without. The gate is that of a record that says so, so no last resort, hedge, rest or trial passes it; streams there go on; its end is not put down to a request. Others are told in the heartbeats that carry limits. Where all leave, callers are refused at once.

--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -27,15 +27,24 @@
 	now := time.Now()
 	changed := g.balancer.Learn(advisory.Unpack(told, now), now)
 	for _, r := range changed {
-		rate, limited := r.Limit.(advisory.PerSecond)
-		g.log.Info("endpoint limit told", "endpoint", r.Endpoint.ID, "born", r.Endpoint.Born, "limited", limited,
-			"perSecond", float64(rate), "heardMs", now.Sub(r.HeardAt).Milliseconds())
+		g.logAdvice(&r, now)
 	}
 	if len(changed) > 0 && g.table.IsRelay() {
 		g.beater.SendSoon()
 	}
 }
 
+// logAdvice notes what another gateway told of an endpoint.
+func (g *Gateway) logAdvice(r *advisory.Record, now time.Time) {
+	rate, limited := r.Limit.(advisory.PerSecond)
+	heard := int64(-1)
+	if !r.HeardAt.IsZero() {
+		heard = now.Sub(r.HeardAt).Milliseconds()
+	}
+	g.log.Info("endpoint told", "endpoint", r.Endpoint.ID, "born", r.Endpoint.Born, "limited", limited,
+		"perSecond", float64(rate), "heardMs", heard, "leaving", r.Leaving)
+}
+
 // readyGateways returns the gateways among which endpoints are held: those that are ready, as all
 // others see them.
 func (g *Gateway) readyGateways() []member.Entry {
--- a/gateway/advisory/advisory.go
+++ b/gateway/advisory/advisory.go
@@ -42,9 +42,12 @@
 	Endpoint roster.Life
 	// Limit is the limit that it named, or Unlimited once it names none any more.
 	Limit Limit
-	// HeardAt is when a gateway last heard that from the endpoint itself.
+	// HeardAt is when a gateway last heard that from the endpoint itself; zero if none heard
+	// of a limit.
 	HeardAt time.Time
 	// ConfirmedAt is when the gateway that holds the endpoint last told that the limit
 	// stands; zero if it never did.
 	ConfirmedAt time.Time
+	// Leaving is set once it said that it leaves.
+	Leaving bool
 }
--- a/gateway/advisory/wire.go
+++ b/gateway/advisory/wire.go
@@ -11,15 +11,17 @@
 func Pack(records []Record, now time.Time) []member.Advice {
 	var out []member.Advice
 	for _, r := range records {
-		a := member.Advice{ID: r.Endpoint.ID, Born: r.Endpoint.Born, HeardMS: now.Sub(r.HeardAt).Milliseconds()}
+		a := member.Advice{
+			ID:          r.Endpoint.ID,
+			Born:        r.Endpoint.Born,
+			HeardMS:     age(r.HeardAt, now),
+			ConfirmedMS: age(r.ConfirmedAt, now),
+			Leaving:     r.Leaving,
+		}
 		if rate, limited := r.Limit.(PerSecond); limited {
 			limit := float64(rate)
 			a.Limit = &limit
 		}
-		if !r.ConfirmedAt.IsZero() {
-			confirmed := now.Sub(r.ConfirmedAt).Milliseconds()
-			a.ConfirmedMS = &confirmed
-		}
 		out = append(out, a)
 	}
 	return out
@@ -29,19 +31,34 @@
 func Unpack(told []member.Advice, now time.Time) []Record {
 	var out []Record
 	for _, a := range told {
-		r := Record{Endpoint: roster.Life{ID: a.ID, Born: a.Born}, Limit: Unlimited{}, HeardAt: ago(a.HeardMS, now)}
+		r := Record{
+			Endpoint:    roster.Life{ID: a.ID, Born: a.Born},
+			Limit:       Unlimited{},
+			HeardAt:     ago(a.HeardMS, now),
+			ConfirmedAt: ago(a.ConfirmedMS, now),
+			Leaving:     a.Leaving,
+		}
 		if a.Limit != nil {
 			r.Limit = PerSecond(max(*a.Limit, 0))
 		}
-		if a.ConfirmedMS != nil {
-			r.ConfirmedAt = ago(*a.ConfirmedMS, now)
-		}
 		out = append(out, r)
 	}
 	return out
 }
 
-// ago returns the time so many milliseconds before now, which is never after now.
-func ago(ms int64, now time.Time) time.Time {
-	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+// age returns how many milliseconds before now t was, or nil if t is zero.
+func age(t, now time.Time) *int64 {
+	if t.IsZero() {
+		return nil
+	}
+	ms := now.Sub(t).Milliseconds()
+	return &ms
+}
+
+// ago returns the time so many milliseconds before now, which is never after now, or zero.
+func ago(ms *int64, now time.Time) time.Time {
+	if ms == nil {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(max(*ms, 0)) * time.Millisecond)
 }
--- a/gateway/advisory/wire_test.go
+++ b/gateway/advisory/wire_test.go
@@ -20,6 +20,7 @@
 	told := []advisory.Record{
 		{Endpoint: roster.Life{ID: "e", Born: 5}, Limit: advisory.PerSecond(0), HeardAt: sent.Add(-3 * time.Second), ConfirmedAt: sent},
 		{Endpoint: roster.Life{ID: "f"}, Limit: advisory.Unlimited{}, HeardAt: sent.Add(-time.Second)},
+		{Endpoint: roster.Life{ID: "g"}, Limit: advisory.Unlimited{}, Leaving: true},
 	}
 	data, err := json.Marshal(advisory.Pack(told, sent))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -28,6 +29,7 @@
 	g.Expect(advisory.Unpack(read, taken)).To(Equal([]advisory.Record{
 		{Endpoint: roster.Life{ID: "e", Born: 5}, Limit: advisory.PerSecond(0), HeardAt: taken.Add(-3 * time.Second), ConfirmedAt: taken},
 		{Endpoint: roster.Life{ID: "f"}, Limit: advisory.Unlimited{}, HeardAt: taken.Add(-time.Second)},
+		{Endpoint: roster.Life{ID: "g"}, Limit: advisory.Unlimited{}, Leaving: true},
 	}))
 }
 
@@ -35,7 +37,7 @@
 func TestWhatIsToldIsNeverOfTheFuture(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	limit := -1.0
-	got := advisory.Unpack([]member.Advice{{ID: "e", Limit: &limit, HeardMS: -5000}}, now)
+	limit, age := -1.0, int64(-5000)
+	got := advisory.Unpack([]member.Advice{{ID: "e", Limit: &limit, HeardMS: &age}}, now)
 	g.Expect(got).To(Equal([]advisory.Record{{Endpoint: roster.Life{ID: "e"}, Limit: advisory.PerSecond(0), HeardAt: now}}))
 }
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -30,7 +30,7 @@
 func (l *Lease) Leaving() bool {
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
-	return l.endpoint.record.Leaving || !l.shard.has(l.endpoint)
+	return l.endpoint.leaving() || !l.shard.has(l.endpoint)
 }
 
 // Paused returns whether the endpoint asked to get no requests now, since it is about to
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -37,7 +37,6 @@
 	// tokenUntil is until when another gateway may send one request that the holder gave it,
 	// askAt when it may ask for the next.
 	tokenUntil, askAt time.Time
-	news              news
 }
 
 // stands returns whether the limit is kept to, by a gateway that holds the endpoint or not.
@@ -93,9 +92,6 @@
 		}
 	case advisory.Unknown:
 	}
-	if change != LimitSame {
-		l.news = news{changedAt: now, heard: true}
-	}
 	return change
 }
 
@@ -120,11 +116,7 @@
 	if !r.HeardAt.After(l.heardAt) {
 		return LimitSame
 	}
-	change := l.set(r.Limit, r.HeardAt, now)
-	if change != LimitSame {
-		l.news = news{changedAt: now}
-	}
-	return change
+	return l.set(r.Limit, r.HeardAt, now)
 }
 
 // told returns the limit as other gateways are told it.
--- a/gateway/balance/news.go
+++ b/gateway/balance/news.go
@@ -50,14 +50,13 @@
 func (s *shard) advisories(all bool, n int, now time.Time) []advisory.Record {
 	var due []*endpoint
 	for _, e := range s.ordered {
-		l := &e.said.limit
-		stands := (e.held || all) && l.stands(e.held, now)
-		if l.news.due(all, stands, now) {
+		stands := (e.held || all) && (e.limited(now) || e.said.leaving)
+		if e.said.news.due(all, stands, now) {
 			due = append(due, e)
 		}
 	}
 	slices.SortFunc(due, func(a, b *endpoint) int {
-		return a.said.limit.news.toldAt.Compare(b.said.limit.news.toldAt)
+		return a.said.news.toldAt.Compare(b.said.news.toldAt)
 	})
 	var out []advisory.Record
 	for _, e := range due[:min(n, len(due))] {
@@ -69,11 +68,17 @@
 // tell returns what is told of e now. Who holds an endpoint confirms its limit.
 func (e *endpoint) tell(now time.Time) advisory.Record {
 	l := &e.said.limit
-	l.news.toldAt = now
+	e.said.news.toldAt = now
 	if e.held && l.named {
 		l.confirmedAt = now
 	}
-	return advisory.Record{Endpoint: e.record.Life(), Limit: l.told(), HeardAt: l.heardAt, ConfirmedAt: l.confirmedAt}
+	return advisory.Record{
+		Endpoint:    e.record.Life(),
+		Limit:       l.told(),
+		HeardAt:     l.heardAt,
+		ConfirmedAt: l.confirmedAt,
+		Leaving:     e.said.leaving,
+	}
 }
 
 // Learn takes in what another gateway tells and returns what of it was new.
@@ -81,7 +86,7 @@
 	var changed []advisory.Record
 	for _, r := range records {
 		b.withEndpoint(r.Endpoint, func(e *endpoint) {
-			if e.said.limit.learn(&r, now) != LimitSame {
+			if e.said.learn(&r, now) {
 				changed = append(changed, r)
 			}
 		})
--- a/gateway/balance/places.go
+++ b/gateway/balance/places.go
@@ -23,7 +23,7 @@
 	defer s.mu.Unlock()
 	out := make([]Place, 0, len(s.ordered))
 	for _, e := range s.ordered {
-		if e.record.Leaving {
+		if e.leaving() {
 			continue
 		}
 		p := Place{Addr: e.record.Addr, InFlight: b.allInFlight(e)}
--- a/gateway/balance/said.go
+++ b/gateway/balance/said.go
@@ -17,6 +17,23 @@
 	restUntil time.Time
 	// unreadable is set once a head of its answers could not be read whole.
 	unreadable bool
+	news       news
+}
+
+// learn takes in what another gateway tells, and returns whether that is new.
+func (s *said) learn(r *advisory.Record, now time.Time) bool {
+	change := s.limit.learn(r, now)
+	leaves := s.leave(r.Leaving)
+	if change == LimitSame && !leaves {
+		return false
+	}
+	s.news = news{changedAt: now}
+	return true
+}
+
+// leaving returns whether e leaves, by its record or its own word.
+func (e *endpoint) leaving() bool {
+	return e.record.Leaving || e.said.leaving
 }
 
 // leave takes in whether the endpoint says that it leaves, and returns whether that is new.
@@ -127,7 +144,8 @@
 		Rests:           s.rest(a.Rest, now),
 		FirstUnreadable: first,
 	}
-	if heard.Limit != LimitSame {
+	if heard.Limit != LimitSame || heard.Leaves {
+		s.news = news{changedAt: now, heard: true}
 		l.balancer.cfg.Advised()
 	}
 	return heard
--- a/gateway/balance/said_test.go
+++ b/gateway/balance/said_test.go
@@ -146,3 +146,53 @@
 		Expect(openEvery(b, q, 2000, 3100)).To(Equal([]int{2500, 3000}))
 	})
 })
+
+var _ = Describe("An endpoint that says that it leaves", func() {
+	q := balance.Query{Service: "s"}
+	leaving := advisory.Advisory{Limit: advisory.Unlimited{}, Leaving: true}
+
+	It("gets no request any more, whatever later heads and the store's list say", func() {
+		b := balancer(lives(5, 1))
+		first, late := pick(b, q, at(0)), pick(b, q, at(0))
+		Expect(first.Hear(leaving, at(0), at(100)).Leaves).To(BeTrue())
+		Expect(late.Hear(advisory.Advisory{Limit: advisory.Unlimited{}}, at(0), at(200)).Leaves).To(BeFalse())
+		Expect(late.Hear(leaving, at(0), at(200)).Leaves).To(BeFalse(), "that is known")
+		Expect(available(b, q, at(200))).To(BeFalse())
+		b.Update(lives(5, 1))
+		Expect(available(b, q, at(60000))).To(BeFalse())
+		b.Update(&roster.List{})
+		b.Update(lives(5, 1))
+		Expect(available(b, q, at(60000))).To(BeFalse())
+	})
+	It("is no last resort where it is ejected", func() {
+		b := balancer(lives(5, 1))
+		l := pick(b, q, at(0))
+		l.Hear(leaving, at(0), at(100))
+		l.Done(balance.Unreachable, at(100))
+		_, err := b.Pick(&q, at(200))
+		Expect(err).To(Equal(&balance.NoEndpointError{Service: "s"}))
+	})
+	It("is not blamed for its end", func() {
+		b := balancer(lives(5, 1))
+		l := pick(b, q, at(0))
+		Expect(l.Leaving()).To(BeFalse())
+		l.Hear(leaving, at(0), at(100))
+		Expect(l.Leaving()).To(BeTrue())
+		Expect(b.Places(&q, at(200))).To(BeEmpty())
+	})
+	It("stays in its next life", func() {
+		b := balancer(lives(5, 1))
+		pick(b, q, at(0)).Hear(leaving, at(0), at(100))
+		b.Update(lives(6, 1))
+		Expect(available(b, q, at(200))).To(BeTrue())
+	})
+	It("is known to gateways that are told so", func() {
+		b, other := balancer(lives(5, 1)), balancer(lives(5, 1))
+		pick(b, q, at(0)).Hear(leaving, at(0), at(100))
+		Expect(other.Learn(b.Advisories(false, at(200)), at(200))).To(HaveLen(1))
+		Expect(available(other, q, at(200))).To(BeFalse())
+		Expect(b.Advisories(false, at(2000))).To(BeEmpty())
+		holding(b, "e0")
+		Expect(b.Advisories(false, at(2000))).To(HaveLen(1), "for who starts")
+	})
+})
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -96,7 +96,7 @@
 
 // fits returns whether e may take a request of q at all.
 func (e *endpoint) fits(q *Query) bool {
-	if e.record.Leaving || e.health.reassigned {
+	if e.leaving() || e.health.reassigned {
 		return false
 	}
 	if q.Model != "" && e.holds(q.Model) < max(q.MinVersion, 1) {
--- a/gateway/proxy/leave_test.go
+++ b/gateway/proxy/leave_test.go
@@ -45,3 +45,34 @@
 		}
 	}
 }
+
+// Nobody takes them any more, so waiting is in vain.
+func TestCallersAreRefusedAtOnceWhereAllEndpointsSaidThatTheyLeave(t *testing.T) {
+	play(t, func(w *world) {
+		w.ask("POST", "/unsafe/x", "")
+		w.ask("POST", "/unsafe/x", "")
+		a := w.ask("POST", "/unsafe/x", "")
+		w.g.Expect(a.Code).To(Equal(503))
+		w.g.Expect(a.took).To(BeZero())
+		w.g.Expect(a.Header().Get("Retry-After")).NotTo(BeEmpty())
+	}, []step{text(200, "ok", "Leaving: 1")}, []step{text(200, "ok", "Leaving: 1")})
+}
+
+// What is under way there ends as it can.
+func TestAStreamGoesOnAtAnEndpointThatSaidThatItLeaves(t *testing.T) {
+	long := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: st\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		for i := range 10 {
+			time.Sleep(200 * time.Millisecond)
+			if !chunks(c, stream(i+1)) {
+				return false
+			}
+		}
+		return end(c, r)
+	}
+	play(t, func(w *world) {
+		a := w.ask("POST", "/stream/x", "")
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)))
+		w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+	}, []step{long}, []step{says()})
+}
