balance: an endpoint that asked for rest gets no request of that gateway until it ends

The class is that of limits in answers. A rest is kept beside them, for the gateway that was refused alone: the latest to end holds, no other answer, ejection that ends, trial or list undoes it, and it is no failure. It is in the gate that limits pass, so hedges, rests of streams and last resorts keep to it, and where all endpoints rest callers are refused at once, code closed, with a Retry-After until the first takes requests again, spread and bounded as others are.

--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -225,7 +225,7 @@
 			continue
 		}
 		preferred++
-		if e.fits(q) && b.usable(e, now) && !e.limited(now) {
+		if e.fits(q) && b.usable(e, now) && !e.limited(now) && !e.resting(now) {
 			usable++
 		}
 	}
--- a/gateway/balance/places.go
+++ b/gateway/balance/places.go
@@ -28,7 +28,7 @@
 		}
 		p := Place{Addr: e.record.Addr, InFlight: b.allInFlight(e)}
 		if !e.limited(now) {
-			p.Slots, p.Usable = e.record.Slots, e.fits(q) && b.usable(e, now)
+			p.Slots, p.Usable = e.record.Slots, e.fits(q) && b.usable(e, now) && !e.resting(now)
 		}
 		out = append(out, p)
 	}
--- a/gateway/balance/said.go
+++ b/gateway/balance/said.go
@@ -103,9 +103,20 @@
 	return e.said.limit.stands(e.held, now)
 }
 
+// resting returns whether e wants no requests of this gateway now.
+func (e *endpoint) resting(now time.Time) bool {
+	return now.Before(e.said.restUntil)
+}
+
 // opensIn returns after what time e takes a request of this gateway by its own word, or 0 if
-// it does now. Where another gateway holds the endpoint it takes one for each token.
+// it does now.
 func (e *endpoint) opensIn(now time.Time) time.Duration {
+	return max(e.limitOpensIn(now), e.said.restUntil.Sub(now), 0)
+}
+
+// limitOpensIn returns after what time the limit of e leaves room for a request, or 0 if it
+// does now. Where another gateway holds the endpoint it leaves room for each token.
+func (e *endpoint) limitOpensIn(now time.Time) time.Duration {
 	switch l := &e.said.limit; {
 	case !e.limited(now):
 		return 0
--- a/gateway/balance/said_test.go
+++ b/gateway/balance/said_test.go
@@ -196,3 +196,57 @@
 		Expect(b.Advisories(false, at(2000))).To(HaveLen(1), "for who starts")
 	})
 })
+
+var _ = Describe("An endpoint that wants rest", func() {
+	q := balance.Query{Service: "s"}
+	rest := func(d time.Duration) advisory.Advisory {
+		return advisory.Advisory{Limit: advisory.Unlimited{}, Rest: d}
+	}
+
+	It("gets no request until the latest of the rests that it asked for ends", func() {
+		b := balancer(lives(5, 1))
+		l := pick(b, q, at(0))
+		Expect(l.Hear(rest(time.Second), at(0), at(100)).Rests).To(BeTrue())
+		Expect(l.Hear(rest(3*time.Second), at(0), at(200)).Rests).To(BeTrue())
+		Expect(l.Hear(rest(time.Second), at(0), at(300)).Rests).To(BeFalse())
+		Expect(l.Hear(rest(0), at(0), at(400)).Rests).To(BeFalse())
+		l.Done(balance.Served, at(500))
+		Expect(openEvery(b, q, 200, 3300)[0]).To(Equal(3200))
+	})
+	It("is not tried when an ejection ends before its rest", func() {
+		b := balancer(lives(5, 1))
+		l := pick(b, q, at(0))
+		l.Hear(rest(3*time.Second), at(0), at(100))
+		l.Done(balance.Unreachable, at(100))
+		Expect(openEvery(b, q, 100, 3200)).To(Equal([]int{3100, 3110, 3120, 3130, 3140, 3150, 3160, 3170, 3180, 3190}))
+	})
+	It("says when it takes requests again", func() {
+		b := balancer(lives(5, 1))
+		pick(b, q, at(0)).Hear(rest(3*time.Second), at(0), at(100))
+		_, err := b.Pick(&q, at(600))
+		Expect(err).To(Equal(&balance.FullError{Service: "s", OpensIn: 2500 * time.Millisecond}))
+		Expect(b.Places(&q, at(600))[0].Usable).To(BeFalse())
+	})
+	It("keeps its rest while its record is away, and not in its next life", func() {
+		b := balancer(lives(5, 1))
+		pick(b, q, at(0)).Hear(rest(3*time.Second), at(0), at(100))
+		b.Update(&roster.List{})
+		b.Update(lives(5, 1))
+		Expect(available(b, q, at(600))).To(BeFalse())
+		b.Update(lives(6, 1))
+		Expect(available(b, q, at(600))).To(BeTrue())
+	})
+	It("is asked of one gateway, and none is told", func() {
+		b := holding(balancer(lives(5, 1)), "e0")
+		pick(b, q, at(0)).Hear(rest(3*time.Second), at(0), at(100))
+		Expect(b.Advisories(true, at(200))).To(BeEmpty())
+	})
+	It("leaves its limit to other gateways", func() {
+		b := holding(balancer(lives(5, 1)), "e0")
+		pick(b, q, at(0)).Hear(advisory.Advisory{Limit: advisory.PerSecond(2), Rest: 3 * time.Second}, at(0), at(100))
+		granted, _ := b.Grant(roster.Life{ID: "e0", Born: 5}, at(1000))
+		Expect(granted).To(BeTrue())
+		_, err := b.Pick(&q, at(1600))
+		Expect(err).To(Equal(&balance.FullError{Service: "s", OpensIn: 1500 * time.Millisecond}))
+	})
+})
--- a/gateway/balance/token.go
+++ b/gateway/balance/token.go
@@ -20,7 +20,7 @@
 
 // asks returns whether the holder of e may be asked for a token now.
 func (e *endpoint) asks(now time.Time) bool {
-	return !e.held && e.limited(now) && !now.Before(e.said.limit.askAt)
+	return !e.held && e.limited(now) && !e.resting(now) && !now.Before(e.said.limit.askAt)
 }
 
 // unheard returns whether nothing was heard from e for so long that its limit may have ended.
@@ -39,7 +39,7 @@
 		if !e.held {
 			return
 		}
-		if opensIn = e.opensIn(now); opensIn == 0 {
+		if opensIn = e.limitOpensIn(now); opensIn == 0 {
 			e.said.limit.take(now)
 			granted = true
 		}
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/header"
 	"github.com/silverdeck/silverdeck/gateway/policy"
@@ -28,7 +29,8 @@
 
 // judge looks at the head of an answer and returns why it can't be passed on, and
 // what that says of the endpoint.
-func (p *Proxy) judge(c *call, x *upstream.Exchange) (*verdict.Error, balance.Outcome) {
+func (p *Proxy) judge(c *call, a *attempt) (*verdict.Error, balance.Outcome) {
+	x := a.x
 	failure := policy.JudgeAnswer(p.head(c, x))
 	if failure == nil {
 		return nil, balance.Neutral
@@ -38,7 +40,7 @@
 		return failure, balance.Misdirected
 	case verdict.CodeOverloaded:
 		drainBody(x)
-		return failure, balance.Refused
+		return failure, refusal(&a.told)
 	case verdict.CodeCrossed:
 		return failure, balance.Neutral
 	case verdict.CodeEngine:
@@ -47,6 +49,15 @@
 	return failure, balance.Failed
 }
 
+// refusal returns what a refusal says of its endpoint. One that asks for rest is no failure:
+// the endpoint says itself when it takes requests again.
+func refusal(told *advisory.Advisory) balance.Outcome {
+	if told.Rest > 0 {
+		return balance.Neutral
+	}
+	return balance.Refused
+}
+
 // head returns the head of an answer as it is judged.
 func (p *Proxy) head(c *call, x *upstream.Exchange) policy.AnswerHead {
 	names := &p.cfg.Headers
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
@@ -23,6 +24,8 @@
 	// use.
 	x       *upstream.Exchange
 	failure *verdict.Error
+	// told is what the answer's head says of the endpoint.
+	told advisory.Advisory
 	// outcome is what is known of the endpoint by now.
 	outcome balance.Outcome
 	// cancel ends the attempt where it has a context of its own.
@@ -190,7 +193,7 @@
 
 // pass passes the answer of an attempt on.
 func (p *Proxy) pass(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) (*verdict.Error, balance.Outcome) {
-	if failure, outcome := p.judge(c, a.x); failure != nil {
+	if failure, outcome := p.judge(c, a); failure != nil {
 		return failure, outcome
 	}
 	if c.headSent && a.x.Status != http.StatusOK {
--- a/gateway/proxy/hear.go
+++ b/gateway/proxy/hear.go
@@ -15,20 +15,20 @@
 	if a.x == nil || !policy.SpeaksForEndpoint(p.head(c, a.x)) {
 		return
 	}
-	told := p.cfg.ReadAdvisory(a.x.Status, a.x.Header)
-	heard := a.lease.Hear(told, a.sentAt, time.Now())
+	a.told = p.cfg.ReadAdvisory(a.x.Status, a.x.Header)
+	heard := a.lease.Hear(a.told, a.sentAt, time.Now())
 	if heard.Limit != balance.LimitSame {
-		p.logLimit(c, a.lease, told.Limit, heard.Limit)
+		p.logLimit(c, a.lease, a.told.Limit, heard.Limit)
 	}
 	if heard.Leaves {
 		p.logLeaving(c, a.lease)
 	}
 	if heard.Rests {
-		p.logRest(c, a.lease, told.Rest)
+		p.logRest(c, a.lease, a.told.Rest)
 	}
-	p.cfg.Metrics.Unreadable.Inc(int64(len(told.Unreadable)))
+	p.cfg.Metrics.Unreadable.Inc(int64(len(a.told.Unreadable)))
 	if heard.FirstUnreadable {
-		p.cfg.Log.Warn("unreadable headers", "request", c.id, "endpoint", a.lease.Record.ID, "headers", told.Unreadable)
+		p.cfg.Log.Warn("unreadable headers", "request", c.id, "endpoint", a.lease.Record.ID, "headers", a.told.Unreadable)
 	}
 }
 
--- a/gateway/proxy/rest_test.go
+++ b/gateway/proxy/rest_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -80,3 +81,25 @@
 		}
 	}
 }
+
+// Each refusal costs an arrival of the retry budget.
+func TestCallersAreRefusedAtOnceWhileAllEndpointsRest(t *testing.T) {
+	play(t, func(w *world) {
+		w.g.Expect(w.ask("POST", "/safe/x", "").Code).To(Equal(503))
+		sent := w.endpoints["e0"].count() + w.endpoints["e1"].count()
+		w.g.Expect(sent).To(Equal(2))
+		for range 50 {
+			a := w.ask("POST", "/safe/x", "")
+			w.g.Expect(a.Code).To(Equal(503))
+			w.g.Expect(a.took).To(BeZero())
+			after, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+			w.g.Expect(err).NotTo(HaveOccurred())
+			w.g.Expect(after).To(BeNumerically("~", 0.667, 0.01), "a third of the two seconds that it has")
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.g.Expect(w.endpoints["e0"].count() + w.endpoints["e1"].count()).To(Equal(sent))
+		time.Sleep(3 * time.Second)
+		w.g.Expect(w.ask("POST", "/safe/x", "").Code).To(Equal(200))
+		w.g.Expect(w.lines.with("endpoint health")).To(BeEmpty(), "a rest is no failure")
+	}, []step{text(503, "", "Not-Run: 1", "Rest: 3s"), says()}, []step{text(503, "", "Not-Run: 1", "Rest: 3s"), says()})
+}
