poison: a request is not quarantined for the ends that another one explains

Cause: a request that ends endpoints had copies under way at four, and each end is charged to all that were in progress there; nothing ever took that back but a whole answer, which a quarantined request can't get. The record of the one to blame kept three ends, so it looked no worse.

A record keeps eight ends now (three still quarantine; older programs keep three of them), and once nothing has changed for 0.4 s a quarantined request explains another under which only some of the same endpoints ended: that one is cleared, a round later, as by an answer, so gateways that do it each for itself come to the same. With the same endpoints under both nothing tells which is to blame, and both stay.

--- a/gateway/poison/news.go
+++ b/gateway/poison/news.go
@@ -9,7 +9,7 @@
 const (
 	// newsTime is for how long a change is told: five heartbeats, of which four may be lost.
 	newsTime = time.Second
-	// maxNews is how many records are told at once, some 7 KB: four ends of full endpoints.
+	// maxNews is how many records are told at once, at most 12 KB: four ends of full endpoints.
 	maxNews = 128
 	// quarantinedEvery is how often all quarantined requests are told, for who has just
 	// started or was cut off.
--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -17,6 +17,9 @@
 	// meet the same request there: with two ends, one in eleven of a dozen endpoints'
 	// requests would be quarantined with it. From the platform's rule, too.
 	maxEnds = 3
+	// keptEnds is how many a record keeps: by those beyond maxEnds a request that only went
+	// where the one to blame was is told apart from it.
+	keptEnds = 8
 	// relapseEnds is the same for a request that was quarantined before.
 	relapseEnds = 1
 	// quarantineTime is how long a quarantine lasts at first: the endpoints' software or
@@ -50,7 +53,7 @@
 	// Relapses counts the quarantines that have run out.
 	Relapses uint8
 	// Ends are the lives of endpoints that ended under the request in this round, in order
-	// of their names, each once and maxEnds at most.
+	// of their names, each once and keptEnds at most.
 	Ends []Life
 }
 
@@ -82,6 +85,16 @@
 	return Clear
 }
 
+// Explains returns whether the ends under another request are put down to this one: it is
+// quarantined, and more endpoints ended under it, among them all that ended under the other.
+// One that was quarantined before explains itself.
+func (r *Record) Explains(o *Record) bool {
+	if r.State() != Quarantined || len(o.Ends) == 0 || len(o.Ends) >= len(r.Ends) || o.Relapses > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(o.Ends, func(l Life) bool { return !slices.Contains(r.Ends, l) })
+}
+
 // Join returns what two records of one request say together.
 func Join(a, b Record) Record {
 	switch {
@@ -95,7 +108,7 @@
 	out.Ends = slices.Concat(a.Ends, b.Ends)
 	slices.Sort(out.Ends)
 	out.Ends = slices.Compact(out.Ends)
-	out.Ends = out.Ends[:min(len(out.Ends), maxEnds)]
+	out.Ends = out.Ends[:min(len(out.Ends), keptEnds)]
 	return out
 }
 
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -14,6 +14,10 @@
 	// least of late goes first, suspected ones before quarantined ones. Endpoints of 16
 	// slots with as many waiting then end 128 times before one is forgotten.
 	maxRequests = 4096
+	// settleTime is how long nothing may have changed before the ends under one request are
+	// put down to another: all gateways know of an end within 0.1 s, where one datagram is lost
+	// within 0.3 s, and requests that an end takes along are charged one by one.
+	settleTime = 400 * time.Millisecond
 )
 
 // Cause says why a request was quarantined or cleared.
@@ -29,6 +33,9 @@
 	CauseOperator Cause = "operator"
 	// CauseTime means that its quarantine has run out.
 	CauseTime Cause = "time"
+	// CauseExplained means that the endpoints ended under another request that was in progress
+	// there as well.
+	CauseExplained Cause = "explained"
 	// CauseTold means that another gateway told so.
 	CauseTold Cause = "told"
 )
@@ -220,9 +227,24 @@
 	t.size.Add(-1)
 }
 
+// clearExplained clears requests whose ends another one explains. The caller holds the lock.
+func (t *Table) clearExplained(now time.Time) {
+	for _, q := range t.requests {
+		if q.State() != Quarantined || now.Sub(q.changedAt) < settleTime {
+			continue
+		}
+		for _, other := range t.requests {
+			if q.Explains(&other.Record) && now.Sub(other.changedAt) >= settleTime {
+				t.put(other.cleared(), true, CauseExplained, now)
+			}
+		}
+	}
+}
+
 // expire ends quarantines that have run out and forgets what changed long ago. The caller
 // holds the lock.
 func (t *Table) expire(now time.Time) {
+	t.clearExplained(now)
 	for _, q := range t.requests {
 		age := now.Sub(q.changedAt)
 		switch {
--- a/gateway/poison/table_test.go
+++ b/gateway/poison/table_test.go
@@ -179,3 +179,60 @@
 	x.Take(y.News(false, began), began)
 	g.Expect(x.News(false, at(900*time.Millisecond))).To(HaveLen(1))
 }
+
+// another is a request that ends nothing.
+func another() *poison.Request {
+	r := request()
+	r.URI = "/another"
+	return r
+}
+
+// Copies of a request that ends endpoints are under way at several, and one that goes on
+// elsewhere after each end meets them there.
+func TestARequestIsQuarantinedWithTheOneThatEndsItsEndpoints(t *testing.T) {
+	for name, c := range map[string]struct {
+		// blamed and beside are the endpoints that ended under the request to blame and under
+		// the other one.
+		blamed, beside []int
+		want           poison.State
+	}{
+		"three of four":                         {[]int{0, 1, 2, 3}, []int{1, 2, 3}, poison.Clear},
+		"two of three":                          {[]int{0, 1, 2}, []int{0, 2}, poison.Clear},
+		"the same three: nothing tells which":   {[]int{0, 1, 2}, []int{0, 1, 2}, poison.Quarantined},
+		"one that nothing explains":             {[]int{0, 1, 2, 3}, []int{1, 2, 4}, poison.Quarantined},
+		"the other is not known to be to blame": {[]int{0, 1}, []int{0}, poison.Suspected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, x, y := NewWithT(t), newGateway(), newGateway()
+			for _, i := range c.beside {
+				y.Ended(another(), life(i), began)
+			}
+			for _, i := range c.blamed {
+				x.Ended(request(), life(i), began)
+			}
+			blamed := x.state(request())
+			for ms := 0; ms < 2000; ms += 200 {
+				now := at(time.Duration(ms) * time.Millisecond)
+				x.Take(y.News(false, now), now)
+				y.Take(x.News(false, now), now)
+			}
+			for _, all := range []*gateway{x, y} {
+				g.Expect(all.state(another())).To(Equal(c.want))
+				g.Expect(all.state(request())).To(Equal(blamed))
+			}
+		})
+	}
+}
+
+// What comes to be known a moment later may be the end that both have in common.
+func TestNobodyIsClearedForAnotherAtOnce(t *testing.T) {
+	g, x := NewWithT(t), newGateway()
+	x.ends(another(), 3)
+	x.ends(request(), 2)
+	x.News(false, at(200*time.Millisecond))
+	g.Expect(x.state(request())).To(Equal(poison.Suspected))
+	x.Ended(request(), life(2), at(200*time.Millisecond))
+	x.News(false, at(time.Second))
+	g.Expect(x.state(request())).To(Equal(poison.Quarantined))
+	g.Expect(x.state(another())).To(Equal(poison.Quarantined))
+}
