balance: the gateway that holds an endpoint leaves others a part of its limit

Callers of five of six gateways got 1 request of 150 in 30 s where an endpoint that names 5 a second was the only one: its holder had callers enough to use each token as it came, and others found the bucket empty whenever they asked. Cause: tokens were given only at the moment at which one was there.

A token is given up to a second before it may be used, and the holder and the others take turns while both want some, the others among themselves by who has waited longest. Sent in time, so the bound on the sum holds: at most one token a gateway, each a second old at the most.

--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -55,7 +55,8 @@
 	return live
 }
 
-// askToken implements proxy.Config.AskToken.
+// askToken implements proxy.Config.AskToken. A token that may be used later is for the callers
+// who come then.
 func (g *Gateway) askToken(ctx context.Context, l roster.Life) bool {
 	list := g.endpoints.Current()
 	if list == nil || list.Endpoints[l.ID] == nil {
@@ -67,13 +68,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tokenLimit)
 	defer cancel()
-	reply, err := tokens.Ask(ctx, g.peers, holder.Peer, l)
+	reply, err := tokens.Ask(ctx, g.peers, holder.Peer, g.self.Name, l)
 	if err != nil {
 		g.log.Debug("no token from the holder of an endpoint", "endpoint", l.ID, "peer", holder.Peer, "err", err)
 		return false
 	}
 	g.balancer.Answered(l, reply.Granted, reply.OpensIn, time.Now())
-	return reply.Granted
+	return reply.Granted && reply.OpensIn == 0
 }
 
 // askUnheard implements balance.Config.Unheard.
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -133,6 +133,9 @@
 	if o.opensIn == 0 || opensIn < o.opensIn {
 		o.opensIn = opensIn
 	}
+	if e.held {
+		e.said.limit.wantedAt = now
+	}
 	if !e.asks(now) {
 		return
 	}
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -34,9 +34,15 @@
 	heardAt, confirmedAt time.Time
 	// opensAt is when the gateway that holds the endpoint may send the next request.
 	opensAt time.Time
-	// tokenUntil is until when another gateway may send one request that the holder gave it,
-	// askAt when it may ask for the next.
-	tokenUntil, askAt time.Time
+	// wantedAt is when the holder last had no room for a request of its own; lent is set where
+	// the last one went to another gateway.
+	wantedAt time.Time
+	lent     bool
+	// askers are the gateways that asked the holder for a token of late, by name.
+	askers map[string]*asker
+	// tokenFrom and tokenUntil are from when and until when another gateway may send one
+	// request that the holder gave it, askAt is when it may ask for the next.
+	tokenFrom, tokenUntil, askAt time.Time
 }
 
 // stands returns whether the limit is kept to, by a gateway that holds the endpoint or not.
@@ -48,6 +54,7 @@
 func (l *limit) take(now time.Time) {
 	if l.named {
 		l.opensAt, l.tokenUntil = now.Add(LimitInterval(l.rate)), time.Time{}
+		l.lent = false
 	}
 }
 
--- a/gateway/balance/said.go
+++ b/gateway/balance/said.go
@@ -123,7 +123,7 @@
 	case e.held:
 		return max(l.opensAt.Sub(now), 0)
 	case now.Before(l.tokenUntil):
-		return 0
+		return max(l.tokenFrom.Sub(now), 0)
 	default:
 		return max(l.askAt.Sub(now), minAsk)
 	}
--- a/gateway/balance/said_test.go
+++ b/gateway/balance/said_test.go
@@ -244,7 +244,7 @@
 	It("leaves its limit to other gateways", func() {
 		b := holding(balancer(lives(5, 1)), "e0")
 		pick(b, q, at(0)).Hear(advisory.Advisory{Limit: advisory.PerSecond(2), Rest: 3 * time.Second}, at(0), at(100))
-		granted, _ := b.Grant(roster.Life{ID: "e0", Born: 5}, at(1000))
+		granted, _ := b.Grant("g1", roster.Life{ID: "e0", Born: 5}, at(1000))
 		Expect(granted).To(BeTrue())
 		_, err := b.Pick(&q, at(1600))
 		Expect(err).To(Equal(&balance.FullError{Service: "s", OpensIn: 1500 * time.Millisecond}))
--- a/gateway/proxy/fleet_test.go
+++ b/gateway/proxy/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,6 +35,16 @@
 	dead map[*world]bool
 }
 
+// random returns what draws numbers from a seed.
+func (w *world) random(seed uint64) func() float64 {
+	r := rand.New(rand.NewPCG(seed, 0))
+	return func() float64 {
+		w.beatMu.Lock()
+		defer w.beatMu.Unlock()
+		return r.Float64()
+	}
+}
+
 // alive returns the gateways that have not ended.
 func (f *fleet) alive() []*world {
 	f.mu.Lock()
@@ -102,7 +114,7 @@
 	w.balancer = balance.New(balance.Config{
 		Zone:      "a",
 		OtherLoad: func(l roster.Life) int { return f.othersAt(w, l) },
-		Random:    func() float64 { return 0.5 },
+		Random:    w.random(uint64(len(f.alive()))),
 		Unheard:   func(l roster.Life) { go f.askToken(w, l) },
 	})
 	w.askToken = func(_ context.Context, l roster.Life) bool { return f.askToken(w, l) }
@@ -229,9 +241,9 @@
 	}
 	time.Sleep(4 * time.Millisecond)
 	now := time.Now()
-	granted, opensIn := holder.balancer.Grant(l, now)
+	granted, opensIn := holder.balancer.Grant(w.self.Name, l, now)
 	w.balancer.Answered(l, granted, opensIn, now)
-	return granted
+	return granted && opensIn == 0
 }
 
 // ended returns whether a gateway has ended.
@@ -268,3 +280,15 @@
 	}
 	return n
 }
+
+// byGateway returns how many requests of each gateway reached an endpoint.
+func (e *endpoint) byGateway() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]int{}
+	for _, r := range e.requests {
+		gateway, _, _ := strings.Cut(r.Header.Get("Id"), "-")
+		out[gateway]++
+	}
+	return out
+}
--- a/gateway/proxy/limit_test.go
+++ b/gateway/proxy/limit_test.go
@@ -209,3 +209,21 @@
 		})
 	}
 }
+
+// A holder with callers enough for the whole limit leaves others a part of it.
+func TestTheHolderOfAnEndpointKeepsItsWholeLimit(t *testing.T) {
+	for _, n := range []int{2, 6} {
+		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
+			playFleet(t, n, func(f *fleet) {
+				began := time.Now()
+				f.ask("/safe/x", pace, 30*time.Second)
+				f.g.Expect(f.endpoints["e0"].most(limitWindow, began.Add(time.Second))).To(BeNumerically("<=", allowed(5)))
+				f.g.Expect(f.endpoints["e0"].since(began)).To(BeNumerically(">=", 5*30*2/3), "and most of the limit is used")
+				parts := f.endpoints["e0"].byGateway()
+				for _, w := range f.gateways {
+					f.g.Expect(parts[w.self.Name]).To(BeNumerically(">=", 5*30/n/4), w.self.Name)
+				}
+			}, []step{after(10*time.Millisecond, text(200, "ok", "Limit: 5"))})
+		})
+	}
+}
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -54,7 +54,7 @@
 	// was given and what ends it.
 	Trial func(ctx context.Context, k poison.Key, d time.Duration) (end func(), given bool)
 	// AskToken asks for one request at an endpoint that another gateway holds, and returns
-	// whether it was given; nil means that none ever is.
+	// whether it may be sent now; nil means that none ever is.
 	AskToken func(ctx context.Context, l roster.Life) bool
 	// Random returns a number from [0, 1).
 	Random func() float64
--- a/gateway/tokens/tokens.go
+++ b/gateway/tokens/tokens.go
@@ -19,9 +19,9 @@
 
 // Granter gives requests away that it would else send itself; balance.Balancer is one.
 type Granter interface {
-	// Grant returns whether the endpoint takes a request now, which is then given away, and if
-	// not, after what time it does.
-	Grant(l roster.Life, now time.Time) (granted bool, opensIn time.Duration)
+	// Grant returns whether a request at the endpoint is given to a gateway, by name, and after what time it may
+	// be sent, or if not, after what time to ask again.
+	Grant(gateway string, l roster.Life, now time.Time) (granted bool, opensIn time.Duration)
 }
 
 // Service gives tokens by net/rpc under ServiceName. It is safe for concurrent use.
@@ -34,13 +34,16 @@
 	return &Service{granter: g}
 }
 
-// TakeRequest asks for a request at one life of an endpoint, as in roster.Life.
+// TakeRequest asks for a request at one life of an endpoint, as in roster.Life, for the gateway
+// named Gateway.
 type TakeRequest struct {
+	Gateway  string
 	Endpoint string
 	Born     int64
 }
 
-// TakeReply says whether it was given, and if not, after what time to ask again.
+// TakeReply says whether it was given and after what time it may be sent, or if not, after what
+// time to ask again.
 type TakeReply struct {
 	Granted bool
 	OpensIn time.Duration
@@ -48,14 +51,14 @@
 
 // Take gives a token.
 func (s *Service) Take(q TakeRequest, reply *TakeReply) error {
-	reply.Granted, reply.OpensIn = s.granter.Grant(roster.Life{ID: q.Endpoint, Born: q.Born}, time.Now())
+	reply.Granted, reply.OpensIn = s.granter.Grant(q.Gateway, roster.Life{ID: q.Endpoint, Born: q.Born}, time.Now())
 	return nil
 }
 
-// Ask asks the gateway at addr for a token.
-func Ask(ctx context.Context, pool *peerconn.Pool, addr string, l roster.Life) (*TakeReply, error) {
+// Ask asks the gateway at addr for a token, as the gateway named self.
+func Ask(ctx context.Context, pool *peerconn.Pool, addr, self string, l roster.Life) (*TakeReply, error) {
 	reply := &TakeReply{}
-	if err := pool.Call(ctx, addr, methodTake, TakeRequest{Endpoint: l.ID, Born: l.Born}, reply); err != nil {
+	if err := pool.Call(ctx, addr, methodTake, TakeRequest{Gateway: self, Endpoint: l.ID, Born: l.Born}, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
