--- a/member/advice_test.go
+++ b/member/advice_test.go
@@ -37,18 +37,7 @@
 
 // Gateways that have not heard of a limit send on, and the more there are the more.
 func TestALimitIsKnownByAllSoon(t *testing.T) {
-	for _, c := range []struct {
-		size int
-		loss float64
-		// within is as for requests under which endpoints ended.
-		within time.Duration
-	}{
-		{6, 0, 50 * time.Millisecond},
-		{39, 0, 100 * time.Millisecond},
-		{60, 0, 100 * time.Millisecond},
-		{6, 0.05, 600 * time.Millisecond},
-		{39, 0.05, 600 * time.Millisecond},
-	} {
+	for _, c := range spreads {
 		t.Run(fmt.Sprintf("%d gateways, loss %g", c.size, c.loss), func(t *testing.T) {
 			playFleet(t, c.size, func(f *fleet, nodes []*node) {
 				holder := nodes[0]
--- a/member/news_test.go
+++ b/member/news_test.go
@@ -33,22 +33,25 @@
 	return count
 }
 
+// spreads are fleets, and within what time all of one know what one of them tells.
+var spreads = []struct {
+	size int
+	loss float64
+	// within is a way of some milliseconds and a wait of 20 ms for each step, of which there
+	// are three by relays; what is lost comes with the next heartbeat.
+	within time.Duration
+}{
+	{6, 0, 50 * time.Millisecond},
+	{39, 0, 100 * time.Millisecond},
+	{60, 0, 100 * time.Millisecond},
+	{6, 0.05, 600 * time.Millisecond},
+	{39, 0.05, 600 * time.Millisecond},
+}
+
 // Copies of a request come to many gateways within tens of milliseconds. Each that has not
 // heard of its ends sends it to one endpoint more.
 func TestEndsUnderARequestAreKnownByAllSoon(t *testing.T) {
-	for _, c := range []struct {
-		size int
-		loss float64
-		// within is a way of some milliseconds and a wait of 20 ms for each step, of which
-		// there are three by relays; what is lost comes with the next heartbeat.
-		within time.Duration
-	}{
-		{6, 0, 50 * time.Millisecond},
-		{39, 0, 100 * time.Millisecond},
-		{60, 0, 100 * time.Millisecond},
-		{6, 0.05, 600 * time.Millisecond},
-		{39, 0.05, 600 * time.Millisecond},
-	} {
+	for _, c := range spreads {
 		t.Run(fmt.Sprintf("%d gateways, loss %g", c.size, c.loss), func(t *testing.T) {
 			playFleet(t, c.size, func(f *fleet, nodes []*node) {
 				f.mu.Lock()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -234,6 +234,16 @@
 	if err != nil {
 		return
 	}
+	if r.refuses(w, q, id) {
+		return
+	}
+	defer r.leave()
+	r.run(w, q, id, body)
+}
+
+// refuses answers a request that is for another endpoint, or that it does not take, and returns
+// whether it did. One that it takes has a slot.
+func (r *Runner) refuses(w http.ResponseWriter, q *http.Request, id string) bool {
 	w.Header().Set("X-Silverdeck-Attempt-Id", id)
 	if r.cfg.Reached != nil {
 		r.cfg.Reached(r.cfg.ID, id)
@@ -241,21 +251,23 @@
 	r.advise(w.Header())
 	if want := q.Header.Get("X-Silverdeck-Expect-Instance"); want != "" && want != r.cfg.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+		return true
+	}
+	rest := r.wantsRest()
+	if rest == 0 && r.enter() {
+		return false
 	}
-	if rest := r.wantsRest(); rest > 0 {
+	if rest > 0 {
 		r.cfg.Rested(r.cfg.ID, id, rest)
 		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
-		w.Header().Set("X-Silverdeck-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if !r.enter() {
-		w.Header().Set("X-Silverdeck-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	}
-	defer r.leave()
+	w.Header().Set("X-Silverdeck-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// run runs a request that has a slot.
+func (r *Runner) run(w http.ResponseWriter, q *http.Request, id string, body []byte) {
 	r.cfg.Witness.Ran(id, string(body), q.Header.Get("X-Silverdeck-Tenant"))
 	brokenOff := false
 	defer func() { r.cfg.Witness.Ended(id, brokenOff) }()
