poison: ends that another request explains are dropped one by one

The ends in common are dropped, the others stay charged, and that is looked at before a further end is charged, after 0.25 s without a change: one lost datagram. Still only by a request under which more endpoints ended.

--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -85,14 +85,29 @@
 	return Clear
 }
 
-// Explains returns whether the ends under another request are put down to this one: it is
-// quarantined, and more endpoints ended under it, among them all that ended under the other.
-// One that was quarantined before explains itself.
+// Explains returns whether some ends under another request are put down to this one: it is
+// quarantined, and more endpoints ended under it. A request that was quarantined before explains
+// its ends itself.
 func (r *Record) Explains(o *Record) bool {
-	if r.State() != Quarantined || len(o.Ends) == 0 || len(o.Ends) >= len(r.Ends) || o.Relapses > 0 {
+	if r.State() != Quarantined || len(o.Ends) >= len(r.Ends) || o.Relapses > 0 {
 		return false
 	}
-	return !slices.ContainsFunc(o.Ends, func(l Life) bool { return !slices.Contains(r.Ends, l) })
+	return slices.ContainsFunc(o.Ends, r.has)
+}
+
+func (r *Record) has(l Life) bool {
+	return slices.Contains(r.Ends, l)
+}
+
+// without returns the record without the ends that another one has as well.
+func (r *Record) without(o *Record) Record {
+	out := r.cleared()
+	for _, l := range r.Ends {
+		if !o.has(l) {
+			out.Ends = append(out.Ends, l)
+		}
+	}
+	return out
 }
 
 // Join returns what two records of one request say together.
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -15,9 +15,9 @@
 	// slots with as many waiting then end 128 times before one is forgotten.
 	maxRequests = 4096
 	// settleTime is how long nothing may have changed before the ends under one request are
-	// put down to another: all gateways know of an end within 0.1 s, where one datagram is lost
-	// within 0.3 s, and requests that an end takes along are charged one by one.
-	settleTime = 400 * time.Millisecond
+	// put down to another: requests that an end takes along are charged one by one, and what a
+	// lost datagram told comes with the next heartbeat.
+	settleTime = 250 * time.Millisecond
 )
 
 // Cause says why a request was quarantined or cleared.
@@ -122,6 +122,7 @@
 	k := r.Key()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dropExplained(now)
 	next := Record{Key: k, Ends: []Life{LifeOf(l)}}
 	if q := t.requests[k]; q != nil {
 		next.Round = q.Round
@@ -227,15 +228,15 @@
 	t.size.Add(-1)
 }
 
-// clearExplained clears requests whose ends another one explains. The caller holds the lock.
-func (t *Table) clearExplained(now time.Time) {
+// dropExplained drops the ends that other requests explain. The caller holds the lock.
+func (t *Table) dropExplained(now time.Time) {
 	for _, q := range t.requests {
 		if q.State() != Quarantined || now.Sub(q.changedAt) < settleTime {
 			continue
 		}
 		for _, other := range t.requests {
 			if q.Explains(&other.Record) && now.Sub(other.changedAt) >= settleTime {
-				t.put(other.cleared(), true, CauseExplained, now)
+				t.put(other.without(&q.Record), true, CauseExplained, now)
 			}
 		}
 	}
@@ -244,7 +245,7 @@
 // expire ends quarantines that have run out and forgets what changed long ago. The caller
 // holds the lock.
 func (t *Table) expire(now time.Time) {
-	t.clearExplained(now)
+	t.dropExplained(now)
 	for _, q := range t.requests {
 		age := now.Sub(q.changedAt)
 		switch {
