--- a/gateway/proxy/rest_test.go
+++ b/gateway/proxy/rest_test.go
@@ -103,3 +103,20 @@
 		w.g.Expect(w.lines.with("endpoint health")).To(BeEmpty(), "a rest is no failure")
 	}, []step{text(503, "", "Not-Run: 1", "Rest: 3s"), says()}, []step{text(503, "", "Not-Run: 1", "Rest: 3s"), says()})
 }
+
+// An endpoint that sheds what is too much for it is not a broken one.
+func TestAnEndpointThatAskedForRestOftenIsEjectedForItsFirstError(t *testing.T) {
+	var script []step
+	for range 20 {
+		script = append(script, text(503, "", "Not-Run: 1", "Rest: 100ms"))
+	}
+	script = append(script, text(500, ""), says())
+	play(t, func(w *world) {
+		for range len(script) + 2 {
+			w.ask("POST", "/unsafe/x", "")
+			time.Sleep(200 * time.Millisecond)
+		}
+		w.g.Expect(w.lines.with("endpoint health")).To(BeEmpty())
+		w.g.Expect(w.endpoints["e0"].count()).To(BeNumerically(">", 20))
+	}, script, []step{says()})
+}
