balance: a limit that changes moves the next request by the difference, one that has lapsed prefers nobody

Found reading the diff. Each answer with another limit put the next request a whole interval after the answer, so an endpoint whose word varies got fewer requests than it names, by as long as its answers take; a spec of it was red before (1050 in place of 850 ms). And a limit of which nothing was heard for 5 s made the endpoint look preferred to every gateway at once; read only, no test.

--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -166,7 +166,7 @@
 	}
 	for _, drawn := range [][]loaded{o.near.drawn(), o.far.drawn(), o.lasting.drawn()} {
 		for _, x := range drawn {
-			o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load, q))
+			o.usable.offer(x.endpoint, b.cost(x.endpoint, x.load, q, now))
 		}
 	}
 	switch {
@@ -204,11 +204,11 @@
 		case limit > 0 && load >= limit:
 			o.full = true
 		case !b.usable(e, now):
-			o.unusable.offer(e, b.cost(e, load, q))
+			o.unusable.offer(e, b.cost(e, load, q, now))
 		case q.Apart:
 			o.usable.offer(e, load)
 		case e.preferred || e.limited(now):
-			o.usable.offer(e, b.cost(e, load, q))
+			o.usable.offer(e, b.cost(e, load, q, now))
 		case q.Lasting > 0 && !e.changes(q):
 			o.lasting.add(e, load)
 		case e.record.Zone == b.cfg.Zone:
@@ -235,13 +235,14 @@
 	return usable, preferred
 }
 
-// cost returns what a choice of e, whose load is given, costs a request of q.
-func (b *Balancer) cost(e *endpoint, load float64, q *Query) float64 {
+// cost returns what a choice of e, whose load is given, costs a request of q. An endpoint that
+// names a limit is preferred by whoever may send there: nobody else does now.
+func (b *Balancer) cost(e *endpoint, load float64, q *Query, now time.Time) float64 {
 	return Cost(&Candidate{
 		Load:      load,
 		Prefill:   e.prefill,
 		OtherZone: e.record.Zone != b.cfg.Zone,
-		Preferred: e.preferred || e.said.limit.named, // nobody else sends there now
+		Preferred: e.preferred || e.limited(now),
 		Changing:  e.changes(q),
 		Draw:      b.cfg.Random(),
 	})
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -110,11 +110,14 @@
 	switch {
 	case before.named == named && before.rate == l.rate:
 		return LimitSame
-	case named:
+	case !named:
+		return LimitEnded
+	case before.named: // the last request was sent as it was
+		l.opensAt = l.opensAt.Add(LimitInterval(l.rate) - LimitInterval(before.rate))
+	default:
 		l.opensAt = now.Add(LimitInterval(l.rate))
-		return LimitNamed
 	}
-	return LimitEnded
+	return LimitNamed
 }
 
 // learn takes in what another gateway tells. What was heard later from the endpoint holds.
--- a/gateway/balance/said_test.go
+++ b/gateway/balance/said_test.go
@@ -82,6 +82,12 @@
 		Expect(l.Hear(advisory.Advisory{Unreadable: []string{"Limit: few"}}, at(600), at(700)).FirstUnreadable).To(BeFalse())
 		Expect(openEvery(b, q, 700, 1000)).To(BeEmpty())
 	})
+	It("gets no fewer where each answer names another limit", func() {
+		b := holding(balancer(lives(5, 1)), "e0")
+		answerAt(b, q, named, at(0), at(100))
+		Expect(answerAt(b, q, advisory.PerSecond(4), at(600), at(800)).Limit).To(Equal(balance.LimitNamed))
+		Expect(openEvery(b, q, 800, 1300)).To(Equal([]int{850, 1100}))
+	})
 	It("says when it takes the next one", func() {
 		b := holding(balancer(lives(5, 1)), "e0")
 		answerAt(b, q, named, at(0), at(100))
