--- a/soak/heeded.go
+++ b/soak/heeded.go
@@ -120,31 +120,34 @@
 	}
 }
 
-// judge returns a line for each time that gateways did not keep to what runners said. history
-// returns what was done to a gateway.
-func (h *heeded) judge(history func(gateway string) *History, b Bounds) []string {
+// heldFunc returns whether a gateway is held to what it was told at the beginning of a span: it
+// ran today's program, undisturbed, throughout.
+type heldFunc func(gateway string, from, to time.Time) bool
+
+// judge returns a line for each time that gateways did not keep to what runners said.
+func (h *heeded) judge(held heldFunc, b Bounds) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.Concat(h.judgeLimits(history, b), h.judgeLeaving(history), h.judgeRests(history))
+	return slices.Concat(h.judgeLimits(held, b), h.judgeLeaving(held), h.judgeRests(held))
 }
 
 // judgeLimits returns a line for each limit that was passed. The caller holds the lock.
-func (h *heeded) judgeLimits(history func(gateway string) *History, b Bounds) []string {
+func (h *heeded) judgeLimits(held heldFunc, b Bounds) []string {
 	var out []string
 	for _, s := range h.limits {
 		to := s.To
 		if to.IsZero() {
 			to = time.Now()
 		}
-		var held []time.Time
+		var counted []time.Time
 		for _, r := range h.receipts[s.runner] {
 			inSpan := r.at.After(s.From.Add(b.Contact)) && r.at.Before(to)
-			if inSpan && h.limited.binds(s.runner, r, heedTime, history(r.gateway)) {
-				held = append(held, r.at)
+			if inSpan && h.limited.binds(s.runner, r, heedTime, held) {
+				counted = append(counted, r.at)
 			}
 		}
 		allowed := limitFactor*s.limit*limitWindow.Seconds() + limitExtra
-		if n := mostWithin(held, limitWindow); float64(n) > allowed {
+		if n := mostWithin(counted, limitWindow); float64(n) > allowed {
 			out = append(out, fmt.Sprintf("%s had named a limit of %g a second and got %d requests in %s from gateways that it had told; allowed %g",
 				s.runner, s.limit, n, limitWindow, allowed))
 		}
@@ -154,12 +157,12 @@
 
 // judgeLeaving returns a line for each runner that got requests of gateways which it had told
 // that it leaves. The caller holds the lock.
-func (h *heeded) judgeLeaving(history func(gateway string) *History) []string {
+func (h *heeded) judgeLeaving(held heldFunc) []string {
 	var out []string
 	for runner, receipts := range h.receipts {
 		late := 0
 		for _, r := range receipts {
-			if h.leaving.binds(runner, r, drainLimit, history(r.gateway)) {
+			if h.leaving.binds(runner, r, drainLimit, held) {
 				late++
 			}
 		}
@@ -172,13 +175,13 @@
 
 // judgeRests returns a line for each runner and gateway that sent it too many requests during
 // a rest, of the worst. The caller holds the lock.
-func (h *heeded) judgeRests(history func(gateway string) *History) []string {
+func (h *heeded) judgeRests(held heldFunc) []string {
 	worst, most := map[string]string{}, map[string]int{}
 	for _, s := range h.rests {
 		n := 0
 		for _, r := range h.receipts[s.runner] {
 			during := r.gateway == s.gateway && r.at.After(s.From.Add(heedTime)) && r.at.Before(s.To)
-			if during && !history(r.gateway).disturbed(s.From, r.at) {
+			if during && held(r.gateway, s.From, r.at) {
 				n++
 			}
 		}
@@ -192,9 +195,9 @@
 
 // binds returns whether a gateway that sent a request is held to what the runner had told it
 // so long before: it has run undisturbed since.
-func (t told) binds(runner string, r receipt, after time.Duration, done *History) bool {
+func (t told) binds(runner string, r receipt, after time.Duration, held heldFunc) bool {
 	return slices.ContainsFunc(t[runner][r.gateway], func(at time.Time) bool {
-		return at.Add(after).Before(r.at) && !done.disturbed(at, r.at)
+		return at.Add(after).Before(r.at) && held(r.gateway, at, r.at)
 	})
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,7 +68,7 @@
 	for _, line := range w.ledger.judge(w.history, platformBounds) {
 		w.witness.Broken("%s", line)
 	}
-	for _, line := range w.heeded.judge(w.ownHistory, platformBounds) {
+	for _, line := range w.heeded.judge(w.isHeld, platformBounds) {
 		w.witness.Broken("%s", line)
 	}
 	w.fatal.judge(w, report)
--- a/soak/world.go
+++ b/soak/world.go
@@ -234,14 +234,14 @@
 	return &History{}
 }
 
-// ownHistory returns what was done to a gateway itself.
-func (w *world) ownHistory(gateway string) *History {
+// isHeld implements heldFunc.
+func (w *world) isHeld(gateway string, from, to time.Time) bool {
 	for _, p := range w.entries {
 		if p.name == gateway {
-			return p.history()
+			return !p.history().disturbed(from, to) && p.isToday(from)
 		}
 	}
-	return &History{}
+	return false
 }
 
 // processes returns all of our processes.
