proxy, balance: an answer's head is read once, and endpoints that say nothing are passed over at once

Found reading the change again. hear and judge each built the head of every answer; it is kept with the attempt. Each choice worked out two times for each endpoint, also of those that have said nothing, which is nearly all.

--- a/gateway/balance/said.go
+++ b/gateway/balance/said.go
@@ -111,6 +111,9 @@
 // opensIn returns after what time e takes a request of this gateway by its own word, or 0 if
 // it does now.
 func (e *endpoint) opensIn(now time.Time) time.Duration {
+	if !e.said.limit.named && e.said.restUntil.IsZero() {
+		return 0 // as nearly always: each choice asks this of all endpoints
+	}
 	return max(e.limitOpensIn(now), e.said.restUntil.Sub(now), 0)
 }
 
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -29,9 +29,8 @@
 
 // judge looks at the head of an answer and returns why it can't be passed on, and
 // what that says of the endpoint.
-func (p *Proxy) judge(c *call, a *attempt) (*verdict.Error, balance.Outcome) {
-	x := a.x
-	failure := policy.JudgeAnswer(p.head(c, x))
+func (p *Proxy) judge(a *attempt) (*verdict.Error, balance.Outcome) {
+	failure := policy.JudgeAnswer(a.head)
 	if failure == nil {
 		return nil, balance.Neutral
 	}
@@ -39,12 +38,12 @@
 	case policy.CodeMisdirected:
 		return failure, balance.Misdirected
 	case verdict.CodeOverloaded:
-		drainBody(x)
+		drainBody(a.x)
 		return failure, refusal(&a.told)
 	case verdict.CodeCrossed:
 		return failure, balance.Neutral
 	case verdict.CodeEngine:
-		drainBody(x)
+		drainBody(a.x)
 	}
 	return failure, balance.Failed
 }
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -24,7 +24,8 @@
 	// use.
 	x       *upstream.Exchange
 	failure *verdict.Error
-	// told is what the answer's head says of the endpoint.
+	// head is the answer's head as it is judged, told what it says of the endpoint; see hear.
+	head policy.AnswerHead
 	told advisory.Advisory
 	// outcome is what is known of the endpoint by now.
 	outcome balance.Outcome
@@ -193,7 +194,7 @@
 
 // pass passes the answer of an attempt on.
 func (p *Proxy) pass(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) (*verdict.Error, balance.Outcome) {
-	if failure, outcome := p.judge(c, a); failure != nil {
+	if failure, outcome := p.judge(a); failure != nil {
 		return failure, outcome
 	}
 	if c.headSent && a.x.Status != http.StatusOK {
--- a/gateway/proxy/hear.go
+++ b/gateway/proxy/hear.go
@@ -8,11 +8,15 @@
 	"github.com/silverdeck/silverdeck/gateway/policy"
 )
 
-// hear takes in what the head of an attempt's answer, if one came, says of its endpoint. It
-// comes before anything is decided about the answer: refusals and errors tell as much as
+// hear reads the head of an attempt's answer, if one came, and takes in what it says of its
+// endpoint. It comes before anything is decided about the answer: refusals and errors tell as much as
 // answers that are passed on.
 func (p *Proxy) hear(c *call, a *attempt) {
-	if a.x == nil || !policy.SpeaksForEndpoint(p.head(c, a.x)) {
+	if a.x == nil {
+		return
+	}
+	a.head = p.head(c, a.x)
+	if !policy.SpeaksForEndpoint(a.head) {
 		return
 	}
 	a.told = p.cfg.ReadAdvisory(a.x.Status, a.x.Header)
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -90,7 +90,7 @@
 		a.outcome = sendOutcome(a.failure)
 		return
 	}
-	a.failure, a.outcome = p.judge(c, a)
+	a.failure, a.outcome = p.judge(a)
 	if a.failure == nil && !better(c.route.Kind, a.x.Status) {
 		a.failure, a.outcome = errorAnswer(a.x.Status, resumed), balance.Failed
 	}
--- a/gateway/proxy/limit_test.go
+++ b/gateway/proxy/limit_test.go
@@ -160,17 +160,22 @@
 	}
 }
 
+// expectRefusal asks and expects to be refused at once, with a time to come back.
+func (w *world) expectRefusal() {
+	a := w.ask("POST", "/safe/x", "")
+	w.g.Expect(a.Code).To(Equal(503))
+	w.g.Expect(a.took).To(BeZero())
+	after, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(after).To(BeNumerically("~", 0.667, 0.01), "a third of the two seconds that it has")
+}
+
 // Who can't be served now is told so at once, and comes back when there may be room.
 func TestCallersAreRefusedAtOnceWhereLimitsLeaveNoRoom(t *testing.T) {
 	play(t, func(w *world) {
 		w.ask("POST", "/safe/x", "")
 		time.Sleep(50 * time.Millisecond)
-		a := w.ask("POST", "/safe/x", "")
-		w.g.Expect(a.Code).To(Equal(503))
-		w.g.Expect(a.took).To(BeZero())
-		after, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
-		w.g.Expect(err).NotTo(HaveOccurred())
-		w.g.Expect(after).To(BeNumerically("~", 0.667, 0.01), "a third of the two seconds that it has")
+		w.expectRefusal()
 		w.g.Expect(w.metrics.Closed.Count()).To(BeEquivalentTo(1))
 		time.Sleep(2 * time.Second)
 		w.g.Expect(w.ask("POST", "/safe/x", "").Code).To(Equal(200))
--- a/gateway/proxy/rest_test.go
+++ b/gateway/proxy/rest_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -89,12 +88,7 @@
 		sent := w.endpoints["e0"].count() + w.endpoints["e1"].count()
 		w.g.Expect(sent).To(Equal(2))
 		for range 50 {
-			a := w.ask("POST", "/safe/x", "")
-			w.g.Expect(a.Code).To(Equal(503))
-			w.g.Expect(a.took).To(BeZero())
-			after, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
-			w.g.Expect(err).NotTo(HaveOccurred())
-			w.g.Expect(after).To(BeNumerically("~", 0.667, 0.01), "a third of the two seconds that it has")
+			w.expectRefusal()
 			time.Sleep(10 * time.Millisecond)
 		}
 		w.g.Expect(w.endpoints["e0"].count() + w.endpoints["e1"].count()).To(Equal(sent))
