Homes, evacuations and cold endpoints in the gateways

Change: package residency decides in which regions a request may be processed; the one query of package proxy carries it, and the balancer leaves out other endpoints and those of evacuated zones. A cold endpoint is a rate limit with an end: its holder alone sends there, at a rate at which two holders stay within the bound; after an evacuation endpoints count as cold, since the record that says so may come later. Before evacuations are known no configuration is in force. The directory names gateways of other regions only where requests for the host may go. Result: new tests in balance, proxy, directory and gateway pass; on the code before they do not compile or fail.

--- a/gateway/balance/advisory.go
+++ b/gateway/balance/advisory.go
@@ -81,11 +81,12 @@
 // newEndpoint returns a new endpoint for r, with its retained advisory state if there is
 // any. The lock must be held.
 func (s *shard) newEndpoint(r *roster.Endpoint) *endpoint {
-	e := &endpoint{record: r, advisory: &advisoryState{}}
+	e := &endpoint{record: r, advisory: &advisoryState{}, evacuated: s.evacuated[r.Zone]}
 	if old := s.removed[r.ID]; old != nil && old.incarnation.Same(r.Incarnation()) {
 		e.advisory = old.advisory
 	}
 	delete(s.removed, r.ID)
+	e.applyCold(s.coldLimit)
 	return e
 }
 
@@ -115,7 +116,7 @@
 // opensIn returns the time until the rate limit and back-off of e allow a request from this
 // gateway, or 0 if they do now.
 func (e *endpoint) opensIn(now time.Time) time.Duration {
-	if !e.advisory.limit.declared && e.advisory.backoffUntil.IsZero() {
+	if l := &e.advisory.limit; !l.declared && l.coldUntil.IsZero() && e.advisory.backoffUntil.IsZero() {
 		return 0 // fast path: called for all endpoints in each selection
 	}
 	return max(e.limitOpensIn(now), e.advisory.backoffUntil.Sub(now), 0)
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -23,6 +24,8 @@
 	// LatestVersion, if nonzero, is the newest version of Model. An endpoint that holds an
 	// older version will reload soon, which interrupts the requests running there.
 	LatestVersion int64
+	// Regions are the regions in which the request may be processed.
+	Regions residency.Regions
 	// Exclude lists the IDs of endpoints that must not be selected. Include, if not empty,
 	// lists the only IDs that may be selected.
 	Exclude, Include []string
@@ -87,6 +90,10 @@
 
 	mu       sync.RWMutex
 	services map[string]*shard
+	// evacuated holds the availability zones that are being evacuated, coldLimits the limits on
+	// requests to cold endpoints by service.
+	evacuated  map[string]bool
+	coldLimits map[string]ColdLimit
 }
 
 // New returns a Balancer without endpoints.
@@ -132,7 +139,7 @@
 	for name, records := range byService {
 		s := b.services[name]
 		if s == nil {
-			s = &shard{endpoints: map[string]*endpoint{}}
+			s = &shard{endpoints: map[string]*endpoint{}, evacuated: b.evacuated, coldLimit: b.coldLimits[name]}
 			b.services[name] = s
 		}
 		s.update(records)
--- /dev/null
+++ b/gateway/balance/cold_test.go
@@ -0,0 +1,157 @@
+package balance_test
+
+import (
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/advisory"
+	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/residency"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// coldEndpoint returns one endpoint that is cold until the given time in milliseconds.
+func coldEndpoint(untilMS int) *roster.List {
+	l := oneEndpoint(5, 1)
+	l.Endpoints["e0"].ColdUntil = at(untilMS)
+	return l
+}
+
+var twoPerSecond = map[string]balance.ColdLimit{"s": {Duration: time.Second, Rate: 2}}
+
+// coldBalancer returns a Balancer whose service limits cold endpoints to two requests per second.
+func coldBalancer(l *roster.List) *balance.Balancer {
+	b := balance.New(balance.Config{Zone: "a", OtherLoad: noOtherLoad, Random: zeroRandom})
+	b.SetColdLimits(twoPerSecond)
+	b.Update(l)
+	return b
+}
+
+var _ = DescribeTable("ColdRate leaves room for two holders",
+	func(perSecond, overage, slack, want float64) {
+		Expect(balance.ColdRate(perSecond, overage, slack)).To(BeNumerically("~", want, 0.001))
+	},
+	Entry("no limit", 0.0, 1.5, 5.0, 0.0),
+	Entry("half of what is allowed", 14.0, 1.5, 5.0, 12.0),
+	Entry("no more than it bears", 10.0, 3.0, 5.0, 10.0),
+	Entry("a small limit", 1.0, 1.0, 0.0, 0.2),
+)
+
+var _ = Describe("A cold endpoint", func() {
+	q := balance.Query{Service: "s"}
+
+	It("receives requests from its holder at the limited rate until it is warm", func() {
+		b := withHeld(coldBalancer(coldEndpoint(1200)), "e0")
+		Expect(acceptTimes(b, q, 0, 1000)).To(Equal([]int{500}))
+		Expect(acceptTimes(b, q, 1000, 1300)).To(Equal([]int{1000, 1200, 1210, 1220, 1230, 1240, 1250, 1260, 1270, 1280, 1290}))
+	})
+	It("receives none from other gateways until it is warm", func() {
+		b := coldBalancer(coldEndpoint(900))
+		Expect(acceptTimes(b, q, 0, 1000)[0]).To(Equal(900))
+	})
+	It("tells when it takes the next request, and who holds it", func() {
+		b := coldBalancer(coldEndpoint(900))
+		_, err := b.Pick(&q, at(0))
+		var full *balance.FullError
+		Expect(errors.As(err, &full)).To(BeTrue())
+		Expect(full.TokenFrom).To(Equal(roster.Incarnation{ID: "e0", Born: 5}))
+	})
+	It("is not limited where the service has no limit", func() {
+		b := balancer(coldEndpoint(900))
+		Expect(acceptTimes(b, q, 0, 50)).To(HaveLen(5))
+	})
+	It("becomes cold again with a later record", func() {
+		b := withHeld(coldBalancer(coldEndpoint(0)), "e0")
+		Expect(acceptTimes(b, q, 0, 50)).To(HaveLen(5))
+		b.Update(coldEndpoint(5000))
+		Expect(acceptTimes(b, q, 100, 1200)).To(Equal([]int{100, 600, 1100}))
+	})
+	It("is limited as soon as the limit is configured", func() {
+		b := withHeld(balancer(coldEndpoint(5000)), "e0")
+		b.SetColdLimits(twoPerSecond)
+		Expect(acceptTimes(b, q, 100, 1200)).To(HaveLen(3))
+	})
+	It("is limited in its next incarnation only if that is cold", func() {
+		b := withHeld(coldBalancer(coldEndpoint(5000)), "e0")
+		b.Update(oneEndpoint(6, 1))
+		Expect(acceptTimes(b, q, 100, 150)).To(HaveLen(5))
+	})
+	It("keeps the lower of two limits", func() {
+		b := withHeld(coldBalancer(coldEndpoint(60_000)), "e0")
+		respondAt(b, q, advisory.PerSecond(0.5), at(1000), at(1010))
+		Expect(acceptTimes(b, q, 1010, 7000)).To(Equal([]int{3010, 5010}))
+	})
+	It("does not make gateways ask whether its limit still applies", func() {
+		asked := 0
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: noOtherLoad, Random: zeroRandom, OnStaleLimit: func(roster.Incarnation) { asked++ }})
+		b.SetColdLimits(twoPerSecond)
+		b.Update(coldEndpoint(60_000))
+		_ = acceptTimes(b, q, 0, 20_000)
+		Expect(asked).To(BeZero())
+	})
+})
+
+var _ = Describe("The endpoints of a zone that is evacuated", func() {
+	q := balance.Query{Service: "s"}
+
+	It("receive nothing, and others carry the load", func() {
+		l := endpoints(2)
+		l.Endpoints["e1"].Zone = "b"
+		b := balancer(l)
+		b.SetEvacuated(map[string]bool{"a": true}, at(0))
+		for range 5 {
+			Expect(pick(b, q, at(10)).Record.ID).To(Equal("e1"))
+		}
+	})
+	It("receive nothing also where there are no others, or after a change of their records", func() {
+		b := balancer(oneEndpoint(5, 1))
+		b.SetEvacuated(map[string]bool{"a": true}, at(0))
+		Expect(acceptTimes(b, q, 0, 50)).To(BeEmpty())
+		b.Update(oneEndpoint(6, 2))
+		Expect(acceptTimes(b, q, 50, 100)).To(BeEmpty())
+		b.Update(&roster.List{})
+		b.Update(oneEndpoint(7, 1))
+		Expect(acceptTimes(b, q, 100, 150)).To(BeEmpty())
+	})
+	It("receive nothing if the evacuation is known before they are", func() {
+		b := balancer(&roster.List{})
+		b.SetEvacuated(map[string]bool{"a": true}, at(0))
+		b.Update(oneEndpoint(5, 1))
+		Expect(acceptTimes(b, q, 0, 50)).To(BeEmpty())
+	})
+	It("count as cold once the evacuation ends", func() {
+		b := withHeld(coldBalancer(oneEndpoint(5, 1)), "e0")
+		b.SetEvacuated(map[string]bool{"a": true}, at(0))
+		b.SetEvacuated(nil, at(5000))
+		Expect(acceptTimes(b, q, 5000, 6000)).To(Equal([]int{5500}))
+		Expect(acceptTimes(b, q, 6000, 6050)).To(HaveLen(5))
+	})
+	It("are not affected by the end of another evacuation", func() {
+		b := withHeld(coldBalancer(oneEndpoint(5, 1)), "e0")
+		b.SetEvacuated(map[string]bool{"b": true}, at(0))
+		b.SetEvacuated(nil, at(5000))
+		Expect(acceptTimes(b, q, 5000, 5050)).To(HaveLen(5))
+	})
+})
+
+var _ = Describe("A request that may be processed in some regions only", func() {
+	It("is sent to endpoints there, however busy", func() {
+		l := endpoints(3)
+		l.Endpoints["e0"].Region, l.Endpoints["e1"].Region = "east", "west"
+		b := balancer(l)
+		q := balance.Query{Service: "s", Regions: residency.Intersect([]string{"west"})}
+		for range 10 {
+			Expect(pick(b, q, at(0)).Record.ID).To(Equal("e1"))
+		}
+	})
+	It("is sent nowhere if there are none", func() {
+		b := balancer(endpoints(3))
+		q := balance.Query{Service: "s", Regions: residency.Intersect([]string{"west"})}
+		_, err := b.Pick(&q, at(0))
+		var none *balance.NoEndpointError
+		Expect(errors.As(err, &none)).To(BeTrue())
+	})
+})
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -24,7 +24,7 @@
 }
 
 // rateLimit is the known limit on the rate of requests that an endpoint accepts from all
-// gateways together. One gateway, the holder, sends requests at that rate, one at a time;
+// gateways together: one that it declares, or one that applies while it is cold. One gateway, the holder, sends requests at that rate, one at a time;
 // the others send none. The total rate therefore depends neither on the number of gateways
 // nor on how late they learn of each other's requests.
 type rateLimit struct {
@@ -46,25 +46,48 @@
 	// holder, may send the one request that the holder granted it. nextTokenRequestAt is
 	// when it may request the next token.
 	tokenFrom, tokenUntil, nextTokenRequestAt time.Time
+	// coldUntil is the time until which the endpoint is cold, and coldRate the number of requests
+	// per second that it gets meanwhile; 0 if there is no such limit.
+	coldUntil time.Time
+	coldRate  float64
 }
 
-// active reports whether the limit applies. held is set if this gateway is the holder.
+// cold reports whether the endpoint is cold and therefore limited.
+func (l *rateLimit) cold(now time.Time) bool {
+	return l.coldRate > 0 && now.Before(l.coldUntil)
+}
+
+// interval returns the time between two requests, for the lower of the limits that apply.
+func (l *rateLimit) interval(now time.Time) time.Duration {
+	switch {
+	case !l.cold(now):
+		return LimitInterval(l.rate)
+	case l.declared:
+		return LimitInterval(min(l.rate, l.coldRate))
+	}
+	return LimitInterval(l.coldRate)
+}
+
+// active reports whether a limit applies. held is set if this gateway is the holder.
 func (l *rateLimit) active(held bool, now time.Time) bool {
-	return l.declared && (held || now.Before(later(l.heardAt, l.confirmedAt).Add(limitTTL)))
+	return l.cold(now) || l.declared && (held || now.Before(later(l.heardAt, l.confirmedAt).Add(limitTTL)))
 }
 
 // noteSent records that a request is sent.
 func (l *rateLimit) noteSent(now time.Time) {
-	if l.declared {
-		l.nextSendAt, l.tokenUntil = now.Add(LimitInterval(l.rate)), time.Time{}
+	if l.declared || l.cold(now) {
+		l.nextSendAt, l.tokenUntil = now.Add(l.interval(now)), time.Time{}
 		l.lastGranted = false
 	}
 }
 
-// startHolding makes this gateway the holder. The first interval starts now because the
-// previous holder may just have sent a request.
+// startHolding makes this gateway the holder. If a limit applies, the first interval starts now
+// because the previous holder may just have sent a request.
 func (l *rateLimit) startHolding(now time.Time) {
-	l.nextSendAt = now.Add(LimitInterval(l.rate))
+	l.nextSendAt = now
+	if l.declared || l.cold(now) {
+		l.nextSendAt = now.Add(l.interval(now))
+	}
 }
 
 // LimitChange is the effect of a response on the known limit of an endpoint.
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -18,6 +18,10 @@
 	ordered []*endpoint
 	// removed holds endpoints that no longer have a record, by ID.
 	removed map[string]*removedEndpoint
+	// evacuated holds the availability zones that are being evacuated. coldLimit applies to cold
+	// endpoints of the service.
+	evacuated map[string]bool
+	coldLimit ColdLimit
 }
 
 // endpoint is this gateway's view of one endpoint. All fields except lastByte are guarded
@@ -40,6 +44,8 @@
 	// held is set if this gateway is the endpoint's holder, which alone sends it requests
 	// while it has a rate limit.
 	held bool
+	// evacuated is set while the endpoint's availability zone is being evacuated.
+	evacuated bool
 	// lastByte is when response bytes were last received.
 	lastByte atomicTime
 }
@@ -65,6 +71,7 @@
 		case r.Incarnation().Before(e.record.Incarnation()):
 		case r.Incarnation().Same(e.record.Incarnation()):
 			e.record = r
+			e.applyCold(s.coldLimit)
 		default:
 			s.restart(e, r)
 		}
@@ -83,7 +90,8 @@
 // restart replaces e by its next incarnation, which has record r. Existing leases of e are
 // still released there. The lock must be held.
 func (s *shard) restart(e *endpoint, r *roster.Endpoint) *endpoint {
-	next := &endpoint{record: r, preferred: e.preferred, held: e.held, advisory: &advisoryState{}}
+	next := &endpoint{record: r, preferred: e.preferred, held: e.held, advisory: &advisoryState{}, evacuated: s.evacuated[r.Zone]}
+	next.applyCold(s.coldLimit)
 	s.endpoints[r.ID] = next
 	if i := slices.Index(s.ordered, e); i >= 0 {
 		s.ordered[i] = next
@@ -98,7 +106,7 @@
 
 // eligible reports whether e may receive a request for q at all.
 func (e *endpoint) eligible(q *Query) bool {
-	if e.leaving() || e.health.reassigned {
+	if e.leaving() || e.health.reassigned || e.evacuated || !q.Regions.Permits(e.record.Region) {
 		return false
 	}
 	if q.Model != "" && e.holds(q.Model) < max(q.MinVersion, 1) {
--- a/gateway/balance/token.go
+++ b/gateway/balance/token.go
@@ -49,7 +49,7 @@
 	if holderTurn || opensIn > maxGrantDelay || l.otherWaitsLonger(a) {
 		return false
 	}
-	l.nextSendAt = now.Add(opensIn + LimitInterval(l.rate))
+	l.nextSendAt = now.Add(opensIn + l.interval(now))
 	l.lastGranted, a.grantedAt = true, now
 	return true
 }
@@ -97,7 +97,7 @@
 // stale reports whether nothing has been heard from the endpoint for so long that its limit
 // may have ended.
 func (l *rateLimit) stale(now time.Time) bool {
-	return now.Sub(l.heardAt) > LimitInterval(l.rate)+staleLimitGrace
+	return l.declared && now.Sub(l.heardAt) > LimitInterval(l.rate)+staleLimitGrace
 }
 
 // noteTokenRequest records that the holder is being asked for a token.
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -6,25 +6,34 @@
 	"cmp"
 	"slices"
 
+	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/member"
 )
 
 // maxAddresses is the maximum number of addresses in a response.
 const maxAddresses = 64
 
+// Client describes a client that looks up gateways.
+type Client struct {
+	Zone, Region string
+	// Permitted are the regions, beside the client's own, whose gateways may get its requests.
+	Permitted residency.Regions
+}
+
 // Addresses returns the addresses of the live gateways in the availability zone of the client.
 // If the zone has fewer than two, gateways of other zones are added to make two, preferably
-// from region. Successive values of turn rotate among the candidates.
-func Addresses(live []member.Entry, zone, region string, turn int) []string {
+// from the client's region. Successive values of turn rotate among the candidates.
+func Addresses(live []member.Entry, c Client, turn int) []string {
 	var selected, others []member.Entry
 	for _, e := range live {
-		if e.Zone == zone {
+		switch {
+		case e.Zone == c.Zone:
 			selected = append(selected, e)
-		} else {
+		case e.Region == c.Region || c.Permitted.Permits(e.Region):
 			others = append(others, e)
 		}
 	}
-	selected = append(selected, fallbacks(others, region, minLocalGateways-len(selected), turn)...)
+	selected = append(selected, fallbacks(others, c.Region, minLocalGateways-len(selected), turn)...)
 	out := make([]string, 0, len(selected))
 	for _, e := range selected[:min(len(selected), maxAddresses)] {
 		out = append(out, e.Callers)
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -5,6 +5,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/gateway/directory"
+	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/member"
 )
 
@@ -18,7 +19,7 @@
 
 	DescribeTable("returns gateways of the zone first",
 		func(live []member.Entry, zone, region string, turn int, want ...string) {
-			Expect(directory.Addresses(live, zone, region, turn)).To(Equal(want))
+			Expect(directory.Addresses(live, directory.Client{Zone: zone, Region: region}, turn)).To(Equal(want))
 		},
 		Entry("two gateways in the zone", []member.Entry{a1, a2, b1, c1}, "a", "east", 0, "a1", "a2"),
 		Entry("one gateway in the zone, others in the region", []member.Entry{a1, b1, c1}, "a", "east", 1, "a1", "b1"),
@@ -28,8 +29,24 @@
 		Entry("unknown zone and region", []member.Entry{c1}, "", "", 5, "c1"),
 	)
 
+	DescribeTable("returns gateways of other regions only where requests may go there",
+		func(live []member.Entry, regions []string, want ...string) {
+			c := directory.Client{Zone: "a", Region: "east", Permitted: residency.Intersect(regions)}
+			Expect(directory.Addresses(live, c, 0)).To(Equal(want))
+		},
+		Entry("the client's own region", []member.Entry{a1, b1, c1}, []string{"north"}, "a1", "b1"),
+		Entry("a region that is allowed", []member.Entry{a1, c1}, []string{"west"}, "a1", "c1"),
+		Entry("a region that is not", []member.Entry{a1, c1}, []string{"north"}, "a1"),
+		Entry("any region without a restriction", []member.Entry{a1, c1}, nil, "a1", "c1"),
+	)
+
+	It("returns nothing rather than gateways that must not get the requests", func() {
+		c := directory.Client{Zone: "a", Region: "east", Permitted: residency.Intersect([]string{"north"})}
+		Expect(directory.Addresses([]member.Entry{c1, c2}, c, 0)).To(BeEmpty())
+	})
+
 	It("returns nothing if no gateway is alive", func() {
-		Expect(directory.Addresses(nil, "a", "east", 0)).To(BeEmpty())
+		Expect(directory.Addresses(nil, directory.Client{Zone: "a", Region: "east"}, 0)).To(BeEmpty())
 	})
 
 	It("limits the number of addresses", func() {
@@ -37,6 +54,6 @@
 		for range 100 {
 			many = append(many, a1)
 		}
-		Expect(directory.Addresses(many, "a", "east", 0)).To(HaveLen(64))
+		Expect(directory.Addresses(many, directory.Client{Zone: "a", Region: "east"}, 0)).To(HaveLen(64))
 	})
 })
--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -22,6 +22,8 @@
 type Config struct {
 	// Records returns the local copy of the endpoint records.
 	Records func() *mirror.State
+	// Regions maps availability zones to their regions.
+	Regions map[string]string
 	// Retention decides which endpoints with lapsed records are kept.
 	Retention *roster.Retention
 	// OnChange is called with each new list. Calls do not overlap.
@@ -122,6 +124,8 @@
 	endpoint, err := platform.DecodeEndpoint(stored.Data)
 	if err != nil {
 		l.cfg.OnUnreadable(name, err)
+	} else {
+		endpoint.Region, endpoint.ColdUntil = l.cfg.Regions[endpoint.Zone], now.Add(endpoint.Cold)
 	}
 	return decodedRecord{revision: stored.Revision, endpoint: endpoint, readAt: now}
 }
@@ -157,7 +161,7 @@
 	for name, current := range list.Endpoints {
 		if !sameForRouting(previous.Endpoints[name], current) {
 			l.cfg.Log.Info("endpoint", "endpoint", name, "service", current.Service, "addr", current.Addr, "zone", current.Zone,
-				"born", current.Born, "leaving", current.Leaving, "weights", current.Weights, "revision", list.Revision)
+				"born", current.Born, "leaving", current.Leaving, "coldMs", current.Cold.Milliseconds(), "weights", current.Weights, "revision", list.Revision)
 		}
 	}
 	for name := range previous.Endpoints {
@@ -171,7 +175,7 @@
 // Only the first entry of Weights is compared, since endpoints on the platform hold one model
 // each.
 func sameForRouting(previous, current *roster.Endpoint) bool {
-	if previous == nil || previous.Born != current.Born || previous.Leaving != current.Leaving || len(previous.Weights) != len(current.Weights) {
+	if previous == nil || previous.Born != current.Born || previous.Cold != current.Cold || previous.Leaving != current.Leaving || len(previous.Weights) != len(current.Weights) {
 		return false
 	}
 	return len(current.Weights) == 0 || previous.Weights[0] == current.Weights[0]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,6 +166,7 @@
 func (g *Gateway) newEndpoints() *endpoints.List {
 	return endpoints.New(endpoints.Config{
 		Records:   func() *mirror.State { return g.mirrors[platform.KindEndpoints].State() },
+		Regions:   g.cfg.Regions,
 		Retention: roster.NewRetention(lapsedRetention, min(lapsedRetention, g.cfg.DrainLimit*2/3)),
 		OnChange:  g.applyEndpoints,
 		// The platform drops a record after three heartbeats without a write.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,8 +48,9 @@
 	return startGatewayWithStore(t, store, 1)
 }
 
-// startGatewayWithStore starts gateway n with store and returns its settings.
-func startGatewayWithStore(t *testing.T, store *standin.Store, n int) *platform.Settings {
+// startGatewayWithStore starts gateway n with store and returns its settings, as changed by the
+// options.
+func startGatewayWithStore(t *testing.T, store *standin.Store, n int, options ...func(*platform.Settings)) *platform.Settings {
 	g := NewWithT(t)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -61,6 +62,9 @@
 		DrainLimit: 2 * time.Second, Grace: 4 * time.Second, RetryWindow: time.Second, VersionLimit: 8 * time.Second,
 		ContactTime: 300 * time.Millisecond,
 	}
+	for _, o := range options {
+		o(cfg)
+	}
 	gw := gateway.New(cfg, log.New(io.Discard), metrics.NewRegistry())
 	g.Expect(gw.Start(context.Background())).To(Succeed())
 	t.Cleanup(func() { _ = gw.Stop(context.Background()) })
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -26,10 +26,10 @@
 }
 
 // applyConfig puts the configuration in s into force. If it can't be decoded, the previous
-// one stays in force.
+// one stays in force. The first one waits until evacuations are known; see applyEvacuations.
 func (g *Gateway) applyConfig(s *mirror.State) {
 	stored, found := s.Objects[platform.ConfigName]
-	if !found {
+	if !found || !g.evacuationsKnown() {
 		return
 	}
 	config, err := platform.DecodeConfig(stored.Data)
@@ -43,6 +43,7 @@
 	g.awaitQuarantine()
 	// Set the limits first: the gateway becomes ready once it has a configuration.
 	g.callerServer.SetLimits(ConnectionLimits(config.Limits))
+	g.balancer.SetColdLimits(g.coldLimits(config))
 	g.proxy.SetConfig(config)
 	g.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
 	g.inventory.Broadcast()
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -11,6 +11,7 @@
 	"github.com/silverdeck/silverdeck/gateway/header"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
+	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -49,6 +50,7 @@
 		return c, failure
 	}
 	c.service = c.route.Target(p.cfg.Random())
+	c.regions = allowedRegions(c.route, c.account)
 	c.model = r.Header.Get(names.Model)
 	c.promptTokens = promptTokens(r.Header.Get(names.Tokens))
 	c.lastEventID = r.Header.Get(names.LastEventID)
@@ -65,6 +67,15 @@
 	return c, nil
 }
 
+// allowedRegions returns the regions in which a request may be processed. account is nil if the
+// request needs no key.
+func allowedRegions(route *routes.Route, account *routes.Account) residency.Regions {
+	if account == nil {
+		return residency.Intersect(route.AllowedRegions)
+	}
+	return residency.Intersect(route.AllowedRegions, account.AllowedRegions)
+}
+
 // poisonRequest returns the properties that all copies of a request have in common.
 func poisonRequest(r *http.Request, a *routes.Account, body []byte) *poison.Request {
 	out := &poison.Request{Method: r.Method, URI: r.RequestURI, Body: body}
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
+	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -19,6 +20,8 @@
 	route   *routes.Route
 	account *routes.Account
 	service string
+	// regions are the regions in which the request may be processed.
+	regions residency.Regions
 	request *upstream.Request
 	// copies identifies the request together with all copies of it, for example retries by its
 	// caller or the same request through other gateways.
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -14,7 +14,7 @@
 
 // query returns the requirements for selecting an endpoint.
 func (p *Proxy) query(c *call) *balance.Query {
-	q := &balance.Query{Service: c.service, Exclude: c.attempted, LeastLoaded: policy.RequiresIsolation(c.crashCount)}
+	q := &balance.Query{Service: c.service, Regions: c.regions, Exclude: c.attempted, LeastLoaded: policy.RequiresIsolation(c.crashCount)}
 	if c.lastAttempt() {
 		q.Exclude, q.Include = []string{c.current}, c.attempted
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/silverdeck/silverdeck/gateway/directory"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/replica"
+	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/gateway/tokens"
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/leases"
@@ -147,7 +148,8 @@
 		if g.Ready() == nil {
 			live = append(live, g.self)
 		}
-		addresses := directory.Addresses(live, q.Zone, q.Region, rand.IntN(addressSeeds))
+		client := directory.Client{Zone: q.Zone, Region: q.Region, Permitted: g.permittedRegions(q.Host)}
+		addresses := directory.Addresses(live, client, rand.IntN(addressSeeds))
 		if len(addresses) == 0 {
 			c.String(http.StatusServiceUnavailable, "no entry is ready")
 			return
@@ -157,6 +159,16 @@
 	return router
 }
 
+// permittedRegions returns the regions whose gateways may get the requests for a host. The
+// account of a request is not known when its address is looked up.
+func (g *Gateway) permittedRegions(host string) residency.Regions {
+	config := g.proxy.Routes()
+	if config == nil {
+		return residency.Regions{}
+	}
+	return residency.Intersect(config.RegionsOfHost(host)...)
+}
+
 // addressTTL returns how long callers may cache a directory answer.
 func (g *Gateway) addressTTL() time.Duration {
 	if g.cfg.AddressTTL > 0 {
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -20,12 +20,16 @@
 // newMirrors returns the mirrors of the platform's store, by kind.
 func (g *Gateway) newMirrors() map[string]*mirror.Mirror {
 	coalesceEndpoints := g.cfg.DrainLimit / coalesceDivisor
-	return map[string]*mirror.Mirror{
+	mirrors := map[string]*mirror.Mirror{
 		platform.KindConfig:    g.newMirror(platform.KindConfig, 0, g.applyConfig),
 		platform.KindEndpoints: g.newMirror(platform.KindEndpoints, coalesceEndpoints, func(*mirror.State) { g.endpoints.Update() }),
 		platform.KindVersions:  g.newMirror(platform.KindVersions, 0, g.applyVersions),
 		platform.KindMembers:   g.newMirror(platform.KindMembers, coalesceMembers, g.applyMembers),
 	}
+	if g.cfg.EvacuationLimit > 0 {
+		mirrors[platform.KindEvacuations] = g.newMirror(platform.KindEvacuations, 0, g.applyEvacuations)
+	}
+	return mirrors
 }
 
 func (g *Gateway) newMirror(kind string, coalesce time.Duration, use func(*mirror.State)) *mirror.Mirror {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,6 +5,8 @@
 // and must be told when the store becomes unreachable and when it returns.
 package roster
 
+import "time"
+
 // Weights is a version of a model that an endpoint holds.
 type Weights struct {
 	Model   string
@@ -20,11 +22,18 @@
 	Service string
 	Addr    string
 	Zone    string
+	// Region is the region of Zone, or empty if it is not known.
+	Region string
 	// Slots is the number of requests that the endpoint processes concurrently.
 	Slots int
 	// Leaving is set ahead of a planned stop.
 	Leaving bool
-	Weights []Weights
+	// Cold is how long the endpoint was going to remain cold when the record was written: a cold
+	// endpoint bears only few requests. ColdUntil is the latest time at which that ends, counted
+	// from when this process received the record.
+	Cold      time.Duration
+	ColdUntil time.Time
+	Weights   []Weights
 }
 
 // Incarnation returns the incarnation of the endpoint.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -50,8 +50,11 @@
 	// Public routes require no key.
 	Public bool
 	// Resume is set if an interrupted stream may continue at another endpoint.
-	Resume  bool
-	Targets []Target
+	Resume bool
+	// AllowedRegions lists the only regions in which requests may be processed; none restricts
+	// nothing.
+	AllowedRegions []string
+	Targets        []Target
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -103,6 +106,10 @@
 	Origin string
 	// LinkMbps is the bandwidth of an origin's link, in megabits per second.
 	LinkMbps float64
+	// ColdStart is how long an endpoint is cold after a start, and ColdPerSecond the number of
+	// requests per second that it bears meanwhile; 0 if there is no such limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Account is a client account.
@@ -111,6 +118,8 @@
 	// Priority takes precedence over that of the route if Ranked.
 	Priority int
 	Ranked   bool
+	// AllowedRegions is as in Route. If both are set, both apply.
+	AllowedRegions []string
 }
 
 // Limits bounds callers' requests and connections. A value of 0 means that none is configured.
@@ -157,10 +166,7 @@
 
 // Match returns the route for host and path, or nil. It ignores a port in host.
 func (c *Config) Match(host, path string) *Route {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
-		host = host[:at]
-	}
-	for _, r := range c.hosts[strings.ToLower(host)] {
+	for _, r := range c.hosts[hostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -168,6 +174,26 @@
 	return nil
 }
 
+// RegionsOfHost returns the lists of allowed regions of the routes of a host that have one. It
+// ignores a port in host.
+func (c *Config) RegionsOfHost(host string) [][]string {
+	var out [][]string
+	for _, r := range c.hosts[hostName(host)] {
+		if len(r.AllowedRegions) > 0 {
+			out = append(out, r.AllowedRegions)
+		}
+	}
+	return out
+}
+
+// hostName returns a host in lower case and without its port.
+func hostName(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
 // LongestTarget returns the longest latency target of the streams that service answers.
 func (c *Config) LongestTarget(service string) time.Duration {
 	return c.longestTargets[service]
