--- a/compat/calls_test.go
+++ b/compat/calls_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
@@ -64,7 +66,7 @@
 		answer{http.StatusOK, `{"items":[` + object + `],"more":true,"at":9}`}, answer{http.StatusOK, `{"items":[],"at":9}`},
 		answer{http.StatusOK, `{"items":[` + object + `],"at":9}`},
 		answer{http.StatusOK, `{"events":[{"object":` + object + `,"gone":true}],"at":11}`}, answer{http.StatusGone, ""})
-	store, ctx := platform.NewStore(addr), t.Context()
+	store, ctx := platform.NewStore(addr, metrics.NewRegistry()), t.Context()
 	entry := filled[member.Entry]()
 	r.note(store.Put(ctx, platform.KindMembers, "gw 1", entry))
 	r.note(store.Put(ctx, platform.KindMembers, "gw 1", entry))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 		log:       l,
 		registry:  registry,
 		startedAt: time.Now(),
-		store:     platform.NewStore(cfg.Store),
+		store:     platform.NewStore(cfg.Store, registry),
 		client:    upstream.NewClient(),
 		versions:  versions.New(cfg.VersionLimit),
 		self:      newEntry(cfg),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -67,7 +67,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerPeer}}
 	pool := peerconn.NewPool(dialer)
 	c.pool = pool
-	c.watcher = newInventoryWatcher(cfg, platform.NewStore(cfg.Store), pool, l, watcherHandlers{
+	c.watcher = newInventoryWatcher(cfg, platform.NewStore(cfg.Store, registry), pool, l, watcherHandlers{
 		onInventory: c.handleInventory, onNaming: c.handleNaming, onSuspension: func(d time.Duration) { c.stager.RecordSuspension(d) },
 	})
 	c.stager = stage.New(stage.Config{
