soak: a mix with evacuations, cold runners and regions

The stand-in's runners say that they are cold, its store holds evacuations, and configurations restrict streams to regions. What reached runners is judged: no region that no configuration in force allows, nothing in an evacuated zone, no more than the bound to a cold runner in any second.

--- a/soak/configure.go
+++ b/soak/configure.go
@@ -16,16 +16,25 @@
 	w.store.Configure(standin.Configuration{
 		Version: w.configVersion,
 		Routes: append([]standin.Route{
-			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond},
+			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond, AllowedRegions: w.streamRegions},
 			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond},
 		}, w.otherRoutes()...),
 		Model: model, ModelService: modelService, PlainService: plainService,
 		Origin:  w.addr(251, portOrigin),
 		Account: accountName, Key: apiKey,
+		ColdStart: coldTime, ColdPerSecond: w.coldPerSecond(),
 	})
 	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
 }
 
+// coldPerSecond returns the limit on requests to cold runners, or 0 if they have none.
+func (w *world) coldPerSecond() float64 {
+	if w.cfg.Mix == MixPlaces {
+		return coldPerSecond
+	}
+	return 0
+}
+
 // otherRoutes returns routes that nobody asks for. Some come, go and change from one
 // version to the next.
 func (w *world) otherRoutes() []standin.Route {
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -26,12 +26,16 @@
 	// MixAnswers has runners that tell of themselves in their answers, beside gateways that
 	// are killed, stopped and frozen and a store that is away.
 	MixAnswers Mix = "answers"
+	// MixPlaces has zones that are evacuated, runners that start cold and streams that may be
+	// processed in some regions only, beside gateways that are disturbed and a store that is
+	// away.
+	MixPlaces Mix = "places"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -62,6 +66,8 @@
 		return w.drawCrash(r)
 	case MixAnswers:
 		return w.drawAnswers(r)
+	case MixPlaces:
+		return w.drawPlaces(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/slot.go
+++ b/soak/slot.go
@@ -21,6 +21,8 @@
 	down bool
 	// lifted notes that the runner names no limit any more, or is nil while it names none.
 	lifted func()
+	// onStart, if not nil, is called with the ID of each new life before its start.
+	onStart func(runner string)
 }
 
 // ServeHTTP implements http.Handler.
@@ -65,6 +67,9 @@
 	}
 	s.lives++
 	s.cfg.ID = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.cfg.Address, ".", "-"), s.lives)
+	if s.onStart != nil {
+		s.onStart(s.cfg.ID)
+	}
 	s.runner = standin.NewRunner(s.cfg, version)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,9 @@
 	for _, line := range w.ledger.judge(w.history, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
+	for _, line := range w.places.judge(w.isHeld, platformBounds) {
+		w.witness.AddViolation("%s", line)
+	}
 	for _, line := range w.heeded.judge(w.isHeld, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
@@ -101,6 +104,7 @@
 		asking.Go(func() { w.sendFatal(ctx) })
 	}
 	w.disturb(ctx, func(line string) { report.Faults = append(report.Faults, line) })
+	w.endPlaces()
 	asking.Wait()
 	time.Sleep(settleTime)
 	for _, c := range all {
--- a/soak/world.go
+++ b/soak/world.go
@@ -90,19 +90,22 @@
 	ledger      *ledger
 	fatal       *fatal
 	heeded      *heeded
+	places      *places
 
 	mu sync.Mutex
 	// changes are the configurations that were written, faults what disturbed endpoints
 	// and links.
 	changes []Change
 	faults  []Span
+	// streamRegions are the regions that the configuration allows for streams.
+	streamRegions []string
 }
 
 // newWorld starts everything.
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(),
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(),
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -110,6 +113,7 @@
 	if err := w.serve(w.addr(251, portOrigin), standin.Origin{}); err != nil {
 		return nil, err
 	}
+	w.places.allowed(nil)
 	w.configure()
 	for i := range cfg.Runners + 1 {
 		if err := w.addRunner(i); err != nil {
@@ -145,9 +149,17 @@
 	if w.cfg.Mix == MixCrash {
 		s.cfg.CrashOn = func(id, body string) bool { return w.fatal.begins(s, id, body) }
 	}
+	if w.cfg.Mix == MixPlaces && i > 0 {
+		s.cfg.Cold = coldTime
+		s.onStart = w.places.started
+	}
 	if i > 0 {
 		s.cfg.Service, s.cfg.Model = modelService, model
 	}
+	if w.cfg.Mix == MixPlaces {
+		service, zone := s.cfg.Service, s.cfg.Zone
+		s.cfg.OnArrival = func(runner, id string) { w.places.delivered(service, zone, runner, id) }
+	}
 	version := w.version
 	if i > 1 {
 		version = 0
@@ -187,6 +199,7 @@
 	w.storeLinks = append(w.storeLinks, link)
 	name := fmt.Sprintf("%s-%d", role, i)
 	path := filepath.Join(w.cfg.Work, name+".yaml")
+	m.Places = w.cfg.Mix == MixPlaces
 	m.Name, m.Zone, m.IP, m.Ports, m.Store = name, zone(i), fmt.Sprintf("%s.%d", w.net, host), [2]int{portPeer, portPeer + 10}, store
 	if err := os.WriteFile(path, m.File(), 0o600); err != nil {
 		return err
--- a/standin/format.go
+++ b/standin/format.go
@@ -19,29 +19,51 @@
 	Callers, Ready, Directory string
 	// Endpoint and Service are the address and the service of the endpoint of a sidecar.
 	Endpoint, Service string
+	// Places puts zone b into another region than zone a, and sets the limits on evacuations and
+	// on cold endpoints.
+	Places bool
 }
 
 // MemoryLimitMB is the memory limit in the settings, in megabytes.
 const MemoryLimitMB = 200
 
+// Limits in the settings of processes with Places.
+const (
+	// EvacuationLimit is the time after which an evacuated zone must get no more requests.
+	EvacuationLimit = 2 * time.Second
+	// ColdOverage and ColdSlack bound the requests to a cold endpoint within a second: ColdOverage
+	// times what it bears, to which ColdSlack is added.
+	ColdOverage, ColdSlack = 1.5, 5
+)
+
+// placesBounds are the bounds of processes with Places.
+var placesBounds = fmt.Sprintf(", evacuate_ms: %d, cold_overage: %g, cold_slack: %d", EvacuationLimit.Milliseconds(), ColdOverage, ColdSlack)
+
 const settingsFormat = `node: %q
 zone: %q
-region: "east"
-zones: {a: "east", b: "east"}
+region: %q
+zones: {a: "east", b: %q}
 ip: %q
 internal_ports: [%d, %d]
 listen: {front: %q, ready: %q, directory: %q}
 app: %q
 service: %q
 limits: {memory_mb: %d, link_mbps: 1000}
-bounds: {grace_s: 8, retry_budget_ratio: 0.2, retry_budget_extra: 100, budget_window_s: 10, version_ms: 8000, ttl_max_s: 5, drain_ms: 2000}
+bounds: {grace_s: 8, retry_budget_ratio: 0.2, retry_budget_extra: 100, budget_window_s: 10, version_ms: 8000, ttl_max_s: 5, drain_ms: 2000%s}
 platform: {address: %q}
 `
 
 // File returns the contents of the settings file.
 func (p *ProcessSettings) File() []byte {
-	return fmt.Appendf(nil, settingsFormat, p.Name, p.Zone, p.IP, p.Ports[0], p.Ports[1],
-		p.Callers, p.Ready, p.Directory, p.Endpoint, p.Service, MemoryLimitMB, p.Store)
+	region, regionOfB, bounds := "east", "east", ""
+	if p.Places {
+		regionOfB, bounds = "west", placesBounds
+		if p.Zone == "b" {
+			region = regionOfB
+		}
+	}
+	return fmt.Appendf(nil, settingsFormat, p.Name, p.Zone, region, regionOfB, p.IP, p.Ports[0], p.Ports[1],
+		p.Callers, p.Ready, p.Directory, p.Endpoint, p.Service, MemoryLimitMB, bounds, p.Store)
 }
 
 // Route is a route in a Configuration.
@@ -51,6 +73,8 @@
 	Prefix                 string
 	Stream                 bool
 	Timeout, LatencyTarget time.Duration
+	// AllowedRegions lists the only regions in which requests may be processed, if any.
+	AllowedRegions []string
 }
 
 // Configuration contains the values that vary in the operator's configuration.
@@ -60,6 +84,10 @@
 	Model, ModelService, PlainService string
 	Origin                            string
 	Account, Key                      string
+	// ColdStart is how long endpoints of ModelService are cold after a start, and ColdPerSecond
+	// the number of requests per second that they bear meanwhile; 0 for no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // DefaultPathPrefix is the path prefix of routes without a Prefix.
@@ -77,7 +105,7 @@
 		"version": c.Version,
 		"routes":  routes,
 		"services": []any{
-			jsonObject{"name": c.ModelService, "max_connections": 200, "engine": jsonObject{
+			jsonObject{"name": c.ModelService, "max_connections": 200, "cold_start_s": c.ColdStart.Seconds(), "cold_per_s": c.ColdPerSecond, "engine": jsonObject{
 				"slots": 16, "read_per_s": 30000, "chunks": Chunks, "chunk_bytes": ChunkBytes,
 				"models": []any{jsonObject{"name": c.Model, "warm_s": loadDuration.Seconds()}}}},
 			jsonObject{"name": c.PlainService, "max_connections": 200},
@@ -99,7 +127,21 @@
 	}
 	return jsonObject{"name": r.Name, "hostname": r.Host, "path_prefix": prefix, "kind": kind, "service": r.Service,
 		"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.LatencyTarget.Milliseconds(), "gap_target_ms": 300,
-		"max_attempts": 2, "priority": 1, "stream_resume": r.Stream}
+		"max_attempts": 2, "priority": 1, "stream_resume": r.Stream, "allowed_regions": r.regions()}
+}
+
+// regions returns the allowed regions; a route without any has an empty list.
+func (r *Route) regions() []string {
+	return append([]string{}, r.AllowedRegions...)
+}
+
+// Evacuate asks that the endpoints of an availability zone get no requests, or takes that back.
+func (s *Store) Evacuate(zone string, evacuated bool) {
+	if evacuated {
+		s.Put("evacuations", zone, jsonObject{})
+		return
+	}
+	s.Delete("evacuations", zone)
 }
 
 // SetModelVersion writes the version of the weights that a model is to have.
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -40,6 +40,11 @@
 	// request crashes the runner. A function that returns true must also close the runner's
 	// connections.
 	CrashOn func(id, body string) bool
+	// Cold is how long the runner is cold after its start.
+	Cold time.Duration
+	// OnArrival, if not nil, is called for each request meant for this runner, with the IDs of
+	// both, whether or not the runner accepts the request.
+	OnArrival func(runner, id string)
 	// OnRequest, if not nil, is called for each received request with the IDs of the runner and
 	// of the request.
 	OnRequest func(runner, id string)
@@ -55,6 +60,8 @@
 // Runner is a fake endpoint. It is safe for concurrent use.
 type Runner struct {
 	cfg RunnerConfig
+	// coldUntil is the time until which the runner is cold.
+	coldUntil time.Time
 
 	mu sync.Mutex
 	// version is the loaded version of the model, or 0 if none is loaded.
@@ -80,7 +87,7 @@
 	if cfg.EventInterval == 0 {
 		cfg.EventInterval = defaultEventInterval
 	}
-	r := &Runner{cfg: cfg, version: version, aborted: make(chan struct{})}
+	r := &Runner{cfg: cfg, coldUntil: time.Now().Add(cfg.Cold), version: version, aborted: make(chan struct{})}
 	r.writeRecord()
 	return r
 }
@@ -111,11 +118,20 @@
 		state = "draining"
 	}
 	spec := map[string]any{"service": r.cfg.Service, "address": r.cfg.Address, "zone": r.cfg.Zone, "slots": r.cfg.Slots,
-		"state": state, "models": r.loadedModels()}
+		"state": state, "cold_remaining_ms": r.coldMillis(), "models": r.loadedModels()}
 	r.mu.Unlock()
 	r.cfg.Store.Put("servers", r.cfg.ID, spec)
 }
 
+// coldMillis returns for how long the runner is cold after its start, in milliseconds, or 0 once it
+// is not.
+func (r *Runner) coldMillis() int64 {
+	if time.Now().After(r.coldUntil) {
+		return 0
+	}
+	return r.cfg.Cold.Milliseconds()
+}
+
 // loadedModels returns the loaded model and its version in the format of records and reports.
 // The caller holds r.mu.
 func (r *Runner) loadedModels() []any {
@@ -172,6 +188,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return true
 	}
+	if r.cfg.OnArrival != nil {
+		r.cfg.OnArrival(r.cfg.ID, id)
+	}
 	retryAfter := r.nextRetryAfter()
 	if retryAfter == 0 && r.acquireSlot() {
 		return false
