--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,9 @@
 	})
 	g.proxy = g.newProxy()
 	g.syncer = replica.New(g.table, l)
+	if cfg.FirstStart {
+		g.syncer.DelayFirstList(replica.FirstListDelay(rand.Float64()))
+	}
 	g.inventory = inventory.NewServer(g.describeService, g.versions.WithKnownTime)
 	g.mirrors = g.newMirrors()
 	g.syncer.SetMirrors(g.mirrors, platform.KindMembers)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -165,13 +165,16 @@
 }
 
 // loadQuarantine reads the stored quarantine once at startup, since all gateways may have
-// been restarted at the same time.
+// been restarted at the same time. The list may be stale: a request that was quarantined in the
+// last seconds before that is quarantined again after a few crashes.
 func (g *Gateway) loadQuarantine(ctx context.Context) {
 	defer time.AfterFunc(quarantineLoadTimeout, g.markQuarantineLoaded).Stop()
 	defer g.markQuarantineLoaded()
-	source := g.store.Source(platform.KindQuarantine)
+	if g.cfg.FirstStart {
+		return
+	}
 	for ctx.Err() == nil {
-		objects, _, err := source.List(ctx)
+		objects, err := g.store.ListStale(ctx, platform.KindQuarantine)
 		if err == nil {
 			g.applyQuarantine(objects)
 			return
--- a/gateway/replica/rules.go
+++ b/gateway/replica/rules.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Timing of fetches from other gateways and from the store.
 const (
@@ -26,6 +29,35 @@
 	storeFallbackDelay = 1500 * time.Millisecond
 )
 
+// At the first start of the whole system the store lists no gateways. They register at the same
+// moment, and if each of them then listed all, the calls would grow with the square of their number.
+// Instead, each waits for a random time and reads the list only if no other gateway has contacted it
+// by then; those that do contact all that they find.
+const (
+	// maxFirstListDelay is the longest of these times.
+	maxFirstListDelay = time.Second
+	// firstListSkew makes short times rare: it is the number of uniform random times of which the
+	// largest is taken. Of 550 gateways, the first then lists after about a fifth of
+	// maxFirstListDelay, and a dozen within the heartbeat that it needs to contact the others.
+	firstListSkew = 4
+	// firstStartTimeout is how much longer than firstCopyTimeout a gateway then waits for its first
+	// copies, of which the first ones follow only after the list.
+	firstStartTimeout = 3 * time.Second
+)
+
+// FirstListDelay returns how long a gateway waits, at the first start of the whole system, before it
+// reads the list of gateways. draw is a random number in [0, 1).
+func FirstListDelay(draw float64) time.Duration {
+	return time.Duration(math.Pow(draw, 1.0/firstListSkew) * float64(maxFirstListDelay))
+}
+
+// ShouldListGateways reports whether a gateway without a copy of the list of gateways reads it from
+// the store now. delay is 0 except at the first start of the whole system, age the time since the
+// start, contacted whether another gateway was heard.
+func ShouldListGateways(delay, age time.Duration, contacted bool) bool {
+	return delay == 0 || age >= delay && !contacted
+}
+
 // ShouldWatchStore reports whether this gateway watches the store. selected is set if it is one
 // of the watchers among the gateways that it has heard, firstListed if it is one of them among
 // the gateways listed in the store. Until a gateway has settled after startup it may not have
--- a/gateway/replica/syncer.go
+++ b/gateway/replica/syncer.go
@@ -48,9 +48,14 @@
 	pool           *peerconn.Pool
 	log            *log.Logger
 	startedAt      time.Time
+	// firstListDelay is the result of FirstListDelay at the first start of the whole system, and 0
+	// at others.
+	firstListDelay time.Duration
 
-	mu       sync.Mutex
-	watching bool
+	mu sync.Mutex
+	// knownSince is when the first other gateway was heard or the list of gateways was read.
+	knownSince time.Time
+	watching   bool
 	// lost holds the kinds of objects for which the store does not respond.
 	lost map[string]bool
 	// lags holds the state of the copies that are behind, by kind.
@@ -84,6 +89,13 @@
 	s.storeFirstKind = storeFirstKind
 }
 
+// DelayFirstList makes the first read of the list of gateways wait for d, as returned by
+// FirstListDelay, unless another gateway is heard meanwhile. It must be called before any other
+// method.
+func (s *Syncer) DelayFirstList(d time.Duration) {
+	s.firstListDelay = d
+}
+
 // Run decides whether this gateway watches the store and follows other gateways' copies until
 // ctx ends, even if no heartbeats arrive.
 func (s *Syncer) Run(ctx context.Context) {
@@ -95,7 +107,7 @@
 
 // Elect decides whether this gateway watches the store.
 func (s *Syncer) Elect(now time.Time) {
-	settled := now.Sub(s.startedAt) >= settleTime
+	settled := s.settled(now)
 	watching := ShouldWatchStore(settled, s.table.ShouldWatch(), s.table.FirstListed())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,6 +117,29 @@
 	}
 }
 
+// settled reports whether this gateway has had time to hear the others.
+func (s *Syncer) settled(now time.Time) bool {
+	if s.firstListDelay == 0 {
+		return now.Sub(s.startedAt) >= settleTime
+	}
+	known := s.contacted() || s.haveCopy(s.storeFirstKind)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known && s.knownSince.IsZero() {
+		s.knownSince = now
+	}
+	return known && now.Sub(s.knownSince) >= settleTime
+}
+
+// contacted reports whether another gateway is known to be alive.
+func (s *Syncer) contacted() bool {
+	return s.table.Size() > 1
+}
+
+func (s *Syncer) haveCopy(kind string) bool {
+	return s.mirrors[kind].State().Revision > 0
+}
+
 // Status returns the role of this gateway in watching the store.
 func (s *Syncer) Status() Status {
 	s.mu.Lock()
@@ -124,11 +159,14 @@
 
 // SyncsFromStore reports whether the copy of kind is kept up to date from the store.
 func (s *Syncer) SyncsFromStore(kind string) bool {
-	haveCopy := s.mirrors[kind].State().Revision > 0
-	if kind == s.storeFirstKind && !haveCopy {
+	haveCopy, age := s.haveCopy(kind), time.Since(s.startedAt)
+	if kind == s.storeFirstKind && !haveCopy && ShouldListGateways(s.firstListDelay, age, s.contacted()) {
 		return true
 	}
-	return SyncsFromStore(s.Status().Watching, haveCopy, time.Since(s.startedAt))
+	if s.firstListDelay > 0 {
+		age -= firstStartTimeout
+	}
+	return SyncsFromStore(s.Status().Watching, haveCopy, age)
 }
 
 // SetStoreLost records whether the store fails to answer calls for kind.
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -35,7 +35,7 @@
 func (g *Gateway) newMirror(kind string, coalesce time.Duration, use func(*mirror.State)) *mirror.Mirror {
 	return mirror.New(mirror.Config{
 		Kind:           kind,
-		Source:         g.store.Source(kind),
+		Source:         g.source(kind),
 		Random:         rand.Float64,
 		PollTimeout:    func() time.Duration { return g.pollTimeout(kind) },
 		Coalesce:       coalesce,
@@ -49,6 +49,15 @@
 	})
 }
 
+// source returns the source of a mirror. At a start, every gateway reads the list of gateways, so
+// that list may be stale. At the first start of all it would be empty.
+func (g *Gateway) source(kind string) mirror.Source {
+	if kind == platform.KindMembers && !g.cfg.FirstStart {
+		return g.store.StaleFirstSource(kind)
+	}
+	return g.store.Source(kind)
+}
+
 // announceCopies sends a heartbeat early if other gateways copy from this one, that is, if it
 // watches the store or is a relay.
 func (g *Gateway) announceCopies() {
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -29,6 +29,9 @@
 	maxGatewayAttempts = 3
 	// storeReadInterval is the pause after each read of the store, whose calls are billed.
 	storeReadInterval = 1500 * time.Millisecond
+	// firstStartDelay is the mean delay of the first query at the first start of the whole system,
+	// in which gateways register in the store and read their copies of it.
+	firstStartDelay = 3 * time.Second
 )
 
 // inventoryWatcher keeps the inventory of the service up to date. It queries gateways and reads
@@ -90,6 +93,9 @@
 
 // run keeps the inventory up to date until ctx ends.
 func (w *inventoryWatcher) run(ctx context.Context) {
+	if w.cfg.FirstStart { // until then, gateways register
+		wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(firstStartDelay)))
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		if d := w.suspension.Suspended(); d > 0 {
