Few calls of the store at the first start; memory of bodies is bounded

Cause 2: a caller that does not read held its response and its endpoint's place without a limit, and a plain response of over 8 MB was cut and looked whole. Change: bodies take at most .15 of the memory; what finds no room is forwarded as it arrives, or refused before it runs; a caller that takes nothing for 2 s is disconnected; a plain response releases its endpoint once it was read. Result: new tests in proxy, of which the ones on long responses and on callers that do not read fail on the code before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,6 +192,7 @@
 		WeightsDeadline: g.versions.Deadline,
 		ReadAdvisory:    platform.ReadAdvisory,
 		RequestToken:    g.requestToken,
+		Memory:          g.newMemory(),
 
 		Poison:       g.poison,
 		AcquireTrial: g.acquireTrial,
@@ -199,6 +200,20 @@
 	})
 }
 
+// bodyShare is the fraction of the process's memory that bodies of requests and responses may take
+// together. Connections and the state of the fleet take most of the rest.
+const bodyShare = 0.15
+
+// newMemory returns the memory for bodies, or nil if the process has no memory limit.
+func (g *Gateway) newMemory() *proxy.Memory {
+	if g.cfg.MemoryMB == 0 {
+		return nil
+	}
+	m := proxy.NewMemory(int64(bodyShare * float64(g.cfg.MemoryMB) * platform.Megabyte))
+	metrics.NewRegisteredFunctionalGauge("gateway.body_bytes", g.registry, m.Used)
+	return m
+}
+
 // minVersion returns the oldest version of model to which requests may be sent.
 func (g *Gateway) minVersion(model string) int64 {
 	return g.versions.Required(model, time.Now().Add(versionMargin))
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -45,7 +43,8 @@
 			return c, verdict.NewError(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
 		}
 	}
-	body, failure := readBody(w, r, c.config.Limits.BodyBytes)
+	c.held.memory = p.cfg.Memory
+	body, failure := readBody(w, r, c.config.Limits.BodyBytes, &c.held)
 	if failure != nil {
 		return c, failure
 	}
@@ -85,21 +84,6 @@
 	return out
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *verdict.Error) {
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, verdict.NewError(verdict.NotRun, policy.CodeTooLarge, "body of more than %d bytes", limit)
-	}
-	if err != nil {
-		return nil, verdict.NewError(verdict.NotRun, verdict.CodeCanceled, "body not whole").WithCause(err)
-	}
-	return body, nil
-}
-
 // callerTimeout parses the caller's deadline header, in milliseconds. It returns the default and
 // false if the header is missing or invalid.
 func callerTimeout(s string) (time.Duration, bool) {
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -80,17 +82,25 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
+	// length is the length of the body, or -1 if it is not known. body is the part that was read.
+	length int64
 	body   []byte
 }
 
 // forwardBuffered reads a complete response and forwards it unchanged. It returns a failure if
-// another endpoint was asked for a replacement.
-func (p *Proxy) forwardBuffered(ctx context.Context, w http.ResponseWriter, c *call, x *upstream.Exchange) (*verdict.Error, balance.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedResponse))
-	if err != nil {
+// another endpoint was asked for a replacement. A response that is too long, or for which there is
+// no memory, is forwarded as it arrives.
+func (p *Proxy) forwardBuffered(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) (*verdict.Error, balance.Outcome) {
+	x := a.exchange
+	body, whole, err := readReserved(x, &c.held, maxBufferedResponse)
+	if err != nil && !errors.Is(err, errNoMemory) {
 		return verdict.Classify(verdict.Answering, err), balance.Failed
 	}
-	response := &bufferedResponse{status: x.Status, header: x.Header, body: body}
+	response := &bufferedResponse{status: x.Status, header: x.Header, length: int64(len(body)), body: body}
+	if !whole {
+		response.length = x.Length
+		return p.passThrough(ctx, w, c, x, response)
+	}
 	outcome := balance.Served
 	if x.Status >= http.StatusInternalServerError {
 		outcome = balance.Failed
@@ -100,17 +110,51 @@
 		return statusFailure(x.Status, false), outcome
 	}
 	p.cancelHedge(c)
-	response.send(w, c)
+	a.outcome = outcome
+	a.finish() // the endpoint is done, however slowly the caller reads
+	p.send(w, c, response)
 	return nil, outcome
 }
 
-// send writes the response to the caller.
-func (r *bufferedResponse) send(w http.ResponseWriter, c *call) {
+// passThrough forwards a response of which a part was read, and the rest as it arrives. The endpoint
+// is read no faster than the caller reads.
+func (p *Proxy) passThrough(ctx context.Context, w http.ResponseWriter, c *call, x *upstream.Exchange, r *bufferedResponse) (*verdict.Error, balance.Outcome) {
+	p.cfg.Metrics.PassedThrough.Inc(1)
+	p.cancelHedge(c)
+	err := r.writeTo(w, c)
+	buffer := make([]byte, copyBuffer)
+	for err == nil {
+		n, readErr := x.Read(buffer)
+		if err = writeToCaller(w, buffer[:n]); err != nil {
+			break
+		}
+		if errors.Is(readErr, io.EOF) {
+			return nil, balance.Served
+		}
+		if readErr != nil {
+			return streamFailure(ctx, readErr), streamOutcome(ctx, readErr)
+		}
+	}
+	p.cfg.Metrics.CallersStalled.Inc(1)
+	return verdict.NewError(verdict.Ran, verdict.CodeCanceled, "the caller is gone or does not read").WithCause(err), balance.Neutral
+}
+
+// send writes the response to the caller. A caller that does not read is disconnected.
+func (p *Proxy) send(w http.ResponseWriter, c *call, r *bufferedResponse) {
+	if err := r.writeTo(w, c); errors.Is(err, os.ErrDeadlineExceeded) {
+		p.cfg.Metrics.CallersStalled.Inc(1)
+	}
+}
+
+// writeTo writes the response, or the part of it that was read, to the caller.
+func (r *bufferedResponse) writeTo(w http.ResponseWriter, c *call) error {
 	header.CopyEndToEnd(w.Header(), r.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	if r.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
+	}
 	c.headSent = true
 	w.WriteHeader(r.status)
-	_, _ = w.Write(r.body) // fails only if the caller has disconnected
+	return writeToCaller(w, r.body)
 }
 
 // fallBack forwards the error response that no other endpoint replaced, and reports whether
@@ -119,7 +163,7 @@
 	if c.fallback == nil || c.headSent {
 		return false
 	}
-	c.fallback.send(w, c)
+	p.send(w, c, c.fallback)
 	return true
 }
 
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -32,10 +32,16 @@
 	outcome balance.Outcome
 	// cancel cancels the attempt's own context, if it has one.
 	cancel context.CancelFunc
+	// finished is set once finish was called.
+	finished bool
 }
 
-// finish closes the exchange, if there is one, and releases the lease.
+// finish closes the exchange, if there is one, and releases the lease. Later calls have no effect.
 func (a *attempt) finish() {
+	if a.finished {
+		return
+	}
+	a.finished = true
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
@@ -206,7 +212,7 @@
 		p.checkWeightsDeadline(c, a.exchange, a.lease, a.sentAt)
 		return p.forwardStream(ctx, w, c, a.exchange, a.lease)
 	}
-	return p.forwardBuffered(ctx, w, c, a.exchange)
+	return p.forwardBuffered(ctx, w, c, a)
 }
 
 // statusFailure returns the failure of an attempt whose response has an unusable status.
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -22,6 +22,8 @@
 	service string
 	// regions are the regions in which the request may be processed.
 	regions residency.Regions
+	// held is the memory that the bodies of the request and of its response take.
+	held    reservation
 	request *upstream.Request
 	// copies identifies the request together with all copies of it, for example retries by its
 	// caller or the same request through other gateways.
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -92,6 +92,8 @@
 	reportedLoad map[roster.Incarnation]int
 	// self is the gateway's entry in a fleet.
 	self member.Entry
+	// memory bounds the bodies that the gateway holds; nil for no limit.
+	memory *proxy.Memory
 	// askToken asks another gateway for permission to send a request to an endpoint that it
 	// holds.
 	askToken func(context.Context, roster.Incarnation) bool
@@ -172,6 +174,7 @@
 		NewestVersion:   func(string) int64 { return w.newest.Load() },
 		ReadAdvisory:    readAdvisory,
 		RequestToken:    w.askToken,
+		Memory:          w.memory,
 		Poison:          w.poison, AcquireTrial: w.trial,
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.randomMilli.Load()) / 1000 },
 	})
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -40,6 +40,10 @@
 	// Closed counts requests that no endpoint accepted according to the headers of their
 	// responses.
 	Closed metrics.Counter
+	// PassedThrough counts plain responses that were forwarded as they arrived, because they were
+	// too long or there was no memory for them. CallersStalled counts callers that were
+	// disconnected because they did not read.
+	PassedThrough, CallersStalled metrics.Counter
 	// Whole is the time to the end of a response, FirstEvent the time to the first event of a
 	// stream, both in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -53,24 +57,26 @@
 func NewMetrics(r metrics.Registry) *Metrics {
 	sample := func() metrics.Sample { return metrics.NewUniformSample(histogramSample) }
 	return &Metrics{
-		Served:      metrics.NewRegisteredCounter("gateway.served", r),
-		Failed:      metrics.NewRegisteredCounter("gateway.failed", r),
-		Repeats:     metrics.NewRegisteredCounter("gateway.repeats", r),
-		Connections: metrics.NewRegisteredCounter("gateway.connections", r),
-		Left:        metrics.NewRegisteredCounter("gateway.left", r),
-		Ended:       metrics.NewRegisteredCounter("gateway.ended", r),
-		Withheld:    metrics.NewRegisteredCounter("gateway.withheld", r),
-		Hedged:      metrics.NewRegisteredCounter("gateway.hedged", r),
-		OverBudget:  metrics.NewRegisteredCounter("gateway.over_budget", r),
-		Cut:         metrics.NewRegisteredCounter("gateway.cut", r),
-		Overdue:     metrics.NewRegisteredCounter("gateway.overdue", r),
-		Limits:      metrics.NewRegisteredCounter("gateway.limits", r),
-		Leavings:    metrics.NewRegisteredCounter("gateway.leavings", r),
-		Rests:       metrics.NewRegisteredCounter("gateway.rests", r),
-		Closed:      metrics.NewRegisteredCounter("gateway.closed", r),
-		Unreadable:  metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
-		Whole:       metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
-		FirstEvent:  metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
+		Served:         metrics.NewRegisteredCounter("gateway.served", r),
+		Failed:         metrics.NewRegisteredCounter("gateway.failed", r),
+		Repeats:        metrics.NewRegisteredCounter("gateway.repeats", r),
+		Connections:    metrics.NewRegisteredCounter("gateway.connections", r),
+		Left:           metrics.NewRegisteredCounter("gateway.left", r),
+		Ended:          metrics.NewRegisteredCounter("gateway.ended", r),
+		Withheld:       metrics.NewRegisteredCounter("gateway.withheld", r),
+		Hedged:         metrics.NewRegisteredCounter("gateway.hedged", r),
+		OverBudget:     metrics.NewRegisteredCounter("gateway.over_budget", r),
+		Cut:            metrics.NewRegisteredCounter("gateway.cut", r),
+		Overdue:        metrics.NewRegisteredCounter("gateway.overdue", r),
+		Limits:         metrics.NewRegisteredCounter("gateway.limits", r),
+		Leavings:       metrics.NewRegisteredCounter("gateway.leavings", r),
+		Rests:          metrics.NewRegisteredCounter("gateway.rests", r),
+		Closed:         metrics.NewRegisteredCounter("gateway.closed", r),
+		Unreadable:     metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
+		PassedThrough:  metrics.NewRegisteredCounter("gateway.passed_through", r),
+		CallersStalled: metrics.NewRegisteredCounter("gateway.callers_stalled", r),
+		Whole:          metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
+		FirstEvent:     metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
 	}
 }
 
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -53,6 +53,8 @@
 	// AcquireTrial asks for the lease on a suspected request for at most d. It returns whether
 	// the lease was granted and a function that releases it.
 	AcquireTrial func(ctx context.Context, k poison.Key, d time.Duration) (release func(), granted bool)
+	// Memory bounds the bodies that are held at the same time; nil for no limit.
+	Memory *Memory
 	// RequestToken asks the gateway that holds an endpoint for permission to send one request to it,
 	// and reports whether the request may be sent now. If nil, permission is never granted.
 	RequestToken func(ctx context.Context, l roster.Incarnation) bool
@@ -149,6 +151,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, failure := p.accept(w, r)
+	defer c.held.release()
 	if failure == nil {
 		failure = p.serve(r.Context(), w, c)
 	}
--- a/gateway/replica/rules_test.go
+++ b/gateway/replica/rules_test.go
@@ -1,6 +1,8 @@
 package replica_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +56,48 @@
 	g.Expect(replica.SyncsFromStore(false, false, 1200*ms+1)).To(BeTrue())
 }
 
+func TestWhoReadsTheListOfGatewaysAtAStart(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(replica.ShouldListGateways(0, 0, false)).To(BeTrue(), "at once, except at the first start of all")
+	g.Expect(replica.ShouldListGateways(0, 0, true)).To(BeTrue())
+	g.Expect(replica.ShouldListGateways(400*ms, 399*ms, false)).To(BeFalse())
+	g.Expect(replica.ShouldListGateways(400*ms, 400*ms, false)).To(BeTrue())
+	g.Expect(replica.ShouldListGateways(400*ms, time.Hour, true)).To(BeFalse(), "others are known")
+	g.Expect(replica.FirstListDelay(0)).To(BeZero())
+	g.Expect(replica.FirstListDelay(0.999)).To(BeNumerically("<", time.Second))
+}
+
+// listCalls returns how many of n gateways read the list of gateways at the first start of all, in
+// the mean, if the first one that does contacts the others within contact.
+func listCalls(n int, contact time.Duration) float64 {
+	const runs = 200
+	r := rand.New(rand.NewPCG(1, 2))
+	calls := 0
+	for range runs {
+		delays := make([]time.Duration, n)
+		for i := range delays {
+			delays[i] = replica.FirstListDelay(r.Float64())
+		}
+		first := slices.Min(delays)
+		for _, d := range delays {
+			if d < first+contact {
+				calls++
+			}
+		}
+	}
+	return float64(calls) / runs
+}
+
+// Guards against calls of the store that grow faster than the fleet. Each gateway used to read the
+// list of gateways, which has a page for each 500 of them, when the whole system was started.
+func TestFewGatewaysReadTheListAtTheFirstStart(t *testing.T) {
+	g := NewWithT(t)
+	contact := 250 * ms // a heartbeat, and the way
+	few, many := listCalls(140, contact), listCalls(560, contact)
+	g.Expect(many).To(BeNumerically("<", 560/10))
+	g.Expect(many).To(BeNumerically("<", 3*few), "four times the gateways")
+}
+
 func TestPollTimeoutGrowsWithTheWatchers(t *testing.T) {
 	for watchers, want := range map[int]time.Duration{0: 2500 * ms, 2: 2500 * ms, 3: 3 * time.Second, 10: 10 * time.Second, 40: 10 * time.Second} {
 		NewWithT(t).Expect(replica.PollTimeout(watchers)).To(Equal(want))
--- a/gateway/replica/syncer_test.go
+++ b/gateway/replica/syncer_test.go
@@ -153,6 +153,50 @@
 	})
 }
 
+// At the first start of all, no gateway knows another, and each would read the store and watch it.
+func TestAtTheFirstStartAGatewayWaitsToBeContacted(t *testing.T) {
+	start := func(contacted bool, f func(g *WithT, e *gateway)) {
+		synctest.Test(t, func(t *testing.T) {
+			e := newGateway("m")
+			e.DelayFirstList(400 * time.Millisecond)
+			if contacted {
+				time.AfterFunc(300*time.Millisecond, func() {
+					e.receiveHeartbeat("a", 1, func(*member.Heartbeat) {})
+					e.receiveHeartbeat("b", 1, func(*member.Heartbeat) {})
+				})
+			}
+			time.Sleep(time.Millisecond)
+			f(NewWithT(t), e)
+		})
+	}
+	step := func(e *gateway, d time.Duration) {
+		time.Sleep(d)
+		e.Elect(time.Now())
+	}
+	start(false, func(g *WithT, e *gateway) {
+		step(e, 350*time.Millisecond)
+		g.Expect(e.SyncsFromStore(members)).To(BeFalse())
+		step(e, 300*time.Millisecond)
+		g.Expect(e.SyncsFromStore(members)).To(BeTrue(), "not contacted")
+		g.Expect(e.SyncsFromStore(config)).To(BeFalse(), "it knows no others yet")
+		e.setCopy(members, 1, object("m", 1, "{}"))
+		step(e, 0)
+		step(e, 499*time.Millisecond)
+		g.Expect(e.SyncsFromStore(config)).To(BeFalse())
+		step(e, time.Millisecond)
+		g.Expect(e.SyncsFromStore(config)).To(BeTrue(), "it is alone")
+	})
+	start(true, func(g *WithT, e *gateway) {
+		step(e, 600*time.Millisecond)
+		g.Expect(e.SyncsFromStore(members)).To(BeFalse(), "contacted")
+		step(e, 3400*time.Millisecond)
+		g.Expect(e.SyncsFromStore(config)).To(BeFalse(), "others read the store first")
+		step(e, time.Second)
+		g.Expect(e.SyncsFromStore(config)).To(BeTrue(), "still no copy from others")
+		g.Expect(e.SyncsFromStore(members)).To(BeTrue())
+	})
+}
+
 func TestTheStoreIsLostOnceItAnswersNoWatcher(t *testing.T) {
 	g := NewWithT(t)
 	e := newGateway("m")
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -182,7 +182,7 @@
 
 // roundTrip writes q and reads the response headers, skipping informational responses.
 func (c *conn) roundTrip(q *Request, w *Watchdog) (*http.Response, verdict.Progress, error) {
-	n, err := c.Write(encode(q))
+	n, err := c.writeRequest(q)
 	if err != nil {
 		if n == 0 && !errors.Is(err, net.ErrClosed) {
 			return nil, verdict.Connected, err
@@ -203,12 +203,30 @@
 	}
 }
 
+// writeRequest writes q and returns the number of bytes that were written. A long body is not
+// copied.
+func (c *conn) writeRequest(q *Request) (int, error) {
+	head := encode(q)
+	if len(q.Body) <= maxCopiedBody {
+		return c.Write(append(head, q.Body...))
+	}
+	n, err := c.Write(head)
+	if err != nil {
+		return n, err
+	}
+	m, err := c.Write(q.Body)
+	return n + m, err
+}
+
+// maxCopiedBody is the length up to which a body is sent with its head, in bytes.
+const maxCopiedBody = 16 << 10
+
 // headSizeHint is the usual size of the request line and headers, in bytes.
 const headSizeHint = 512
 
-// encode returns q in HTTP/1.1 wire format.
+// encode returns the head of q in HTTP/1.1 wire format, with room for a short body.
 func encode(q *Request) []byte {
-	b := make([]byte, 0, headSizeHint+len(q.Body))
+	b := make([]byte, 0, headSizeHint+min(len(q.Body), maxCopiedBody))
 	b = append(b, q.Method...)
 	b = append(b, ' ')
 	b = append(b, q.URI...)
@@ -228,8 +246,7 @@
 		b = strconv.AppendInt(b, int64(len(q.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, q.Body...)
+	return append(b, "\r\n"...)
 }
 
 // Await waits until more of the body has arrived, or returns os.ErrDeadlineExceeded once w
