--- a/spec/check.sh
+++ b/spec/check.sh
@@ -61,6 +61,9 @@
 good vouch 1 -DLIVE
 caught vouch 0 -DONEWORD
 caught vouch 1 -DLIVE -DSECONDHAND
+good cold 0
+caught cold 0 -DNOWAIT
+caught cold 0 -DEVERYONE
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
