--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,9 +209,7 @@
 	if g.cfg.MemoryMB == 0 {
 		return nil
 	}
-	m := proxy.NewMemory(int64(bodyShare * float64(g.cfg.MemoryMB) * platform.Megabyte))
-	metrics.NewRegisteredFunctionalGauge("gateway.body_bytes", g.registry, m.Used)
-	return m
+	return proxy.NewMemory(int64(bodyShare*float64(g.cfg.MemoryMB)*platform.Megabyte), g.registry)
 }
 
 // minVersion returns the oldest version of model to which requests may be sent.
--- a/gateway/proxy/memory.go
+++ b/gateway/proxy/memory.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // Memory bounds the bytes of request and response bodies that are held at the same time. It is safe
 // for concurrent use. A nil Memory has no limit.
@@ -9,9 +13,11 @@
 	used  atomic.Int64
 }
 
-// NewMemory returns a Memory of limit bytes.
-func NewMemory(limit int64) *Memory {
-	return &Memory{limit: limit}
+// NewMemory returns a Memory of limit bytes and registers the bytes in use in r.
+func NewMemory(limit int64, r metrics.Registry) *Memory {
+	m := &Memory{limit: limit}
+	metrics.NewRegisteredFunctionalGauge("gateway.body_bytes", r, m.Used)
+	return m
 }
 
 // Used returns the bytes in use.
--- a/gateway/proxy/memory_test.go
+++ b/gateway/proxy/memory_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway/proxy"
 )
@@ -53,7 +54,7 @@
 
 // useMemory bounds the bodies that the gateway holds.
 func (w *harness) useMemory(bytes int64) *proxy.Memory {
-	w.memory = proxy.NewMemory(bytes)
+	w.memory = proxy.NewMemory(bytes, metrics.NewRegistry())
 	w.proxy = w.newTestProxy()
 	c := configuration()
 	c.Limits.BodyBytes = 4 << 20
