--- a/gateway/affinity/affinity.go
+++ b/gateway/affinity/affinity.go
@@ -37,8 +37,11 @@
 		groups[g] = append(groups[g], id)
 	}
 	for g, ids := range groups {
-		slices.Sort(ids)
 		near := zoneOrAll(live, g.zone)
+		if !slices.ContainsFunc(near, func(e member.Entry) bool { return e.Name == self }) {
+			continue
+		}
+		slices.Sort(ids)
 		for i := range max(len(ids), min(minPreferred, len(ids))*len(near)) {
 			if near[i%len(near)].Name == self {
 				out[ids[endpointIndex(i, len(ids), len(near))]] = true
--- a/gateway/affinity/held.go
+++ b/gateway/affinity/held.go
@@ -1,6 +1,8 @@
 package affinity
 
 import (
+	"slices"
+
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/rendezvous"
 	"github.com/silverdeck/silverdeck/roster"
@@ -21,9 +23,12 @@
 		near, known := zones[e.Zone]
 		if !known {
 			near = names(zoneOrAll(limitAware(live), e.Zone))
+			if !slices.Contains(near, self) {
+				near = nil // the holders of the zone's endpoints are other gateways
+			}
 			zones[e.Zone] = near
 		}
-		if rendezvous.Choose(id, near) == self {
+		if len(near) > 0 && rendezvous.Choose(id, near) == self {
 			out[id] = true
 		}
 	}
--- a/gateway/affinity/held_test.go
+++ b/gateway/affinity/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -81,3 +82,21 @@
 		g.Expect(many[id]).To(Equal(by))
 	}
 }
+
+// Guards against work that grows with the number of availability zones: only the endpoints of the
+// gateway's own zone can be assigned to it. The number of allocations stands for that of steps.
+func TestEndpointsOfOtherZonesCostNoSteps(t *testing.T) {
+	g := NewWithT(t)
+	steps := func(zones string) float64 {
+		live := limitAwareGateways(zones)
+		list := &roster.List{Endpoints: map[string]*roster.Endpoint{}}
+		for id, e := range endpointsIn(zones, 100).Endpoints {
+			list.Endpoints[id+strings.Repeat("x", 100)] = e // hashing a long key allocates
+		}
+		return testing.AllocsPerRun(20, func() {
+			affinity.Held(list, live, "g-a-0")
+			affinity.Preferred(list, live, "g-a-0")
+		})
+	}
+	g.Expect(steps("abcdefgh")).To(BeNumerically("<", 3*steps("a")))
+}
