--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -115,7 +115,10 @@
 		}
 		s.cfg.Log.Info("resuming download of older weights", "model", model, "version", older.version,
 			"have", s.chunkCount(model, older.version), "instead", version, "haveOfThat", have)
-		if err := s.fetch(ctx, model, older.version); err != nil {
+		s.setResumed(model, older.version)
+		err := s.fetch(ctx, model, older.version)
+		s.setResumed(model, 0)
+		if err != nil {
 			s.logAndBackOff(ctx, "weights not fetched", model, older.version, err)
 			continue
 		}
