--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -68,25 +68,19 @@
 // cancelWhenSuperseded cancels the download of a version once a newer one is the target and
 // few chunks of the older one are present. It first waits for the manifest of the newer
 // version: while the origin is down, nothing of the newer version arrives, but other VMs may
-// have all chunks of the older one. A download that makes no progress is canceled in any case, so
-// that this VM reads its chunks of the newer version as soon as the origin recovers; see
-// resumeOlderOnStall.
+// have all chunks of the older one.
 func (s *Stager) cancelWhenSuperseded(ctx context.Context, cancel func(), model string, version int64) {
-	have, since := -1, time.Now()
 	for wait.For(ctx, pollInterval) {
-		if n := s.chunkCount(model, version); n != have {
-			have, since = n, time.Now()
-		}
 		newest := s.target(model).version
 		if newest == version {
 			continue
 		}
 		if set := s.holdings.lookup(model, version); set != nil {
-			if worthFinishing(set) && time.Since(since) < StallTimeout(s.chunkTime(model, version)) {
+			if worthFinishing(set) {
 				continue
 			}
 			// The download continues meanwhile, so check again.
-			if _, err := s.openSet(ctx, model, newest); err != nil || worthFinishing(set) && set.Len() != have {
+			if _, err := s.openSet(ctx, model, newest); err != nil || worthFinishing(set) {
 				continue
 			}
 		}
