--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -58,7 +58,7 @@
 func (d *Download) reserveRead(c int, n int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.schedule.allowsRead(c, n) {
+	if !d.schedule.allowsRead(n) {
 		d.recordBlockReason(n)
 		return false
 	}
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -55,9 +55,8 @@
 	// quota is how many bytes this member may still read from the origin.
 	quota   int64
 	limiter *rate.Limiter
-	// retryAt is when the origin may be read again after a failure, retryOthersAt when that holds
-	// for chunks of which this member is not the home reader.
-	retryAt, retryOthersAt time.Time
+	// retryAt is when the origin may be read again after a failure.
+	retryAt time.Time
 	// faults counts consecutive origin failures.
 	faults int
 	// changed is set once the origin reports that it has another version.
@@ -104,17 +103,11 @@
 
 // restart recomputes the turns on the origin's link from the current time. Without it, all
 // members would read the chunks that became due during an outage at once when the origin
-// recovers, and some chunks would be read twice before others are read at all. Chunks of which this
-// member is the home reader are due at once: members notice the recovery at different times.
+// recovers, and some chunks would be read twice before others are read at all.
 func (s *schedule) restart(d *Download) {
 	s.start = time.Now()
 	clear(s.postponed)
 	s.assign(d)
-	for c := range s.due {
-		if s.firstOfAll(c) {
-			s.due[c], s.originAt[c] = s.start, s.start
-		}
-	}
 }
 
 // share returns how many bytes this member may read from the origin: the chunks of which it
@@ -240,13 +233,9 @@
 	return ranks, len(ranks)
 }
 
-// allowsRead reports whether chunk c of n bytes may be read from the origin now.
-func (s *schedule) allowsRead(c int, n int64) bool {
-	retryAt := s.retryAt
-	if !s.firstOfAll(c) {
-		retryAt = s.retryOthersAt
-	}
-	return !s.changed && s.quota >= n && !time.Now().Before(retryAt)
+// allowsRead reports whether n bytes may be read from the origin now.
+func (s *schedule) allowsRead(n int64) bool {
+	return !s.changed && s.quota >= n && !time.Now().Before(s.retryAt)
 }
 
 // willRead reports whether this member is reading chunk c from the origin, or ranks first for
@@ -259,41 +248,11 @@
 	return s.rank[c] == 0 && !s.changed && s.quota >= n
 }
 
-// backOff suspends origin reads after a failure; see retryPause. Members that are not a chunk's home
-// reader leave it to that one for longer, so that few chunks are read twice when the origin
-// recovers.
+// backOff suspends origin reads for a time that grows with each consecutive failure. Jitter
+// keeps members from retrying at the same moment.
 func (s *schedule) backOff(d *Download) {
 	s.faults++
-	m := d.set.Manifest()
-	pause := retryPause(s.faults, d.cfg.takeoverDelay(m.Size), originLinkTime(d.cfg.OriginRate, m, len(m.Chunks)), d.cfg.Rand.Float64())
-	now := time.Now()
-	s.retryAt, s.retryOthersAt = now.Add(pause), now.Add(pause+othersRetryFactor*d.cfg.takeoverDelay(m.Size))
-}
-
-const (
-	// othersRetryFactor times the takeover delay is how much later than its home reader another
-	// member retries a chunk.
-	othersRetryFactor = 12
-	// maxRetryPause is the longest pause before the origin is retried.
-	maxRetryPause = 3 * time.Second
-	// retryJitter is the part of a pause that is randomized.
-	retryJitter = 0.1
-)
-
-// retryPause returns the pause before the origin is retried after so many consecutive failures.
-// delay is the takeover delay, oneCopy the transfer time of a copy on the origin's link, or 0 if
-// that is not known, and draw a random number in [0, 1).
-//
-// The first retry is quick. After that, each member retries once in the time of a copy, at its own
-// moment: each of its retries is a read of another chunk, so that an origin that recovers is at once
-// read at about the rate of its link, and not by all members at the same moment.
-func retryPause(faults int, delay, oneCopy time.Duration, draw float64) time.Duration {
-	if faults == 1 || oneCopy == 0 {
-		return time.Duration((0.5 + draw/2) * float64(delay<<min(faults-1, maxBackoffShift)))
-	}
-	period := min(max(oneCopy, delay), maxRetryPause)
-	if faults == 2 {
-		return time.Duration(draw * float64(period))
-	}
-	return time.Duration((1 - retryJitter*draw) * float64(period))
+	pause := d.cfg.takeoverDelay(d.set.Manifest().Size) << min(s.faults-1, maxBackoffShift)
+	jitter := 0.5 + d.cfg.Rand.Float64()/2
+	s.retryAt = time.Now().Add(time.Duration(jitter * float64(pause)))
 }
