--- a/sidecar/stage/download.go
+++ b/sidecar/stage/download.go
@@ -34,11 +34,9 @@
 // download downloads the missing chunks of set from other VMs and the origin.
 func (s *Stager) download(ctx context.Context, model string, version int64, set *weights.Set, headStart time.Duration) error {
 	members := s.members(ctx)
-	rate := s.cfg.Origin.Rate(ctx)
 	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, s.originReader(model, version, set),
-		append(DownloadOptions(rate, len(members), s.linkMeter(set.Manifest().ChunkSize)),
-			swarm.WithHeadStart(headStart),
-			swarm.WithOriginGate(func() bool { return s.mayReadOrigin(model, version, rate) }))...)
+		append(DownloadOptions(s.cfg.Origin.Rate(ctx), len(members), s.linkMeter(set.Manifest().ChunkSize)),
+			swarm.WithHeadStart(headStart))...)
 	s.holdings.SetDownload(set.Root(), d)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -115,10 +115,7 @@
 		}
 		s.cfg.Log.Info("resuming download of older weights", "model", model, "version", older.version,
 			"have", s.chunkCount(model, older.version), "instead", version, "haveOfThat", have)
-		s.setResumed(model, older.version)
-		err := s.fetch(ctx, model, older.version)
-		s.setResumed(model, 0)
-		if err != nil {
+		if err := s.fetch(ctx, model, older.version); err != nil {
 			s.logAndBackOff(ctx, "weights not fetched", model, older.version, err)
 			continue
 		}
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -163,36 +163,6 @@
 	return p.Idle >= StallTimeout(p.ChunkTime) && p.OlderChunks > 0 && !p.OlderExpired
 }
 
-// spreadTime is how long it takes, after the last chunk of a version was read from the origin,
-// until all VMs have it: about half a second between VMs with links of 10 Mbit/s, and as much until
-// an endpoint is ready to load it.
-const spreadTime = time.Second
-
-// TwoVersions describes two versions of which chunks must still be read from the origin, on whose
-// link they compete.
-type TwoVersions struct {
-	// OlderMissing and NewestMissing are the numbers of chunks that this VM lacks.
-	OlderMissing, NewestMissing int
-	// ChunkTime is the transfer time of a chunk on the origin's link.
-	ChunkTime time.Duration
-	// Left is the time until the older version is no longer worth loading. From about then on,
-	// the newest one is required.
-	Left time.Duration
-}
-
-// ReadOlderFirst returns whether the older version is read from the origin first. If both are
-// read at once, neither may be complete before the older one expires. The older one is first if
-// there is time for both, or if the newest one comes too late in any case and the older one can be
-// used for longer than it delays the newest one.
-func ReadOlderFirst(v TwoVersions) bool {
-	if v.OlderMissing == 0 {
-		return false
-	}
-	older := time.Duration(v.OlderMissing)*v.ChunkTime + spreadTime
-	newest := time.Duration(v.NewestMissing)*v.ChunkTime + spreadTime
-	return older+newest <= v.Left || newest > v.Left && 2*older < v.Left
-}
-
 const (
 	// crashesBeforeBackoff is the number of consecutive loads during which the endpoint may
 	// terminate before the next load is delayed. Fewer may be coincidence: any endpoint may
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -71,8 +71,6 @@
 	wake       chan struct{}
 	// startMillis is the start time that the endpoint reported last.
 	startMillis int64
-	// resumed holds by model the older version whose download was resumed, or 0.
-	resumed map[string]int64
 	// crashes records by model the loads during which the endpoint terminated.
 	crashes map[string]loadCrashes
 	// loading holds by model the version for which a load order is being prepared.
@@ -92,7 +90,6 @@
 		complete:   map[string]target{},
 		superseded: map[string][]target{},
 		loading:    map[string]int64{},
-		resumed:    map[string]int64{},
 		crashes:    map[string]loadCrashes{},
 		orderSem:   make(chan struct{}, 1),
 		wake:       make(chan struct{}, 1),
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -42,9 +42,6 @@
 	// FirstCopies restricts the download to the chunks of which this member is the home
 	// reader. They are due at once, and the download ends when they are complete.
 	FirstCopies bool
-	// MayReadOrigin reports whether the origin may be read now; nil means always. It is called
-	// before each read and must not block.
-	MayReadOrigin func() bool
 	// Rand is the source of randomness for breaking ties and for backoff jitter.
 	Rand *rand.Rand
 }
@@ -110,11 +107,6 @@
 	return func(cfg *Config) { cfg.FirstCopies = true }
 }
 
-// WithOriginGate sets a function that reports whether the origin may be read now.
-func WithOriginGate(mayRead func() bool) Option {
-	return func(cfg *Config) { cfg.MayReadOrigin = mayRead }
-}
-
 // WithRand sets the source of randomness, for reproducible tests.
 func WithRand(r *rand.Rand) Option {
 	return func(cfg *Config) { cfg.Rand = r }
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -14,7 +14,7 @@
 // readOrigin reads chunk c from the origin within this member's quota and rate limit.
 func (d *Download) readOrigin(ctx context.Context, c, rank int) {
 	off, n := d.set.Manifest().Range(c)
-	if !d.mayReadOrigin() || !d.reserveRead(c, n) {
+	if !d.reserveRead(c, n) {
 		d.postpone(c)
 		return
 	}
@@ -48,11 +48,6 @@
 	}
 }
 
-// mayReadOrigin applies the function that the download was configured with.
-func (d *Download) mayReadOrigin() bool {
-	return d.cfg.MayReadOrigin == nil || d.cfg.MayReadOrigin()
-}
-
 // reserveRead deducts the n bytes of chunk c from the quota. It returns false if the quota is
 // too small or the origin may not be read now.
 func (d *Download) reserveRead(c int, n int64) bool {
