--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,6 +98,10 @@
 	// lastAssignment holds the inputs of the last assignment of endpoints to gateways. Only
 	// the Heartbeater's goroutine uses it.
 	lastAssignment assignmentInputs
+	// contacts are the contacts that the store is known to hold. contactsCheckedAt is when they
+	// were last compared; only the Heartbeater's goroutine uses it.
+	contacts          atomic.Pointer[member.Contacts]
+	contactsCheckedAt time.Time
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -142,8 +146,10 @@
 	})
 	g.proxy = g.newProxy()
 	g.syncer = replica.New(g.table, l)
+	g.contacts.Store(&member.Contacts{})
+	g.syncer.HoldList()
 	if cfg.FirstStart {
-		g.syncer.DelayFirstList(replica.FirstListDelay(rand.Float64()))
+		g.syncer.StartList(replica.FirstListDelay(rand.Float64()))
 	}
 	g.inventory = inventory.NewServer(g.describeService, g.versions.WithKnownTime)
 	g.mirrors = g.newMirrors()
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -58,6 +58,7 @@
 		OnHeartbeat: func() { g.onHeartbeat(ctx) },
 		Log:         g.log,
 	})
+	go g.findContacts(ctx)
 	go g.heartbeater.Run(ctx)
 	go g.syncer.Run(ctx)
 	for _, m := range g.mirrors {
--- a/gateway/replica/rules.go
+++ b/gateway/replica/rules.go
@@ -29,8 +29,8 @@
 	storeFallbackDelay = 1500 * time.Millisecond
 )
 
-// At the first start of the whole system the store lists no gateways. They register at the same
-// moment, and if each of them then listed all, the calls would grow with the square of their number.
+// When a large fleet is started, or the whole system for the first time, all gateways start at the
+// same moment, and if each of them listed all, the bytes would grow with the square of their number.
 // Instead, each waits for a random time and reads the list only if no other gateway has contacted it
 // by then; those that do contact all that they find.
 const (
@@ -45,15 +45,15 @@
 	firstStartTimeout = 3 * time.Second
 )
 
-// FirstListDelay returns how long a gateway waits, at the first start of the whole system, before it
-// reads the list of gateways. draw is a random number in [0, 1).
+// FirstListDelay returns how long a gateway waits at such a start before it reads the list of
+// gateways. draw is a random number in [0, 1).
 func FirstListDelay(draw float64) time.Duration {
 	return time.Duration(math.Pow(draw, 1.0/firstListSkew) * float64(maxFirstListDelay))
 }
 
 // ShouldListGateways reports whether a gateway without a copy of the list of gateways reads it from
-// the store now. delay is 0 except at the first start of the whole system, age the time since the
-// start, contacted whether another gateway was heard.
+// the store now. delay is 0 in a small fleet, age the time since the start, contacted whether
+// another gateway was heard.
 func ShouldListGateways(delay, age time.Duration, contacted bool) bool {
 	return delay == 0 || age >= delay && !contacted
 }
--- a/gateway/replica/syncer.go
+++ b/gateway/replica/syncer.go
@@ -48,11 +48,11 @@
 	pool           *peerconn.Pool
 	log            *log.Logger
 	startedAt      time.Time
-	// firstListDelay is the result of FirstListDelay at the first start of the whole system, and 0
-	// at others.
+	mu             sync.Mutex
+	// held is set until the delay of the first list is known. firstListDelay is the result of
+	// FirstListDelay, or 0 if the list is read at once.
+	held           bool
 	firstListDelay time.Duration
-
-	mu sync.Mutex
 	// knownSince is when the first other gateway was heard or the list of gateways was read.
 	knownSince time.Time
 	watching   bool
@@ -89,11 +89,26 @@
 	s.storeFirstKind = storeFirstKind
 }
 
-// DelayFirstList makes the first read of the list of gateways wait for d, as returned by
-// FirstListDelay, unless another gateway is heard meanwhile. It must be called before any other
-// method.
-func (s *Syncer) DelayFirstList(d time.Duration) {
-	s.firstListDelay = d
+// HoldList makes the first read of the list of gateways wait for StartList.
+func (s *Syncer) HoldList() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = true
+}
+
+// StartList permits the first read of the list of gateways: at once if d is 0, or d after the
+// start, as returned by FirstListDelay, unless another gateway is heard meanwhile.
+func (s *Syncer) StartList(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held, s.firstListDelay = false, d
+}
+
+// listDelay returns the delay of the first list, and whether it is known.
+func (s *Syncer) listDelay() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.firstListDelay, !s.held
 }
 
 // Run decides whether this gateway watches the store and follows other gateways' copies until
@@ -119,7 +134,7 @@
 
 // settled reports whether this gateway has had time to hear the others.
 func (s *Syncer) settled(now time.Time) bool {
-	if s.firstListDelay == 0 {
+	if delay, known := s.listDelay(); known && delay == 0 {
 		return now.Sub(s.startedAt) >= settleTime
 	}
 	known := s.contacted() || s.haveCopy(s.storeFirstKind)
@@ -160,10 +175,11 @@
 // SyncsFromStore reports whether the copy of kind is kept up to date from the store.
 func (s *Syncer) SyncsFromStore(kind string) bool {
 	haveCopy, age := s.haveCopy(kind), time.Since(s.startedAt)
-	if kind == s.storeFirstKind && !haveCopy && ShouldListGateways(s.firstListDelay, age, s.contacted()) {
+	delay, known := s.listDelay()
+	if kind == s.storeFirstKind && !haveCopy && known && ShouldListGateways(delay, age, s.contacted()) {
 		return true
 	}
-	if s.firstListDelay > 0 {
+	if !known || delay > 0 {
 		age -= firstStartTimeout
 	}
 	return SyncsFromStore(s.Status().Watching, haveCopy, age)
--- a/gateway/replica/syncer_test.go
+++ b/gateway/replica/syncer_test.go
@@ -158,7 +158,8 @@
 	start := func(contacted bool, f func(g *WithT, e *gateway)) {
 		synctest.Test(t, func(t *testing.T) {
 			e := newGateway("m")
-			e.DelayFirstList(400 * time.Millisecond)
+			e.HoldList()
+			e.StartList(400 * time.Millisecond)
 			if contacted {
 				time.AfterFunc(300*time.Millisecond, func() {
 					e.receiveHeartbeat("a", 1, func(*member.Heartbeat) {})
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -123,6 +123,7 @@
 	}
 	g.endpoints.SetStoreLost(g.syncer.StoreLost(), time.Now())
 	g.requireWidelyHeld(time.Now())
+	g.updateContacts(time.Now())
 }
 
 // noteSuspended handles a suspension of the VM for d.
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -194,8 +194,35 @@
 	return candidates[rand.IntN(len(candidates))]
 }
 
-// loadGateways reads the list of gateways from the store.
+// loadGateways reads from the store which gateways can be queried: the contacts of a large fleet, or
+// else the list of all gateways.
 func (w *inventoryWatcher) loadGateways(ctx context.Context) {
+	if c, err := w.store.Contacts(ctx); err == nil && !w.contactsFailed() {
+		var places []inventory.Place
+		for _, e := range c.Gateways {
+			places = append(places, inventory.PlaceOf(e))
+		}
+		w.setGateways(places)
+		return
+	}
+	w.listGateways(ctx)
+}
+
+// contactsFailed reports whether gateways are known already, none of which replied.
+func (w *inventoryWatcher) contactsFailed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.gateways) > 0
+}
+
+func (w *inventoryWatcher) setGateways(places []inventory.Place) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gateways = places
+}
+
+// listGateways reads the list of all gateways from the store.
+func (w *inventoryWatcher) listGateways(ctx context.Context) {
 	objects, err := w.store.ListStale(ctx, platform.KindMembers)
 	if err != nil {
 		w.log.Debug("list of gateways not read from the store", "err", err)
@@ -210,7 +237,5 @@
 		}
 		places = append(places, inventory.PlaceOf(*e))
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.gateways = places
+	w.setGateways(places)
 }
