--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -157,6 +157,14 @@
 	return inv
 }
 
+// Update returns inv with other versions and gateways.
+func (inv *Inventory) Update(versions []Version, gateways []Place) *Inventory {
+	out := *inv
+	out.Versions, out.Members, out.Entries = versions, slices.Clone(inv.Members), gateways
+	out.finalize()
+	return &out
+}
+
 // addMember adds the VM of an endpoint. It skips an endpoint whose address has no port, which the
 // platform's store does not accept.
 func (inv *Inventory) addMember(e *roster.Endpoint, port int, regions map[string]string) {
--- a/sidecar/readstore.go
+++ b/sidecar/readstore.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/mirror"
@@ -17,13 +19,66 @@
 	if failures == maxGatewayAttempts {
 		w.log.Warn("entries lost", "failures", failures)
 	}
-	w.loadGateways(ctx)
-	reply, err := w.readInventory(ctx)
+	reply, err := w.read(ctx)
 	if err != nil {
 		w.log.Debug("inventory not read from the store", "err", err)
 		return
 	}
-	w.apply(reply, 0)
+	if reply != nil {
+		w.apply(reply, 0)
+	}
+}
+
+// read reads from the store what it should have of the inventory now. It returns nil without an
+// error if there is nothing to apply.
+func (w *inventoryWatcher) read(ctx context.Context) (*inventory.Inventory, error) {
+	if w.fullRead.Due(time.Now(), rand.Float64()) {
+		w.listGateways(ctx)
+		return w.readInventory(ctx)
+	}
+	w.loadGateways(ctx)
+	latest := w.current()
+	if latest == nil {
+		return nil, nil
+	}
+	versions, err := w.readVersions(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return latest.Update(versions, w.knownGateways()), nil
+}
+
+// FullReads decides when the store's lists of gateways and endpoints are read. They grow with the
+// fleet, as does the number of sidecars that read them while no gateway replies, for example while
+// all gateways start.
+type FullReads struct {
+	next time.Time
+}
+
+// Timing of full reads.
+const (
+	// firstFullRead is the mean time from the first failure to the first full read. Gateways that
+	// start usually reply sooner.
+	firstFullRead = 5 * time.Second
+	// fullReadInterval is the mean time between two full reads.
+	fullReadInterval = 15 * time.Second
+)
+
+// Due reports whether a full read is due. draw is a random number in [0, 1).
+func (f *FullReads) Due(now time.Time, draw float64) bool {
+	if f.next.IsZero() {
+		f.next = now.Add(time.Duration((0.5 + draw) * float64(firstFullRead)))
+	}
+	if now.Before(f.next) {
+		return false
+	}
+	f.next = now.Add(time.Duration((0.5 + draw) * float64(fullReadInterval)))
+	return true
+}
+
+// Reset starts over after a gateway replied.
+func (f *FullReads) Reset() {
+	f.next = time.Time{}
 }
 
 // readInventory composes the inventory from the store. The configuration, which is large, is read
@@ -42,12 +97,17 @@
 	if s.Endpoints, err = w.readEndpoints(ctx); err != nil {
 		return nil, err
 	}
-	w.mu.Lock()
-	s.Gateways = slices.Clone(w.gateways)
-	w.mu.Unlock()
+	s.Gateways = w.knownGateways()
 	return inventory.Compose(w.cfg.Service, s), nil
 }
 
+// knownGateways returns the gateways that can be queried.
+func (w *inventoryWatcher) knownGateways() []inventory.Place {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.gateways)
+}
+
 // errNoConfig is returned if the store holds no configuration yet.
 var errNoConfig = errors.New("sidecar: no configuration in the store")
 
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -50,6 +50,8 @@
 	// them.
 	suspension   *suspend.Detector
 	onSuspension func(time.Duration)
+	// fullRead decides when the store's lists are read. Only run uses it.
+	fullRead FullReads
 
 	mu     sync.Mutex
 	latest *inventory.Inventory
@@ -107,6 +109,7 @@
 			w.apply(reply, failures)
 			w.namings.update(ctx, addr, reply.Versions)
 			failures = 0
+			w.fullRead.Reset()
 			continue
 		}
 		failures++
@@ -197,7 +200,7 @@
 // loadGateways reads from the store which gateways can be queried: the contacts of a large fleet, or
 // else the list of all gateways.
 func (w *inventoryWatcher) loadGateways(ctx context.Context) {
-	if c, err := w.store.Contacts(ctx); err == nil && !w.contactsFailed() {
+	if c, err := w.store.Contacts(ctx); err == nil {
 		var places []inventory.Place
 		for _, e := range c.Gateways {
 			places = append(places, inventory.PlaceOf(e))
@@ -208,13 +211,6 @@
 	w.listGateways(ctx)
 }
 
-// contactsFailed reports whether gateways are known already, none of which replied.
-func (w *inventoryWatcher) contactsFailed() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.gateways) > 0
-}
-
 func (w *inventoryWatcher) setGateways(places []inventory.Place) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
