--- a/inventory/server_test.go
+++ b/inventory/server_test.go
@@ -116,3 +116,14 @@
 	again.Config = inv.ServiceConfig()
 	g.Expect(inventory.Compose("llm", again)).To(Equal(inv))
 }
+
+func TestUpdateKeepsTheMembers(t *testing.T) {
+	g := NewWithT(t)
+	inv := inventory.Compose("llm", &inventory.FleetState{PeerPort: 7, Versions: []inventory.Version{{Model: "m", Version: 1}},
+		Endpoints: map[string]*roster.Endpoint{"e": {ID: "e", Service: "llm", Addr: "10.0.0.1:80", Zone: "a"}}})
+	updated := inv.Update([]inventory.Version{{Model: "m", Version: 2}}, []inventory.Place{{Addr: "10.0.0.9:7", Zone: "a"}})
+	g.Expect(updated.Members).To(Equal(inv.Members))
+	g.Expect(updated.Versions[0].Version).To(BeEquivalentTo(2))
+	g.Expect(inv.Versions[0].Version).To(BeEquivalentTo(1))
+	g.Expect(updated.Digest).NotTo(Equal(inv.Digest))
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -144,6 +144,8 @@
 		http.Error(w, "fault", fault.Status)
 	case r.Method == http.MethodGet && r.URL.Query().Get("watch") != "":
 		s.watch(w, r, kind)
+	case r.Method == http.MethodGet && name != "":
+		s.get(w, kind, name)
 	case r.Method == http.MethodGet:
 		s.list(w, kind)
 	default:
@@ -154,6 +156,17 @@
 	}
 }
 
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, found := s.objects[kind][name]
+	s.mu.Unlock()
+	if !found {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, o)
+}
+
 func (s *Store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	items := make([]storedObject, 0, len(s.objects[kind]))
