Contacts: a large fleet starts without reading its list of gateways

Cause: at a restart of all gateways each of them read the list of gateways (160 kB and more at 547) over the 33 Mbit/s between two regions, and 440 sidecars that of gateways and endpoints every 1.5 s: no process outside the store's region got a connection to it; knowing nobody, each gateway then took itself for a watcher and read everything. Bytes grow with the square of the fleet. Gateways in a small fleet read the list at once, as before. Sidecars read the lists of the store seldom while no gateway replies.

--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -27,7 +27,7 @@
 	ctx, cancel := context.WithTimeout(ctx, contactsTimeout)
 	defer cancel()
 	c, err := g.store.Contacts(ctx)
-	if platform.IsNotFound(err) {
+	if err == nil && c == nil {
 		g.syncer.StartList(0)
 		return
 	}
--- a/sidecar/readstore.go
+++ b/sidecar/readstore.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/inventory"
-	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
 )
@@ -130,7 +129,7 @@
 }
 
 func (w *inventoryWatcher) readVersions(ctx context.Context) ([]inventory.Version, error) {
-	objects, err := w.listVersions(ctx)
+	objects, err := w.store.ListStale(ctx, platform.KindVersions)
 	if err != nil {
 		return nil, err
 	}
@@ -146,16 +145,6 @@
 	return out, nil
 }
 
-// listVersions reads the named versions. A stale list will do for the first inventory: gateways
-// tell of newer ones as soon as they reply.
-func (w *inventoryWatcher) listVersions(ctx context.Context) ([]mirror.Object, error) {
-	if w.current() == nil {
-		return w.store.ListStale(ctx, platform.KindVersions)
-	}
-	objects, _, err := w.store.Source(platform.KindVersions).List(ctx)
-	return objects, err
-}
-
 func (w *inventoryWatcher) readEndpoints(ctx context.Context) (map[string]*roster.Endpoint, error) {
 	objects, err := w.store.ListStale(ctx, platform.KindEndpoints)
 	if err != nil {
--- a/sidecar/watcher.go
+++ b/sidecar/watcher.go
@@ -200,7 +200,7 @@
 // loadGateways reads from the store which gateways can be queried: the contacts of a large fleet, or
 // else the list of all gateways.
 func (w *inventoryWatcher) loadGateways(ctx context.Context) {
-	if c, err := w.store.Contacts(ctx); err == nil {
+	if c, err := w.store.Contacts(ctx); err == nil && c != nil {
 		var places []inventory.Place
 		for _, e := range c.Gateways {
 			places = append(places, inventory.PlaceOf(e))
