--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -24,9 +24,10 @@
 }
 
 // rateLimit is the known limit on the rate of requests that an endpoint accepts from all
-// gateways together: one that it declares, or one that applies while it is cold. One gateway, the holder, sends requests at that rate, one at a time;
-// the others send none. The total rate therefore depends neither on the number of gateways
-// nor on how late they learn of each other's requests.
+// gateways together: one that it declares, or one that applies while it is cold. One gateway, the
+// holder, sends requests at that rate, one at a time; the others send none. The total rate
+// therefore depends neither on the number of gateways nor on how late they learn of each other's
+// requests.
 type rateLimit struct {
 	// declared is set while the endpoint declares a limit; rate is that limit in requests
 	// per second.
