--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,13 +48,18 @@
 	return startGatewayWithStore(t, store, 1)
 }
 
+// gatewayIP returns the loopback address of gateway n, which is unique to this process.
+func gatewayIP(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, os.Getpid()/100%250, n)
+}
+
 // startGatewayWithStore starts gateway n with store and returns its settings, as changed by the
 // options.
 func startGatewayWithStore(t *testing.T, store *standin.Store, n int, options ...func(*platform.Settings)) *platform.Settings {
 	g := NewWithT(t)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, os.Getpid()/100%250, n)
+	ip := gatewayIP(n)
 	cfg := &platform.Settings{
 		Identity: telemetry.Identity{VM: fmt.Sprintf("gw%d", n), Zone: "a"},
 		Callers:  ip + ":7000", Ready: ip + ":7001", Directory: ip + ":7002", Peer: ip + ":7003", Observe: ip + ":7004",
