--- a/gateway/replica/rules.go
+++ b/gateway/replica/rules.go
@@ -36,9 +36,9 @@
 const (
 	// maxFirstListDelay is the longest of these times.
 	maxFirstListDelay = time.Second
-	// firstListSkew makes short times rare: it is the number of uniform random times of which the
-	// largest is taken. Of 550 gateways, the first then lists after about a fifth of
-	// maxFirstListDelay, and a dozen within the heartbeat that it needs to contact the others.
+	// firstListSkew makes short times rare, so that few gateways read the list before the first of
+	// them has contacted the others: it is the number of uniform random times of which the largest
+	// is taken.
 	firstListSkew = 4
 	// firstStartTimeout is how much longer than firstCopyTimeout a gateway then waits for its first
 	// copies, of which the first ones follow only after the list.
