proxy: a response that was passed through is not continued by another endpoint

Cause: a plain response that is too long to hold, or finds no memory, is forwarded as it arrives. If it broke off, the request was retried as the rest of a stream is, and the other endpoint's bytes followed the first one's: within Content-Length the caller got a whole response made of two. Change: such a call is never tried again; the connection is aborted. Result: the new test fails before (not aborted; the second endpoint is asked twice) and passes now; tests of proxy and compat pass.

--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -121,6 +121,7 @@
 func (p *Proxy) passThrough(ctx context.Context, w http.ResponseWriter, c *call, x *upstream.Exchange, r *bufferedResponse) (*verdict.Error, balance.Outcome) {
 	p.cfg.Metrics.PassedThrough.Inc(1)
 	p.cancelHedge(c)
+	c.passedThrough = true
 	err := r.writeTo(w, c)
 	buffer := make([]byte, copyBuffer)
 	for err == nil {
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -75,6 +75,10 @@
 		c.noRetryReason = policy.Withheld.String()
 		return false
 	}
+	if c.passedThrough {
+		c.noRetryReason = noRetryPassedThrough
+		return false
+	}
 	if c.hedge != nil {
 		return true // the hedge is already in progress
 	}
--- a/gateway/proxy/body.go
+++ b/gateway/proxy/body.go
@@ -61,8 +61,8 @@
 }
 
 // readReserved reads r to its end, or up to limit bytes if that comes first. whole reports whether
-// the end was reached. The error is errNoMemory if held can't be extended; what was read is returned in any
-// case.
+// the end was reached. The error is errNoMemory if held can't be extended; what was read is
+// returned in any case.
 func readReserved(r io.Reader, held *reservation, limit int64) (body []byte, whole bool, err error) {
 	size := bodySizeHint
 	for int64(len(body)) < limit {
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -70,6 +70,9 @@
 	// headSent is set once the response head was sent to the caller. From then on the status is
 	// fixed, and another endpoint must resume the response where it broke off.
 	headSent bool
+	// passedThrough is set once a part of a response was sent that is forwarded as it arrives. No
+	// other endpoint can continue it.
+	passedThrough bool
 	// lastEventID is the ID of the last event that was forwarded completely.
 	lastEventID string
 	// lastEventAt is when the last event arrived, or zero before the first.
@@ -85,6 +88,8 @@
 const (
 	// noRetryAttempts means that the route allows no more attempts.
 	noRetryAttempts = "no attempts"
+	// noRetryPassedThrough means that a part of a plain response was sent to the caller.
+	noRetryPassedThrough = "passed through"
 	// noRetryBudget means that the retry budget was exhausted.
 	noRetryBudget = "no budget"
 )
--- a/gateway/proxy/memory_test.go
+++ b/gateway/proxy/memory_test.go
@@ -83,6 +83,26 @@
 	}, []handler{raw("HTTP/1.1 200 OK\r\nId: r1\r\nStamp: st\r\nContent-Length: 12000000\r\n\r\n" + strings.Repeat("x", 9_000_000))})
 }
 
+// Guards against a response made of two: the part of a long response that was forwarded before it
+// broke off, and the response of another endpoint.
+func TestALongResponseThatBreaksOffIsNotContinuedByAnother(t *testing.T) {
+	begins := "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: st\r\nContent-Length: 12000000\r\n\r\n" + strings.Repeat("x", 9_000_000)
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			first := raw(begins)
+			if path == "/stream/x" { // a status other than 200 is forwarded like a plain response
+				first = raw(strings.Replace(begins, "200 OK", "404 X", 1))
+			}
+			runHarness(t, func(w *harness) {
+				a := w.send("POST", path, "")
+				w.g.Expect(a.aborted).To(BeTrue())
+				w.g.Expect(a.Body.Len()).To(BeNumerically("<=", 9_000_000))
+				w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+			}, []handler{first}, []handler{respond(200, strings.Repeat("y", 12_000_000))})
+		})
+	}
+}
+
 // Guards against callers that do not read: one used to hold its endpoint's place and its response
 // for as long as it kept its connection open.
 func TestACallerThatDoesNotReadHoldsNoEndpoint(t *testing.T) {
