balance: a holder that has not heard that an endpoint is cold keeps its bound

Cause: a gateway that knows an endpoint to be cold asks its holder for tokens; a holder that did not know it yet took the limit for ended and gave one to each who asked, so the bound was kept at all places but this. Change: where the service has a limit on cold endpoints, the holder takes the question for news that the endpoint may be cold.

--- a/gateway/balance/cold.go
+++ b/gateway/balance/cold.go
@@ -47,7 +47,7 @@
 // applyCold applies the endpoint's record and the service's limit to the rate limit of e.
 func (e *endpoint) applyCold(limit ColdLimit) {
 	l := &e.advisory.limit
-	l.coldRate = limit.Rate
+	l.coldRate, l.coldTime = limit.Rate, limit.Duration
 	l.coldUntil = later(l.coldUntil, e.record.ColdUntil)
 }
 
--- a/gateway/balance/cold_test.go
+++ b/gateway/balance/cold_test.go
@@ -84,6 +84,16 @@
 		respondAt(b, q, advisory.PerSecond(0.5), at(1000), at(1010))
 		Expect(acceptTimes(b, q, 1010, 7000)).To(Equal([]int{3010, 5010}))
 	})
+	It("is limited by its holder once another gateway asks for a token, which knows that it is cold", func() {
+		b := withHeld(coldBalancer(oneEndpoint(5, 1)), "e0")
+		granted := 0
+		for ms := 0; ms < 2000; ms += 10 {
+			if ok, _ := b.Grant("g2", roster.Incarnation{ID: "e0", Born: 5}, at(ms)); ok {
+				granted++
+			}
+		}
+		Expect(granted).To(And(BeNumerically(">", 0), BeNumerically("<=", 2*3+1)), "two a second, a second ahead at most")
+	})
 	It("does not make gateways ask whether its limit still applies", func() {
 		asked := 0
 		b := balance.New(balance.Config{Zone: "a", OtherLoad: noOtherLoad, Random: zeroRandom, OnStaleLimit: func(roster.Incarnation) { asked++ }})
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -48,9 +48,11 @@
 	// when it may request the next token.
 	tokenFrom, tokenUntil, nextTokenRequestAt time.Time
 	// coldUntil is the time until which the endpoint is cold, and coldRate the number of requests
-	// per second that it gets meanwhile; 0 if there is no such limit.
+	// per second that it gets meanwhile; 0 if there is no such limit. coldTime is how long it is
+	// cold after a start.
 	coldUntil time.Time
 	coldRate  float64
+	coldTime  time.Duration
 }
 
 // cold reports whether the endpoint is cold and therefore limited.
--- a/gateway/balance/token.go
+++ b/gateway/balance/token.go
@@ -111,6 +111,9 @@
 		if !e.held {
 			return
 		}
+		if l := &e.advisory.limit; l.coldRate > 0 && !e.rateLimited(now) {
+			l.coldUntil = later(l.coldUntil, now.Add(l.coldTime)) // the other gateway may know that e is cold
+		}
 		opensIn = e.limitOpensIn(now)
 		granted = !e.rateLimited(now) || e.advisory.limit.grant(gateway, opensIn, now)
 	})
