--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,18 +145,25 @@
 		OnStaleLimit:   g.refreshStaleLimit,
 	})
 	g.proxy = g.newProxy()
-	g.syncer = replica.New(g.table, l)
+	g.syncer = g.newSyncer()
 	g.contacts.Store(&member.Contacts{})
-	g.syncer.HoldList()
-	if cfg.FirstStart {
-		g.syncer.StartList(replica.FirstListDelay(rand.Float64()))
-	}
 	g.inventory = inventory.NewServer(g.describeService, g.versions.WithKnownTime)
 	g.mirrors = g.newMirrors()
 	g.syncer.SetMirrors(g.mirrors, platform.KindMembers)
 	return g
 }
 
+// newSyncer returns a Syncer that waits for findContacts, except at the first start of the whole
+// system, when there are no contacts.
+func (g *Gateway) newSyncer() *replica.Syncer {
+	s := replica.New(g.table, g.log)
+	s.HoldList()
+	if g.cfg.FirstStart {
+		s.StartList(replica.FirstListDelay(rand.Float64()))
+	}
+	return s
+}
+
 // newEntry returns the entry by which other gateways know this one, with a random
 // incarnation number.
 func newEntry(cfg *platform.Settings) member.Entry {
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -100,7 +100,7 @@
 	}
 	g.table.SetListed(entries)
 	g.syncer.Elect(time.Now())
-	if g.heartbeater != nil {
-		g.heartbeater.SendSoon() // gateways that start wait to be contacted
+	if g.heartbeater != nil && g.table.Size() == 1 {
+		g.heartbeater.SendSoon() // others that start wait to be contacted
 	}
 }
--- a/gateway/replica/syncer.go
+++ b/gateway/replica/syncer.go
@@ -48,7 +48,8 @@
 	pool           *peerconn.Pool
 	log            *log.Logger
 	startedAt      time.Time
-	mu             sync.Mutex
+
+	mu sync.Mutex
 	// held is set until the delay of the first list is known. firstListDelay is the result of
 	// FirstListDelay, or 0 if the list is read at once.
 	held           bool
--- a/soak/world.go
+++ b/soak/world.go
@@ -149,16 +149,11 @@
 	if w.cfg.Mix == MixCrash {
 		s.cfg.CrashOn = func(id, body string) bool { return w.fatal.begins(s, id, body) }
 	}
-	if w.cfg.Mix == MixPlaces && i > 0 {
-		s.cfg.Cold = coldTime
-		s.onStart = w.places.started
-	}
 	if i > 0 {
 		s.cfg.Service, s.cfg.Model = modelService, model
 	}
 	if w.cfg.Mix == MixPlaces {
-		service, zone := s.cfg.Service, s.cfg.Zone
-		s.cfg.OnArrival = func(runner, id string) { w.places.delivered(service, zone, runner, id) }
+		w.places.prepare(s)
 	}
 	version := w.version
 	if i > 1 {
