--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -4,12 +4,15 @@
 
 // Capacity is the known capacity of an endpoint.
 type Capacity struct {
-	// Addr is the endpoint's address.
-	Addr string
+	// Addr is the endpoint's address, Zone its availability zone.
+	Addr, Zone string
 	// Slots is the number of requests that the endpoint runs concurrently; 0 while it has a
 	// rate limit. InFlight is the number of outstanding requests of all gateways; the
 	// counts of other gateways are as old as their last heartbeats.
 	Slots, InFlight int
+	// Places is the number of mean requests that it serves in time concurrently: Slots, or
+	// fewer for a slow or cold endpoint.
+	Places float64
 	// Usable is set if the endpoint accepts requests for the query.
 	Usable bool
 }
@@ -27,8 +30,9 @@
 		if e.leaving() {
 			continue
 		}
-		p := Capacity{Addr: e.record.Addr, InFlight: b.totalInFlight(e)}
+		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e)}
 		if !e.rateLimited(now) {
+			p.Places = float64(e.record.Slots)
 			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
 		}
 		out = append(out, p)
--- a/routes/estimate.go
+++ b/routes/estimate.go
@@ -40,3 +40,16 @@
 	}
 	return max(0, float64(d-e.Prefill(float64(n))-e.passTime())/float64(turnover))
 }
+
+// GenerationTime returns how long an answer of n tokens takes to generate in a full batch in which
+// a finished request is replaced by the next at once, so that the prefill of others pauses it.
+func (e *Engine) GenerationTime(n float64) time.Duration {
+	passes := n / float64(max(e.Stride, 1))
+	alone := passes * float64(e.passTime())
+	answer := float64(e.AnswerTime())
+	if answer <= 0 {
+		return time.Duration(alone)
+	}
+	prefill := float64(e.Slots) * float64(e.Prefill(e.MeanPromptTokens)) / answer
+	return time.Duration(alone * (1 + prefill))
+}
