soak: a mix with more streams than the endpoints can serve

Cause: no soak had a shortage, ranks or several client accounts, so nothing outside checked that a shortage starves nobody and that the urgent are not put behind. Change: mix overload: streams of two ranks and two client accounts at more than what the runners bear, gateways killed, stopped, frozen and cut off from the store, callers that come back when told and some that repeat at once.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -34,7 +34,12 @@
 	client *http.Client
 	random *rand.Rand
 	result *Result
-	// refused are requests that may not be repeated and were promised not to run.
+	// account is its client account and key the API key. repeats is set for a caller that comes back
+	// at once after a refusal.
+	key     string
+	account string
+	repeats bool
+	// refused are requests that were promised not to run.
 	mu      sync.Mutex
 	refused []string
 	sent    int
@@ -48,6 +53,11 @@
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 		random: rand.New(rand.NewPCG(w.cfg.Seed, uint64(n))),
 		holds:  addressHeld,
+		key:    apiKey, account: accountName,
+		repeats: n%repeaterShare == 0,
+	}
+	if w.cfg.Mix == MixOverload && n%smallShare == 0 {
+		c.key, c.account = smallKey, smallAccount
 	}
 	if n%5 == 0 {
 		c.holds = addressHeldLong
@@ -137,7 +147,9 @@
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
 		c.world.heeded.passedOn(entry.name, resp.Header)
-		err = c.check(resp, q.id, q.body, q.stream)
+		var served bool
+		served, err = c.check(resp, &q)
+		c.world.shares.Note(Class{c.account, q.host()}, served)
 	}
 	ended := time.Now()
 	c.world.ledger.ended(entry.name, ended)
@@ -147,7 +159,10 @@
 		c.noteCut(&Exchange{ID: q.id, Gateway: entry.name, End: ended, Limit: limit, Begun: resp != nil}, &seen)
 		c.checkStop(entry, q.id, began, ended, limit, err)
 	}
-	c.checkRuns(q.id, q.body, q.stream)
+	c.checkRuns(&q)
+	if err == nil {
+		c.comeBack(resp)
+	}
 }
 
 // checkStop looks at a request that was cut at a gateway that was asked to stop: nothing that
@@ -170,37 +185,46 @@
 	c.world.ledger.cutOff(e)
 }
 
-// check looks at an answer and returns an error if it was cut.
-func (c *caller) check(resp *http.Response, id, body string, stream bool) error {
+// check looks at an answer. It returns whether the request was served, and an error if the answer
+// was cut.
+func (c *caller) check(resp *http.Response, q *question) (served bool, err error) {
 	w := c.world.witness
 	switch {
-	case resp.Header.Get(names.RequestID) != id:
-		w.AddViolation("request %s got an answer to %q", id, resp.Header.Get(names.RequestID))
-	case resp.StatusCode == http.StatusOK && stream:
-		return c.checkStream(resp, id)
+	case resp.Header.Get(names.RequestID) != q.id:
+		w.AddViolation("request %s got an answer to %q", q.id, resp.Header.Get(names.RequestID))
+	case resp.StatusCode == http.StatusOK && q.stream:
+		err = c.checkStream(resp, q.id)
+		return err == nil, err
 	case resp.StatusCode == http.StatusOK:
 		got, err := io.ReadAll(resp.Body)
 		if err != nil {
-			return err
+			return false, err
 		}
-		if string(got) != standin.ResponseBody(id, body) {
-			w.AddViolation("request %s got %q", id, got)
+		if string(got) != standin.ResponseBody(q.id, q.body) {
+			w.AddViolation("request %s got %q", q.id, got)
 		}
 		c.result.Served.Add(1)
+		return true, nil
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		c.result.Refused.Add(1)
-		if !stream {
-			c.mu.Lock()
-			c.refused = append(c.refused, id)
-			c.mu.Unlock()
-		}
+		c.noteRefused(q)
 	case resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusNotFound:
-		w.AddViolation("request %s was denied with %d", id, resp.StatusCode)
+		w.AddViolation("request %s was denied with %d", q.id, resp.StatusCode)
 	default:
 		c.result.Other.Add(1)
-		return c.checkFailure(resp, id)
+		return false, c.checkFailure(resp, q.id)
+	}
+	return false, nil
+}
+
+// noteRefused notes a request that was promised not to run; streams only in MixOverload.
+func (c *caller) noteRefused(q *question) {
+	if q.stream && c.world.cfg.Mix != MixOverload {
+		return
 	}
-	return nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = append(c.refused, q.id)
 }
 
 // checkFailure looks at an answer that tells of a failure: no request of these callers ends
@@ -248,16 +272,16 @@
 }
 
 // checkRuns looks at what endpoints saw of a request.
-func (c *caller) checkRuns(id, body string, stream bool) {
-	run := c.world.witness.Runs(id)
+func (c *caller) checkRuns(q *question) {
+	run := c.world.witness.Runs(q.id)
 	if run.Count == 0 {
 		return
 	}
-	if !stream && run.Count > 1 {
-		c.world.witness.AddViolation("request %s ran %d times", id, run.Count)
+	if !q.stream && run.Count > 1 {
+		c.world.witness.AddViolation("request %s ran %d times", q.id, run.Count)
 	}
-	if run.Body != body || run.Tenant != accountName {
-		c.world.witness.AddViolation("request %s ran as %q for %q", id, run.Body, run.Tenant)
+	if run.Body != q.body || run.Tenant != c.account {
+		c.world.witness.AddViolation("request %s ran as %q for %q", q.id, run.Body, run.Tenant)
 	}
 }
 
--- a/soak/configure.go
+++ b/soak/configure.go
@@ -16,12 +16,13 @@
 	w.store.Configure(standin.Configuration{
 		Version: w.configVersion,
 		Routes: append([]standin.Route{
-			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond, AllowedRegions: w.streamRegions},
-			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond},
-		}, w.otherRoutes()...),
+			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond, Priority: w.streamRank(), AllowedRegions: w.streamRegions},
+			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, Priority: standin.DefaultRank},
+		}, append(w.overloadRoutes(), w.otherRoutes()...)...),
 		Model: model, ModelService: modelService, PlainService: plainService,
 		Origin:  w.addr(251, portOrigin),
-		Account: accountName, Key: apiKey,
+		Account: accountName, Key: apiKey, OtherAccounts: w.otherAccounts(),
+		Engine:    w.engine(),
 		ColdStart: coldTime, ColdPerSecond: w.coldPerSecond(),
 	})
 	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
@@ -44,7 +45,7 @@
 			continue
 		}
 		out = append(out, standin.Route{Name: fmt.Sprintf("other-%d", i), Host: plainHost, Prefix: fmt.Sprintf("/other/%d/", i),
-			Service: plainService, Timeout: time.Duration(1+w.configVersion%5) * time.Second, LatencyTarget: 200 * time.Millisecond})
+			Service: plainService, Timeout: time.Duration(1+w.configVersion%5) * time.Second, LatencyTarget: 200 * time.Millisecond, Priority: standin.DefaultRank})
 	}
 	return out
 }
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -30,12 +30,15 @@
 	// processed in some regions only, beside gateways that are disturbed and a store that is
 	// away.
 	MixPlaces Mix = "places"
+	// MixOverload has more streams of two ranks and two client accounts than the runners can
+	// serve, beside gateways that are killed, stopped, frozen and cut off.
+	MixOverload Mix = "overload"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -68,6 +71,8 @@
 		return w.drawAnswers(r)
 	case MixPlaces:
 		return w.drawPlaces(r)
+	case MixOverload:
+		return w.drawOverload(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/question.go
+++ b/soak/question.go
@@ -11,7 +11,9 @@
 // question is one request as it is to be sent.
 type question struct {
 	id, body string
-	stream   bool
+	// key is the API key. stream is set for streams, bulk for those of the lower rank.
+	key          string
+	stream, bulk bool
 	// limit is how long its answer is waited for.
 	limit time.Duration
 }
@@ -19,10 +21,11 @@
 // draw returns the caller's next request, which an entry gets. Its ID tells which one that is.
 func (c *caller) draw(entry *process) question {
 	c.sent++
-	q := question{id: fmt.Sprintf("%s/%s-%d", entry.name, c.name, c.sent), limit: plainLimit}
+	q := question{key: c.key, id: fmt.Sprintf("%s/%s-%d", entry.name, c.name, c.sent), limit: plainLimit}
 	q.body = "body of " + q.id
 	if c.random.IntN(2) == 0 {
 		q.stream, q.limit = true, streamLimit
+		q.bulk = c.world.cfg.Mix == MixOverload && c.random.IntN(2) == 0
 	}
 	if c.random.IntN(20) == 0 {
 		q.limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
@@ -33,14 +36,24 @@
 // request returns the question as it is sent to addr.
 func (q *question) request(ctx context.Context, addr string) *http.Request {
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/go/x", strings.NewReader(q.body))
-	r.Host = plainHost
+	r.Host = q.host()
 	r.Header.Set(names.RequestID, q.id)
-	r.Header.Set(names.Key, apiKey)
+	r.Header.Set(names.Key, q.key)
 	r.Header.Set(names.Deadline, fmt.Sprint(q.limit.Milliseconds()))
 	if q.stream {
-		r.Host = streamHost
 		r.Header.Set(names.Model, model)
 	}
 	r.GetBody = nil
 	return r
 }
+
+// host returns the host that the question is for.
+func (q *question) host() string {
+	switch {
+	case q.bulk:
+		return bulkHost
+	case q.stream:
+		return streamHost
+	}
+	return plainHost
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -71,6 +71,9 @@
 	for _, line := range w.places.judge(w.isHeld, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
+	for _, line := range w.shares.Judge() {
+		w.witness.AddViolation("%s", line)
+	}
 	for _, line := range w.heeded.judge(w.isHeld, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -91,6 +91,7 @@
 	fatal       *fatal
 	heeded      *heeded
 	places      *places
+	shares      *Shares
 
 	mu sync.Mutex
 	// changes are the configurations that were written, faults what disturbed endpoints
@@ -105,7 +106,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(),
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(),
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -155,6 +156,9 @@
 	if w.cfg.Mix == MixPlaces {
 		w.places.prepare(s)
 	}
+	if w.cfg.Mix == MixOverload && i > 0 {
+		s.cfg.Slots = overloadSlots
+	}
 	version := w.version
 	if i > 1 {
 		version = 0
--- a/standin/format.go
+++ b/standin/format.go
@@ -72,8 +72,10 @@
 type Route struct {
 	Name, Host, Service string
 	// Prefix is the path prefix of the route. The default is DefaultPathPrefix.
-	Prefix                 string
-	Stream                 bool
+	Prefix string
+	Stream bool
+	// Priority is the rank of the route; 0 is the highest.
+	Priority               int
 	Timeout, LatencyTarget time.Duration
 	// AllowedRegions lists the only regions in which requests may be processed, if any.
 	AllowedRegions []string
@@ -86,12 +88,38 @@
 	Model, ModelService, PlainService string
 	Origin                            string
 	Account, Key                      string
+	// OtherAccounts are the client accounts beside Account.
+	OtherAccounts []Account
+	// Engine describes the endpoints of ModelService.
+	Engine Engine
 	// ColdStart is how long endpoints of ModelService are cold after a start, and ColdPerSecond
 	// the number of requests per second that they bear meanwhile; 0 for no limit.
 	ColdStart     time.Duration
 	ColdPerSecond float64
 }
 
+// Account is a client account.
+type Account struct {
+	Name, Key string
+}
+
+// Engine holds the figures of a service's engines. A figure of 0 is not stated.
+type Engine struct {
+	// Slots is the number of requests that run at once, Stride the number of steps between two
+	// checks for queued requests.
+	Slots, Stride int
+	// StepMS is the time of one step, in milliseconds.
+	StepMS float64
+	// MeanPrompt and MeanAnswer are mean lengths, in tokens.
+	MeanPrompt, MeanAnswer float64
+}
+
+// DefaultEngine is an engine of which little is stated.
+var DefaultEngine = Engine{Slots: 16}
+
+// DefaultRank is the usual rank of a route.
+const DefaultRank = 1
+
 // DefaultPathPrefix is the path prefix of routes without a Prefix.
 const DefaultPathPrefix = "/go/"
 
@@ -108,16 +136,24 @@
 		"routes":  routes,
 		"services": []any{
 			jsonObject{"name": c.ModelService, "max_connections": 200, "cold_start_s": c.ColdStart.Seconds(), "cold_per_s": c.ColdPerSecond, "engine": jsonObject{
-				"slots": 16, "read_per_s": 30000, "chunks": Chunks, "chunk_bytes": ChunkBytes,
+				"slots": c.Engine.Slots, "stride": c.Engine.Stride, "step_ms": c.Engine.StepMS, "usual": jsonObject{"prompt": c.Engine.MeanPrompt, "answer": c.Engine.MeanAnswer}, "read_per_s": 30000, "chunks": Chunks, "chunk_bytes": ChunkBytes,
 				"models": []any{jsonObject{"name": c.Model, "warm_s": loadDuration.Seconds()}}}},
 			jsonObject{"name": c.PlainService, "max_connections": 200},
 			jsonObject{"name": "weights", "origin": c.Origin, "link_mbps": 1000},
 		},
 		"limits":  jsonObject{"max_body_bytes": 1 << 16, "idle_timeout_ms": 15000},
-		"tenants": []any{jsonObject{"name": c.Account, "api_keys": []string{c.Key}}},
+		"tenants": c.accounts(),
 	})
 }
 
+func (c *Configuration) accounts() []any {
+	var out []any
+	for _, a := range append([]Account{{Name: c.Account, Key: c.Key}}, c.OtherAccounts...) {
+		out = append(out, jsonObject{"name": a.Name, "api_keys": []string{a.Key}})
+	}
+	return out
+}
+
 func (r *Route) spec() jsonObject {
 	kind := "unsafe"
 	if r.Stream {
@@ -129,7 +165,7 @@
 	}
 	return jsonObject{"name": r.Name, "hostname": r.Host, "path_prefix": prefix, "kind": kind, "service": r.Service,
 		"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.LatencyTarget.Milliseconds(), "gap_target_ms": 300,
-		"max_attempts": 2, "priority": 1, "stream_resume": r.Stream, "allowed_regions": r.regions()}
+		"max_attempts": 2, "priority": r.Priority, "stream_resume": r.Stream, "allowed_regions": r.regions()}
 }
 
 // regions returns the allowed regions; a route without any has an empty list.
