--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -115,7 +115,7 @@
 // which lifts a quarantine.
 func (g *Gateway) observeHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/", telemetry.NewObserveHandler(g.registry, g))
+	mux.Handle("/", telemetry.NewObserveHandler(g.registry, g, g.cfg.Profiles))
 	mux.HandleFunc("DELETE /quarantine/{key}", func(w http.ResponseWriter, r *http.Request) {
 		if err := g.poison.Clear(r.PathValue("key"), time.Now()); err != nil {
 			http.Error(w, err.Error(), http.StatusNotFound)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -104,7 +104,7 @@
 	if err := c.serve(c.cfg.Peer, mux); err != nil {
 		return err
 	}
-	if err := c.serve(c.cfg.Observe, telemetry.NewObserveHandler(c.registry, c)); err != nil {
+	if err := c.serve(c.cfg.Observe, telemetry.NewObserveHandler(c.registry, c, c.cfg.Profiles)); err != nil {
 		return err
 	}
 	go c.watcher.run(ctx)
--- a/standalone/agent/agent.go
+++ b/standalone/agent/agent.go
@@ -126,7 +126,7 @@
 	mux.Handle(hop.RunPrefix+"/", a.runner)
 	ex.Register(mux)
 	a.server = secure.NewServer(mux)
-	a.observe = secure.NewServer(telemetry.NewObserveHandler(a.registry, a))
+	a.observe = secure.NewServer(telemetry.NewObserveHandler(a.registry, a, a.cfg.Telemetry.Profiles))
 	return nil
 }
 
--- a/standalone/entry/entry.go
+++ b/standalone/entry/entry.go
@@ -161,7 +161,7 @@
 		{addr: e.cfg.Caller, tls: e.cfg.CallerTLS, http: secure.NewServer(counted)},
 		{addr: e.cfg.Operator, tls: e.cfg.OperatorTLS, http: secure.NewServer(operators)},
 		{addr: e.cfg.Peer, tls: e.cfg.PeerTLS, mutual: true, http: secure.NewServer(mux)},
-		{addr: e.cfg.Telemetry.Observe, http: secure.NewServer(telemetry.NewObserveHandler(e.registry, e))},
+		{addr: e.cfg.Telemetry.Observe, http: secure.NewServer(telemetry.NewObserveHandler(e.registry, e, e.cfg.Telemetry.Profiles))},
 	}
 	return nil
 }
--- a/telemetry/observe.go
+++ b/telemetry/observe.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -15,8 +16,10 @@
 	State() any
 }
 
-// NewObserveHandler returns a handler that serves /metrics, /healthz, /readyz and /debug/state.
-func NewObserveHandler(r metrics.Registry, p StatusProvider) http.Handler {
+// NewObserveHandler returns a handler that serves /metrics, /healthz, /readyz and /debug/state and,
+// if profiles is set, the profiles of the Go runtime under /debug/pprof/. Taking a profile costs
+// processor time and memory.
+func NewObserveHandler(r metrics.Registry, p StatusProvider, profiles bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
@@ -38,5 +41,10 @@
 		e.SetIndent("", "  ")
 		_ = e.Encode(p.State()) // fails if the client has disconnected
 	})
+	if profiles {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	}
 	return mux
 }
--- a/telemetry/settings.go
+++ b/telemetry/settings.go
@@ -18,4 +18,6 @@
 	TraceFile string `json:"traceFile,omitempty"`
 	// TraceEndpoint is the host:port of an OTLP/HTTP collector; empty disables it.
 	TraceEndpoint string `json:"traceEndpoint,omitempty"`
+	// Profiles serves the profiles of the Go runtime at Observe, under /debug/pprof/.
+	Profiles bool `json:"profiles,omitempty"`
 }
