--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -75,6 +75,10 @@
 		c.noRetryReason = policy.Withheld.String()
 		return false
 	}
+	if last.Code == policy.CodeTooLate {
+		c.noRetryReason = policy.NoTime.String()
+		return false
+	}
 	if c.passedThrough {
 		c.noRetryReason = noRetryPassedThrough
 		return false
@@ -214,7 +218,7 @@
 	}
 	if c.route.Kind == routes.Stream && a.exchange.Status == http.StatusOK {
 		p.checkWeightsDeadline(c, a.exchange, a.lease, a.sentAt)
-		return p.forwardStream(ctx, w, c, a.exchange, a.lease)
+		return p.forwardStream(ctx, w, c, a)
 	}
 	return p.forwardBuffered(ctx, w, c, a)
 }
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -27,7 +27,9 @@
 )
 
 // forwardStream forwards the events of a stream as they arrive.
-func (p *Proxy) forwardStream(ctx context.Context, w http.ResponseWriter, c *call, x *upstream.Exchange, lease *balance.Lease) (*verdict.Error, balance.Outcome) {
+func (p *Proxy) forwardStream(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) (*verdict.Error, balance.Outcome) {
+	x, lease := a.exchange, a.lease
+	measured := streamMeasurement{resumed: c.headSent}
 	out := http.NewResponseController(w)
 	_ = out.SetWriteDeadline(c.deadline.Add(writeGrace)) // fails only if the caller has disconnected
 	var reader eventReader
@@ -41,6 +43,7 @@
 		lease.Received(time.Now())
 		if len(complete) > 0 {
 			lease.PrefillDone()
+			measured.add(time.Now())
 			p.cancelHedge(c)
 			if failure := p.forwardEvents(w, out, c, x, complete); failure != nil {
 				return failure, balance.Neutral
@@ -51,6 +54,7 @@
 				return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended inside an event"), balance.Failed
 			}
 			sendHead(w, c, x)
+			p.recordStream(a, &measured)
 			return nil, balance.Served
 		}
 		if err != nil {
