stage: fetch two versions side by side, read from the origin in an order

Cause: while two versions were wanted, each download took its own turns on the origin's link; after an outage both were read interleaved, so that both came late. Change: one loop owns the fetches of a model and decides by OlderFirst which is read first; the downloads of a VM share what they know of the origin. Not measured yet.

--- a/sidecar/stage/download.go
+++ b/sidecar/stage/download.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/silverdeck/silverdeck/swarm"
@@ -36,15 +37,15 @@
 	members := s.members(ctx)
 	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, s.originReader(model, version, set),
 		append(DownloadOptions(s.cfg.Origin.Rate(ctx), len(members), s.linkMeter(set.Manifest().ChunkSize)),
-			swarm.WithHeadStart(headStart))...)
+			swarm.WithHeadStart(headStart), swarm.WithOriginStatus(s.originStatus))...)
 	s.holdings.SetDownload(set.Root(), d)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	go s.refreshMembers(ctx, d)
 	go s.cancelOnSuspectManifest(ctx, cancel, d)
 	began := time.Now()
 	if err := d.Run(ctx); err != nil {
-		if d.Stats().CorruptOrigin > 0 {
+		if errors.Is(context.Cause(ctx), errManifestSuspect) {
 			s.holdings.remove(model, version)
 		}
 		return err
@@ -82,8 +83,11 @@
 	return s.link
 }
 
+// errManifestSuspect is the cause of canceling a download whose manifest appears to be wrong.
+var errManifestSuspect = errors.New("stage: manifest suspected to be wrong")
+
 // cancelOnSuspectManifest cancels a download whose manifest appears to be wrong.
-func (s *Stager) cancelOnSuspectManifest(ctx context.Context, cancel func(), d *swarm.Download) {
+func (s *Stager) cancelOnSuspectManifest(ctx context.Context, cancel context.CancelCauseFunc, d *swarm.Download) {
 	have, since := -1, time.Now()
 	for wait.For(ctx, pollInterval) {
 		stats := d.Stats()
@@ -92,7 +96,7 @@
 		}
 		if ManifestSuspect(stats.CorruptOrigin, time.Since(since)) {
 			s.cfg.Log.Warn("manifest suspected to be wrong, download canceled", "have", stats.Have, "corruptOrigin", stats.CorruptOrigin)
-			cancel()
+			cancel(errManifestSuspect)
 			return
 		}
 	}
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/wait"
 	"github.com/silverdeck/silverdeck/weights"
 )
@@ -19,40 +20,96 @@
 	maxHeadStart = 400 * time.Millisecond
 )
 
-// fetchLoop downloads the newest version of each model until ctx is canceled.
+// fetching is the fetch of one version. It is used by the fetch loop, except for done.
+type fetching struct {
+	want   target
+	cancel context.CancelFunc
+	// done is closed when the fetch has ended.
+	done chan struct{}
+	// have is the number of chunks present when it last changed, at since.
+	have  int
+	since time.Time
+}
+
+// fetches holds the current fetches of a model.
+type fetches struct {
+	byVersion map[int64]*fetching
+	// first is the version that was read from the origin first when this was last decided.
+	first int64
+}
+
+// fetchLoop keeps fetching the wanted versions of each model until ctx is canceled.
 func (s *Stager) fetchLoop(ctx context.Context) {
+	models := map[string]*fetches{}
 	for ctx.Err() == nil {
 		for _, model := range s.models() {
-			s.fetchNewest(ctx, model)
+			f := models[model]
+			if f == nil {
+				f = &fetches{byVersion: map[int64]*fetching{}}
+				models[model] = f
+			}
+			s.fetchWanted(ctx, model, f)
 		}
 		wait.For(ctx, pollInterval)
 	}
 }
 
-// fetchNewest downloads the newest version of model. If a newer one is named meanwhile, the
-// download is canceled unless most chunks are already present.
-func (s *Stager) fetchNewest(ctx context.Context, model string) {
-	want := s.target(model)
-	if set := s.holdings.lookup(model, want.version); set != nil && set.Complete() {
-		return
+// fetchWanted starts to fetch the wanted versions of model, ends the fetches of others, and
+// orders those that remain.
+func (s *Stager) fetchWanted(ctx context.Context, model string, f *fetches) {
+	wanted := s.wantedVersions(model)
+	for version, r := range f.byVersion {
+		if !containsVersion(wanted, version) {
+			r.cancel()
+			delete(f.byVersion, version)
+		}
 	}
-	if want.atStartup && !s.awaitMembership(ctx, model, want) {
-		return
+	for _, want := range wanted {
+		if r := f.byVersion[want.version]; r != nil && !r.ended() {
+			continue
+		}
+		f.byVersion[want.version] = s.startFetching(ctx, model, want)
 	}
-	parent := ctx
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go s.cancelWhenSuperseded(ctx, cancel, model, want.version)
-	go s.resumeOlderOnStall(ctx, model, want.version)
-	err := s.fetch(ctx, model, want.version)
-	if s.worthFetchingFirstCopies(parent, model, want) {
-		go s.fetchFirstCopies(parent, model, want.version)
+	s.orderFetches(ctx, model, f, wanted)
+}
+
+// ended returns whether the fetch has ended.
+func (r *fetching) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
 	}
-	if err != nil {
-		s.logAndBackOff(ctx, "weights not fetched", model, want.version, err)
-		return
+}
+
+func containsVersion(list []target, version int64) bool {
+	for _, t := range list {
+		if t.version == version {
+			return true
+		}
 	}
-	s.markComplete(model, want)
+	return false
+}
+
+// startFetching fetches a version in the background until it is complete, fails, or the fetch
+// is canceled.
+func (s *Stager) startFetching(ctx context.Context, model string, want target) *fetching {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &fetching{want: want, cancel: cancel, done: make(chan struct{}), have: -1}
+	go func() {
+		defer close(r.done)
+		defer cancel()
+		if want.atStartup && !s.awaitMembership(ctx, model, want) {
+			return
+		}
+		if err := s.fetch(ctx, model, want.version); err != nil {
+			s.logAndBackOff(ctx, "weights not fetched", model, want.version, err)
+			return
+		}
+		s.markComplete(model, want)
+	}()
+	return r
 }
 
 // awaitMembership gives the other VMs time to appear in the platform's list if the endpoint
@@ -65,64 +122,122 @@
 	return wait.For(ctx, time.Until(want.firstSeen.Add(membershipSettleTime)))
 }
 
-// cancelWhenSuperseded cancels the download of a version once a newer one is the target and
-// few chunks of the older one are present. It first waits for the manifest of the newer
-// version: while the origin is down, nothing of the newer version arrives, but other VMs may
-// have all chunks of the older one.
-func (s *Stager) cancelWhenSuperseded(ctx context.Context, cancel func(), model string, version int64) {
-	for wait.For(ctx, pollInterval) {
-		newest := s.target(model).version
-		if newest == version {
-			continue
+// fetch downloads the missing chunks of a version.
+func (s *Stager) fetch(ctx context.Context, model string, version int64) error {
+	set, err := s.openSet(ctx, model, version)
+	if err != nil || set.Complete() {
+		return err
+	}
+	return s.download(ctx, model, version, set, s.headStart(model, version))
+}
+
+// orderFetches decides which of two versions is read from the origin first, and where the
+// other one takes chunks from meanwhile. While the newer one's manifest is missing, the older
+// one is fetched as if it were alone.
+func (s *Stager) orderFetches(ctx context.Context, model string, f *fetches, wanted []target) {
+	now := time.Now()
+	for version, r := range f.byVersion {
+		if n := s.chunkCount(model, version); n != r.have {
+			r.have, r.since = n, now
 		}
-		if set := s.holdings.lookup(model, version); set != nil {
-			if worthFinishing(set) {
-				continue
-			}
-			// The download continues meanwhile, so check again.
-			if _, err := s.openSet(ctx, model, newest); err != nil || worthFinishing(set) {
-				continue
-			}
+	}
+	if len(wanted) < 2 {
+		f.first = 0
+		if len(wanted) == 1 {
+			s.setMode(model, wanted[0].version, swarm.ModeAll)
 		}
-		cancel()
 		return
 	}
+	older, newest := wanted[0], wanted[1]
+	a, b := s.downloadOf(model, older.version), s.downloadOf(model, newest.version)
+	if a == nil || b == nil {
+		for _, t := range wanted {
+			s.setMode(model, t.version, swarm.ModeAll)
+		}
+		return
+	}
+	p := s.pending(ctx, model, older.version, newest.version, a, b)
+	olderFirst := OlderFirst(p)
+	s.logOrder(model, f, older.version, newest.version, olderFirst, p)
+	b.SetMode(swarm.ModeAll)
+	if olderFirst {
+		a.SetMode(swarm.ModeAll)
+		b.StartReading(a.LastTurn())
+		return
+	}
+	b.StartReading(time.Time{})
+	a.SetMode(s.modeBehindNewest(model, older.version, f.byVersion[newest.version], p))
 }
 
-// worthFinishing applies the rule WorthFinishing to a chunk set.
-func worthFinishing(set *weights.Set) bool {
-	return WorthFinishing(set.Len(), len(set.Manifest().Chunks))
+// modeBehindNewest returns where an older version takes chunks from while the newest one is
+// read from the origin.
+func (s *Stager) modeBehindNewest(model string, older int64, newest *fetching, p Pending) swarm.Mode {
+	progress := Progress{
+		Idle:         time.Since(newest.since),
+		ChunkTime:    s.chunkTime(model, newest.want.version),
+		OlderChunks:  s.chunkCount(model, older),
+		OlderExpired: s.expiresTooSoon(model, older),
+	}
+	if s.originStatus.Failing() || ShouldFallBack(progress) || WorthFinishing(progress.OlderChunks, p.Chunks) {
+		return swarm.ModeMembers
+	}
+	return swarm.ModePaused
 }
 
-// resumeOlderOnStall resumes the download of the preceding version when the given version
-// makes no progress, for example because the origin is down. Requests may begin on the older
-// version until it expires.
-func (s *Stager) resumeOlderOnStall(ctx context.Context, model string, version int64) {
-	have, since := -1, time.Now()
-	for wait.For(ctx, pollInterval) {
-		if n := s.chunkCount(model, version); n != have {
-			have, since = n, time.Now()
-		}
-		older, wanted := s.supersededTarget(model, version)
-		progress := Progress{
-			Idle:         time.Since(since),
-			ChunkTime:    s.chunkTime(model, version),
-			OlderChunks:  s.chunkCount(model, older.version),
-			OlderExpired: s.expiresTooSoon(model, older.version),
-		}
-		if !wanted || !ShouldFallBack(progress) {
-			continue
-		}
-		s.cfg.Log.Info("resuming download of older weights", "model", model, "version", older.version,
-			"have", s.chunkCount(model, older.version), "instead", version, "haveOfThat", have)
-		if err := s.fetch(ctx, model, older.version); err != nil {
-			s.logAndBackOff(ctx, "weights not fetched", model, older.version, err)
-			continue
-		}
-		s.markComplete(model, older)
+// setMode sets where the download of a version, if there is one, takes chunks from.
+func (s *Stager) setMode(model string, version int64, m swarm.Mode) {
+	if d := s.downloadOf(model, version); d != nil {
+		d.SetMode(m)
 	}
 }
 
+// downloadOf returns the download of a version, or nil before its manifest is present.
+func (s *Stager) downloadOf(model string, version int64) *swarm.Download {
+	set := s.holdings.lookup(model, version)
+	if set == nil {
+		return nil
+	}
+	return s.holdings.Download(set.Root())
+}
+
+// pending returns the inputs of the decision which of two versions is read first.
+func (s *Stager) pending(ctx context.Context, model string, older, newest int64, a, b *swarm.Download) Pending {
+	set := s.holdings.lookup(model, newest)
+	p := Pending{
+		Chunks:       len(set.Manifest().Chunks),
+		OlderUnknown: a.Unknown(),
+		Unknown:      b.Unknown(),
+		Spread:       SpreadTime(len(s.members(ctx)), s.chunkTime(model, newest)),
+	}
+	if rate := s.cfg.Origin.Rate(ctx); rate > 0 {
+		p.ChunkTime = time.Duration(float64(set.Manifest().ChunkSize) / rate * float64(time.Second))
+	}
+	if end, ends := s.history.Deadline(model, older); ends {
+		p.OlderLeft = time.Until(end)
+	}
+	if end, ends := s.history.Deadline(model, s.usableBefore(model, older)); ends {
+		p.RunningLeft = time.Until(end)
+	}
+	return p
+}
+
+// logOrder logs which version is read first if this has changed.
+func (s *Stager) logOrder(model string, f *fetches, older, newest int64, olderFirst bool, p Pending) {
+	first := newest
+	if olderFirst {
+		first = older
+	}
+	if f.first == first {
+		return
+	}
+	f.first = first
+	s.cfg.Log.Info("order of versions", "model", model, "first", first, "older", older, "newest", newest,
+		"have", s.chunkCount(model, older), "haveOfNewest", s.chunkCount(model, newest),
+		"unknown", p.OlderUnknown, "unknownOfNewest", p.Unknown, "chunkMs", p.ChunkTime.Milliseconds(),
+		"leftMs", p.OlderLeft.Milliseconds(), "runningLeftMs", p.RunningLeft.Milliseconds(),
+		"originFailing", s.originStatus.Failing())
+}
+
 // chunkTime returns the transfer time of a chunk of a version on this VM's link, or 0 if it
 // is unknown.
 func (s *Stager) chunkTime(model string, version int64) time.Duration {
@@ -141,15 +256,6 @@
 	return 0
 }
 
-// fetch downloads the missing chunks of a version.
-func (s *Stager) fetch(ctx context.Context, model string, version int64) error {
-	set, err := s.openSet(ctx, model, version)
-	if err != nil || set.Complete() {
-		return err
-	}
-	return s.download(ctx, model, version, set, s.headStart(model, version))
-}
-
 // openSet returns the chunk set of a version. It creates the set after getting the manifest
 // if there is none yet.
 func (s *Stager) openSet(ctx context.Context, model string, version int64) (*weights.Set, error) {
--- a/sidecar/stage/replaced_test.go
+++ b/sidecar/stage/replaced_test.go
@@ -85,21 +85,36 @@
 	return a.fakePeers.Manifest(ctx, m, q)
 }
 
-func TestWorthFetchingFirstCopies(t *testing.T) {
-	const oneCopy = 1600 * time.Millisecond
+func TestOlderFirst(t *testing.T) {
+	const ms = time.Millisecond
+	// A copy takes 2.56 s, and 350 ms pass until most members have its last chunk.
+	base := stage.Pending{Chunks: 64, OlderUnknown: 16, Unknown: 64, ChunkTime: 40 * ms, Spread: 350 * ms,
+		RunningLeft: 8 * time.Second, OlderLeft: 10 * time.Second}
 	for _, c := range []struct {
-		name    string
-		fetched time.Duration
-		oneCopy time.Duration
-		useful  bool
-		want    bool
+		name   string
+		change func(p *stage.Pending)
+		want   bool
 	}{
-		{"most was read from the origin", 1500 * time.Millisecond, oneCopy, true, true},
-		{"half was read", 800 * time.Millisecond, oneCopy, true, true},
-		{"less than half was read", 799 * time.Millisecond, oneCopy, true, false},
-		{"version expired", 1500 * time.Millisecond, oneCopy, false, false},
-		{"origin rate unknown", 1500 * time.Millisecond, 0, true, false},
+		{"most of the older one was read, nothing is urgent", func(*stage.Pending) {}, true},
+		{"half of it was read", func(p *stage.Pending) { p.OlderUnknown = 32 }, true},
+		{"less than half was read", func(p *stage.Pending) { p.OlderUnknown = 33 }, false},
+		{"the newest would come too late", func(p *stage.Pending) { p.OlderUnknown, p.RunningLeft, p.OlderLeft = 40, 3*time.Second, 5*time.Second }, true},
+		{"the newest comes just in time", func(p *stage.Pending) { p.OlderUnknown, p.RunningLeft, p.OlderLeft = 40, 3410*ms, 5410*ms }, false},
+		{"the older one could not be loaded in time", func(p *stage.Pending) { p.RunningLeft, p.OlderLeft = 0, 2489*ms }, false},
+		{"the older one could just be loaded", func(p *stage.Pending) { p.RunningLeft, p.OlderLeft = 0, 2490*ms }, true},
+		{"the older one is complete among members", func(p *stage.Pending) { p.OlderUnknown = 0 }, true},
+		{"the older one has expired", func(p *stage.Pending) { p.OlderLeft = 0 }, false},
+		{"both take equally long and little of the older one is there", func(p *stage.Pending) { p.OlderUnknown, p.RunningLeft = 64, 0; p.OlderLeft = 4500 * ms }, false},
 	} {
-		NewWithT(t).Expect(stage.WorthFetchingFirstCopies(c.fetched, c.oneCopy, c.useful)).To(Equal(c.want), c.name)
+		p := base
+		c.change(&p)
+		NewWithT(t).Expect(stage.OlderFirst(p)).To(Equal(c.want), c.name)
 	}
 }
+
+func TestSpreadTime(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(stage.SpreadTime(1, 40*time.Millisecond)).To(BeZero())
+	g.Expect(stage.SpreadTime(64, 40*time.Millisecond)).To(Equal(360 * time.Millisecond))
+	g.Expect(stage.SpreadTime(64, 0)).To(BeZero())
+}
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -106,20 +106,6 @@
 	return float64(have) >= finishShare*float64(total)
 }
 
-// firstCopiesShare is the share of a copy's transfer time on the origin's link for which a
-// version must have been downloaded before it was superseded. If it was less, fetching the
-// remaining first copies would delay the newer version for longer than that time.
-const firstCopiesShare = 0.5
-
-// WorthFetchingFirstCopies returns whether the remaining first copies of a superseded version
-// are fetched from the origin. fetched is how long the version was downloaded, oneCopy the
-// transfer time of one copy on the origin's link (0 if unknown), and useful whether the
-// version could still be used. The origin may fail, but chunks that have been read from it
-// remain available from other VMs.
-func WorthFetchingFirstCopies(fetched, oneCopy time.Duration, useful bool) bool {
-	return useful && oneCopy > 0 && float64(fetched) >= firstCopiesShare*float64(oneCopy)
-}
-
 // maxStallTimeout is how long the newest version may make no progress before the download of
 // an older one is resumed, all chunks of which other VMs may have.
 const maxStallTimeout = 1200 * time.Millisecond
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -51,6 +51,9 @@
 	// history holds the times at which versions were named, as far as they are known here.
 	history *versions.History
 
+	// originStatus records whether the origin answers; all downloads share it.
+	originStatus *swarm.OriginStatus
+
 	// lease is the latest answer to a request for a load lease, and leaseRetryAt the earliest
 	// time of the next request. Both are used only by Run.
 	lease        Lease
@@ -90,9 +93,12 @@
 		complete:   map[string]target{},
 		superseded: map[string][]target{},
 		loading:    map[string]int64{},
-		crashes:    map[string]loadCrashes{},
-		orderSem:   make(chan struct{}, 1),
-		wake:       make(chan struct{}, 1),
+
+		originStatus: &swarm.OriginStatus{},
+
+		crashes:  map[string]loadCrashes{},
+		orderSem: make(chan struct{}, 1),
+		wake:     make(chan struct{}, 1),
 	}
 }
 
--- a/sidecar/stage/target.go
+++ b/sidecar/stage/target.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"slices"
 	"time"
 
 	"github.com/silverdeck/silverdeck/weights"
@@ -61,18 +62,41 @@
 	return s.targets[model]
 }
 
-// supersededTarget returns the newest target that precedes version, and whether it is newer
-// than the newest complete version.
-func (s *Stager) supersededTarget(model string, version int64) (target, bool) {
+// wantedVersions returns the versions of model to fetch, in ascending order: the newest one
+// unless it is complete, and of those before it that are newer than the newest complete one and
+// can still be used, the one of which most chunks are present.
+func (s *Stager) wantedVersions(model string) []target {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	former := s.superseded[model]
-	for i := len(former) - 1; i >= 0; i-- {
-		if former[i].version < version {
-			return former[i], former[i].version > s.complete[model].version
+	newest, complete := s.targets[model], s.complete[model].version
+	former := slices.Clone(s.superseded[model])
+	s.mu.Unlock()
+	if newest.version <= complete {
+		return nil
+	}
+	best, most := -1, 0
+	for i, t := range former {
+		if t.version <= complete || s.holdings.lookup(model, t.version) == nil || s.expiresTooSoon(model, t.version) {
+			continue
 		}
+		if n := s.chunkCount(model, t.version); best < 0 || n >= most {
+			best, most = i, n
+		}
+	}
+	if best < 0 {
+		return []target{newest}
+	}
+	return []target{former[best], newest}
+}
+
+// usableBefore returns the version that endpoints can run until version is complete: the newest
+// complete one. A VM that has just started assumes that it is the preceding one.
+func (s *Stager) usableBefore(model string, version int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if complete := s.complete[model].version; complete > 0 {
+		return complete
 	}
-	return target{}, false
+	return version - 1
 }
 
 // models returns the models that have a target.
--- a/swarm/availability.go
+++ b/swarm/availability.go
@@ -146,6 +146,11 @@
 	}
 }
 
+// known reports whether chunk c is here or at one of the neighbours.
+func (a *availability) known(c int) bool {
+	return a.have[c] || a.holders[c] != 0
+}
+
 // obtainable reports whether one of the neighbours in mask holds chunk c or has been asked
 // for it.
 func (a *availability) obtainable(c int, mask uint32) bool {
--- a/swarm/config.go
+++ b/swarm/config.go
@@ -39,9 +39,9 @@
 	// HeadStart is how long other members may have been reading from the origin when this
 	// download starts. Turns on the origin's link are counted from that earlier time.
 	HeadStart time.Duration
-	// FirstCopies restricts the download to the chunks of which this member is the home
-	// reader. They are due at once, and the download ends when they are complete.
-	FirstCopies bool
+	// OriginStatus records whether the origin answers and is shared with other downloads. If it
+	// is nil, the download has one of its own.
+	OriginStatus *OriginStatus
 	// Rand is the source of randomness for breaking ties and for backoff jitter.
 	Rand *rand.Rand
 }
@@ -102,9 +102,9 @@
 	return func(cfg *Config) { cfg.HeadStart = d }
 }
 
-// WithFirstCopies restricts the download to the chunks of which this member is the home reader.
-func WithFirstCopies() Option {
-	return func(cfg *Config) { cfg.FirstCopies = true }
+// WithOriginStatus sets the status of the origin, shared with other downloads.
+func WithOriginStatus(o *OriginStatus) Option {
+	return func(cfg *Config) { cfg.OriginStatus = o }
 }
 
 // WithRand sets the source of randomness, for reproducible tests.
@@ -154,6 +154,9 @@
 	for _, o := range opts {
 		o(&cfg)
 	}
+	if cfg.OriginStatus == nil {
+		cfg.OriginStatus = &OriginStatus{}
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -29,6 +29,7 @@
 	inflight sync.WaitGroup
 
 	mu      sync.Mutex
+	mode    Mode
 	members []Member
 	// standby lists the members that replace lost neighbours, in order of preference.
 	standby []Member
@@ -72,9 +73,7 @@
 	}
 	d.members = slices.Clone(members)
 	d.schedule = newSchedule(d)
-	if !cfg.FirstCopies {
-		d.standby = d.unusedCandidates()
-	}
+	d.standby = d.unusedCandidates()
 	return d
 }
 
@@ -94,6 +93,62 @@
 	return d.delays
 }
 
+// Mode says where a download takes chunks from.
+type Mode int
+
+const (
+	// ModeAll takes chunks from other members and the origin.
+	ModeAll Mode = iota
+	// ModeMembers takes chunks from other members only.
+	ModeMembers
+	// ModePaused requests no chunks.
+	ModePaused
+)
+
+// SetMode sets where chunks are taken from. Requests in flight are not canceled.
+func (d *Download) SetMode(m Mode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.mode == m {
+		return
+	}
+	if m == ModeAll {
+		d.schedule.restart(d, time.Now())
+	}
+	d.mode = m
+	d.signal()
+}
+
+// StartReading moves the first turn on the origin's link to the given time, so that the
+// members read this version after another one.
+func (d *Download) StartReading(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.schedule.restart(d, at)
+}
+
+// LastTurn returns when the origin's link has sent the chunks that no known member holds, if
+// each is read in its turn.
+func (d *Download) LastTurn() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.schedule.lastTurn(d)
+}
+
+// Unknown returns the number of chunks that neither this member nor one of its neighbours
+// holds.
+func (d *Download) Unknown() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for c := range d.avail.have {
+		if !d.avail.known(c) {
+			n++
+		}
+	}
+	return n
+}
+
 // Reading reports whether this member is reading chunk c from the origin or is about to. It
 // returns false if this VM's own link is congested, so that the reader next in rank takes over
 // at once instead of waiting for a chunk that would be late.
@@ -104,7 +159,7 @@
 		return false
 	}
 	_, n := d.set.Manifest().Range(c)
-	return !d.link.Congested() && d.schedule.willRead(c, n)
+	return !d.link.Congested() && d.schedule.willRead(c, n, d.mode == ModeAll)
 }
 
 // SetMembers replaces the list of members after VMs have joined or left.
@@ -133,7 +188,7 @@
 	defer cancel()
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
-	for !d.finished() {
+	for !d.set.Complete() {
 		d.step(ctx)
 		select {
 		case <-ctx.Done():
@@ -145,31 +200,14 @@
 	return nil
 }
 
-// finished reports whether the set is complete, or with FirstCopies whether all chunks of which
-// this member is the home reader are.
-func (d *Download) finished() bool {
-	if !d.cfg.FirstCopies || d.set.Complete() {
-		return d.set.Complete()
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for c := range d.avail.have {
-		if d.schedule.firstOfAll(c) && !d.avail.have[c] {
-			return false
-		}
-	}
-	return true
-}
-
 // step starts all requests that are possible now.
 func (d *Download) step(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cfg.FirstCopies {
-		d.startDue(ctx)
+	d.fillNeighbours(ctx)
+	if d.mode == ModePaused {
 		return
 	}
-	d.fillNeighbours(ctx)
 	d.startDue(ctx)
 	d.fetchMore(ctx)
 }
--- a/swarm/firstcopy_test.go
+++ b/swarm/firstcopy_test.go
@@ -115,10 +115,10 @@
 	g.Expect(crossed).To(BeNumerically("<=", runs*2*chunks*5/4))
 }
 
-// Guards against an incomplete version after a newer one replaces it. A newer version was published
-// while the first copies of this one were being read, and all VMs switched to it. When the origin
-// then failed, the VMs together held neither version completely.
-func TestFirstCopiesAreReadWithoutOtherChunks(t *testing.T) {
+// Guards against two versions sharing the origin's link, so that neither is complete before the
+// older one expires. The version that is to wait takes what other members have, and leaves the
+// origin to the other one.
+func TestADownloadThatMayNotReadTheOriginTakesOnlyWhatMembersHave(t *testing.T) {
 	simulate(t, func(net *network) {
 		_, m := version(0)
 		list := regions(3, 8)
@@ -126,22 +126,22 @@
 		net.start(m, list)
 		time.Sleep(copyTime * 6 / 10)
 		for _, x := range list {
-			net.get(x.VM).cancel()
+			net.get(x.VM).download.SetMode(swarm.ModeMembers)
 		}
-		time.Sleep(chunkTime)
-		before := net.origin.readCount()
-		net.options = append(net.options, swarm.WithFirstCopies())
+		time.Sleep(copyTime / 4) // reads that had begun
+		before, distinct := net.origin.readCount(), net.origin.distinctReads()
+		net.g.Expect(distinct).To(BeNumerically("<", chunks))
+		time.Sleep(2 * copyTime)
+		net.g.Expect(net.origin.readCount()).To(Equal(before))
 		for _, x := range list {
-			net.resume(x, list)
+			net.g.Expect(net.get(x.VM).set.Len()).To(Equal(distinct), "chunks that were read reach every member")
 		}
-		net.g.Expect(net.origin.distinctReads()).To(BeNumerically("<", chunks))
-		time.Sleep(copyTime * 6 / 10)
-		net.g.Expect(net.origin.distinctReads()).To(Equal(chunks))
-		net.g.Expect(net.origin.readCount()-before).To(BeNumerically("<=", chunks*6/10), "no chunk is read twice")
 		for _, x := range list {
-			v := net.get(x.VM)
-			net.g.Expect(<-v.done).To(Succeed(), "download ends with its own chunks")
-			net.g.Expect(v.set.Complete()).To(BeFalse())
+			net.get(x.VM).download.SetMode(swarm.ModeAll)
 		}
+		time.Sleep(copyTime * 6 / 10)
+		net.g.Expect(net.origin.distinctReads()).To(Equal(chunks), "the rest is read at the full rate")
+		net.g.Expect(net.origin.readCount()-before).To(BeNumerically("<=", chunks*6/10), "no chunk is read twice")
+		net.finish(time.Minute)
 	})
 }
--- a/swarm/neighbours.go
+++ b/swarm/neighbours.go
@@ -18,6 +18,9 @@
 	failureBackoff = 500 * time.Millisecond
 	// maxFailures is the number of consecutive failures after which a neighbour is replaced.
 	maxFailures = 3
+	// probeDivisor sets the shortest time between two attempts at a failing origin to half of
+	// the takeover delay.
+	probeDivisor = 2
 	// maxCorrupt is the number of corrupt chunks after which a member is banned for the rest
 	// of the download. A single one may be accidental.
 	maxCorrupt = 2
@@ -100,9 +103,14 @@
 		n.failures = 0
 	}
 	for _, c := range chunks {
-		if c >= 0 && c < len(d.avail.holders) {
-			d.avail.holders[c] |= 1 << i
+		if c < 0 || c >= len(d.avail.holders) {
+			continue
+		}
+		if !d.avail.known(c) && n.failures == 0 {
+			// Somebody may have read the chunk from the origin just now.
+			d.cfg.OriginStatus.retrySoon(d.cfg.takeoverDelay(d.set.Manifest().Size) / probeDivisor)
 		}
+		d.avail.holders[c] |= 1 << i
 	}
 	if len(chunks) > 0 {
 		d.signal()
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -39,7 +39,7 @@
 	now := time.Now()
 	s := &d.schedule
 	parallel := originParallel
-	if s.faults > 0 || d.link.Congested() {
+	if d.cfg.OriginStatus.suspect() || d.link.Congested() {
 		parallel = 1
 	}
 	prompt := d.promptNeighbours()
@@ -47,9 +47,6 @@
 		if s.countReading(home) >= parallel {
 			return
 		}
-		if d.cfg.FirstCopies && !s.firstOfAll(c) {
-			continue
-		}
 		if s.home[c] != home || now.Before(s.due[c]) || d.avail.have[c] || s.reading[c] || d.avail.obtainable(c, prompt) {
 			continue
 		}
@@ -99,7 +96,7 @@
 		case readerUnavailable:
 		}
 	}
-	if d.originFailing() && d.fetchFromOtherRegions(ctx, c) {
+	if d.originUnusable() && d.fetchFromOtherRegions(ctx, c) {
 		return
 	}
 	if d.waitsForFirstCopy(c) {
--- a/swarm/otherregions.go
+++ b/swarm/otherregions.go
@@ -2,12 +2,12 @@
 
 import "context"
 
-// originFailing reports whether the last read of the origin failed, or the origin has another
-// version.
-func (d *Download) originFailing() bool {
+// originUnusable reports whether the last read of the origin failed, the origin has another
+// version, or the download does not read from it.
+func (d *Download) originUnusable() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.schedule.faults > 0 || d.schedule.changed
+	return d.cfg.OriginStatus.suspect() || d.schedule.changed || d.mode != ModeAll
 }
 
 // fetchFromOtherRegions requests chunk c from its readers in other regions, which may have read
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/silverdeck/silverdeck/origin"
 )
@@ -37,11 +38,10 @@
 		d.originCorrupt(c)
 		return
 	}
-	if d.schedule.faults > 0 {
-		d.schedule.faults = 0
-		d.schedule.restart(d)
-	}
 	d.avail.have[c] = true
+	if d.cfg.OriginStatus.recordSuccess() {
+		d.schedule.restart(d, time.Now())
+	}
 	d.stats.Blocked = ""
 	if rank > 0 {
 		d.stats.Takeovers++
@@ -53,7 +53,7 @@
 func (d *Download) reserveRead(c int, n int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.schedule.allowsRead(n) {
+	if d.mode != ModeAll || !d.schedule.allowsRead(n) || !d.cfg.OriginStatus.allowsRead() {
 		d.recordBlockReason(n)
 		return false
 	}
@@ -94,18 +94,27 @@
 		return
 	}
 	d.stats.Blocked = "origin: " + err.Error()
-	// The origin caused the delay, not the members that should have read chunks earlier.
-	s.restart(d)
-	s.backOff(d)
+	if d.cfg.OriginStatus.recordFailure(d.originPause()) {
+		// The origin caused the delay, not the members that should have read chunks earlier.
+		s.restart(d, time.Now())
+	}
 }
 
-// originCorrupt handles a corrupt chunk from the origin, and backs off.
+// originPause returns the pause after a first failure of the origin and the jitter to apply.
 // The caller holds the lock.
+func (d *Download) originPause() (pause time.Duration, jitter float64) {
+	return d.cfg.takeoverDelay(d.set.Manifest().Size), 0.5 + d.cfg.Rand.Float64()/2
+}
+
+// originCorrupt handles a corrupt chunk from the origin. The chunk is read again after a pause
+// that grows; other chunks are not affected. The caller holds the lock.
 func (d *Download) originCorrupt(c int) {
 	s := &d.schedule
 	d.stats.CorruptOrigin++
+	pause, jitter := d.originPause()
+	pause <<= min(s.corrupt[c], maxBackoffShift)
 	s.corrupt[c]++
-	s.backOff(d)
+	s.due[c] = time.Now().Add(time.Duration(jitter * float64(pause)))
 	if s.corrupt[c] >= maxOriginCorrupt {
 		d.stats.Blocked = blockedCorrupt
 	}
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -55,10 +55,9 @@
 	// quota is how many bytes this member may still read from the origin.
 	quota   int64
 	limiter *rate.Limiter
-	// retryAt is when the origin may be read again after a failure.
-	retryAt time.Time
-	// faults counts consecutive origin failures.
-	faults int
+	// position is each chunk's place in the order of reads, counted among the chunks that were
+	// missing when the turns were computed.
+	position []int
 	// changed is set once the origin reports that it has another version.
 	changed bool
 }
@@ -80,6 +79,7 @@
 		fromOrigin: map[int]bool{},
 		postponed:  map[int]int{},
 	}
+	s.takePositions(d)
 	s.assign(d)
 	s.quota = s.share(d)
 	// The limiter is created with its final limits so that the full burst is available at
@@ -101,15 +101,40 @@
 	return rate.Limit(d.cfg.OriginRate / members), int(max(s.quota, d.set.Manifest().ChunkSize))
 }
 
-// restart recomputes the turns on the origin's link from the current time. Without it, all
-// members would read the chunks that became due during an outage at once when the origin
+// restart recomputes the turns on the origin's link, which begin at the given time. Without it,
+// all members would read the chunks that became due during an outage at once when the origin
 // recovers, and some chunks would be read twice before others are read at all.
-func (s *schedule) restart(d *Download) {
-	s.start = time.Now()
+func (s *schedule) restart(d *Download, at time.Time) {
+	s.start = at
 	clear(s.postponed)
+	s.takePositions(d)
 	s.assign(d)
 }
 
+// takePositions numbers the chunks that no known member holds. Chunks that others hold come
+// first, with the first turn: they need none.
+func (s *schedule) takePositions(d *Download) {
+	s.position = make([]int, len(s.due))
+	n := 0
+	for c := range s.position {
+		s.position[c] = n
+		if !d.avail.known(c) {
+			n++
+		}
+	}
+}
+
+// lastTurn returns the end of the last turn.
+func (s *schedule) lastTurn(d *Download) time.Time {
+	last := s.start
+	for c, p := range s.position {
+		if !d.avail.known(c) {
+			last = s.start.Add(turnOffset(d.cfg.OriginRate, d.set.Manifest(), p+1))
+		}
+	}
+	return last
+}
+
 // share returns how many bytes this member may read from the origin: the chunks of which it
 // is the first reader in its region, and its part of the spare copies. The fractional chunk of
 // that part is rounded up or down by the member's hash score, so that the result is the same
@@ -147,7 +172,7 @@
 	oneCopy := originLinkTime(d.cfg.OriginRate, m, len(m.Chunks))
 	region := inRegion(d.members, d.self.Region)
 	for c := range m.Chunks {
-		turn := s.start.Add(turnOffset(d.cfg.OriginRate, m, c))
+		turn := s.start.Add(turnOffset(d.cfg.OriginRate, m, s.position[c]))
 		ranks := ranked(d.set.Root(), c, region, maxRanks)
 		s.earlier[c], s.rank[c] = earlierReaders(ranks, d.self.VM)
 		wait := time.Duration(s.rank[c]) * late
@@ -166,17 +191,9 @@
 		if !s.home[c] {
 			s.originAt[c] = s.due[c].Add(oneCopy)
 		}
-		if d.cfg.FirstCopies {
-			s.due[c], s.originAt[c] = s.start, s.start
-		}
 	}
 }
 
-// firstOfAll reports whether this member is the home reader of chunk c.
-func (s *schedule) firstOfAll(c int) bool {
-	return s.home[c] && s.rank[c] == 0
-}
-
 // setBudget changes the limits on origin reads while the download runs.
 func (s *schedule) setBudget(d *Download, rate, copies float64) {
 	before := s.share(d)
@@ -233,26 +250,18 @@
 	return ranks, len(ranks)
 }
 
-// allowsRead reports whether n bytes may be read from the origin now.
+// allowsRead reports whether n bytes may be read from the origin.
 func (s *schedule) allowsRead(n int64) bool {
-	return !s.changed && s.quota >= n && !time.Now().Before(s.retryAt)
+	return !s.changed && s.quota >= n
 }
 
 // willRead reports whether this member is reading chunk c from the origin, or ranks first for
-// it and has quota left to read it. A member that only requests the chunk from others does
-// not count: two such members would wait for each other.
-func (s *schedule) willRead(c int, n int64) bool {
+// it and has quota left to read it, where mayRead is whether the download reads from the origin.
+// A member that only requests the chunk from others does not count: two such members would wait
+// for each other.
+func (s *schedule) willRead(c int, n int64, mayRead bool) bool {
 	if s.fromOrigin[c] {
 		return true
 	}
-	return s.rank[c] == 0 && !s.changed && s.quota >= n
-}
-
-// backOff suspends origin reads for a time that grows with each consecutive failure. Jitter
-// keeps members from retrying at the same moment.
-func (s *schedule) backOff(d *Download) {
-	s.faults++
-	pause := d.cfg.takeoverDelay(d.set.Manifest().Size) << min(s.faults-1, maxBackoffShift)
-	jitter := 0.5 + d.cfg.Rand.Float64()/2
-	s.retryAt = time.Now().Add(time.Duration(jitter * float64(pause)))
+	return mayRead && s.rank[c] == 0 && s.allowsRead(n)
 }
