--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -162,10 +162,10 @@
 	b.SetMode(swarm.ModeAll)
 	if olderFirst {
 		a.SetMode(swarm.ModeAll)
-		b.StartReading(a.LastTurn())
+		b.HoldUntil(a.LastTurn())
 		return
 	}
-	b.StartReading(time.Time{})
+	b.HoldUntil(now)
 	a.SetMode(s.modeBehindNewest(model, older.version, f.byVersion[newest.version], p))
 }
 
--- a/sidecar/stage/spread_test.go
+++ b/sidecar/stage/spread_test.go
@@ -17,9 +17,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/swarm/congestion"
+	"github.com/silverdeck/silverdeck/wait"
 	"github.com/silverdeck/silverdeck/weights"
 )
 
@@ -90,15 +92,33 @@
 
 // fleetVM is a VM that takes part in a rollout.
 type fleetVM struct {
-	member   swarm.Member
-	set      *weights.Set
-	download atomic.Pointer[swarm.Download]
+	member swarm.Member
+	// holdings are the chunk sets that the VM serves.
+	holdings atomic.Value // of heldSets
 	up, down *fakeLink
 	slots    chan struct{}
 	queue    chan struct{}
 	elapsed  time.Duration
+
+	mu sync.Mutex
+	// dead is set while the VM's process is gone, frozenUntil is when the VM runs again.
+	dead        bool
+	frozenUntil time.Time
+}
+
+// waitAwake waits until the VM answers. It returns false if its process is gone.
+func (v *fleetVM) waitAwake(ctx context.Context) bool {
+	v.mu.Lock()
+	dead, until := v.dead, v.frozenUntil
+	v.mu.Unlock()
+	return !dead && wait.For(ctx, time.Until(until))
 }
 
+// heldSets wraps exchange.Holdings of different types for an atomic.Value.
+type heldSets struct{ exchange.Holdings }
+
+func (v *fleetVM) sets() exchange.Holdings { return v.holdings.Load().(heldSets) }
+
 // rollout simulates the distribution of a version to a fleet in virtual time.
 type rollout struct {
 	site    site
@@ -183,10 +203,18 @@
 	vm *fleetVM
 }
 
-func (x transportOf) Have(ctx context.Context, m swarm.Member, _ weights.Digest, since int) ([]int, error) {
+func (x transportOf) Have(ctx context.Context, m swarm.Member, root weights.Digest, since int) ([]int, error) {
 	v := x.vms[m.VM]
 	time.Sleep(oneWayDelay)
-	list, more := v.set.Since(since)
+	if !v.waitAwake(ctx) {
+		return nil, errDown
+	}
+	set := v.sets().Set(root)
+	if set == nil {
+		time.Sleep(time.Second / 4)
+		return nil, ctx.Err()
+	}
+	list, more := set.Since(since)
 	if len(list) == 0 {
 		select {
 		case <-more:
@@ -195,17 +223,23 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		list, _ = v.set.Since(since)
+		list, _ = set.Since(since)
 	}
 	time.Sleep(oneWayDelay)
 	return list, ctx.Err()
 }
 
-func (x transportOf) Chunk(ctx context.Context, m swarm.Member, _ weights.Digest, i int) ([]byte, error) {
+func (x transportOf) Chunk(ctx context.Context, m swarm.Member, root weights.Digest, i int) ([]byte, error) {
 	v := x.vms[m.VM]
 	time.Sleep(2 * oneWayDelay)
-	b := v.set.Get(i)
-	if d := v.download.Load(); b == nil && d != nil && d.Reading(i) {
+	if !v.waitAwake(ctx) {
+		return nil, errDown
+	}
+	var b []byte
+	if set := v.sets().Set(root); set != nil {
+		b = set.Get(i)
+	}
+	if b == nil && v.sets().Reading(root, i) {
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalReading}
 	}
 	if b == nil {
@@ -280,12 +314,12 @@
 	}
 	slices.SortFunc(list, func(a, b swarm.Member) int { return bytes.Compare([]byte(a.VM), []byte(b.VM)) })
 	for _, x := range list {
-		s.vms[x.VM].set = weights.NewSet(m)
+		s.vms[x.VM].holdings.Store(heldSets{exchange.NewSets()})
 	}
 	named := time.Now()
 	var group sync.WaitGroup
 	for i, x := range list {
-		group.Go(func() { s.fetch(t, i, x, list, named) })
+		group.Go(func() { s.fetch(t, m, i, x, list, named) })
 	}
 	group.Wait()
 	var out []time.Duration
@@ -297,13 +331,15 @@
 }
 
 // fetch downloads the version on the VM at index i of list.
-func (s *rollout) fetch(t *testing.T, i int, x swarm.Member, list []swarm.Member, named time.Time) {
+func (s *rollout) fetch(t *testing.T, m *weights.Manifest, i int, x swarm.Member, list []swarm.Member, named time.Time) {
 	v := s.vms[x.VM]
 	time.Sleep(s.manifestDelay(i))
 	options := stage.DownloadOptions(s.site.origin, len(list), congestion.New(s.site.vm, int64(s.site.chunkSize)))
 	options = append(options, swarm.WithRand(rand.New(rand.NewPCG(uint64(i), 1))), swarm.WithHeadStart(s.manifestDelay(i)))
-	d := swarm.NewDownload(x, list, v.set, transportOf{s, v}, originOf{s, v}, options...)
-	v.download.Store(d)
+	sets := v.sets().(heldSets).Holdings.(*exchange.Sets)
+	set, _ := sets.Add(m)
+	d := swarm.NewDownload(x, list, set, transportOf{s, v}, originOf{s, v}, options...)
+	sets.SetDownload(m.Root(), d)
 	if err := d.Run(t.Context()); err != nil {
 		t.Error(err)
 	}
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -93,6 +93,10 @@
 	return d.delays
 }
 
+// holdTolerance is by how many chunks' times on the origin's link the first turn may differ from
+// the time it is held until.
+const holdTolerance = 2
+
 // Mode says where a download takes chunks from.
 type Mode int
 
@@ -119,12 +123,21 @@
 	d.signal()
 }
 
-// StartReading moves the first turn on the origin's link to the given time, so that the
-// members read this version after another one.
-func (d *Download) StartReading(at time.Time) {
+// HoldUntil moves the first turn on the origin's link to the given time, or to now if that is
+// past, so that the members read this version after another one. Turns that have begun stay.
+func (d *Download) HoldUntil(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.schedule.restart(d, at)
+	now := time.Now()
+	if at.Before(now) {
+		at = now
+	}
+	s := &d.schedule
+	tolerance := holdTolerance * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
+	if (at == now && !s.start.After(now)) || s.start.Sub(at).Abs() <= tolerance {
+		return
+	}
+	s.restart(d, at)
 }
 
 // LastTurn returns when the origin's link has sent the chunks that no known member holds, if
