--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -143,8 +143,8 @@
 	}
 	if len(wanted) < 2 {
 		f.first = 0
-		if len(wanted) == 1 {
-			s.setMode(model, wanted[0].version, swarm.ModeAll)
+		for _, t := range wanted {
+			s.fetchAlone(model, t.version)
 		}
 		return
 	}
@@ -152,7 +152,7 @@
 	a, b := s.downloadOf(model, older.version), s.downloadOf(model, newest.version)
 	if a == nil || b == nil {
 		for _, t := range wanted {
-			s.setMode(model, t.version, swarm.ModeAll)
+			s.fetchAlone(model, t.version)
 		}
 		return
 	}
@@ -162,10 +162,10 @@
 	b.SetMode(swarm.ModeAll)
 	if olderFirst {
 		a.SetMode(swarm.ModeAll)
-		b.HoldUntil(a.LastTurn())
+		b.ReadAfter(a)
 		return
 	}
-	b.HoldUntil(now)
+	b.ReadAfter(nil)
 	a.SetMode(s.modeBehindNewest(model, older.version, f.byVersion[newest.version], p))
 }
 
@@ -184,10 +184,12 @@
 	return swarm.ModePaused
 }
 
-// setMode sets where the download of a version, if there is one, takes chunks from.
-func (s *Stager) setMode(model string, version int64, m swarm.Mode) {
+// fetchAlone lets the download of a version, if there is one, read from the origin without
+// regard to another version.
+func (s *Stager) fetchAlone(model string, version int64) {
 	if d := s.downloadOf(model, version); d != nil {
-		d.SetMode(m)
+		d.SetMode(swarm.ModeAll)
+		d.ReadAfter(nil)
 	}
 }
 
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -31,6 +31,11 @@
 	mu      sync.Mutex
 	mode    Mode
 	members []Member
+	// after is the download whose chunks are read from the origin before those of this one, or
+	// nil.
+	after *Download
+	// resumedAt is the end of the last outage of the origin that the turns allow for.
+	resumedAt time.Time
 	// standby lists the members that replace lost neighbours, in order of preference.
 	standby []Member
 	avail   *availability
@@ -66,6 +71,7 @@
 	if d.link == nil {
 		d.link = congestion.New(cfg.LinkRate, set.Manifest().ChunkSize)
 	}
+	d.resumedAt = cfg.OriginStatus.resumed()
 	d.stats.Total = len(set.Manifest().Chunks)
 	held, _ := set.Since(0)
 	for _, c := range held {
@@ -93,9 +99,9 @@
 	return d.delays
 }
 
-// holdTolerance is by how many chunks' times on the origin's link the first turn may differ from
-// the time it is held until.
-const holdTolerance = 2
+// turnTolerance is by how many chunks' times on the origin's link the first turn may differ from
+// the end of the turns before it.
+const turnTolerance = 2
 
 // Mode says where a download takes chunks from.
 type Mode int
@@ -123,21 +129,41 @@
 	d.signal()
 }
 
-// HoldUntil moves the first turn on the origin's link to the given time, or to now if that is
-// past, so that the members read this version after another one. Turns that have begun stay.
-func (d *Download) HoldUntil(at time.Time) {
+// ReadAfter lets this download read from the origin once the chunks of another one, nil for
+// none, have had their turns there.
+func (d *Download) ReadAfter(other *Download) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.after = other
+	d.followOrigin()
+}
+
+// followOrigin recomputes the turns on the origin's link if an outage has ended, or if the turns
+// of the version that is read before this one end at another time. Turns that have begun stay.
+// The caller holds the lock.
+func (d *Download) followOrigin() {
+	if at := d.cfg.OriginStatus.resumed(); at.After(d.resumedAt) {
+		d.resumedAt = at
+		d.schedule.restart(d, at)
+	}
 	now := time.Now()
-	if at.Before(now) {
-		at = now
+	at := now
+	if d.after != nil {
+		at = d.after.LastTurn()
 	}
-	s := &d.schedule
-	tolerance := holdTolerance * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
-	if (at == now && !s.start.After(now)) || s.start.Sub(at).Abs() <= tolerance {
+	started := !d.schedule.start.After(now)
+	tolerance := turnTolerance * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
+	if (started && !at.After(now)) || d.schedule.start.Sub(at).Abs() <= tolerance {
 		return
 	}
-	s.restart(d, at)
+	d.schedule.restart(d, latest(at, now))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // LastTurn returns when the origin's link has sent the chunks that no known member holds, if
@@ -217,6 +243,7 @@
 func (d *Download) step(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.followOrigin()
 	d.fillNeighbours(ctx)
 	if d.mode == ModePaused {
 		return
--- a/swarm/neighbours.go
+++ b/swarm/neighbours.go
@@ -108,7 +108,7 @@
 		}
 		if !d.avail.known(c) && n.failures == 0 {
 			// Somebody may have read the chunk from the origin just now.
-			d.cfg.OriginStatus.retrySoon(d.cfg.takeoverDelay(d.set.Manifest().Size) / probeDivisor)
+			d.cfg.OriginStatus.recordHint(d.cfg.takeoverDelay(d.set.Manifest().Size) / probeDivisor)
 		}
 		d.avail.holders[c] |= 1 << i
 	}
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -184,10 +184,14 @@
 	d.schedule.due[c] = time.Now().Add(step)
 }
 
-// mayPostpone reports whether chunk c may be postponed once more in favour of m.
+// mayPostpone reports whether chunk c may be postponed once more in favour of m. While the origin
+// does not answer, no other member could read it either.
 func (d *Download) mayPostpone(c int, m Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cfg.OriginStatus.Failing() {
+		return true
+	}
 	if m.Region != d.self.Region {
 		return d.schedule.postponed[c] < maxRemotePostponements
 	}
--- a/swarm/originstatus.go
+++ b/swarm/originstatus.go
@@ -20,6 +20,8 @@
 	failedAt time.Time
 	// retryAt is when the origin may be read again after a failure.
 	retryAt time.Time
+	// resumedAt is when the origin last seemed to answer again after an outage.
+	resumedAt time.Time
 }
 
 // Failing reports whether the last reads from the origin failed.
@@ -44,34 +46,47 @@
 }
 
 // recordFailure suspends reads for pause, which doubles with each consecutive failure up to
-// maxBackoffShift times. jitter in [0.5, 1] keeps members from retrying at the same moment. It
-// reports whether the origin counts as failing.
-func (o *OriginStatus) recordFailure(pause time.Duration, jitter float64) bool {
+// maxBackoffShift times. jitter in [0.5, 1] keeps members from retrying at the same moment.
+func (o *OriginStatus) recordFailure(pause time.Duration, jitter float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.faults++
 	pause <<= min(o.faults-1, maxBackoffShift)
 	o.failedAt = time.Now()
 	o.retryAt = o.failedAt.Add(time.Duration(jitter * float64(pause)))
-	return o.faults >= outageFaults
 }
 
-// recordSuccess records a successful read. It reports whether the origin was failing before.
-func (o *OriginStatus) recordSuccess() bool {
+// recordSuccess records a successful read.
+func (o *OriginStatus) recordSuccess() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	failing := o.faults >= outageFaults
+	o.resume(time.Now())
 	o.faults = 0
 	o.retryAt = time.Time{}
-	return failing
 }
 
-// retrySoon ends the suspension of reads because another member seems to have read from the
-// origin. minPause is the shortest time between two attempts.
-func (o *OriginStatus) retrySoon(minPause time.Duration) {
+// recordHint records that another member seems to have read from the origin, which ends the
+// suspension of reads. minPause is the shortest time between two attempts.
+func (o *OriginStatus) recordHint(minPause time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if at := o.failedAt.Add(minPause); at.Before(o.retryAt) {
-		o.retryAt = at
+	if o.faults == 0 || time.Since(o.failedAt) < minPause {
+		return
+	}
+	o.retryAt = time.Time{}
+	o.resume(time.Now())
+}
+
+// resume records the end of an outage unless it is recorded already. The caller holds the lock.
+func (o *OriginStatus) resume(now time.Time) {
+	if o.faults >= outageFaults && o.resumedAt.Before(o.failedAt) {
+		o.resumedAt = now
 	}
 }
+
+// resumed returns when the origin last seemed to answer again after an outage.
+func (o *OriginStatus) resumed() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.resumedAt
+}
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -46,9 +46,7 @@
 		return
 	}
 	d.avail.have[c] = true
-	if d.cfg.OriginStatus.recordSuccess() {
-		d.schedule.restart(d, time.Now())
-	}
+	d.cfg.OriginStatus.recordSuccess()
 	d.stats.Blocked = ""
 	if rank > 0 {
 		d.stats.Takeovers++
@@ -60,7 +58,7 @@
 func (d *Download) reserveRead(c int, n int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.mode != ModeAll || !d.schedule.allowsRead(n) || !d.cfg.OriginStatus.allowsRead() {
+	if !d.mayReadOrigin() || !d.schedule.allowsRead(n) || !d.cfg.OriginStatus.allowsRead() {
 		d.recordBlockReason(n)
 		return false
 	}
@@ -69,6 +67,12 @@
 	return true
 }
 
+// mayReadOrigin reports whether this download may read from the origin. While the origin does
+// not answer, only the version that is read first tries it. The caller holds the lock.
+func (d *Download) mayReadOrigin() bool {
+	return d.mode == ModeAll && (d.after == nil || !d.cfg.OriginStatus.suspect())
+}
+
 // Values of Stats.Blocked.
 const (
 	blockedChanged = "the origin no longer has this version; the rest can only come from other VMs"
@@ -101,10 +105,7 @@
 		return
 	}
 	d.stats.Blocked = "origin: " + err.Error()
-	if d.cfg.OriginStatus.recordFailure(d.originPause()) {
-		// The origin caused the delay, not the members that should have read chunks earlier.
-		s.restart(d, time.Now())
-	}
+	d.cfg.OriginStatus.recordFailure(d.originPause())
 }
 
 // originPause returns the pause after a first failure of the origin and the jitter to apply.
