--- a/sidecar/stage/download.go
+++ b/sidecar/stage/download.go
@@ -38,7 +38,11 @@
 	d := swarm.NewDownload(s.cfg.Self, members, set, s.cfg.Peers, s.originReader(model, version, set),
 		append(DownloadOptions(s.cfg.Origin.Rate(ctx), len(members), s.linkMeter(set.Manifest().ChunkSize)),
 			swarm.WithHeadStart(headStart), swarm.WithOriginStatus(s.originStatus))...)
+	if s.fetchesOlder(model, version) {
+		d.SetMode(swarm.ModeMembers) // until the order of both is decided
+	}
 	s.holdings.SetDownload(set.Root(), d)
+	s.wakeFetchLoop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go s.refreshMembers(ctx, d)
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -50,10 +50,35 @@
 			}
 			s.fetchWanted(ctx, model, f)
 		}
-		wait.For(ctx, pollInterval)
+		s.awaitFetchEvent(ctx)
 	}
 }
 
+// awaitFetchEvent waits for pollInterval or until a download begins.
+func (s *Stager) awaitFetchEvent(ctx context.Context) {
+	t := time.NewTimer(pollInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.fetchWake:
+	case <-t.C:
+	}
+}
+
+// wakeFetchLoop lets the fetch loop decide anew.
+func (s *Stager) wakeFetchLoop() {
+	select {
+	case s.fetchWake <- struct{}{}:
+	default:
+	}
+}
+
+// fetchesOlder returns whether an older version than the given one is wanted as well.
+func (s *Stager) fetchesOlder(model string, version int64) bool {
+	wanted := s.wantedVersions(model)
+	return len(wanted) == 2 && wanted[0].version < version
+}
+
 // fetchWanted starts to fetch the wanted versions of model, ends the fetches of others, and
 // orders those that remain.
 func (s *Stager) fetchWanted(ctx context.Context, model string, f *fetches) {
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -51,6 +51,8 @@
 	// history holds the times at which versions were named, as far as they are known here.
 	history *versions.History
 
+	// fetchWake wakes the fetch loop.
+	fetchWake chan struct{}
 	// originStatus records whether the origin answers; all downloads share it.
 	originStatus *swarm.OriginStatus
 
@@ -94,6 +96,7 @@
 		superseded: map[string][]target{},
 		loading:    map[string]int64{},
 
+		fetchWake:    make(chan struct{}, 1),
 		originStatus: &swarm.OriginStatus{},
 
 		crashes:  map[string]loadCrashes{},
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -149,7 +149,7 @@
 	now := time.Now()
 	at := now
 	if d.after != nil {
-		at = d.after.LastTurn()
+		at = d.after.readsEnd()
 	}
 	started := !d.schedule.start.After(now)
 	tolerance := turnTolerance * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
@@ -166,12 +166,12 @@
 	return b
 }
 
-// LastTurn returns when the origin's link has sent the chunks that no known member holds, if
+// readsEnd returns when the origin's link has sent the chunks that no known member holds, if
 // each is read in its turn.
-func (d *Download) LastTurn() time.Time {
+func (d *Download) readsEnd() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.schedule.lastTurn(d)
+	return d.schedule.end(d)
 }
 
 // Unknown returns the number of chunks that neither this member nor one of its neighbours
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -124,15 +124,16 @@
 	}
 }
 
-// lastTurn returns the end of the last turn.
-func (s *schedule) lastTurn(d *Download) time.Time {
-	last := s.start
+// end returns when the origin's link has sent the last of the chunks that no known member holds.
+// Turns are shorter than that takes.
+func (s *schedule) end(d *Download) time.Time {
+	end := s.start
 	for c, p := range s.position {
 		if !d.avail.known(c) {
-			last = s.start.Add(turnOffset(d.cfg.OriginRate, d.set.Manifest(), p+1))
+			end = s.start.Add(originLinkTime(d.cfg.OriginRate, d.set.Manifest(), p+1))
 		}
 	}
-	return last
+	return end
 }
 
 // share returns how many bytes this member may read from the origin: the chunks of which it
