--- a/swarm/originstatus.go
+++ b/swarm/originstatus.go
@@ -9,6 +9,9 @@
 // failing. A single read may break off although the origin answers others.
 const outageFaults = 2
 
+// relapseTime is how long after the end of an outage a single failed read shows that it lasts.
+const relapseTime = time.Second
+
 // OriginStatus records whether the origin answers. All downloads of a VM share one: an origin
 // that fails one version fails the others as well, and a download that starts during an outage
 // must not try it at once. It is safe for concurrent use.
@@ -51,6 +54,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.faults++
+	if time.Since(o.resumedAt) < relapseTime {
+		o.faults = max(o.faults, outageFaults)
+	}
 	pause <<= min(o.faults-1, maxBackoffShift)
 	o.failedAt = time.Now()
 	o.retryAt = o.failedAt.Add(time.Duration(jitter * float64(pause)))
@@ -60,28 +66,26 @@
 func (o *OriginStatus) recordSuccess() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.resume(time.Now())
-	o.faults = 0
-	o.retryAt = time.Time{}
+	o.resume()
 }
 
-// recordHint records that another member seems to have read from the origin, which ends the
-// suspension of reads. minPause is the shortest time between two attempts.
+// recordHint records that another member seems to have read from the origin. It has no effect
+// within minPause of the last failed read.
 func (o *OriginStatus) recordHint(minPause time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.faults == 0 || time.Since(o.failedAt) < minPause {
-		return
+	if o.faults > 0 && time.Since(o.failedAt) >= minPause {
+		o.resume()
 	}
-	o.retryAt = time.Time{}
-	o.resume(time.Now())
 }
 
-// resume records the end of an outage unless it is recorded already. The caller holds the lock.
-func (o *OriginStatus) resume(now time.Time) {
-	if o.faults >= outageFaults && o.resumedAt.Before(o.failedAt) {
-		o.resumedAt = now
+// resume ends the suspension of reads. The caller holds the lock.
+func (o *OriginStatus) resume() {
+	if o.faults >= outageFaults {
+		o.resumedAt = time.Now()
 	}
+	o.faults = 0
+	o.retryAt = time.Time{}
 }
 
 // resumed returns when the origin last seemed to answer again after an outage.
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -106,6 +106,10 @@
 	}
 	d.stats.Blocked = "origin: " + err.Error()
 	d.cfg.OriginStatus.recordFailure(d.originPause())
+	if d.cfg.OriginStatus.Failing() {
+		// The origin caused the delay, not the members that should have read chunks earlier.
+		s.restart(d, time.Now())
+	}
 }
 
 // originPause returns the pause after a first failure of the origin and the jitter to apply.
