--- a/swarm/download.go
+++ b/swarm/download.go
@@ -171,6 +171,7 @@
 func (d *Download) readsEnd() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.followOrigin() // the turns may be those from before an outage
 	return d.schedule.end(d)
 }
 
