--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -26,6 +26,9 @@
 const (
 	chunkPath   = "/chunks/"
 	WeightsPath = "/weights/"
+	// firstCopyParam is the query parameter of a request for the first copy of a chunk for
+	// another region.
+	firstCopyParam = "first"
 )
 
 // Timeouts and delays.
@@ -35,6 +38,8 @@
 	// defaultCoalescing is how long announcements of new chunks are coalesced before they are
 	// sent.
 	defaultCoalescing = 450 * time.Millisecond
+	// firstCopyWait is how long a request for a first copy waits for a chunk that is being read.
+	firstCopyWait = 250 * time.Millisecond
 	// chunkWriteTimeout limits the time for sending a chunk.
 	chunkWriteTimeout = 30 * time.Second
 )
@@ -68,8 +73,11 @@
 }
 
 // Chunk implements swarm.Transport.
-func (c *Client) Chunk(ctx context.Context, m swarm.Member, root weights.Digest, i int) ([]byte, error) {
-	url := c.urlPrefix + m.Addr + chunkPath + root.String() + "/" + strconv.Itoa(i)
+func (c *Client) Chunk(ctx context.Context, m swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	url := c.urlPrefix + m.Addr + chunkPath + req.Root.String() + "/" + strconv.Itoa(req.Chunk)
+	if req.FirstCopy {
+		url += "?" + firstCopyParam
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -88,10 +96,10 @@
 	case http.StatusServiceUnavailable:
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalBusy}
 	default:
-		return nil, fmt.Errorf("exchange: chunk %d from %s: unexpected status %s", i, m.Addr, resp.Status)
+		return nil, fmt.Errorf("exchange: chunk %d from %s: unexpected status %s", req.Chunk, m.Addr, resp.Status)
 	}
 	if resp.ContentLength < 0 || resp.ContentLength > weights.MaxChunkSize {
-		return nil, fmt.Errorf("exchange: chunk %d from %s: content length %d, want 0 to %d", i, m.Addr, resp.ContentLength, weights.MaxChunkSize)
+		return nil, fmt.Errorf("exchange: chunk %d from %s: content length %d, want 0 to %d", req.Chunk, m.Addr, resp.ContentLength, weights.MaxChunkSize)
 	}
 	b := make([]byte, resp.ContentLength)
 	_, err = io.ReadFull(resp.Body, b)
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -19,9 +20,7 @@
 // VM.
 type Server struct {
 	holdings Holdings
-	slots    chan struct{}
-	// queue has capacity for the requests that wait and for those that hold an upload slot.
-	queue chan struct{}
+	slots    *Slots
 	// waiting is the number of requests that may wait for each upload slot.
 	waiting int
 	// coalescing is how long announcements of new chunks are coalesced before they are sent.
@@ -58,14 +57,13 @@
 func NewServer(holdings Holdings, slots int, opts ...ServerOption) *Server {
 	s := &Server{
 		holdings:   holdings,
-		slots:      make(chan struct{}, slots),
 		waiting:    defaultQueueLength,
 		coalescing: defaultCoalescing,
 	}
 	for _, o := range opts {
 		o(s)
 	}
-	s.queue = make(chan struct{}, slots*(s.waiting+1))
+	s.slots = NewSlots(slots, s.waiting)
 	return s
 }
 
@@ -124,16 +122,20 @@
 		http.Error(w, "bad chunk number", http.StatusBadRequest)
 		return
 	}
+	first := r.URL.Query().Has(firstCopyParam)
 	b := s.chunk(root, i)
+	if b == nil && first {
+		b = s.awaitChunk(r.Context(), root, i)
+	}
 	if b == nil {
 		http.Error(w, "absent", s.absentStatus(root, i))
 		return
 	}
-	if !s.acquireSlot(r) {
+	if !s.slots.Acquire(r.Context(), first) {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
 	}
-	defer s.releaseSlot()
+	defer s.slots.Release()
 	// If the peer is gone, this and the following calls fail. The errors are ignored because the
 	// peer requests the chunk elsewhere.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(chunkWriteTimeout))
@@ -177,27 +179,29 @@
 	return http.StatusNotFound
 }
 
-// acquireSlot waits for an upload slot. It returns false if the queue is full or the request is
-// canceled.
-func (s *Server) acquireSlot(r *http.Request) bool {
-	select {
-	case s.queue <- struct{}{}:
-	default:
-		return false
-	}
-	select {
-	case s.slots <- struct{}{}:
-		return true
-	case <-r.Context().Done():
-		<-s.queue
-		return false
+// awaitChunk waits up to firstCopyWait for chunk i of root while it is being read from the origin
+// here. It returns nil if the chunk does not arrive.
+func (s *Server) awaitChunk(ctx context.Context, root weights.Digest, i int) []byte {
+	set := s.holdings.Set(root)
+	if set == nil {
+		return nil
 	}
-}
-
-// releaseSlot releases an upload slot and its place in the queue.
-func (s *Server) releaseSlot() {
-	<-s.slots
-	<-s.queue
+	t := time.NewTimer(firstCopyWait)
+	defer t.Stop()
+	for s.holdings.Reading(root, i) {
+		_, arrived := set.Since(set.Len())
+		if b := set.Get(i); b != nil {
+			return b
+		}
+		select {
+		case <-arrived:
+		case <-t.C:
+			return set.Get(i)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return set.Get(i)
 }
 
 // serveWeights sends the complete weights to the engine on this VM.
--- a/sidecar/stage/neighbour_test.go
+++ b/sidecar/stage/neighbour_test.go
@@ -52,7 +52,8 @@
 	return nil, ctx.Err()
 }
 
-func (n *fakePeers) Chunk(ctx context.Context, m swarm.Member, root weights.Digest, i int) ([]byte, error) {
+func (n *fakePeers) Chunk(ctx context.Context, m swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	root, i := req.Root, req.Chunk
 	switch {
 	case m.VM == "dead":
 		<-ctx.Done()
--- a/sidecar/stage/replaced_test.go
+++ b/sidecar/stage/replaced_test.go
@@ -57,7 +57,8 @@
 // slowPeers are fakePeers of which one serves all chunks, in 100 ms each.
 type slowPeers struct{ *fakePeers }
 
-func (n slowPeers) Chunk(ctx context.Context, m swarm.Member, root weights.Digest, i int) ([]byte, error) {
+func (n slowPeers) Chunk(ctx context.Context, m swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	root, i := req.Root, req.Chunk
 	if m.VM == "dead" || root != rootOf(2) {
 		return nil, errUnavailable
 	}
--- a/sidecar/stage/spread_test.go
+++ b/sidecar/stage/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -96,8 +97,7 @@
 	// holdings are the chunk sets that the VM serves.
 	holdings atomic.Value // of heldSets
 	up, down *fakeLink
-	slots    chan struct{}
-	queue    chan struct{}
+	slots    *exchange.Slots
 	elapsed  time.Duration
 
 	mu sync.Mutex
@@ -229,7 +229,8 @@
 	return list, ctx.Err()
 }
 
-func (x transportOf) Chunk(ctx context.Context, m swarm.Member, root weights.Digest, i int) ([]byte, error) {
+func (x transportOf) Chunk(ctx context.Context, m swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	root, i := req.Root, req.Chunk
 	v := x.vms[m.VM]
 	time.Sleep(2 * oneWayDelay)
 	if !v.waitAwake(ctx) {
@@ -239,22 +240,20 @@
 	if set := v.sets().Set(root); set != nil {
 		b = set.Get(i)
 	}
+	for n := 0; b == nil && req.FirstCopy && n < 25 && v.sets().Reading(root, i); n++ {
+		time.Sleep(10 * time.Millisecond)
+		if set := v.sets().Set(root); set != nil {
+			b = set.Get(i)
+		}
+	}
 	if b == nil && v.sets().Reading(root, i) {
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalReading}
 	}
 	if b == nil {
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalAbsent}
 	}
-	select {
-	case v.queue <- struct{}{}:
-	default:
-		return nil, &swarm.RefusalError{Refusal: swarm.RefusalBusy}
-	}
-	select {
-	case v.slots <- struct{}{}:
-	case <-ctx.Done():
-		<-v.queue
-		return nil, ctx.Err()
+	if !v.slots.Acquire(ctx, req.FirstCopy) {
+		return nil, cmp.Or(ctx.Err(), error(&swarm.RefusalError{Refusal: swarm.RefusalBusy}))
 	}
 	links := []*fakeLink{v.up}
 	if m.Region != x.vm.member.Region {
@@ -264,8 +263,7 @@
 		x.mu.Unlock()
 	}
 	last := transfer(len(b), append(links, x.vm.down)...)
-	<-v.slots
-	<-v.queue
+	v.slots.Release()
 	time.Sleep(time.Until(last))
 	return b, ctx.Err()
 }
@@ -296,7 +294,7 @@
 		s.vms[vm] = &fleetVM{
 			member: swarm.Member{VM: vm, Addr: vm, Zone: name(i % regions), Region: name(i % regions)},
 			up:     &fakeLink{rate: stage.PaceShare * x.vm}, down: &fakeLink{rate: x.vm},
-			slots: make(chan struct{}, stage.Uploads), queue: make(chan struct{}, stage.Uploads*(stage.QueuedUploads+1)),
+			slots: exchange.NewSlots(stage.Uploads, stage.QueuedUploads),
 		}
 	}
 	return s
--- a/standalone/agent/loader/loader_test.go
+++ b/standalone/agent/loader/loader_test.go
@@ -132,7 +132,7 @@
 	return nil, ctx.Err()
 }
 
-func (noPeers) Chunk(context.Context, swarm.Member, weights.Digest, int) ([]byte, error) {
+func (noPeers) Chunk(context.Context, swarm.Member, swarm.ChunkRequest) ([]byte, error) {
 	return nil, &swarm.RefusalError{Refusal: swarm.RefusalAbsent}
 }
 
--- a/standalone/bench/burst/node.go
+++ b/standalone/bench/burst/node.go
@@ -124,8 +124,8 @@
 }
 
 // Chunk implements swarm.Transport.
-func (c *corrupter) Chunk(ctx context.Context, m swarm.Member, root weights.Digest, i int) ([]byte, error) {
-	b, err := c.Transport.Chunk(ctx, m, root, i)
+func (c *corrupter) Chunk(ctx context.Context, m swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	b, err := c.Transport.Chunk(ctx, m, req)
 	if err == nil && rand.Float64()*100 < c.percent {
 		b[0] ^= 0xff
 	}
--- a/swarm/download_test.go
+++ b/swarm/download_test.go
@@ -231,7 +231,7 @@
 	return nil, ctx.Err()
 }
 
-func (alwaysReading) Chunk(context.Context, swarm.Member, weights.Digest, int) ([]byte, error) {
+func (alwaysReading) Chunk(context.Context, swarm.Member, swarm.ChunkRequest) ([]byte, error) {
 	return nil, &swarm.RefusalError{Refusal: swarm.RefusalReading}
 }
 
--- a/swarm/fakes_test.go
+++ b/swarm/fakes_test.go
@@ -352,7 +352,8 @@
 	return list, nil
 }
 
-func (d *memberTransport) Chunk(ctx context.Context, m swarm.Member, _ weights.Digest, i int) ([]byte, error) {
+func (d *memberTransport) Chunk(ctx context.Context, m swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	i := req.Chunk
 	v, err := d.reach(ctx, m)
 	if err != nil {
 		return nil, err
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -123,7 +123,7 @@
 // one, that shared this VM's link when it ended.
 func (d *Download) getChunk(ctx context.Context, m Member, c int) ([]byte, int, error) {
 	d.link.Begin()
-	b, err := d.peers.Chunk(ctx, m, d.set.Root(), c)
+	b, err := d.peers.Chunk(ctx, m, ChunkRequest{Root: d.set.Root(), Chunk: c, FirstCopy: m.Region != d.self.Region})
 	return b, d.link.End(), err
 }
 
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -189,7 +189,7 @@
 func (d *Download) mayPostpone(c int, m Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cfg.OriginStatus.Failing() {
+	if d.cfg.OriginStatus.suspect() {
 		return true
 	}
 	if m.Region != d.self.Region {
--- a/swarm/originstatus.go
+++ b/swarm/originstatus.go
@@ -9,6 +9,10 @@
 // failing. A single read may break off although the origin answers others.
 const outageFaults = 2
 
+// lastingFault is the time after a failed read from which the origin counts as failing if no
+// read has succeeded since.
+const lastingFault = 500 * time.Millisecond
+
 // relapseTime is how long after the end of an outage a single failed read shows that it lasts.
 const relapseTime = time.Second
 
@@ -31,7 +35,12 @@
 func (o *OriginStatus) Failing() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.faults >= outageFaults
+	return o.failing()
+}
+
+// failing is Failing for a caller that holds the lock.
+func (o *OriginStatus) failing() bool {
+	return o.faults >= outageFaults || (o.faults > 0 && time.Since(o.failedAt) >= lastingFault)
 }
 
 // suspect reports whether the last read from the origin failed.
@@ -74,14 +83,14 @@
 func (o *OriginStatus) recordHint(minPause time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.faults > 0 && time.Since(o.failedAt) >= minPause {
+	if o.failing() && time.Since(o.failedAt) >= minPause {
 		o.resume()
 	}
 }
 
 // resume ends the suspension of reads. The caller holds the lock.
 func (o *OriginStatus) resume() {
-	if o.faults >= outageFaults {
+	if o.failing() {
 		o.resumedAt = time.Now()
 	}
 	o.faults = 0
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -185,7 +185,7 @@
 		s.home[c] = len(home) == 0 || home[0].Region == d.self.Region
 		if !s.home[c] {
 			s.earlier[c] = withHomeReader(s.earlier[c], home[0], s.rank[c])
-			wait += late / remoteStartDivisor
+			wait += min(late/remoteStartDivisor, originLinkTime(d.cfg.OriginRate, m, 1))
 		}
 		s.due[c] = turn.Add(wait)
 		s.originAt[c] = s.due[c]
--- a/swarm/sharedlink_test.go
+++ b/swarm/sharedlink_test.go
@@ -33,7 +33,8 @@
 	return news, ctx.Err()
 }
 
-func (l *narrowLink) Chunk(ctx context.Context, _ swarm.Member, _ weights.Digest, i int) ([]byte, error) {
+func (l *narrowLink) Chunk(ctx context.Context, _ swarm.Member, req swarm.ChunkRequest) ([]byte, error) {
+	i := req.Chunk
 	l.count(1)
 	defer l.count(-1)
 	done := make(chan struct{})
@@ -111,7 +112,7 @@
 	return news, ctx.Err()
 }
 
-func (s *unresponsive) Chunk(ctx context.Context, _ swarm.Member, _ weights.Digest, _ int) ([]byte, error) {
+func (s *unresponsive) Chunk(ctx context.Context, _ swarm.Member, _ swarm.ChunkRequest) ([]byte, error) {
 	began := time.Now()
 	<-ctx.Done()
 	s.mu.Lock()
--- a/swarm/transport.go
+++ b/swarm/transport.go
@@ -12,9 +12,18 @@
 	// Have returns the chunks that m holds beyond the first since ones, in order of arrival.
 	// If there are none, it may block until one arrives or for a time that the callee sets.
 	Have(ctx context.Context, m Member, root weights.Digest, since int) ([]int, error)
-	// Chunk returns the unverified bytes of chunk i from m. The error is a *RefusalError if m
+	// Chunk returns the unverified bytes of a chunk from m. The error is a *RefusalError if m
 	// declined to send the chunk.
-	Chunk(ctx context.Context, m Member, root weights.Digest, i int) ([]byte, error)
+	Chunk(ctx context.Context, m Member, req ChunkRequest) ([]byte, error)
+}
+
+// ChunkRequest requests a chunk from another member.
+type ChunkRequest struct {
+	Root  weights.Digest
+	Chunk int
+	// FirstCopy is set if the chunk is the first copy for another region. The member may wait
+	// for a chunk that it is reading from the origin, and sends it before others.
+	FirstCopy bool
 }
 
 // Origin reads chunks from the store that weights are published in.
