--- a/swarm/download.go
+++ b/swarm/download.go
@@ -226,10 +226,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.inflight.Wait()
 	defer cancel()
-	t := time.NewTicker(pollInterval)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for !d.set.Complete() {
 		d.step(ctx)
+		t.Reset(d.untilNextTurn())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -240,6 +241,19 @@
 	return nil
 }
 
+// untilNextTurn returns how long Run may wait: until the next turn, at most pollInterval.
+func (d *Download) untilNextTurn() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wait := pollInterval
+	for c, due := range d.schedule.due {
+		if left := time.Until(due); left > 0 && !d.avail.have[c] {
+			wait = min(wait, left)
+		}
+	}
+	return wait
+}
+
 // step starts all requests that are possible now.
 func (d *Download) step(ctx context.Context) {
 	d.mu.Lock()
--- a/swarm/fetch.go
+++ b/swarm/fetch.go
@@ -85,7 +85,7 @@
 		d.markStraggler(m)
 	}).Stop()
 	fctx, cancel := context.WithTimeout(ctx, limit)
-	b, concurrent, err := d.getChunk(fctx, m, c)
+	b, concurrent, err := d.getChunk(fctx, m, c, false)
 	cancel()
 	took := time.Since(began)
 	if ctx.Err() != nil {
@@ -121,9 +121,9 @@
 
 // getChunk requests chunk c from m. It also returns the number of requests, including this
 // one, that shared this VM's link when it ended.
-func (d *Download) getChunk(ctx context.Context, m Member, c int) ([]byte, int, error) {
+func (d *Download) getChunk(ctx context.Context, m Member, c int, firstCopy bool) ([]byte, int, error) {
 	d.link.Begin()
-	b, err := d.peers.Chunk(ctx, m, ChunkRequest{Root: d.set.Root(), Chunk: c, FirstCopy: m.Region != d.self.Region})
+	b, err := d.peers.Chunk(ctx, m, ChunkRequest{Root: d.set.Root(), Chunk: c, FirstCopy: firstCopy})
 	return b, d.link.End(), err
 }
 
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -72,6 +72,7 @@
 func (d *Download) obtain(ctx context.Context, c int, earlier []Member, rank int) {
 	defer d.inflight.Done()
 	defer d.signal()
+	began := time.Now()
 	defer func() {
 		d.mu.Lock()
 		delete(d.schedule.reading, c)
@@ -85,12 +86,12 @@
 		if passed {
 			continue
 		}
-		switch d.fetchFromReader(ctx, c, m) {
+		switch d.fetchFromReader(ctx, c, m, m.Region != d.self.Region) {
 		case readerDelivered:
 			return
 		case readerPending:
 			if d.mayPostpone(c, m) {
-				d.postpone(c)
+				d.postpone(c, began)
 				return
 			}
 		case readerUnavailable:
@@ -99,11 +100,9 @@
 	if d.originUnusable() && d.fetchFromOtherRegions(ctx, c) {
 		return
 	}
-	if d.waitsForFirstCopy(c) {
-		d.postpone(c)
-		return
+	if d.waitsForFirstCopy(c) || !d.readOrigin(ctx, c, rank) {
+		d.postpone(c, began)
 	}
-	d.readOrigin(ctx, c, rank)
 }
 
 // waitsForFirstCopy reports whether this member has to leave chunk c to the region of its home
@@ -129,10 +128,11 @@
 
 // fetchFromReader requests chunk c from m, which should have read it from the origin. A member
 // that does not reply in time may still be reading the chunk, but is marked as a straggler.
-func (d *Download) fetchFromReader(ctx context.Context, c int, m Member) readerResult {
+// firstCopy is set if this region waits for the chunk.
+func (d *Download) fetchFromReader(ctx context.Context, c int, m Member, firstCopy bool) readerResult {
 	actx, cancel := context.WithTimeout(ctx, d.readerTimeout())
 	defer cancel()
-	b, _, err := d.getChunk(actx, m, c)
+	b, _, err := d.getChunk(actx, m, c, firstCopy)
 	var refused *RefusalError
 	if errors.As(err, &refused) && refused.Refusal != RefusalAbsent {
 		return readerPending
@@ -169,10 +169,14 @@
 	return d.cfg.MinTimeout
 }
 
-// postpone sets a later due time for chunk c; see postponeDivisor and remotePollDivisor.
-func (d *Download) postpone(c int) {
+// postpone sets a later due time for chunk c, unless the turns were recomputed since the attempt
+// to obtain it began; see postponeDivisor and remotePollDivisor.
+func (d *Download) postpone(c int, began time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.resumedAt.After(began) {
+		return
+	}
 	d.delays.Postponed++
 	if !time.Now().Before(d.schedule.originAt[c]) {
 		d.schedule.postponed[c]++
--- a/swarm/otherregions.go
+++ b/swarm/otherregions.go
@@ -14,7 +14,7 @@
 // it before the origin failed. It reports whether the chunk was received.
 func (d *Download) fetchFromOtherRegions(ctx context.Context, c int) bool {
 	for _, m := range d.remoteReaders(c) {
-		if d.fetchFromReader(ctx, c, m) == readerDelivered {
+		if d.fetchFromReader(ctx, c, m, false) == readerDelivered {
 			return true
 		}
 	}
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -14,15 +14,15 @@
 
 var DebugRead func(self Member, c, rank int, home bool, due, at, start time.Duration, postponed int)
 
-// readOrigin reads chunk c from the origin within this member's quota and rate limit.
-func (d *Download) readOrigin(ctx context.Context, c, rank int) {
+// readOrigin reads chunk c from the origin within this member's quota and rate limit. It returns
+// false if the chunk may not be read now.
+func (d *Download) readOrigin(ctx context.Context, c, rank int) bool {
 	off, n := d.set.Manifest().Range(c)
 	if !d.reserveRead(c, n) {
-		d.postpone(c)
-		return
+		return false
 	}
 	if err := d.schedule.limiter.WaitN(ctx, int(n)); err != nil {
-		return
+		return true
 	}
 	if DebugRead != nil {
 		d.mu.Lock()
@@ -31,11 +31,11 @@
 	}
 	b, err := d.origin.ReadChunk(ctx, off, n)
 	if ctx.Err() != nil {
-		return
+		return true
 	}
 	if err != nil {
 		d.originFailed(err, int64(len(b)), n)
-		return
+		return true
 	}
 	_, err = d.set.Put(c, b)
 	d.mu.Lock()
@@ -43,7 +43,7 @@
 	d.stats.OriginBytes += n
 	if err != nil {
 		d.originCorrupt(c)
-		return
+		return true
 	}
 	d.avail.have[c] = true
 	d.cfg.OriginStatus.recordSuccess()
@@ -51,6 +51,7 @@
 	if rank > 0 {
 		d.stats.Takeovers++
 	}
+	return true
 }
 
 // reserveRead deducts the n bytes of chunk c from the quota. It returns false if the quota is
