--- a/sidecar/stage/twoversions_test.go
+++ b/sidecar/stage/twoversions_test.go
@@ -197,7 +197,7 @@
 	f.runProcess(first, i, vm, roots, 0)
 	kill()
 	vm.setDead(true)
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(restartTime)
 	vm.setDead(false)
 	f.runProcess(ctx, i, vm, roots, time.Since(f.began))
 }
@@ -270,14 +270,14 @@
 	}
 }
 
-// times returns when a version was complete on the first, the median and the last VM. Missing
-// VMs count as never.
+// times returns when a version was complete on the first, the median and the last VM that wants
+// it. VMs without it count as never.
 func (f *stagedFleet) times(version int64) (first, half, last time.Duration) {
 	var all []time.Duration
 	for _, at := range f.wholeAt[version] {
 		all = append(all, at)
 	}
-	for len(all) < len(f.vms) {
+	for len(all) < len(f.vms)-f.story.restartedWithout(version) {
 		all = append(all, never)
 	}
 	slices.Sort(all)
@@ -304,6 +304,31 @@
 	return f
 }
 
+// restartedWithout returns the number of VMs that started again after a version was superseded.
+func (x story) restartedWithout(version int64) int {
+	if newer := int(version) - 1; newer < len(x.named) && x.killedAt+restartTime >= x.named[newer] {
+		return x.killed
+	}
+	return 0
+}
+
+// ownLink returns when a VM that was killed or frozen can have all chunks over its own link.
+func (x story) ownLink(i int) time.Duration {
+	site := sites[x.fleet.site]
+	oneCopy := time.Duration(float64(site.chunks*site.chunkSize) / site.vm * float64(time.Second))
+	at := time.Duration(0)
+	if x.killed > 0 && x.killedAt > x.named[i] && x.restartedWithout(int64(i+2)) == 0 {
+		at = x.killedAt + restartTime + oneCopy
+	}
+	if x.frozen > 0 && x.frozenAt > x.named[i] {
+		at = max(at, x.named[i]+x.frozenFor+oneCopy)
+	}
+	return at
+}
+
+// restartTime is how long a killed VM's process is gone.
+const restartTime = 500 * time.Millisecond
+
 // sent returns when the origin has sent the given part of a copy, begun at the given time.
 func (x story) sent(begin time.Duration, copies float64) time.Duration {
 	site := sites[x.fleet.site]
@@ -331,12 +356,20 @@
 			out = append(out, 0) // nobody heard of it before a newer one
 			continue
 		}
-		free = x.sent(max(free, at), 1)
-		out = append(out, free+doubled)
+		free = x.sent(max(free, at), x.copies())
+		out = append(out, max(free+doubled, x.ownLink(i)))
 	}
 	return out
 }
 
+// copies returns how many copies the origin sends of a version, including corrupt chunks.
+func (x story) copies() float64 {
+	if x.corruptEvery == 0 {
+		return 1
+	}
+	return 1 + 1/float64(x.corruptEvery-1)
+}
+
 // begin returns from when on the time to a version counts: its naming or the origin's return.
 func (x story) begin(i int, bound time.Duration) time.Duration {
 	at := max(x.named[i], x.heard)
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -106,10 +106,11 @@
 }
 
 // waitsForFirstCopy reports whether this member has to leave chunk c to the region of its home
-// reader for now.
+// reader for now, or the chunk's turn has been put off by the end of an outage.
 func (d *Download) waitsForFirstCopy(c int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.followOrigin()
 	return time.Now().Before(d.schedule.originAt[c])
 }
 
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -119,15 +119,17 @@
 	return d.cfg.takeoverDelay(d.set.Manifest().Size), 0.5 + d.cfg.Rand.Float64()/2
 }
 
-// originCorrupt handles a corrupt chunk from the origin. The chunk is read again after a pause
-// that grows; other chunks are not affected. The caller holds the lock.
+// originCorrupt handles a corrupt chunk from the origin. The chunk is read again at once, and
+// after further failures with growing pauses; other chunks are not affected. The caller holds the
+// lock.
 func (d *Download) originCorrupt(c int) {
 	s := &d.schedule
 	d.stats.CorruptOrigin++
-	pause, jitter := d.originPause()
-	pause <<= min(s.corrupt[c], maxBackoffShift)
 	s.corrupt[c]++
-	s.due[c] = time.Now().Add(time.Duration(jitter * float64(pause)))
+	if n := s.corrupt[c] - 1; n > 0 {
+		pause, jitter := d.originPause()
+		s.due[c] = time.Now().Add(time.Duration(jitter * float64(pause<<min(n-1, maxBackoffShift))))
+	}
 	if s.corrupt[c] >= maxOriginCorrupt {
 		d.stats.Blocked = blockedCorrupt
 	}
