stage: an outage of the origin is no sign of a wrong manifest

Cause: with one corrupt chunk read before, three seconds of outage canceled the download and dropped its chunks. Change: idle time counts only while the origin answers.

--- a/sidecar/stage/download.go
+++ b/sidecar/stage/download.go
@@ -90,12 +90,13 @@
 // errManifestSuspect is the cause of canceling a download whose manifest appears to be wrong.
 var errManifestSuspect = errors.New("stage: manifest suspected to be wrong")
 
-// cancelOnSuspectManifest cancels a download whose manifest appears to be wrong.
+// cancelOnSuspectManifest cancels a download whose manifest appears to be wrong. Time during which
+// the origin fails does not count as time without progress.
 func (s *Stager) cancelOnSuspectManifest(ctx context.Context, cancel context.CancelCauseFunc, d *swarm.Download) {
 	have, since := -1, time.Now()
 	for wait.For(ctx, pollInterval) {
 		stats := d.Stats()
-		if stats.Have != have {
+		if stats.Have != have || s.originStatus.Failing() {
 			have, since = stats.Have, time.Now()
 		}
 		if ManifestSuspect(stats.CorruptOrigin, time.Since(since)) {
