--- a/swarm/download.go
+++ b/swarm/download.go
@@ -29,7 +29,13 @@
 	inflight sync.WaitGroup
 
 	mu      sync.Mutex
+	mode    Mode
 	members []Member
+	// after is the download whose chunks are read from the origin before those of this one, or
+	// nil.
+	after *Download
+	// resumedAt is the end of the last outage of the origin that the turns allow for.
+	resumedAt time.Time
 	// standby lists the members that replace lost neighbours, in order of preference.
 	standby []Member
 	avail   *availability
@@ -65,6 +71,7 @@
 	if d.link == nil {
 		d.link = congestion.New(cfg.LinkRate, set.Manifest().ChunkSize)
 	}
+	d.resumedAt = cfg.OriginStatus.resumed()
 	d.stats.Total = len(set.Manifest().Chunks)
 	held, _ := set.Since(0)
 	for _, c := range held {
@@ -72,9 +79,7 @@
 	}
 	d.members = slices.Clone(members)
 	d.schedule = newSchedule(d)
-	if !cfg.FirstCopies {
-		d.standby = d.unusedCandidates()
-	}
+	d.standby = d.unusedCandidates()
 	return d
 }
 
@@ -94,6 +99,96 @@
 	return d.delays
 }
 
+// turnTolerance is by how many chunks' times on the origin's link the first turn may differ from
+// the end of the turns before it.
+const turnTolerance = 2
+
+// Mode says where a download takes chunks from.
+type Mode int
+
+const (
+	// ModeAll takes chunks from other members and the origin.
+	ModeAll Mode = iota
+	// ModeMembers takes chunks from other members only.
+	ModeMembers
+	// ModePaused requests no chunks.
+	ModePaused
+)
+
+// SetMode sets where chunks are taken from. Requests in flight are not canceled.
+func (d *Download) SetMode(m Mode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.mode == m {
+		return
+	}
+	if m == ModeAll {
+		d.schedule.restart(d, time.Now())
+	}
+	d.mode = m
+	d.signal()
+}
+
+// ReadAfter lets this download read from the origin once the chunks of another one, nil for
+// none, have had their turns there.
+func (d *Download) ReadAfter(other *Download) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.after = other
+	d.followOrigin()
+}
+
+// followOrigin recomputes the turns on the origin's link if an outage has ended, or if the turns
+// of the version that is read before this one end at another time. Turns that have begun stay.
+// The caller holds the lock.
+func (d *Download) followOrigin() {
+	if at := d.cfg.OriginStatus.resumed(); at.After(d.resumedAt) {
+		d.resumedAt = at
+		d.schedule.restart(d, at)
+	}
+	now := time.Now()
+	at := now
+	if d.after != nil {
+		at = d.after.readsEnd()
+	}
+	started := !d.schedule.start.After(now)
+	tolerance := turnTolerance * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
+	if (started && !at.After(now)) || d.schedule.start.Sub(at).Abs() <= tolerance {
+		return
+	}
+	d.schedule.restart(d, latest(at, now))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// readsEnd returns when the origin's link has sent the chunks that no known member holds, if
+// each is read in its turn.
+func (d *Download) readsEnd() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.followOrigin() // the turns may be those from before an outage
+	return d.schedule.end(d)
+}
+
+// Unknown returns the number of chunks that neither this member nor one of its neighbours
+// holds.
+func (d *Download) Unknown() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for c := range d.avail.have {
+		if !d.avail.known(c) {
+			n++
+		}
+	}
+	return n
+}
+
 // Reading reports whether this member is reading chunk c from the origin or is about to. It
 // returns false if this VM's own link is congested, so that the reader next in rank takes over
 // at once instead of waiting for a chunk that would be late.
@@ -104,7 +199,7 @@
 		return false
 	}
 	_, n := d.set.Manifest().Range(c)
-	return !d.link.Congested() && d.schedule.willRead(c, n)
+	return !d.link.Congested() && d.schedule.willRead(c, n, d.mode == ModeAll)
 }
 
 // SetMembers replaces the list of members after VMs have joined or left.
@@ -131,10 +226,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.inflight.Wait()
 	defer cancel()
-	t := time.NewTicker(pollInterval)
+	t := time.NewTimer(0)
 	defer t.Stop()
-	for !d.finished() {
+	for !d.set.Complete() {
 		d.step(ctx)
+		t.Reset(d.untilNextTurn())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -145,31 +241,28 @@
 	return nil
 }
 
-// finished reports whether the set is complete, or with FirstCopies whether all chunks of which
-// this member is the home reader are.
-func (d *Download) finished() bool {
-	if !d.cfg.FirstCopies || d.set.Complete() {
-		return d.set.Complete()
-	}
+// untilNextTurn returns how long Run may wait: until the next turn, at most pollInterval.
+func (d *Download) untilNextTurn() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for c := range d.avail.have {
-		if d.schedule.firstOfAll(c) && !d.avail.have[c] {
-			return false
+	wait := pollInterval
+	for c, due := range d.schedule.due {
+		if left := time.Until(due); left > 0 && !d.avail.have[c] {
+			wait = min(wait, left)
 		}
 	}
-	return true
+	return wait
 }
 
 // step starts all requests that are possible now.
 func (d *Download) step(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cfg.FirstCopies {
-		d.startDue(ctx)
+	d.followOrigin()
+	d.fillNeighbours(ctx)
+	if d.mode == ModePaused {
 		return
 	}
-	d.fillNeighbours(ctx)
 	d.startDue(ctx)
 	d.fetchMore(ctx)
 }
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -39,7 +39,7 @@
 	now := time.Now()
 	s := &d.schedule
 	parallel := originParallel
-	if s.faults > 0 || d.link.Congested() {
+	if d.cfg.OriginStatus.suspect() || d.link.Congested() {
 		parallel = 1
 	}
 	prompt := d.promptNeighbours()
@@ -47,9 +47,6 @@
 		if s.countReading(home) >= parallel {
 			return
 		}
-		if d.cfg.FirstCopies && !s.firstOfAll(c) {
-			continue
-		}
 		if s.home[c] != home || now.Before(s.due[c]) || d.avail.have[c] || s.reading[c] || d.avail.obtainable(c, prompt) {
 			continue
 		}
@@ -75,6 +72,7 @@
 func (d *Download) obtain(ctx context.Context, c int, earlier []Member, rank int) {
 	defer d.inflight.Done()
 	defer d.signal()
+	began := time.Now()
 	defer func() {
 		d.mu.Lock()
 		delete(d.schedule.reading, c)
@@ -88,32 +86,31 @@
 		if passed {
 			continue
 		}
-		switch d.fetchFromReader(ctx, c, m) {
+		switch d.fetchFromReader(ctx, c, m, m.Region != d.self.Region) {
 		case readerDelivered:
 			return
 		case readerPending:
 			if d.mayPostpone(c, m) {
-				d.postpone(c)
+				d.postpone(c, began)
 				return
 			}
 		case readerUnavailable:
 		}
 	}
-	if d.originFailing() && d.fetchFromOtherRegions(ctx, c) {
+	if d.originUnusable() && d.fetchFromOtherRegions(ctx, c) {
 		return
 	}
-	if d.waitsForFirstCopy(c) {
-		d.postpone(c)
-		return
+	if d.waitsForFirstCopy(c) || !d.readOrigin(ctx, c, rank) {
+		d.postpone(c, began)
 	}
-	d.readOrigin(ctx, c, rank)
 }
 
 // waitsForFirstCopy reports whether this member has to leave chunk c to the region of its home
-// reader for now.
+// reader for now, or the chunk's turn has been put off by the end of an outage.
 func (d *Download) waitsForFirstCopy(c int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.followOrigin()
 	return time.Now().Before(d.schedule.originAt[c])
 }
 
@@ -132,10 +129,11 @@
 
 // fetchFromReader requests chunk c from m, which should have read it from the origin. A member
 // that does not reply in time may still be reading the chunk, but is marked as a straggler.
-func (d *Download) fetchFromReader(ctx context.Context, c int, m Member) readerResult {
+// firstCopy is set if this region waits for the chunk.
+func (d *Download) fetchFromReader(ctx context.Context, c int, m Member, firstCopy bool) readerResult {
 	actx, cancel := context.WithTimeout(ctx, d.readerTimeout())
 	defer cancel()
-	b, _, err := d.getChunk(actx, m, c)
+	b, _, err := d.getChunk(actx, m, c, firstCopy)
 	var refused *RefusalError
 	if errors.As(err, &refused) && refused.Refusal != RefusalAbsent {
 		return readerPending
@@ -172,10 +170,14 @@
 	return d.cfg.MinTimeout
 }
 
-// postpone sets a later due time for chunk c; see postponeDivisor and remotePollDivisor.
-func (d *Download) postpone(c int) {
+// postpone sets a later due time for chunk c, unless the turns were recomputed since the attempt
+// to obtain it began; see postponeDivisor and remotePollDivisor.
+func (d *Download) postpone(c int, began time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.resumedAt.After(began) {
+		return
+	}
 	d.delays.Postponed++
 	if !time.Now().Before(d.schedule.originAt[c]) {
 		d.schedule.postponed[c]++
@@ -187,10 +189,14 @@
 	d.schedule.due[c] = time.Now().Add(step)
 }
 
-// mayPostpone reports whether chunk c may be postponed once more in favour of m.
+// mayPostpone reports whether chunk c may be postponed once more in favour of m. While the origin
+// does not answer, no other member could read it either.
 func (d *Download) mayPostpone(c int, m Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cfg.OriginStatus.suspect() {
+		return true
+	}
 	if m.Region != d.self.Region {
 		return d.schedule.postponed[c] < maxRemotePostponements
 	}
--- /dev/null
+++ b/swarm/originstatus.go
@@ -0,0 +1,105 @@
+package swarm
+
+import (
+	"sync"
+	"time"
+)
+
+// outageFaults is the number of consecutive failed reads from which the origin counts as
+// failing. A single read may break off although the origin answers others.
+const outageFaults = 2
+
+// lastingFault is the time after a failed read from which the origin counts as failing if no
+// read has succeeded since.
+const lastingFault = 500 * time.Millisecond
+
+// relapseTime is how long after the end of an outage a single failed read shows that it lasts.
+const relapseTime = time.Second
+
+// OriginStatus records whether the origin answers. All downloads of a VM share one: an origin
+// that fails one version fails the others as well, and a download that starts during an outage
+// must not try it at once. It is safe for concurrent use.
+type OriginStatus struct {
+	mu sync.Mutex
+	// faults counts consecutive failed reads.
+	faults int
+	// failedAt is the time of the last failed read.
+	failedAt time.Time
+	// retryAt is when the origin may be read again after a failure.
+	retryAt time.Time
+	// resumedAt is when the origin last seemed to answer again after an outage.
+	resumedAt time.Time
+}
+
+// Failing reports whether the last reads from the origin failed.
+func (o *OriginStatus) Failing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failing()
+}
+
+// failing is Failing for a caller that holds the lock.
+func (o *OriginStatus) failing() bool {
+	return o.faults >= outageFaults || (o.faults > 0 && time.Since(o.failedAt) >= lastingFault)
+}
+
+// suspect reports whether the last read from the origin failed.
+func (o *OriginStatus) suspect() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.faults > 0
+}
+
+// allowsRead reports whether the origin may be read now.
+func (o *OriginStatus) allowsRead() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !time.Now().Before(o.retryAt)
+}
+
+// recordFailure suspends reads for pause, which doubles with each consecutive failure up to
+// maxBackoffShift times. jitter in [0.5, 1] keeps members from retrying at the same moment.
+func (o *OriginStatus) recordFailure(pause time.Duration, jitter float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults++
+	if time.Since(o.resumedAt) < relapseTime {
+		o.faults = max(o.faults, outageFaults)
+	}
+	pause <<= min(o.faults-1, maxBackoffShift)
+	o.failedAt = time.Now()
+	o.retryAt = o.failedAt.Add(time.Duration(jitter * float64(pause)))
+}
+
+// recordSuccess records a successful read.
+func (o *OriginStatus) recordSuccess() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.resume()
+}
+
+// recordHint records that another member seems to have read from the origin. It has no effect
+// within minPause of the last failed read.
+func (o *OriginStatus) recordHint(minPause time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failing() && time.Since(o.failedAt) >= minPause {
+		o.resume()
+	}
+}
+
+// resume ends the suspension of reads. The caller holds the lock.
+func (o *OriginStatus) resume() {
+	if o.failing() {
+		o.resumedAt = time.Now()
+	}
+	o.faults = 0
+	o.retryAt = time.Time{}
+}
+
+// resumed returns when the origin last seemed to answer again after an outage.
+func (o *OriginStatus) resumed() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.resumedAt
+}
--- a/swarm/otherregions.go
+++ b/swarm/otherregions.go
@@ -2,19 +2,19 @@
 
 import "context"
 
-// originFailing reports whether the last read of the origin failed, or the origin has another
-// version.
-func (d *Download) originFailing() bool {
+// originUnusable reports whether the last read of the origin failed, the origin has another
+// version, or the download does not read from it.
+func (d *Download) originUnusable() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.schedule.faults > 0 || d.schedule.changed
+	return d.cfg.OriginStatus.suspect() || d.schedule.changed || d.mode != ModeAll
 }
 
 // fetchFromOtherRegions requests chunk c from its readers in other regions, which may have read
 // it before the origin failed. It reports whether the chunk was received.
 func (d *Download) fetchFromOtherRegions(ctx context.Context, c int) bool {
 	for _, m := range d.remoteReaders(c) {
-		if d.fetchFromReader(ctx, c, m) == readerDelivered {
+		if d.fetchFromReader(ctx, c, m, false) == readerDelivered {
 			return true
 		}
 	}
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/silverdeck/silverdeck/origin"
 )
@@ -11,23 +12,30 @@
 // download reports that it is blocked.
 const maxOriginCorrupt = 3
 
-// readOrigin reads chunk c from the origin within this member's quota and rate limit.
-func (d *Download) readOrigin(ctx context.Context, c, rank int) {
+var DebugRead func(self Member, c, rank int, home bool, due, at, start time.Duration, postponed int)
+
+// readOrigin reads chunk c from the origin within this member's quota and rate limit. It returns
+// false if the chunk may not be read now.
+func (d *Download) readOrigin(ctx context.Context, c, rank int) bool {
 	off, n := d.set.Manifest().Range(c)
 	if !d.reserveRead(c, n) {
-		d.postpone(c)
-		return
+		return false
 	}
 	if err := d.schedule.limiter.WaitN(ctx, int(n)); err != nil {
-		return
+		return true
+	}
+	if DebugRead != nil {
+		d.mu.Lock()
+		DebugRead(d.self, c, rank, d.schedule.home[c], time.Since(d.schedule.due[c]), time.Since(d.schedule.originAt[c]), time.Since(d.schedule.start), d.schedule.postponed[c])
+		d.mu.Unlock()
 	}
 	b, err := d.origin.ReadChunk(ctx, off, n)
 	if ctx.Err() != nil {
-		return
+		return true
 	}
 	if err != nil {
 		d.originFailed(err, int64(len(b)), n)
-		return
+		return true
 	}
 	_, err = d.set.Put(c, b)
 	d.mu.Lock()
@@ -35,17 +43,15 @@
 	d.stats.OriginBytes += n
 	if err != nil {
 		d.originCorrupt(c)
-		return
-	}
-	if d.schedule.faults > 0 {
-		d.schedule.faults = 0
-		d.schedule.restart(d)
+		return true
 	}
 	d.avail.have[c] = true
+	d.cfg.OriginStatus.recordSuccess()
 	d.stats.Blocked = ""
 	if rank > 0 {
 		d.stats.Takeovers++
 	}
+	return true
 }
 
 // reserveRead deducts the n bytes of chunk c from the quota. It returns false if the quota is
@@ -53,7 +59,7 @@
 func (d *Download) reserveRead(c int, n int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.schedule.allowsRead(n) {
+	if !d.mayReadOrigin() || !d.schedule.allowsRead(n) || !d.cfg.OriginStatus.allowsRead() {
 		d.recordBlockReason(n)
 		return false
 	}
@@ -62,6 +68,12 @@
 	return true
 }
 
+// mayReadOrigin reports whether this download may read from the origin. While the origin does
+// not answer, only the version that is read first tries it. The caller holds the lock.
+func (d *Download) mayReadOrigin() bool {
+	return d.mode == ModeAll && (d.after == nil || !d.cfg.OriginStatus.suspect())
+}
+
 // Values of Stats.Blocked.
 const (
 	blockedChanged = "the origin no longer has this version; the rest can only come from other VMs"
@@ -94,18 +106,30 @@
 		return
 	}
 	d.stats.Blocked = "origin: " + err.Error()
-	// The origin caused the delay, not the members that should have read chunks earlier.
-	s.restart(d)
-	s.backOff(d)
+	d.cfg.OriginStatus.recordFailure(d.originPause())
+	if d.cfg.OriginStatus.Failing() {
+		// The origin caused the delay, not the members that should have read chunks earlier.
+		s.restart(d, time.Now())
+	}
 }
 
-// originCorrupt handles a corrupt chunk from the origin, and backs off.
+// originPause returns the pause after a first failure of the origin and the jitter to apply.
 // The caller holds the lock.
+func (d *Download) originPause() (pause time.Duration, jitter float64) {
+	return d.cfg.takeoverDelay(d.set.Manifest().Size), 0.5 + d.cfg.Rand.Float64()/2
+}
+
+// originCorrupt handles a corrupt chunk from the origin. The chunk is read again at once, and
+// after further failures with growing pauses; other chunks are not affected. The caller holds the
+// lock.
 func (d *Download) originCorrupt(c int) {
 	s := &d.schedule
 	d.stats.CorruptOrigin++
 	s.corrupt[c]++
-	s.backOff(d)
+	if n := s.corrupt[c] - 1; n > 0 {
+		pause, jitter := d.originPause()
+		s.due[c] = time.Now().Add(time.Duration(jitter * float64(pause<<min(n-1, maxBackoffShift))))
+	}
 	if s.corrupt[c] >= maxOriginCorrupt {
 		d.stats.Blocked = blockedCorrupt
 	}
