--- a/leases/pace.go
+++ b/leases/pace.go
@@ -35,64 +35,50 @@
 const (
 	// loadTime is how long an endpoint is unavailable during a change in addition to its drain.
 	loadTime = 450 * time.Millisecond
-	// scarceDrainShare is the part of the usual drain that endpoints take without spare
+	// scarceDrainShare is the part of the full drain that endpoints take without spare
 	// capacity. By then about half of the streams have ended. A longer drain leaves more
 	// slots empty than it saves streams.
-	scarceDrainShare = 0.7
+	scarceDrainShare = 0.45
+	// easyShare is the share of the endpoints that may be out at once with full drains.
+	easyShare = 0.1
 	// maxPacedShare is the share of the endpoints that may be out at once in order to finish in
-	// time, before drains are shortened.
-	maxPacedShare = 0.33
+	// time, before drains are shortened further.
+	maxPacedShare = 0.5
+	// newerMargin is how long before the last moment a newer version must be expected for endpoints
+	// to wait for it.
+	newerMargin = 300 * time.Millisecond
 )
 
 // Pace is the input of the rule by which endpoints change weights without spare capacity.
 type Pace struct {
 	// Endpoints is the number of endpoints of the service, Pending the number that still have to
-	// change, including those that are changing.
+	// begin to change.
 	Endpoints, Pending int
 	// Remaining, Drain and NewerIn are those of Change.
 	Remaining, Drain, NewerIn time.Duration
 }
 
 // Needed returns how many endpoints have to be out at once, and how long each of them may drain,
-// so that all pending ones have changed in time. It answers a fleet without spare capacity: the
+// so that all pending ones begin to change in time. It answers a fleet without spare capacity: the
 // changes are spread evenly over the remaining time, instead of all happening at its end without a
-// drain.
-//
-// If a newer version is expected within that time, the endpoints that can change after it is
-// complete wait for it, since they would have to change twice otherwise.
+// drain. If a newer version is expected in time, all endpoints wait for it, since they would have to
+// change twice otherwise.
 func Needed(p Pace) (out int, drain time.Duration) {
-	if p.Pending <= 0 {
-		return 0, p.Drain
-	}
-	now, window := p.Pending, p.Remaining
-	if p.NewerIn > 0 && p.NewerIn < p.Remaining {
-		now -= changesWithin(p, p.Remaining-p.NewerIn)
-		window = p.NewerIn
-	}
-	if now <= 0 {
+	switch {
+	case p.Pending <= 0 || p.NewerIn > 0 && p.NewerIn < p.Remaining-newerMargin:
 		return 0, p.Drain
+	case p.Remaining <= 0:
+		return p.Pending, 0
 	}
-	drain = pacedDrain(p, now, window)
-	if window <= 0 {
-		return now, 0
-	}
-	return min(now, int(math.Ceil(float64(now)*float64(drain+loadTime)/float64(window)))), drain
-}
-
-// changesWithin returns how many endpoints can change within window without more than
-// maxPacedShare of them being out at once.
-func changesWithin(p Pace, window time.Duration) int {
-	return int(maxPacedShare * float64(p.Endpoints) * float64(window) / float64(scarceDrain(p.Drain)+loadTime))
-}
-
-// pacedDrain returns the longest drain with which n endpoints can change within window.
-func pacedDrain(p Pace, n int, window time.Duration) time.Duration {
-	fits := time.Duration(maxPacedShare*float64(p.Endpoints)*float64(window)/float64(n)) - loadTime
-	return max(0, min(scarceDrain(p.Drain), fits))
+	scarce := time.Duration(scarceDrainShare * float64(p.Drain))
+	drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), scarce), 0)
+	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.Remaining)))), drain
 }
 
-func scarceDrain(full time.Duration) time.Duration {
-	return time.Duration(scarceDrainShare * float64(full))
+// drainWith returns the drain with which all pending endpoints can change in time while a share of
+// all endpoints is out at once.
+func (p Pace) drainWith(share float64) time.Duration {
+	return time.Duration(share*float64(p.Endpoints)*float64(p.Remaining)/float64(p.Pending)) - loadTime
 }
 
 // Decide returns whether the endpoint of c may change now, while those of the VMs in held change
@@ -101,11 +87,11 @@
 func Decide(c Change, endpoints []Endpoint, held map[string]bool, waiting []int) Grant {
 	pending, out := 0, 0
 	for _, e := range endpoints {
-		if e.Version > 0 && e.Version <= c.Held {
-			pending++
-		}
-		if e.VM != c.VM && (held[e.VM] || e.Paused) {
+		switch {
+		case e.VM != c.VM && (held[e.VM] || e.Paused):
 			out++
+		case e.Version > 0 && e.Version <= c.Held:
+			pending++
 		}
 	}
 	g := Grant{Pending: pending, Out: out, Drain: c.Drain}
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -203,7 +203,8 @@
 	case !lease.Granted:
 		return s.drainTime(model, held, running)
 	case lease.Scheduled:
-		return min(lease.Drain, s.drainTime(model, held, 0))
+		end, _ := s.history.Deadline(model, held)
+		return min(lease.Drain, LeasedDrain(s.cfg.Fleet.Capacity(), time.Until(end)))
 	}
 	return s.drainTime(model, held, 0)
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -221,7 +221,8 @@
 		return
 	}
 	held := report.Version(model)
-	drain := s.drainTime(model, held, 0)
+	end, _ := s.history.Deadline(model, held)
+	drain := LeasedDrain(s.cfg.Fleet.Capacity(), time.Until(end))
 	lease := s.cfg.Fleet.RequestLoadLease(ctx, LeaseRequest{
 		Model: model, Held: held, For: drain + maxLoadTime, Remaining: last.Sub(now), Drain: drain,
 		NewerIn: s.newerIn(model, want), Running: report.Running + report.Queued,
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -101,6 +101,16 @@
 	drainMargin = 600 * time.Millisecond
 )
 
+// leasedDrainFactor is the longest drain with a lease as a multiple of the usual response time. About
+// a fifth of the responses take longer.
+const leasedDrainFactor = 2
+
+// LeasedDrain returns how long an endpoint whose requests others take drains at most, where remaining
+// is the time until its weights expire.
+func LeasedDrain(c Capacity, remaining time.Duration) time.Duration {
+	return max(0, min(time.Duration(leasedDrainFactor*float64(c.AnswerTime)), maxDrain, remaining-drainMargin))
+}
+
 // Capacity describes an endpoint's request processing. Unknown fields are 0.
 type Capacity struct {
 	// Slots is the number of requests that the endpoint runs concurrently.
