--- a/gateway/state.go
+++ b/gateway/state.go
@@ -7,10 +7,8 @@
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/affinity"
-	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/inventory"
-	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
@@ -165,17 +163,6 @@
 	return append(g.table.Live(), g.self)
 }
 
-// leaseCandidates returns the endpoints of a service that run a model, for granting load
-// leases.
-func (g *Gateway) leaseCandidates(service, model string) []leases.Endpoint {
-	places := g.balancer.Capacities(&balance.Query{Service: service, Model: model, MinVersion: g.minVersion(model)}, time.Now())
-	out := make([]leases.Endpoint, 0, len(places))
-	for _, p := range places {
-		out = append(out, leases.Endpoint{VM: roster.VM(p.Addr), Slots: p.Slots, InFlight: p.InFlight, Unavailable: !p.Usable, Paused: p.Paused, Version: p.Version})
-	}
-	return out
-}
-
 // describeService returns the inventory of a service, or nil while the required data is
 // missing.
 func (g *Gateway) describeService(service string) *inventory.Inventory {
--- a/leases/leases.go
+++ b/leases/leases.go
@@ -16,11 +16,12 @@
 
 // Endpoint is the state of one endpoint of a service.
 type Endpoint struct {
-	// VM is the VM on which the endpoint runs; see roster.VM.
-	VM string
-	// Slots is the number of requests that the endpoint runs at once, InFlight the number that
-	// all gateways have in flight there.
-	Slots, InFlight int
+	// VM is the VM on which the endpoint runs; see roster.VM. Zone is its availability zone.
+	VM, Zone string
+	// Slots is the number of requests that the endpoint serves in time at once, InFlight the
+	// number that all gateways have in flight there.
+	Slots    float64
+	InFlight int
 	// Unavailable is set if the endpoint is ejected, suspected or paused and so takes no
 	// requests.
 	Unavailable bool
@@ -30,6 +31,26 @@
 	Version int64
 }
 
+// Fleet is the state of the endpoints of a service that run a model.
+type Fleet struct {
+	Endpoints []Endpoint
+	// Demand is the number of slots that callers ask for; 0 if unknown.
+	Demand float64
+}
+
+// demand returns the number of slots that callers ask for. Unless it is known, the requests in
+// flight are counted, which do not include those that were refused.
+func (f *Fleet) demand() float64 {
+	if f.Demand > 0 {
+		return f.Demand
+	}
+	n := 0
+	for _, e := range f.Endpoints {
+		n += e.InFlight
+	}
+	return float64(n)
+}
+
 const (
 	// maxUtilization is the largest share of the remaining endpoints' slots that may be in use
 	// once these endpoints handle all requests. Above it, requests queue behind each other.
@@ -42,43 +63,41 @@
 // well. As many may drain at once as leave enough capacity for all requests. If the load leaves
 // no spare capacity, no lease is granted, and endpoints change weights without one, spread over
 // the time that they have.
-func CanGrant(endpoints []Endpoint, held map[string]bool, vm string) bool {
-	inFlight, slots, unavailable := 0, 0, 0
-	for _, e := range endpoints {
-		inFlight += e.InFlight
+func CanGrant(f *Fleet, held map[string]bool, vm string) bool {
+	slots, unavailable := 0.0, 0
+	for _, e := range f.Endpoints {
 		if e.VM == vm || e.Unavailable || held[e.VM] {
 			unavailable++
 			continue
 		}
 		slots += e.Slots
 	}
-	return float64(unavailable) <= maxUnavailableShare*float64(len(endpoints)) && float64(inFlight) <= maxUtilization*float64(slots)
+	return float64(unavailable) <= maxUnavailableShare*float64(len(f.Endpoints)) && f.demand() <= maxUtilization*slots
 }
 
 // CanGrantLater returns whether a lease that was refused can be expected later: without the endpoint
 // of vm, the others could handle all requests if all of them were available.
-func CanGrantLater(endpoints []Endpoint, vm string) bool {
-	inFlight, slots := 0, 0
-	for _, e := range endpoints {
-		inFlight += e.InFlight
+func CanGrantLater(f *Fleet, vm string) bool {
+	slots := 0.0
+	for _, e := range f.Endpoints {
 		if e.VM != vm {
 			slots += e.Slots
 		}
 	}
-	return float64(inFlight) <= maxUtilization*float64(slots)
+	return f.demand() <= maxUtilization*slots
 }
 
 const (
 	// minRetryInterval is the minimum time between two requests for the same lease.
 	minRetryInterval = 100 * time.Millisecond
-	// retryIntervalPerEndpoint scales the retry interval with the number of endpoints of the
-	// service, so that the owner receives at most 200 requests per second, however many
-	// endpoints there are.
+	// retryIntervalPerEndpoint scales the retry interval with the number of endpoints that may
+	// ask, so that the owner receives at most 200 requests per second, however many endpoints
+	// there are.
 	retryIntervalPerEndpoint = 5 * time.Millisecond
 )
 
 // RetryAfter returns the time after which an endpoint retries a refused lease request, given the
-// number of endpoints of the service.
+// number of endpoints that may ask.
 func RetryAfter(endpoints int) time.Duration {
 	return max(minRetryInterval, time.Duration(endpoints)*retryIntervalPerEndpoint)
 }
@@ -110,10 +129,10 @@
 
 // Acquire grants the endpoint of vm a lease for d if CanGrant allows it, and returns whether it
 // did. A lease that the endpoint already holds is renewed.
-func (t *Table) Acquire(service, vm string, endpoints []Endpoint, d time.Duration, now time.Time) bool {
+func (t *Table) Acquire(service, vm string, f *Fleet, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !CanGrant(endpoints, t.held(service, now), vm) {
+	if !CanGrant(f, t.held(service, now), vm) {
 		return false
 	}
 	t.grant(service, vm, now.Add(d))
@@ -122,10 +141,11 @@
 
 // Schedule grants a lease for d if Decide allows the change. A lease that the endpoint already
 // holds is renewed.
-func (t *Table) Schedule(service string, c Change, endpoints []Endpoint, d time.Duration, now time.Time) Grant {
+func (t *Table) Schedule(service string, c Change, f *Fleet, d time.Duration, now time.Time) Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	g := Decide(c, endpoints, t.held(service, now), t.waitingRunning(service, c.VM, RetryAfter(len(endpoints)), now))
+	waiting := t.waitingRunning(service, c.VM, RetryAfter(len(f.Endpoints)), now)
+	g := Decide(c, f, t.held(service, now), waiting)
 	if g.Given {
 		delete(t.waiting[service], c.VM)
 		t.grant(service, c.VM, now.Add(d))
--- a/leases/leases_test.go
+++ b/leases/leases_test.go
@@ -10,26 +10,26 @@
 )
 
 // newEndpoints returns n endpoints with 16 slots and inFlight requests each.
-func newEndpoints(n, inFlight int) []leases.Endpoint {
+func newEndpoints(n, inFlight int) *leases.Fleet {
 	out := make([]leases.Endpoint, n)
 	for i := range out {
 		out[i] = leases.Endpoint{VM: string(rune('a' + i)), Slots: 16, InFlight: inFlight}
 	}
-	return out
+	return &leases.Fleet{Endpoints: out}
 }
 
 // withUnavailable marks the last n endpoints as unavailable.
-func withUnavailable(n int, endpoints []leases.Endpoint) []leases.Endpoint {
+func withUnavailable(n int, f *leases.Fleet) *leases.Fleet {
 	for i := range n {
-		endpoints[len(endpoints)-1-i].Unavailable = true
+		f.Endpoints[len(f.Endpoints)-1-i].Unavailable = true
 	}
-	return endpoints
+	return f
 }
 
 // Guards against draining more endpoints at once than the remaining ones have capacity for.
 func TestCanGrantLeavesCapacityForAllRequests(t *testing.T) {
 	for name, c := range map[string]struct {
-		endpoints []leases.Endpoint
+		endpoints *leases.Fleet
 		held      []string
 		want      bool
 	}{
@@ -44,7 +44,7 @@
 		"half unavailable without a lease": {withUnavailable(4, newEndpoints(8, 0)), nil, false},
 		"three unavailable, the rest idle": {withUnavailable(3, newEndpoints(8, 0)), nil, true},
 		"only endpoint":                    {newEndpoints(1, 0), nil, false},
-		"no endpoints known":               {nil, nil, true},
+		"no endpoints known":               {&leases.Fleet{}, nil, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			held := map[string]bool{}
--- a/leases/pace.go
+++ b/leases/pace.go
@@ -25,20 +25,24 @@
 // Grant is the decision on a Change.
 type Grant struct {
 	Given bool
+	// Spare is set if the other endpoints have capacity for all requests.
+	Spare bool
 	// Drain is how long the endpoint may drain.
 	Drain time.Duration
 	// Pending is the number of endpoints that still have to change, Out the number of those
 	// that drain or load, Needed the number that must do so at once to finish in time.
 	Pending, Out, Needed int
+	// RetryAfter is the time after which a refused endpoint asks again.
+	RetryAfter time.Duration
 }
 
 const (
 	// loadTime is how long an endpoint is unavailable during a change in addition to its drain.
 	loadTime = 450 * time.Millisecond
 	// scarceDrainShare is the part of the full drain that endpoints take without spare
-	// capacity. By then about half of the streams have ended. A longer drain leaves more
-	// slots empty than it saves streams.
-	scarceDrainShare = 0.45
+	// capacity. Nearly half of the streams have ended by then. A longer drain has other
+	// streams refused, since its slots stand empty, for those that it saves.
+	scarceDrainShare = 0.3
 	// easyShare is the share of the endpoints that may be out at once with full drains.
 	easyShare = 0.1
 	// maxPacedShare is the share of the endpoints that may be out at once in order to finish in
@@ -83,31 +87,75 @@
 
 // Decide returns whether the endpoint of c may change now, while those of the VMs in held change
 // as well. waiting holds the numbers of running requests of the other endpoints that wait for a
-// lease. Endpoints with fewer running requests precede others.
-func Decide(c Change, endpoints []Endpoint, held map[string]bool, waiting []int) Grant {
-	pending, out := 0, 0
-	for _, e := range endpoints {
-		switch {
-		case e.VM != c.VM && (held[e.VM] || e.Paused):
-			out++
-		case e.Version > 0 && e.Version <= c.Held:
-			pending++
-		}
-	}
-	g := Grant{Pending: pending, Out: out, Drain: c.Drain}
-	var drain time.Duration
-	g.Needed, drain = Needed(Pace{Endpoints: len(endpoints), Pending: pending, Remaining: c.Remaining, Drain: c.Drain, NewerIn: c.NewerIn})
+// lease: endpoints with fewer running requests precede others, since their loads cut fewer streams.
+func Decide(c Change, f *Fleet, held map[string]bool, waiting []int) Grant {
+	n := f.count(c, held)
+	g := Grant{Pending: n.pending, Out: n.out, Drain: c.Drain}
+	g.RetryAfter = RetryAfter(n.pending)
+	remaining := c.Remaining - g.RetryAfter
+	needed, drain := Needed(Pace{
+		Endpoints: len(f.Endpoints), Pending: n.pending,
+		Remaining: remaining, Drain: c.Drain, NewerIn: c.NewerIn,
+	})
+	g.Needed = needed
 	switch {
-	case g.Needed == 0 && c.NewerIn > 0: // all can wait for the newer version
-	case CanGrant(endpoints, held, c.VM):
-		g.Given = true
+	case needed == 0 && c.NewerIn > 0: // all can wait for the newer version
+	case CanGrant(f, held, c.VM):
+		g.Given, g.Spare = true, true
 	default:
-		g.Given = fewer(waiting, c.Running) < g.Needed-out
+		g.Given = fewer(waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
 		g.Drain = drain
 	}
 	return g
 }
 
+// counts are numbers of endpoints.
+type counts struct {
+	// pending is the number of endpoints that still have to begin to change, out the number of
+	// those that drain or load.
+	pending, out int
+	// zone is the number of endpoints in the availability zone of the one that requests a
+	// lease, zoneOut the number of those of them that are out.
+	zone, zoneOut int
+}
+
+// zoneFull returns whether so many endpoints of the zone are out that its requests would have to go
+// to other zones.
+func (n *counts) zoneFull() bool {
+	return n.zoneOut > 0 && float64(n.zoneOut+1) > maxUnavailableShare*float64(n.zone)
+}
+
+func (f *Fleet) count(c Change, held map[string]bool) counts {
+	var n counts
+	zone := f.zone(c.VM)
+	for _, e := range f.Endpoints {
+		out := e.VM != c.VM && (held[e.VM] || e.Paused)
+		switch {
+		case out:
+			n.out++
+		case e.Version > 0 && e.Version <= c.Held:
+			n.pending++
+		}
+		if e.Zone == zone {
+			n.zone++
+			if out {
+				n.zoneOut++
+			}
+		}
+	}
+	return n
+}
+
+// zone returns the availability zone of the endpoint of vm.
+func (f *Fleet) zone(vm string) string {
+	for _, e := range f.Endpoints {
+		if e.VM == vm {
+			return e.Zone
+		}
+	}
+	return ""
+}
+
 // fewer returns how many of the counts are less than n.
 func fewer(counts []int, n int) int {
 	less := 0
--- a/leases/service.go
+++ b/leases/service.go
@@ -16,14 +16,17 @@
 // Service grants leases over net/rpc under ServiceName. It is safe for concurrent use.
 type Service struct {
 	table *Table
-	// endpoints returns the endpoints of a service that run a model.
-	endpoints func(service, model string) []Endpoint
+	// fleet returns the endpoints of a service that run a model.
+	fleet func(service, model string) *Fleet
+	// onDecision is called after each decision on a request that states what the endpoint runs.
+	onDecision func(q LoadRequest, g Grant)
 }
 
-// NewService returns a Service that grants leases from table. endpoints returns the endpoints of
-// a service that run a model.
-func NewService(table *Table, endpoints func(service, model string) []Endpoint) *Service {
-	return &Service{table: table, endpoints: endpoints}
+// NewService returns a Service that grants leases from table. fleet returns the endpoints of a
+// service that run a model. onDecision is called after each decision on a request of a sidecar that
+// states what the endpoint runs.
+func NewService(table *Table, fleet func(service, model string) *Fleet, onDecision func(q LoadRequest, g Grant)) *Service {
+	return &Service{table: table, fleet: fleet, onDecision: onDecision}
 }
 
 // LoadRequest requests a lease for loading a model at the endpoint of VM.
@@ -54,17 +57,18 @@
 
 // Begin grants or refuses a lease. Its name is part of the RPC protocol.
 func (s *Service) Begin(q LoadRequest, reply *LoadReply) error {
-	endpoints := s.endpoints(q.Service, q.Model)
-	reply.Again = RetryAfter(len(endpoints))
-	reply.Comes = CanGrantLater(endpoints, q.VM)
+	f := s.fleet(q.Service, q.Model)
+	reply.Again = RetryAfter(len(f.Endpoints))
+	reply.Comes = CanGrantLater(f, q.VM)
 	d := min(q.For, maxLeaseDuration)
 	if q.Held == 0 {
-		reply.Given = s.table.Acquire(q.Service, q.VM, endpoints, d, time.Now())
+		reply.Given = s.table.Acquire(q.Service, q.VM, f, d, time.Now())
 		return nil
 	}
 	c := Change{VM: q.VM, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
-	g := s.table.Schedule(q.Service, c, endpoints, d, time.Now())
-	reply.Given, reply.Drain, reply.Scheduled = g.Given, g.Drain, true
+	g := s.table.Schedule(q.Service, c, f, d, time.Now())
+	reply.Given, reply.Drain, reply.Scheduled, reply.Again = g.Given, g.Drain, true, g.RetryAfter
+	s.onDecision(q, g)
 	return nil
 }
 
--- /dev/null
+++ b/sidecar/stage/change_test.go
@@ -0,0 +1,278 @@
+package stage_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/leases"
+	"github.com/silverdeck/silverdeck/sidecar/stage"
+	"github.com/silverdeck/silverdeck/swarm"
+)
+
+// Properties of the fleet whose endpoints change weights under load.
+const (
+	fleetSize  = 58
+	fleetSlots = 12
+	// meanAnswer is the mean duration of a stream.
+	meanAnswer = time.Second
+)
+
+// loadedFleet is a fleet of endpoints that run streams. Gateways hear of pauses at once and send a
+// stream to the endpoint with the fewest.
+type loadedFleet struct {
+	mu        sync.Mutex
+	endpoints []*loadedEndpoint
+	table     *leases.Table
+	// unanswered makes lease requests fail.
+	unanswered bool
+	// scheduled is set if sidecars state what the endpoint runs.
+	scheduled bool
+	changeStats
+}
+
+// changeStats is what the change of a fleet's weights cost.
+type changeStats struct {
+	// cut is the number of streams that were running when their endpoint loaded and resumed
+	// elsewhere, mostOut the most endpoints that were paused or loading at once, refused the
+	// streams, or their rests, that found no slot.
+	cut, mostOut, asked, refused int
+	// loads is the number of load orders, last the time of the last one.
+	loads int
+	last  time.Time
+}
+
+// loadedEndpoint is an endpoint of a loadedFleet with its sidecar's view of the gateways.
+type loadedEndpoint struct {
+	*fakeVM
+	fleet       *loadedFleet
+	name        string
+	pausedUntil time.Time
+	// streams holds the ends of the streams that run.
+	streams map[*time.Timer]time.Time
+}
+
+func (e *loadedEndpoint) Report(ctx context.Context) (*stage.Report, error) {
+	r, err := e.fakeVM.Report(ctx)
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	r.Running = len(e.streams)
+	return r, err
+}
+
+func (e *loadedEndpoint) Load(ctx context.Context, o stage.Order) error {
+	f := e.fleet
+	f.mu.Lock()
+	f.cut += len(e.streams)
+	f.loads++
+	f.last = time.Now()
+	for t, end := range e.streams {
+		t.Stop()
+		delete(e.streams, t)
+		f.place(time.Until(end))
+	}
+	f.mu.Unlock()
+	return e.fakeVM.Load(ctx, o)
+}
+
+func (e *loadedEndpoint) Pause(_ context.Context, d time.Duration) {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.pausedUntil = time.Now().Add(d)
+	out := 0
+	for _, other := range f.endpoints {
+		if other.paused() {
+			out++
+		}
+	}
+	f.mostOut = max(f.mostOut, out)
+}
+
+// paused must be called with the fleet's mu held.
+func (e *loadedEndpoint) paused() bool {
+	return time.Now().Before(e.pausedUntil)
+}
+
+func (e *loadedEndpoint) NotifyLoaded(context.Context, string, int64) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.pausedUntil = time.Time{}
+	e.fleet.table.Release(e.name)
+}
+
+func (e *loadedEndpoint) RequestLoadLease(_ context.Context, q stage.LeaseRequest) stage.Lease {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unanswered {
+		return stage.Lease{NoAnswer: true, RetryAfter: 500 * time.Millisecond}
+	}
+	candidates := &leases.Fleet{}
+	for _, other := range f.endpoints {
+		candidates.Endpoints = append(candidates.Endpoints, leases.Endpoint{
+			VM: other.name, Slots: fleetSlots, InFlight: len(other.streams),
+			Unavailable: other.paused(), Paused: other.paused(), Version: other.servingVersion(),
+		})
+	}
+	reply := stage.Lease{RetryAfter: leases.RetryAfter(fleetSize), AvailableLater: leases.CanGrantLater(candidates, e.name)}
+	if !f.scheduled {
+		reply.Granted = f.table.Acquire("s", e.name, candidates, q.For, time.Now())
+		return reply
+	}
+	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
+	g := f.table.Schedule("s", c, candidates, q.For, time.Now())
+	reply.Granted, reply.Drain, reply.Scheduled, reply.RetryAfter = g.Given, g.Drain, true, g.RetryAfter
+	return reply
+}
+
+// place starts a stream at the endpoint with the fewest. The caller must hold f.mu.
+func (f *loadedFleet) place(d time.Duration) {
+	var best *loadedEndpoint
+	for _, e := range f.endpoints {
+		if !e.paused() && e.servingVersion() > 0 && len(e.streams) < fleetSlots && (best == nil || len(e.streams) < len(best.streams)) {
+			best = e
+		}
+	}
+	if best == nil {
+		f.refused++
+		return
+	}
+	var t *time.Timer
+	t = time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(best.streams, t)
+	})
+	best.streams[t] = time.Now().Add(d)
+}
+
+// runLoad sends streams of exponential duration at load times the fleet's capacity.
+func (f *loadedFleet) runLoad(ctx context.Context, load float64) {
+	random := rand.New(rand.NewPCG(1, 2))
+	rate := load * fleetSize * fleetSlots / meanAnswer.Seconds()
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		f.mu.Lock()
+		f.asked++
+		f.place(time.Duration(random.ExpFloat64() * float64(meanAnswer)))
+		f.mu.Unlock()
+	}
+}
+
+// changeFleet lets f play with a fleet at a load, and returns the cost of its changes of weights.
+func changeFleet(t *testing.T, load float64, scheduled bool, play func(b *testEnv, f *loadedFleet, stagers []*stage.Stager)) changeStats {
+	f := &loadedFleet{table: leases.NewTable(), scheduled: scheduled}
+	runVirtual(t, func(b *testEnv) {
+		var stagers []*stage.Stager
+		for i := range fleetSize {
+			vm := newFakeVM(1)
+			vm.capacity = stage.Capacity{Slots: fleetSlots, AnswerTime: meanAnswer}
+			e := &loadedEndpoint{fakeVM: vm, fleet: f, name: fmt.Sprintf("vm%d", i), streams: map[*time.Timer]time.Time{}}
+			f.endpoints = append(f.endpoints, e)
+			s := stage.New(stage.Config{Self: swarm.Member{VM: e.name, Addr: e.name, Zone: "a", Region: "east"}, Endpoint: e, Origin: e, Fleet: e, Peers: noPeers{}, VersionLimit: limit, Log: log.New(io.Discard)})
+			stagers = append(stagers, s)
+			go s.Run(b.ctx)
+		}
+		go f.runLoad(b.ctx, load)
+		time.Sleep(3 * meanAnswer)
+		f.mu.Lock()
+		f.changeStats = changeStats{}
+		f.mu.Unlock()
+		play(b, f, stagers)
+	})
+	return f.changeStats
+}
+
+// nameVersion names a version and returns the time from which older weights must not be used.
+func nameVersion(stagers []*stage.Stager, version int64) time.Time {
+	for _, s := range stagers {
+		s.SetTarget("m", version, false)
+	}
+	return time.Now().Add(limit)
+}
+
+// expectAllRun checks that all endpoints run a version.
+func (f *loadedFleet) expectAllRun(b *testEnv, version int64) {
+	for _, e := range f.endpoints {
+		b.Expect(e.servingVersion()).To(Equal(version), e.name)
+	}
+}
+
+// Guards against endpoints of a fleet without spare capacity that are all refused leases until the
+// latest time and then load at once without a drain.
+func TestAFleetUnderLoadChangesEvenlyWithinTheLimit(t *testing.T) {
+	for _, load := range []float64{0.8, 1.2} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			play := func(b *testEnv, f *loadedFleet, stagers []*stage.Stager) {
+				end := nameVersion(stagers, 2)
+				time.Sleep(limit)
+				f.expectAllRun(b, 2)
+				b.Expect(f.loads).To(Equal(fleetSize))
+				b.Expect(f.last).To(BeTemporally("<", end.Add(-500*time.Millisecond)))
+			}
+			before := changeFleet(t, load, false, play)
+			after := changeFleet(t, load, true, play)
+			t.Logf("before %+v", before)
+			t.Logf("after  %+v", after)
+			g := NewWithT(t)
+			g.Expect(after.mostOut).To(BeNumerically("<=", fleetSize/2), "out at once")
+			g.Expect(after.cut+after.refused).To(BeNumerically("<", before.cut+before.refused), "streams cut or refused")
+			if load < 1 {
+				g.Expect(after.refused).To(BeNumerically("<=", after.asked/100), "refused although all fit")
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that loads two versions in quick succession, and cuts streams twice.
+func TestAFleetChangesOnceToTheNewerOfTwoVersions(t *testing.T) {
+	play := func(b *testEnv, f *loadedFleet, stagers []*stage.Stager) {
+		nameVersion(stagers, 2)
+		time.Sleep(time.Second)
+		for _, e := range f.endpoints {
+			e.set(func() { e.delay = 250 * time.Millisecond })
+		}
+		time.Sleep(limit/4 - time.Second)
+		nameVersion(stagers, 3)
+		time.Sleep(limit)
+		f.expectAllRun(b, 3)
+	}
+	before, after := changeFleet(t, 0.8, false, play), changeFleet(t, 0.8, true, play)
+	t.Logf("before %+v", before)
+	t.Logf("after  %+v", after)
+	g := NewWithT(t)
+	g.Expect(after.loads).To(BeNumerically("<=", fleetSize*11/10))
+	g.Expect(after.cut + after.refused).To(BeNumerically("<", before.cut+before.refused), "streams cut or refused")
+}
+
+// Guards against a burst of loads when the gateway that grants leases ends.
+func TestAGrantorThatEndsDoesNotMakeAllChangeAtOnce(t *testing.T) {
+	for name, away := range map[string]time.Duration{"replaced": time.Second, "not replaced": limit} {
+		t.Run(name, func(t *testing.T) {
+			after := changeFleet(t, 0.8, true, func(b *testEnv, f *loadedFleet, stagers []*stage.Stager) {
+				nameVersion(stagers, 2)
+				time.Sleep(limit / 2)
+				f.mu.Lock()
+				f.unanswered = true
+				f.table = leases.NewTable()
+				f.mu.Unlock()
+				time.Sleep(away)
+				f.mu.Lock()
+				f.unanswered = false
+				f.mu.Unlock()
+				time.Sleep(limit/2 - min(away, limit/2))
+				f.expectAllRun(b, 2)
+			})
+			t.Logf("%+v", after)
+			NewWithT(t).Expect(after.mostOut).To(BeNumerically("<=", fleetSize/2))
+		})
+	}
+}
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -114,12 +114,19 @@
 				settled = false
 			}
 		}
-		pause := pollInterval
-		if settled {
-			pause = idlePollInterval
-		}
-		s.sleep(ctx, pause)
+		s.sleep(ctx, s.stepPause(settled))
+	}
+}
+
+// stepPause returns the time until the next step: sooner if a lease may be requested before.
+func (s *Stager) stepPause(settled bool) time.Duration {
+	if settled {
+		return idlePollInterval
+	}
+	if d := time.Until(s.leaseRetryAt); d > 0 {
+		return min(d, pollInterval)
 	}
+	return pollInterval
 }
 
 // sleep waits for d or until a new target is set.
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -52,17 +52,19 @@
 }
 
 // TimeToComplete returns the expected time until a version is complete, of which have of total
-// chunks arrived within elapsed. earlier is how long the preceding version took; 0 if unknown. It
-// returns 0 if nothing can be said.
+// chunks arrived within elapsed. earlier is how long the preceding version took; 0 if unknown. Most
+// chunks arrive late, once other VMs have them, so that they say little before that time has passed.
+// It returns 0 if nothing can be said.
 func TimeToComplete(have, total int, elapsed, earlier time.Duration) time.Duration {
 	if earlier <= 0 {
 		return 0
 	}
-	if total == 0 {
-		return max(earlier-elapsed, earlier/2)
+	missing := 1.0
+	if total > 0 {
+		missing -= float64(have) / float64(total)
 	}
-	missing := 1 - float64(have)/float64(total)
-	return max(earlier-elapsed, time.Duration(missing*float64(max(earlier, elapsed))), time.Millisecond)
+	stalled := time.Duration(missing * float64(max(earlier, elapsed)) / 2)
+	return max(earlier-elapsed, stalled, time.Millisecond)
 }
 
 // SwitchTime returns the time at which an endpoint switches to other weights without a
