--- a/leases/pace.go
+++ b/leases/pace.go
@@ -69,7 +69,7 @@
 // change twice otherwise.
 func Needed(p Pace) (out int, drain time.Duration) {
 	switch {
-	case p.Pending <= 0 || p.NewerIn > 0 && p.NewerIn < p.Remaining-newerMargin:
+	case p.Pending <= 0 || p.awaitsNewer():
 		return 0, p.Drain
 	case p.Remaining <= 0:
 		return p.Pending, 0
@@ -79,9 +79,25 @@
 	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.Remaining)))), drain
 }
 
+// awaitsNewer returns whether endpoints can wait for a newer version.
+func (p *Pace) awaitsNewer() bool {
+	return p.NewerIn > 0 && p.NewerIn < p.Remaining-newerMargin
+}
+
+// SkipsVersion returns whether endpoints wait for a newer version although others have spare capacity
+// for their requests. They do if all can change to the newer one with full drains. If they can't,
+// two changes cut fewer streams than one without a drain.
+func SkipsVersion(p Pace) bool {
+	if !p.awaitsNewer() {
+		return false
+	}
+	p.Remaining -= p.NewerIn
+	return p.drainWith(maxUnavailableShare) >= p.Drain
+}
+
 // drainWith returns the drain with which all pending endpoints can change in time while a share of
 // all endpoints is out at once.
-func (p Pace) drainWith(share float64) time.Duration {
+func (p *Pace) drainWith(share float64) time.Duration {
 	return time.Duration(share*float64(p.Endpoints)*float64(p.Remaining)/float64(p.Pending)) - loadTime
 }
 
@@ -93,13 +109,11 @@
 	g := Grant{Pending: n.pending, Out: n.out, Drain: c.Drain}
 	g.RetryAfter = RetryAfter(n.pending)
 	remaining := c.Remaining - g.RetryAfter
-	needed, drain := Needed(Pace{
-		Endpoints: len(f.Endpoints), Pending: n.pending,
-		Remaining: remaining, Drain: c.Drain, NewerIn: c.NewerIn,
-	})
+	p := Pace{Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: remaining, Drain: c.Drain, NewerIn: c.NewerIn}
+	needed, drain := Needed(p)
 	g.Needed = needed
 	switch {
-	case needed == 0 && c.NewerIn > 0: // all can wait for the newer version
+	case SkipsVersion(p):
 	case CanGrant(f, held, c.VM):
 		g.Given, g.Spare = true, true
 	default:
--- a/leases/service.go
+++ b/leases/service.go
@@ -53,6 +53,8 @@
 	// time, so that a lease is granted in time. Drain is then how long the endpoint may drain.
 	Scheduled bool
 	Drain     time.Duration
+	// Spare is set if the other endpoints have capacity for all requests.
+	Spare bool
 }
 
 // Begin grants or refuses a lease. Its name is part of the RPC protocol.
@@ -67,7 +69,7 @@
 	}
 	c := Change{VM: q.VM, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
 	g := s.table.Schedule(q.Service, c, f, d, time.Now())
-	reply.Given, reply.Drain, reply.Scheduled, reply.Again = g.Given, g.Drain, true, g.RetryAfter
+	reply.Given, reply.Drain, reply.Scheduled, reply.Again, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
 	s.onDecision(q, g)
 	return nil
 }
--- a/sidecar/stage/change_test.go
+++ b/sidecar/stage/change_test.go
@@ -129,7 +129,7 @@
 	}
 	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
 	g := f.table.Schedule("s", c, candidates, q.For, time.Now())
-	reply.Granted, reply.Drain, reply.Scheduled, reply.RetryAfter = g.Given, g.Drain, true, g.RetryAfter
+	reply.Granted, reply.Drain, reply.Scheduled, reply.RetryAfter, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
 	return reply
 }
 
@@ -250,7 +250,7 @@
 	t.Logf("after  %+v", after)
 	g := NewWithT(t)
 	g.Expect(after.loads).To(BeNumerically("<=", fleetSize*11/10))
-	g.Expect(after.cut + after.refused).To(BeNumerically("<", before.cut+before.refused), "streams cut or refused")
+	g.Expect(after.cut+after.refused).To(BeNumerically("<", before.cut+before.refused), "streams cut or refused")
 }
 
 // Guards against a burst of loads when the gateway that grants leases ends.
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -33,6 +33,8 @@
 	// loadTimeout is how long a load is awaited before the endpoint's state is evaluated
 	// again.
 	loadTimeout = 3 * time.Second
+	// finishTimeout is that of a load for which running requests end first.
+	finishTimeout = 5 * time.Second
 )
 
 // readPlaced returns chunk i from the endpoint's staging area, or nil if it is missing.
@@ -112,11 +114,9 @@
 	if err != nil || report.Busy || report.Version(model) >= want.version {
 		return err
 	}
-	var drain time.Duration
-	cut := 0
+	prep := preparation{}
 	if held := report.Version(model); held != 0 {
-		drain = s.leasedDrain(model, held, report.Running, lease)
-		cut = s.drain(ctx, drain)
+		prep = s.prepare(ctx, model, held, report.Running, lease)
 		// The staged chunks may have been corrupted in the meantime.
 		if err := s.verify(ctx, model, set); err != nil {
 			return err
@@ -125,16 +125,46 @@
 	if s.expiresTooSoon(model, want.version) {
 		return nil // the preparation took too long
 	}
-	if err := s.orderLoad(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence}); err != nil {
+	if err := s.orderLoad(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence, Finish: prep.finish}); err != nil {
 		return err
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
-		"running", report.Running, "drainMs", drain.Milliseconds(), "leased", lease.Granted, "leasesRefused", s.leasesRefused, "sinceNamedMs", time.Since(want.firstSeen).Milliseconds(), "cut", cut)
+		"running", report.Running, "drainMs", prep.drain.Milliseconds(), "leased", lease.Granted, "leasesRefused", s.leasesRefused, "sinceNamedMs", time.Since(want.firstSeen).Milliseconds(),
+		"left", prep.left, "spare", lease.Spare, "finish", prep.finish)
 	s.leasesRefused = 0
-	s.recordLoadOutcome(model, want.version, s.awaitLoaded(ctx, model, want.version, &Report{StartMillis: report.StartMillis, Sequence: report.Sequence + 1}))
+	s.recordLoadOutcome(model, want.version, s.awaitLoaded(ctx, model, want.version, prep.loadTimeout(), &Report{StartMillis: report.StartMillis, Sequence: report.Sequence + 1}))
 	return nil
 }
 
+// preparation is how an endpoint that runs older weights prepared for a load.
+type preparation struct {
+	// drain is how long it could drain, left the number of requests that still ran then.
+	drain time.Duration
+	left  int
+	// finish is set if these end before the load, and are cut otherwise.
+	finish bool
+}
+
+// loadTimeout returns how long the load is awaited.
+func (p *preparation) loadTimeout() time.Duration {
+	if p.finish {
+		return finishTimeout
+	}
+	return loadTimeout
+}
+
+// prepare keeps requests away from the endpoint, which runs version held, and drains it.
+func (s *Stager) prepare(ctx context.Context, model string, held int64, running int, lease Lease) preparation {
+	end, _ := s.history.Deadline(model, held)
+	if FinishesRequests(lease, time.Until(end)) {
+		s.cfg.Fleet.Pause(ctx, finishTimeout)
+		wait.For(ctx, noticeDelay)
+		return preparation{finish: true, left: running}
+	}
+	drain := s.leasedDrain(model, held, running, lease)
+	return preparation{drain: drain, left: s.drain(ctx, drain)}
+}
+
 // loadCrashes counts consecutive loads of a version during which the endpoint terminated.
 type loadCrashes struct {
 	version int64
@@ -204,7 +234,7 @@
 		return s.drainTime(model, held, running)
 	case lease.Scheduled:
 		end, _ := s.history.Deadline(model, held)
-		return min(lease.Drain, LeasedDrain(s.cfg.Fleet.Capacity(), time.Until(end)))
+		return max(0, min(lease.Drain, time.Until(end)-drainMargin))
 	}
 	return s.drainTime(model, held, 0)
 }
@@ -232,13 +262,13 @@
 	}
 }
 
-// awaitLoaded waits until the endpoint runs a version and notifies the gateways. ordered is
+// awaitLoaded waits up to limit until the endpoint runs a version and notifies the gateways. ordered is
 // the state right after the order was accepted; an endpoint that has restarted since has lost
 // the order. It returns whether the endpoint restarted or is unreachable.
-func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, ordered *Report) (restarted bool) {
+func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, limit time.Duration, ordered *Report) (restarted bool) {
 	began := time.Now()
 	away := false
-	for time.Since(began) < loadTimeout && wait.For(ctx, loadPollInterval) {
+	for time.Since(began) < limit && wait.For(ctx, loadPollInterval) {
 		report, err := s.report(ctx)
 		away = err != nil
 		if away {
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -88,6 +88,9 @@
 	// Sequence is the endpoint's sequence number that the order is based on. The endpoint
 	// rejects the order if the number has changed.
 	Sequence int64
+	// Finish is set if running requests end before the weights are loaded, instead of being
+	// cut. The endpoint accepts no requests until then.
+	Finish bool
 }
 
 // OrderError reports that an endpoint rejected an order.
@@ -160,6 +163,8 @@
 	// drain with it.
 	Scheduled bool
 	Drain     time.Duration
+	// Spare is set if the other endpoints have capacity for all requests.
+	Spare bool
 	// NoAnswer is set if there was no answer.
 	NoAnswer bool
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -190,10 +190,11 @@
 		return Lease{}, true // nothing is loaded, or the time left is unknown
 	}
 	now := time.Now()
-	last := LastChange(naming.At.Add(s.cfg.VersionLimit))
+	end := naming.At.Add(s.cfg.VersionLimit)
+	last := LastChange(end)
 	switch {
-	case !now.Before(last):
-		return Lease{}, true
+	case !now.Before(end):
+		return Lease{}, true // no request may begin on the old weights
 	case now.Before(EarliestSwitch(naming.At, s.cfg.VersionLimit, want.completedAt)):
 		return Lease{}, false
 	}
@@ -203,6 +204,9 @@
 		s.lease.Granted = false
 		return lease, true
 	}
+	if !time.Now().Before(last) {
+		return Lease{}, true
+	}
 	at := SwitchTime(naming.At, s.cfg.VersionLimit, want.completedAt, s.switchOffset(model))
 	switch {
 	case FollowsSchedule(s.lease):
@@ -228,8 +232,7 @@
 		return
 	}
 	held := report.Version(model)
-	end, _ := s.history.Deadline(model, held)
-	drain := LeasedDrain(s.cfg.Fleet.Capacity(), time.Until(end))
+	drain := LeasedDrain(s.cfg.Fleet.Capacity())
 	lease := s.cfg.Fleet.RequestLoadLease(ctx, LeaseRequest{
 		Model: model, Held: held, For: drain + maxLoadTime, Remaining: last.Sub(now), Drain: drain,
 		NewerIn: s.newerIn(model, want), Running: report.Running + report.Queued,
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -107,10 +107,17 @@
 // a fifth of the responses take longer.
 const leasedDrainFactor = 2
 
-// LeasedDrain returns how long an endpoint whose requests others take drains at most, where remaining
-// is the time until its weights expire.
-func LeasedDrain(c Capacity, remaining time.Duration) time.Duration {
-	return max(0, min(time.Duration(leasedDrainFactor*float64(c.AnswerTime)), maxDrain, remaining-drainMargin))
+// LeasedDrain returns how long an endpoint whose requests others take drains at most.
+func LeasedDrain(c Capacity) time.Duration {
+	return min(time.Duration(leasedDrainFactor*float64(c.AnswerTime)), maxDrain)
+}
+
+// FinishesRequests returns whether an endpoint, whose weights expire after remaining, is ordered to
+// end its running requests before it loads others, instead of draining and then cutting those that
+// are left. It answers endpoints that change last: their drain would go on after the weights have
+// expired, when only the endpoint itself can keep requests that are still on their way from beginning.
+func FinishesRequests(l Lease, remaining time.Duration) bool {
+	return l.Granted && l.Spare && l.Scheduled && l.Drain > remaining-drainMargin
 }
 
 // Capacity describes an endpoint's request processing. Unknown fields are 0.
