--- a/leases/pace.go
+++ b/leases/pace.go
@@ -85,11 +85,14 @@
 }
 
 // SkipsVersion returns whether endpoints wait for a newer version although others have spare capacity
-// for their requests. They do if all can change to the newer one with full drains. If they can't,
-// two changes cut fewer streams than one without a drain.
+// for their requests. They do if all can change to the newer one with full drains, or if it comes
+// before a drain would end. Otherwise, two changes cut fewer streams than one without a drain.
 func SkipsVersion(p Pace) bool {
-	if !p.awaitsNewer() {
+	switch {
+	case !p.awaitsNewer():
 		return false
+	case p.NewerIn <= p.Drain+loadTime:
+		return true
 	}
 	p.Remaining -= p.NewerIn
 	return p.drainWith(maxUnavailableShare) >= p.Drain
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -226,15 +226,16 @@
 	return DrainTime(s.cfg.Fleet.Capacity(), running, time.Until(end))
 }
 
-// leasedDrain returns how long the endpoint drains. With a lease, the drain is not shortened because
-// of running requests: other endpoints take the ones that would follow.
+// leasedDrain returns how long the endpoint drains. With a lease, or if all others were scheduled to
+// change before it, the drain is not shortened because of running requests: other endpoints take the
+// ones that would follow.
 func (s *Stager) leasedDrain(model string, held int64, running int, lease Lease) time.Duration {
 	switch {
-	case !lease.Granted:
-		return s.drainTime(model, held, running)
 	case lease.Scheduled:
 		end, _ := s.history.Deadline(model, held)
 		return max(0, min(lease.Drain, time.Until(end)-drainMargin))
+	case !lease.Granted:
+		return s.drainTime(model, held, running)
 	}
 	return s.drainTime(model, held, 0)
 }
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -55,8 +55,9 @@
 	// time of the next request. Both are used only by Run.
 	lease        Lease
 	leaseRetryAt time.Time
-	// leaseAnsweredAt is when a request was last answered. Used only by Run.
-	leaseAnsweredAt time.Time
+	// leaseAskedAt and leaseAnsweredAt are when a lease was last requested, and when a request
+	// was last answered. Used only by Run.
+	leaseAskedAt, leaseAnsweredAt time.Time
 	// leasesRefused counts the refused requests since the last load. Used only by Run.
 	leasesRefused int
 
@@ -198,6 +199,9 @@
 	case now.Before(EarliestSwitch(naming.At, s.cfg.VersionLimit, want.completedAt)):
 		return Lease{}, false
 	}
+	if !now.Before(last) && s.leaseAskedAt.Before(last) {
+		s.leaseRetryAt = now // a last request
+	}
 	s.requestLease(ctx, model, report, want, last)
 	if s.lease.Granted {
 		lease := s.lease
@@ -205,7 +209,7 @@
 		return lease, true
 	}
 	if !time.Now().Before(last) {
-		return Lease{}, true
+		return Lease{Scheduled: s.lease.Scheduled, Drain: LeasedDrain(s.cfg.Fleet.Capacity())}, true
 	}
 	at := SwitchTime(naming.At, s.cfg.VersionLimit, want.completedAt, s.switchOffset(model))
 	switch {
@@ -237,7 +241,7 @@
 		Model: model, Held: held, For: drain + maxLoadTime, Remaining: last.Sub(now), Drain: drain,
 		NewerIn: s.newerIn(model, want), Running: report.Running + report.Queued,
 	})
-	s.leaseRetryAt = now.Add(lease.RetryAfter)
+	s.leaseAskedAt, s.leaseRetryAt = now, now.Add(lease.RetryAfter)
 	if !lease.Granted {
 		s.leasesRefused++
 	}
