--- a/leases/pace.go
+++ b/leases/pace.go
@@ -101,7 +101,7 @@
 // drainWith returns the drain with which all pending endpoints can change in time while a share of
 // all endpoints is out at once.
 func (p *Pace) drainWith(share float64) time.Duration {
-	return time.Duration(share*float64(p.Endpoints)*float64(p.Remaining)/float64(p.Pending)) - loadTime
+	return time.Duration(share*float64(p.Endpoints)*float64(p.Remaining)/float64(max(p.Pending, 1))) - loadTime
 }
 
 // Decide returns whether the endpoint of c may change now, while those of the VMs in held change
--- a/sidecar/stage/change_test.go
+++ b/sidecar/stage/change_test.go
@@ -35,6 +35,12 @@
 	unanswered bool
 	// scheduled is set if sidecars state what the endpoint runs.
 	scheduled bool
+	// newsAge is how old the state of the endpoints may be by which leases are granted.
+	newsAge time.Duration
+	news    *leases.Fleet
+	newsAt  time.Time
+	// secondTable, if set, grants the leases of every other endpoint.
+	secondTable *leases.Table
 	changeStats
 }
 
@@ -54,6 +60,7 @@
 	*fakeVM
 	fleet       *loadedFleet
 	name        string
+	odd         bool
 	pausedUntil time.Time
 	// streams holds the ends of the streams that run.
 	streams map[*time.Timer]time.Time
@@ -106,6 +113,9 @@
 	defer e.fleet.mu.Unlock()
 	e.pausedUntil = time.Time{}
 	e.fleet.table.Release(e.name)
+	if e.fleet.secondTable != nil {
+		e.fleet.secondTable.Release(e.name)
+	}
 }
 
 func (e *loadedEndpoint) RequestLoadLease(_ context.Context, q stage.LeaseRequest) stage.Lease {
@@ -115,24 +125,37 @@
 	if f.unanswered {
 		return stage.Lease{NoAnswer: true, RetryAfter: 500 * time.Millisecond}
 	}
-	candidates := &leases.Fleet{}
-	for _, other := range f.endpoints {
-		candidates.Endpoints = append(candidates.Endpoints, leases.Endpoint{
-			VM: other.name, Slots: fleetSlots, InFlight: len(other.streams),
-			Unavailable: other.paused(), Paused: other.paused(), Version: other.servingVersion(),
-		})
-	}
+	candidates := f.candidates()
 	reply := stage.Lease{RetryAfter: leases.RetryAfter(fleetSize), AvailableLater: leases.CanGrantLater(candidates, e.name)}
 	if !f.scheduled {
 		reply.Granted = f.table.Acquire("s", e.name, candidates, q.For, time.Now())
 		return reply
 	}
 	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
-	g := f.table.Schedule("s", c, candidates, q.For, time.Now())
+	table := f.table
+	if f.secondTable != nil && e.odd {
+		table = f.secondTable
+	}
+	g := table.Schedule("s", c, candidates, q.For, time.Now())
 	reply.Granted, reply.Drain, reply.Scheduled, reply.RetryAfter, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
 	return reply
 }
 
+// candidates returns the state of the endpoints as the grantor knows it. The caller must hold f.mu.
+func (f *loadedFleet) candidates() *leases.Fleet {
+	if f.news != nil && time.Since(f.newsAt) < f.newsAge {
+		return f.news
+	}
+	f.news, f.newsAt = &leases.Fleet{}, time.Now()
+	for _, e := range f.endpoints {
+		f.news.Endpoints = append(f.news.Endpoints, leases.Endpoint{
+			VM: e.name, Slots: fleetSlots, InFlight: len(e.streams),
+			Unavailable: e.paused(), Paused: e.paused(), Version: e.servingVersion(),
+		})
+	}
+	return f.news
+}
+
 // place starts a stream at the endpoint with the fewest. The caller must hold f.mu.
 func (f *loadedFleet) place(d time.Duration) {
 	var best *loadedEndpoint
@@ -175,7 +198,7 @@
 		for i := range fleetSize {
 			vm := newFakeVM(1)
 			vm.capacity = stage.Capacity{Slots: fleetSlots, AnswerTime: meanAnswer}
-			e := &loadedEndpoint{fakeVM: vm, fleet: f, name: fmt.Sprintf("vm%d", i), streams: map[*time.Timer]time.Time{}}
+			e := &loadedEndpoint{fakeVM: vm, fleet: f, name: fmt.Sprintf("vm%d", i), odd: i%2 == 1, streams: map[*time.Timer]time.Time{}}
 			f.endpoints = append(f.endpoints, e)
 			s := stage.New(stage.Config{Self: swarm.Member{VM: e.name, Addr: e.name, Zone: "a", Region: "east"}, Endpoint: e, Origin: e, Fleet: e, Peers: noPeers{}, VersionLimit: limit, Log: log.New(io.Discard)})
 			stagers = append(stagers, s)
@@ -276,3 +299,25 @@
 		})
 	}
 }
+
+// Guards against more endpoints that are out than the rule allows while the news of them is late or
+// two gateways both grant leases.
+func TestLateNewsAndTwoGrantorsHardlyChangeThePace(t *testing.T) {
+	for name, disturb := range map[string]func(f *loadedFleet){
+		"late news":    func(f *loadedFleet) { f.newsAge = 300 * time.Millisecond },
+		"two grantors": func(f *loadedFleet) { f.secondTable = leases.NewTable() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			after := changeFleet(t, 0.8, true, func(b *testEnv, f *loadedFleet, stagers []*stage.Stager) {
+				f.mu.Lock()
+				disturb(f)
+				f.mu.Unlock()
+				nameVersion(stagers, 2)
+				time.Sleep(limit)
+				f.expectAllRun(b, 2)
+			})
+			t.Logf("%+v", after)
+			NewWithT(t).Expect(after.mostOut).To(BeNumerically("<=", fleetSize/2))
+		})
+	}
+}
--- a/sidecar/stage/stager_test.go
+++ b/sidecar/stage/stager_test.go
@@ -74,7 +74,9 @@
 	// leaseGranted is set if lease requests are granted, leaseLater if they are refused but will
 	// be granted later. leaseRequests holds the times of the requests.
 	leaseGranted, leaseLater bool
-	leaseRequests            []time.Time
+	// lease, if set, is the answer to lease requests.
+	lease         *stage.Lease
+	leaseRequests []time.Time
 }
 
 // order is a load order as accepted by the endpoint.
@@ -84,6 +86,8 @@
 	queued  int
 	// matches is set if all staged chunks were those of the version.
 	matches bool
+	// finish is set if running requests were to end first.
+	finish bool
 }
 
 // newFakeVM returns a fakeVM whose endpoint runs the given version, 0 for none.
@@ -125,7 +129,7 @@
 		m.mu.Unlock()
 		return &stage.OrderError{Status: 409}
 	}
-	taken := order{version: o.Version, at: time.Now(), queued: m.queued, matches: true}
+	taken := order{version: o.Version, at: time.Now(), queued: m.queued, matches: true, finish: o.Finish}
 	for i := range chunks {
 		taken.matches = taken.matches && bytes.Equal(m.placed[i], chunk(o.Version, i))
 	}
@@ -208,6 +212,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.leaseRequests = append(m.leaseRequests, time.Now())
+	if m.lease != nil {
+		return *m.lease
+	}
 	return stage.Lease{Granted: m.leaseGranted, AvailableLater: m.leaseLater, RetryAfter: 100 * time.Millisecond}
 }
 
