--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,8 @@
 	poison *poison.Table
 	trials *poison.Trials
 	// loads holds the leases on loading weights that this gateway grants.
-	loads *leases.Table
+	loads         *leases.Table
+	leaseCounters *LeaseCounters
 	// quarantineLoaded is done once the quarantined requests are known or waiting for them has
 	// timed out; markQuarantineLoaded ends it. See awaitQuarantine.
 	quarantineLoaded     context.Context
@@ -129,7 +130,7 @@
 	}
 	g.quarantineLoaded, g.markQuarantineLoaded = context.WithCancel(context.Background())
 	g.poison, g.trials = poison.NewTable(g.onPoisonChange), poison.NewTrials()
-	g.loads = leases.NewTable()
+	g.loads, g.leaseCounters = leases.NewTable(), NewLeaseCounters(registry)
 	g.table = member.NewTable(g.self)
 	g.endpoints = g.newEndpoints()
 	g.unreadableVersions = unreadable.New(platform.KindVersions, registry, l)
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -26,21 +26,31 @@
 	return f
 }
 
-// Metrics of load leases that this gateway decided on.
-const (
-	metricLeasesGranted = "gateway.load_leases.granted"
-	metricLeasesRefused = "gateway.load_leases.refused"
-)
+// LeaseCounters counts decisions on load leases.
+type LeaseCounters struct {
+	// Refused counts refused requests; endpoints repeat them.
+	Granted, Refused metrics.Counter
+}
+
+// NewLeaseCounters registers the counters in r.
+func NewLeaseCounters(r metrics.Registry) *LeaseCounters {
+	return &LeaseCounters{
+		Granted: metrics.GetOrRegisterCounter("gateway.load_leases_granted", r),
+		Refused: metrics.GetOrRegisterCounter("gateway.load_leases_refused", r),
+	}
+}
 
 // recordLeaseDecision records a decision on a load lease. Endpoints repeat refused requests several
 // times a second, so that these are logged for debugging only.
 func (g *Gateway) recordLeaseDecision(q leases.LoadRequest, d leases.Grant) {
-	name, message, log := metricLeasesRefused, "load lease refused", g.log.Debug
-	if d.Given {
-		name, message, log = metricLeasesGranted, "load lease granted", g.log.Info
-	}
-	metrics.GetOrRegisterCounter(name, g.registry).Inc(1)
-	log(message, "service", q.Service, "model", q.Model, "addr", q.VM, "weights", q.Held, "running", q.Running,
+	l := g.log.With("service", q.Service, "model", q.Model, "addr", q.VM, "weights", q.Held, "running", q.Running,
 		"remainingMs", q.Remaining.Milliseconds(), "newerInMs", q.NewerIn.Milliseconds(), "drainMs", d.Drain.Milliseconds(),
 		"spare", d.Spare, "pending", d.Pending, "out", d.Out, "needed", d.Needed)
+	if !d.Given {
+		g.leaseCounters.Refused.Inc(1)
+		l.Debug("load lease refused")
+		return
+	}
+	g.leaseCounters.Granted.Inc(1)
+	l.Info("load lease granted")
 }
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -7,8 +7,8 @@
 // stages and loads, and one unloads weights that reach their expiry. An order carries the
 // sequence number it is based on, so that the endpoint accepts only the first of two
 // conflicting orders. The package depends on the endpoint, the origin, other VMs and the
-// member list. The decision rules are in rules.go. The message names in manifest.go are
-// part of the wire protocol.
+// member list. The decision rules are in rules.go and switch.go. The message names in
+// manifest.go are part of the wire protocol.
 package stage
 
 import (
