--- a/leases/leases.go
+++ b/leases/leases.go
@@ -16,14 +16,39 @@
 
 // Endpoint is the state of one endpoint of a service.
 type Endpoint struct {
-	// VM is the VM on which the endpoint runs; see roster.VM.
-	VM string
-	// Slots is the number of requests that the endpoint runs at once, InFlight the number that
-	// all gateways have in flight there.
-	Slots, InFlight int
+	// VM is the VM on which the endpoint runs; see roster.VM. Zone is its availability zone.
+	VM, Zone string
+	// Slots is the number of requests that the endpoint serves in time at once, InFlight the
+	// number that all gateways have in flight there.
+	Slots    float64
+	InFlight int
 	// Unavailable is set if the endpoint is ejected, suspected or paused and so takes no
 	// requests.
 	Unavailable bool
+	// Paused is set if the endpoint asked for no requests because it is about to load weights.
+	Paused bool
+	// Version is the version of the model that the endpoint holds, or 0.
+	Version int64
+}
+
+// Fleet is the state of the endpoints of a service that run a model.
+type Fleet struct {
+	Endpoints []Endpoint
+	// Demand is the number of slots that callers ask for; 0 if unknown.
+	Demand float64
+}
+
+// demand returns the number of slots that callers ask for. Unless it is known, the requests in
+// flight are counted, which do not include those that were refused.
+func (f *Fleet) demand() float64 {
+	if f.Demand > 0 {
+		return f.Demand
+	}
+	n := 0
+	for _, e := range f.Endpoints {
+		n += e.InFlight
+	}
+	return float64(n)
 }
 
 const (
@@ -38,43 +63,41 @@
 // well. As many may drain at once as leave enough capacity for all requests. If the load leaves
 // no spare capacity, no lease is granted, and endpoints change weights without one, spread over
 // the time that they have.
-func CanGrant(endpoints []Endpoint, held map[string]bool, vm string) bool {
-	inFlight, slots, unavailable := 0, 0, 0
-	for _, e := range endpoints {
-		inFlight += e.InFlight
+func CanGrant(f *Fleet, held map[string]bool, vm string) bool {
+	slots, unavailable := 0.0, 0
+	for _, e := range f.Endpoints {
 		if e.VM == vm || e.Unavailable || held[e.VM] {
 			unavailable++
 			continue
 		}
 		slots += e.Slots
 	}
-	return float64(unavailable) <= maxUnavailableShare*float64(len(endpoints)) && float64(inFlight) <= maxUtilization*float64(slots)
+	return float64(unavailable) <= maxUnavailableShare*float64(len(f.Endpoints)) && f.demand() <= maxUtilization*slots
 }
 
 // CanGrantLater returns whether a lease that was refused can be expected later: without the endpoint
 // of vm, the others could handle all requests if all of them were available.
-func CanGrantLater(endpoints []Endpoint, vm string) bool {
-	inFlight, slots := 0, 0
-	for _, e := range endpoints {
-		inFlight += e.InFlight
+func CanGrantLater(f *Fleet, vm string) bool {
+	slots := 0.0
+	for _, e := range f.Endpoints {
 		if e.VM != vm {
 			slots += e.Slots
 		}
 	}
-	return float64(inFlight) <= maxUtilization*float64(slots)
+	return f.demand() <= maxUtilization*slots
 }
 
 const (
 	// minRetryInterval is the minimum time between two requests for the same lease.
 	minRetryInterval = 100 * time.Millisecond
-	// retryIntervalPerEndpoint scales the retry interval with the number of endpoints of the
-	// service, so that the owner receives at most 200 requests per second, however many
-	// endpoints there are.
+	// retryIntervalPerEndpoint scales the retry interval with the number of endpoints that may
+	// ask, so that the owner receives at most 200 requests per second, however many endpoints
+	// there are.
 	retryIntervalPerEndpoint = 5 * time.Millisecond
 )
 
 // RetryAfter returns the time after which an endpoint retries a refused lease request, given the
-// number of endpoints of the service.
+// number of endpoints that may ask.
 func RetryAfter(endpoints int) time.Duration {
 	return max(minRetryInterval, time.Duration(endpoints)*retryIntervalPerEndpoint)
 }
@@ -89,36 +112,93 @@
 	mu sync.Mutex
 	// expiresAt holds the expiry of leases by service and VM.
 	expiresAt map[string]map[string]time.Time
+	// waiting holds the latest refused requests by service and VM.
+	waiting map[string]map[string]waiter
+}
+
+// waiter is an endpoint whose request for a lease was refused.
+type waiter struct {
+	running int
+	at      time.Time
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{expiresAt: map[string]map[string]time.Time{}}
+	return &Table{expiresAt: map[string]map[string]time.Time{}, waiting: map[string]map[string]waiter{}}
 }
 
 // Acquire grants the endpoint of vm a lease for d if CanGrant allows it, and returns whether it
 // did. A lease that the endpoint already holds is renewed.
-func (t *Table) Acquire(service, vm string, endpoints []Endpoint, d time.Duration, now time.Time) bool {
+func (t *Table) Acquire(service, vm string, f *Fleet, d time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !CanGrant(f, t.held(service, now), vm) {
+		return false
+	}
+	t.grant(service, vm, now.Add(d))
+	return true
+}
+
+// Schedule grants a lease for d if Decide allows the change. A lease that the endpoint already
+// holds is renewed.
+func (t *Table) Schedule(service string, c Change, f *Fleet, d time.Duration, now time.Time) Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	waiting := t.waitingRunning(service, c.VM, RetryAfter(len(f.Endpoints)), now)
+	g := Decide(c, f, t.held(service, now), waiting)
+	if g.Given {
+		delete(t.waiting[service], c.VM)
+		t.grant(service, c.VM, now.Add(d))
+		return g
+	}
+	if t.waiting[service] == nil {
+		t.waiting[service] = map[string]waiter{}
+	}
+	t.waiting[service][c.VM] = waiter{running: c.Running, at: now}
+	return g
+}
+
+// held returns the VMs that hold leases of a service. The caller must hold t.mu.
+func (t *Table) held(service string, now time.Time) map[string]bool {
 	held := map[string]bool{}
-	for other, until := range t.expiresAt[service] {
+	for vm, until := range t.expiresAt[service] {
 		if now.Before(until) {
-			held[other] = true
+			held[vm] = true
 		} else {
-			delete(t.expiresAt[service], other)
+			delete(t.expiresAt[service], vm)
 		}
 	}
-	if !CanGrant(endpoints, held, vm) {
-		return false
-	}
+	return held
+}
+
+// grant records a lease. The caller must hold t.mu.
+func (t *Table) grant(service, vm string, until time.Time) {
 	if t.expiresAt[service] == nil {
 		t.expiresAt[service] = map[string]time.Time{}
 	}
-	t.expiresAt[service][vm] = now.Add(d)
-	return true
+	t.expiresAt[service][vm] = until
 }
 
+// waitingRunning returns the numbers of running requests of the endpoints, other than that of vm,
+// that wait for a lease of a service. An endpoint that has not asked again in time waits no longer.
+// The caller must hold t.mu.
+func (t *Table) waitingRunning(service, vm string, retry time.Duration, now time.Time) []int {
+	var out []int
+	for other, w := range t.waiting[service] {
+		switch {
+		case now.Sub(w.at) > waitingRetries*retry:
+			delete(t.waiting[service], other)
+		case other != vm:
+			out = append(out, w.running)
+		}
+	}
+	return out
+}
+
+// waitingRetries is the number of retry intervals after which an endpoint that has not asked again
+// no longer waits: the interval itself, and as much for the sidecar's polling and the way.
+const waitingRetries = 2
+
 // Release ends the lease of the endpoint of vm, if it holds one.
 func (t *Table) Release(vm string) {
 	t.mu.Lock()
--- a/leases/service.go
+++ b/leases/service.go
@@ -16,14 +16,17 @@
 // Service grants leases over net/rpc under ServiceName. It is safe for concurrent use.
 type Service struct {
 	table *Table
-	// endpoints returns the endpoints of a service that run a model.
-	endpoints func(service, model string) []Endpoint
+	// fleet returns the endpoints of a service that run a model.
+	fleet func(service, model string) *Fleet
+	// onDecision is called after each decision on a request that states what the endpoint runs.
+	onDecision func(q LoadRequest, g Grant)
 }
 
-// NewService returns a Service that grants leases from table. endpoints returns the endpoints of
-// a service that run a model.
-func NewService(table *Table, endpoints func(service, model string) []Endpoint) *Service {
-	return &Service{table: table, endpoints: endpoints}
+// NewService returns a Service that grants leases from table. fleet returns the endpoints of a
+// service that run a model. onDecision is called after each decision on a request of a sidecar that
+// states what the endpoint runs.
+func NewService(table *Table, fleet func(service, model string) *Fleet, onDecision func(q LoadRequest, g Grant)) *Service {
+	return &Service{table: table, fleet: fleet, onDecision: onDecision}
 }
 
 // LoadRequest requests a lease for loading a model at the endpoint of VM.
@@ -31,6 +34,11 @@
 	Service, Model, VM string
 	// For is the time after which the lease expires unless the load completes first.
 	For time.Duration
+	// Held is the version that the endpoint runs, 0 if the sender does not state it. The fields
+	// below are those of Change and set if Held is.
+	Held                      int64
+	Remaining, Drain, NewerIn time.Duration
+	Running                   int
 }
 
 // LoadReply is the reply to a LoadRequest.
@@ -41,14 +49,28 @@
 	Again time.Duration
 	// Comes is set if a refused lease can be expected later; see CanGrantLater.
 	Comes bool
+	// Scheduled is set if the gateway spreads the changes of all endpoints over the remaining
+	// time, so that a lease is granted in time. Drain is then how long the endpoint may drain.
+	Scheduled bool
+	Drain     time.Duration
+	// Spare is set if the other endpoints have capacity for all requests.
+	Spare bool
 }
 
 // Begin grants or refuses a lease. Its name is part of the RPC protocol.
 func (s *Service) Begin(q LoadRequest, reply *LoadReply) error {
-	endpoints := s.endpoints(q.Service, q.Model)
-	reply.Given = s.table.Acquire(q.Service, q.VM, endpoints, min(q.For, maxLeaseDuration), time.Now())
-	reply.Again = RetryAfter(len(endpoints))
-	reply.Comes = CanGrantLater(endpoints, q.VM)
+	f := s.fleet(q.Service, q.Model)
+	reply.Again = RetryAfter(len(f.Endpoints))
+	reply.Comes = CanGrantLater(f, q.VM)
+	d := min(q.For, maxLeaseDuration)
+	if q.Held == 0 {
+		reply.Given = s.table.Acquire(q.Service, q.VM, f, d, time.Now())
+		return nil
+	}
+	c := Change{VM: q.VM, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
+	g := s.table.Schedule(q.Service, c, f, d, time.Now())
+	reply.Given, reply.Drain, reply.Scheduled, reply.Again, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
+	s.onDecision(q, g)
 	return nil
 }
 
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -33,6 +33,8 @@
 	// loadTimeout is how long a load is awaited before the endpoint's state is evaluated
 	// again.
 	loadTimeout = 3 * time.Second
+	// finishTimeout is that of a load for which running requests end first.
+	finishTimeout = 5 * time.Second
 )
 
 // readPlaced returns chunk i from the endpoint's staging area, or nil if it is missing.
@@ -100,10 +102,9 @@
 	return nil
 }
 
-// load verifies the staged chunks and orders the endpoint to load them. leased is set if
-// other endpoints take its requests meanwhile: the drain is then not shortened because of
-// running requests.
-func (s *Stager) load(ctx context.Context, model string, want target, set *weights.Set, leased bool) error {
+// load verifies the staged chunks and orders the endpoint to load them. lease is the endpoint's load
+// lease, if it was granted one.
+func (s *Stager) load(ctx context.Context, model string, want target, set *weights.Set, lease Lease) error {
 	s.setLoading(model, want.version)
 	defer s.setLoading(model, 0)
 	if err := s.verify(ctx, model, set); err != nil {
@@ -113,30 +114,57 @@
 	if err != nil || report.Busy || report.Version(model) >= want.version {
 		return err
 	}
-	var drain time.Duration
+	prep := preparation{}
 	if held := report.Version(model); held != 0 {
-		running := report.Running
-		if leased {
-			running = 0
-		}
-		drain = s.drainTime(model, held, running)
-		if err := s.drainAndVerify(ctx, drain, model, set); err != nil {
+		prep = s.prepare(ctx, model, held, report.Running, lease)
+		// The staged chunks may have been corrupted in the meantime.
+		if err := s.verify(ctx, model, set); err != nil {
 			return err
 		}
 	}
 	if s.expiresTooSoon(model, want.version) {
 		return nil // the preparation took too long
 	}
-	if err := s.orderLoad(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence}); err != nil {
+	if err := s.orderLoad(ctx, Order{Model: model, Version: want.version, Sequence: report.Sequence, Finish: prep.finish}); err != nil {
 		return err
 	}
 	s.cfg.Log.Info("load ordered", "model", model, "version", want.version, "sequence", report.Sequence,
-		"running", report.Running, "drainMs", drain.Milliseconds(), "leased", leased, "leasesRefused", s.leasesRefused, "sinceNamedMs", time.Since(want.firstSeen).Milliseconds())
+		"running", report.Running, "drainMs", prep.drain.Milliseconds(), "leased", lease.Granted, "leasesRefused", s.leasesRefused, "sinceNamedMs", time.Since(want.firstSeen).Milliseconds(),
+		"left", prep.left, "spare", lease.Spare, "finish", prep.finish)
 	s.leasesRefused = 0
-	s.recordLoadOutcome(model, want.version, s.awaitLoaded(ctx, model, want.version, &Report{StartMillis: report.StartMillis, Sequence: report.Sequence + 1}))
+	s.recordLoadOutcome(model, want.version, s.awaitLoaded(ctx, model, want.version, prep.loadTimeout(), &Report{StartMillis: report.StartMillis, Sequence: report.Sequence + 1}))
 	return nil
 }
 
+// preparation is how an endpoint that runs older weights prepared for a load.
+type preparation struct {
+	// drain is how long it could drain, left the number of requests that still ran then.
+	drain time.Duration
+	left  int
+	// finish is set if these end before the load, and are cut otherwise.
+	finish bool
+}
+
+// loadTimeout returns how long the load is awaited.
+func (p *preparation) loadTimeout() time.Duration {
+	if p.finish {
+		return finishTimeout
+	}
+	return loadTimeout
+}
+
+// prepare keeps requests away from the endpoint, which runs version held, and drains it.
+func (s *Stager) prepare(ctx context.Context, model string, held int64, running int, lease Lease) preparation {
+	end, _ := s.history.Deadline(model, held)
+	if FinishesRequests(lease, time.Until(end)) {
+		s.cfg.Fleet.Pause(ctx, finishTimeout)
+		wait.For(ctx, noticeDelay)
+		return preparation{finish: true, left: running}
+	}
+	drain := s.leasedDrain(model, held, running, lease)
+	return preparation{drain: drain, left: s.drain(ctx, drain)}
+}
+
 // loadCrashes counts consecutive loads of a version during which the endpoint terminated.
 type loadCrashes struct {
 	version int64
@@ -198,18 +226,25 @@
 	return DrainTime(s.cfg.Fleet.Capacity(), running, time.Until(end))
 }
 
-// drainAndVerify drains the endpoint for at most limit and verifies the staged chunks again,
-// since they may have been corrupted in the meantime.
-func (s *Stager) drainAndVerify(ctx context.Context, limit time.Duration, model string, set *weights.Set) error {
-	s.drain(ctx, limit)
-	return s.verify(ctx, model, set)
+// leasedDrain returns how long the endpoint drains. With a lease, or if all others were scheduled to
+// change before it, the drain is not shortened because of running requests: other endpoints take the
+// ones that would follow.
+func (s *Stager) leasedDrain(model string, held int64, running int, lease Lease) time.Duration {
+	switch {
+	case lease.Scheduled:
+		end, _ := s.history.Deadline(model, held)
+		return max(0, min(lease.Drain, time.Until(end)-drainMargin))
+	case !lease.Granted:
+		return s.drainTime(model, held, running)
+	}
+	return s.drainTime(model, held, 0)
 }
 
 // drain asks gateways to stop sending requests and waits up to limit for running requests
 // to end. It waits up to queueTimeout for requests that gateways sent before they received
 // the pause and that are still queued: they would begin on the old weights, and past their
 // limit if this VM were suspended now.
-func (s *Stager) drain(ctx context.Context, limit time.Duration) {
+func (s *Stager) drain(ctx context.Context, limit time.Duration) (cut int) {
 	s.cfg.Fleet.Pause(ctx, limit+loadPauseDuration)
 	wait.For(ctx, noticeDelay)
 	began := time.Now()
@@ -219,19 +254,22 @@
 		queued := err != nil || report.Queued > 0
 		running := err != nil || report.Running > 0
 		waits := (queued && waited < queueTimeout) || (running && waited < limit)
+		if err == nil {
+			cut = report.Running
+		}
 		if !waits || !wait.For(ctx, queuePollInterval) {
-			return
+			return cut
 		}
 	}
 }
 
-// awaitLoaded waits until the endpoint runs a version and notifies the gateways. ordered is
+// awaitLoaded waits up to limit until the endpoint runs a version and notifies the gateways. ordered is
 // the state right after the order was accepted; an endpoint that has restarted since has lost
 // the order. It returns whether the endpoint restarted or is unreachable.
-func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, ordered *Report) (restarted bool) {
+func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, limit time.Duration, ordered *Report) (restarted bool) {
 	began := time.Now()
 	away := false
-	for time.Since(began) < loadTimeout && wait.For(ctx, loadPollInterval) {
+	for time.Since(began) < limit && wait.For(ctx, loadPollInterval) {
 		report, err := s.report(ctx)
 		away = err != nil
 		if away {
