Admission by a gateway's share of the fleet's room

Change: heartbeats and digests carry the demand by service and rank; each gateway limits its own running requests to its share of the room while the room is short (package admission).

--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/silverdeck/silverdeck/gateway/admission"
+	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/member"
+)
+
+// newGate returns the gate that admits callers' requests.
+func (g *Gateway) newGate() *admission.Gate {
+	m := admission.NewMetrics(g.registry)
+	return admission.New(admission.Config{
+		Supply:     g.supply,
+		News:       g.demandNews,
+		Random:     rand.Float64,
+		OnDecision: m.Record,
+		OnChange: func(s admission.Status) {
+			m.RecordStatus(&s)
+			g.log.Info("admission changed", "service", s.Service, "shortage", s.Shortage, "room", s.Room, "running", s.Running,
+				"demand", s.Fleet.Total(), "own", s.Own.Total(), "gateways", s.Gateways, "covers", s.Covers, "ageMs", s.Age.Milliseconds(),
+				"levels", s.Levels, "limit", s.Limit, "admitted", s.Admitted)
+		},
+	})
+}
+
+// supply implements admission.Config.Supply.
+func (g *Gateway) supply(service string, now time.Time) admission.Supply {
+	var out admission.Supply
+	for _, c := range g.capacities(service, now) {
+		if !c.Usable || c.Places <= 0 {
+			out.Elsewhere += c.Own
+			continue
+		}
+		out.Room += c.Places
+		out.Running += float64(c.InFlight)
+	}
+	return out
+}
+
+// capacities returns the capacities of a service's endpoints. An endpoint is usable if it is for any
+// of the service's models.
+func (g *Gateway) capacities(service string, now time.Time) []balance.Capacity {
+	config := g.proxy.Routes()
+	if config == nil || config.Services[service] == nil || config.Services[service].Engine == nil {
+		return g.balancer.Capacities(&balance.Query{Service: service}, now)
+	}
+	var out []balance.Capacity
+	for _, model := range config.Services[service].Engine.Models {
+		found := g.balancer.Capacities(&balance.Query{Service: service, Model: model, MinVersion: g.minVersion(model)}, now)
+		if out == nil {
+			out = found
+			continue
+		}
+		for i := range min(len(out), len(found)) {
+			out[i].Usable = out[i].Usable || found[i].Usable
+		}
+	}
+	return out
+}
+
+// demandNews implements admission.Config.News.
+func (g *Gateway) demandNews(service string, now time.Time) admission.News {
+	d := g.table.Demand(service, now)
+	return admission.News{Demand: admission.Slots(d.Slots), Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
+}
+
+// ownDemand returns the demand of this gateway's callers for heartbeats.
+func (g *Gateway) ownDemand(now time.Time) []member.Demand {
+	var out []member.Demand
+	for service, slots := range g.gate.Demand(now) {
+		if d, ok := member.NewDemand(service, member.SlotsByRank(slots)); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/admission/levels.go
@@ -0,0 +1,181 @@
+package admission
+
+import "time"
+
+// Ranks is the number of priority ranks that are told apart. Less urgent ranks share the last one.
+const Ranks = 4
+
+// Slots is an amount of work by priority rank, in slots of a service's endpoints.
+type Slots [Ranks]float64
+
+// Total returns the amount of all ranks.
+func (s Slots) Total() float64 {
+	total := 0.0
+	for _, n := range s {
+		total += n
+	}
+	return total
+}
+
+// Levels are the shares of each rank's demand, between 0 and 1, that the room suffices for.
+type Levels [Ranks]float64
+
+// leastShare is the share of its demand that each rank is served at least, relative to the share
+// of all demand that can be served. No class of callers may starve: each is served at least half
+// as often as all of them.
+const leastShare = 0.5
+
+// FullLevels admits all demand.
+func FullLevels() Levels {
+	return Levels{1, 1, 1, 1}
+}
+
+// LevelsFor divides room, in slots, among the demand of all ranks. Each rank gets its least share,
+// the more urgent ones the rest. It answers a lasting overload with callers of different urgency.
+func LevelsFor(room float64, demand Slots) Levels {
+	total := demand.Total()
+	if total <= room || total <= 0 {
+		return FullLevels()
+	}
+	least := leastShare * max(0, room) / total
+	left := max(0, room) - least*total
+	var out Levels
+	for r, d := range demand {
+		if d <= 0 {
+			out[r] = 1
+			continue
+		}
+		extra := min(left, d*(1-least))
+		out[r] = least + extra/d
+		left -= extra
+	}
+	return out
+}
+
+// Conditions is what a gateway knows of a service at one moment.
+type Conditions struct {
+	// Room is the number of requests that the service's endpoints can serve in time concurrently,
+	// Running the number that all gateways have outstanding there.
+	Room, Running float64
+	// Own is the demand of this gateway's callers, Fleet that of all gateways, both in slots.
+	Own, Fleet Slots
+	// Gateways is the number of gateways that share the room, including this one. Covers is how
+	// many of the others Fleet and Running include, Age the age of the oldest news from them.
+	Gateways, Covers int
+	Age              time.Duration
+}
+
+// targetUtilization is the part of the room that is used. The rest absorbs that gateways learn of
+// each other's requests late, so that some endpoints get more than others at the same moment.
+const targetUtilization = 0.92
+
+// Target returns the number of running requests that all gateways together aim at.
+func (c *Conditions) Target() float64 {
+	return targetUtilization * c.Room
+}
+
+// Shortage thresholds, relative to Target. They differ so that a demand that is about as large as
+// the room doesn't switch the limits on and off.
+const (
+	// beginDemand and beginRunning are the demand and the running requests at which a shortage
+	// begins, endDemand and endRunning those below which it ends.
+	beginDemand, beginRunning = 1.0, 0.95
+	endDemand, endRunning     = 0.92, 0.85
+	// minShortage is how long a shortage lasts at least. It is longer than the news of requests
+	// takes to reach all gateways.
+	minShortage = time.Second
+)
+
+// InShortage returns whether the room is short. current and since are the last result and the time
+// since it changed. Demand alone is not enough: the estimates of work may be wrong, and on calm
+// days no request may be refused while there is room. Nor are the running requests: they show a
+// jump of demand only after the endpoints are full.
+func InShortage(c *Conditions, current bool, since time.Duration) bool {
+	target := c.Target()
+	if target < float64(c.Gateways) {
+		return false // shares of less than one request would refuse what there is room for
+	}
+	demand, running := c.Fleet.Total(), c.Running
+	if !current {
+		return running >= beginRunning*target || demand >= beginDemand*target && running >= endRunning*target
+	}
+	return since < minShortage || demand >= endDemand*target || running >= endRunning*target
+}
+
+// Limits on the requests that one gateway runs during a shortage.
+const (
+	// limitGain is by how much a gateway's limit exceeds its share, relative to it, for each part
+	// of the target that is free in the fleet. Running requests change within seconds and news of
+	// them within half a second, which leaves the loop stable.
+	limitGain = 4
+	// minLimitFactor bounds how far a gateway withdraws while others exceed their shares.
+	minLimitFactor = 0.5
+)
+
+// Share returns the part of the room that is this gateway's, between 0 and 1: that of its demand in
+// the demand of all, so that callers fare alike at each gateway. While its own or the fleet's demand
+// is unknown, it is an equal share.
+func Share(c *Conditions) float64 {
+	equal := 1 / float64(max(c.Gateways, 1))
+	own, fleet := c.Own.Total(), c.Fleet.Total()
+	if own <= 0 || fleet <= 0 {
+		return equal
+	}
+	return min(1, own/fleet)
+}
+
+// Limit returns the number of requests that this gateway may run during a shortage. It is the
+// gateway's share of the target, more while the fleet runs fewer requests than that, and less while
+// it runs more. A gateway always may run one request, since it has callers whom no other serves.
+func Limit(c *Conditions) float64 {
+	target := c.Target()
+	if target <= 0 {
+		return 1
+	}
+	factor := 1 + limitGain*(target-c.Running)/target
+	return max(1, Share(c)*target*max(factor, minLimitFactor))
+}
+
+// reserve returns the number of places of a limit that are kept for ranks and accounts that have
+// not had their part: one, or a tenth of large limits.
+func reserve(limit float64) float64 {
+	return max(1, limit/10)
+}
+
+// Standing is how a request compares to the requests that a gateway already runs.
+type Standing struct {
+	// Limit is the gateway's limit, Running the number of requests that it runs.
+	Limit float64
+	// Running is the number of requests that the gateway runs, RunningOfRank the number with the
+	// request's rank, and PartOfRank how many of that rank it should run by the levels.
+	Running, RunningOfRank int
+	PartOfRank             float64
+	// Yields is set for a request that goes after all others: its caller came back before the
+	// time that it was told, or can't be served in time any more.
+	Yields bool
+}
+
+// Fits returns whether a request is admitted now. A rank that runs more than its part leaves a
+// reserve free for the others, which would otherwise find the places taken whenever they arrive.
+func Fits(s *Standing) bool {
+	free := s.Limit - float64(s.Running)
+	if free < 1 {
+		return false
+	}
+	if !s.Yields && float64(s.RunningOfRank) < s.PartOfRank {
+		return true
+	}
+	return free >= 1+reserve(s.Limit)
+}
+
+// PartOf returns how many requests of a rank a gateway with the given limit should run.
+func PartOf(rank int, limit float64, levels Levels, own Slots) float64 {
+	total := 0.0
+	for r, d := range own {
+		total += levels[r] * d
+	}
+	if total <= 0 {
+		return limit
+	}
+	return limit * levels[rank] * own[rank] / total
+}
--- /dev/null
+++ b/gateway/admission/service.go
@@ -0,0 +1,348 @@
+package admission
+
+import (
+	"errors"
+	"maps"
+	"math"
+	"sync"
+	"time"
+)
+
+// refreshInterval is the time after which room and news are looked at again. It is shorter than
+// the interval of heartbeats.
+const refreshInterval = 50 * time.Millisecond
+
+// maxNewsAge is the age up to which news of other gateways is used. Older ones are no better than
+// an equal share.
+const maxNewsAge = 2 * time.Second
+
+// endsWindow is the time over which the rate of ends is smoothed, slotTimeWeight the weight of one
+// request in the mean time that requests take a slot.
+const (
+	endsWindow     = 2 * time.Second
+	slotTimeWeight = 0.05
+)
+
+// services holds the state of each service.
+type services struct {
+	mu     sync.RWMutex
+	byName map[string]*service
+}
+
+func (s *services) get(name string) *service {
+	s.mu.RLock()
+	found := s.byName[name]
+	s.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byName == nil {
+		s.byName = map[string]*service{}
+	}
+	if s.byName[name] == nil {
+		s.byName[name] = &service{name: name, levels: FullLevels(), reported: FullLevels()}
+	}
+	return s.byName[name]
+}
+
+func (s *services) all() map[string]*service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return maps.Clone(s.byName)
+}
+
+// service is the state of one service.
+type service struct {
+	name string
+
+	mu       sync.Mutex
+	demand   demand
+	accounts accounts
+	ends     meter
+	// slotTime is the mean time for which requests took a slot, in seconds.
+	slotTime float64
+	// running is the number of admitted requests, byRank by rank.
+	running int
+	byRank  [Ranks]int
+	queue   waitQueue
+	returns returns
+
+	// The fields below are the result of the last refresh.
+	refreshedAt time.Time
+	conditions  Conditions
+	elsewhere   int
+	shortage    bool
+	changedAt   time.Time
+	levels      Levels
+	limit       float64
+	// reported holds the levels that OnChange was last called with.
+	reported Levels
+}
+
+// result is the outcome of waiting.
+type result struct {
+	grant *Grant
+	err   error
+}
+
+// acquire admits a request, refuses it, or returns a waiter for it.
+func (s *service) acquire(g *Gate, r *Request, now time.Time) (*Grant, *waiter, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := *r
+	q.Rank = min(max(q.Rank, 0), Ranks-1)
+	returned := q.Elapsed >= MinReturn && s.returns.take(now)
+	early := q.Elapsed > earlyMargin && q.Elapsed < MinReturn
+	if !early {
+		s.count(&q, now)
+	}
+	s.update(g, now)
+	if !s.shortage {
+		return s.admit(g, q.Rank, now), nil, nil
+	}
+	w := &waiter{request: &q, returned: returned, yields: early || q.Elapsed >= q.Target, until: now, done: make(chan result, 1)}
+	s.queue.prepare(w)
+	cause := s.check(w, early, now)
+	if cause == "" {
+		g.cfg.OnDecision(Decision{Service: s.name, Returned: returned})
+		return s.admit(g, q.Rank, now), nil, nil
+	}
+	limit := WaitLimit(q.Target, q.Elapsed)
+	if cause != CauseAccount && ShouldWait(s.queue.ahead(w), s.ends.rate(endsWindow, now), limit) {
+		w.until = now.Add(limit)
+		s.queue.add(w)
+		return nil, w, nil
+	}
+	return nil, nil, s.refuse(g, w, cause, false, now)
+}
+
+// earlyMargin is the time since a first try that is put down to the network.
+const earlyMargin = 5 * time.Millisecond
+
+// count counts a request in the demand.
+func (s *service) count(r *Request, now time.Time) {
+	slotTime := r.SlotTime
+	if slotTime <= 0 {
+		slotTime = time.Duration(s.slotTime * float64(time.Second))
+	}
+	s.demand.add(r.Rank, slotTime, now)
+	a := s.accounts.get(r.Account)
+	a.recent.add(slotTime.Seconds(), demandWindow, now)
+	a.usual.add(slotTime.Seconds(), accountWindow, now)
+}
+
+// check returns why a request can't be admitted now, or "".
+func (s *service) check(w *waiter, early bool, now time.Time) Cause {
+	a := s.accounts.get(w.request.Account)
+	if !a.take(AccountShare(a.recent.rate(demandWindow, now), a.usual.rate(accountWindow, now), s.conditions.Own.Total())) {
+		return CauseAccount
+	}
+	if s.queue.ahead(w) == 0 && s.fits(w) {
+		return ""
+	}
+	switch {
+	case early:
+		return CauseEarly
+	case w.yields:
+		return CauseLate
+	case s.limit-float64(s.running-s.elsewhere) >= 1:
+		return CauseRank
+	}
+	return CauseShare
+}
+
+// fits returns whether w is admitted now.
+func (s *service) fits(w *waiter) bool {
+	rank := w.request.Rank
+	return Fits(&Standing{
+		Limit:         s.limit,
+		Running:       s.running - s.elsewhere,
+		RunningOfRank: s.byRank[rank],
+		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own),
+		Yields:        w.yields,
+	})
+}
+
+// admit counts an admitted request.
+func (s *service) admit(g *Gate, rank int, now time.Time) *Grant {
+	s.running++
+	s.byRank[rank]++
+	return &Grant{gate: g, service: s, rank: rank, begunAt: now, Enforced: s.shortage}
+}
+
+// refuse returns the refusal of w and counts its caller among those that will return.
+func (s *service) refuse(g *Gate, w *waiter, cause Cause, waited bool, now time.Time) error {
+	d := ReturnAfter(&ReturnForecast{
+		Target: w.request.Target, Elapsed: w.request.Elapsed, Left: w.request.Left,
+		FreePerSecond: s.ends.rate(endsWindow, now),
+		Expected:      func(d time.Duration) int { return s.returns.expected(d, now) },
+		Random:        g.cfg.Random,
+	})
+	s.returns.expect(d, now)
+	g.cfg.OnDecision(Decision{Service: s.name, Refused: cause, Waited: waited, Returned: w.returned})
+	return &RefusedError{Service: s.name, Cause: cause, ReturnAfter: d}
+}
+
+// release ends a grant and admits waiting requests.
+func (s *service) release(a *Grant, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.released {
+		return
+	}
+	a.released = true
+	s.running--
+	s.byRank[a.rank]--
+	s.ends.add(1, endsWindow, now)
+	took := now.Sub(a.begunAt).Seconds()
+	if s.slotTime == 0 {
+		s.slotTime = took
+	}
+	s.slotTime += slotTimeWeight * (took - s.slotTime)
+	s.dispatch(a.gate, now)
+}
+
+// abandon ends the wait of w. cause is why its caller doesn't wait any more, or nil if the time is
+// over.
+func (s *service) abandon(g *Gate, w *waiter, cause error) (*Grant, error) {
+	return s.abandonAt(g, w, cause, time.Now())
+}
+
+func (s *service) abandonAt(g *Gate, w *waiter, cause error, now time.Time) (*Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.queue.remove(w) {
+		x := <-w.done
+		return x.grant, x.err
+	}
+	if cause != nil {
+		return nil, cause
+	}
+	return nil, s.refuse(g, w, CauseWaited, true, now)
+}
+
+// dispatch admits waiting requests in their order, and refuses those that no longer have a chance.
+// The caller must hold s.mu.
+func (s *service) dispatch(g *Gate, now time.Time) {
+	var left []*waiter
+	for _, w := range s.queue.waiting {
+		switch {
+		case !s.shortage || s.fits(w):
+			g.cfg.OnDecision(Decision{Service: s.name, Waited: true, Returned: w.returned})
+			w.done <- result{grant: s.admit(g, w.request.Rank, now)}
+		case !now.Before(w.until):
+			w.done <- result{err: s.refuse(g, w, CauseWaited, true, now)}
+		default:
+			left = append(left, w)
+		}
+	}
+	s.queue.waiting = left
+}
+
+// refresh updates the limits and admits waiting requests.
+func (s *service) refresh(g *Gate, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update(g, now)
+	s.dispatch(g, now)
+}
+
+// update brings conditions, levels and limit up to date. The caller must hold s.mu.
+func (s *service) update(g *Gate, now time.Time) {
+	if now.Sub(s.refreshedAt) < refreshInterval {
+		return
+	}
+	s.refreshedAt = now
+	supply, news := g.cfg.Supply(s.name, now), g.cfg.News(s.name, now)
+	s.elsewhere = min(supply.Elsewhere, s.running)
+	s.conditions = ConditionsFrom(supply, news, s.demand.slots(now))
+	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
+	changed := short != s.shortage
+	if changed {
+		s.shortage, s.changedAt = short, now
+	}
+	levels := FullLevels()
+	if short {
+		levels = LevelsFor(s.conditions.Target(), s.conditions.Fleet)
+	}
+	changed = changed || levelsDiffer(levels, s.reported)
+	s.levels = levels
+	s.limit = math.Floor(Limit(&s.conditions) + g.rounding)
+	if changed {
+		s.reported = levels
+		g.cfg.OnChange(s.status(now))
+	}
+}
+
+// reportedChange is the change of a level that is reported to operators.
+const reportedChange = 0.25
+
+// levelsDiffer returns whether operators are told of a change of levels.
+func levelsDiffer(a, b Levels) bool {
+	for r := range a {
+		if math.Abs(a[r]-b[r]) >= reportedChange {
+			return true
+		}
+	}
+	return false
+}
+
+// ConditionsFrom returns the conditions from what is known of endpoints and other gateways. News
+// that covers only some of them stands for all. A gateway that hears less than half of the gateways
+// that it knows of takes the others to be alive: it is more likely to be cut off itself, and their
+// requests still use the room.
+func ConditionsFrom(supply Supply, news News, own Slots) Conditions {
+	others := news.Gateways
+	if 2*others < news.Known {
+		others = news.Known
+	}
+	c := Conditions{Room: supply.Room, Running: supply.Running, Own: own, Fleet: own, Gateways: others + 1, Covers: news.Covers, Age: news.Age}
+	if others == 0 {
+		return c
+	}
+	if news.Covers == 0 || news.Age > maxNewsAge {
+		for r, d := range own {
+			c.Fleet[r] = d * float64(others+1)
+		}
+		return c
+	}
+	factor := max(1, float64(others)/float64(news.Covers))
+	for r, d := range news.Demand {
+		c.Fleet[r] += d * factor
+	}
+	return c
+}
+
+func (s *service) slots(now time.Time) Slots {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.demand.slots(now)
+}
+
+func (s *service) statusNow() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status(s.refreshedAt)
+}
+
+// status returns the state for operators. The caller must hold s.mu.
+func (s *service) status(now time.Time) Status {
+	s.returns.advance(now)
+	told := 0
+	for _, n := range s.returns.counts {
+		told += n
+	}
+	return Status{Service: s.name, Shortage: s.shortage, Conditions: s.conditions, Levels: s.levels,
+		Limit: s.limit, Admitted: s.running, Waiting: len(s.queue.waiting), Told: told}
+}
+
+// AsRefused returns the refusal that err is, or nil.
+func AsRefused(err error) *RefusedError {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return nil
+}
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -34,6 +34,9 @@
 	// MaxLoad is the load, in requests per slot, at which an endpoint counts as full; zero
 	// means no limit.
 	MaxLoad float64
+	// Admitted is set if the request was admitted within the room of the whole fleet. The limit on
+	// endpoints that other gateways prefer doesn't apply, since their requests are limited as well.
+	Admitted bool
 	// Healthy rules out ejected, paused, and suspected endpoints even if there are no
 	// others.
 	Healthy bool
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -10,6 +10,8 @@
 	// rate limit. InFlight is the number of outstanding requests of all gateways; the
 	// counts of other gateways are as old as their last heartbeats.
 	Slots, InFlight int
+	// Own is the number of this gateway's requests in InFlight.
+	Own int
 	// Places is the number of mean requests that it serves in time concurrently: Slots, or
 	// fewer for a slow or cold endpoint.
 	Places float64
@@ -30,7 +32,7 @@
 		if e.leaving() {
 			continue
 		}
-		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e)}
+		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e), Own: e.inFlight}
 		if !e.rateLimited(now) {
 			p.Places = float64(e.record.Slots)
 			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -194,6 +194,9 @@
 	c := candidates{sameZone: empty, otherZone: empty, upToDate: empty}
 	usable, preferred := b.preferred(s, q, now)
 	shared := SharedLoad(usable, preferred)
+	if q.Admitted {
+		shared = q.MaxLoad
+	}
 	responds := b.respondingFilter(s, q.MaxIdle, now)
 	for _, e := range s.ordered {
 		if !e.eligible(q) || !responds(e) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/endpoints"
 	"github.com/silverdeck/silverdeck/gateway/poison"
@@ -69,6 +70,7 @@
 	balancer    *balance.Balancer
 	client      *upstream.Client
 	proxy       *proxy.Proxy
+	gate        *admission.Gate
 	// poison records requests under which endpoints crashed; trials holds the leases on such
 	// requests that this gateway grants.
 	poison *poison.Table
@@ -144,6 +146,7 @@
 		OnAdvisory:     g.onAdvisory,
 		OnStaleLimit:   g.refreshStaleLimit,
 	})
+	g.gate = g.newGate()
 	g.proxy = g.newProxy()
 	g.syncer = g.newSyncer()
 	g.contacts.Store(&member.Contacts{})
@@ -206,6 +209,7 @@
 		ReadAdvisory:    platform.ReadAdvisory,
 		RequestToken:    g.requestToken,
 		Memory:          g.newMemory(),
+		Gate:            g.gate,
 
 		Poison:       g.poison,
 		AcquireTrial: g.acquireTrial,
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -10,6 +10,9 @@
 const (
 	// CodeFull means that all endpoints of the service are at their load limit.
 	CodeFull verdict.Code = "full"
+	// CodeNotAdmitted means that the endpoints of the service can't serve all requests, and that
+	// this one is not among those that are served.
+	CodeNotAdmitted verdict.Code = "not_admitted"
 	// CodeClosed means that all endpoints of the service have announced, in response headers,
 	// that they accept no more requests for a while.
 	CodeClosed verdict.Code = "closed"
@@ -82,7 +85,7 @@
 		return Withheld
 	case f.Canceled || f.Left < minRetryTime:
 		return NoTime
-	case f.Code == CodeFull || f.Code == CodeClosed:
+	case f.Code == CodeFull || f.Code == CodeClosed || f.Code == CodeNotAdmitted:
 		return AllFull
 	case f.Verdict != verdict.NotRun && !f.Repeatable:
 		return NotRepeatable
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -55,6 +55,7 @@
 // to report to the caller, or nil.
 func (p *Proxy) run(ctx context.Context, w http.ResponseWriter, c *call) *verdict.Error {
 	defer p.releaseTrial(c)
+	defer p.releaseGrant(c)
 	defer p.cancelHedge(c)
 	last := p.try(ctx, w, c)
 	for tries := 1; last != nil && p.shouldContinue(ctx, c, tries, last); tries++ {
@@ -177,6 +178,9 @@
 	if failure := p.admit(ctx, c); failure != nil {
 		return nil, failure
 	}
+	if failure := p.acquireGrant(ctx, c); failure != nil {
+		return nil, failure
+	}
 	lease, failure := p.pickOrAwaitLoad(ctx, c)
 	if failure != nil {
 		return nil, failure
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/residency"
@@ -62,7 +63,9 @@
 	// is the number of endpoints that had crashed under the request and its copies when it was
 	// admitted.
 	releaseLease func()
-	crashCount   int
+	// grant is the admission of the request, or nil before; see acquireGrant.
+	grant      *admission.Grant
+	crashCount int
 	// withdrawn is set if the request was quarantined while an endpoint had it.
 	withdrawn bool
 	// mayHaveRun is set if the request may have run on any endpoint.
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -40,6 +40,8 @@
 	// Closed counts requests that no endpoint accepted according to the headers of their
 	// responses.
 	Closed metrics.Counter
+	// NotAdmitted counts requests that were refused because of a shortage.
+	NotAdmitted metrics.Counter
 	// PassedThrough counts plain responses that were forwarded as they arrived, because they were
 	// too long or there was no memory for them. CallersStalled counts callers that were
 	// disconnected because they did not read.
@@ -72,6 +74,7 @@
 		Leavings:       metrics.NewRegisteredCounter("gateway.leavings", r),
 		Rests:          metrics.NewRegisteredCounter("gateway.rests", r),
 		Closed:         metrics.NewRegisteredCounter("gateway.closed", r),
+		NotAdmitted:    metrics.NewRegisteredCounter("gateway.not_admitted", r),
 		Unreadable:     metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		PassedThrough:  metrics.NewRegisteredCounter("gateway.passed_through", r),
 		CallersStalled: metrics.NewRegisteredCounter("gateway.callers_stalled", r),
@@ -179,8 +182,11 @@
 	if policy.IsWithheld(e.Code) {
 		p.cfg.Metrics.Withheld.Inc(1)
 	}
-	if e.Code == policy.CodeClosed {
+	switch e.Code {
+	case policy.CodeClosed:
 		p.cfg.Metrics.Closed.Inc(1)
+	case policy.CodeNotAdmitted:
+		p.cfg.Metrics.NotAdmitted.Inc(1)
 	}
 	if c.headSent && time.Now().Before(c.deadline) && e.Code != verdict.CodeCanceled {
 		p.cfg.Metrics.Cut.Inc(1)
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -28,6 +28,7 @@
 			q.LatestVersion = p.cfg.NewestVersion(c.model)
 		} else {
 			q.MaxLoad = p.maxLoad(c)
+			q.Admitted = c.grant != nil && c.grant.Enforced
 		}
 	}
 	return q
@@ -100,7 +101,7 @@
 // maxLoad returns the load at which an endpoint counts as full for a new stream.
 func (p *Proxy) maxLoad(c *call) float64 {
 	limit := policy.MaxLoad(c.engine(), c.config.LongestTarget(c.service), c.promptTokens)
-	if !c.late() {
+	if !c.late() || c.grant != nil && c.grant.Enforced {
 		return limit
 	}
 	return policy.LateMaxLoad(limit, p.refusals.sinceLast(c.service, time.Now()))
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/silverdeck/silverdeck/drain"
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/header"
@@ -53,6 +54,8 @@
 	// AcquireTrial asks for the lease on a suspected request for at most d. It returns whether
 	// the lease was granted and a function that releases it.
 	AcquireTrial func(ctx context.Context, k poison.Key, d time.Duration) (release func(), granted bool)
+	// Gate admits requests while endpoints can't serve all; nil admits all.
+	Gate *admission.Gate
 	// Memory bounds the bodies that are held at the same time; nil for no limit.
 	Memory *Memory
 	// RequestToken asks the gateway that holds an endpoint for permission to send one request to it,
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/affinity"
 	"github.com/silverdeck/silverdeck/gateway/balance"
@@ -46,6 +47,8 @@
 	Versions  []debugVersion   `json:"versions"`
 	// Poison lists the requests under which endpoints crashed.
 	Poison []poison.RequestStatus `json:"poison"`
+	// Admission lists the state of admission by service.
+	Admission []admission.Status `json:"admission"`
 }
 
 // debugVersion is the newest version of a model as shown to operators.
@@ -66,7 +69,7 @@
 		revisions[kind] = m.State().Revision
 	}
 	return debugState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: byID(g.balancer.InFlight()), Versions: g.debugVersions(),
-		Poison: g.poison.List(time.Now())}
+		Poison: g.poison.List(time.Now()), Admission: g.gate.Status()}
 }
 
 // byID returns counts by endpoint ID.
@@ -100,6 +103,7 @@
 	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
 	now := time.Now()
 	b.Poison = poison.Pack(g.poison.Gossip(g.table.IsRelay(), now))
+	b.Demand = g.ownDemand(now)
 	b.Advice = advisory.Encode(g.balancer.Advisories(g.table.IsRelay(), now), now)
 	for kind, m := range g.mirrors {
 		b.Copies[kind] = m.State().Version()
@@ -112,6 +116,7 @@
 func (g *Gateway) afterHeartbeat(silent []string) {
 	g.noteSuspended(g.suspension.Suspended())
 	g.updateAssignment()
+	g.gate.Refresh(time.Now())
 	for _, name := range silent {
 		g.log.Warn("entry lost", "entry", name)
 	}
--- a/member/digest.go
+++ b/member/digest.go
@@ -25,6 +25,9 @@
 	// endpoint.
 	InFlight PackedCounts `json:"inFlight,omitempty"`
 	Suspects PackedCounts `json:"suspects,omitempty"`
+	// Demand is the work that the callers of these gateways ask for, by service and zone; older
+	// versions omit and ignore it.
+	Demand []Demand `json:"demand,omitempty"`
 }
 
 // Roll describes a relay's membership list by a hash and its recent changes.
--- a/member/member.go
+++ b/member/member.go
@@ -71,11 +71,14 @@
 	// Advice holds what endpoints stated about themselves in their responses; older versions
 	// omit and ignore it.
 	Advice []Advice `json:"advice,omitempty"`
+	// Demand is the work that the gateway's callers ask for, by service; older versions omit and
+	// ignore it.
+	Demand []Demand `json:"demand,omitempty"`
 }
 
-// withoutEndpoints returns a copy of b without in-flight requests and suspects.
+// withoutEndpoints returns a copy of b without in-flight requests, suspects and demand.
 func (b Heartbeat) withoutEndpoints() Heartbeat {
-	b.InFlight, b.Suspects, b.Born = nil, nil, nil
+	b.InFlight, b.Suspects, b.Born, b.Demand = nil, nil, nil, nil
 	return b
 }
 
--- a/member/plan.go
+++ b/member/plan.go
@@ -28,7 +28,7 @@
 func (t *Table) plan(own Heartbeat, now time.Time) []outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ready = own.Ready
+	t.ready, t.ownDemand = own.Ready, own.Demand
 	if !t.usesRelays() {
 		return []outgoing{{addrs: t.peerAddrs(), message: message{Heartbeat: &own}}}
 	}
--- a/member/relay.go
+++ b/member/relay.go
@@ -28,6 +28,8 @@
 type relayLoads struct {
 	covers             int
 	inFlight, suspects keyCounts
+	demand             []Demand
+	heardAt            time.Time
 }
 
 // applyDigest records the digest of the relay from. The caller must hold t.mu.
@@ -42,7 +44,8 @@
 		t.invalidate()
 	}
 	if d.Loads != nil {
-		r.loads = relayLoads{covers: d.Loads.Covers, inFlight: d.Loads.InFlight.unpack(), suspects: d.Loads.Suspects.unpack()}
+		r.loads = relayLoads{covers: d.Loads.Covers, inFlight: d.Loads.InFlight.unpack(), suspects: d.Loads.Suspects.unpack(),
+			demand: d.Loads.Demand, heardAt: now}
 	}
 }
 
--- a/member/sums.go
+++ b/member/sums.go
@@ -1,6 +1,11 @@
 package member
 
-import "github.com/silverdeck/silverdeck/roster"
+import (
+	"maps"
+	"time"
+
+	"github.com/silverdeck/silverdeck/roster"
+)
 
 // loadView is a consistent view of the endpoint loads of all other gateways: either this
 // gateway's own view or that of a relay of its zone, whichever covers more gateways. The two
@@ -11,6 +16,17 @@
 	// contribute.
 	direct bool
 	remote []*relayLoads
+	// oldest is when the oldest message that contributes was heard, or zero if there is none.
+	oldest time.Time
+	// demand caches otherDemand; it is nil while invalid.
+	demand demandSums
+}
+
+// noteHeard updates oldest with a message that was heard at the given time.
+func (v *loadView) noteHeard(at time.Time) {
+	if v.oldest.IsZero() || at.Before(v.oldest) {
+		v.oldest = at
+	}
 }
 
 // bestView selects the view to use. A relay that receives nothing, as in a one-way partition,
@@ -30,7 +46,7 @@
 	if relay == nil {
 		return own
 	}
-	return loadView{covers: relay.loads.covers, remote: []*relayLoads{&relay.loads}}
+	return loadView{covers: relay.loads.covers, remote: []*relayLoads{&relay.loads}, oldest: relay.loads.heardAt}
 }
 
 // preferred returns whether the loads from relay r take precedence over those from s: they
@@ -58,10 +74,12 @@
 	for _, p := range t.direct {
 		if byZone[p.heartbeat.Entry.Zone] == nil {
 			out.covers++
+			out.noteHeard(p.heardAt)
 		}
 	}
 	for _, r := range byZone {
 		out.covers += r.loads.covers
+		out.noteHeard(r.loads.heardAt)
 		out.remote = append(out.remote, &r.loads)
 	}
 	return out
@@ -112,12 +130,14 @@
 type loadTotals struct {
 	covers             int
 	inFlight, suspects keyCounts
+	demand             demandSums
 }
 
 // zoneTotals returns the totals of this gateway's zone, including this gateway, whose heartbeat
 // is own. The caller must hold t.mu.
 func (t *Table) zoneTotals(own *Heartbeat) loadTotals {
-	out := loadTotals{covers: 1, inFlight: keyCounts{}, suspects: keyCounts{}}
+	out := loadTotals{covers: 1, inFlight: keyCounts{}, suspects: keyCounts{}, demand: t.directDemand()}
+	out.demand.addAll(own.Demand, t.self.Zone, 1)
 	ownCounts, ownSuspects := counts{}, counts{}
 	own.countInto(ownCounts, ownSuspects, 1)
 	out.inFlight.addCounts(ownCounts, 1)
@@ -136,12 +156,13 @@
 // t.mu.
 func (t *Table) fleetTotals(zone loadTotals) loadTotals {
 	far := t.ownView()
-	out := loadTotals{covers: far.covers + 1, inFlight: keyCounts{}, suspects: keyCounts{}}
+	out := loadTotals{covers: far.covers + 1, inFlight: keyCounts{}, suspects: keyCounts{}, demand: maps.Clone(zone.demand)}
 	out.inFlight.add(zone.inFlight)
 	out.suspects.add(zone.suspects)
 	for _, f := range far.remote {
 		out.inFlight.add(f.inFlight)
 		out.suspects.add(f.suspects)
+		out.demand.addAll(f.demand, "", 1)
 	}
 	return out
 }
@@ -150,14 +171,15 @@
 // receiver's last heartbeat, or nil if there was none.
 func (s loadTotals) excluding(b *Heartbeat) *Loads {
 	if b == nil {
-		return &Loads{Covers: s.covers, InFlight: s.inFlight.pack(), Suspects: s.suspects.pack()}
+		return &Loads{Covers: s.covers, InFlight: s.inFlight.pack(), Suspects: s.suspects.pack(), Demand: s.demand.encode()}
 	}
 	inFlight, suspects := counts{}, counts{}
 	b.countInto(inFlight, suspects, 1)
-	out := loadTotals{inFlight: keyCounts{}, suspects: keyCounts{}}
+	out := loadTotals{inFlight: keyCounts{}, suspects: keyCounts{}, demand: maps.Clone(s.demand)}
+	out.demand.addAll(b.Demand, b.Entry.Zone, -1)
 	out.inFlight.add(s.inFlight)
 	out.inFlight.addCounts(inFlight, -1)
 	out.suspects.add(s.suspects)
 	out.suspects.addCounts(suspects, -1)
-	return &Loads{Covers: s.covers - 1, InFlight: out.inFlight.pack(), Suspects: out.suspects.pack()}
+	return &Loads{Covers: s.covers - 1, InFlight: out.inFlight.pack(), Suspects: out.suspects.pack(), Demand: out.demand.encode()}
 }
--- a/member/table.go
+++ b/member/table.go
@@ -45,6 +45,8 @@
 	// lastSent is the state that this gateway sent last; see needsFull.
 	lastSent sentState
 	ready    bool
+	// ownDemand is the demand in this gateway's last heartbeat.
+	ownDemand []Demand
 }
 
 // NewTable returns an empty table of the gateway self.
