--- a/gateway/admission/accounts.go
+++ b/gateway/admission/accounts.go
@@ -8,27 +8,26 @@
 
 // Limits on client accounts during a shortage.
 const (
-	// accountWindow is the time over which an account's usual demand is measured.
-	accountWindow = 20 * time.Second
+	// recentWindow and usualWindow are the times over which an account's recent and usual demand
+	// are measured.
+	recentWindow, usualWindow = 4 * time.Second, 30 * time.Second
 	// accountBurst is the multiple of its usual demand up to which an account is served like all
 	// others.
 	accountBurst = 2.0
-	// significantPart is the part of a gateway's demand below which an account is not limited: it
-	// hardly takes room from others, and so few requests show no burst.
-	significantPart = 0.2
+	// minBurst is the number of requests within recentWindow up to which an account is not limited:
+	// so few requests come together by chance.
+	minBurst = 6.0
 	// maxAccounts limits the number of accounts that are measured, and so the memory.
 	maxAccounts = 4096
 )
 
 // AccountShare returns the share of its requests, between 0 and 1, that an account has admitted
-// during a shortage. recent and usual are its demand over demandWindow and accountWindow, total is
-// the demand of all accounts, in slots. It answers the burst of one account, which would otherwise
-// take the room of all others, and callers that repeat their requests at once.
-func AccountShare(recent, usual, total float64) float64 {
-	if recent <= significantPart*total || recent <= accountBurst*usual {
-		return 1
-	}
-	return max(accountBurst*usual, significantPart*total) / recent
+// during a shortage. recent and usual are its requests per second over recentWindow and
+// usualWindow. It answers the burst of one account, which would otherwise take the room of all
+// others.
+func AccountShare(recent, usual float64) float64 {
+	allowed := max(accountBurst*usual, minBurst/recentWindow.Seconds())
+	return min(1, allowed/max(recent, allowed))
 }
 
 // account measures the demand of a client account.
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -67,7 +67,7 @@
 
 // targetUtilization is the part of the room that is used. The rest absorbs that gateways learn of
 // each other's requests late, so that some endpoints get more than others at the same moment.
-const targetUtilization = 0.92
+const targetUtilization = 0.96
 
 // Target returns the number of running requests that all gateways together aim at.
 func (c *Conditions) Target() float64 {
@@ -79,8 +79,10 @@
 const (
 	// beginDemand and beginRunning are the demand and the running requests at which a shortage
 	// begins, endDemand and endRunning those below which it ends.
-	beginDemand, beginRunning = 1.0, 0.95
+	beginDemand, beginRunning = 1.0, 0.97
 	endDemand, endRunning     = 0.92, 0.85
+	// minRunning is the least number of running requests during a shortage, whatever the demand is.
+	minRunning = 0.7
 	// minShortage is how long a shortage lasts at least. It is longer than the news of requests
 	// takes to reach all gateways.
 	minShortage = time.Second
@@ -97,9 +99,9 @@
 	}
 	demand, running := c.Fleet.Total(), c.Running
 	if !current {
-		return running >= beginRunning*target || demand >= beginDemand*target && running >= endRunning*target
+		return running >= beginRunning*target || demand >= beginDemand*target && running >= minRunning*target
 	}
-	return since < minShortage || demand >= endDemand*target || running >= endRunning*target
+	return since < minShortage || running >= endRunning*target || demand >= endDemand*target && running >= minRunning*target
 }
 
 // Limits on the requests that one gateway runs during a shortage.
@@ -107,7 +109,7 @@
 	// limitGain is by how much a gateway's limit exceeds its share, relative to it, for each part
 	// of the target that is free in the fleet. Running requests change within seconds and news of
 	// them within half a second, which leaves the loop stable.
-	limitGain = 4
+	limitGain = 3
 	// minLimitFactor bounds how far a gateway withdraws while others exceed their shares.
 	minLimitFactor = 0.5
 )
@@ -136,6 +138,9 @@
 	return max(1, Share(c)*target*max(factor, minLimitFactor))
 }
 
+// yieldReserve is the number of such reserves that a request which yields leaves free.
+const yieldReserve = 5
+
 // reserve returns the number of places of a limit that are kept for ranks and accounts that have
 // not had their part: one, or a tenth of large limits.
 func reserve(limit float64) float64 {
@@ -150,6 +155,8 @@
 	// request's rank, and PartOfRank how many of that rank it should run by the levels.
 	Running, RunningOfRank int
 	PartOfRank             float64
+	// Level is the level of the rank.
+	Level float64
 	// Yields is set for a request that goes after all others: its caller came back before the
 	// time that it was told, or can't be served in time any more.
 	Yields bool
@@ -162,9 +169,12 @@
 	if free < 1 {
 		return false
 	}
-	if !s.Yields && float64(s.RunningOfRank) < s.PartOfRank {
+	if !s.Yields && (s.Level >= 1 || float64(s.RunningOfRank) < s.PartOfRank) {
 		return true
 	}
+	if s.Yields {
+		return free >= 1+yieldReserve*reserve(s.Limit)
+	}
 	return free >= 1+reserve(s.Limit)
 }
 
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -95,14 +95,15 @@
 	q.Rank = min(max(q.Rank, 0), Ranks-1)
 	returned := q.Elapsed >= MinReturn && s.returns.take(now)
 	early := q.Elapsed > earlyMargin && q.Elapsed < MinReturn
-	if !early {
+	late := q.Elapsed >= q.Target
+	if !early && !late {
 		s.count(&q, now)
 	}
 	s.update(g, now)
 	if !s.shortage {
 		return s.admit(g, q.Rank, now), nil, nil
 	}
-	w := &waiter{request: &q, returned: returned, yields: early || q.Elapsed >= q.Target, until: now, done: make(chan result, 1)}
+	w := &waiter{request: &q, returned: returned, yields: early || late, until: now, done: make(chan result, 1)}
 	s.queue.prepare(w)
 	cause := s.check(w, early, now)
 	if cause == "" {
@@ -121,7 +122,8 @@
 // earlyMargin is the time since a first try that is put down to the network.
 const earlyMargin = 5 * time.Millisecond
 
-// count counts a request in the demand.
+// count counts a request in the demand. Callers that can't be served in time any more are not
+// counted: they get what others leave, and would show a demand that grows with each refusal.
 func (s *service) count(r *Request, now time.Time) {
 	slotTime := r.SlotTime
 	if slotTime <= 0 {
@@ -129,14 +131,14 @@
 	}
 	s.demand.add(r.Rank, slotTime, now)
 	a := s.accounts.get(r.Account)
-	a.recent.add(slotTime.Seconds(), demandWindow, now)
-	a.usual.add(slotTime.Seconds(), accountWindow, now)
+	a.recent.add(1, recentWindow, now)
+	a.usual.add(1, usualWindow, now)
 }
 
 // check returns why a request can't be admitted now, or "".
 func (s *service) check(w *waiter, early bool, now time.Time) Cause {
 	a := s.accounts.get(w.request.Account)
-	if !a.take(AccountShare(a.recent.rate(demandWindow, now), a.usual.rate(accountWindow, now), s.conditions.Own.Total())) {
+	if !a.take(AccountShare(a.recent.rate(recentWindow, now), a.usual.rate(usualWindow, now))) {
 		return CauseAccount
 	}
 	if s.queue.ahead(w) == 0 && s.fits(w) {
@@ -161,6 +163,7 @@
 		Running:       s.running - s.elsewhere,
 		RunningOfRank: s.byRank[rank],
 		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own),
+		Level:         s.levels[rank],
 		Yields:        w.yields,
 	})
 }
