--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -36,6 +36,7 @@
 		}
 		out.Room += c.Places
 		out.Running += float64(c.InFlight)
+		out.Own += float64(c.Own)
 	}
 	return out
 }
--- a/gateway/admission/accounts.go
+++ b/gateway/admission/accounts.go
@@ -8,53 +8,40 @@
 
 // Limits on client accounts during a shortage.
 const (
-	// recentWindow and usualWindow are the times over which an account's recent and usual demand
-	// are measured.
-	recentWindow, usualWindow = 4 * time.Second, 30 * time.Second
-	// accountBurst is the multiple of its usual demand up to which an account is served like all
-	// others.
-	accountBurst = 2.0
-	// minBurst is the number of requests within recentWindow up to which an account is not limited:
-	// so few requests come together by chance.
-	minBurst = 6.0
+	// usualWindow is the time over which the usual demand of accounts is measured.
+	usualWindow = 30 * time.Second
+	// accountBurst is the multiple of its usual part of the requests up to which an account is
+	// served like all others.
+	accountBurst = 1.5
+	// minAccountPart is the least number of concurrent requests that an account is not limited for.
+	minAccountPart = 1.0
 	// maxAccounts limits the number of accounts that are measured, and so the memory.
 	maxAccounts = 4096
 )
 
-// AccountShare returns the share of its requests, between 0 and 1, that an account has admitted
-// during a shortage. recent and usual are its requests per second over recentWindow and
-// usualWindow. It answers the burst of one account, which would otherwise take the room of all
-// others.
-func AccountShare(recent, usual float64) float64 {
-	allowed := max(accountBurst*usual, minBurst/recentWindow.Seconds())
-	return min(1, allowed/max(recent, allowed))
+// PartOfAccount returns how many requests of an account a gateway with the given limit runs before
+// the account leaves a reserve for the others. usual is the account's usual demand, total that of
+// all accounts, in slots. It answers the burst of one account, which would otherwise take the room
+// of all others: what counts is its usual demand, not how fast it repeats its requests.
+func PartOfAccount(limit, usual, total float64) float64 {
+	if total <= 0 {
+		return limit
+	}
+	return max(minAccountPart, accountBurst*limit*usual/total)
 }
 
-// account measures the demand of a client account.
+// account is what is known of a client account.
 type account struct {
-	recent, usual meter
-	// credit is the part of a request that the account may still send; see take.
-	credit float64
-}
-
-// take returns whether the account's next request counts within its share. The credit spreads the
-// requests that don't evenly over all.
-func (a *account) take(share float64) bool {
-	if share >= 1 {
-		a.credit = 1
-		return true
-	}
-	a.credit = min(a.credit+share, 1)
-	if a.credit < 1 {
-		return false
-	}
-	a.credit--
-	return true
+	usual meter
+	// running is the number of its admitted requests.
+	running int
 }
 
-// accounts measures client accounts by name. The zero value is ready to use.
+// accounts holds client accounts by name. The zero value is ready to use.
 type accounts struct {
 	byName map[string]*account
+	// usual is the demand of all accounts.
+	usual meter
 }
 
 // get returns the account with the given name. If there are too many, those that have been idle
@@ -75,14 +62,17 @@
 	return a
 }
 
-// forgetIdle removes the half of the accounts whose last request was longest ago.
+// forgetIdle removes the half of the accounts whose last request was longest ago, except those that
+// have requests running.
 func (s *accounts) forgetIdle() {
-	names := make([]string, 0, len(s.byName))
-	for name := range s.byName {
-		names = append(names, name)
+	var names []string
+	for name, a := range s.byName {
+		if a.running == 0 {
+			names = append(names, name)
+		}
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Compare(s.byName[a].recent.at.UnixNano(), s.byName[b].recent.at.UnixNano())
+		return cmp.Compare(s.byName[a].usual.at.UnixNano(), s.byName[b].usual.at.UnixNano())
 	})
 	for _, name := range names[:len(names)/2] {
 		delete(s.byName, name)
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -8,7 +8,7 @@
 // room although gateways learn of each other's requests late. While the room suffices for all,
 // nothing is limited.
 //
-// The rules are pure functions: LevelsFor, InShortage, Share, Limit, Fits, AccountShare, WaitLimit,
+// The rules are pure functions: LevelsFor, InShortage, Share, Limit, Fits, PartOfAccount, WaitLimit,
 // ShouldWait and ReturnAfter. Gate applies them. It owns the state of each service, guarded by the
 // service's own lock, and relies on its Config for what is known of endpoints and other gateways.
 package admission
@@ -39,6 +39,8 @@
 	// Elsewhere is the number of this gateway's outstanding requests at endpoints that are not
 	// included, such as those that are leaving.
 	Elsewhere int
+	// Own is the number of this gateway's requests in Running.
+	Own float64
 }
 
 // News is what other gateways told of a service.
@@ -204,17 +206,21 @@
 	gate    *Gate
 	service *service
 	rank    int
+	account string
 	begunAt time.Time
 	// Enforced is set if the request was admitted while limits were in force, so that it counts
 	// within the fleet's room.
 	Enforced bool
+	// Vacated is the endpoint at which the place came free that the request takes, or empty.
+	Vacated  string
 	released bool
 }
 
-// Release ends the admission when the request has ended. Later calls have no effect.
-func (a *Grant) Release(now time.Time) {
+// Release ends the admission when the request has ended. endpoint is the endpoint that served it, or
+// empty if it took no slot. Later calls have no effect.
+func (a *Grant) Release(endpoint string, now time.Time) {
 	if a == nil {
 		return
 	}
-	a.service.release(a, now)
+	a.service.release(a, endpoint, now)
 }
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -106,9 +106,15 @@
 	running int
 	queued  []func()
 	gone    bool
+	// life increases when the gateways restart, which ends all requests.
+	life int
 }
 
-func (e *endpoint) finish() {
+// finish ends a request that began in the given life.
+func (e *endpoint) finish(life int) {
+	if life != e.life {
+		return
+	}
 	e.running--
 	if len(e.queued) > 0 && !e.gone {
 		run := e.queued[0]
@@ -220,6 +226,7 @@
 	for _, c := range x.balancer.Capacities(&balance.Query{Service: "s"}, f.clock()) {
 		out.Room += c.Places
 		out.Running += float64(c.InFlight)
+		out.Own += float64(c.Own)
 	}
 	return out
 }
@@ -280,7 +287,7 @@
 	}
 	if f.restart { // requests of gateways that end are cut at their endpoints
 		for _, e := range f.endpoints {
-			e.queued = nil
+			*e = endpoint{life: e.life + 1}
 		}
 	}
 	if !f.lostZone {
@@ -355,9 +362,13 @@
 			return
 		}
 	}
-	lease, err := x.balancer.Pick(&balance.Query{Service: "s", MaxLoad: 1, Admitted: grant != nil && grant.Enforced}, f.clock())
+	q := &balance.Query{Service: "s", MaxLoad: 1}
+	if grant != nil && grant.Enforced {
+		q.Admitted, q.Vacated = true, grant.Vacated
+	}
+	lease, err := x.balancer.Pick(q, f.clock())
 	if err != nil {
-		grant.Release(f.clock())
+		grant.Release("", f.clock())
 		f.refuse(c, 400*time.Millisecond+time.Duration(f.rand.Float64()*float64(1600*time.Millisecond)))
 		return
 	}
@@ -403,6 +414,7 @@
 			return
 		}
 		e.running++
+		life := e.life
 		f.end(c, func(t *tally) {
 			if f.now-c.firstAt > inTime {
 				t.late++
@@ -416,8 +428,8 @@
 		})
 		f.after(c.run, func() {
 			lease.Done(balance.Served, f.clock())
-			grant.Release(f.clock())
-			e.finish()
+			grant.Release(lease.Record.ID, f.clock())
+			e.finish(life)
 		})
 	}
 	switch {
@@ -427,7 +439,7 @@
 		e.queued = append(e.queued, run)
 	default:
 		lease.Done(balance.Refused, f.clock())
-		grant.Release(f.clock())
+		grant.Release("", f.clock())
 		f.end(c, func(t *tally) { t.rejected++ })
 	}
 }
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -157,6 +157,8 @@
 	PartOfRank             float64
 	// Level is the level of the rank.
 	Level float64
+	// Exceeds is set if the client account runs its part of the requests already.
+	Exceeds bool
 	// Yields is set for a request that goes after all others: its caller came back before the
 	// time that it was told, or can't be served in time any more.
 	Yields bool
@@ -169,7 +171,7 @@
 	if free < 1 {
 		return false
 	}
-	if !s.Yields && (s.Level >= 1 || float64(s.RunningOfRank) < s.PartOfRank) {
+	if !s.Yields && !s.Exceeds && (s.Level >= 1 || float64(s.RunningOfRank) < s.PartOfRank) {
 		return true
 	}
 	if s.Yields {
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -68,6 +68,7 @@
 	byRank  [Ranks]int
 	queue   waitQueue
 	returns returns
+	vacated vacated
 
 	// The fields below are the result of the last refresh.
 	refreshedAt time.Time
@@ -101,17 +102,17 @@
 	}
 	s.update(g, now)
 	if !s.shortage {
-		return s.admit(g, q.Rank, now), nil, nil
+		return s.admit(g, &q, now), nil, nil
 	}
 	w := &waiter{request: &q, returned: returned, yields: early || late, until: now, done: make(chan result, 1)}
 	s.queue.prepare(w)
 	cause := s.check(w, early, now)
 	if cause == "" {
 		g.cfg.OnDecision(Decision{Service: s.name, Returned: returned})
-		return s.admit(g, q.Rank, now), nil, nil
+		return s.admit(g, &q, now), nil, nil
 	}
 	limit := WaitLimit(q.Target, q.Elapsed)
-	if cause != CauseAccount && ShouldWait(s.queue.ahead(w), s.ends.rate(endsWindow, now), limit) {
+	if ShouldWait(s.queue.ahead(w), s.ends.rate(endsWindow, now), limit) {
 		w.until = now.Add(limit)
 		s.queue.add(w)
 		return nil, w, nil
@@ -131,17 +132,13 @@
 	}
 	s.demand.add(r.Rank, slotTime, now)
 	a := s.accounts.get(r.Account)
-	a.recent.add(1, recentWindow, now)
-	a.usual.add(1, usualWindow, now)
+	a.usual.add(slotTime.Seconds(), usualWindow, now)
+	s.accounts.usual.add(slotTime.Seconds(), usualWindow, now)
 }
 
 // check returns why a request can't be admitted now, or "".
 func (s *service) check(w *waiter, early bool, now time.Time) Cause {
-	a := s.accounts.get(w.request.Account)
-	if !a.take(AccountShare(a.recent.rate(recentWindow, now), a.usual.rate(usualWindow, now))) {
-		return CauseAccount
-	}
-	if s.queue.ahead(w) == 0 && s.fits(w) {
+	if s.queue.ahead(w) == 0 && s.fits(w, now) {
 		return ""
 	}
 	switch {
@@ -149,14 +146,22 @@
 		return CauseEarly
 	case w.yields:
 		return CauseLate
-	case s.limit-float64(s.running-s.elsewhere) >= 1:
-		return CauseRank
+	case s.limit-float64(s.running-s.elsewhere) < 1:
+		return CauseShare
+	case s.accountExceeds(w.request.Account, now):
+		return CauseAccount
 	}
-	return CauseShare
+	return CauseRank
+}
+
+// accountExceeds returns whether a client account runs its part of the requests already.
+func (s *service) accountExceeds(name string, now time.Time) bool {
+	a := s.accounts.get(name)
+	return float64(a.running) >= PartOfAccount(s.limit, a.usual.rate(usualWindow, now), s.accounts.usual.rate(usualWindow, now))
 }
 
 // fits returns whether w is admitted now.
-func (s *service) fits(w *waiter) bool {
+func (s *service) fits(w *waiter, now time.Time) bool {
 	rank := w.request.Rank
 	return Fits(&Standing{
 		Limit:         s.limit,
@@ -164,15 +169,17 @@
 		RunningOfRank: s.byRank[rank],
 		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own),
 		Level:         s.levels[rank],
+		Exceeds:       s.accountExceeds(w.request.Account, now),
 		Yields:        w.yields,
 	})
 }
 
 // admit counts an admitted request.
-func (s *service) admit(g *Gate, rank int, now time.Time) *Grant {
+func (s *service) admit(g *Gate, r *Request, now time.Time) *Grant {
 	s.running++
-	s.byRank[rank]++
-	return &Grant{gate: g, service: s, rank: rank, begunAt: now, Enforced: s.shortage}
+	s.byRank[r.Rank]++
+	s.accounts.get(r.Account).running++
+	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
 }
 
 // refuse returns the refusal of w and counts its caller among those that will return.
@@ -189,7 +196,7 @@
 }
 
 // release ends a grant and admits waiting requests.
-func (s *service) release(a *Grant, now time.Time) {
+func (s *service) release(a *Grant, endpoint string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.released {
@@ -198,6 +205,8 @@
 	a.released = true
 	s.running--
 	s.byRank[a.rank]--
+	s.accounts.get(a.account).running--
+	s.vacated.add(endpoint, now)
 	s.ends.add(1, endsWindow, now)
 	took := now.Sub(a.begunAt).Seconds()
 	if s.slotTime == 0 {
@@ -232,9 +241,9 @@
 	var left []*waiter
 	for _, w := range s.queue.waiting {
 		switch {
-		case !s.shortage || s.fits(w):
+		case !s.shortage || s.fits(w, now):
 			g.cfg.OnDecision(Decision{Service: s.name, Waited: true, Returned: w.returned})
-			w.done <- result{grant: s.admit(g, w.request.Rank, now)}
+			w.done <- result{grant: s.admit(g, w.request, now)}
 		case !now.Before(w.until):
 			w.done <- result{err: s.refuse(g, w, CauseWaited, true, now)}
 		default:
@@ -306,12 +315,14 @@
 		return c
 	}
 	if news.Covers == 0 || news.Age > maxNewsAge {
+		c.Running = supply.Own * float64(others+1)
 		for r, d := range own {
 			c.Fleet[r] = d * float64(others+1)
 		}
 		return c
 	}
 	factor := max(1, float64(others)/float64(news.Covers))
+	c.Running = supply.Own + (supply.Running-supply.Own)*factor
 	for r, d := range news.Demand {
 		c.Fleet[r] += d * factor
 	}
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -37,6 +37,9 @@
 	// Admitted is set if the request was admitted within the room of the whole fleet. The limit on
 	// endpoints that other gateways prefer doesn't apply, since their requests are limited as well.
 	Admitted bool
+	// Vacated, if not empty, is the ID of an endpoint at which a request of this gateway has just
+	// ended. It is selected unless it is full: no other gateway knows of the free slot yet.
+	Vacated string
 	// Healthy rules out ejected, paused, and suspected endpoints even if there are no
 	// others.
 	Healthy bool
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -21,6 +21,9 @@
 	reloadCost = 0.5
 	// prefillUnit is the pending prefill time that counts as one request per slot.
 	prefillUnit = 250 * time.Millisecond
+	// vacatedBenefit is subtracted from the cost of Query.Vacated. It exceeds the costs of all
+	// others.
+	vacatedBenefit = 10
 	// jitter scales the random number drawn for each endpoint, which distributes requests
 	// among endpoints of equal cost. It is less than any of the costs above.
 	jitter = 0.03
@@ -216,6 +219,8 @@
 			c.unusable.consider(e, b.cost(e, load, q, now))
 		case q.LeastLoaded:
 			c.usable.consider(e, load)
+		case q.Vacated != "" && e.record.ID == q.Vacated:
+			c.usable.consider(e, load-vacatedBenefit)
 		case e.preferred || e.rateLimited(now):
 			c.usable.consider(e, b.cost(e, load, q, now))
 		case q.LatestVersion > 0 && !e.reloadPending(q):
--- a/gateway/proxy/admission.go
+++ b/gateway/proxy/admission.go
@@ -48,5 +48,9 @@
 
 // releaseGrant ends the admission of a call.
 func (p *Proxy) releaseGrant(c *call) {
-	c.grant.Release(time.Now())
+	endpoint := ""
+	if len(c.attempted) > 0 {
+		endpoint = c.current
+	}
+	c.grant.Release(endpoint, time.Now())
 }
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -28,7 +28,9 @@
 			q.LatestVersion = p.cfg.NewestVersion(c.model)
 		} else {
 			q.MaxLoad = p.maxLoad(c)
-			q.Admitted = c.grant != nil && c.grant.Enforced
+			if g := c.grant; g != nil && g.Enforced {
+				q.Admitted, q.Vacated = true, g.Vacated
+			}
 		}
 	}
 	return q
