--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -66,8 +66,6 @@
 	CauseAccount Cause = "account"
 	// CauseWaited means that no place came free in the time that the request could wait.
 	CauseWaited Cause = "waited"
-	// CauseEarly means that the caller returned sooner than it was told.
-	CauseEarly Cause = "early"
 	// CauseLate means that the caller can't be served within its latency target any more.
 	CauseLate Cause = "late"
 )
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -138,8 +138,14 @@
 	return max(1, Share(c)*target*max(factor, minLimitFactor))
 }
 
-// yieldReserve is the number of such reserves that a request which yields leaves free.
-const yieldReserve = 5
+// Rules for late callers.
+const (
+	// mildRefusedShare is the share of refusals among other callers up to which late callers are
+	// served from places that these leave.
+	mildRefusedShare = 0.1
+	// lateReserve is the number of reserves that a late caller leaves free above it.
+	lateReserve = 5
+)
 
 // reserve returns the number of places of a limit that are kept for ranks and accounts that have
 // not had their part: one, or a tenth of large limits.
@@ -150,34 +156,37 @@
 // Standing is how a request compares to the requests that a gateway already runs.
 type Standing struct {
 	// Limit is the gateway's limit, Running the number of requests that it runs.
-	Limit float64
-	// Running is the number of requests that the gateway runs, RunningOfRank the number with the
-	// request's rank, and PartOfRank how many of that rank it should run by the levels.
-	Running, RunningOfRank int
-	PartOfRank             float64
+	Limit   float64
+	Running int
+	// RunningOfRank is the number with the request's rank, PartOfRank how many of that rank the
+	// gateway should run by the levels.
+	RunningOfRank, PartOfRank float64
 	// Level is the level of the rank.
 	Level float64
 	// Exceeds is set if the client account runs its part of the requests already.
 	Exceeds bool
-	// Yields is set for a request that goes after all others: its caller came back before the
-	// time that it was told, or can't be served in time any more.
-	Yields bool
+	// Late is set if the caller can't be served within its latency target any more.
+	Late bool
+	// RefusedShare is the share of the callers who still could that were refused lately.
+	RefusedShare float64
 }
 
 // Fits returns whether a request is admitted now. A rank that runs more than its part leaves a
-// reserve free for the others, which would otherwise find the places taken whenever they arrive.
+// reserve free for the others, which would otherwise find the places taken whenever they arrive. So
+// does an account that runs more than its part. Late callers get what others leave: a place that a
+// late caller takes makes another caller late, so in a lasting overload all would be.
 func Fits(s *Standing) bool {
 	free := s.Limit - float64(s.Running)
 	if free < 1 {
 		return false
 	}
-	if !s.Yields && !s.Exceeds && (s.Level >= 1 || float64(s.RunningOfRank) < s.PartOfRank) {
-		return true
-	}
-	if s.Yields {
-		return free >= 1+yieldReserve*reserve(s.Limit)
+	switch {
+	case s.Late && s.RefusedShare > mildRefusedShare:
+		return free >= 1+lateReserve*reserve(s.Limit)
+	case s.Late, s.Exceeds, s.Level < 1 && s.RunningOfRank >= s.PartOfRank:
+		return free >= 1+reserve(s.Limit)
 	}
-	return free >= 1+reserve(s.Limit)
+	return true
 }
 
 // PartOf returns how many requests of a rank a gateway with the given limit should run.
--- a/gateway/admission/meter.go
+++ b/gateway/admission/meter.go
@@ -40,7 +40,7 @@
 }
 
 // demandWindow is the time over which demand is smoothed: levels follow a jump within a second.
-const demandWindow = 1500 * time.Millisecond
+const demandWindow = 5 * time.Second
 
 // demand measures the work that callers ask for, in slots by rank. The zero value is ready to use.
 type demand [Ranks]meter
--- a/gateway/admission/metrics.go
+++ b/gateway/admission/metrics.go
@@ -22,7 +22,7 @@
 		ReturnedRefused:  metrics.NewRegisteredCounter("admission.returned_refused", r),
 		registry:         r,
 	}
-	for _, c := range []Cause{CauseRank, CauseShare, CauseAccount, CauseWaited, CauseEarly, CauseLate} {
+	for _, c := range []Cause{CauseRank, CauseShare, CauseAccount, CauseWaited, CauseLate} {
 		metrics.NewRegisteredCounter(refusedName(c), r)
 	}
 	return m
--- a/gateway/admission/queue.go
+++ b/gateway/admission/queue.go
@@ -32,7 +32,7 @@
 type waiter struct {
 	request  *Request
 	returned bool
-	yields   bool
+	late     bool
 	sequence uint64
 	// waitingOfAccount is the number of requests of its account that were waiting before it.
 	waitingOfAccount int
@@ -45,7 +45,7 @@
 // were told, then the first request of each account, the second and so on.
 func (w *waiter) before(v *waiter) bool {
 	return cmp.Or(
-		compareBool(w.yields, v.yields),
+		compareBool(w.late, v.late),
 		cmp.Compare(w.request.Rank, v.request.Rank),
 		-compareBool(w.returned, v.returned),
 		cmp.Compare(w.waitingOfAccount, v.waitingOfAccount),
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -16,10 +16,11 @@
 // an equal share.
 const maxNewsAge = 2 * time.Second
 
-// endsWindow is the time over which the rate of ends is smoothed, slotTimeWeight the weight of one
-// request in the mean time that requests take a slot.
+// endsWindow and refusedWindow are the times over which the rates of ends and of refusals are
+// smoothed, slotTimeWeight the weight of one request in the mean time that requests take a slot.
 const (
 	endsWindow     = 2 * time.Second
+	refusedWindow  = 3 * time.Second
 	slotTimeWeight = 0.05
 )
 
@@ -61,6 +62,9 @@
 	demand   demand
 	accounts accounts
 	ends     meter
+	// asked and refused count the callers who could be served in time, and those of them that were
+	// refused.
+	asked, refused meter
 	// slotTime is the mean time for which requests took a slot, in seconds.
 	slotTime float64
 	// running is the number of admitted requests, byRank by rank.
@@ -95,18 +99,17 @@
 	q := *r
 	q.Rank = min(max(q.Rank, 0), Ranks-1)
 	returned := q.Elapsed >= MinReturn && s.returns.take(now)
-	early := q.Elapsed > earlyMargin && q.Elapsed < MinReturn
 	late := q.Elapsed >= q.Target
-	if !early && !late {
+	if !late {
 		s.count(&q, now)
 	}
 	s.update(g, now)
 	if !s.shortage {
 		return s.admit(g, &q, now), nil, nil
 	}
-	w := &waiter{request: &q, returned: returned, yields: early || late, until: now, done: make(chan result, 1)}
+	w := &waiter{request: &q, returned: returned, late: late, until: now, done: make(chan result, 1)}
 	s.queue.prepare(w)
-	cause := s.check(w, early, now)
+	cause := s.check(w, now)
 	if cause == "" {
 		g.cfg.OnDecision(Decision{Service: s.name, Returned: returned})
 		return s.admit(g, &q, now), nil, nil
@@ -120,9 +123,6 @@
 	return nil, nil, s.refuse(g, w, cause, false, now)
 }
 
-// earlyMargin is the time since a first try that is put down to the network.
-const earlyMargin = 5 * time.Millisecond
-
 // count counts a request in the demand. Callers that can't be served in time any more are not
 // counted: they get what others leave, and would show a demand that grows with each refusal.
 func (s *service) count(r *Request, now time.Time) {
@@ -131,20 +131,19 @@
 		slotTime = time.Duration(s.slotTime * float64(time.Second))
 	}
 	s.demand.add(r.Rank, slotTime, now)
+	s.asked.add(1, refusedWindow, now)
 	a := s.accounts.get(r.Account)
 	a.usual.add(slotTime.Seconds(), usualWindow, now)
 	s.accounts.usual.add(slotTime.Seconds(), usualWindow, now)
 }
 
 // check returns why a request can't be admitted now, or "".
-func (s *service) check(w *waiter, early bool, now time.Time) Cause {
+func (s *service) check(w *waiter, now time.Time) Cause {
 	if s.queue.ahead(w) == 0 && s.fits(w, now) {
 		return ""
 	}
 	switch {
-	case early:
-		return CauseEarly
-	case w.yields:
+	case w.late:
 		return CauseLate
 	case s.limit-float64(s.running-s.elsewhere) < 1:
 		return CauseShare
@@ -154,6 +153,15 @@
 	return CauseRank
 }
 
+// refusedShare returns the share of the callers who could be served in time that were refused.
+func (s *service) refusedShare(now time.Time) float64 {
+	asked := s.asked.rate(refusedWindow, now)
+	if asked <= 0 {
+		return 0
+	}
+	return s.refused.rate(refusedWindow, now) / asked
+}
+
 // accountExceeds returns whether a client account runs its part of the requests already.
 func (s *service) accountExceeds(name string, now time.Time) bool {
 	a := s.accounts.get(name)
@@ -163,14 +171,16 @@
 // fits returns whether w is admitted now.
 func (s *service) fits(w *waiter, now time.Time) bool {
 	rank := w.request.Rank
+	included := float64(s.running-s.elsewhere) / float64(max(s.running, 1))
 	return Fits(&Standing{
 		Limit:         s.limit,
 		Running:       s.running - s.elsewhere,
-		RunningOfRank: s.byRank[rank],
+		RunningOfRank: included * float64(s.byRank[rank]),
 		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own),
 		Level:         s.levels[rank],
 		Exceeds:       s.accountExceeds(w.request.Account, now),
-		Yields:        w.yields,
+		Late:          w.late,
+		RefusedShare:  s.refusedShare(now),
 	})
 }
 
@@ -191,6 +201,9 @@
 		Random:        g.cfg.Random,
 	})
 	s.returns.expect(d, now)
+	if !w.late {
+		s.refused.add(1, refusedWindow, now)
+	}
 	g.cfg.OnDecision(Decision{Service: s.name, Refused: cause, Waited: waited, Returned: w.returned})
 	return &RefusedError{Service: s.name, Cause: cause, ReturnAfter: d}
 }
