--- /dev/null
+++ b/gateway/admission/gate_test.go
@@ -0,0 +1,168 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/admission"
+)
+
+// supply is the room of a test, which a test may change.
+type supply struct {
+	room, running float64
+}
+
+// gateAlone returns the gate of a gateway that is alone and has the given room.
+func gateAlone(s *supply) *admission.Gate {
+	return admission.New(admission.Config{
+		Supply: func(string, time.Time) admission.Supply {
+			return admission.Supply{Room: s.room, Running: s.running, Own: s.running}
+		},
+		News:   func(string, time.Time) admission.News { return admission.News{} },
+		Random: func() float64 { return 0 },
+	})
+}
+
+func request(account string, rank int) *admission.Request {
+	return &admission.Request{Service: "s", Account: account, Rank: rank, SlotTime: time.Second, Target: 4 * time.Second, Left: 10 * time.Second}
+}
+
+// full returns a gate with a limit of 96 requests whose places are taken and come free ten times a
+// second. It must be called in a bubble.
+func full(t *testing.T, s *supply) (*admission.Gate, []*admission.Grant) {
+	t.Helper()
+	g := NewWithT(t)
+	s.room, s.running = 100, 96
+	gate := gateAlone(s)
+	var grants []*admission.Grant
+	for range 96 {
+		grant, err := gate.TryAcquire(request("a", 0), time.Now())
+		g.Expect(err).NotTo(HaveOccurred())
+		grants = append(grants, grant)
+	}
+	for range 20 { // the rate at which places come free is known from experience
+		time.Sleep(100 * time.Millisecond)
+		grants[0].Release("e", time.Now())
+		grant, err := gate.TryAcquire(request("a", 0), time.Now())
+		g.Expect(err).NotTo(HaveOccurred())
+		grants = append(grants[1:], grant)
+	}
+	return gate, grants
+}
+
+// outcome is the result of Acquire and the time that it took.
+type outcome struct {
+	name  string
+	grant *admission.Grant
+	err   error
+	took  time.Duration
+}
+
+// acquire calls Acquire in the background.
+func acquire(ctx context.Context, gate *admission.Gate, name string, r *admission.Request, out chan<- outcome) {
+	begun := time.Now()
+	go func() {
+		grant, err := gate.Acquire(ctx, r)
+		out <- outcome{name, grant, err, time.Since(begun)}
+	}()
+	synctest.Wait()
+}
+
+func TestAWaitingRequestTakesTheNextPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, grants := full(t, &supply{})
+		out := make(chan outcome, 4)
+		acquire(t.Context(), gate, "first", request("a", 1), out)
+		acquire(t.Context(), gate, "second of the account", request("a", 1), out)
+		acquire(t.Context(), gate, "other account", request("b", 1), out)
+		acquire(t.Context(), gate, "urgent", request("a", 0), out)
+		for i, want := range []string{"urgent", "first", "other account", "second of the account"} {
+			time.Sleep(50 * time.Millisecond)
+			grants[i].Release("e7", time.Now())
+			x := <-out
+			g.Expect(x.name).To(Equal(want))
+			g.Expect(x.err).NotTo(HaveOccurred())
+			g.Expect(x.grant.Vacated).To(Equal("e7"), "the slot that came free")
+			grants[i].Release("e7", time.Now()) // has no effect
+		}
+	})
+}
+
+func TestAWaitEndsWhenItsReasonDoes(t *testing.T) {
+	for name, end := range map[string]func(gate *admission.Gate, s *supply, cancel func()){
+		"the caller leaves": func(_ *admission.Gate, _ *supply, cancel func()) { cancel() },
+		"endpoints come": func(gate *admission.Gate, s *supply, _ func()) {
+			s.room = 200
+			gate.Refresh(time.Now())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &supply{}
+				gate, _ := full(t, s)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				out := make(chan outcome, 1)
+				acquire(ctx, gate, "", request("a", 0), out)
+				time.Sleep(100 * time.Millisecond)
+				end(gate, s, cancel)
+				x := <-out
+				g.Expect(x.took).To(Equal(100 * time.Millisecond))
+				g.Expect(x.err == nil).To(Equal(name == "endpoints come"))
+				g.Expect(gate.Status()[0].Waiting).To(BeZero())
+			})
+		})
+	}
+}
+
+func TestAWaitIsBoundedByTheTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, _ := full(t, &supply{})
+		out := make(chan outcome, 1)
+		acquire(t.Context(), gate, "", request("a", 0), out)
+		x := <-out
+		g.Expect(admission.AsRefused(x.err).Cause).To(Equal(admission.CauseWaited))
+		g.Expect(x.took).To(Equal(time.Second), "a quarter of the target")
+	})
+}
+
+// Guards against waits that cost the caller its time for nothing.
+func TestARequestThatWouldNotGetAPlaceInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, _ := full(t, &supply{})
+		r := request("a", 0)
+		r.Target = 300 * time.Millisecond // places come free every 100 ms, and it may wait for 75 ms
+		begun := time.Now()
+		_, err := gate.Acquire(t.Context(), r)
+		g.Expect(admission.AsRefused(err).Cause).To(Equal(admission.CauseShare))
+		g.Expect(time.Since(begun)).To(BeZero())
+	})
+}
+
+// A change of ranks takes effect with the next request and moves none that runs.
+func TestRanksChangeWithTheNextRequest(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	gate := gateAlone(&supply{room: 100, running: 96})
+	var grants []*admission.Grant
+	for range 96 {
+		grant, err := gate.TryAcquire(request("a", 3), now)
+		g.Expect(err).NotTo(HaveOccurred())
+		grants = append(grants, grant)
+	}
+	grants[0].Release("", now)
+	_, err := gate.TryAcquire(request("a", 0), now)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, grant := range grants {
+		grant.Release("", now)
+	}
+	g.Expect(gate.Status()[0].Admitted).To(Equal(1))
+}
