--- a/gateway/admission/accounts.go
+++ b/gateway/admission/accounts.go
@@ -13,14 +13,14 @@
 	// accountBurst is the multiple of its usual part of the requests up to which an account is
 	// served like all others.
 	accountBurst = 1.5
-	// minAccountPart is the least number of concurrent requests that an account is not limited for.
-	minAccountPart = 1.0
+	// minAccountPart is the least part of an account, in slots, so that new accounts have one.
+	minAccountPart = 0.25
 	// maxAccounts limits the number of accounts that are measured, and so the memory.
 	maxAccounts = 4096
 )
 
-// PartOfAccount returns how many requests of an account a gateway with the given limit runs before
-// the account leaves a reserve for the others. usual is the account's usual demand, total that of
+// PartOfAccount returns how much of the work of a gateway with the given limit, in slots, an account
+// gets before it leaves a reserve for the others. usual is the account's usual demand, total that of
 // all accounts, in slots. It answers the burst of one account, which would otherwise take the room
 // of all others: what counts is its usual demand, not how fast it repeats its requests.
 func PartOfAccount(limit, usual, total float64) float64 {
@@ -33,8 +33,10 @@
 // account is what is known of a client account.
 type account struct {
 	usual meter
-	// running is the number of its admitted requests.
-	running int
+	// admitted is the work that was admitted, in slots over demandWindow. running is the number of
+	// requests that run.
+	admitted meter
+	running  int
 }
 
 // accounts holds client accounts by name. The zero value is ready to use.
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -109,7 +109,7 @@
 	// limitGain is by how much a gateway's limit exceeds its share, relative to it, for each part
 	// of the target that is free in the fleet. Running requests change within seconds and news of
 	// them within half a second, which leaves the loop stable.
-	limitGain = 3
+	limitGain = 2
 	// minLimitFactor bounds how far a gateway withdraws while others exceed their shares.
 	minLimitFactor = 0.5
 )
@@ -163,7 +163,7 @@
 	RunningOfRank, PartOfRank float64
 	// Level is the level of the rank.
 	Level float64
-	// Exceeds is set if the client account runs its part of the requests already.
+	// Exceeds is set if the client account has had its part of the requests lately.
 	Exceeds bool
 	// Late is set if the caller can't be served within its latency target any more.
 	Late bool
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -81,6 +81,8 @@
 	Target, Elapsed, Left time.Duration
 	// FreePerSecond is the rate at which places of this gateway come free.
 	FreePerSecond float64
+	// RefusedShare is the share of the callers who could be served in time that were refused.
+	RefusedShare float64
 	// Expected returns how many callers were told to return at about the given time from now.
 	Expected func(d time.Duration) int
 	// Random returns a number in [0, 1), by which callers that are refused together are spread.
@@ -89,14 +91,14 @@
 
 // ReturnAfter returns when a refused caller should return: at the first time at which a place comes
 // free that no other caller was told of. If that is soon enough for its latency target, the caller
-// loses nothing. Otherwise it is told the latest time that leaves two thirds of its time, since a
+// loses nothing. While few are refused, that is likely at any time. Otherwise it is told the latest time that leaves two thirds of its time, since a
 // shortage is more likely to have ended then.
 func ReturnAfter(f *ReturnForecast) time.Duration {
 	room := returnShare * f.FreePerSecond * returnStep.Seconds()
 	// The draw makes a fraction of a place per step count as often as that fraction.
 	fits := func(d time.Duration) bool { return float64(f.Expected(d))+f.Random() < room }
 	soon := time.Duration(returnTargetFraction*float64(f.Target)) - f.Elapsed
-	if soon > MinReturn && fits(soon) {
+	if soon > MinReturn && (f.RefusedShare <= mildRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
 	}
 	latest := min(maxReturn, f.Left/3)
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -109,6 +109,7 @@
 	}
 	w := &waiter{request: &q, returned: returned, late: late, until: now, done: make(chan result, 1)}
 	s.queue.prepare(w)
+	s.dispatch(g, now)
 	cause := s.check(w, now)
 	if cause == "" {
 		g.cfg.OnDecision(Decision{Service: s.name, Returned: returned})
@@ -123,13 +124,18 @@
 	return nil, nil, s.refuse(g, w, cause, false, now)
 }
 
+// slotTimeOf returns the estimated time for which a request takes a slot.
+func (s *service) slotTimeOf(r *Request) time.Duration {
+	if r.SlotTime > 0 {
+		return r.SlotTime
+	}
+	return time.Duration(s.slotTime * float64(time.Second))
+}
+
 // count counts a request in the demand. Callers that can't be served in time any more are not
 // counted: they get what others leave, and would show a demand that grows with each refusal.
 func (s *service) count(r *Request, now time.Time) {
-	slotTime := r.SlotTime
-	if slotTime <= 0 {
-		slotTime = time.Duration(s.slotTime * float64(time.Second))
-	}
+	slotTime := s.slotTimeOf(r)
 	s.demand.add(r.Rank, slotTime, now)
 	s.asked.add(1, refusedWindow, now)
 	a := s.accounts.get(r.Account)
@@ -139,7 +145,7 @@
 
 // check returns why a request can't be admitted now, or "".
 func (s *service) check(w *waiter, now time.Time) Cause {
-	if s.queue.ahead(w) == 0 && s.fits(w, now) {
+	if s.fits(w, now) { // requests that wait don't, or dispatch would have admitted them
 		return ""
 	}
 	switch {
@@ -162,10 +168,10 @@
 	return s.refused.rate(refusedWindow, now) / asked
 }
 
-// accountExceeds returns whether a client account runs its part of the requests already.
+// accountExceeds returns whether a client account has had its part of the requests lately.
 func (s *service) accountExceeds(name string, now time.Time) bool {
 	a := s.accounts.get(name)
-	return float64(a.running) >= PartOfAccount(s.limit, a.usual.rate(usualWindow, now), s.accounts.usual.rate(usualWindow, now))
+	return a.admitted.rate(demandWindow, now) >= PartOfAccount(s.limit, a.usual.rate(usualWindow, now), s.accounts.usual.rate(usualWindow, now))
 }
 
 // fits returns whether w is admitted now.
@@ -188,7 +194,9 @@
 func (s *service) admit(g *Gate, r *Request, now time.Time) *Grant {
 	s.running++
 	s.byRank[r.Rank]++
-	s.accounts.get(r.Account).running++
+	a := s.accounts.get(r.Account)
+	a.running++
+	a.admitted.add(s.slotTimeOf(r).Seconds(), demandWindow, now)
 	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
 }
 
@@ -197,6 +205,7 @@
 	d := ReturnAfter(&ReturnForecast{
 		Target: w.request.Target, Elapsed: w.request.Elapsed, Left: w.request.Left,
 		FreePerSecond: s.ends.rate(endsWindow, now),
+		RefusedShare:  s.refusedShare(now),
 		Expected:      func(d time.Duration) int { return s.returns.expected(d, now) },
 		Random:        g.cfg.Random,
 	})
