--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -11,14 +11,12 @@
 
 // newGate returns the gate that admits callers' requests.
 func (g *Gateway) newGate() *admission.Gate {
-	m := admission.NewMetrics(g.registry)
 	return admission.New(admission.Config{
 		Supply:     g.supply,
 		News:       g.demandNews,
 		Random:     rand.Float64,
-		OnDecision: m.Record,
+		OnDecision: g.admissionMetrics.Record,
 		OnChange: func(s admission.Status) {
-			m.RecordStatus(&s)
 			g.log.Info("admission changed", "service", s.Service, "shortage", s.Shortage, "room", s.Room, "running", s.Running,
 				"demand", s.Fleet.Total(), "own", s.Own.Total(), "gateways", s.Gateways, "covers", s.Covers, "ageMs", s.Age.Milliseconds(),
 				"levels", s.Levels, "limit", s.Limit, "admitted", s.Admitted)
@@ -26,6 +24,14 @@
 	})
 }
 
+// refreshAdmission applies news of other gateways to admission and updates its metrics.
+func (g *Gateway) refreshAdmission(now time.Time) {
+	g.gate.Refresh(now)
+	for _, s := range g.gate.Status() {
+		g.admissionMetrics.RecordStatus(&s)
+	}
+}
+
 // supply implements admission.Config.Supply.
 func (g *Gateway) supply(service string, now time.Time) admission.Supply {
 	var out admission.Supply
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -17,6 +17,9 @@
 	// returnShare is the part of the places that come free that returning callers are told of.
 	// The others are left to new callers.
 	returnShare = 0.25
+	// soonRefusedShare is the share of refusals up to which callers return within their latency
+	// target: most of them then find a place at another gateway, which loses them nothing.
+	soonRefusedShare = 0.35
 	// returnTargetFraction is the fraction of the latency target that may have passed at a return
 	// that can still be served in time.
 	returnTargetFraction = 0.5
@@ -98,7 +101,7 @@
 	// The draw makes a fraction of a place per step count as often as that fraction.
 	fits := func(d time.Duration) bool { return float64(f.Expected(d))+f.Random() < room }
 	soon := time.Duration(returnTargetFraction*float64(f.Target)) - f.Elapsed
-	if soon > MinReturn && (f.RefusedShare <= mildRefusedShare || fits(soon)) {
+	if soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
 	}
 	latest := min(maxReturn, f.Left/3)
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -8,9 +8,13 @@
 	"time"
 )
 
-// refreshInterval is the time after which room and news are looked at again. It is shorter than
-// the interval of heartbeats.
-const refreshInterval = 50 * time.Millisecond
+// Times after which room and news are looked at again.
+const (
+	// shortageInterval applies during a shortage. It is shorter than the interval of heartbeats.
+	shortageInterval = 50 * time.Millisecond
+	// calmInterval applies otherwise. It bounds how late a shortage is seen.
+	calmInterval = 200 * time.Millisecond
+)
 
 // maxNewsAge is the age up to which news of other gateways is used. Older ones are no better than
 // an equal share.
@@ -107,7 +111,7 @@
 	if !s.shortage {
 		return s.admit(g, &q, now), nil, nil
 	}
-	w := &waiter{request: &q, returned: returned, late: late, until: now, done: make(chan result, 1)}
+	w := &waiter{request: &q, returned: returned, late: late, until: now}
 	s.queue.prepare(w)
 	s.dispatch(g, now)
 	cause := s.check(w, now)
@@ -117,7 +121,7 @@
 	}
 	limit := WaitLimit(q.Target, q.Elapsed)
 	if ShouldWait(s.queue.ahead(w), s.ends.rate(endsWindow, now), limit) {
-		w.until = now.Add(limit)
+		w.until, w.done = now.Add(limit), make(chan result, 1)
 		s.queue.add(w)
 		return nil, w, nil
 	}
@@ -285,7 +289,11 @@
 
 // update brings conditions, levels and limit up to date. The caller must hold s.mu.
 func (s *service) update(g *Gate, now time.Time) {
-	if now.Sub(s.refreshedAt) < refreshInterval {
+	interval := calmInterval
+	if s.shortage {
+		interval = shortageInterval
+	}
+	if now.Sub(s.refreshedAt) < interval {
 		return
 	}
 	s.refreshedAt = now
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,8 @@
 	client      *upstream.Client
 	proxy       *proxy.Proxy
 	gate        *admission.Gate
+	// admissionMetrics counts the decisions of gate.
+	admissionMetrics *admission.Metrics
 	// poison records requests under which endpoints crashed; trials holds the leases on such
 	// requests that this gateway grants.
 	poison *poison.Table
@@ -146,6 +148,7 @@
 		OnAdvisory:     g.onAdvisory,
 		OnStaleLimit:   g.refreshStaleLimit,
 	})
+	g.admissionMetrics = admission.NewMetrics(g.registry)
 	g.gate = g.newGate()
 	g.proxy = g.newProxy()
 	g.syncer = g.newSyncer()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -116,7 +116,7 @@
 func (g *Gateway) afterHeartbeat(silent []string) {
 	g.noteSuspended(g.suspension.Suspended())
 	g.updateAssignment()
-	g.gate.Refresh(time.Now())
+	g.refreshAdmission(time.Now())
 	for _, name := range silent {
 		g.log.Warn("entry lost", "entry", name)
 	}
