--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -205,7 +205,9 @@
 	service *service
 	rank    int
 	account string
-	begunAt time.Time
+	// estimate is the slot time that was estimated.
+	estimate time.Duration
+	begunAt  time.Time
 	// Enforced is set if the request was admitted while limits were in force, so that it counts
 	// within the fleet's room.
 	Enforced bool
--- a/gateway/admission/metrics.go
+++ b/gateway/admission/metrics.go
@@ -11,31 +11,32 @@
 	// Waited counts requests that waited for a place and were admitted, ReturnedAdmitted and
 	// ReturnedRefused the outcomes of callers that returned when they were told.
 	Waited, ReturnedAdmitted, ReturnedRefused metrics.Counter
-	registry                                  metrics.Registry
+	// Refused counts refusals by cause.
+	Refused  map[Cause]metrics.Counter
+	registry metrics.Registry
 }
 
 // NewMetrics registers the metrics of admission in r.
 func NewMetrics(r metrics.Registry) *Metrics {
-	m := &Metrics{
+	return &Metrics{
 		Waited:           metrics.NewRegisteredCounter("admission.waited", r),
 		ReturnedAdmitted: metrics.NewRegisteredCounter("admission.returned_admitted", r),
 		ReturnedRefused:  metrics.NewRegisteredCounter("admission.returned_refused", r),
-		registry:         r,
+		Refused: map[Cause]metrics.Counter{
+			CauseRank:    metrics.NewRegisteredCounter("admission.refused_rank", r),
+			CauseShare:   metrics.NewRegisteredCounter("admission.refused_share", r),
+			CauseAccount: metrics.NewRegisteredCounter("admission.refused_account", r),
+			CauseWaited:  metrics.NewRegisteredCounter("admission.refused_waited", r),
+			CauseLate:    metrics.NewRegisteredCounter("admission.refused_late", r),
+		},
+		registry: r,
 	}
-	for _, c := range []Cause{CauseRank, CauseShare, CauseAccount, CauseWaited, CauseLate} {
-		metrics.NewRegisteredCounter(refusedName(c), r)
-	}
-	return m
-}
-
-func refusedName(c Cause) string {
-	return "admission.refused." + string(c)
 }
 
 // Record counts a decision.
 func (m *Metrics) Record(d Decision) {
-	if d.Refused != "" {
-		metrics.GetOrRegisterCounter(refusedName(d.Refused), m.registry).Inc(1)
+	if c := m.Refused[d.Refused]; c != nil {
+		c.Inc(1)
 	}
 	switch {
 	case d.Returned && d.Refused != "":
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -21,11 +21,10 @@
 const maxNewsAge = 2 * time.Second
 
 // endsWindow and refusedWindow are the times over which the rates of ends and of refusals are
-// smoothed, slotTimeWeight the weight of one request in the mean time that requests take a slot.
+// smoothed.
 const (
-	endsWindow     = 2 * time.Second
-	refusedWindow  = 3 * time.Second
-	slotTimeWeight = 0.05
+	endsWindow    = 2 * time.Second
+	refusedWindow = 3 * time.Second
 )
 
 // services holds the state of each service.
@@ -69,8 +68,7 @@
 	// asked and refused count the callers who could be served in time, and those of them that were
 	// refused.
 	asked, refused meter
-	// slotTime is the mean time for which requests took a slot, in seconds.
-	slotTime float64
+	slotTimes slotTimes
 	// running is the number of admitted requests, byRank by rank.
 	running int
 	byRank  [Ranks]int
@@ -128,18 +126,10 @@
 	return nil, nil, s.refuse(g, w, cause, false, now)
 }
 
-// slotTimeOf returns the estimated time for which a request takes a slot.
-func (s *service) slotTimeOf(r *Request) time.Duration {
-	if r.SlotTime > 0 {
-		return r.SlotTime
-	}
-	return time.Duration(s.slotTime * float64(time.Second))
-}
-
 // count counts a request in the demand. Callers that can't be served in time any more are not
 // counted: they get what others leave, and would show a demand that grows with each refusal.
 func (s *service) count(r *Request, now time.Time) {
-	slotTime := s.slotTimeOf(r)
+	slotTime := s.slotTimes.expected(r.SlotTime)
 	s.demand.add(r.Rank, slotTime, now)
 	s.asked.add(1, refusedWindow, now)
 	a := s.accounts.get(r.Account)
@@ -200,8 +190,8 @@
 	s.byRank[r.Rank]++
 	a := s.accounts.get(r.Account)
 	a.running++
-	a.admitted.add(s.slotTimeOf(r).Seconds(), demandWindow, now)
-	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
+	a.admitted.add(s.slotTimes.expected(r.SlotTime).Seconds(), demandWindow, now)
+	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, estimate: r.SlotTime, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
 }
 
 // refuse returns the refusal of w and counts its caller among those that will return.
@@ -234,11 +224,9 @@
 	s.accounts.get(a.account).running--
 	s.vacated.add(endpoint, now)
 	s.ends.add(1, endsWindow, now)
-	took := now.Sub(a.begunAt).Seconds()
-	if s.slotTime == 0 {
-		s.slotTime = took
+	if endpoint != "" {
+		s.slotTimes.observe(a.estimate, now.Sub(a.begunAt))
 	}
-	s.slotTime += slotTimeWeight * (took - s.slotTime)
 	s.dispatch(a.gate, now)
 }
 
