--- a/gateway/admission/accounts.go
+++ b/gateway/admission/accounts.go
@@ -8,42 +8,90 @@
 
 // Limits on client accounts during a shortage.
 const (
-	// usualWindow is the time over which the usual demand of accounts is measured.
-	usualWindow = 30 * time.Second
-	// accountBurst is the multiple of its usual part of the requests up to which an account is
-	// served like all others.
-	accountBurst = 1.5
-	// minAccountPart is the least part of an account, in slots, so that new accounts have one.
-	minAccountPart = 0.25
+	// usualWindow and recentWindow are the times over which the usual and the recent number of an
+	// account's requests are measured.
+	usualWindow, recentWindow = 2 * time.Minute, 5 * time.Second
+	// accountBurst is the multiple of its usual number of requests up to which an account is served
+	// like all others, and minBurst the number that it may send besides: the few requests that an
+	// account sends to one gateway come unevenly.
+	accountBurst, minBurst = 2.0, 3.0
+	// earlyShare is the share of an account's requests that come back before MinReturn from which on
+	// its callers count as ignoring Retry-After. Some come as late for other reasons, such as a slow
+	// connection. minEarly is the least number of such requests.
+	earlyShare, minEarly = 0.15, 2.0
 	// maxAccounts limits the number of accounts that are measured, and so the memory.
 	maxAccounts = 4096
 )
 
-// PartOfAccount returns how much of the work of a gateway with the given limit, in slots, an account
-// gets before it leaves a reserve for the others. usual is the account's usual demand, total that of
-// all accounts, in slots. It answers the burst of one account, which would otherwise take the room
-// of all others: what counts is its usual demand, not how fast it repeats its requests.
-func PartOfAccount(limit, usual, total float64) float64 {
-	if total <= 0 {
-		return limit
+// AccountShare returns the share of an account's requests, between 0 and 1, that is served like those
+// of other accounts. recent is the number of its requests within recentWindow, usual its usual number
+// in that time. It answers the burst of one account, which would otherwise take the room of all
+// others: what counts is its usual demand, not how fast it repeats its requests.
+func AccountShare(recent, usual float64) float64 {
+	allowed := accountBurst * usual
+	if recent <= allowed+minBurst {
+		return 1
 	}
-	return max(minAccountPart, accountBurst*limit*usual/total)
+	return (allowed + 1) / recent
 }
 
 // account is what is known of a client account.
 type account struct {
-	usual meter
-	// admitted is the work that was admitted, in slots over demandWindow. running is the number of
-	// requests that run.
-	admitted meter
-	running  int
+	// recent and usual count its requests, early those that came back before MinReturn.
+	recent, usual, early meter
+	// credit is the part of a request that the account may send; see take.
+	credit float64
+	// running is the number of its admitted requests.
+	running int
+}
+
+// count counts a request that came the given time after its caller's first try.
+func (a *account) count(elapsed time.Duration, now time.Time) {
+	a.recent.add(1, recentWindow, now)
+	a.usual.add(1, usualWindow, now)
+	if isEarly(elapsed) {
+		a.early.add(1, recentWindow, now)
+	}
+}
+
+// take returns whether the account's next request is within its share. It spreads those that are
+// evenly over all.
+func (a *account) take(now time.Time) bool {
+	share := AccountShare(a.recent.rate(recentWindow, now)*recentWindow.Seconds(), a.usual.rate(usualWindow, now)*recentWindow.Seconds())
+	if share >= 1 {
+		a.credit = 0
+		return true
+	}
+	a.credit += share
+	if a.credit < 1 {
+		return false
+	}
+	a.credit--
+	return true
+}
+
+// repeats returns whether the account's callers repeat requests at once.
+func (a *account) repeats(now time.Time) bool {
+	window := recentWindow.Seconds()
+	return RepeatsAtOnce(a.early.rate(recentWindow, now)*window, a.recent.rate(recentWindow, now)*window)
+}
+
+// RepeatsAtOnce returns whether the callers of an account ignore Retry-After, given the number of its
+// requests that came back before MinReturn and of all, over recentWindow. It answers clients that
+// repeat refused requests at once, which would otherwise be served more often than all others.
+func RepeatsAtOnce(early, asked float64) bool {
+	return early >= minEarly && early >= earlyShare*asked
+}
+
+// isEarly returns whether a caller came back before MinReturn, given the time since its first try.
+// The first milliseconds are put down to the network.
+func isEarly(elapsed time.Duration) bool {
+	return elapsed > 5*time.Millisecond && elapsed < MinReturn
 }
 
 // accounts holds client accounts by name. The zero value is ready to use.
 type accounts struct {
 	byName map[string]*account
-	// usual is the demand of all accounts.
-	usual meter
 }
 
 // get returns the account with the given name. If there are too many, those that have been idle
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -8,7 +8,7 @@
 // room although gateways learn of each other's requests late. While the room suffices for all,
 // nothing is limited.
 //
-// The rules are pure functions: LevelsFor, InShortage, Share, Limit, Fits, PartOfAccount, WaitLimit,
+// The rules are pure functions: LevelsFor, InShortage, Share, Limit, Fits, AccountShare, WaitLimit,
 // ShouldWait and ReturnAfter. Gate applies them. It owns the state of each service, guarded by the
 // service's own lock, and relies on its Config for what is known of endpoints and other gateways.
 package admission
@@ -66,6 +66,8 @@
 	CauseAccount Cause = "account"
 	// CauseWaited means that no place came free in the time that the request could wait.
 	CauseWaited Cause = "waited"
+	// CauseEarly means that the caller came back too early, as others of its account do.
+	CauseEarly Cause = "early"
 	// CauseLate means that the caller can't be served within its latency target any more.
 	CauseLate Cause = "late"
 )
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -163,9 +163,10 @@
 	RunningOfRank, PartOfRank float64
 	// Level is the level of the rank.
 	Level float64
-	// Exceeds is set if the client account has had its part of the requests lately.
+	// Exceeds is set if the request is beyond its client account's share; see AccountShare.
 	Exceeds bool
-	// Late is set if the caller can't be served within its latency target any more.
+	// Late is set if the caller can't be served within its latency target any more, or came back
+	// before it was told to, as others of its account do.
 	Late bool
 	// RefusedShare is the share of the callers who still could that were refused lately.
 	RefusedShare float64
@@ -181,7 +182,7 @@
 		return false
 	}
 	switch {
-	case s.Late && s.RefusedShare > mildRefusedShare:
+	case (s.Late || s.Exceeds) && s.RefusedShare > mildRefusedShare:
 		return free >= 1+lateReserve*reserve(s.Limit)
 	case s.Late, s.Exceeds, s.Level < 1 && s.RunningOfRank >= s.PartOfRank:
 		return free >= 1+reserve(s.Limit)
--- a/gateway/admission/meter.go
+++ b/gateway/admission/meter.go
@@ -27,16 +27,16 @@
 	}
 }
 
-// minMeasured is the part of the smoothing time that a meter counts as measured at its start, so
-// that the first requests don't show as an extreme rate.
-const minMeasured = 0.2
+// minMeasured is the time that a meter counts as measured at its start, so that the first requests
+// don't show as an extreme rate.
+const minMeasured = time.Second
 
 // rate returns the rate per second. Just after the start it is corrected for the time that was not
 // measured.
 func (m *meter) rate(over time.Duration, now time.Time) float64 {
 	m.decay(over, now)
-	measured := 1 - math.Exp(-now.Sub(m.startedAt).Seconds()/over.Seconds())
-	return m.value / max(measured, minMeasured)
+	measured := max(now.Sub(m.startedAt), minMeasured)
+	return m.value / (1 - math.Exp(-measured.Seconds()/over.Seconds()))
 }
 
 // demandWindow is the time over which demand is smoothed: levels follow a jump within a second.
--- a/gateway/admission/metrics.go
+++ b/gateway/admission/metrics.go
@@ -27,6 +27,7 @@
 			CauseShare:   metrics.NewRegisteredCounter("admission.refused_share", r),
 			CauseAccount: metrics.NewRegisteredCounter("admission.refused_account", r),
 			CauseWaited:  metrics.NewRegisteredCounter("admission.refused_waited", r),
+			CauseEarly:   metrics.NewRegisteredCounter("admission.refused_early", r),
 			CauseLate:    metrics.NewRegisteredCounter("admission.refused_late", r),
 		},
 		registry: r,
--- a/gateway/admission/queue.go
+++ b/gateway/admission/queue.go
@@ -32,7 +32,11 @@
 type waiter struct {
 	request  *Request
 	returned bool
-	late     bool
+	// late is set if the request goes after all others: its caller can't be served in time any
+	// more, or came back before it should.
+	late bool
+	// exceeds is set if its account sends more than its share.
+	exceeds  bool
 	sequence uint64
 	// waitingOfAccount is the number of requests of its account that were waiting before it.
 	waitingOfAccount int
@@ -45,7 +49,7 @@
 // were told, then the first request of each account, the second and so on.
 func (w *waiter) before(v *waiter) bool {
 	return cmp.Or(
-		compareBool(w.late, v.late),
+		compareBool(w.late || w.exceeds, v.late || v.exceeds),
 		cmp.Compare(w.request.Rank, v.request.Rank),
 		-compareBool(w.returned, v.returned),
 		cmp.Compare(w.waitingOfAccount, v.waitingOfAccount),
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -84,6 +84,8 @@
 	Target, Elapsed, Left time.Duration
 	// FreePerSecond is the rate at which places of this gateway come free.
 	FreePerSecond float64
+	// Exceeds is set if the request is beyond its client account's share.
+	Exceeds bool
 	// RefusedShare is the share of the callers who could be served in time that were refused.
 	RefusedShare float64
 	// Expected returns how many callers were told to return at about the given time from now.
@@ -101,10 +103,13 @@
 	// The draw makes a fraction of a place per step count as often as that fraction.
 	fits := func(d time.Duration) bool { return float64(f.Expected(d))+f.Random() < room }
 	soon := time.Duration(returnTargetFraction*float64(f.Target)) - f.Elapsed
-	if soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
+	if !f.Exceeds && soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
 	}
 	latest := min(maxReturn, f.Left/3)
+	if f.Exceeds {
+		return latest
+	}
 	for d := 2 * returnStep; d < latest; d += returnStep {
 		if fits(d) {
 			return d + time.Duration(f.Random()*float64(min(returnStep, latest-d)))
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -68,7 +68,7 @@
 	// asked and refused count the callers who could be served in time, and those of them that were
 	// refused.
 	asked, refused meter
-	slotTimes slotTimes
+	slotTimes      slotTimes
 	// running is the number of admitted requests, byRank by rank.
 	running int
 	byRank  [Ranks]int
@@ -102,14 +102,17 @@
 	q.Rank = min(max(q.Rank, 0), Ranks-1)
 	returned := q.Elapsed >= MinReturn && s.returns.take(now)
 	late := q.Elapsed >= q.Target
-	if !late {
+	a := s.accounts.get(q.Account)
+	a.count(q.Elapsed, now)
+	early := isEarly(q.Elapsed) && a.repeats(now)
+	if !late && !early {
 		s.count(&q, now)
 	}
 	s.update(g, now)
 	if !s.shortage {
 		return s.admit(g, &q, now), nil, nil
 	}
-	w := &waiter{request: &q, returned: returned, late: late, until: now}
+	w := &waiter{request: &q, returned: returned, late: late || early, exceeds: !a.take(now), until: now}
 	s.queue.prepare(w)
 	s.dispatch(g, now)
 	cause := s.check(w, now)
@@ -132,9 +135,6 @@
 	slotTime := s.slotTimes.expected(r.SlotTime)
 	s.demand.add(r.Rank, slotTime, now)
 	s.asked.add(1, refusedWindow, now)
-	a := s.accounts.get(r.Account)
-	a.usual.add(slotTime.Seconds(), usualWindow, now)
-	s.accounts.usual.add(slotTime.Seconds(), usualWindow, now)
 }
 
 // check returns why a request can't be admitted now, or "".
@@ -143,11 +143,13 @@
 		return ""
 	}
 	switch {
+	case w.late && w.request.Elapsed < MinReturn:
+		return CauseEarly
 	case w.late:
 		return CauseLate
 	case s.limit-float64(s.running-s.elsewhere) < 1:
 		return CauseShare
-	case s.accountExceeds(w.request.Account, now):
+	case w.exceeds:
 		return CauseAccount
 	}
 	return CauseRank
@@ -162,12 +164,6 @@
 	return s.refused.rate(refusedWindow, now) / asked
 }
 
-// accountExceeds returns whether a client account has had its part of the requests lately.
-func (s *service) accountExceeds(name string, now time.Time) bool {
-	a := s.accounts.get(name)
-	return a.admitted.rate(demandWindow, now) >= PartOfAccount(s.limit, a.usual.rate(usualWindow, now), s.accounts.usual.rate(usualWindow, now))
-}
-
 // fits returns whether w is admitted now.
 func (s *service) fits(w *waiter, now time.Time) bool {
 	rank := w.request.Rank
@@ -178,7 +174,7 @@
 		RunningOfRank: included * float64(s.byRank[rank]),
 		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own),
 		Level:         s.levels[rank],
-		Exceeds:       s.accountExceeds(w.request.Account, now),
+		Exceeds:       w.exceeds,
 		Late:          w.late,
 		RefusedShare:  s.refusedShare(now),
 	})
@@ -188,9 +184,7 @@
 func (s *service) admit(g *Gate, r *Request, now time.Time) *Grant {
 	s.running++
 	s.byRank[r.Rank]++
-	a := s.accounts.get(r.Account)
-	a.running++
-	a.admitted.add(s.slotTimes.expected(r.SlotTime).Seconds(), demandWindow, now)
+	s.accounts.get(r.Account).running++
 	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, estimate: r.SlotTime, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
 }
 
@@ -199,6 +193,7 @@
 	d := ReturnAfter(&ReturnForecast{
 		Target: w.request.Target, Elapsed: w.request.Elapsed, Left: w.request.Left,
 		FreePerSecond: s.ends.rate(endsWindow, now),
+		Exceeds:       w.exceeds,
 		RefusedShare:  s.refusedShare(now),
 		Expected:      func(d time.Duration) int { return s.returns.expected(d, now) },
 		Random:        g.cfg.Random,
