--- a/compat/answers_test.go
+++ b/compat/answers_test.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway"
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/proxy"
@@ -160,6 +161,7 @@
 	s := newSite(t)
 	gateway.NewSentCounters(s.registry)
 	proxy.NewMemory(0, s.registry)
+	admission.NewMetrics(s.registry)
 	for _, kind := range []string{platform.KindEndpoints, platform.KindVersions, platform.KindMembers, platform.KindQuarantine} {
 		unreadable.New(kind, s.registry, log.New(io.Discard))
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -27,9 +27,7 @@
 // refreshAdmission applies news of other gateways to admission and updates its metrics.
 func (g *Gateway) refreshAdmission(now time.Time) {
 	g.gate.Refresh(now)
-	for _, s := range g.gate.Status() {
-		g.admissionMetrics.RecordStatus(&s)
-	}
+	g.admissionMetrics.RecordStatus(g.gate.Status())
 }
 
 // supply implements admission.Config.Supply.
--- a/gateway/admission/metrics.go
+++ b/gateway/admission/metrics.go
@@ -1,10 +1,6 @@
 package admission
 
-import (
-	"strconv"
-
-	"github.com/rcrowley/go-metrics"
-)
+import "github.com/rcrowley/go-metrics"
 
 // Metrics holds the counters and gauges of admission.
 type Metrics struct {
@@ -12,8 +8,11 @@
 	// ReturnedRefused the outcomes of callers that returned when they were told.
 	Waited, ReturnedAdmitted, ReturnedRefused metrics.Counter
 	// Refused counts refusals by cause.
-	Refused  map[Cause]metrics.Counter
-	registry metrics.Registry
+	Refused map[Cause]metrics.Counter
+	// Room, Running, Demand, Limit, WaitingNow and Told are sums over all services, as in Status.
+	Room, Running, Demand, Limit, WaitingNow, Told metrics.GaugeFloat64
+	// Levels holds the lowest level of any service by rank.
+	Levels [Ranks]metrics.GaugeFloat64
 }
 
 // NewMetrics registers the metrics of admission in r.
@@ -30,7 +29,18 @@
 			CauseEarly:   metrics.NewRegisteredCounter("admission.refused_early", r),
 			CauseLate:    metrics.NewRegisteredCounter("admission.refused_late", r),
 		},
-		registry: r,
+		Room:       metrics.NewRegisteredGaugeFloat64("admission.room", r),
+		Running:    metrics.NewRegisteredGaugeFloat64("admission.running", r),
+		Demand:     metrics.NewRegisteredGaugeFloat64("admission.demand", r),
+		Limit:      metrics.NewRegisteredGaugeFloat64("admission.limit", r),
+		WaitingNow: metrics.NewRegisteredGaugeFloat64("admission.waiting", r),
+		Told:       metrics.NewRegisteredGaugeFloat64("admission.told", r),
+		Levels: [Ranks]metrics.GaugeFloat64{
+			metrics.NewRegisteredGaugeFloat64("admission.level_0", r),
+			metrics.NewRegisteredGaugeFloat64("admission.level_1", r),
+			metrics.NewRegisteredGaugeFloat64("admission.level_2", r),
+			metrics.NewRegisteredGaugeFloat64("admission.level_3", r),
+		},
 	}
 }
 
@@ -50,18 +60,30 @@
 	}
 }
 
-// RecordStatus sets the gauges of a service.
-func (m *Metrics) RecordStatus(s *Status) {
-	set := func(name string, v float64) {
-		metrics.GetOrRegisterGaugeFloat64("admission."+s.Service+"."+name, m.registry).Update(v)
+// RecordStatus sets the gauges from the state of all services.
+func (m *Metrics) RecordStatus(all []Status) {
+	var sum Status
+	demand := 0.0
+	levels := FullLevels()
+	for i := range all {
+		s := &all[i]
+		sum.Room += s.Room
+		sum.Running += s.Running
+		sum.Limit += s.Limit
+		sum.Waiting += s.Waiting
+		sum.Told += s.Told
+		demand += s.Fleet.Total()
+		for r, level := range s.Levels {
+			levels[r] = min(levels[r], level)
+		}
 	}
-	set("room", s.Room)
-	set("running", s.Running)
-	set("demand", s.Fleet.Total())
-	set("limit", s.Limit)
-	set("waiting", float64(s.Waiting))
-	set("told", float64(s.Told))
-	for r, level := range s.Levels {
-		set("level."+strconv.Itoa(r), level)
+	m.Room.Update(sum.Room)
+	m.Running.Update(sum.Running)
+	m.Demand.Update(demand)
+	m.Limit.Update(sum.Limit)
+	m.WaitingNow.Update(float64(sum.Waiting))
+	m.Told.Update(float64(sum.Told))
+	for r, g := range m.Levels {
+		g.Update(levels[r])
 	}
 }
