--- /dev/null
+++ b/gateway/admission/bench_test.go
@@ -0,0 +1,48 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/silverdeck/silverdeck/gateway/admission"
+	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// BenchmarkAcquire admits and ends requests at a rate of 1,000 a second during a shortage.
+func BenchmarkAcquire(b *testing.B) {
+	for _, n := range []int{45, 440, 1900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := &roster.List{Endpoints: map[string]*roster.Endpoint{}}
+			for i := range n {
+				id := fmt.Sprint(i)
+				list.Endpoints[id] = &roster.Endpoint{ID: id, Service: "s", Addr: id, Slots: slots}
+			}
+			x := balance.New(balance.Config{OtherLoad: func(roster.Incarnation) int { return slots }, Random: func() float64 { return 0.5 }})
+			x.Update(list)
+			gate := admission.New(admission.Config{
+				Supply: func(_ string, now time.Time) admission.Supply {
+					var out admission.Supply
+					for _, c := range x.Capacities(&balance.Query{Service: "s"}, now) {
+						out.Room += c.Places
+						out.Running += float64(c.InFlight)
+					}
+					return out
+				},
+				News:   func(string, time.Time) admission.News { return admission.News{} },
+				Random: func() float64 { return 0.5 },
+			})
+			r := request("a", 0)
+			now := epoch
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				grant, err := gate.TryAcquire(r, now)
+				if err == nil {
+					grant.Release("e", now)
+				}
+			}
+		})
+	}
+}
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -79,12 +79,12 @@
 
 // caller is a request of a caller with all its tries.
 type caller struct {
-	zone, rank, account int
-	large               bool
-	run                 time.Duration
-	firstAt             time.Duration
-	tries               int
-	gateway             int
+	rank, account int
+	large         bool
+	run           time.Duration
+	firstAt       time.Duration
+	tries         int
+	gateway       int
 }
 
 // tally counts the outcomes of callers, and the work of those that were served in time.
@@ -164,8 +164,8 @@
 func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now + d, do}) }
 
 // play runs a shape until all requests have ended.
-func play(s shape, seed uint64) *fleet {
-	f := &fleet{shape: s, rand: rand.New(rand.NewPCG(seed, 1)), endpoints: map[string]*endpoint{}, total: map[roster.Incarnation]int{}}
+func play(s shape) *fleet {
+	f := &fleet{shape: s, rand: rand.New(rand.NewPCG(1, 1)), endpoints: map[string]*endpoint{}, total: map[roster.Incarnation]int{}}
 	f.history = max(f.history, warmUp)
 	f.list = &roster.List{Endpoints: map[string]*roster.Endpoint{}}
 	for z := range s.zones {
@@ -205,20 +205,20 @@
 			return f.total[l] - x.load[l]
 		}})
 	x.balancer.Update(f.list)
-	x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.name2(i)))
+	x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.entryName(i)))
 	x.gate = admission.New(admission.Config{Random: f.rand.Float64,
 		Supply: func(string, time.Time) admission.Supply { return f.supply(x) },
 		News:   func(string, time.Time) admission.News { return f.news(x) },
 	})
 }
 
-func (f *fleet) name2(i int) string { return fmt.Sprintf("g%03d", i) }
+func (f *fleet) entryName(i int) string { return fmt.Sprintf("g%03d", i) }
 
 func (f *fleet) entries() []member.Entry {
 	var out []member.Entry
 	for i, x := range f.gateways {
 		if !x.lost {
-			out = append(out, member.Entry{Name: f.name2(i), Zone: fmt.Sprintf("z%d", x.zone)})
+			out = append(out, member.Entry{Name: f.entryName(i), Zone: fmt.Sprintf("z%d", x.zone)})
 		}
 	}
 	return out
@@ -305,7 +305,7 @@
 	f.list = &roster.List{Endpoints: remaining(f.list.Endpoints, gone)}
 	for i, x := range f.gateways {
 		x.balancer.Update(f.list)
-		x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.name2(i)))
+		x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.entryName(i)))
 	}
 }
 
@@ -480,10 +480,10 @@
 				t.Parallel()
 				g := NewWithT(t)
 				s.open = true
-				before := play(s, 1)
+				before := play(s)
 				t.Logf("without admission: %v; work in time %.3f", &before.all, before.utilization())
 				s.open = false
-				f := play(s, 1)
+				f := play(s)
 				f.report(t)
 				expectNobodyStarves(g, f)
 				g.Expect(f.utilization()).To(BeNumerically(">=", 0.85))
@@ -532,9 +532,9 @@
 			g := NewWithT(t)
 			s := x.shape
 			s.open = true
-			before := play(s, 1)
+			before := play(s)
 			t.Logf("without admission: %v; work in time %.3f", &before.all, before.utilization())
-			f := play(x.shape, 1)
+			f := play(x.shape)
 			f.report(t)
 			expectNobodyStarves(g, f)
 			g.Expect(f.utilization()).To(BeNumerically(">=", x.work))
@@ -546,7 +546,7 @@
 func TestWithoutAShortageNothingIsRefused(t *testing.T) {
 	for _, load := range []float64{0.5, 0.75} {
 		g := NewWithT(t)
-		f := play(shape{zones: 3, gateways: 23, endpoints: 13, load: steady(load)}, 1)
+		f := play(shape{zones: 3, gateways: 23, endpoints: 13, load: steady(load)})
 		t.Logf("at %.2f: %v", load, &f.all)
 		g.Expect(f.all.refused).To(BeZero())
 	}
