--- a/gateway/admission/accounts.go
+++ b/gateway/admission/accounts.go
@@ -83,10 +83,12 @@
 	return early >= minEarly && early >= earlyShare*asked
 }
 
+// connectTime is the time since a first try that is put down to opening a connection.
+const connectTime = 25 * time.Millisecond
+
 // isEarly returns whether a caller came back before MinReturn, given the time since its first try.
-// The first milliseconds are put down to the network.
 func isEarly(elapsed time.Duration) bool {
-	return elapsed > 5*time.Millisecond && elapsed < MinReturn
+	return elapsed > connectTime && elapsed < MinReturn
 }
 
 // accounts holds client accounts by name. The zero value is ready to use.
