--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -18,7 +18,7 @@
 		OnDecision: g.admissionMetrics.Record,
 		OnChange: func(s admission.Status) {
 			g.log.Info("admission changed", "service", s.Service, "shortage", s.Shortage, "room", s.Room, "running", s.Running,
-				"demand", s.Fleet.Total(), "own", s.Own.Total(), "gateways", s.Gateways, "covers", s.Covers, "ageMs", s.Age.Milliseconds(),
+				"demand", s.Fleet.Recent.Total(), "own", s.Own.Recent.Total(), "gateways", s.Gateways, "covers", s.Covers, "ageMs", s.Age.Milliseconds(),
 				"levels", s.Levels, "limit", s.Limit, "admitted", s.Admitted)
 		},
 	})
@@ -69,14 +69,14 @@
 // demandNews implements admission.Config.News.
 func (g *Gateway) demandNews(service string, now time.Time) admission.News {
 	d := g.table.Demand(service, now)
-	return admission.News{Demand: admission.Slots(d.Slots), Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
+	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
 }
 
 // ownDemand returns the demand of this gateway's callers for heartbeats.
 func (g *Gateway) ownDemand(now time.Time) []member.Demand {
 	var out []member.Demand
-	for service, slots := range g.gate.Demand(now) {
-		if d, ok := member.NewDemand(service, member.SlotsByRank(slots)); ok {
+	for service, demand := range g.gate.Demand(now) {
+		if d, ok := member.NewDemand(service, member.SlotsByRank(demand.Recent), demand.Mean); ok {
 			out = append(out, d)
 		}
 	}
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -46,7 +46,7 @@
 // News is what other gateways told of a service.
 type News struct {
 	// Demand is the demand of those that are included.
-	Demand Slots
+	Demand Demand
 	// Covers is the number of gateways that are included, Gateways the number of other live
 	// gateways, Known that of other known gateways, dead or alive.
 	Covers, Gateways, Known int
@@ -184,10 +184,10 @@
 }
 
 // Demand returns the demand of this gateway's callers by service.
-func (g *Gate) Demand(now time.Time) map[string]Slots {
-	out := map[string]Slots{}
+func (g *Gate) Demand(now time.Time) map[string]Demand {
+	out := map[string]Demand{}
 	for name, s := range g.services.all() {
-		out[name] = s.slots(now)
+		out[name] = s.currentDemand(now)
 	}
 	return out
 }
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -135,7 +135,7 @@
 	hears bool
 	// load and demand are what the others have been told of this gateway.
 	load   map[roster.Incarnation]int
-	demand admission.Slots
+	demand admission.Demand
 }
 
 // fleet plays a shape on virtual time.
@@ -148,7 +148,7 @@
 	gateways  []*gateway
 	endpoints map[string]*endpoint
 	total     map[roster.Incarnation]int
-	fleet     admission.Slots
+	fleet     admission.Demand
 	toldAt    time.Duration
 
 	all           tally
@@ -242,16 +242,17 @@
 		return out
 	}
 	out.Covers, out.Demand, out.Age = live-1, f.fleet, f.now-f.toldAt
-	for r, d := range x.demand {
-		out.Demand[r] -= d
+	for r, d := range x.demand.Recent {
+		out.Demand.Recent[r] -= d
 	}
+	out.Demand.Mean -= x.demand.Mean
 	return out
 }
 
 // publish tells all gateways the loads and the demand of the others, and repeats itself.
 func (f *fleet) publish() {
-	sum, demand := map[roster.Incarnation]int{}, admission.Slots{}
-	loads, demands := make([]map[roster.Incarnation]int, len(f.gateways)), make([]admission.Slots, len(f.gateways))
+	sum, demand := map[roster.Incarnation]int{}, admission.Demand{}
+	loads, demands := make([]map[roster.Incarnation]int, len(f.gateways)), make([]admission.Demand, len(f.gateways))
 	for i, x := range f.gateways {
 		if x.lost {
 			continue
@@ -260,9 +261,10 @@
 		for l, n := range loads[i] {
 			sum[l] += n
 		}
-		for r, d := range demands[i] {
-			demand[r] += d
+		for r, d := range demands[i].Recent {
+			demand.Recent[r] += d
 		}
+		demand.Mean += demands[i].Mean
 	}
 	at := f.now
 	f.after(newsDelay, func() {
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -57,8 +57,8 @@
 	// Room is the number of requests that the service's endpoints can serve in time concurrently,
 	// Running the number that all gateways have outstanding there.
 	Room, Running float64
-	// Own is the demand of this gateway's callers, Fleet that of all gateways, both in slots.
-	Own, Fleet Slots
+	// Own is the demand of this gateway's callers, Fleet that of all gateways.
+	Own, Fleet Demand
 	// Gateways is the number of gateways that share the room, including this one. Covers is how
 	// many of the others Fleet and Running include, Age the age of the oldest news from them.
 	Gateways, Covers int
@@ -97,7 +97,7 @@
 	if target < float64(c.Gateways) {
 		return false // shares of less than one request would refuse what there is room for
 	}
-	demand, running := c.Fleet.Total(), c.Running
+	demand, running := c.Fleet.Recent.Total(), c.Running
 	if !current {
 		return running >= beginRunning*target || demand >= beginDemand*target && running >= minRunning*target
 	}
@@ -119,7 +119,7 @@
 // is unknown, it is an equal share.
 func Share(c *Conditions) float64 {
 	equal := 1 / float64(max(c.Gateways, 1))
-	own, fleet := c.Own.Total(), c.Fleet.Total()
+	own, fleet := c.Own.Mean, c.Fleet.Mean
 	if own <= 0 || fleet <= 0 {
 		return equal
 	}
--- a/gateway/admission/levels_test.go
+++ b/gateway/admission/levels_test.go
@@ -34,9 +34,14 @@
 	}
 }
 
+// demandOf returns a lasting demand of the most urgent rank.
+func demandOf(slots float64) admission.Demand {
+	return admission.Demand{Recent: admission.Slots{slots}, Mean: slots}
+}
+
 // conditions are those of 10 gateways with a room of 100.
 func conditions(running, demand float64) admission.Conditions {
-	return admission.Conditions{Room: 100, Running: running, Gateways: 10, Own: admission.Slots{demand / 10}, Fleet: admission.Slots{demand}}
+	return admission.Conditions{Room: 100, Running: running, Gateways: 10, Own: demandOf(demand / 10), Fleet: demandOf(demand)}
 }
 
 func TestAShortageBeginsAndEnds(t *testing.T) {
@@ -78,9 +83,9 @@
 	g.Expect(at(110)).To(BeNumerically("<", 9.6), "less while others exceed their shares")
 	g.Expect(at(1000)).To(BeNumerically("~", 4.8, 1e-6), "but not much less")
 	c := conditions(96, 150)
-	c.Own = admission.Slots{30}
+	c.Own = demandOf(30)
 	g.Expect(admission.Limit(&c)).To(BeNumerically("~", 19.2, 1e-6), "by the gateway's demand")
-	c.Own = admission.Slots{}
+	c.Own = admission.Demand{}
 	g.Expect(admission.Limit(&c)).To(BeNumerically("~", 9.6, 1e-6), "equal while its demand is unknown")
 	c.Room = 0
 	g.Expect(admission.Limit(&c)).To(Equal(1.0))
@@ -123,7 +128,7 @@
 
 func TestWhatIsKnownOfSomeGatewaysStandsForAll(t *testing.T) {
 	supply := admission.Supply{Room: 100, Running: 50, Own: 10}
-	own := admission.Slots{5}
+	own := demandOf(5)
 	for _, x := range []struct {
 		name     string
 		news     admission.News
@@ -132,18 +137,19 @@
 		running  float64
 	}{
 		{"alone", admission.News{}, 1, 5, 50},
-		{"all heard", admission.News{Demand: admission.Slots{45}, Covers: 9, Gateways: 9, Known: 9}, 10, 50, 50},
-		{"a third heard", admission.News{Demand: admission.Slots{15}, Covers: 3, Gateways: 9, Known: 9}, 10, 50, 130},
+		{"all heard", admission.News{Demand: demandOf(45), Covers: 9, Gateways: 9, Known: 9}, 10, 50, 50},
+		{"a third heard", admission.News{Demand: demandOf(15), Covers: 3, Gateways: 9, Known: 9}, 10, 50, 130},
 		{"none heard", admission.News{Gateways: 9, Known: 9}, 10, 50, 100},
-		{"old news", admission.News{Demand: admission.Slots{45}, Covers: 9, Gateways: 9, Known: 9, Age: 3 * time.Second}, 10, 50, 100},
-		{"a zone lost", admission.News{Demand: admission.Slots{25}, Covers: 5, Gateways: 5, Known: 9}, 6, 30, 50},
+		{"old news", admission.News{Demand: demandOf(45), Covers: 9, Gateways: 9, Known: 9, Age: 3 * time.Second}, 10, 50, 100},
+		{"a zone lost", admission.News{Demand: demandOf(25), Covers: 5, Gateways: 5, Known: 9}, 6, 30, 50},
 		{"cut off", admission.News{Known: 9}, 10, 50, 100},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			g := NewWithT(t)
 			c := admission.ConditionsFrom(supply, x.news, own)
 			g.Expect(c.Gateways).To(Equal(x.gateways))
-			g.Expect(c.Fleet.Total()).To(BeNumerically("~", x.fleet, 1e-6))
+			g.Expect(c.Fleet.Recent.Total()).To(BeNumerically("~", x.fleet, 1e-6))
+			g.Expect(c.Fleet.Mean).To(BeNumerically("~", x.fleet, 1e-6))
 			g.Expect(c.Running).To(BeNumerically("~", x.running, 1e-6))
 		})
 	}
--- a/gateway/admission/meter.go
+++ b/gateway/admission/meter.go
@@ -39,22 +39,41 @@
 	return m.value / (1 - math.Exp(-measured.Seconds()/over.Seconds()))
 }
 
-// demandWindow is the time over which demand is smoothed: levels follow a jump within a second.
-const demandWindow = 5 * time.Second
+// Times over which demand is smoothed.
+const (
+	// recentDemandWindow applies to the demand by rank, from which levels follow: they settle within
+	// a second or two of a jump.
+	recentDemandWindow = 1500 * time.Millisecond
+	// meanDemandWindow applies to the demand that shares are worked out from. One gateway has few
+	// requests, so its recent demand varies by chance more than its callers do.
+	meanDemandWindow = 10 * time.Second
+)
+
+// Demand is the work that a gateway's callers ask for, in slots.
+type Demand struct {
+	// Recent is the demand of the last second or two by rank, Mean that of all ranks over a longer
+	// time.
+	Recent Slots
+	Mean   float64
+}
 
-// demand measures the work that callers ask for, in slots by rank. The zero value is ready to use.
-type demand [Ranks]meter
+// demandMeter measures demand. The zero value is ready to use.
+type demandMeter struct {
+	recent [Ranks]meter
+	mean   meter
+}
 
 // add counts a request that takes a slot for the given time.
-func (d *demand) add(rank int, slotTime time.Duration, now time.Time) {
-	d[rank].add(slotTime.Seconds(), demandWindow, now)
+func (d *demandMeter) add(rank int, slotTime time.Duration, now time.Time) {
+	d.recent[rank].add(slotTime.Seconds(), recentDemandWindow, now)
+	d.mean.add(slotTime.Seconds(), meanDemandWindow, now)
 }
 
-// slots returns the demand.
-func (d *demand) slots(now time.Time) Slots {
-	var out Slots
-	for r := range d {
-		out[r] = d[r].rate(demandWindow, now)
+// demand returns the demand.
+func (d *demandMeter) demand(now time.Time) Demand {
+	out := Demand{Mean: d.mean.rate(meanDemandWindow, now)}
+	for r := range d.recent {
+		out.Recent[r] = d.recent[r].rate(recentDemandWindow, now)
 	}
 	return out
 }
--- a/gateway/admission/metrics.go
+++ b/gateway/admission/metrics.go
@@ -72,7 +72,7 @@
 		sum.Limit += s.Limit
 		sum.Waiting += s.Waiting
 		sum.Told += s.Told
-		demand += s.Fleet.Total()
+		demand += s.Fleet.Recent.Total()
 		for r, level := range s.Levels {
 			levels[r] = min(levels[r], level)
 		}
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -62,7 +62,7 @@
 	name string
 
 	mu       sync.Mutex
-	demand   demand
+	demand   demandMeter
 	accounts accounts
 	ends     meter
 	// asked and refused count the callers who could be served in time, and those of them that were
@@ -172,7 +172,7 @@
 		Limit:         s.limit,
 		Running:       s.running - s.elsewhere,
 		RunningOfRank: included * float64(s.byRank[rank]),
-		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own),
+		PartOfRank:    PartOf(rank, s.limit, s.levels, s.conditions.Own.Recent),
 		Level:         s.levels[rank],
 		Exceeds:       w.exceeds,
 		Late:          w.late,
@@ -282,7 +282,7 @@
 	s.refreshedAt = now
 	supply, news := g.cfg.Supply(s.name, now), g.cfg.News(s.name, now)
 	s.elsewhere = min(supply.Elsewhere, s.running)
-	s.conditions = ConditionsFrom(supply, news, s.demand.slots(now))
+	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
 	changed := short != s.shortage
 	if changed {
@@ -290,7 +290,7 @@
 	}
 	levels := FullLevels()
 	if short {
-		levels = LevelsFor(s.conditions.Target(), s.conditions.Fleet)
+		levels = LevelsFor(s.conditions.Target(), s.conditions.Fleet.Recent)
 	}
 	changed = changed || levelsDiffer(levels, s.reported)
 	s.levels = levels
@@ -318,7 +318,7 @@
 // that covers only some of them stands for all. A gateway that hears less than half of the gateways
 // that it knows of takes the others to be alive: it is more likely to be cut off itself, and their
 // requests still use the room.
-func ConditionsFrom(supply Supply, news News, own Slots) Conditions {
+func ConditionsFrom(supply Supply, news News, own Demand) Conditions {
 	others := news.Gateways
 	if 2*others < news.Known {
 		others = news.Known
@@ -329,23 +329,28 @@
 	}
 	if news.Covers == 0 || news.Age > maxNewsAge {
 		c.Running = supply.Own * float64(others+1)
-		for r, d := range own {
-			c.Fleet[r] = d * float64(others+1)
-		}
+		c.Fleet = own.plus(own, float64(others))
 		return c
 	}
 	factor := max(1, float64(others)/float64(news.Covers))
 	c.Running = supply.Own + (supply.Running-supply.Own)*factor
-	for r, d := range news.Demand {
-		c.Fleet[r] += d * factor
-	}
+	c.Fleet = own.plus(news.Demand, factor)
 	return c
 }
 
-func (s *service) slots(now time.Time) Slots {
+// plus returns the sum of d and other, multiplied by factor.
+func (d Demand) plus(other Demand, factor float64) Demand {
+	for r, n := range other.Recent {
+		d.Recent[r] += n * factor
+	}
+	d.Mean += other.Mean * factor
+	return d
+}
+
+func (s *service) currentDemand(now time.Time) Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.demand.slots(now)
+	return s.demand.demand(now)
 }
 
 func (s *service) statusNow() Status {
--- a/member/demand.go
+++ b/member/demand.go
@@ -19,6 +19,8 @@
 	// Ranks is the demand by priority rank, in hundredths of a slot. Ranks at the end that have
 	// none are omitted.
 	Ranks []int `json:"ranks"`
+	// Mean is the demand of all ranks over a longer time, in hundredths of a slot.
+	Mean int `json:"mean,omitempty"`
 }
 
 // SlotsByRank is an amount of work by priority rank, in slots.
@@ -37,16 +39,16 @@
 const demandUnits = 100
 
 // NewDemand returns the demand of a service as sent in a heartbeat, or false if it is too small
-// to be sent.
-func NewDemand(service string, slots SlotsByRank) (Demand, bool) {
-	d := Demand{Service: service}
+// to be sent. mean is the demand of all ranks over a longer time.
+func NewDemand(service string, slots SlotsByRank, mean float64) (Demand, bool) {
+	d := Demand{Service: service, Mean: int(mean*demandUnits + 0.5)}
 	for rank, n := range slots {
 		if units := int(n*demandUnits + 0.5); units > 0 {
 			d.Ranks = append(d.Ranks, make([]int, rank-len(d.Ranks))...)
 			d.Ranks = append(d.Ranks, units)
 		}
 	}
-	return d, len(d.Ranks) > 0
+	return d, len(d.Ranks) > 0 || d.Mean > 0
 }
 
 // demandKey identifies the demand of the callers of one zone for a service.
@@ -54,8 +56,14 @@
 	service, zone string
 }
 
-// demandSums holds sums of demand, in units of the wire.
-type demandSums map[demandKey][DemandRanks]int
+// demandSum is a sum of demand, in units of the wire.
+type demandSum struct {
+	ranks [DemandRanks]int
+	mean  int
+}
+
+// demandSums holds sums of demand.
+type demandSums map[demandKey]demandSum
 
 // addAll adds demand, multiplied by sign. zone is that of entries that state none.
 func (s demandSums) addAll(demand []Demand, zone string, sign int) {
@@ -65,9 +73,10 @@
 		sum := s[key]
 		for rank, n := range d.Ranks {
 			if n > 0 {
-				sum[min(rank, DemandRanks-1)] += sign * n
+				sum.ranks[min(rank, DemandRanks-1)] += sign * n
 			}
 		}
+		sum.mean += sign * max(d.Mean, 0)
 		s[key] = sum
 	}
 }
@@ -76,14 +85,14 @@
 func (s demandSums) encode() []Demand {
 	var out []Demand
 	for key, sum := range s {
-		d := Demand{Service: key.service, Zone: key.zone}
-		for rank, n := range sum {
+		d := Demand{Service: key.service, Zone: key.zone, Mean: max(sum.mean, 0)}
+		for rank, n := range sum.ranks {
 			if n > 0 {
 				d.Ranks = append(d.Ranks, make([]int, rank-len(d.Ranks))...)
 				d.Ranks = append(d.Ranks, n)
 			}
 		}
-		if len(d.Ranks) > 0 {
+		if len(d.Ranks) > 0 || d.Mean > 0 {
 			out = append(out, d)
 		}
 	}
@@ -95,7 +104,9 @@
 
 // FleetDemand is what is known of the demand that other gateways have for a service.
 type FleetDemand struct {
+	// Slots is the recent demand, Mean that of all ranks over a longer time, in slots.
 	Slots SlotsByRank
+	Mean  float64
 	// Covers is the number of other gateways whose demand is included, Gateways the number of
 	// other live gateways, Known that of other known gateways, dead or alive.
 	Covers, Gateways, Known int
@@ -113,7 +124,8 @@
 		if key.service != service {
 			continue
 		}
-		for rank, n := range sum {
+		out.Mean += float64(max(sum.mean, 0)) / demandUnits
+		for rank, n := range sum.ranks {
 			out.Slots[rank] += float64(max(n, 0)) / demandUnits
 		}
 	}
@@ -138,7 +150,7 @@
 			if out == nil {
 				out = map[string]float64{}
 			}
-			for _, n := range sum {
+			for _, n := range sum.ranks {
 				out[key.zone] += float64(max(n, 0)) / demandUnits
 			}
 		}
--- a/member/demand_test.go
+++ b/member/demand_test.go
@@ -16,7 +16,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.demand = nil
-	if d, ok := member.NewDemand("s", slots); ok {
+	if d, ok := member.NewDemand("s", slots, 0.5); ok {
 		n.demand = []member.Demand{d}
 	}
 }
@@ -38,6 +38,7 @@
 					d := n.table.Demand("s", time.Now())
 					f.Expect(d.Slots[0]).To(BeNumerically("~", 0.25*float64(size-1), 1e-6), "own demand is excluded")
 					f.Expect(d.Slots[2]).To(BeNumerically("~", all-float64(i%zones), 1e-6))
+					f.Expect(d.Mean).To(BeNumerically("~", 0.5*float64(size-1), 1e-6))
 					f.Expect([]int{d.Covers, d.Gateways, d.Known}).To(Equal([]int{size - 1, size - 1, size - 1}))
 					f.Expect(d.Age).To(BeNumerically("<", time.Second))
 					f.Expect(n.table.ZoneDemand("s")).To(HaveLen(len(inZone)))
@@ -72,11 +73,11 @@
 
 func TestDemandTakesFewBytes(t *testing.T) {
 	g := NewWithT(t)
-	_, ok := member.NewDemand("service-name", member.SlotsByRank{0.004})
+	_, ok := member.NewDemand("service-name", member.SlotsByRank{0.004}, 0.004)
 	g.Expect(ok).To(BeFalse(), "none is sent")
-	d, ok := member.NewDemand("service-name", member.SlotsByRank{1.234, 0, 12.5})
+	d, ok := member.NewDemand("service-name", member.SlotsByRank{1.234, 0, 12.5}, 14)
 	g.Expect(ok).To(BeTrue())
 	data, err := json.Marshal(d)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(data)).To(Equal(`{"service":"service-name","ranks":[123,0,1250]}`))
+	g.Expect(string(data)).To(Equal(`{"service":"service-name","ranks":[123,0,1250],"mean":1400}`))
 }
