--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -79,7 +79,7 @@
 const (
 	// beginDemand and beginRunning are the demand and the running requests at which a shortage
 	// begins, endDemand and endRunning those below which it ends.
-	beginDemand, beginRunning = 1.0, 0.97
+	beginDemand, beginRunning = 1.0, 1.0
 	endDemand, endRunning     = 0.92, 0.85
 	// minRunning is the least number of running requests during a shortage, whatever the demand is.
 	minRunning = 0.7
