--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -67,7 +67,7 @@
 
 // targetUtilization is the part of the room that is used. The rest absorbs that gateways learn of
 // each other's requests late, so that some endpoints get more than others at the same moment.
-const targetUtilization = 0.94
+const targetUtilization = 0.96
 
 // Target returns the number of running requests that all gateways together aim at.
 func (c *Conditions) Target() float64 {
