--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -25,6 +25,9 @@
 	lateCost = 1.0
 	// prefillUnit is the pending prefill time that counts as one request per slot.
 	prefillUnit = 250 * time.Millisecond
+	// vacatedBenefit is subtracted from the cost of Query.Vacated. It exceeds the costs of all
+	// others.
+	vacatedBenefit = 10
 	// jitter scales the random number drawn for each endpoint, which distributes requests
 	// among endpoints of equal cost. It is less than any of the costs above.
 	jitter = 0.03
@@ -225,6 +228,9 @@
 	c := candidates{sameZone: empty, otherZone: empty, upToDate: empty}
 	usable, preferred := b.preferred(s, q, now)
 	shared := SharedLoad(usable, preferred)
+	if q.Admitted {
+		shared = q.MaxLoad
+	}
 	responds := b.respondingFilter(s, q.MaxIdle, now)
 	for _, e := range s.ordered {
 		if !e.eligible(q) || !responds(e) {
@@ -251,6 +257,8 @@
 			c.overrun.consider(e, load)
 		case q.LeastLoaded:
 			c.usable.consider(e, load)
+		case q.Vacated != "" && e.record.ID == q.Vacated:
+			c.usable.consider(e, load-vacatedBenefit)
 		case e.preferred || e.rateLimited(now):
 			c.usable.consider(e, b.cost(e, load, q, now))
 		case q.LatestVersion > 0 && !e.reloadPending(q):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/endpoints"
 	"github.com/silverdeck/silverdeck/gateway/poison"
@@ -69,6 +70,9 @@
 	balancer    *balance.Balancer
 	client      *upstream.Client
 	proxy       *proxy.Proxy
+	gate        *admission.Gate
+	// admissionMetrics counts the decisions of gate.
+	admissionMetrics *admission.Metrics
 	// poison records requests under which endpoints crashed; trials holds the leases on such
 	// requests that this gateway grants.
 	poison *poison.Table
@@ -146,6 +150,8 @@
 		OnAdvisory:     g.onAdvisory,
 		OnStaleLimit:   g.refreshStaleLimit,
 	})
+	g.admissionMetrics = admission.NewMetrics(g.registry)
+	g.gate = g.newGate()
 	g.proxy = g.newProxy()
 	g.syncer = g.newSyncer()
 	g.contacts.Store(&member.Contacts{})
@@ -208,6 +214,7 @@
 		ReadAdvisory:    platform.ReadAdvisory,
 		RequestToken:    g.requestToken,
 		Memory:          g.newMemory(),
+		Gate:            g.gate,
 
 		Poison:       g.poison,
 		AcquireTrial: g.acquireTrial,
