balance: gateways ask ahead for tokens of cold endpoints

Cause: while an endpoint is cold, only its holder sent there. Change: a gateway for which a cold endpoint would cost less than the chosen one asks its holder for a token for the next request. Such tokens live 150 ms from when they were asked for; ColdRate leaves room for them and for two holders (spec/cold.pml with tokens, two more mutations). The request tells how long the endpoint remains cold, so that a late question does not make it cold anew.

--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -6,6 +6,7 @@
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/affinity"
+	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/tokens"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
@@ -68,16 +69,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
 	defer cancel()
-	reply, err := tokens.Request(ctx, g.peers, holder.Peer, g.self.Name, l)
+	requestedAt := time.Now()
+	reply, err := tokens.Request(ctx, g.peers, holder.Peer, tokens.TakeRequest{Gateway: g.self.Name, Endpoint: l.ID, Born: l.Born,
+		ColdFor: g.balancer.ColdFor(l, requestedAt)})
 	if err != nil {
 		g.log.Debug("no token from the holder of an endpoint", "endpoint", l.ID, "peer", holder.Peer, "err", err)
 		return false
 	}
-	g.balancer.ApplyTokenReply(l, reply.Granted, reply.OpensIn, time.Now())
+	g.balancer.ApplyTokenReply(l, balance.TokenReply{Granted: reply.Granted, OpensIn: reply.OpensIn, RequestedAt: requestedAt}, time.Now())
 	return reply.Granted && reply.OpensIn == 0
 }
 
-// refreshStaleLimit implements balance.Config.OnStaleLimit.
-func (g *Gateway) refreshStaleLimit(l roster.Incarnation) {
+// requestTokenAhead implements balance.Config.OnTokenWanted.
+func (g *Gateway) requestTokenAhead(l roster.Incarnation) {
 	go g.requestToken(context.Background(), l)
 }
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -76,10 +76,11 @@
 	// that should be sent to other gateways. It is called with a lock held and must not
 	// block.
 	OnAdvisory func()
-	// OnStaleLimit, if not nil, is called for a rate-limited endpoint that no gateway has
-	// heard from for a long time, so that a token can be requested from its holder. It is
-	// called with a lock held and must not block.
-	OnStaleLimit func(roster.Incarnation)
+	// OnTokenWanted, if not nil, is called for an endpoint whose holder should be asked for a
+	// token for a later request: a rate-limited one that no gateway has heard from for a long
+	// time, or a cold one that costs less than the selected endpoint. It is called with a lock
+	// held and must not block.
+	OnTokenWanted func(roster.Incarnation)
 }
 
 // Balancer selects endpoints. It is safe for concurrent use.
@@ -107,8 +108,8 @@
 	if cfg.OnAdvisory == nil {
 		cfg.OnAdvisory = func() {}
 	}
-	if cfg.OnStaleLimit == nil {
-		cfg.OnStaleLimit = func(roster.Incarnation) {}
+	if cfg.OnTokenWanted == nil {
+		cfg.OnTokenWanted = func(roster.Incarnation) {}
 	}
 	return &Balancer{cfg: cfg, services: map[string]*shard{}}
 }
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -78,8 +78,8 @@
 	// endpoints have a rate limit or asked for a back-off; 0 if another endpoint is merely
 	// full.
 	OpensIn time.Duration
-	// TokenFrom is one of these endpoints whose holder can be asked for a token, if there
-	// is one.
+	// TokenFrom is an endpoint with a rate limit whose holder can be asked for a token, if
+	// there is one.
 	TokenFrom roster.Incarnation
 }
 
@@ -113,6 +113,16 @@
 	}
 }
 
+// requestToken returns the endpoint, whose holder the caller asks for a token, or the zero value
+// if there is none.
+func (c *lowestCost) requestToken(now time.Time) roster.Incarnation {
+	if c.endpoint == nil {
+		return roster.Incarnation{}
+	}
+	c.endpoint.advisory.limit.noteTokenRequest(now)
+	return c.endpoint.record.Incarnation()
+}
+
 // candidates holds the endpoints that a request may be sent to.
 type candidates struct {
 	// usable is the best of the endpoints that the gateway prefers and of those that were
@@ -131,6 +141,8 @@
 	// tokenFrom is an endpoint whose holder can be asked for a token. staleLimit is one
 	// that has not been heard from for a long time. Either is nil if there is none.
 	tokenFrom, staleLimit *endpoint
+	// cold is a sample of the cold endpoints whose holders can be asked for a token.
+	cold reservoir
 }
 
 // addUnavailable adds an endpoint that accepts no request until opensIn has passed.
@@ -151,7 +163,7 @@
 }
 
 // requestToken returns the endpoint whose holder should be asked for a token, if there is
-// one that is not already being asked through Config.OnStaleLimit.
+// one that is not already being asked through Config.OnTokenWanted.
 func (c *candidates) requestToken(now time.Time) roster.Incarnation {
 	if c.tokenFrom == nil || c.tokenFrom == c.staleLimit {
 		return roster.Incarnation{}
@@ -167,19 +179,22 @@
 func (b *Balancer) choose(s *shard, q *Query, now time.Time) (*endpoint, error) {
 	c := b.candidates(s, q, now)
 	if e := c.staleLimit; e != nil {
-		e.advisory.limit.noteTokenRequest(now)
-		b.cfg.OnStaleLimit(e.record.Incarnation())
+		b.wantToken(e, now)
 	}
 	for _, sampled := range [][]endpointLoad{c.sameZone.items(), c.otherZone.items(), c.upToDate.items()} {
 		for _, x := range sampled {
 			c.usable.consider(x.endpoint, b.cost(x.endpoint, x.load, q, now))
 		}
 	}
+	cold := b.cheapestCold(&c, q, now)
 	switch {
 	case c.usable.endpoint != nil:
+		if cold.endpoint != nil && cold.cost < c.usable.cost {
+			b.wantToken(cold.endpoint, now)
+		}
 		return c.usable.endpoint, nil
 	case c.full:
-		return nil, &FullError{Service: q.Service}
+		return nil, &FullError{Service: q.Service, TokenFrom: cold.requestToken(now)}
 	case c.unusable.endpoint != nil && !q.Healthy:
 		return c.unusable.endpoint, nil
 	case c.opensIn > 0:
@@ -188,10 +203,28 @@
 	return nil, &NoEndpointError{Service: q.Service, Loading: c.loading}
 }
 
+// cheapestCold returns the sampled cold endpoint with the lowest cost, as if this gateway had a
+// token, or none if they are full.
+func (b *Balancer) cheapestCold(c *candidates, q *Query, now time.Time) lowestCost {
+	var out lowestCost
+	for _, x := range c.cold.items() {
+		if q.MaxLoad == 0 || x.load < q.MaxLoad {
+			out.consider(x.endpoint, b.cost(x.endpoint, x.load, q, now))
+		}
+	}
+	return out
+}
+
+// wantToken has the holder of e asked for a token.
+func (b *Balancer) wantToken(e *endpoint, now time.Time) {
+	e.advisory.limit.noteTokenRequest(now)
+	b.cfg.OnTokenWanted(e.record.Incarnation())
+}
+
 // candidates returns the endpoints that a request for q may be sent to.
 func (b *Balancer) candidates(s *shard, q *Query, now time.Time) candidates {
 	empty := reservoir{random: b.cfg.Random}
-	c := candidates{sameZone: empty, otherZone: empty, upToDate: empty}
+	c := candidates{sameZone: empty, otherZone: empty, upToDate: empty, cold: empty}
 	usable, preferred := b.preferred(s, q, now)
 	shared := SharedLoad(usable, preferred)
 	responds := b.respondingFilter(s, q.MaxIdle, now)
@@ -202,6 +235,9 @@
 		}
 		if opensIn := e.opensIn(now); opensIn > 0 {
 			c.addUnavailable(e, opensIn, now)
+			if e.offersColdToken(now) && b.usable(e, now) {
+				c.cold.add(e, b.load(e))
+			}
 			continue
 		}
 		load := b.load(e)
--- a/gateway/balance/cold.go
+++ b/gateway/balance/cold.go
@@ -14,15 +14,17 @@
 }
 
 // ColdRate returns the rate, in requests per second, at which the holder of a cold endpoint sends
-// it requests. The endpoint bears perSecond, and in no second it may get more than
-// overage*perSecond+slack from all gateways together. Two gateways may both consider themselves
-// the holder while they disagree on which gateways are live, and each of them sends up to one
-// request more than its rate in a second.
+// it requests and grants tokens. The endpoint bears perSecond, and in no second it may get more
+// than overage*perSecond+slack from all gateways together. Two gateways may both consider
+// themselves the holder while they disagree on which gateways are live. For each of them, up to
+// one request more than its rate arrives in a second, and those for which it granted tokens up to
+// coldTokenTTL before.
 func ColdRate(perSecond, overage, slack float64) float64 {
 	if perSecond <= 0 {
 		return 0
 	}
-	return max(min(perSecond, (overage*perSecond+slack)/2-1), minProbeRate)
+	perHolder := (overage*perSecond + slack) / 2
+	return max(min(perSecond, (perHolder-1)/(1+coldTokenTTL.Seconds())), minProbeRate)
 }
 
 // SetColdLimits sets the limits on requests to cold endpoints, by service.
--- a/gateway/balance/token.go
+++ b/gateway/balance/token.go
@@ -16,6 +16,11 @@
 	// demandTTL is how long after the holder could not send a request of its own it keeps
 	// its turn, and how long a gateway that requested a token takes part in the turns.
 	demandTTL = time.Second
+	// coldTokenTTL and maxColdGrantDelay take the place of tokenTTL and maxGrantDelay while an
+	// endpoint is cold. A gateway uses such a token for its next request, so it is short-lived:
+	// all tokens granted within coldTokenTTL may be used at the same moment.
+	coldTokenTTL      = 150 * time.Millisecond
+	maxColdGrantDelay = 100 * time.Millisecond
 	// minTokenRequestInterval is the shortest interval between two token requests of a
 	// gateway for one endpoint.
 	minTokenRequestInterval = 200 * time.Millisecond
@@ -43,7 +48,13 @@
 // too far ahead or it is another gateway's turn. The holder takes turns with the other
 // gateways while both have demand, and so do the other gateways among themselves, so that
 // no gateway's clients are starved.
+//
+// For a cold endpoint the first gateway to ask comes first: all gateways have other endpoints,
+// and waiting for turns would leave it idle for most of the few seconds until it is warm.
 func (l *rateLimit) grant(gateway string, opensIn time.Duration, now time.Time) bool {
+	if l.cold(now) && !l.declared {
+		return l.grantCold(opensIn, now)
+	}
 	a := l.requester(gateway, now)
 	holderTurn := l.lastGranted && now.Sub(l.holderBlockedAt) < demandTTL
 	if holderTurn || opensIn > maxGrantDelay || l.otherWaitsLonger(a) {
@@ -54,6 +65,14 @@
 	return true
 }
 
+func (l *rateLimit) grantCold(opensIn time.Duration, now time.Time) bool {
+	if opensIn > maxColdGrantDelay {
+		return false
+	}
+	l.nextSendAt = now.Add(opensIn + l.interval(now))
+	return true
+}
+
 // requester records that a gateway requests a token, and discards gateways that have not
 // done so recently.
 func (l *rateLimit) requester(gateway string, now time.Time) *tokenRequester {
@@ -94,6 +113,13 @@
 	return !now.Before(l.nextTokenRequestAt) && !now.Before(l.tokenUntil)
 }
 
+// offersColdToken reports whether a token for e is of use because e is cold: it declares no limit
+// of its own, and remains cold until the holder has replied.
+func (e *endpoint) offersColdToken(now time.Time) bool {
+	l := &e.advisory.limit
+	return !l.declared && l.cold(now.Add(coldTokenTTL)) && e.mayRequestToken(now)
+}
+
 // stale reports whether nothing has been heard from the endpoint for so long that its limit
 // may have ended.
 func (l *rateLimit) stale(now time.Time) bool {
@@ -105,14 +131,29 @@
 	l.nextTokenRequestAt = now.Add(minTokenRequestInterval)
 }
 
+// coldTimeOr returns coldFor, or how long an endpoint is cold after a start if that is unknown.
+func (l *rateLimit) coldTimeOr(coldFor time.Duration) time.Duration {
+	if coldFor > 0 {
+		return coldFor
+	}
+	return l.coldTime
+}
+
+// ColdFor returns how long an endpoint will remain cold as far as this gateway knows.
+func (b *Balancer) ColdFor(of roster.Incarnation, now time.Time) time.Duration {
+	var out time.Duration
+	b.withEndpoint(of, func(e *endpoint) { out = max(e.advisory.limit.coldUntil.Sub(now), 0) })
+	return out
+}
+
 // Grant implements tokens.Granter.
-func (b *Balancer) Grant(gateway string, of roster.Incarnation, now time.Time) (granted bool, opensIn time.Duration) {
+func (b *Balancer) Grant(gateway string, of roster.Incarnation, coldFor time.Duration, now time.Time) (granted bool, opensIn time.Duration) {
 	b.withEndpoint(of, func(e *endpoint) {
 		if !e.held {
 			return
 		}
 		if l := &e.advisory.limit; l.coldRate > 0 && !e.rateLimited(now) {
-			l.coldUntil = later(l.coldUntil, now.Add(l.coldTime)) // the other gateway may know that e is cold
+			l.coldUntil = later(l.coldUntil, now.Add(l.coldTimeOr(coldFor))) // the other gateway may know that e is cold
 		}
 		opensIn = e.limitOpensIn(now)
 		granted = !e.rateLimited(now) || e.advisory.limit.grant(gateway, opensIn, now)
@@ -120,16 +161,28 @@
 	return granted, opensIn
 }
 
-// ApplyTokenReply applies the holder's reply to a token request: either a token, which is
-// valid after opensIn, or the time after which to ask again.
-func (b *Balancer) ApplyTokenReply(of roster.Incarnation, granted bool, opensIn time.Duration, now time.Time) {
+// TokenReply is the holder's reply to a token request: either a token, which is valid after
+// OpensIn, or the time after which to ask again.
+type TokenReply struct {
+	Granted bool
+	OpensIn time.Duration
+	// RequestedAt is when the token was requested. A token of a cold endpoint expires counted
+	// from then, so that a reply on its way does not extend it.
+	RequestedAt time.Time
+}
+
+// ApplyTokenReply applies the holder's reply to a token request.
+func (b *Balancer) ApplyTokenReply(of roster.Incarnation, r TokenReply, now time.Time) {
 	b.withEndpoint(of, func(e *endpoint) {
 		l := &e.advisory.limit
-		if granted {
-			l.tokenFrom = now.Add(opensIn)
+		if r.Granted {
+			l.tokenFrom = now.Add(r.OpensIn)
 			l.tokenUntil = l.tokenFrom.Add(tokenTTL)
+			if l.cold(now) {
+				l.tokenUntil = r.RequestedAt.Add(r.OpensIn + coldTokenTTL)
+			}
 		}
-		l.nextTokenRequestAt = now.Add(TokenRetryDelay(opensIn, b.cfg.Random()))
+		l.nextTokenRequestAt = now.Add(TokenRetryDelay(r.OpensIn, b.cfg.Random()))
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,7 +142,7 @@
 		Random:         rand.Float64,
 		OnHealthChange: g.logHealthEvent,
 		OnAdvisory:     g.onAdvisory,
-		OnStaleLimit:   g.refreshStaleLimit,
+		OnTokenWanted:  g.requestTokenAhead,
 	})
 	g.proxy = g.newProxy()
 	g.syncer = g.newSyncer()
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -64,6 +64,8 @@
 good cold 0
 caught cold 0 -DNOWAIT
 caught cold 0 -DEVERYONE
+caught cold 0 -DFREETOKEN
+caught cold 0 -DLATETOKEN
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
