zoneflow, affinity: flows between zones and lent endpoints, not in use yet

Cause: demand stays in its zone until the zone's own endpoints are full, however empty those of others are. Change: zoneflow says from sums of demand and room by zone which part of its demand a zone sends where; affinity.Lent has its gateways prefer so many endpoints there. balance/zones_test.go plays four ways on virtual time.

--- a/gateway/affinity/affinity.go
+++ b/gateway/affinity/affinity.go
@@ -31,17 +31,11 @@
 		return out
 	}
 	slices.SortFunc(live, func(a, b member.Entry) int { return cmp.Compare(a.Name, b.Name) })
-	groups := map[serviceZone][]string{}
-	for id, e := range list.Endpoints {
-		g := serviceZone{service: e.Service, zone: e.Zone}
-		groups[g] = append(groups[g], id)
-	}
-	for g, ids := range groups {
+	for g, ids := range byServiceZone(list) {
 		near := zoneOrAll(live, g.zone)
 		if !slices.ContainsFunc(near, func(e member.Entry) bool { return e.Name == self }) {
 			continue
 		}
-		slices.Sort(ids)
 		for i := range max(len(ids), min(minPreferred, len(ids))*len(near)) {
 			if near[i%len(near)].Name == self {
 				out[ids[endpointIndex(i, len(ids), len(near))]] = true
--- /dev/null
+++ b/gateway/affinity/lent.go
@@ -0,0 +1,100 @@
+package affinity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/silverdeck/silverdeck/gateway/zoneflow"
+	"github.com/silverdeck/silverdeck/member"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// maxLent is the maximum number of endpoints of other zones per service that a gateway prefers.
+const maxLent = 2 * minPreferred
+
+// LentCount returns the number of endpoints of other zones that a gateway prefers, given the share
+// of its zone's demand that flows to other zones. The ratio to the endpoints of its own zone that it
+// prefers is that of the demand.
+func LentCount(share float64) int {
+	kept := 1 - share
+	if minPreferred*share >= maxLent*kept {
+		return maxLent
+	}
+	return int(math.Ceil(minPreferred * share / kept))
+}
+
+// Lent returns the IDs of the endpoints of other zones that the gateway named self prefers, in
+// addition to those of its own zone; see Preferred. shares are the shares of the demand of its zone
+// that flow to other zones, by service. The endpoints of each zone are dealt out evenly to the
+// gateways of self's zone. This answers zones whose demand exceeds the room of their endpoints.
+func Lent(list *roster.List, live []member.Entry, self string, shares map[string][]zoneflow.Share) map[string]bool {
+	out := map[string]bool{}
+	if list == nil || len(shares) == 0 {
+		return out
+	}
+	position, count := positionInZone(live, self)
+	if count == 0 {
+		return out
+	}
+	groups := byServiceZone(list)
+	for service, to := range shares {
+		n := LentCount(zoneflow.Total(to))
+		for k := range n {
+			slot := position + k*count
+			zone, first := zoneOfSlot(to, slot, n*count)
+			ids := groups[serviceZone{service: service, zone: zone}]
+			if len(ids) > 0 {
+				out[ids[endpointIndex(slot-first, len(ids), count)]] = true
+			}
+		}
+	}
+	return out
+}
+
+// positionInZone returns the position of self among the live gateways of its zone, by name, and
+// their number, which is 0 if self is not live.
+func positionInZone(live []member.Entry, self string) (position, count int) {
+	i := slices.IndexFunc(live, func(e member.Entry) bool { return e.Name == self })
+	if i < 0 {
+		return 0, 0
+	}
+	zone := live[i].Zone
+	for _, e := range live {
+		if e.Zone != zone {
+			continue
+		}
+		count++
+		if cmp.Less(e.Name, self) {
+			position++
+		}
+	}
+	return position, count
+}
+
+// zoneOfSlot returns the zone to which a slot, out of n, belongs if zones have slots in proportion to
+// their shares, and the first slot of that zone.
+func zoneOfSlot(shares []zoneflow.Share, slot, n int) (zone string, first int) {
+	total, sum := zoneflow.Total(shares), 0.0
+	for i, s := range shares {
+		first = int(math.Round(sum / total * float64(n)))
+		sum += s.Share
+		if i == len(shares)-1 || slot < int(math.Round(sum/total*float64(n))) {
+			return s.To, first
+		}
+	}
+	return "", 0
+}
+
+// byServiceZone returns the IDs of the endpoints of each service and zone, sorted.
+func byServiceZone(list *roster.List) map[serviceZone][]string {
+	out := map[serviceZone][]string{}
+	for id, e := range list.Endpoints {
+		g := serviceZone{service: e.Service, zone: e.Zone}
+		out[g] = append(out[g], id)
+	}
+	for _, ids := range out {
+		slices.Sort(ids)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/affinity/lent_test.go
@@ -0,0 +1,63 @@
+package affinity_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/affinity"
+	"github.com/silverdeck/silverdeck/gateway/zoneflow"
+)
+
+func TestLentCount(t *testing.T) {
+	for share, want := range map[float64]int{0: 0, 0.05: 1, 0.25: 1, 0.26: 2, 0.39: 2, 0.5: 3, 0.6: 5, 0.7: 6, 1: 6} {
+		NewWithT(t).Expect(affinity.LentCount(share)).To(Equal(want), fmt.Sprint(share))
+	}
+}
+
+// sharesOf returns the shares of the demand for the service of endpointsInZones.
+func sharesOf(shares ...zoneflow.Share) map[string][]zoneflow.Share {
+	return map[string][]zoneflow.Share{"s": shares}
+}
+
+// Endpoints that few gateways of another zone share with those of their own zone would be
+// overloaded while others idle.
+func TestEndpointsAreLentEvenly(t *testing.T) {
+	list := endpointsInZones(13, "a", "b", "c")
+	live := append(append(gateways(23, "a"), gateways(16, "b")...), gateways(15, "c")...)
+	for _, x := range []struct {
+		b, c         float64
+		wantB, wantC int
+	}{{0.1, 0, 23, 0}, {0.1, 0.1, 12, 11}, {0.3, 0.09, 35, 11}, {0.5, 0.5, 69, 69}} {
+		g := NewWithT(t)
+		byZone, by := map[string]int{}, map[string]int{}
+		for _, e := range slices.Clone(live) {
+			lent := affinity.Lent(list, live, e.Name, sharesOf(zoneflow.Share{To: "b", Share: x.b}, zoneflow.Share{To: "c", Share: x.c}))
+			if e.Zone != "a" {
+				continue
+			}
+			g.Expect(lent).To(HaveLen(affinity.LentCount(x.b + x.c)))
+			for id := range lent {
+				byZone[list.Endpoints[id].Zone]++
+				by[id]++
+			}
+		}
+		g.Expect(byZone["b"]).To(Equal(x.wantB), "%+v", x)
+		g.Expect(byZone["c"]).To(Equal(x.wantC), "%+v", x)
+		for id, n := range by {
+			zone := list.Endpoints[id].Zone
+			g.Expect(n).To(BeNumerically("~", float64(byZone[zone])/13, 1.5), id)
+		}
+	}
+}
+
+func TestNothingIsLentWithoutNeed(t *testing.T) {
+	g := NewWithT(t)
+	list, live := endpointsInZones(3, "a", "b"), gateways(2, "a")
+	g.Expect(affinity.Lent(list, live, "a00", nil)).To(BeEmpty())
+	g.Expect(affinity.Lent(nil, live, "a00", sharesOf(zoneflow.Share{To: "b", Share: 0.2}))).To(BeEmpty())
+	g.Expect(affinity.Lent(list, live, "x", sharesOf(zoneflow.Share{To: "b", Share: 0.2}))).To(BeEmpty())
+	g.Expect(affinity.Lent(list, live, "a00", sharesOf(zoneflow.Share{To: "none", Share: 0.2}))).To(BeEmpty())
+}
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -47,6 +47,8 @@
 	firstZoneFactor float64
 	// weightsShare is the share of endpoints, selected at random, that hold the weights.
 	weightsShare float64
+	// zoned, if not nil, makes zones differ; see zones_test.go.
+	zoned *zoned
 }
 
 // event is a scheduled event of the simulation.
@@ -88,6 +90,11 @@
 	requests, refused, late int
 	// rejected counts the requests that an endpoint did not accept.
 	rejected int
+
+	list    *roster.List
+	entries []member.Entry
+	// zones is the state of a fleet whose zones differ, or nil.
+	zones *zonesState
 }
 
 // simulate runs s and returns the fleet after all requests have ended.
@@ -97,7 +104,7 @@
 	var live []member.Entry
 	for z := range s.zones {
 		zone := fmt.Sprintf("z%d", z)
-		for i := range s.endpoints {
+		for i := range s.endpointsOf(z) {
 			id := fmt.Sprintf("%s-e%02d", zone, i)
 			list.Endpoints[id] = &roster.Endpoint{ID: id, Service: "s", Addr: id, Zone: zone, Slots: slots}
 			if f.rand.Float64() < s.weightsShare {
@@ -115,14 +122,18 @@
 			Zone:      self.Zone,
 			OtherLoad: func(l roster.Incarnation) int { return f.reportedTotal[l] - f.reported[g][l] },
 			Random:    f.rand.Float64,
+
+			OnTokenWanted: func(of roster.Incarnation) { f.requestToken(g, of) },
 		})
 		b.Update(list)
 		b.SetPreferred(affinity.Preferred(list, live, self.Name))
 		f.gateways = append(f.gateways, b)
 		f.reported = append(f.reported, nil)
 	}
+	f.list, f.entries = list, live
 	f.arrive(s, f.cumulativeWeights(s))
 	f.publishLoads()
+	f.startZones(s.zoned)
 	for len(f.events) > 0 {
 		next := heap.Pop(&f.events).(event)
 		f.now = next.at
@@ -142,6 +153,7 @@
 		if g < s.gateways {
 			w *= s.firstZoneFactor
 		}
+		w *= s.demandOf(g / s.gateways)
 		sum += w
 		out = append(out, sum)
 	}
@@ -154,9 +166,10 @@
 
 // arrive sends one request to a random gateway and schedules the next.
 func (f *fleet) arrive(s scenario, weights []float64) {
+	weights = f.currentWeights(weights)
 	draw := f.rand.Float64() * weights[len(weights)-1]
 	g, _ := slices.BinarySearch(weights, draw)
-	f.request(f.gateways[g])
+	f.request(g)
 	meanInterval := float64(meanRun) / (s.load * float64(f.endpointsWithWeights*slots))
 	if f.now < arrivalPeriod {
 		f.after(time.Duration(f.rand.ExpFloat64()*meanInterval), func() { f.arrive(s, weights) })
@@ -179,11 +192,13 @@
 	}
 }
 
-// request simulates a stream that arrives at gateway b.
-func (f *fleet) request(b *balance.Balancer) {
+// request simulates a stream that arrives at gateway g.
+func (f *fleet) request(g int) {
 	f.requests++
 	arrivedAt := f.now
-	lease, err := b.Pick(&balance.Query{Service: "s", Model: "m", MinVersion: 1, MaxLoad: 1.25, Prefill: prefill}, at(0).Add(f.now))
+	q := &balance.Query{Service: "s", Model: "m", MinVersion: 1, MaxLoad: 1.25, Prefill: prefill}
+	lease, err := f.pick(g, q)
+	f.zones.note(f, g, lease)
 	if err != nil {
 		f.refused++
 		return
@@ -192,6 +207,7 @@
 	run := func() {
 		if f.now-arrivedAt > maxInTimeWait {
 			f.late++
+			f.zones.noteLate(f, g)
 		}
 		x.running++
 		runTime := prefill + time.Duration(f.rand.ExpFloat64()*float64(meanRun-prefill))
