gateway: endpoints of other zones are lent as flows say

Change: each heartbeat the flows follow from member.Table.ZoneDemand and the room of usable endpoints by zone; a line and metrics tell changes. Without demand nothing is lent. Not measured yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/silverdeck/silverdeck/gateway/replica"
 	"github.com/silverdeck/silverdeck/gateway/unreadable"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/gateway/zoneflow"
 	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/member"
@@ -98,6 +99,7 @@
 	// lastAssignment holds the inputs of the last assignment of endpoints to gateways. Only
 	// the Heartbeater's goroutine uses it.
 	lastAssignment assignmentInputs
+	flows          flows
 	// contacts are the contacts that the store is known to hold. contactsCheckedAt is when they
 	// were last compared; only the Heartbeater's goroutine uses it.
 	contacts          atomic.Pointer[member.Contacts]
@@ -125,6 +127,8 @@
 
 		suspension: suspend.NewDetector(suspend.SystemClocks),
 
+		flows: flows{shares: map[string][]zoneflow.Share{}},
+
 		namingsRequested: make(chan struct{}, 1),
 	}
 	g.quarantineLoaded, g.markQuarantineLoaded = context.WithCancel(context.Background())
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
@@ -138,12 +139,15 @@
 // updateAssignment recomputes the assignment of endpoints to gateways if either has changed.
 // With 1,900 endpoints and 340 gateways this is too expensive for each heartbeat.
 func (g *Gateway) updateAssignment() {
-	now := assignmentInputs{endpoints: g.endpoints.Current(), members: g.table.Changes(), ready: g.Ready() == nil}
+	g.updateFlows(time.Now())
+	now := assignmentInputs{endpoints: g.endpoints.Current(), members: g.table.Changes(), ready: g.Ready() == nil, flows: g.flows.changes}
 	if g.lastAssignment == now {
 		return
 	}
 	g.lastAssignment = now
-	g.balancer.SetPreferred(affinity.Preferred(now.endpoints, g.gateways(), g.self.Name))
+	preferred := affinity.Preferred(now.endpoints, g.gateways(), g.self.Name)
+	maps.Copy(preferred, affinity.Lent(now.endpoints, g.gateways(), g.self.Name, g.flows.shares))
+	g.balancer.SetPreferred(preferred)
 	g.balancer.SetHeld(affinity.Held(now.endpoints, g.readyGateways(), g.self.Name), time.Now())
 }
 
@@ -152,6 +156,8 @@
 	endpoints *roster.List
 	members   uint64
 	ready     bool
+	// flows is flows.changes.
+	flows uint64
 }
 
 // onHeartbeat handles the arrival of another gateway's heartbeat.
