--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -85,9 +85,11 @@
 	// that should be sent to other gateways. It is called with a lock held and must not
 	// block.
 	OnAdvisory func()
-	// OnStaleLimit, if not nil, is called for a rate-limited endpoint that no gateway has
-	// heard from for a long time, so that a token can be requested from its holder. It is
-	// called with a lock held and must not block.
+	// OnTokenWanted, if not nil, is called for an endpoint whose holder should be asked for a
+	// token for a later request: a rate-limited one that no gateway has heard from for a long
+	// time, or a cold one that costs less than the selected endpoint. It is called with a lock
+	// held and must not block.
+	OnTokenWanted func(roster.Incarnation)
 	OnStaleLimit func(roster.Incarnation)
 	// OnPaceChange, if not nil, is called when an endpoint has become slow or no longer is. It
 	// is called with a lock held and must not block.
@@ -123,8 +125,8 @@
 	if cfg.OnAdvisory == nil {
 		cfg.OnAdvisory = func() {}
 	}
-	if cfg.OnStaleLimit == nil {
-		cfg.OnStaleLimit = func(roster.Incarnation) {}
+	if cfg.OnTokenWanted == nil {
+		cfg.OnTokenWanted = func(roster.Incarnation) {}
 	}
 	if cfg.OnPaceChange == nil {
 		cfg.OnPaceChange = func(PaceEvent) {}
