--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -90,7 +90,7 @@
 	// time, or a cold one that costs less than the selected endpoint. It is called with a lock
 	// held and must not block.
 	OnTokenWanted func(roster.Incarnation)
-	OnStaleLimit func(roster.Incarnation)
+	OnStaleLimit  func(roster.Incarnation)
 	// OnPaceChange, if not nil, is called when an endpoint has become slow or no longer is. It
 	// is called with a lock held and must not block.
 	OnPaceChange func(PaceEvent)
--- a/sidecar/stage/twoversions_test.go
+++ b/sidecar/stage/twoversions_test.go
@@ -78,7 +78,7 @@
 func (v stagedVM) NotifyStarted(context.Context, int64, bool)      {}
 func (v stagedVM) Capacity() stage.Capacity                        { return stage.Capacity{} }
 func (v stagedVM) Rate(context.Context) float64                    { return v.site.origin }
-func (v stagedVM) RequestLoadLease(context.Context, string, time.Duration) stage.Lease {
+func (v stagedVM) RequestLoadLease(context.Context, stage.LeaseRequest) stage.Lease {
 	return stage.Lease{}
 }
 
