--- a/routes/estimate.go
+++ b/routes/estimate.go
@@ -2,10 +2,17 @@
 
 import "time"
 
-// passTime returns the duration of one pass over a full batch, which makes Stride tokens of
-// each request's answer.
+// passTime returns the duration of one pass over a full batch.
 func (e *Engine) passTime() time.Duration {
-	return time.Duration(e.Stride) * (e.StepTime + time.Duration(e.Slots)*e.StepTimePerRequest)
+	return e.PassTime(float64(e.Slots))
+}
+
+// PassTime returns the duration of one pass over a batch of n mean requests, which makes Stride
+// tokens of each request's answer.
+func (e *Engine) PassTime(n float64) time.Duration {
+	context := (e.MeanPromptTokens + e.MeanAnswerTokens/2) / 1000
+	perRequest := float64(e.StepTimePerRequest) + context*float64(e.StepTimePerContext)
+	return time.Duration(float64(e.Stride) * (float64(e.StepTime) + n*perRequest))
 }
 
 // AnswerTime returns how long a mean answer takes to generate in a full batch without any
@@ -15,12 +22,14 @@
 	return time.Duration(passes * float64(e.passTime()))
 }
 
-// Prefill returns how long the prefill of n tokens takes, or 0 if the rate is unknown.
+// Prefill returns how long the prefill of n tokens takes, each of which is combined with all that
+// precede it, or 0 if the rate is unknown.
 func (e *Engine) Prefill(n float64) time.Duration {
 	if e.PrefillTokensPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(n / e.PrefillTokensPerSecond * float64(time.Second))
+	pairs := n * n / 2 / 1e6
+	return time.Duration(n/e.PrefillTokensPerSecond*float64(time.Second) + pairs*float64(e.PrefillTimePerPairs))
 }
 
 // turnover returns the mean time between completions in a full batch. While a request runs,
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -88,10 +88,15 @@
 	// StepTime is the base time of one token step; each request in the batch adds
 	// StepTimePerRequest.
 	StepTime, StepTimePerRequest time.Duration
+	// StepTimePerContext is what each request adds for 1,000 tokens of its prompt and answer.
+	StepTimePerContext time.Duration
 	// Stride is the number of steps between two checks for queued requests.
 	Stride int
 	// PrefillTokensPerSecond is the prefill rate.
 	PrefillTokensPerSecond float64
+	// PrefillTimePerPairs is what a million pairs of a token and a preceding one add to a
+	// prefill.
+	PrefillTimePerPairs time.Duration
 	// MeanPromptTokens and MeanAnswerTokens are the mean lengths of prompts and answers.
 	MeanPromptTokens, MeanAnswerTokens float64
 	// Models lists the models that the engines run.
@@ -139,6 +144,8 @@
 	// longestTargets and longestTimeouts hold the longest latency target and timeout of the
 	// streams that each service answers.
 	longestTargets, longestTimeouts map[string]time.Duration
+	// shortestGaps holds the shortest gap target of the streams that each service answers.
+	shortestGaps map[string]time.Duration
 }
 
 // New returns a Config with the given routes, and accounts by key. With nil accounts, no
@@ -147,6 +154,7 @@
 	c := &Config{
 		Services: map[string]*Service{}, hosts: map[string][]*Route{}, accounts: accounts,
 		longestTargets: map[string]time.Duration{}, longestTimeouts: map[string]time.Duration{},
+		shortestGaps: map[string]time.Duration{},
 	}
 	for _, r := range list {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
@@ -156,6 +164,9 @@
 		for _, t := range r.Targets {
 			c.longestTargets[t.Service] = max(c.longestTargets[t.Service], r.LatencyTarget)
 			c.longestTimeouts[t.Service] = max(c.longestTimeouts[t.Service], r.Timeout)
+			if gap := c.shortestGaps[t.Service]; r.GapTarget > 0 && (gap == 0 || r.GapTarget < gap) {
+				c.shortestGaps[t.Service] = r.GapTarget
+			}
 		}
 	}
 	for _, rs := range c.hosts {
@@ -199,6 +210,12 @@
 	return c.longestTargets[service]
 }
 
+// ShortestGapTarget returns the shortest gap target of the streams that service answers, or 0 if
+// none has one.
+func (c *Config) ShortestGapTarget(service string) time.Duration {
+	return c.shortestGaps[service]
+}
+
 // AnswerTime returns how long an endpoint of a service usually takes to generate an answer,
 // derived from its engine parameters. If these are not configured, it returns the longest
 // timeout of the service's streams, which bounds any answer. It returns 0 for services
