balance: load is counted in places, which a slow endpoint has fewer of

Cause: an endpoint that its report calls slow (pace 2.5) got as many requests as any other; 894 of the 1,183 streams there were late, and long answers ran into their deadline. Change: sidecars tell gateways the pace with their notices. work.Places derives from the engine's figures how many mean streams an endpoint of that pace serves within the gap target; load, capacity and limit count by them. A stream that is expected to be cut by its deadline at an endpoint goes elsewhere; if even a quarter of its answer fits nowhere it is refused as not run.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/residency"
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -47,6 +48,8 @@
 	// Prefill is how long a model engine processes the prompt before the response begins;
 	// this delays all other requests at the endpoint.
 	Prefill time.Duration
+	// Work is the work of a stream. The zero value is unknown.
+	Work work.Stream
 }
 
 // Reloaded identifies an endpoint that interrupted a request in order to load a newer
@@ -80,6 +83,9 @@
 	// heard from for a long time, so that a token can be requested from its holder. It is
 	// called with a lock held and must not block.
 	OnStaleLimit func(roster.Incarnation)
+	// OnPaceChange, if not nil, is called when an endpoint has become slow or no longer is. It
+	// is called with a lock held and must not block.
+	OnPaceChange func(PaceEvent)
 }
 
 // Balancer selects endpoints. It is safe for concurrent use.
@@ -94,6 +100,10 @@
 	// requests to cold endpoints by service.
 	evacuated  map[string]bool
 	coldLimits map[string]ColdLimit
+	// engines holds what is known about the engines of services, paces what sidecars told of
+	// the endpoints by address.
+	engines map[string]work.Service
+	paces   map[string]toldPace
 }
 
 // New returns a Balancer without endpoints.
@@ -110,6 +120,9 @@
 	if cfg.OnStaleLimit == nil {
 		cfg.OnStaleLimit = func(roster.Incarnation) {}
 	}
+	if cfg.OnPaceChange == nil {
+		cfg.OnPaceChange = func(PaceEvent) {}
+	}
 	return &Balancer{cfg: cfg, services: map[string]*shard{}}
 }
 
@@ -139,10 +152,21 @@
 	for name, records := range byService {
 		s := b.services[name]
 		if s == nil {
-			s = &shard{endpoints: map[string]*endpoint{}, evacuated: b.evacuated, coldLimit: b.coldLimits[name]}
+			s = &shard{endpoints: map[string]*endpoint{}, evacuated: b.evacuated, coldLimit: b.coldLimits[name], engines: b.engines[name]}
 			b.services[name] = s
 		}
-		s.update(records)
+		b.updateShard(s, records)
+	}
+}
+
+// updateShard replaces the records of s. The lock of b must be held.
+func (b *Balancer) updateShard(s *shard, records map[string]*roster.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update(records)
+	for _, e := range s.endpoints {
+		b.applyPace(s, e)
+		s.updateSpeed(e)
 	}
 }
 
@@ -187,6 +211,10 @@
 	PausedUntil time.Time
 	// Weights are the weights that the endpoint serves, if the notice names any.
 	Weights roster.Weights
+	// Pace is the factor by which the endpoint is slower than its engine's figures; 0 if the
+	// notice does not tell it. ReceivedAt is when the notice was received.
+	Pace       float64
+	ReceivedAt time.Time
 }
 
 // ApplyAnnouncement applies a notice from a sidecar. If the notice is from a later
@@ -194,6 +222,9 @@
 // endpoint counts as restarted. A notice from an earlier incarnation is out of date and
 // ignored.
 func (b *Balancer) ApplyAnnouncement(a Announcement) {
+	if a.Pace != 0 {
+		defer b.setPace(a.Addr, a.Pace, a.ReceivedAt)
+	}
 	matches := b.addrMatcher(a.Addr)
 	b.eachShard(func(s *shard) {
 		for id, e := range s.endpoints {
@@ -274,9 +305,10 @@
 	}
 }
 
-// load returns the requests of all gateways at e, per slot.
+// load returns the requests of all gateways at e, per place. An endpoint that works at its engine's
+// figures has a place for each slot.
 func (b *Balancer) load(e *endpoint) float64 {
-	return float64(b.totalInFlight(e)) / float64(max(e.record.Slots, 1))
+	return float64(b.totalInFlight(e)) / e.speed.Places
 }
 
 // totalInFlight returns the outstanding requests of all gateways at e. The counts of other
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -32,7 +32,7 @@
 		}
 		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e)}
 		if !e.rateLimited(now) {
-			p.Places = float64(e.record.Slots)
+			p.Places = e.speed.Places
 			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
 		}
 		out = append(out, p)
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -19,6 +20,9 @@
 	// has to outlast the reload. It is less than the load of a full endpoint, so that the
 	// few endpoints that have already reloaded do not receive all of these requests.
 	reloadCost = 0.5
+	// lateCost applies to a slow endpoint at which the first event is expected too late. Other
+	// endpoints that are not full come first.
+	lateCost = 1.0
 	// prefillUnit is the pending prefill time that counts as one request per slot.
 	prefillUnit = 250 * time.Millisecond
 	// jitter scales the random number drawn for each endpoint, which distributes requests
@@ -28,15 +32,17 @@
 
 // Candidate holds the properties of an endpoint that determine its cost.
 type Candidate struct {
-	// Load is the number of requests of all gateways at the endpoint, per slot. The counts
+	// Load is the number of requests of all gateways at the endpoint, per place. The counts
 	// of other gateways are as old as their last heartbeats.
 	Load float64
 	// Prefill is the pending prefill time of this gateway's requests.
 	Prefill time.Duration
 	// OtherZone is set if the endpoint is in another availability zone than the gateway.
 	OtherZone bool
-	// Preferred is set if this gateway prefers the endpoint.
+	// Preferred is set if this gateway prefers the endpoint and it is not slow.
 	Preferred bool
+	// Late is set if the first event is expected too late there.
+	Late bool
 	// ReloadPending is set if the endpoint will load newer weights before the request ends.
 	ReloadPending bool
 	// Random is a random number in [0, 1).
@@ -56,6 +62,9 @@
 	if c.ReloadPending {
 		cost += reloadCost
 	}
+	if c.Late {
+		cost += lateCost
+	}
 	return cost
 }
 
@@ -88,6 +97,17 @@
 	return fmt.Sprintf("balance: all endpoints of %s are full", e.Service)
 }
 
+// DeadlineError reports that a stream would be cut off by its deadline at each endpoint that may take
+// it, even if its answer were much shorter than expected.
+type DeadlineError struct {
+	Service string
+}
+
+// Error implements error.
+func (e *DeadlineError) Error() string {
+	return fmt.Sprintf("balance: no endpoint of %s would finish in time", e.Service)
+}
+
 // NoEndpointError reports that no endpoint of a service is eligible for the request.
 type NoEndpointError struct {
 	Service string
@@ -118,6 +138,9 @@
 	// usable is the best of the endpoints that the gateway prefers and of those that were
 	// sampled. unusable is the best of the ejected, paused, and suspected endpoints.
 	usable, unusable lowestCost
+	// overrun is the best of the usable endpoints at which the stream is expected to be cut off
+	// by its deadline.
+	overrun lowestCost
 	// sameZone and otherZone are samples of the endpoints that other gateways prefer, in
 	// this zone and in others. upToDate is a sample of those that hold the latest weights,
 	// for a request with LatestVersion set.
@@ -125,6 +148,9 @@
 	// full is set if an endpoint was left out because it is full. loading is set if a
 	// paused endpoint was left out as not eligible.
 	full, loading bool
+	// neverEnds is set if an endpoint was left out because the stream could not end there in
+	// time.
+	neverEnds bool
 	// opensIn is the shortest time until an endpoint with a rate limit or a back-off
 	// accepts the request; 0 if there is none.
 	opensIn time.Duration
@@ -180,11 +206,16 @@
 		return c.usable.endpoint, nil
 	case c.full:
 		return nil, &FullError{Service: q.Service}
+	case c.overrun.endpoint != nil:
+		return c.overrun.endpoint, nil
 	case c.unusable.endpoint != nil && !q.Healthy:
 		return c.unusable.endpoint, nil
 	case c.opensIn > 0:
 		return nil, &FullError{Service: q.Service, OpensIn: c.opensIn, TokenFrom: c.requestToken(now)}
 	}
+	if c.neverEnds {
+		return nil, &DeadlineError{Service: q.Service}
+	}
 	return nil, &NoEndpointError{Service: q.Service, Loading: c.loading}
 }
 
@@ -205,12 +236,19 @@
 			continue
 		}
 		load := b.load(e)
+		fit := e.speed.Fit(&q.Work, load, e.prefill)
+		if fit == work.NeverEnds {
+			c.neverEnds = true
+			continue
+		}
 		limit := MaxLoad(q.MaxLoad, shared, e.preferred, preferred > 0)
 		switch {
 		case limit > 0 && load >= limit:
 			c.full = true
 		case !b.usable(e, now):
 			c.unusable.consider(e, b.cost(e, load, q, now))
+		case fit == work.EndsLate:
+			c.overrun.consider(e, load)
 		case q.LeastLoaded:
 			c.usable.consider(e, load)
 		case e.preferred || e.rateLimited(now):
@@ -234,7 +272,7 @@
 			continue
 		}
 		preferred++
-		if e.eligible(q) && b.usable(e, now) && !e.rateLimited(now) && !e.inBackoff(now) {
+		if !e.slow() && e.eligible(q) && b.usable(e, now) && !e.rateLimited(now) && !e.inBackoff(now) {
 			usable++
 		}
 	}
@@ -247,9 +285,10 @@
 func (b *Balancer) cost(e *endpoint, load float64, q *Query, now time.Time) float64 {
 	return Cost(&Candidate{
 		Load:          load,
-		Prefill:       e.prefill,
+		Prefill:       time.Duration(e.speed.Pace * float64(e.prefill)),
 		OtherZone:     e.record.Zone != b.cfg.Zone,
-		Preferred:     e.preferred || e.rateLimited(now),
+		Preferred:     e.preferred && !e.slow() || e.rateLimited(now),
+		Late:          e.speed.Fit(&q.Work, load, e.prefill) == work.BeginsLate,
 		ReloadPending: e.reloadPending(q),
 		Random:        b.cfg.Random(),
 	})
--- /dev/null
+++ b/gateway/balance/pace.go
@@ -0,0 +1,128 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/silverdeck/silverdeck/gateway/work"
+	"github.com/silverdeck/silverdeck/roster"
+)
+
+// paceTTL is how long a pace counts after a sidecar last told it. Sidecars of slow endpoints repeat
+// it several times within that time, so that only a sidecar that ended is forgotten.
+const paceTTL = 30 * time.Second
+
+// toldPace is the pace that a sidecar told of the endpoint at an address.
+type toldPace struct {
+	pace  float64
+	until time.Time
+}
+
+// SetServices sets what is known about the model engines of services, by service.
+func (b *Balancer) SetServices(services map[string]work.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines = services
+	for name, s := range b.services {
+		b.setEngines(s, services[name])
+	}
+}
+
+// setEngines sets what is known about the engines of s. The lock of b must be held.
+func (b *Balancer) setEngines(s *shard, engines work.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines = engines
+	for _, e := range s.endpoints {
+		b.applyPace(s, e)
+		s.updateSpeed(e)
+	}
+}
+
+// updateSpeed recomputes the speed of e after its slots, its pace, or the engine's figures changed.
+// The lock must be held.
+func (s *shard) updateSpeed(e *endpoint) {
+	e.speed = work.SpeedOf(&s.engines, e.record.Slots, e.pace)
+}
+
+// setPace sets the pace of the endpoint at an address, which its sidecar told. The record of an
+// endpoint may follow its sidecar's notice.
+func (b *Balancer) setPace(addr string, pace float64, now time.Time) {
+	b.mu.Lock()
+	if b.paces == nil {
+		b.paces = map[string]toldPace{}
+	}
+	b.paces[addr] = toldPace{pace: pace, until: now.Add(paceTTL)}
+	b.mu.Unlock()
+	b.applyPaces()
+}
+
+// ExpirePaces drops what sidecars told that have been silent for long. An endpoint without a told
+// pace counts as working at its engine's figures.
+func (b *Balancer) ExpirePaces(now time.Time) {
+	expired := false
+	b.mu.Lock()
+	for addr, told := range b.paces {
+		if now.After(told.until) {
+			delete(b.paces, addr)
+			expired = true
+		}
+	}
+	b.mu.Unlock()
+	if expired {
+		b.applyPaces()
+	}
+}
+
+// applyPaces applies the told paces to the endpoints.
+func (b *Balancer) applyPaces() {
+	b.eachShard(func(s *shard) {
+		for _, e := range s.endpoints {
+			b.applyPace(s, e)
+		}
+	})
+}
+
+// applyPace applies the told pace to e, which counts only if the engine's figures are known. The locks of b and s must be held.
+func (b *Balancer) applyPace(s *shard, e *endpoint) {
+	pace := 1.0
+	if s.engines.Engine != nil {
+		pace = work.ClampPace(b.paces[e.record.Addr].pace)
+	}
+	if pace == e.pace {
+		return
+	}
+	slow := e.pace >= work.SlowPace
+	e.pace = pace
+	s.updateSpeed(e)
+	if slow != (pace >= work.SlowPace) {
+		b.cfg.OnPaceChange(PaceEvent{Endpoint: e.record.ID, Pace: pace, Places: e.speed.Places})
+	}
+}
+
+// PaceEvent reports that an endpoint has become slow, or no longer is.
+type PaceEvent struct {
+	// Endpoint is the endpoint's ID.
+	Endpoint string
+	// Pace is the factor by which it is slower than its engine's figures.
+	Pace float64
+	// Places is the number of mean requests that it now serves in time concurrently.
+	Places float64
+}
+
+// Paces returns the paces of the endpoints that are slow.
+func (b *Balancer) Paces() map[roster.Incarnation]float64 {
+	out := map[roster.Incarnation]float64{}
+	b.eachShard(func(s *shard) {
+		for _, e := range s.endpoints {
+			if e.slow() {
+				out[e.record.Incarnation()] = e.pace
+			}
+		}
+	})
+	return out
+}
+
+// slow reports whether the endpoint is slower than its engine's figures.
+func (e *endpoint) slow() bool {
+	return e.pace >= work.SlowPace
+}
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -22,6 +23,8 @@
 	// endpoints of the service.
 	evacuated map[string]bool
 	coldLimit ColdLimit
+	// engines is what is known about the service's model engines.
+	engines work.Service
 }
 
 // endpoint is this gateway's view of one endpoint. All fields except lastByte are guarded
@@ -48,15 +51,17 @@
 	evacuated bool
 	// lastByte is when response bytes were last received.
 	lastByte atomicTime
+	// pace is the factor by which the endpoint is slower than its engine's figures, and speed
+	// the resulting speed.
+	pace  float64
+	speed work.Speed
 }
 
 // update replaces the records. The state of endpoints that remain is kept, but not across
 // incarnations: ejections, requests in flight, and announced weights of an endpoint that
 // crashed do not apply to its replacement. A record of an earlier incarnation than the
-// known one is out of date and ignored.
+// known one is out of date and ignored. The lock must be held.
 func (s *shard) update(records map[string]*roster.Endpoint) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for id, e := range s.endpoints {
 		if records[id] == nil {
 			s.keepRemoved(e)
@@ -90,8 +95,9 @@
 // restart replaces e by its next incarnation, which has record r. Existing leases of e are
 // still released there. The lock must be held.
 func (s *shard) restart(e *endpoint, r *roster.Endpoint) *endpoint {
-	next := &endpoint{record: r, preferred: e.preferred, held: e.held, advisory: &advisoryState{}, evacuated: s.evacuated[r.Zone]}
+	next := &endpoint{record: r, preferred: e.preferred, held: e.held, advisory: &advisoryState{}, evacuated: s.evacuated[r.Zone], pace: 1}
 	next.applyCold(s.coldLimit)
+	s.updateSpeed(next)
 	s.endpoints[r.ID] = next
 	if i := slices.Index(s.ordered, e); i >= 0 {
 		s.ordered[i] = next
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,6 +141,7 @@
 		Suspected:      g.table.Suspected,
 		Random:         rand.Float64,
 		OnHealthChange: g.logHealthEvent,
+		OnPaceChange:   g.logPaceEvent,
 		OnAdvisory:     g.onAdvisory,
 		OnStaleLimit:   g.refreshStaleLimit,
 	})
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -4,16 +4,18 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/platform"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/routes"
 )
 
 // applyNotice applies a notice from an endpoint's sidecar.
 func (g *Gateway) applyNotice(n member.Notice) {
 	pause := time.Duration(n.PauseMS) * time.Millisecond
-	g.log.Info("notice", "addr", n.Addr, "born", n.Born, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version)
+	g.log.Info("notice", "addr", n.Addr, "born", n.Born, "pauseMs", n.PauseMS, "model", n.Model, "version", n.Version, "pace", n.Pace)
 	if n.Version != 0 {
 		g.loads.Release(roster.VM(n.Addr))
 	}
@@ -22,6 +24,8 @@
 		Born:        n.Born,
 		PausedUntil: time.Now().Add(pause),
 		Weights:     roster.Weights{Model: n.Model, Version: n.Version},
+		Pace:        n.Pace,
+		ReceivedAt:  time.Now(),
 	})
 }
 
@@ -44,11 +48,23 @@
 	// Set the limits first: the gateway becomes ready once it has a configuration.
 	g.callerServer.SetLimits(ConnectionLimits(config.Limits))
 	g.balancer.SetColdLimits(g.coldLimits(config))
+	g.balancer.SetServices(engineServices(config))
 	g.proxy.SetConfig(config)
 	g.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
 	g.inventory.Broadcast()
 }
 
+// engineServices returns what is known about the model engines, by service.
+func engineServices(c *routes.Config) map[string]work.Service {
+	out := map[string]work.Service{}
+	for name, s := range c.Services {
+		if s.Engine != nil {
+			out[name] = work.Service{Engine: s.Engine, GapTarget: c.ShortestGapTarget(name)}
+		}
+	}
+	return out
+}
+
 // applyEndpoints puts a list of endpoints into force.
 func (g *Gateway) applyEndpoints(list *roster.List) {
 	g.balancer.Update(list)
@@ -61,6 +77,11 @@
 		"failures", b.FailureRate, "forMs", time.Until(b.EjectedUntil).Milliseconds())
 }
 
+// logPaceEvent logs that an endpoint has become slow or no longer is.
+func (g *Gateway) logPaceEvent(b balance.PaceEvent) {
+	g.log.Info("endpoint pace", "endpoint", b.Endpoint, "pace", b.Pace, "places", b.Places)
+}
+
 // applyVersions applies the named versions in s.
 func (g *Gateway) applyVersions(s *mirror.State) {
 	found := !g.versionsLoaded.Swap(true)
--- a/gateway/policy/load.go
+++ b/gateway/policy/load.go
@@ -27,11 +27,17 @@
 	if engine == nil || engine.Slots <= 0 {
 		return defaultMaxLoad
 	}
-	within := time.Duration(targetFraction * float64(target))
+	within := FirstEventWithin(target)
 	queue := math.Floor(engine.MaxQueue(within, promptTokens))
 	return min(1+queue/float64(engine.Slots), defaultMaxLoad)
 }
 
+// FirstEventWithin returns the time within which the first event of a stream with the given latency
+// target should arrive according to the engine's figures.
+func FirstEventWithin(target time.Duration) time.Duration {
+	return time.Duration(targetFraction * float64(max(target, 0)))
+}
+
 // hedgeMaxLoad is the load below which another endpoint is worth a hedge for a slow stream: the
 // request starts there without queueing for a slot.
 const hedgeMaxLoad = 0.8
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -13,6 +13,8 @@
 	// CodeClosed means that all endpoints of the service have announced, in response headers,
 	// that they accept no more requests for a while.
 	CodeClosed verdict.Code = "closed"
+	// CodeTooLate means that no endpoint could finish the request before its deadline.
+	CodeTooLate verdict.Code = "too_late"
 	// CodeMisdirected means that the address now belongs to another endpoint.
 	CodeMisdirected verdict.Code = "misdirected"
 	// CodeQuarantined means that endpoints crashed while processing the request or another
@@ -80,7 +82,7 @@
 	switch {
 	case IsWithheld(f.Code):
 		return Withheld
-	case f.Canceled || f.Left < minRetryTime:
+	case f.Canceled || f.Left < minRetryTime || f.Code == CodeTooLate:
 		return NoTime
 	case f.Code == CodeFull || f.Code == CodeClosed:
 		return AllFull
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -51,7 +51,8 @@
 	c.service = c.route.Target(p.cfg.Random())
 	c.regions = allowedRegions(c.route, c.account)
 	c.model = r.Header.Get(names.Model)
-	c.promptTokens = promptTokens(r.Header.Get(names.Tokens))
+	c.promptTokens, c.maxAnswerTokens = tokenCounts(r.Header.Get(names.Tokens))
+	c.answerHint = tokenCount(r.Header.Get(names.LengthHint))
 	c.lastEventID = r.Header.Get(names.LastEventID)
 	timeout, given := callerTimeout(r.Header.Get(names.Deadline))
 	c.deadline = c.startedAt.Add(min(timeout, c.route.Timeout))
@@ -94,11 +95,16 @@
 	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
-// promptTokens returns the first number of a header with token counts. Without a valid number
-// the prompt is assumed to be short, and the result is 0.
-func promptTokens(s string) int {
-	first, _, _ := strings.Cut(s, ",")
-	n, err := strconv.Atoi(strings.TrimSpace(first))
+// tokenCounts returns the numbers of a header with token counts: the length of the prompt and the
+// maximum length of the answer. A number that is missing or invalid counts as 0.
+func tokenCounts(s string) (prompt, maxAnswer int) {
+	first, second, _ := strings.Cut(s, ",")
+	return tokenCount(first), tokenCount(second)
+}
+
+// tokenCount returns a number of tokens, or 0 if s is not one.
+func tokenCount(s string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(s))
 	if err != nil || n < 0 {
 		return 0
 	}
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -9,6 +9,7 @@
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/residency"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -32,7 +33,10 @@
 	model string
 	// promptTokens is the number of tokens that the engine must process before it can respond.
 	promptTokens int
-	startedAt    time.Time
+	// maxAnswerTokens is the number of tokens at which the answer is cut off, answerHint the
+	// caller's guess of its length; 0 if not stated.
+	maxAnswerTokens, answerHint int
+	startedAt                   time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	// elapsed is the estimated time since the caller's first try, see timeoutTracker.
@@ -77,6 +81,8 @@
 	lastEventID string
 	// lastEventAt is when the last event arrived, or zero before the first.
 	lastEventAt time.Time
+	// events counts the parts of a stream that arrived, each of which holds at least an event.
+	events int
 	// firstEvent is the time to the first event of a stream, longestGap the longest pause
 	// between later events.
 	firstEvent, longestGap time.Duration
@@ -134,6 +140,7 @@
 		p.longestGap = max(p.longestGap, now.Sub(p.lastEventAt))
 	}
 	p.lastEventAt = now
+	p.events++
 }
 
 // timeoutKey returns the group of callers that are expected to use the same timeout.
@@ -197,6 +204,25 @@
 	return 0
 }
 
+// tokens returns the expected lengths of the prompt and the answer.
+func (c *call) tokens() work.Tokens {
+	stated := work.Stated{Prompt: c.promptTokens, MaxAnswer: c.maxAnswerTokens, Hint: c.answerHint}
+	return stated.Lengths(c.engine())
+}
+
+// work returns the work that is left of the stream, with its time limits. A response that has begun
+// is not refused for want of time: what the caller has would be lost.
+func (c *call) work(now time.Time) work.Stream {
+	w := work.StreamOf(c.engine(), c.tokens())
+	w.Left = c.deadline.Sub(now)
+	if c.headSent || c.lastEventID != "" {
+		w.Events, w.MinEvents = max(w.Events-float64(c.events), 1), 0
+		return w
+	}
+	w.FirstWithin = policy.FirstEventWithin(c.route.LatencyTarget - now.Sub(c.startedAt))
+	return w
+}
+
 // idleLimit returns how long this stream may receive nothing from an endpoint that is sending on
 // other streams.
 func (c *call) idleLimit() time.Duration {
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -47,6 +47,8 @@
 	// Whole is the time to the end of a response, FirstEvent the time to the first event of a
 	// stream, both in microseconds.
 	Whole, FirstEvent metrics.Histogram
+	// TooLate counts streams that no endpoint could have finished before their deadline.
+	TooLate metrics.Counter
 }
 
 // histogramSample is the number of values in the uniform sample of a histogram. The 0.99
@@ -75,6 +77,7 @@
 		Unreadable:     metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		PassedThrough:  metrics.NewRegisteredCounter("gateway.passed_through", r),
 		CallersStalled: metrics.NewRegisteredCounter("gateway.callers_stalled", r),
+		TooLate:        metrics.NewRegisteredCounter("gateway.too_late", r),
 		Whole:          metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
 		FirstEvent:     metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
 	}
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -23,6 +23,7 @@
 		q.Reloaded = balance.Reloaded{ID: c.current, FromVersion: c.currentWeights}
 		q.MinVersion = p.cfg.MinVersion(c.model)
 		q.Prefill = c.prefill()
+		q.Work = c.work(time.Now())
 		// A response that has begun has no load limit: it would be cut if all endpoints were full.
 		if c.headSent {
 			q.LatestVersion = p.cfg.NewestVersion(c.model)
@@ -37,9 +38,13 @@
 // returns nil if err is nil.
 func (p *Proxy) pickFailure(c *call, err error) *verdict.Error {
 	var full *balance.FullError
+	var tooLate *balance.DeadlineError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &tooLate):
+		p.cfg.Metrics.TooLate.Inc(1)
+		return p.shortageFailure(policy.CodeTooLate, "no endpoint of %s would finish in time", c.service)
 	case errors.As(err, &full):
 		if !c.late() {
 			p.refusals.record(c.service, time.Now())
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -46,6 +46,8 @@
 	Versions  []debugVersion   `json:"versions"`
 	// Poison lists the requests under which endpoints crashed.
 	Poison []poison.RequestStatus `json:"poison"`
+	// Paces holds the paces of slow endpoints by ID.
+	Paces map[string]float64 `json:"paces"`
 }
 
 // debugVersion is the newest version of a model as shown to operators.
@@ -66,13 +68,13 @@
 		revisions[kind] = m.State().Revision
 	}
 	return debugState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: byID(g.balancer.InFlight()), Versions: g.debugVersions(),
-		Poison: g.poison.List(time.Now())}
+		Poison: g.poison.List(time.Now()), Paces: byID(g.balancer.Paces())}
 }
 
-// byID returns counts by endpoint ID.
-func byID(counts map[roster.Incarnation]int) map[string]int {
-	out := make(map[string]int, len(counts))
-	for l, n := range counts {
+// byID returns values by endpoint ID.
+func byID[V any](values map[roster.Incarnation]V) map[string]V {
+	out := make(map[string]V, len(values))
+	for l, n := range values {
 		out[l.ID] = n
 	}
 	return out
@@ -111,6 +113,7 @@
 // have stopped.
 func (g *Gateway) afterHeartbeat(silent []string) {
 	g.noteSuspended(g.suspension.Suspended())
+	g.balancer.ExpirePaces(time.Now())
 	g.updateAssignment()
 	for _, name := range silent {
 		g.log.Warn("entry lost", "entry", name)
--- a/member/member.go
+++ b/member/member.go
@@ -133,6 +133,9 @@
 	Version int64  `json:"version,omitempty"`
 	// Born is the endpoint's start time, which identifies its incarnation as in roster.Incarnation.
 	Born int64 `json:"born,omitempty"`
+	// Pace is the factor by which the endpoint is slower than its engine's figures; omitted if
+	// the sidecar does not know it. Older versions omit and ignore it.
+	Pace float64 `json:"pace,omitempty"`
 }
 
 // Heartbeat timing.
--- a/sidecar/pause.go
+++ b/sidecar/pause.go
@@ -34,6 +34,13 @@
 	p.until = time.Time{}
 }
 
+// Active reports whether a pause lasts at time now.
+func (p *Pause) Active(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.until)
+}
+
 // Unnotified returns which of the live gateways, whose addresses are addrs, have not been notified
 // of the pause, and the remaining time of the pause. It counts them as notified from then on. A
 // gateway that is no longer live is forgotten, since one that returns has been restarted.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,9 @@
 	// gateways receive notices about the endpoint. pause is the endpoint's current pause.
 	gateways *Gateways
 	pause    Pause
+	// pace is the endpoint's pace. noticeMu orders notices of it and of pauses.
+	pace     Pace
+	noticeMu sync.Mutex
 	// initialized is set once the first inventory was received. Only the goroutine of watcher
 	// uses it.
 	initialized bool
@@ -72,7 +76,7 @@
 	})
 	c.stager = stage.New(stage.Config{
 		Self:         selfMember(cfg),
-		Endpoint:     platform.NewEndpoint(cfg.Endpoint),
+		Endpoint:     endpointWithPace{Endpoint: platform.NewEndpoint(cfg.Endpoint), onPace: c.handlePace},
 		Origin:       platform.NewOrigin(c.origin),
 		Fleet:        c,
 		Peers:        exchange.NewClient(pool, client, "http"),
@@ -182,6 +186,8 @@
 
 // Pause implements stage.Fleet.
 func (c *Sidecar) Pause(_ context.Context, d time.Duration) {
+	c.noticeMu.Lock()
+	defer c.noticeMu.Unlock()
 	now := time.Now()
 	addrs := c.gateways.Recipients(now)
 	c.pause.Begin(now.Add(d), addrs)
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -41,6 +41,9 @@
 	Sequence int64
 	// Running and Queued are numbers of requests.
 	Running, Queued int
+	// Pace is the factor by which the endpoint is slower than its engine's figures; 0 if it is
+	// not reported.
+	Pace float64
 }
 
 // Version returns the version of model that is loaded completely, or 0.
