balance, sidecar: tests of slow endpoints and of telling the pace

The capacity test of rate-limited endpoints names the zone, which Capacity has since it was extended; it compares the whole value as before.

--- a/gateway/balance/advisory_test.go
+++ b/gateway/balance/advisory_test.go
@@ -100,7 +100,7 @@
 		b := withHeld(balancer(oneEndpoint(5, 1)), "e0")
 		Expect(b.Capacities(&q, at(0))[0].Slots).To(BeNumerically(">", 0))
 		respondAt(b, q, declared, at(0), at(100))
-		Expect(b.Capacities(&q, at(200))).To(ConsistOf(balance.Capacity{Addr: b.Capacities(&q, at(0))[0].Addr}))
+		Expect(b.Capacities(&q, at(200))).To(ConsistOf(balance.Capacity{Addr: b.Capacities(&q, at(0))[0].Addr, Zone: "a"}))
 	})
 	It("is not used as a last resort when ejected", func() {
 		b := withHeld(balancer(oneEndpoint(5, 1)), "e0")
--- /dev/null
+++ b/gateway/balance/pace_test.go
@@ -0,0 +1,191 @@
+package balance_test
+
+import (
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/work"
+	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/routes"
+)
+
+// engine makes 5 tokens of each answer in 50 ms, and prefills 1,000 tokens in 40 ms.
+var engine = &routes.Engine{
+	Slots: 12, StepTime: 10 * time.Millisecond, Stride: 5,
+	PrefillTokensPerSecond: 25000, MeanPromptTokens: 1000, MeanAnswerTokens: 100,
+}
+
+// engineEndpoints returns n endpoints with 12 slots.
+func engineEndpoints(n int) *roster.List {
+	l := endpoints(n)
+	for _, e := range l.Endpoints {
+		e.Slots = 12
+	}
+	return l
+}
+
+// withEngine makes the engine's figures known.
+func withEngine(b *balance.Balancer) *balance.Balancer {
+	b.SetServices(map[string]work.Service{"s": {Engine: engine, GapTarget: 300 * time.Millisecond}})
+	return b
+}
+
+// tell announces a pace of the endpoint at addr.
+func tell(b *balance.Balancer, addr string, pace float64, t time.Time) {
+	b.ApplyAnnouncement(balance.Announcement{Addr: addr, PausedUntil: t, Pace: pace, ReceivedAt: t})
+}
+
+// stream returns the work of a stream with a mean prompt and the given answer, in tokens.
+func stream(answer float64, left time.Duration) work.Stream {
+	w := work.StreamOf(engine, work.Tokens{Prompt: 1000, Answer: answer})
+	w.Left = left
+	return w
+}
+
+// picks returns how many of n concurrent requests for q each endpoint gets.
+func picks(b *balance.Balancer, q balance.Query, n int) map[string]int {
+	GinkgoHelper()
+	out := map[string]int{}
+	for range n {
+		out[pick(b, q, now).Record.ID]++
+	}
+	return out
+}
+
+var _ = Describe("A slow endpoint", func() {
+	q := balance.Query{Service: "s", Model: "m", MaxLoad: 1}
+	places := func(b *balance.Balancer) float64 { return b.Capacities(&q, now)[0].Places }
+
+	It("has fewer places", func() {
+		b := withEngine(balancer(engineEndpoints(1)))
+		Expect(places(b)).To(BeNumerically("==", 12))
+		tell(b, "e0:1", 2.5, now)
+		Expect(places(b)).To(BeNumerically("==", 2))
+		tell(b, "e0:1", 1, now)
+		Expect(places(b)).To(BeNumerically("==", 12))
+	})
+	It("is full with fewer requests", func() {
+		b := withEngine(balancer(engineEndpoints(1)))
+		tell(b, "e0:1", 2.5, now)
+		picks(b, q, 2)
+		_, err := b.Pick(&q, now)
+		var full *balance.FullError
+		Expect(errors.As(err, &full)).To(BeTrue())
+	})
+	It("gets requests that would otherwise be refused", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		tell(b, "e0:1", 2.5, now)
+		Expect(picks(b, q, 14)).To(Equal(map[string]int{"e0": 2, "e1": 12}))
+	})
+	It("is not preferred", func() {
+		b := withEngine(balancer(engineEndpoints(3)))
+		b.SetPreferred(map[string]bool{"e0": true, "e1": true})
+		tell(b, "e0:1", 2.5, now)
+		Expect(picks(b, q, 6)).To(Equal(map[string]int{"e1": 6}))
+	})
+	It("gets no stream whose first event would be late, while others have capacity", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		tell(b, "e0:1", 2.5, now)
+		q := q
+		q.Work = stream(50, time.Minute)
+		q.Work.FirstWithin = 200 * time.Millisecond
+		Expect(picks(b, q, 12)).To(Equal(map[string]int{"e1": 12}))
+		Expect(picks(b, q, 1)).To(Equal(map[string]int{"e0": 1}))
+	})
+	It("is known by a notice that came before its record", func() {
+		b := withEngine(balancer(engineEndpoints(0)))
+		tell(b, "e0:1", 2.5, now)
+		b.Update(engineEndpoints(1))
+		Expect(places(b)).To(BeNumerically("==", 2))
+	})
+	It("is known by a notice that came before the engine's figures", func() {
+		b := balancer(engineEndpoints(1))
+		tell(b, "e0:1", 2.5, now)
+		Expect(places(b)).To(BeNumerically("==", 12))
+		Expect(places(withEngine(b))).To(BeNumerically("==", 2))
+	})
+	It("remains slow when the notices of its sidecar tell no pace", func() {
+		b := withEngine(balancer(engineEndpoints(1)))
+		tell(b, "e0:1", 2.5, now)
+		tell(b, "e0:1", 0, at(100))
+		Expect(places(b)).To(BeNumerically("==", 2))
+	})
+	It("remains slow when its record changes", func() {
+		b := withEngine(balancer(engineEndpoints(1)))
+		tell(b, "e0:1", 2.5, now)
+		b.Update(engineEndpoints(2))
+		Expect(places(b)).To(BeNumerically("==", 2))
+	})
+	It("counts as working at its figures once its sidecar has been silent for long", func() {
+		b := withEngine(balancer(engineEndpoints(1)))
+		tell(b, "e0:1", 2.5, now)
+		b.ExpirePaces(at(30000))
+		Expect(places(b)).To(BeNumerically("==", 2))
+		b.ExpirePaces(at(30001))
+		Expect(places(b)).To(BeNumerically("==", 12))
+	})
+	It("is reported when its class changes", func() {
+		var events []balance.PaceEvent
+		b := withEngine(balance.New(balance.Config{Zone: "a", OtherLoad: noOtherLoad, Random: zeroRandom,
+			OnPaceChange: func(e balance.PaceEvent) { events = append(events, e) }}))
+		b.Update(engineEndpoints(1))
+		for _, pace := range []float64{1.2, 2.5, 2.6, 1} {
+			tell(b, "e0:1", pace, now)
+		}
+		Expect(events).To(HaveLen(2))
+		Expect(events[0]).To(Equal(balance.PaceEvent{Endpoint: "e0", Pace: 2.5, Places: 2}))
+		Expect(events[1]).To(Equal(balance.PaceEvent{Endpoint: "e0", Pace: 1, Places: 12}))
+		Expect(b.Paces()).To(BeEmpty())
+	})
+	It("costs others no places if it lies beyond all bounds", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		tell(b, "e0:1", 1e9, now)
+		Expect(picks(b, q, 13)).To(Equal(map[string]int{"e0": 1, "e1": 12}))
+	})
+})
+
+var _ = Describe("A stream that an endpoint cannot finish by the deadline", func() {
+	// An answer of 200 tokens takes 40 ms of prefill and 40 passes of 50 ms at an idle endpoint.
+	query := func(answer float64, left time.Duration) balance.Query {
+		return balance.Query{Service: "s", Model: "m", MaxLoad: 1, Work: stream(answer, left)}
+	}
+	It("goes to one that can", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		tell(b, "e0:1", 2.5, now)
+		Expect(picks(b, query(200, 4*time.Second), 6)).To(Equal(map[string]int{"e1": 6}))
+	})
+	It("goes to the only one with few requests", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		b.SetPreferred(map[string]bool{"e0": true})
+		picks(b, balance.Query{Service: "s", Model: "m", Include: []string{"e0"}}, 10)
+		Expect(picks(b, query(200, 2200*time.Millisecond), 1)).To(Equal(map[string]int{"e1": 1}))
+	})
+	It("is sent all the same if it might end in time, unless others are full", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		tell(b, "e0:1", 2.5, now)
+		q := query(200, 1500*time.Millisecond)
+		Expect(picks(b, q, 1)).To(Equal(map[string]int{"e0": 1}))
+		picks(b, balance.Query{Service: "s", Model: "m", Include: []string{"e1"}}, 12)
+		_, err := b.Pick(&q, now)
+		var full *balance.FullError
+		Expect(errors.As(err, &full)).To(BeTrue())
+	})
+	It("is refused if a quarter of its answer would not end in time anywhere", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		q := query(200, 539*time.Millisecond)
+		_, err := b.Pick(&q, now)
+		var late *balance.DeadlineError
+		Expect(errors.As(err, &late)).To(BeTrue())
+		Expect(late.Service).To(Equal("s"))
+	})
+	It("is never refused if it has begun", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		q := query(200, 100*time.Millisecond)
+		q.Work.MinEvents, q.MaxLoad = 0, 0
+		Expect(picks(b, q, 1)).To(HaveLen(1))
+	})
+})
