balance: what streams show of an endpoint corrects its pace

Cause: an endpoint whose sidecar tells nothing counts as working at its figures, and nobody sees how far estimates are off. Change: work.Observations compares pauses with those at a full endpoint, relative to all endpoints of the service; two histograms compare times seen and expected. A hedge goes only where it is expected to end.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -184,11 +184,12 @@
 	if err != nil {
 		return nil, err
 	}
+	expected := chosen.speed.Times(&q.Work, b.load(chosen), chosen.prefill)
 	chosen.addRequest(now)
 	chosen.advisory.limit.noteSent(now)
 	chosen.prefill += q.Prefill
 	chosen.health.beginProbe(now)
-	return &Lease{Record: chosen.record, balancer: b, shard: s, endpoint: chosen, prefill: q.Prefill}, nil
+	return &Lease{Record: chosen.record, balancer: b, shard: s, endpoint: chosen, prefill: q.Prefill, expected: expected}, nil
 }
 
 // SetPreferred sets the endpoints that this gateway prefers, by ID.
--- a/gateway/balance/bench_test.go
+++ b/gateway/balance/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/work"
 )
 
 // BenchmarkPick measures one selection, with the number of endpoints in current deployments
@@ -13,7 +15,8 @@
 	for _, n := range []int{45, 1900} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			lb := balancer(endpoints(n))
-			q := &balance.Query{Service: "s", Model: "m", MaxLoad: 1.25}
+			lb.SetServices(map[string]work.Service{"s": {Engine: engine, GapTarget: 300 * time.Millisecond}})
+			q := &balance.Query{Service: "s", Model: "m", MaxLoad: 1.25, Work: stream(100, 6*time.Second)}
 			b.ReportAllocs()
 			for b.Loop() {
 				l, err := lb.Pick(q, now)
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -16,6 +17,19 @@
 	endpoint *endpoint
 	// prefill is the pending prefill time of the request.
 	prefill time.Duration
+	// expected holds the expected times of the request.
+	expected work.Times
+}
+
+// Expected returns the expected times of the request, counted from Pick.
+func (l *Lease) Expected() work.Times {
+	return l.expected
+}
+
+// ObserveStream records that a stream ended whole that had the given number of events, the last of
+// which arrived the given time after the first. It corrects the estimate of the endpoint's pace.
+func (l *Lease) ObserveStream(events int, duration time.Duration) {
+	l.balancer.observe(l.shard, l.endpoint, events, duration)
 }
 
 // Holds returns the version of model that the endpoint is currently known to hold, or 0.
--- a/gateway/balance/pace.go
+++ b/gateway/balance/pace.go
@@ -82,12 +82,21 @@
 	})
 }
 
-// applyPace applies the told pace to e, which counts only if the engine's figures are known. The locks of b and s must be held.
+// applyPace determines the pace of e: what its sidecar told or else, if the engine's figures are known,
+// what its streams show. The locks of b and s must be held.
 func (b *Balancer) applyPace(s *shard, e *endpoint) {
-	pace := 1.0
-	if s.engines.Engine != nil {
-		pace = work.ClampPace(b.paces[e.record.Addr].pace)
+	pace, told := b.paces[e.record.Addr]
+	switch {
+	case s.engines.Engine == nil:
+		b.changePace(s, e, 1)
+	case told:
+		b.changePace(s, e, work.ClampPace(pace.pace))
+	default:
+		b.changePace(s, e, e.observed.Pace())
 	}
+}
+
+func (b *Balancer) changePace(s *shard, e *endpoint, pace float64) {
 	if pace == e.pace {
 		return
 	}
@@ -99,6 +108,16 @@
 	}
 }
 
+// observe corrects the estimate of the pace of e.
+func (b *Balancer) observe(s *shard, e *endpoint, events int, duration time.Duration) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.observed.Observe(&s.ratio, &e.speed, events, duration)
+	b.applyPace(s, e)
+}
+
 // PaceEvent reports that an endpoint has become slow, or no longer is.
 type PaceEvent struct {
 	// Endpoint is the endpoint's ID.
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -25,6 +25,8 @@
 	coldLimit ColdLimit
 	// engines is what is known about the service's model engines.
 	engines work.Service
+	// ratio compares the streams of all endpoints with the engines' figures.
+	ratio work.ServiceRatio
 }
 
 // endpoint is this gateway's view of one endpoint. All fields except lastByte are guarded
@@ -55,6 +57,8 @@
 	// the resulting speed.
 	pace  float64
 	speed work.Speed
+	// observed is the estimate of pace from the endpoint's streams.
+	observed work.Observations
 }
 
 // update replaces the records. The state of endpoints that remain is kept, but not across
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -214,7 +214,7 @@
 	}
 	if c.route.Kind == routes.Stream && a.exchange.Status == http.StatusOK {
 		p.checkWeightsDeadline(c, a.exchange, a.lease, a.sentAt)
-		return p.forwardStream(ctx, w, c, a.exchange, a.lease)
+		return p.forwardStream(ctx, w, c, a)
 	}
 	return p.forwardBuffered(ctx, w, c, a)
 }
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -36,6 +36,9 @@
 	now := time.Now()
 	q := p.query(c)
 	q.Healthy, q.MaxIdle = true, maxIdle
+	if !c.headSent {
+		q.Work.MinEvents = q.Work.Events // a hedge that its deadline would cut off is of no use
+	}
 	if maxLoad > 0 && (q.MaxLoad == 0 || maxLoad < q.MaxLoad) {
 		q.MaxLoad = maxLoad
 	}
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -27,7 +27,9 @@
 )
 
 // forwardStream forwards the events of a stream as they arrive.
-func (p *Proxy) forwardStream(ctx context.Context, w http.ResponseWriter, c *call, x *upstream.Exchange, lease *balance.Lease) (*verdict.Error, balance.Outcome) {
+func (p *Proxy) forwardStream(ctx context.Context, w http.ResponseWriter, c *call, a *attempt) (*verdict.Error, balance.Outcome) {
+	x, lease := a.exchange, a.lease
+	measured := streamMeasurement{resumed: c.headSent}
 	out := http.NewResponseController(w)
 	_ = out.SetWriteDeadline(c.deadline.Add(writeGrace)) // fails only if the caller has disconnected
 	var reader eventReader
@@ -41,6 +43,7 @@
 		lease.Received(time.Now())
 		if len(complete) > 0 {
 			lease.PrefillDone()
+			measured.add(time.Now())
 			p.cancelHedge(c)
 			if failure := p.forwardEvents(w, out, c, x, complete); failure != nil {
 				return failure, balance.Neutral
@@ -51,6 +54,7 @@
 				return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended inside an event"), balance.Failed
 			}
 			sendHead(w, c, x)
+			p.recordStream(a, &measured)
 			return nil, balance.Served
 		}
 		if err != nil {
@@ -59,6 +63,37 @@
 	}
 }
 
+// streamMeasurement measures the events that one endpoint sent of a stream.
+type streamMeasurement struct {
+	// resumed is set if another endpoint sent earlier events.
+	resumed     bool
+	first, last time.Time
+	events      int
+}
+
+func (m *streamMeasurement) add(now time.Time) {
+	if m.events == 0 {
+		m.first = now
+	}
+	m.last = now
+	m.events++
+}
+
+// recordStream compares a complete stream with what was expected of it at its endpoint.
+func (p *Proxy) recordStream(a *attempt, m *streamMeasurement) {
+	a.lease.ObserveStream(m.events, m.last.Sub(m.first))
+	expected := a.lease.Expected()
+	if m.resumed || m.events == 0 || expected.End == 0 {
+		return
+	}
+	p.cfg.Metrics.FirstEventRatio.Update(percentOf(m.first.Sub(a.sentAt), expected.FirstEvent))
+	p.cfg.Metrics.EndRatio.Update(percentOf(m.last.Sub(a.sentAt), expected.End))
+}
+
+func percentOf(seen, expected time.Duration) int64 {
+	return int64(100 * seen / max(expected, 1))
+}
+
 // forwardEvents writes complete events to the caller.
 func (p *Proxy) forwardEvents(w http.ResponseWriter, out *http.ResponseController, c *call, x *upstream.Exchange, complete []byte) *verdict.Error {
 	c.recordEvent(time.Now(), c.startedAt)
--- /dev/null
+++ b/gateway/work/observe.go
@@ -0,0 +1,67 @@
+package work
+
+import "time"
+
+// Constants of an estimate of an endpoint's pace from its streams.
+const (
+	// observedWeight is the weight of one stream among those of an endpoint, and serviceWeight
+	// among those of all endpoints of its service.
+	observedWeight = 1.0 / 8
+	serviceWeight  = 1.0 / 64
+	// minObserved is the number of streams before an estimate counts.
+	minObserved = 8
+	// slowAbove and normalBelow are the estimates from which an endpoint counts as slow, and
+	// below which it no longer does.
+	slowAbove   = 1.5
+	normalBelow = SlowPace
+	// maxObserved bounds the estimate. It also bounds what a gateway loses that is mistaken: the
+	// endpoint keeps a place.
+	maxObserved = 3
+	// minEventsObserved is the number of events from which the mean pause of a stream says
+	// something of its endpoint.
+	minEventsObserved = 4
+)
+
+// Observations estimates the pace of an endpoint from the pauses between the events of its streams,
+// for endpoints whose own statement is not known. It compares them with those at a full endpoint, so
+// that load alone makes no endpoint appear slow. The zero value is an estimate without streams.
+type Observations struct {
+	ratio float64
+	n     int
+	slow  bool
+}
+
+// ServiceRatio is the mean ratio of seen to expected pauses at all endpoints of a service. If a
+// gateway or its link is slow, all endpoints appear so, which says nothing of one of them. The zero
+// value is a mean without streams.
+type ServiceRatio struct {
+	ratio float64
+}
+
+// Observe adds a stream that had the given number of events, the last of which arrived the given
+// time after the first.
+func (o *Observations) Observe(all *ServiceRatio, s *Speed, events int, duration time.Duration) {
+	fullGap := float64(s.FullGap) / max(s.Pace, 1)
+	if events < minEventsObserved || fullGap <= 0 {
+		return
+	}
+	ratio := float64(duration) / float64(events-1) / fullGap
+	all.ratio += serviceWeight * (ratio - all.ratio)
+	ratio = min(ratio/max(all.ratio, 1), maxObserved)
+	o.n++
+	o.ratio += max(observedWeight, 1/float64(o.n)) * (ratio - o.ratio)
+	switch {
+	case o.n >= minObserved && o.ratio >= slowAbove:
+		o.slow = true
+	case o.ratio < normalBelow:
+		o.slow = false
+	}
+}
+
+// Pace returns the estimated pace: 1 unless the endpoint appears clearly slow.
+func (o *Observations) Pace() float64 {
+	if !o.slow {
+		return 1
+	}
+	return o.ratio
+}
--- a/gateway/work/stream.go
+++ b/gateway/work/stream.go
@@ -46,8 +46,12 @@
 	if engine == nil {
 		return Stream{}
 	}
-	n := events(engine, t.Answer)
-	return Stream{Prefill: engine.Prefill(t.Prompt), Events: n, MinEvents: minAnswerShare * n}
+	w := Stream{Prefill: engine.Prefill(t.Prompt)}
+	if t.Answer > 0 {
+		w.Events = max(events(engine, t.Answer), 1)
+		w.MinEvents = minAnswerShare * w.Events
+	}
+	return w
 }
 
 // Gap returns the mean pause between events at the given load, in streams per place.
@@ -69,6 +73,21 @@
 	return scale(w.Prefill, s.Pace) + scale(s.Gap(load), max(events, 1))
 }
 
+// Times are the expected times of a stream, counted from when it is sent to an endpoint; 0 if they
+// are unknown.
+type Times struct {
+	FirstEvent, End time.Duration
+}
+
+// Times returns the expected times of w at an endpoint with the given load and pending prefill.
+func (s *Speed) Times(w *Stream, load float64, pending time.Duration) Times {
+	if s.IdleGap == 0 || w.Events <= 0 {
+		return Times{}
+	}
+	first := s.FirstEvent(w, load, pending)
+	return Times{FirstEvent: first, End: first + scale(s.Gap(load), w.Events-1)}
+}
+
 // Fit says whether a stream can be served in time at an endpoint.
 type Fit int
 
@@ -88,10 +107,23 @@
 // prefill. A stream that is cut off by its deadline is worth nothing to its caller and takes a slot
 // until then. Only a slow endpoint is judged by the first event: elsewhere the load limit does.
 func (s *Speed) Fit(w *Stream, load float64, pending time.Duration) Fit {
+	if s.Pace < SlowPace && s.endsWhenFull(w) {
+		return InTime
+	}
+	return s.fit(w, load, pending)
+}
+
+// endsWhenFull reports whether w is expected to end in time even at a full endpoint. It is cheap,
+// since it is asked for each endpoint and each request.
+func (s *Speed) endsWhenFull(w *Stream) bool {
+	return float64(w.Prefill)*s.Pace+w.Events*float64(s.FullGap) <= float64(w.Left)
+}
+
+func (s *Speed) fit(w *Stream, load float64, pending time.Duration) Fit {
 	switch {
 	case s.IdleGap == 0 || w.Left <= 0 || w.Events <= 0:
 		return InTime
-	case s.End(w, w.MinEvents, 0) > w.Left && w.MinEvents > 0:
+	case w.MinEvents > 0 && s.End(w, w.MinEvents, 0) > w.Left:
 		return NeverEnds
 	case s.End(w, w.Events, load) > w.Left:
 		return EndsLate
