--- a/gateway/balance/pace_test.go
+++ b/gateway/balance/pace_test.go
@@ -34,9 +34,9 @@
 	return b
 }
 
-// tell announces a pace of the endpoint at addr.
-func tell(b *balance.Balancer, addr string, pace float64, t time.Time) {
-	b.ApplyAnnouncement(balance.Announcement{Addr: addr, PausedUntil: t, Pace: pace, ReceivedAt: t})
+// tell announces the pace of endpoint e0.
+func tell(b *balance.Balancer, pace float64, t time.Time) {
+	b.ApplyAnnouncement(balance.Announcement{Addr: "e0:1", PausedUntil: t, Pace: pace, ReceivedAt: t})
 }
 
 // stream returns the work of a stream with a mean prompt and the given answer, in tokens.
@@ -63,14 +63,14 @@
 	It("has fewer places", func() {
 		b := withEngine(balancer(engineEndpoints(1)))
 		Expect(places(b)).To(BeNumerically("==", 12))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		Expect(places(b)).To(BeNumerically("==", 2))
-		tell(b, "e0:1", 1, now)
+		tell(b, 1, now)
 		Expect(places(b)).To(BeNumerically("==", 12))
 	})
 	It("is full with fewer requests", func() {
 		b := withEngine(balancer(engineEndpoints(1)))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		picks(b, q, 2)
 		_, err := b.Pick(&q, now)
 		var full *balance.FullError
@@ -78,18 +78,18 @@
 	})
 	It("gets requests that would otherwise be refused", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		Expect(picks(b, q, 14)).To(Equal(map[string]int{"e0": 2, "e1": 12}))
 	})
 	It("is not preferred", func() {
 		b := withEngine(balancer(engineEndpoints(3)))
 		b.SetPreferred(map[string]bool{"e0": true, "e1": true})
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		Expect(picks(b, q, 6)).To(Equal(map[string]int{"e1": 6}))
 	})
 	It("gets no stream whose first event would be late, while others have capacity", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		q := q
 		q.Work = stream(50, time.Minute)
 		q.Work.FirstWithin = 200 * time.Millisecond
@@ -98,31 +98,31 @@
 	})
 	It("is known by a notice that came before its record", func() {
 		b := withEngine(balancer(engineEndpoints(0)))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		b.Update(engineEndpoints(1))
 		Expect(places(b)).To(BeNumerically("==", 2))
 	})
 	It("is known by a notice that came before the engine's figures", func() {
 		b := balancer(engineEndpoints(1))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		Expect(places(b)).To(BeNumerically("==", 12))
 		Expect(places(withEngine(b))).To(BeNumerically("==", 2))
 	})
 	It("remains slow when the notices of its sidecar tell no pace", func() {
 		b := withEngine(balancer(engineEndpoints(1)))
-		tell(b, "e0:1", 2.5, now)
-		tell(b, "e0:1", 0, at(100))
+		tell(b, 2.5, now)
+		tell(b, 0, at(100))
 		Expect(places(b)).To(BeNumerically("==", 2))
 	})
 	It("remains slow when its record changes", func() {
 		b := withEngine(balancer(engineEndpoints(1)))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		b.Update(engineEndpoints(2))
 		Expect(places(b)).To(BeNumerically("==", 2))
 	})
 	It("counts as working at its figures once its sidecar has been silent for long", func() {
 		b := withEngine(balancer(engineEndpoints(1)))
-		tell(b, "e0:1", 2.5, now)
+		tell(b, 2.5, now)
 		b.ExpirePaces(at(30000))
 		Expect(places(b)).To(BeNumerically("==", 2))
 		b.ExpirePaces(at(30001))
@@ -134,7 +134,7 @@
 			OnPaceChange: func(e balance.PaceEvent) { events = append(events, e) }}))
 		b.Update(engineEndpoints(1))
 		for _, pace := range []float64{1.2, 2.5, 2.6, 1} {
-			tell(b, "e0:1", pace, now)
+			tell(b, pace, now)
 		}
 		Expect(events).To(HaveLen(2))
 		Expect(events[0]).To(Equal(balance.PaceEvent{Endpoint: "e0", Pace: 2.5, Places: 2}))
@@ -143,31 +143,31 @@
 	})
 	It("costs others no places if it lies beyond all bounds", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		tell(b, "e0:1", 1e9, now)
+		tell(b, 1e9, now)
 		Expect(picks(b, q, 13)).To(Equal(map[string]int{"e0": 1, "e1": 12}))
 	})
 })
 
 var _ = Describe("A stream that an endpoint cannot finish by the deadline", func() {
 	// An answer of 200 tokens takes 40 ms of prefill and 40 passes of 50 ms at an idle endpoint.
-	query := func(answer float64, left time.Duration) balance.Query {
-		return balance.Query{Service: "s", Model: "m", MaxLoad: 1, Work: stream(answer, left)}
+	query := func(left time.Duration) balance.Query {
+		return balance.Query{Service: "s", Model: "m", MaxLoad: 1, Work: stream(200, left)}
 	}
 	It("goes to one that can", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		tell(b, "e0:1", 2.5, now)
-		Expect(picks(b, query(200, 4*time.Second), 6)).To(Equal(map[string]int{"e1": 6}))
+		tell(b, 2.5, now)
+		Expect(picks(b, query(4*time.Second), 6)).To(Equal(map[string]int{"e1": 6}))
 	})
 	It("goes to the only one with few requests", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
 		b.SetPreferred(map[string]bool{"e0": true})
 		picks(b, balance.Query{Service: "s", Model: "m", Include: []string{"e0"}}, 10)
-		Expect(picks(b, query(200, 2200*time.Millisecond), 1)).To(Equal(map[string]int{"e1": 1}))
+		Expect(picks(b, query(2200*time.Millisecond), 1)).To(Equal(map[string]int{"e1": 1}))
 	})
 	It("is sent all the same if it might end in time, unless others are full", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		tell(b, "e0:1", 2.5, now)
-		q := query(200, 1500*time.Millisecond)
+		tell(b, 2.5, now)
+		q := query(1500*time.Millisecond)
 		Expect(picks(b, q, 1)).To(Equal(map[string]int{"e0": 1}))
 		picks(b, balance.Query{Service: "s", Model: "m", Include: []string{"e1"}}, 12)
 		_, err := b.Pick(&q, now)
@@ -176,7 +176,7 @@
 	})
 	It("is refused if a quarter of its answer would not end in time anywhere", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		q := query(200, 539*time.Millisecond)
+		q := query(539*time.Millisecond)
 		_, err := b.Pick(&q, now)
 		var late *balance.DeadlineError
 		Expect(errors.As(err, &late)).To(BeTrue())
@@ -184,7 +184,7 @@
 	})
 	It("is never refused if it has begun", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		q := query(200, 100*time.Millisecond)
+		q := query(100*time.Millisecond)
 		q.Work.MinEvents, q.MaxLoad = 0, 0
 		Expect(picks(b, q, 1)).To(HaveLen(1))
 	})
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -75,6 +75,10 @@
 		c.noRetryReason = policy.Withheld.String()
 		return false
 	}
+	if last.Code == policy.CodeTooLate {
+		c.noRetryReason = policy.NoTime.String()
+		return false
+	}
 	if c.passedThrough {
 		c.noRetryReason = noRetryPassedThrough
 		return false
--- a/gateway/work/work_test.go
+++ b/gateway/work/work_test.go
@@ -165,3 +165,60 @@
 		Expect(s.FirstEvent(&w, 1, 0)).To(Equal(90*ms + s.Gap(1)/2))
 	})
 })
+
+// observe adds n streams of 11 events with the given mean pause.
+func observe(o *work.Observations, all *work.ServiceRatio, n int, gap time.Duration) {
+	s := work.SpeedOf(&service, 12, 1)
+	for range n {
+		o.Observe(all, &s, 11, 10*gap)
+	}
+}
+
+var _ = Describe("The pace that streams show", func() {
+	var o work.Observations
+	var all work.ServiceRatio
+	full := work.SpeedOf(&service, 12, 1).FullGap
+	BeforeEach(func() { o, all = work.Observations{}, work.ServiceRatio{} })
+
+	It("is 1 at a full endpoint that works at its figures", func() {
+		observe(&o, &all, 100, full)
+		Expect(o.Pace()).To(Equal(1.0))
+	})
+	It("is that of a slow one after some streams", func() {
+		observe(&o, &all, 7, 2*full)
+		Expect(o.Pace()).To(Equal(1.0))
+		observe(&o, &all, 1, 2*full)
+		Expect(o.Pace()).To(BeNumerically("~", 2, 0.01))
+	})
+	It("does not change its class with single streams", func() {
+		observe(&o, &all, 20, full)
+		observe(&o, &all, 1, 3*full)
+		Expect(o.Pace()).To(Equal(1.0))
+		observe(&o, &all, 20, 2*full)
+		observe(&o, &all, 1, full/2)
+		Expect(o.Pace()).To(BeNumerically(">", 1.5))
+	})
+	It("returns to 1", func() {
+		observe(&o, &all, 20, 2*full)
+		observe(&o, &all, 20, full)
+		Expect(o.Pace()).To(Equal(1.0))
+	})
+	It("is bounded", func() {
+		observe(&o, &all, 20, 50*full)
+		Expect(o.Pace()).To(BeNumerically("<=", 3))
+	})
+	It("is 1 if all endpoints appear slow alike", func() {
+		var others work.Observations
+		observe(&others, &all, 500, 2*full)
+		observe(&o, &all, 20, 2*full)
+		Expect(o.Pace()).To(Equal(1.0))
+	})
+	It("does not follow from short streams or without figures", func() {
+		s := work.SpeedOf(&service, 12, 1)
+		for range 20 {
+			o.Observe(&all, &s, 3, time.Minute)
+			o.Observe(&all, &work.Speed{}, 11, time.Minute)
+		}
+		Expect(o.Pace()).To(Equal(1.0))
+	})
+})
