--- a/gateway/balance/pace_test.go
+++ b/gateway/balance/pace_test.go
@@ -167,7 +167,7 @@
 	It("is sent all the same if it might end in time, unless others are full", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
 		tell(b, 2.5, now)
-		q := query(1500*time.Millisecond)
+		q := query(1500 * time.Millisecond)
 		Expect(picks(b, q, 1)).To(Equal(map[string]int{"e0": 1}))
 		picks(b, balance.Query{Service: "s", Model: "m", Include: []string{"e1"}}, 12)
 		_, err := b.Pick(&q, now)
@@ -176,7 +176,7 @@
 	})
 	It("is refused if a quarter of its answer would not end in time anywhere", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		q := query(539*time.Millisecond)
+		q := query(539 * time.Millisecond)
 		_, err := b.Pick(&q, now)
 		var late *balance.DeadlineError
 		Expect(errors.As(err, &late)).To(BeTrue())
@@ -184,7 +184,7 @@
 	})
 	It("is never refused if it has begun", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
-		q := query(100*time.Millisecond)
+		q := query(100 * time.Millisecond)
 		q.Work.MinEvents, q.MaxLoad = 0, 0
 		Expect(picks(b, q, 1)).To(HaveLen(1))
 	})
