--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -31,11 +31,20 @@
 			continue
 		}
 		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e)}
+		p.Places = e.places(now)
 		if !e.rateLimited(now) {
-			p.Places = e.speed.Places
 			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
 		}
 		out = append(out, p)
 	}
 	return out
 }
+
+// places returns the number of mean requests that e serves in time concurrently. With a rate limit,
+// for example while it is cold, no more run at once than start within the time that one takes.
+func (e *endpoint) places(now time.Time) float64 {
+	if !e.rateLimited(now) {
+		return e.speed.Places
+	}
+	return min(e.speed.Places, float64(e.speed.MeanTime)/float64(e.advisory.limit.interval(now)))
+}
--- a/gateway/balance/pace_test.go
+++ b/gateway/balance/pace_test.go
@@ -141,6 +141,18 @@
 		Expect(events[1]).To(Equal(balance.PaceEvent{Endpoint: "e0", Pace: 1, Places: 12}))
 		Expect(b.Paces()).To(BeEmpty())
 	})
+	It("has places for what it may start while it is cold", func() {
+		l := engineEndpoints(1)
+		l.Endpoints["e0"].ColdUntil = at(1000)
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: noOtherLoad, Random: zeroRandom})
+		b.SetColdLimits(map[string]balance.ColdLimit{"s": {Duration: time.Second, Rate: 2}})
+		b.Update(l)
+		Expect(places(b)).To(BeZero(), "no figures")
+		withEngine(b)
+		// A mean stream takes 40 ms of prefill and 20 passes of at least 50 ms.
+		Expect(places(b)).To(And(BeNumerically(">", 2), BeNumerically("<", 4)))
+		Expect(b.Capacities(&q, at(1000))[0].Places).To(BeNumerically("==", 12))
+	})
 	It("costs others no places if it lies beyond all bounds", func() {
 		b := withEngine(balancer(engineEndpoints(2)))
 		tell(b, 1e9, now)
--- a/gateway/work/speed.go
+++ b/gateway/work/speed.go
@@ -48,6 +48,8 @@
 	// IdleGap and FullGap are the mean pauses between events of a stream that runs alone, and of
 	// one in a full endpoint.
 	IdleGap, FullGap time.Duration
+	// MeanTime is how long a mean stream takes in a full endpoint.
+	MeanTime time.Duration
 }
 
 // SpeedOf returns the speed of an endpoint of s with the given number of slots.
@@ -59,7 +61,9 @@
 	}
 	speed.Places = float64(Places(s, slots, pace))
 	speed.IdleGap = scale(s.Engine.PassTime(1), pace)
-	speed.FullGap = steadyState(s.Engine, speed.Places, pace).gap
+	full := steadyState(s.Engine, speed.Places, pace)
+	speed.FullGap = full.gap
+	speed.MeanTime = full.prefill + scale(full.gap, events(s.Engine, s.Engine.MeanAnswerTokens))
 	return speed
 }
 
