--- a/standin/runner.go
+++ b/standin/runner.go
@@ -40,6 +40,9 @@
 	// request crashes the runner. A function that returns true must also close the runner's
 	// connections.
 	CrashOn func(id, body string) bool
+	// Pace is the factor by which the runner reports to be slower than the engine's figures; 0
+	// means that it does not report it.
+	Pace float64
 	// Cold is how long the runner is cold after its start.
 	Cold time.Duration
 	// OnArrival, if not nil, is called for each request meant for this runner, with the IDs of
@@ -158,7 +161,11 @@
 func (r *Runner) handleReport(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"models": r.loadedModels(), "busy": false, "sequence": r.sequence, "running": r.running})
+	report := map[string]any{"models": r.loadedModels(), "busy": false, "sequence": r.sequence, "running": r.running}
+	if r.cfg.Pace != 0 {
+		report["pace"] = r.cfg.Pace
+	}
+	writeJSON(w, http.StatusOK, report)
 }
 
 // handleRequest executes a request, unless it is for another endpoint or there is no slot.
