--- a/routes/estimate_test.go
+++ b/routes/estimate_test.go
@@ -31,3 +31,42 @@
 	}
 	NewWithT(t).Expect((&routes.Engine{}).MaxQueue(time.Second, 10)).To(BeZero(), "no engine parameters")
 }
+
+func TestAPassGrowsWithItsRequests(t *testing.T) {
+	g := NewWithT(t)
+	engine := routes.Engine{
+		Slots: 10, StepTime: 9 * time.Millisecond, StepTimePerRequest: 100 * time.Microsecond, StepTimePerContext: 40 * time.Microsecond,
+		Stride: 5, MeanPromptTokens: 900, MeanAnswerTokens: 200,
+	}
+	// A mean request has 1,000 tokens of context.
+	g.Expect(engine.PassTime(0)).To(Equal(45 * time.Millisecond))
+	g.Expect(engine.PassTime(1)).To(Equal(45700 * time.Microsecond))
+	g.Expect(engine.PassTime(10)).To(Equal(52 * time.Millisecond))
+}
+
+func TestThePrefillOfALongPromptTakesLongerForEachToken(t *testing.T) {
+	g := NewWithT(t)
+	engine := routes.Engine{PrefillTokensPerSecond: 20000, PrefillTimePerPairs: 500 * time.Microsecond}
+	g.Expect(engine.Prefill(2000)).To(Equal(101 * time.Millisecond))
+	g.Expect(engine.Prefill(20000)).To(Equal(1100 * time.Millisecond))
+	g.Expect((&routes.Engine{PrefillTimePerPairs: time.Second}).Prefill(2000)).To(BeZero(), "no rate")
+}
+
+func TestTheShortestGapTargetOfAService(t *testing.T) {
+	g := NewWithT(t)
+	to := func(services ...string) (out []routes.Target) {
+		for _, s := range services {
+			out = append(out, routes.Target{Service: s, Weight: 1})
+		}
+		return out
+	}
+	c := routes.New([]*routes.Route{
+		{Name: "a", Kind: routes.Stream, GapTarget: 300 * time.Millisecond, Targets: to("s", "t")},
+		{Name: "b", Kind: routes.Stream, GapTarget: 200 * time.Millisecond, Targets: to("s")},
+		{Name: "c", Kind: routes.Stream, Targets: to("s", "u")},
+		{Name: "d", Kind: routes.Safe, GapTarget: time.Millisecond, Targets: to("s")},
+	}, nil)
+	g.Expect(c.ShortestGapTarget("s")).To(Equal(200 * time.Millisecond))
+	g.Expect(c.ShortestGapTarget("t")).To(Equal(300 * time.Millisecond))
+	g.Expect(c.ShortestGapTarget("u")).To(BeZero())
+}
