--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -141,6 +141,13 @@
 mutant "a rest is a failure" gateway/proxy/answer.go 's/if adv.RetryAfter > 0/if false/' ./gateway/proxy 'TestAnEndpointThatAskedForRestOften'
 mutant "a holder lends nothing" gateway/balance/token.go 's/holderTurn \|\| opensIn > maxGrantDelay/true || holderTurn || opensIn > maxGrantDelay/' ./gateway/proxy 'TestAnEndpointWithALimitServes|TestALimitEndsWhose'
 mutant "a holder always has its turn" gateway/balance/token.go 's/holderTurn := l.lastGranted \&\& /holderTurn := /' ./gateway/proxy 'TestTheHolder'
+mutant "a slow endpoint has all its places" gateway/work/speed.go 's/if s.Engine == nil \|\| s.GapTarget <= 0 \|\| pace < SlowPace/if true/' ./gateway/balance 'TestSuite'
+mutant "a slow endpoint is preferred" gateway/balance/choice.go 's/Preferred:     e.preferred \&\& !e.slow\(\)/Preferred:     e.preferred/' ./gateway/balance 'TestSuite'
+mutant "a stream goes where it can't end" gateway/work/stream.go 's/case s.End\(w, w.Events, load\) > w.Left/case false/' ./gateway/proxy 'TestALongStreamGoes'
+mutant "a stream without time is sent" gateway/work/stream.go 's/case w.MinEvents > 0 \&\&/case false \&\&/' ./gateway/proxy 'TestAStreamThatNoEndpoint'
+mutant "the rest of a stream is refused for want of time" gateway/proxy/call.go 's/max\(w.Events-float64\(c.events\), 1\), 0/max(w.Events-float64(c.events), 1), w.Events/' ./gateway/proxy 'TestAStreamThatHasBegunIsResumed'
+mutant "a silent sidecar is believed for ever" gateway/balance/pace.go 's/if now.After\(told.until\)/if told.pace == 0 \&\& now.After(told.until)/' ./gateway/balance 'TestSuite'
+mutant "a pace is told once" sidecar/pace.go 's/if p.current > 1 \&\&/if false \&\&/' ./sidecar 'TestGatewaysAreTold'
 mutant "ends that another request explains count" gateway/poison/table.go 's/if q.Explains\(&other.Record\)/if false/' ./gateway/poison 'TestSharedCrashes'
 
 echo "$passed passed, $failed failed"
