work: an endpoint is slow only in comparison, and not for ever

Cause: streams alone told that an endpoint is slow, also where all were slow alike from the start; one that is believed slow gets few streams, so nothing corrected it.

--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -28,8 +28,8 @@
 
 // ObserveStream records that a stream ended whole that had the given number of events, the last of
 // which arrived the given time after the first. It corrects the estimate of the endpoint's pace.
-func (l *Lease) ObserveStream(events int, duration time.Duration) {
-	l.balancer.observe(l.shard, l.endpoint, events, duration)
+func (l *Lease) ObserveStream(events int, duration time.Duration, now time.Time) {
+	l.balancer.observe(l.shard, l.endpoint, events, duration, now)
 }
 
 // Holds returns the version of model that the endpoint is currently known to hold, or 0.
--- a/gateway/balance/pace.go
+++ b/gateway/balance/pace.go
@@ -56,8 +56,9 @@
 	b.applyPaces()
 }
 
-// ExpirePaces drops what sidecars told that have been silent for long. An endpoint without a told
-// pace counts as working at its engine's figures.
+// ExpirePaces drops what sidecars told that have been silent for long, and what streams showed of
+// endpoints that got none for long. An endpoint of which nothing is known counts as working at its
+// engine's figures.
 func (b *Balancer) ExpirePaces(now time.Time) {
 	expired := false
 	b.mu.Lock()
@@ -71,6 +72,13 @@
 	if expired {
 		b.applyPaces()
 	}
+	b.eachShard(func(s *shard) {
+		for _, e := range s.endpoints {
+			if e.observed.Expire(now) {
+				b.applyPace(s, e)
+			}
+		}
+	})
 }
 
 // applyPaces applies the told paces to the endpoints.
@@ -109,12 +117,12 @@
 }
 
 // observe corrects the estimate of the pace of e.
-func (b *Balancer) observe(s *shard, e *endpoint, events int, duration time.Duration) {
+func (b *Balancer) observe(s *shard, e *endpoint, events int, duration time.Duration, now time.Time) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e.observed.Observe(&s.ratio, &e.speed, events, duration)
+	e.observed.Observe(&s.ratio, &e.speed, events, duration, now)
 	b.applyPace(s, e)
 }
 
--- a/gateway/balance/pace_test.go
+++ b/gateway/balance/pace_test.go
@@ -160,6 +160,60 @@
 	})
 })
 
+var _ = Describe("An endpoint whose sidecar tells nothing", func() {
+	q := balance.Query{Service: "s", Model: "m"}
+	// observe has n streams of 11 events with pauses of the given length at an endpoint. Less than
+	// 100 ms are expected.
+	observe := func(b *balance.Balancer, id string, n int, gap time.Duration) {
+		q := q
+		q.Include = []string{id}
+		for range n {
+			l := pick(b, q, now)
+			l.ObserveStream(11, 10*gap, now)
+			l.Done(balance.Served, now)
+		}
+	}
+	observeSlow := func(b *balance.Balancer, n int) { observe(b, "e0", n, 250*time.Millisecond) }
+	// compared returns a Balancer with two endpoints, of which e1 works at the engine's figures.
+	compared := func() *balance.Balancer {
+		b := withEngine(balancer(engineEndpoints(2)))
+		observe(b, "e1", 200, 60*time.Millisecond)
+		return b
+	}
+	places := func(b *balance.Balancer) float64 { return b.Capacities(&q, now)[0].Places }
+
+	It("is slow if its streams show it", func() {
+		b := compared()
+		observeSlow(b, 7)
+		Expect(places(b)).To(BeNumerically("==", 12))
+		observeSlow(b, 1)
+		Expect(places(b)).To(BeNumerically("<", 12))
+		b.ExpirePaces(at(30001))
+		Expect(places(b)).To(BeNumerically("==", 12), "no streams for long")
+	})
+	It("works at its figures once its sidecar says so", func() {
+		b := compared()
+		observeSlow(b, 8)
+		Expect(places(b)).To(BeNumerically("<", 12))
+		tell(b, 1, now)
+		Expect(places(b)).To(BeNumerically("==", 12))
+	})
+	It("works at its figures if these are unknown", func() {
+		b := balancer(engineEndpoints(2))
+		observe(b, "e1", 200, 60*time.Millisecond)
+		observeSlow(b, 8)
+		Expect(places(b)).To(BeNumerically("==", 12))
+	})
+	It("may be gone when a stream ends", func() {
+		b := compared()
+		observeSlow(b, 7)
+		l := pick(b, q, now)
+		b.Update(engineEndpoints(0))
+		l.ObserveStream(11, 2500*time.Millisecond, now)
+		Expect(b.Paces()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("A stream that an endpoint cannot finish by the deadline", func() {
 	// An answer of 200 tokens takes 40 ms of prefill and 40 passes of 50 ms at an idle endpoint.
 	query := func(left time.Duration) balance.Query {
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -81,7 +81,7 @@
 
 // recordStream compares a complete stream with what was expected of it at its endpoint.
 func (p *Proxy) recordStream(a *attempt, m *streamMeasurement) {
-	a.lease.ObserveStream(m.events, m.last.Sub(m.first))
+	a.lease.ObserveStream(m.events, m.last.Sub(m.first), time.Now())
 	expected := a.lease.Expected()
 	if m.resumed || m.events == 0 || expected.End == 0 {
 		return
