--- a/gateway/work/stream.go
+++ b/gateway/work/stream.go
@@ -60,10 +60,10 @@
 }
 
 // FirstEvent returns when the first event of w is expected after it was sent to an endpoint, where
-// pending is the time of the prefills that wait there. A stream starts once the current pass has
-// ended, which takes half a pass in the mean.
+// pending is the time of the prefills that wait there. If others run, a stream starts once their
+// current pass has ended, which takes half a pass in the mean.
 func (s *Speed) FirstEvent(w *Stream, load float64, pending time.Duration) time.Duration {
-	wait := scale(s.Gap(load), min(load, 1)/2)
+	wait := scale(s.Gap(load), min(load*s.Places, 1)/2)
 	return wait + scale(w.Prefill+pending, s.Pace) + s.IdleGap
 }
 
