admission: who hears few others takes itself to be cut off for 20 s; tests in the proxy

Cause: a gateway that hears less than half of those it knows counted all as alive for good, so the rest of a fleet that lost two of three zones would have used a third of the room.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -50,7 +50,11 @@
 	// Covers is the number of gateways that are included, Gateways the number of other live
 	// gateways, Known that of other known gateways, dead or alive.
 	Covers, Gateways, Known int
-	Age                     time.Duration
+	// Age is the age of the oldest news.
+	Age time.Duration
+	// LostFor is the time for which less than half of the known gateways have been alive. The Gate
+	// sets it.
+	LostFor time.Duration
 }
 
 // Cause is why a request is refused.
--- a/gateway/admission/levels_test.go
+++ b/gateway/admission/levels_test.go
@@ -144,6 +144,7 @@
 		{"old news", admission.News{Demand: demandOf(45), Covers: 9, Gateways: 9, Known: 9, Age: 3 * time.Second}, 10, 50, 100},
 		{"a zone lost", admission.News{Demand: demandOf(25), Covers: 5, Gateways: 5, Known: 9}, 6, 30, 50},
 		{"cut off", admission.News{Known: 9}, 10, 50, 100},
+		{"most are lost", admission.News{Known: 9, LostFor: 20 * time.Second}, 1, 5, 50},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -80,6 +80,8 @@
 	refreshedAt time.Time
 	conditions  Conditions
 	elsewhere   int
+	// mostHeardAt is when most of the known gateways were last alive.
+	mostHeardAt time.Time
 	shortage    bool
 	changedAt   time.Time
 	levels      Levels
@@ -282,6 +284,10 @@
 	}
 	s.refreshedAt = now
 	supply, news := g.cfg.Supply(s.name, now), g.cfg.News(s.name, now)
+	if !mostLost(news) || s.mostHeardAt.IsZero() {
+		s.mostHeardAt = now
+	}
+	news.LostFor = now.Sub(s.mostHeardAt)
 	s.elsewhere = min(supply.Elsewhere, s.running)
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
@@ -315,13 +321,22 @@
 	return false
 }
 
+// cutOffTime is how long a gateway that hears less than half of the others takes itself to be cut
+// off. Callers leave a gateway that is cut off within seconds.
+const cutOffTime = 20 * time.Second
+
+// mostLost returns whether less than half of the known gateways are alive as far as is known.
+func mostLost(news News) bool {
+	return 2*news.Gateways < news.Known
+}
+
 // ConditionsFrom returns the conditions from what is known of endpoints and other gateways. News
 // that covers only some of them stands for all. A gateway that hears less than half of the gateways
-// that it knows of takes the others to be alive: it is more likely to be cut off itself, and their
-// requests still use the room.
+// that it knows of takes the others to be alive for cutOffTime: it is more likely to be cut off
+// itself, and their requests still use the room.
 func ConditionsFrom(supply Supply, news News, own Demand) Conditions {
 	others := news.Gateways
-	if 2*others < news.Known {
+	if mostLost(news) && news.LostFor < cutOffTime {
 		others = news.Known
 	}
 	c := Conditions{Room: supply.Room, Running: supply.Running, Own: own, Fleet: own, Gateways: others + 1, Covers: news.Covers, Age: news.Age}
--- /dev/null
+++ b/gateway/proxy/admission_test.go
@@ -0,0 +1,62 @@
+package proxy_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/admission"
+	"github.com/silverdeck/silverdeck/gateway/balance"
+)
+
+// useGate makes the gateway admit requests within the capacity of its endpoints.
+func (w *harness) useGate() {
+	w.gate = admission.New(admission.Config{
+		Supply: func(service string, now time.Time) admission.Supply {
+			var out admission.Supply
+			for _, c := range w.balancer.Capacities(&balance.Query{Service: service}, now) {
+				out.Room += c.Places
+				out.Running += float64(c.InFlight)
+				out.Own += float64(c.Own)
+			}
+			return out
+		},
+		News:   func(string, time.Time) admission.News { return admission.News{} },
+		Random: func() float64 { return 0 },
+	})
+	w.proxy = w.newTestProxy()
+	w.proxy.SetConfig(configuration())
+}
+
+func TestARequestThatIsNotAdmittedIsSentToNoEndpoint(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		w.useGate()
+		w.occupy(2)
+		time.Sleep(occupyTime * 3 / 4) // a shortage is seen by then
+		begun := time.Now()
+		answer := w.send(http.MethodPost, "/brief/x", "", "Deadline", "6000")
+		w.g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(answer.Header().Get(names.RetryAfter)).NotTo(BeEmpty())
+		w.g.Expect(time.Since(begun)).To(BeNumerically("<", 10*time.Millisecond), "at once")
+		line := w.logs.withMessage("not answered")[0]
+		w.g.Expect([]any{line["code"], line["verdict"], line["endpoints"]}).To(Equal([]any{"not_admitted", "not-run", nil}))
+		w.g.Expect(w.endpoints["e0"].requests).To(HaveLen(2))
+		w.g.Expect(w.metrics.NotAdmitted.Count()).To(Equal(int64(1)))
+		time.Sleep(2 * time.Second) // the shortage is over
+		w.g.Expect(w.statusFor(callerTimeout)).To(Equal(http.StatusOK))
+		w.g.Expect(w.gate.Status()[0].Admitted).To(BeZero(), "grants end with their requests")
+	}, always(occupyHandler))
+}
+
+// Work that has begun is never limited: a call keeps its grant for all attempts.
+func TestARetryNeedsNoFurtherAdmission(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		w.useGate()
+		w.setDown("e0", true)
+		w.g.Expect(w.statusFor(callerTimeout)).To(Equal(http.StatusOK), "at the other endpoint")
+		w.g.Expect(w.gate.Status()[0].Admitted).To(BeZero())
+		w.g.Expect(w.logs.withMessage("attempt failed")).To(HaveLen(1))
+	}, always(occupyHandler), always(occupyHandler))
+}
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -23,6 +23,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/header"
@@ -94,6 +95,8 @@
 	self member.Entry
 	// memory bounds the bodies that the gateway holds; nil for no limit.
 	memory *proxy.Memory
+	// gate admits requests; nil admits all.
+	gate *admission.Gate
 	// askToken asks another gateway for permission to send a request to an endpoint that it
 	// holds.
 	askToken func(context.Context, roster.Incarnation) bool
@@ -175,6 +178,7 @@
 		ReadAdvisory:    readAdvisory,
 		RequestToken:    w.askToken,
 		Memory:          w.memory,
+		Gate:            w.gate,
 		Poison:          w.poison, AcquireTrial: w.trial,
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.randomMilli.Load()) / 1000 },
 	})
