--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -36,6 +36,9 @@
 	for _, c := range g.capacities(service, now) {
 		if !c.Usable || c.Places <= 0 {
 			out.Elsewhere += c.Own
+			if c.Open {
+				out.Open++
+			}
 			continue
 		}
 		out.Room += c.Places
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -41,6 +41,9 @@
 	Elsewhere int
 	// Own is the number of this gateway's requests in Running.
 	Own float64
+	// Open is the number of other endpoints, such as cold ones, that accept one request of this
+	// gateway now.
+	Open int
 }
 
 // News is what other gateways told of a service.
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -14,13 +14,14 @@
 // supply is the room of a test, which a test may change.
 type supply struct {
 	room, running float64
+	open          int
 }
 
 // gateAlone returns the gate of a gateway that is alone and has the given room.
 func gateAlone(s *supply) *admission.Gate {
 	return admission.New(admission.Config{
 		Supply: func(string, time.Time) admission.Supply {
-			return admission.Supply{Room: s.room, Running: s.running, Own: s.running}
+			return admission.Supply{Room: s.room, Running: s.running, Own: s.running, Open: s.open}
 		},
 		News:   func(string, time.Time) admission.News { return admission.News{} },
 		Random: func() float64 { return 0 },
@@ -166,3 +167,24 @@
 	}
 	g.Expect(gate.Status()[0].Admitted).To(Equal(1))
 }
+
+// Guards against refusals while endpoints that are cold, and so don't count in the room, would
+// still accept requests.
+func TestEndpointsOutsideTheRoomAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &supply{}
+		gate, _ := full(t, s)
+		s.open = 2
+		time.Sleep(100 * time.Millisecond)
+		r := request("a", 0)
+		r.Target = 300 * time.Millisecond
+		for range 2 {
+			grant, err := gate.TryAcquire(r, time.Now())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(grant.Vacated).To(BeEmpty())
+		}
+		_, err := gate.TryAcquire(r, time.Now())
+		g.Expect(admission.AsRefused(err).Cause).To(Equal(admission.CauseShare))
+	})
+}
--- a/gateway/admission/queue.go
+++ b/gateway/admission/queue.go
@@ -36,8 +36,10 @@
 	// more, or came back before it should.
 	late bool
 	// exceeds is set if its account sends more than its share.
-	exceeds  bool
-	sequence uint64
+	exceeds bool
+	// elsewhere is set if the request takes a place outside the room.
+	elsewhere bool
+	sequence  uint64
 	// waitingOfAccount is the number of requests of its account that were waiting before it.
 	waitingOfAccount int
 	until            time.Time
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -80,6 +80,8 @@
 	refreshedAt time.Time
 	conditions  Conditions
 	elsewhere   int
+	// open is the number of requests that endpoints outside the room still accept from this gateway.
+	open int
 	// mostHeardAt is when most of the known gateways were last alive.
 	mostHeardAt time.Time
 	shortage    bool
@@ -112,7 +114,7 @@
 	}
 	s.update(g, now)
 	if !s.shortage {
-		return s.admit(g, &q, now), nil, nil
+		return s.admit(g, &q, false, now), nil, nil
 	}
 	w := &waiter{request: &q, returned: returned, late: late || early, exceeds: !a.take(now), until: now}
 	s.queue.prepare(w)
@@ -120,7 +122,7 @@
 	cause := s.check(w, now)
 	if cause == "" {
 		g.cfg.OnDecision(Decision{Service: s.name, Returned: returned})
-		return s.admit(g, &q, now), nil, nil
+		return s.admit(g, &q, w.elsewhere, now), nil, nil
 	}
 	limit := WaitLimit(q.Target, q.Elapsed)
 	if ShouldWait(s.queue.ahead(w), s.ends.rate(endsWindow, now), limit) {
@@ -144,6 +146,11 @@
 	if s.fits(w, now) { // requests that wait don't, or dispatch would have admitted them
 		return ""
 	}
+	if s.open > 0 && !w.late && !w.exceeds {
+		s.open--
+		w.elsewhere = true
+		return ""
+	}
 	switch {
 	case w.late && w.request.Elapsed < MinReturn:
 		return CauseEarly
@@ -183,12 +190,18 @@
 	})
 }
 
-// admit counts an admitted request.
-func (s *service) admit(g *Gate, r *Request, now time.Time) *Grant {
+// admit counts an admitted request. elsewhere is set if it is meant for an endpoint outside the room.
+func (s *service) admit(g *Gate, r *Request, elsewhere bool, now time.Time) *Grant {
 	s.running++
 	s.byRank[r.Rank]++
 	s.accounts.get(r.Account).running++
-	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, estimate: r.SlotTime, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
+	grant := &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, estimate: r.SlotTime, begunAt: now, Enforced: s.shortage}
+	if elsewhere {
+		s.elsewhere++
+	} else {
+		grant.Vacated = s.vacated.take(now)
+	}
+	return grant
 }
 
 // refuse returns the refusal of w and counts its caller among those that will return.
@@ -255,7 +268,7 @@
 		switch {
 		case !s.shortage || s.fits(w, now):
 			g.cfg.OnDecision(Decision{Service: s.name, Waited: true, Returned: w.returned})
-			w.done <- result{grant: s.admit(g, w.request, now)}
+			w.done <- result{grant: s.admit(g, w.request, false, now)}
 		case !now.Before(w.until):
 			w.done <- result{err: s.refuse(g, w, CauseWaited, true, now)}
 		default:
@@ -288,7 +301,7 @@
 		s.mostHeardAt = now
 	}
 	news.LostFor = now.Sub(s.mostHeardAt)
-	s.elsewhere = min(supply.Elsewhere, s.running)
+	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
 	changed := short != s.shortage
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -15,6 +15,8 @@
 	// Places is the number of mean requests that it serves in time concurrently: Slots, or
 	// fewer for a slow or cold endpoint.
 	Places float64
+	// Open is set if the endpoint has a rate limit and accepts a request of this gateway now.
+	Open bool
 	// Usable is set if the endpoint accepts requests for the query.
 	Usable bool
 }
@@ -33,7 +35,9 @@
 			continue
 		}
 		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e), Own: e.inFlight}
-		if !e.rateLimited(now) {
+		if e.rateLimited(now) {
+			p.Open = e.eligible(q) && b.usable(e, now) && e.opensIn(now) == 0
+		} else {
 			p.Places = float64(e.record.Slots)
 			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
 		}
