admission: a shortage needs a demand as large as the room

Cause: endpoints that stand still for a moment run as many requests as there is room for at half of the demand.

--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -79,19 +79,17 @@
 const (
 	// beginDemand and beginRunning are the demand and the running requests at which a shortage
 	// begins, endDemand and endRunning those below which it ends.
-	beginDemand, beginRunning = 1.0, 1.0
-	endDemand, endRunning     = 0.92, 0.85
-	// minRunning is the least number of running requests during a shortage, whatever the demand is.
-	minRunning = 0.7
+	beginDemand, beginRunning = 1.0, 0.85
+	endDemand, endRunning     = 0.92, 0.7
 	// minShortage is how long a shortage lasts at least. It is longer than the news of requests
 	// takes to reach all gateways.
 	minShortage = time.Second
 )
 
 // InShortage returns whether the room is short. current and since are the last result and the time
-// since it changed. Demand alone is not enough: the estimates of work may be wrong, and on calm
-// days no request may be refused while there is room. Nor are the running requests: they show a
-// jump of demand only after the endpoints are full.
+// since it changed. Demand alone is not enough: the estimates of work may be too high, and on calm
+// days no request may be refused while there is room. Nor are the running requests: endpoints that
+// stand still for a moment are full, but have room again before a refused caller returns.
 func InShortage(c *Conditions, current bool, since time.Duration) bool {
 	target := c.Target()
 	if target < float64(c.Gateways) {
@@ -99,9 +97,9 @@
 	}
 	demand, running := c.Fleet.Recent.Total(), c.Running
 	if !current {
-		return running >= beginRunning*target || demand >= beginDemand*target && running >= minRunning*target
+		return demand >= beginDemand*target && running >= beginRunning*target
 	}
-	return since < minShortage || running >= endRunning*target || demand >= endDemand*target && running >= minRunning*target
+	return since < minShortage || demand >= endDemand*target && running >= endRunning*target
 }
 
 // Limits on the requests that one gateway runs during a shortage.
