--- a/gateway/proxy/admission_test.go
+++ b/gateway/proxy/admission_test.go
@@ -36,9 +36,12 @@
 		const rounds = 8
 		for range rounds {
 			w.occupy(3)
-			time.Sleep(occupyWait)
+			time.Sleep(occupyTime * 3 / 4)
+			w.statusFor(callerTimeout)
+			time.Sleep(occupyWait / 2)
 		}
 		w.occupy(3)
+		time.Sleep(occupyTime * 3 / 4)
 		begun := time.Now()
 		answer := w.send(http.MethodPost, "/brief/x", "", "Deadline", "6000")
 		w.g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
@@ -55,7 +58,7 @@
 		w.g.Expect(notAdmitted).To(BeNumerically(">", 0))
 		w.g.Expect(lines[len(lines)-1]["code"]).To(Equal("not_admitted"))
 		w.g.Expect(w.metrics.NotAdmitted.Count()).To(Equal(int64(notAdmitted)))
-		w.g.Expect(w.endpoints["e0"].requests).To(HaveLen(3*(rounds+1) + 1 - len(lines)))
+		w.g.Expect(w.endpoints["e0"].requests).To(HaveLen(4*(rounds+1) - len(lines)))
 		time.Sleep(5 * time.Second) // the shortage is over
 		w.g.Expect(w.statusFor(callerTimeout)).To(Equal(http.StatusOK))
 		w.g.Expect(w.gate.Status()[0].Admitted).To(BeZero(), "grants end with their requests")
