--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -41,6 +41,9 @@
 	Elsewhere int
 	// Own is the number of this gateway's requests in Running.
 	Own float64
+	// Open is the number of other endpoints, such as cold ones, that accept one request of this
+	// gateway now.
+	Open int
 }
 
 // News is what other gateways told of a service.
@@ -50,7 +53,11 @@
 	// Covers is the number of gateways that are included, Gateways the number of other live
 	// gateways, Known that of other known gateways, dead or alive.
 	Covers, Gateways, Known int
-	Age                     time.Duration
+	// Age is the age of the oldest news.
+	Age time.Duration
+	// LostFor is the time for which less than half of the known gateways have been alive. The Gate
+	// sets it.
+	LostFor time.Duration
 }
 
 // Cause is why a request is refused.
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -80,6 +80,10 @@
 	refreshedAt time.Time
 	conditions  Conditions
 	elsewhere   int
+	// open is the number of requests that endpoints outside the room still accept from this gateway.
+	open int
+	// mostHeardAt is when most of the known gateways were last alive.
+	mostHeardAt time.Time
 	shortage    bool
 	changedAt   time.Time
 	levels      Levels
@@ -110,7 +114,7 @@
 	}
 	s.update(g, now)
 	if !s.shortage {
-		return s.admit(g, &q, now), nil, nil
+		return s.admit(g, &q, false, now), nil, nil
 	}
 	w := &waiter{request: &q, returned: returned, late: late || early, exceeds: !a.take(now), until: now}
 	s.queue.prepare(w)
@@ -118,7 +122,7 @@
 	cause := s.check(w, now)
 	if cause == "" {
 		g.cfg.OnDecision(Decision{Service: s.name, Returned: returned})
-		return s.admit(g, &q, now), nil, nil
+		return s.admit(g, &q, w.elsewhere, now), nil, nil
 	}
 	limit := WaitLimit(q.Target, q.Elapsed)
 	if ShouldWait(s.queue.ahead(w), s.ends.rate(endsWindow, now), limit) {
@@ -142,6 +146,11 @@
 	if s.fits(w, now) { // requests that wait don't, or dispatch would have admitted them
 		return ""
 	}
+	if s.open > 0 && !w.late && !w.exceeds {
+		s.open--
+		w.elsewhere = true
+		return ""
+	}
 	switch {
 	case w.late && w.request.Elapsed < MinReturn:
 		return CauseEarly
@@ -181,12 +190,18 @@
 	})
 }
 
-// admit counts an admitted request.
-func (s *service) admit(g *Gate, r *Request, now time.Time) *Grant {
+// admit counts an admitted request. elsewhere is set if it is meant for an endpoint outside the room.
+func (s *service) admit(g *Gate, r *Request, elsewhere bool, now time.Time) *Grant {
 	s.running++
 	s.byRank[r.Rank]++
 	s.accounts.get(r.Account).running++
-	return &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, estimate: r.SlotTime, begunAt: now, Enforced: s.shortage, Vacated: s.vacated.take(now)}
+	grant := &Grant{gate: g, service: s, rank: r.Rank, account: r.Account, estimate: r.SlotTime, begunAt: now, Enforced: s.shortage}
+	if elsewhere {
+		s.elsewhere++
+	} else {
+		grant.Vacated = s.vacated.take(now)
+	}
+	return grant
 }
 
 // refuse returns the refusal of w and counts its caller among those that will return.
@@ -253,7 +268,7 @@
 		switch {
 		case !s.shortage || s.fits(w, now):
 			g.cfg.OnDecision(Decision{Service: s.name, Waited: true, Returned: w.returned})
-			w.done <- result{grant: s.admit(g, w.request, now)}
+			w.done <- result{grant: s.admit(g, w.request, false, now)}
 		case !now.Before(w.until):
 			w.done <- result{err: s.refuse(g, w, CauseWaited, true, now)}
 		default:
@@ -282,7 +297,11 @@
 	}
 	s.refreshedAt = now
 	supply, news := g.cfg.Supply(s.name, now), g.cfg.News(s.name, now)
-	s.elsewhere = min(supply.Elsewhere, s.running)
+	if !mostLost(news) || s.mostHeardAt.IsZero() {
+		s.mostHeardAt = now
+	}
+	news.LostFor = now.Sub(s.mostHeardAt)
+	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
 	changed := short != s.shortage
@@ -315,13 +334,22 @@
 	return false
 }
 
+// cutOffTime is how long a gateway that hears less than half of the others takes itself to be cut
+// off. Callers leave a gateway that is cut off within seconds.
+const cutOffTime = 20 * time.Second
+
+// mostLost returns whether less than half of the known gateways are alive as far as is known.
+func mostLost(news News) bool {
+	return 2*news.Gateways < news.Known
+}
+
 // ConditionsFrom returns the conditions from what is known of endpoints and other gateways. News
 // that covers only some of them stands for all. A gateway that hears less than half of the gateways
-// that it knows of takes the others to be alive: it is more likely to be cut off itself, and their
-// requests still use the room.
+// that it knows of takes the others to be alive for cutOffTime: it is more likely to be cut off
+// itself, and their requests still use the room.
 func ConditionsFrom(supply Supply, news News, own Demand) Conditions {
 	others := news.Gateways
-	if 2*others < news.Known {
+	if mostLost(news) && news.LostFor < cutOffTime {
 		others = news.Known
 	}
 	c := Conditions{Room: supply.Room, Running: supply.Running, Own: own, Fleet: own, Gateways: others + 1, Covers: news.Covers, Age: news.Age}
