--- a/sidecar/stage/target.go
+++ b/sidecar/stage/target.go
@@ -41,6 +41,7 @@
 	case s.wake <- struct{}{}:
 	default:
 	}
+	s.wakeFetchLoop()
 	return true
 }
 
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -12,8 +12,6 @@
 // download reports that it is blocked.
 const maxOriginCorrupt = 3
 
-var DebugRead func(self Member, c, rank int, home bool, due, at, start time.Duration, postponed int)
-
 // readOrigin reads chunk c from the origin within this member's quota and rate limit. It returns
 // false if the chunk may not be read now.
 func (d *Download) readOrigin(ctx context.Context, c, rank int) bool {
@@ -24,11 +22,6 @@
 	if err := d.schedule.limiter.WaitN(ctx, int(n)); err != nil {
 		return true
 	}
-	if DebugRead != nil {
-		d.mu.Lock()
-		DebugRead(d.self, c, rank, d.schedule.home[c], time.Since(d.schedule.due[c]), time.Since(d.schedule.originAt[c]), time.Since(d.schedule.start), d.schedule.postponed[c])
-		d.mu.Unlock()
-	}
 	b, err := d.origin.ReadChunk(ctx, off, n)
 	if ctx.Err() != nil {
 		return true
