--- a/exchange/server_test.go
+++ b/exchange/server_test.go
@@ -96,3 +96,41 @@
 		NewWithT(t).Expect(rejected).To(Equal(2))
 	})
 }
+
+// readingSets are Sets of which one chunk is being read from the origin.
+type readingSets struct{ *exchange.Sets }
+
+func (readingSets) Reading(weights.Digest, int) bool { return true }
+
+// Guards against a region that asks for a chunk over and over until it has been read, each time a
+// bit too early.
+func TestARequestForAFirstCopyWaitsForAReadInProgress(t *testing.T) {
+	for _, c := range []struct {
+		name, query  string
+		arrivesAfter time.Duration
+		status       int
+		elapsed      time.Duration
+	}{
+		{"it arrives soon", "?first", 100 * time.Millisecond, http.StatusOK, 100 * time.Millisecond},
+		{"it arrives late", "?first", time.Second, http.StatusTooEarly, 250 * time.Millisecond},
+		{"another copy", "", 100 * time.Millisecond, http.StatusTooEarly, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			data := make([]byte, chunkSize)
+			m, err := weights.NewManifest(bytes.NewReader(data), chunkSize)
+			g.Expect(err).NotTo(HaveOccurred())
+			sets := exchange.NewSets()
+			set, _ := sets.Add(m)
+			mux := http.NewServeMux()
+			exchange.NewServer(readingSets{sets}, 1).Register(mux)
+			time.AfterFunc(c.arrivesAfter, func() { _, _ = set.Put(0, data) })
+			start := time.Now()
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/chunks/"+set.Root().String()+"/0"+c.query, nil))
+			g.Expect(w.Code).To(Equal(c.status), c.name)
+			g.Expect(time.Since(start)).To(Equal(c.elapsed), c.name)
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -36,12 +36,16 @@
 	byVersion map[int64]*fetching
 	// first is the version that was read from the origin first when this was last decided.
 	first int64
+	// resumed is set while the older version is fetched from members only.
+	resumed bool
 }
 
 // fetchLoop keeps fetching the wanted versions of each model until ctx is canceled.
 func (s *Stager) fetchLoop(ctx context.Context) {
 	models := map[string]*fetches{}
+	failing := false
 	for ctx.Err() == nil {
+		failing = s.logOrigin(failing)
 		for _, model := range s.models() {
 			f := models[model]
 			if f == nil {
@@ -54,6 +58,18 @@
 	}
 }
 
+// logOrigin logs whether the origin fails if that differs from before, and returns it.
+func (s *Stager) logOrigin(before bool) bool {
+	failing := s.originStatus.Failing()
+	switch {
+	case failing && !before:
+		s.cfg.Log.Warn("origin lost")
+	case !failing && before:
+		s.cfg.Log.Info("origin regained")
+	}
+	return failing
+}
+
 // awaitFetchEvent waits for pollInterval or until a download begins.
 func (s *Stager) awaitFetchEvent(ctx context.Context) {
 	t := time.NewTimer(pollInterval)
@@ -167,7 +183,7 @@
 		}
 	}
 	if len(wanted) < 2 {
-		f.first = 0
+		f.first, f.resumed = 0, false
 		for _, t := range wanted {
 			s.fetchAlone(model, t.version)
 		}
@@ -191,7 +207,22 @@
 		return
 	}
 	b.ReadAfter(nil)
-	a.SetMode(s.modeBehindNewest(model, older.version, f.byVersion[newest.version], p))
+	mode := s.modeBehindNewest(model, older.version, f.byVersion[newest.version], p)
+	a.SetMode(mode)
+	if resumed := mode == swarm.ModeMembers; resumed != f.resumed {
+		f.resumed = resumed
+		s.logResumed(model, older.version, newest.version, resumed)
+	}
+}
+
+// logResumed logs that an older version, which waits for the newest one, is fetched from other
+// VMs.
+func (s *Stager) logResumed(model string, older, newest int64, resumed bool) {
+	if !resumed {
+		return
+	}
+	s.cfg.Log.Info("resuming download of older weights", "model", model, "version", older,
+		"have", s.chunkCount(model, older), "instead", newest, "haveOfThat", s.chunkCount(model, newest))
 }
 
 // modeBehindNewest returns where an older version takes chunks from while the newest one is
