--- a/sidecar/stage/twoversions_test.go
+++ b/sidecar/stage/twoversions_test.go
@@ -159,7 +159,7 @@
 	for i, m := range f.list {
 		group.Go(func() { f.runVM(ctx, i, f.vms[m.VM], roots) })
 	}
-	for time.Since(f.began) < until {
+	for time.Since(f.began) < until && !f.allWhole() {
 		time.Sleep(10 * time.Millisecond)
 		f.observe(roots)
 	}
@@ -270,6 +270,16 @@
 	}
 }
 
+// allWhole returns whether all VMs have all versions.
+func (f *stagedFleet) allWhole() bool {
+	for _, at := range f.wholeAt {
+		if len(at) < len(f.vms) {
+			return false
+		}
+	}
+	return true
+}
+
 // times returns when a version was complete on the first, the median and the last VM that wants
 // it. VMs without it count as never.
 func (f *stagedFleet) times(version int64) (first, half, last time.Duration) {
