--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -261,14 +261,14 @@
 // newerIn returns the expected time until a version newer than t is complete, or 0.
 func (s *Stager) newerIn(model string, t target) time.Duration {
 	newest := s.target(model)
-	if newest.version <= t.version || t.completedAt.IsZero() {
+	if newest.version <= t.version {
 		return 0
 	}
-	have, total := 0, 0
+	d := Download{Named: newest.firstSeen}
 	if set := s.holdings.lookup(model, newest.version); set != nil {
-		have, total = set.Len(), len(set.Manifest().Chunks)
+		d.Have, d.Total = set.Len(), len(set.Manifest().Chunks)
 	}
-	return TimeToComplete(have, total, time.Since(newest.firstSeen), t.completedAt.Sub(t.firstSeen))
+	return TimeToComplete(d, Download{Named: t.firstSeen, Completed: t.completedAt}, time.Now())
 }
 
 // logAndBackOff logs a failed step and waits before the next one.
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -51,20 +51,34 @@
 	return l.Scheduled && l.RetryAfter <= maxScheduledRetry
 }
 
-// TimeToComplete returns the expected time until a version is complete, of which have of total
-// chunks arrived within elapsed. earlier is how long the preceding version took; 0 if unknown. Most
-// chunks arrive late, once other VMs have them, so that they say little before that time has passed.
-// It returns 0 if nothing can be said.
-func TimeToComplete(have, total int, elapsed, earlier time.Duration) time.Duration {
-	if earlier <= 0 {
+// Download is the state of the download of a version.
+type Download struct {
+	// Named is when the version became known, Completed when all its chunks were present; zero
+	// before that.
+	Named, Completed time.Time
+	// Have is the number of chunks present of Total, which is 0 before the manifest is.
+	Have, Total int
+}
+
+// TimeToComplete returns the expected time until d is complete, or 0 if nothing can be said. It takes
+// as long as that of the earlier version, after which it began. Most chunks arrive late, once other
+// VMs have them, so that those that are missing say little before that time has passed.
+func TimeToComplete(d, earlier Download, now time.Time) time.Duration {
+	usual := earlier.Completed.Sub(earlier.Named)
+	if earlier.Completed.IsZero() || usual <= 0 {
 		return 0
 	}
+	began := d.Named
+	if earlier.Completed.After(began) {
+		began = earlier.Completed
+	}
+	elapsed := now.Sub(began)
 	missing := 1.0
-	if total > 0 {
-		missing -= float64(have) / float64(total)
+	if d.Total > 0 {
+		missing -= float64(d.Have) / float64(d.Total)
 	}
-	stalled := time.Duration(missing * float64(max(earlier, elapsed)) / 2)
-	return max(earlier-elapsed, stalled, time.Millisecond)
+	stalled := time.Duration(missing * float64(max(usual, elapsed)) / 2)
+	return max(usual-elapsed, stalled, time.Millisecond)
 }
 
 // SwitchTime returns the time at which an endpoint switches to other weights without a
