--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -157,12 +157,10 @@
 func (s *Stager) prepare(ctx context.Context, model string, held int64, running int, lease Lease) preparation {
 	end, _ := s.history.Deadline(model, held)
 	if FinishesRequests(lease, time.Until(end)) {
-		s.cfg.Fleet.Pause(ctx, finishTimeout)
-		wait.For(ctx, noticeDelay)
-		return preparation{finish: true, left: running}
+		return preparation{finish: true, left: s.drain(ctx, 0, finishTimeout)}
 	}
 	drain := s.leasedDrain(model, held, running, lease)
-	return preparation{drain: drain, left: s.drain(ctx, drain)}
+	return preparation{drain: drain, left: s.drain(ctx, drain, drain+loadPauseDuration)}
 }
 
 // loadCrashes counts consecutive loads of a version during which the endpoint terminated.
@@ -240,12 +238,12 @@
 	return s.drainTime(model, held, 0)
 }
 
-// drain asks gateways to stop sending requests and waits up to limit for running requests
-// to end. It waits up to queueTimeout for requests that gateways sent before they received
+// drain asks gateways to stop sending requests for the time pause, waits up to limit for running
+// requests to end, and returns how many are left. It waits up to queueTimeout for requests that gateways sent before they received
 // the pause and that are still queued: they would begin on the old weights, and past their
 // limit if this VM were suspended now.
-func (s *Stager) drain(ctx context.Context, limit time.Duration) (cut int) {
-	s.cfg.Fleet.Pause(ctx, limit+loadPauseDuration)
+func (s *Stager) drain(ctx context.Context, limit, pause time.Duration) (left int) {
+	s.cfg.Fleet.Pause(ctx, pause)
 	wait.For(ctx, noticeDelay)
 	began := time.Now()
 	for {
@@ -255,17 +253,17 @@
 		running := err != nil || report.Running > 0
 		waits := (queued && waited < queueTimeout) || (running && waited < limit)
 		if err == nil {
-			cut = report.Running
+			left = report.Running
 		}
 		if !waits || !wait.For(ctx, queuePollInterval) {
-			return cut
+			return left
 		}
 	}
 }
 
-// awaitLoaded waits up to limit until the endpoint runs a version and notifies the gateways. ordered is
-// the state right after the order was accepted; an endpoint that has restarted since has lost
-// the order. It returns whether the endpoint restarted or is unreachable.
+// awaitLoaded waits up to limit until the endpoint runs a version and notifies the gateways.
+// ordered is the state right after the order was accepted; an endpoint that has restarted since
+// has lost the order. It returns whether the endpoint restarted or is unreachable.
 func (s *Stager) awaitLoaded(ctx context.Context, model string, version int64, limit time.Duration, ordered *Report) (restarted bool) {
 	began := time.Now()
 	away := false
