--- a/leases/leases.go
+++ b/leases/leases.go
@@ -1,14 +1,13 @@
 // Package leases grants endpoints leases for loading weights. An endpoint that holds a lease
 // drains and loads while the other endpoints of the service handle its requests.
 //
-// The package holds the leases granted by this gateway and the rule by which they are granted.
+// The package holds the leases granted by this gateway and the rules by which they are granted.
 // The caller supplies the state of the endpoints. One gateway, selected by hashing the service
 // name, grants all leases of a service. If two gateways both consider themselves the owner, more
 // endpoints may load at once than the rule allows; nothing else depends on there being one.
 package leases
 
 import (
-	"sync"
 	"time"
 
 	"github.com/silverdeck/silverdeck/rendezvous"
@@ -61,8 +60,7 @@
 
 // CanGrant returns whether the endpoint of vm may drain while those of the VMs in held drain as
 // well. As many may drain at once as leave enough capacity for all requests. If the load leaves
-// no spare capacity, no lease is granted, and endpoints change weights without one, spread over
-// the time that they have.
+// no spare capacity, Needed tells how many change at once.
 func CanGrant(f *Fleet, held map[string]bool, vm string) bool {
 	slots, unavailable := 0.0, 0
 	for _, e := range f.Endpoints {
@@ -106,104 +104,3 @@
 func Owner(service string, gateways []string) string {
 	return rendezvous.Choose(service, gateways)
 }
-
-// Table holds the granted leases. It is safe for concurrent use.
-type Table struct {
-	mu sync.Mutex
-	// expiresAt holds the expiry of leases by service and VM.
-	expiresAt map[string]map[string]time.Time
-	// waiting holds the latest refused requests by service and VM.
-	waiting map[string]map[string]waiter
-}
-
-// waiter is an endpoint whose request for a lease was refused.
-type waiter struct {
-	running int
-	at      time.Time
-}
-
-// NewTable returns an empty Table.
-func NewTable() *Table {
-	return &Table{expiresAt: map[string]map[string]time.Time{}, waiting: map[string]map[string]waiter{}}
-}
-
-// Acquire grants the endpoint of vm a lease for d if CanGrant allows it, and returns whether it
-// did. A lease that the endpoint already holds is renewed.
-func (t *Table) Acquire(service, vm string, f *Fleet, d time.Duration, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !CanGrant(f, t.held(service, now), vm) {
-		return false
-	}
-	t.grant(service, vm, now.Add(d))
-	return true
-}
-
-// Schedule grants a lease for d if Decide allows the change. A lease that the endpoint already
-// holds is renewed.
-func (t *Table) Schedule(service string, c Change, f *Fleet, d time.Duration, now time.Time) Grant {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	waiting := t.waitingRunning(service, c.VM, RetryAfter(len(f.Endpoints)), now)
-	g := Decide(c, f, t.held(service, now), waiting)
-	if g.Given {
-		delete(t.waiting[service], c.VM)
-		t.grant(service, c.VM, now.Add(d))
-		return g
-	}
-	if t.waiting[service] == nil {
-		t.waiting[service] = map[string]waiter{}
-	}
-	t.waiting[service][c.VM] = waiter{running: c.Running, at: now}
-	return g
-}
-
-// held returns the VMs that hold leases of a service. The caller must hold t.mu.
-func (t *Table) held(service string, now time.Time) map[string]bool {
-	held := map[string]bool{}
-	for vm, until := range t.expiresAt[service] {
-		if now.Before(until) {
-			held[vm] = true
-		} else {
-			delete(t.expiresAt[service], vm)
-		}
-	}
-	return held
-}
-
-// grant records a lease. The caller must hold t.mu.
-func (t *Table) grant(service, vm string, until time.Time) {
-	if t.expiresAt[service] == nil {
-		t.expiresAt[service] = map[string]time.Time{}
-	}
-	t.expiresAt[service][vm] = until
-}
-
-// waitingRunning returns the numbers of running requests of the endpoints, other than that of vm,
-// that wait for a lease of a service. An endpoint that has not asked again in time waits no longer.
-// The caller must hold t.mu.
-func (t *Table) waitingRunning(service, vm string, retry time.Duration, now time.Time) []int {
-	var out []int
-	for other, w := range t.waiting[service] {
-		switch {
-		case now.Sub(w.at) > waitingRetries*retry:
-			delete(t.waiting[service], other)
-		case other != vm:
-			out = append(out, w.running)
-		}
-	}
-	return out
-}
-
-// waitingRetries is the number of retry intervals after which an endpoint that has not asked again
-// no longer waits: the interval itself, and as much for the sidecar's polling and the way.
-const waitingRetries = 2
-
-// Release ends the lease of the endpoint of vm, if it holds one.
-func (t *Table) Release(vm string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, held := range t.expiresAt {
-		delete(held, vm)
-	}
-}
--- a/leases/pace.go
+++ b/leases/pace.go
@@ -116,7 +116,7 @@
 	needed, drain := Needed(p)
 	g.Needed = needed
 	switch {
-	case SkipsVersion(p):
+	case SkipsVersion(p): // refused
 	case CanGrant(f, held, c.VM):
 		g.Given, g.Spare = true, true
 	default:
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -24,8 +24,8 @@
 	return first
 }
 
-// LatestSwitch returns the time at which an endpoint switches if it has not been granted a
-// lease until then. The parameters are those of SwitchTime.
+// LatestSwitch returns the time at which an endpoint switches that waits for a lease from a gateway
+// that keeps no schedule, and has not been granted one until then. The parameters are those of SwitchTime.
 func LatestSwitch(replaced time.Time, limit time.Duration) time.Time {
 	return replaced.Add(time.Duration(latestSwitchShare * float64(limit)))
 }
@@ -41,8 +41,8 @@
 }
 
 // maxScheduledRetry is the longest interval between lease requests with which the grantor can spread
-// the changes: a third of a load's time per endpoint. In a larger fleet, endpoints change at their
-// own times.
+// the changes. If more endpoints wait, each asks so rarely that leases would be granted too late, and
+// endpoints change at their own times.
 const maxScheduledRetry = 500 * time.Millisecond
 
 // FollowsSchedule returns whether an endpoint waits for the lease that it was promised instead of
