--- a/leases/leases.go
+++ b/leases/leases.go
@@ -54,6 +54,9 @@
 	// maxUtilization is the largest share of the remaining endpoints' slots that may be in use
 	// once these endpoints handle all requests. Above it, requests queue behind each other.
 	maxUtilization = 0.75
+	// maxLastUtilization is that share for an endpoint that changes at the last moment: without
+	// a lease, its load cuts its streams.
+	maxLastUtilization = 0.9
 	// maxUnavailableShare is the largest share of the endpoints that may be unavailable.
 	maxUnavailableShare = 0.5
 )
@@ -62,6 +65,12 @@
 // well. As many may drain at once as leave enough capacity for all requests. If the load leaves
 // no spare capacity, Needed tells how many change at once.
 func CanGrant(f *Fleet, held map[string]bool, vm string) bool {
+	return f.canSpare(held, vm, maxUtilization)
+}
+
+// canSpare returns whether the endpoints other than those of vm and of the VMs in held serve all
+// requests with at most the given share of their slots.
+func (f *Fleet) canSpare(held map[string]bool, vm string, utilization float64) bool {
 	slots, unavailable := 0.0, 0
 	for _, e := range f.Endpoints {
 		if e.VM == vm || e.Unavailable || held[e.VM] {
@@ -70,7 +79,7 @@
 		}
 		slots += e.Slots
 	}
-	return float64(unavailable) <= maxUnavailableShare*float64(len(f.Endpoints)) && f.demand() <= maxUtilization*slots
+	return float64(unavailable) <= maxUnavailableShare*float64(len(f.Endpoints)) && f.demand() <= utilization*slots
 }
 
 // CanGrantLater returns whether a lease that was refused can be expected later: without the endpoint
--- a/leases/pace.go
+++ b/leases/pace.go
@@ -117,7 +117,7 @@
 	g.Needed = needed
 	switch {
 	case SkipsVersion(p): // refused
-	case CanGrant(f, held, c.VM):
+	case CanGrant(f, held, c.VM) || c.Remaining <= 0 && f.canSpare(held, c.VM, maxLastUtilization):
 		g.Given, g.Spare = true, true
 	default:
 		g.Given = fewer(waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
--- a/leases/pace_test.go
+++ b/leases/pace_test.go
@@ -162,3 +162,15 @@
 	f.Endpoints[0] = leases.Endpoint{VM: "a", Zone: "z", Slots: 16, InFlight: 2, Version: 2}
 	g.Expect(other.Schedule("s", b, f, time.Second, time.Now()).Given).To(BeTrue())
 }
+
+// Guards against cutting the streams of endpoints that change last although the others have slots left:
+// they are let end.
+func TestTheLastEndpointsMayTakeMoreOfTheOthersSlots(t *testing.T) {
+	g := NewWithT(t)
+	last := change
+	last.Remaining = 0
+	f := demanding(0.9*9*16, fullFleet())
+	g.Expect(leases.Decide(change, f, nil, nil).Spare).To(BeFalse())
+	g.Expect(leases.Decide(last, f, nil, nil).Spare).To(BeTrue())
+	g.Expect(leases.Decide(last, demanding(0.9*9*16+1, fullFleet()), nil, nil).Spare).To(BeFalse())
+}
