--- a/leases/pace.go
+++ b/leases/pace.go
@@ -74,8 +74,7 @@
 	case p.Remaining <= 0:
 		return p.Pending, 0
 	}
-	scarce := time.Duration(scarceDrainShare * float64(p.Drain))
-	drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), scarce), 0)
+	drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), p.scarceDrain()), 0)
 	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.Remaining)))), drain
 }
 
@@ -98,6 +97,21 @@
 	return p.drainWith(maxUnavailableShare) >= p.Drain
 }
 
+// SpareDrain returns how long an endpoint drains if others have spare capacity for its requests. It
+// takes no longer than the time that is left allows for all pending ones, but for the last ones, which
+// nobody waits for.
+func SpareDrain(p Pace) time.Duration {
+	if p.Remaining <= 0 {
+		return p.Drain
+	}
+	return min(p.Drain, max(p.drainWith(maxUnavailableShare), p.scarceDrain()))
+}
+
+// scarceDrain returns the drain without spare capacity.
+func (p *Pace) scarceDrain() time.Duration {
+	return time.Duration(scarceDrainShare * float64(p.Drain))
+}
+
 // drainWith returns the drain with which all pending endpoints can change in time while a share of
 // all endpoints is out at once.
 func (p *Pace) drainWith(share float64) time.Duration {
@@ -118,7 +132,7 @@
 	switch {
 	case SkipsVersion(p): // refused
 	case CanGrant(f, held, c.VM) || c.Remaining <= 0 && f.canSpare(held, c.VM, maxLastUtilization):
-		g.Given, g.Spare = true, true
+		g.Given, g.Spare, g.Drain = true, true, SpareDrain(p)
 	default:
 		g.Given = fewer(waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
 		g.Drain = drain
--- a/leases/pace_test.go
+++ b/leases/pace_test.go
@@ -37,6 +37,20 @@
 	}
 }
 
+func TestSpareDrainLeavesTimeForOthers(t *testing.T) {
+	g := NewWithT(t)
+	p := leases.Pace{Endpoints: 60, Pending: 60, Drain: drain}
+	for remaining, want := range map[time.Duration]time.Duration{
+		3 * time.Second: drain, 2500 * time.Millisecond: 800 * time.Millisecond, 1500 * time.Millisecond: 300 * time.Millisecond,
+		500 * time.Millisecond: 300 * time.Millisecond, 0: drain,
+	} {
+		p.Remaining = remaining
+		g.Expect(leases.SpareDrain(p)).To(BeNumerically("~", want, time.Microsecond), "%v", remaining)
+	}
+	p.Remaining, p.Pending = 500*time.Millisecond, 5
+	g.Expect(leases.SpareDrain(p)).To(Equal(drain), "few are left")
+}
+
 func TestSkipsVersion(t *testing.T) {
 	for name, c := range map[string]struct {
 		pace leases.Pace
