--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -149,6 +149,11 @@
 mutant "a silent sidecar is believed for ever" gateway/balance/pace.go 's/if now.After\(told.until\)/if told.pace == 0 \&\& now.After(told.until)/' ./gateway/balance 'TestSuite'
 mutant "a pace is told once" sidecar/pace.go 's/if p.current > 1 \&\&/if false \&\&/' ./sidecar 'TestGatewaysAreTold'
 mutant "ends that another request explains count" gateway/poison/table.go 's/if q.Explains\(&other.Record\)/if false/' ./gateway/poison 'TestSharedCrashes'
+mutant "changes without room are not paced" leases/pace.go 's/< needed-n.out &&/< p.Endpoints \&\&/' ./sidecar/stage 'TestAFleetUnderLoad'
+mutant "nobody waits for a newer version" leases/pace.go 's/return p.NewerIn > 0 && /return false \&\& /' ./leases 'TestDecide|TestNeeded'
+mutant "busy endpoints change first" leases/pace.go 's/if c < n \{/if c < 0 {/' ./leases 'TestDecide'
+mutant "a promised lease is waited for past the limit" sidecar/stage/switch.go 's/return end.Add\(-lastChangeLead\)/return end.Add(lastChangeLead)/' ./sidecar/stage 'TestAnEndpointChangesInTime'
+mutant "late changes cut what runs" sidecar/stage/switch.go 's/return l.Granted && l.Spare/return false \&\& l.Spare/' ./sidecar/stage 'TestAChangeNearTheLimit'
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -24,8 +24,8 @@
 	return first
 }
 
-// LatestSwitch returns the time at which an endpoint switches if it has not been granted a
-// lease until then. The parameters are those of SwitchTime.
+// LatestSwitch returns the time at which an endpoint switches that waits for a lease from a gateway
+// that keeps no schedule, and has not been granted one until then. The parameters are those of SwitchTime.
 func LatestSwitch(replaced time.Time, limit time.Duration) time.Time {
 	return replaced.Add(time.Duration(latestSwitchShare * float64(limit)))
 }
@@ -41,8 +41,8 @@
 }
 
 // maxScheduledRetry is the longest interval between lease requests with which the grantor can spread
-// the changes: a third of a load's time per endpoint. In a larger fleet, endpoints change at their
-// own times.
+// the changes. If more endpoints wait, each asks so rarely that leases would be granted too late, and
+// endpoints change at their own times.
 const maxScheduledRetry = 500 * time.Millisecond
 
 // FollowsSchedule returns whether an endpoint waits for the lease that it was promised instead of
@@ -51,20 +51,34 @@
 	return l.Scheduled && l.RetryAfter <= maxScheduledRetry
 }
 
-// TimeToComplete returns the expected time until a version is complete, of which have of total
-// chunks arrived within elapsed. earlier is how long the preceding version took; 0 if unknown. Most
-// chunks arrive late, once other VMs have them, so that they say little before that time has passed.
-// It returns 0 if nothing can be said.
-func TimeToComplete(have, total int, elapsed, earlier time.Duration) time.Duration {
-	if earlier <= 0 {
+// Download is the state of the download of a version.
+type Download struct {
+	// Named is when the version became known, Completed when all its chunks were present; zero
+	// before that.
+	Named, Completed time.Time
+	// Have is the number of chunks present of Total, which is 0 before the manifest is.
+	Have, Total int
+}
+
+// TimeToComplete returns the expected time until d is complete, or 0 if nothing can be said. It takes
+// as long as that of the earlier version, after which it began. Most chunks arrive late, once other
+// VMs have them, so that those that are missing say little before that time has passed.
+func TimeToComplete(d, earlier Download, now time.Time) time.Duration {
+	usual := earlier.Completed.Sub(earlier.Named)
+	if earlier.Completed.IsZero() || usual <= 0 {
 		return 0
 	}
+	began := d.Named
+	if earlier.Completed.After(began) {
+		began = earlier.Completed
+	}
+	elapsed := now.Sub(began)
 	missing := 1.0
-	if total > 0 {
-		missing -= float64(have) / float64(total)
+	if d.Total > 0 {
+		missing -= float64(d.Have) / float64(d.Total)
 	}
-	stalled := time.Duration(missing * float64(max(earlier, elapsed)) / 2)
-	return max(earlier-elapsed, stalled, time.Millisecond)
+	stalled := time.Duration(missing * float64(max(usual, elapsed)) / 2)
+	return max(usual-elapsed, stalled, time.Millisecond)
 }
 
 // SwitchTime returns the time at which an endpoint switches to other weights without a
