affinity: a small flow is left to a few gateways of a zone

Cause: each gateway of a zone with a flow of 5 in 100 preferred one endpoint of another zone beside three of its own, so 5.6 in 100 requests left equal zones. Change: the lent endpoints are counted for the zone as a whole. Capacity tells which endpoints are cold but in use.

--- a/gateway/affinity/lent.go
+++ b/gateway/affinity/lent.go
@@ -13,15 +13,16 @@
 // maxLent is the maximum number of endpoints of other zones per service that a gateway prefers.
 const maxLent = 2 * minPreferred
 
-// LentCount returns the number of endpoints of other zones that a gateway prefers, given the share
-// of its zone's demand that flows to other zones. The ratio to the endpoints of its own zone that it
-// prefers is that of the demand.
-func LentCount(share float64) int {
+// LentCount returns how often endpoints of other zones are preferred by the gateways of a zone, given
+// their number and the share of the zone's demand that flows to other zones. The ratio to how often
+// they prefer endpoints of their own zone is that of the demand, so that a small flow is left to a
+// few of the gateways: those that share endpoints of the own zone with them gain as well.
+func LentCount(share float64, gateways int) int {
 	kept := 1 - share
 	if minPreferred*share >= maxLent*kept {
-		return maxLent
+		return maxLent * gateways
 	}
-	return int(math.Ceil(minPreferred * share / kept))
+	return int(math.Ceil(minPreferred * share / kept * float64(gateways)))
 }
 
 // Lent returns the IDs of the endpoints of other zones that the gateway named self prefers, in
@@ -39,10 +40,9 @@
 	}
 	groups := byServiceZone(list)
 	for service, to := range shares {
-		n := LentCount(zoneflow.Total(to))
-		for k := range n {
-			slot := position + k*count
-			zone, first := zoneOfSlot(to, slot, n*count)
+		n := LentCount(zoneflow.Total(to), count)
+		for slot := position; slot < n; slot += count {
+			zone, first := zoneOfSlot(to, slot, n)
 			ids := groups[serviceZone{service: service, zone: zone}]
 			if len(ids) > 0 {
 				out[ids[endpointIndex(slot-first, len(ids), count)]] = true
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -13,8 +13,9 @@
 	// Places is the number of mean requests that it serves in time concurrently: Slots, or
 	// fewer for a slow or cold endpoint.
 	Places float64
-	// Usable is set if the endpoint accepts requests for the query.
-	Usable bool
+	// Usable is set if the endpoint accepts requests for the query. Cold is set if it would, but
+	// is cold, so that it takes requests only from its holder and from gateways with a token.
+	Usable, Cold bool
 }
 
 // Capacities returns the capacity of each endpoint of q's service that is not leaving.
@@ -31,9 +32,13 @@
 			continue
 		}
 		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e)}
+		serves := e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
+		if l := &e.advisory.limit; serves && l.cold(now) && !l.declared {
+			p.Places, p.Cold = e.room(now), true
+		}
 		if !e.rateLimited(now) {
 			p.Places = float64(e.record.Slots)
-			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
+			p.Slots, p.Usable = e.record.Slots, serves
 		}
 		out = append(out, p)
 	}
