--- a/compat/answers_test.go
+++ b/compat/answers_test.go
@@ -159,6 +159,7 @@
 func TestMetricsKeepTheirNames(t *testing.T) {
 	s := newSite(t)
 	gateway.NewSentCounters(s.registry)
+	gateway.NewFlowMetrics(s.registry)
 	proxy.NewMemory(0, s.registry)
 	for _, kind := range []string{platform.KindEndpoints, platform.KindVersions, platform.KindMembers, platform.KindQuarantine} {
 		unreadable.New(kind, s.registry, log.New(io.Discard))
--- a/gateway/balance/cold_test.go
+++ b/gateway/balance/cold_test.go
@@ -181,6 +181,34 @@
 	})
 })
 
+var _ = Describe("The room of a zone", func() {
+	q := []balance.Query{{Service: "s", Model: "m", MinVersion: 2}, {Service: "s", Model: "n", MinVersion: 1}}
+
+	It("counts the slots of endpoints that serve any of the queries", func() {
+		l := endpoints(5)
+		for id, w := range map[string]roster.Weights{"e0": {Model: "m", Version: 2}, "e1": {Model: "m", Version: 1}, "e2": {Model: "n", Version: 1}, "e3": {Model: "m", Version: 3}} {
+			l.Endpoints[id].Weights, l.Endpoints[id].Slots = []roster.Weights{w}, 4
+		}
+		l.Endpoints["e3"].Zone = "b"
+		b := balancer(l)
+		Expect(b.RoomByZone("s", q, at(0))).To(Equal(map[string]float64{"a": 8, "b": 4}))
+		b.SetEvacuated(map[string]bool{"a": true}, at(0))
+		Expect(b.RoomByZone("s", q, at(0))).To(Equal(map[string]float64{"b": 4}))
+		Expect(b.RoomByZone("other", q, at(0))).To(BeEmpty())
+	})
+	It("includes cold endpoints, but none that are paused or limited by their own word", func() {
+		plain := []balance.Query{{Service: "s"}}
+		b := withHeld(coldBalancer(coldEndpoint(60_000)), "e0")
+		Expect(b.RoomByZone("s", plain, at(0))).To(HaveLen(1))
+		Expect(b.Capacities(&plain[0], at(0))[0].Cold).To(BeTrue())
+		respondAt(b, plain[0], advisory.PerSecond(2), at(1000), at(1010))
+		Expect(b.RoomByZone("s", plain, at(1010))["a"]).To(BeZero())
+		Expect(b.Capacities(&plain[0], at(1010))[0].Cold).To(BeFalse())
+		b.ApplyAnnouncement(balance.Announcement{Addr: "e0:1", Born: 5, PausedUntil: at(3000)})
+		Expect(b.RoomByZone("s", plain, at(2000))).To(BeEmpty())
+	})
+})
+
 var _ = Describe("A request that may be processed in some regions only", func() {
 	It("is sent to endpoints there, however busy", func() {
 		l := endpoints(3)
--- a/gateway/flows.go
+++ b/gateway/flows.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +13,22 @@
 	"github.com/silverdeck/silverdeck/routes"
 )
 
+// FlowMetrics shows the flows to other availability zones.
+type FlowMetrics struct {
+	// Share is the share of the demand of the gateway's zone that flows to other zones, of the
+	// service with the highest one. Changes counts the changes.
+	Share   metrics.GaugeFloat64
+	Changes metrics.Counter
+}
+
+// NewFlowMetrics registers the metrics in r.
+func NewFlowMetrics(r metrics.Registry) *FlowMetrics {
+	return &FlowMetrics{
+		Share:   metrics.GetOrRegisterGaugeFloat64("gateway.zone_flow_share", r),
+		Changes: metrics.GetOrRegisterCounter("gateway.zone_flow_changes", r),
+	}
+}
+
 // flows holds the shares of the demand of this gateway's zone that flow to other zones, by service.
 // Only the Heartbeater's goroutine uses it.
 type flows struct {
@@ -23,6 +37,15 @@
 	changes uint64
 }
 
+// highestShare returns the highest share of the demand for a service that flows to other zones.
+func (f *flows) highestShare() float64 {
+	highest := 0.0
+	for _, shares := range f.shares {
+		highest = max(highest, zoneflow.Total(shares))
+	}
+	return highest
+}
+
 // updateFlows derives the flows from the current sums of demand and room. Without demand of a
 // service there are none.
 func (g *Gateway) updateFlows(now time.Time) {
@@ -36,7 +59,7 @@
 		}
 	}
 	for name, service := range config.Services {
-		zones := zonesOf(g.table.ZoneDemand(name), g.balancer.RoomByZone(name, g.queries(name, service), now), g.cfg.Regions)
+		zones := zoneflow.Zones(g.table.ZoneDemand(name), g.balancer.RoomByZone(name, g.queries(name, service), now), g.cfg.Regions)
 		next := zoneflow.Settle(g.flows.shares[name], zoneflow.Shares(zones, g.cfg.Zone))
 		if !slices.Equal(next, g.flows.shares[name]) {
 			g.setFlow(name, next, zones)
@@ -52,13 +75,10 @@
 	} else {
 		g.flows.shares[service] = shares
 	}
-	g.log.Info("zone flow", "service", service, "share", zoneflow.Total(shares), "to", formatShares(shares), "zones", formatZones(zones))
-	total := 0.0
-	for _, s := range g.flows.shares {
-		total = max(total, zoneflow.Total(s))
-	}
-	metrics.GetOrRegisterGaugeFloat64("gateway.zone_flow_share", g.registry).Update(total)
-	metrics.GetOrRegisterCounter("gateway.zone_flow_changes", g.registry).Inc(1)
+	g.log.Info("zone flow", "service", service, "share", zoneflow.Total(shares),
+		"to", formatShares(shares), "zones", formatZones(zones))
+	g.flowMetrics.Share.Update(g.flows.highestShare())
+	g.flowMetrics.Changes.Inc(1)
 }
 
 // queries returns what requests to a service need of an endpoint, one query for each of its models.
@@ -73,21 +93,6 @@
 	return out
 }
 
-// zonesOf returns the zones with demand or room, sorted by name, or nil if no demand is known. A zone
-// whose region is unknown counts as a region of its own.
-func zonesOf(demand, room map[string]float64, regions map[string]string) []zoneflow.Zone {
-	if demand == nil {
-		return nil
-	}
-	names := maps.Clone(demand)
-	maps.Copy(names, room)
-	var out []zoneflow.Zone
-	for _, name := range slices.Sorted(maps.Keys(names)) {
-		out = append(out, zoneflow.Zone{Name: name, Region: cmp.Or(regions[name], name), Demand: demand[name], Room: room[name]})
-	}
-	return out
-}
-
 func formatShares(shares []zoneflow.Share) string {
 	var out []string
 	for _, s := range shares {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,7 @@
 	// the Heartbeater's goroutine uses it.
 	lastAssignment assignmentInputs
 	flows          flows
+	flowMetrics    *FlowMetrics
 	// contacts are the contacts that the store is known to hold. contactsCheckedAt is when they
 	// were last compared; only the Heartbeater's goroutine uses it.
 	contacts          atomic.Pointer[member.Contacts]
@@ -127,7 +128,8 @@
 
 		suspension: suspend.NewDetector(suspend.SystemClocks),
 
-		flows: flows{shares: map[string][]zoneflow.Share{}},
+		flows:       flows{shares: map[string][]zoneflow.Share{}},
+		flowMetrics: NewFlowMetrics(registry),
 
 		namingsRequested: make(chan struct{}, 1),
 	}
--- a/gateway/zoneflow/zoneflow.go
+++ b/gateway/zoneflow/zoneflow.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -33,6 +34,21 @@
 	Demand, Room float64
 }
 
+// Zones returns the zones that have demand or room, sorted by name, or nil if no demand is known. A
+// zone whose region is unknown counts as a region of its own.
+func Zones(demand, room map[string]float64, regions map[string]string) []Zone {
+	if demand == nil {
+		return nil
+	}
+	names := maps.Clone(demand)
+	maps.Copy(names, room)
+	var out []Zone
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		out = append(out, Zone{Name: name, Region: cmp.Or(regions[name], name), Demand: demand[name], Room: room[name]})
+	}
+	return out
+}
+
 // Flow is a part of the demand of zone From, in slots, that endpoints in zone To serve.
 type Flow struct {
 	From, To string
--- a/gateway/zoneflow/zoneflow_test.go
+++ b/gateway/zoneflow/zoneflow_test.go
@@ -96,6 +96,16 @@
 	return sent, received
 }
 
+func TestZones(t *testing.T) {
+	g := NewWithT(t)
+	regions := map[string]string{"a": "east", "b": "east"}
+	got := zoneflow.Zones(map[string]float64{"b": 3, "a": 1}, map[string]float64{"c": 5, "a": 2}, regions)
+	g.Expect(got).To(Equal([]zoneflow.Zone{
+		{Name: "a", Region: "east", Demand: 1, Room: 2}, {Name: "b", Region: "east", Demand: 3}, {Name: "c", Region: "c", Room: 5},
+	}))
+	g.Expect(zoneflow.Zones(nil, map[string]float64{"a": 1}, nil)).To(BeNil())
+}
+
 func TestShares(t *testing.T) {
 	g := NewWithT(t)
 	list := zones([2]float64{120, 100}, [2]float64{80, 100}, [2]float64{40, 100})
