--- a/gateway/balance/bench_test.go
+++ b/gateway/balance/bench_test.go
@@ -25,3 +25,13 @@
 		})
 	}
 }
+
+// BenchmarkRoomByZone measures what flows cost with each heartbeat.
+func BenchmarkRoomByZone(b *testing.B) {
+	lb := balancer(endpoints(1900))
+	queries := []balance.Query{{Service: "s", Model: "m"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		lb.RoomByZone("s", queries, now)
+	}
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -141,13 +141,17 @@
 func (g *Gateway) updateAssignment() {
 	g.updateFlows(time.Now())
 	now := assignmentInputs{endpoints: g.endpoints.Current(), members: g.table.Changes(), ready: g.Ready() == nil, flows: g.flows.changes}
-	if g.lastAssignment == now {
+	before := g.lastAssignment
+	if before == now {
 		return
 	}
 	g.lastAssignment = now
 	preferred := affinity.Preferred(now.endpoints, g.gateways(), g.self.Name)
 	maps.Copy(preferred, affinity.Lent(now.endpoints, g.gateways(), g.self.Name, g.flows.shares))
 	g.balancer.SetPreferred(preferred)
+	if before.flows = now.flows; before == now {
+		return // holders do not depend on flows
+	}
 	g.balancer.SetHeld(affinity.Held(now.endpoints, g.readyGateways(), g.self.Name), time.Now())
 }
 
