--- a/compat/answers_test.go
+++ b/compat/answers_test.go
@@ -161,6 +161,7 @@
 	s := newSite(t)
 	gateway.NewSentCounters(s.registry)
 	gateway.NewLeaseCounters(s.registry)
+	gateway.NewFlowMetrics(s.registry)
 	proxy.NewMemory(0, s.registry)
 	admission.NewMetrics(s.registry)
 	for _, kind := range []string{platform.KindEndpoints, platform.KindVersions, platform.KindMembers, platform.KindQuarantine} {
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -17,8 +17,9 @@
 	Places float64
 	// Open is set if the endpoint has a rate limit and accepts a request of this gateway now.
 	Open bool
-	// Usable is set if the endpoint accepts requests for the query.
-	Usable bool
+	// Usable is set if the endpoint accepts requests for the query. Cold is set if it would, but
+	// is cold, so that it takes requests only from its holder and from gateways with a token.
+	Usable, Cold bool
 	// Paused is set if the endpoint asked for no requests because it is about to load weights.
 	Paused bool
 	// Version is the version of the query's model that the endpoint holds, or 0.
@@ -40,10 +41,12 @@
 		}
 		p := Capacity{Addr: e.record.Addr, Zone: e.record.Zone, InFlight: b.totalInFlight(e), Own: e.inFlight, Paused: e.health.paused(now), Version: e.holds(q.Model)}
 		p.Places = e.places(now)
+		serves := e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
 		if e.rateLimited(now) {
-			p.Open = e.eligible(q) && b.usable(e, now) && e.opensIn(now) == 0
+			p.Open = serves && e.opensIn(now) == 0
+			p.Cold = serves && !e.advisory.limit.declared
 		} else {
-			p.Slots, p.Usable = e.record.Slots, e.eligible(q) && b.usable(e, now) && !e.inBackoff(now)
+			p.Slots, p.Usable = e.record.Slots, serves
 		}
 		out = append(out, p)
 	}
--- a/gateway/balance/zoneroom.go
+++ b/gateway/balance/zoneroom.go
@@ -3,7 +3,7 @@
 import "time"
 
 // RoomByZone returns the room of the endpoints of a service that may be used for any of queries, in
-// slots by availability zone. Endpoints that are paused, ejected, or evacuated have none.
+// places by availability zone. Endpoints that are paused, ejected, or evacuated have none.
 func (b *Balancer) RoomByZone(service string, queries []Query, now time.Time) map[string]float64 {
 	out := map[string]float64{}
 	s := b.shard(service)
@@ -29,11 +29,11 @@
 	return false
 }
 
-// room returns the room of e in slots. An endpoint that declares a limit has none: its holder has to
+// room returns the room of e in places. An endpoint that declares a limit has none: its holder has to
 // protect it. A cold one has as many as it would have later, since its slots fill up meanwhile.
 func (e *endpoint) room(now time.Time) float64 {
 	if l := &e.advisory.limit; l.declared && l.active(e.held, now) {
 		return 0
 	}
-	return float64(e.record.Slots)
+	return e.speed.Places
 }
--- a/gateway/zoneflow/zoneflow_test.go
+++ b/gateway/zoneflow/zoneflow_test.go
@@ -96,6 +96,16 @@
 	return sent, received
 }
 
+func TestZones(t *testing.T) {
+	g := NewWithT(t)
+	regions := map[string]string{"a": "east", "b": "east"}
+	got := zoneflow.Zones(map[string]float64{"b": 3, "a": 1}, map[string]float64{"c": 5, "a": 2}, regions)
+	g.Expect(got).To(Equal([]zoneflow.Zone{
+		{Name: "a", Region: "east", Demand: 1, Room: 2}, {Name: "b", Region: "east", Demand: 3}, {Name: "c", Region: "c", Room: 5},
+	}))
+	g.Expect(zoneflow.Zones(nil, map[string]float64{"a": 1}, nil)).To(BeNil())
+}
+
 func TestShares(t *testing.T) {
 	g := NewWithT(t)
 	list := zones([2]float64{120, 100}, [2]float64{80, 100}, [2]float64{40, 100})
@@ -122,3 +132,27 @@
 		})
 	}
 }
+
+// Gateways of different zones know sums of different age. Flows must not start in both directions
+// while these differ by little.
+func TestZonesWithDifferentNewsDoNotSendToEachOther(t *testing.T) {
+	g := NewWithT(t)
+	r := rand.New(rand.NewPCG(3, 4))
+	started := 0
+	for range 5000 {
+		var one, other []zoneflow.Zone
+		for i := range 3 {
+			z := zoneflow.Zone{Name: fmt.Sprint(i), Region: fmt.Sprint(i), Demand: 50 + 50*r.Float64(), Room: 100}
+			one = append(one, z)
+			z.Demand *= 0.98 + 0.04*r.Float64()
+			other = append(other, z)
+		}
+		for _, s := range zoneflow.Settle(nil, zoneflow.Shares(one, "0")) {
+			started++
+			for _, back := range zoneflow.Settle(nil, zoneflow.Shares(other, s.To)) {
+				g.Expect(back.To).NotTo(Equal("0"), "%+v %+v", one, other)
+			}
+		}
+	}
+	g.Expect(started).To(BeNumerically(">", 500))
+}
