balance: a slow endpoint costs more, by the places that it lacks

Change: load and limit are per slot again; what an endpoint lacks in places is a cost, so that it is less loaded than others by a share of its slots, whatever their load. The room of admission counts its slots: late is better for a caller than refused.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -41,7 +41,7 @@
 			}
 			continue
 		}
-		out.Room += c.Places
+		out.Room += max(c.Places, float64(c.Slots))
 		out.Running += float64(c.InFlight)
 		out.Own += float64(c.Own)
 	}
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -317,7 +317,7 @@
 // load returns the requests of all gateways at e, per place. An endpoint that works at its engine's
 // figures has a place for each slot.
 func (b *Balancer) load(e *endpoint) float64 {
-	return float64(b.totalInFlight(e)) / e.speed.Places
+	return float64(b.totalInFlight(e)) / float64(max(e.record.Slots, 1))
 }
 
 // totalInFlight returns the outstanding requests of all gateways at e. The counts of other
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -22,7 +22,10 @@
 	reloadCost = 0.5
 	// lateCost applies to a slow endpoint at which the first event is expected too late. Other
 	// endpoints that are not full come first.
-	lateCost = 1.0
+	lateCost = 0.2
+	// slowCost is the cost of an endpoint that has no place for each slot but none at all. It keeps
+	// a slow endpoint less loaded than others by what it lacks in places.
+	slowCost = 0.45
 	// prefillUnit is the pending prefill time that counts as one request per slot.
 	prefillUnit = 250 * time.Millisecond
 	// vacatedBenefit is subtracted from the cost of Query.Vacated. It exceeds the costs of all
@@ -44,6 +47,8 @@
 	OtherZone bool
 	// Preferred is set if this gateway prefers the endpoint and it is not slow.
 	Preferred bool
+	// Lacking is the share of the slots that are no places.
+	Lacking float64
 	// Late is set if the first event is expected too late there.
 	Late bool
 	// ReloadPending is set if the endpoint will load newer weights before the request ends.
@@ -65,6 +70,7 @@
 	if c.ReloadPending {
 		cost += reloadCost
 	}
+	cost += slowCost * c.Lacking
 	if c.Late {
 		cost += lateCost
 	}
@@ -316,7 +322,7 @@
 			continue
 		}
 		preferred++
-		if !e.slow() && e.eligible(q) && b.usable(e, now) && !e.rateLimited(now) && !e.inBackoff(now) {
+		if e.eligible(q) && b.usable(e, now) && !e.rateLimited(now) && !e.inBackoff(now) {
 			usable++
 		}
 	}
@@ -331,7 +337,8 @@
 		Load:          load,
 		Prefill:       time.Duration(e.speed.Pace * float64(e.prefill)),
 		OtherZone:     e.record.Zone != b.cfg.Zone,
-		Preferred:     e.preferred && !e.slow() || e.rateLimited(now),
+		Preferred:     e.preferred || e.rateLimited(now),
+		Lacking:       1 - e.speed.Places/float64(max(e.record.Slots, 1)),
 		Late:          e.speed.Fit(&q.Work, load, e.prefill) == work.BeginsLate,
 		ReloadPending: e.reloadPending(q),
 		Random:        b.cfg.Random(),
