--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return nil, err
 	}
-	expected := chosen.speed.Times(&q.Work, b.load(chosen), chosen.prefill)
+	expected := chosen.speed.Times(&q.Work, chosen.perPlace(b.load(chosen)), chosen.prefill)
 	chosen.addRequest(now)
 	chosen.advisory.limit.noteSent(now)
 	chosen.prefill += q.Prefill
@@ -314,12 +314,16 @@
 	}
 }
 
-// load returns the requests of all gateways at e, per place. An endpoint that works at its engine's
-// figures has a place for each slot.
+// load returns the requests of all gateways at e, per slot.
 func (b *Balancer) load(e *endpoint) float64 {
 	return float64(b.totalInFlight(e)) / float64(max(e.record.Slots, 1))
 }
 
+// perPlace converts a load per slot of e to one per place.
+func (e *endpoint) perPlace(load float64) float64 {
+	return load * float64(max(e.record.Slots, 1)) / e.speed.Places
+}
+
 // totalInFlight returns the outstanding requests of all gateways at e. The counts of other
 // gateways are as old as their last heartbeats.
 func (b *Balancer) totalInFlight(e *endpoint) int {
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -38,14 +38,14 @@
 
 // Candidate holds the properties of an endpoint that determine its cost.
 type Candidate struct {
-	// Load is the number of requests of all gateways at the endpoint, per place. The counts
+	// Load is the number of requests of all gateways at the endpoint, per slot. The counts
 	// of other gateways are as old as their last heartbeats.
 	Load float64
 	// Prefill is the pending prefill time of this gateway's requests.
 	Prefill time.Duration
 	// OtherZone is set if the endpoint is in another availability zone than the gateway.
 	OtherZone bool
-	// Preferred is set if this gateway prefers the endpoint and it is not slow.
+	// Preferred is set if this gateway prefers the endpoint.
 	Preferred bool
 	// Lacking is the share of the slots that are no places.
 	Lacking float64
@@ -284,7 +284,7 @@
 			continue
 		}
 		load := b.load(e)
-		fit := e.speed.Fit(&q.Work, load, e.prefill)
+		fit := e.speed.Fit(&q.Work, e.perPlace(load), e.prefill)
 		if fit == work.NeverEnds {
 			c.neverEnds = true
 			continue
@@ -339,7 +339,7 @@
 		OtherZone:     e.record.Zone != b.cfg.Zone,
 		Preferred:     e.preferred || e.rateLimited(now),
 		Lacking:       1 - e.speed.Places/float64(max(e.record.Slots, 1)),
-		Late:          e.speed.Fit(&q.Work, load, e.prefill) == work.BeginsLate,
+		Late:          e.speed.Fit(&q.Work, e.perPlace(load), e.prefill) == work.BeginsLate,
 		ReloadPending: e.reloadPending(q),
 		Random:        b.cfg.Random(),
 	})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -149,7 +149,7 @@
 mutant "a holder lends nothing" gateway/balance/token.go 's/holderTurn \|\| opensIn > maxGrantDelay/true || holderTurn || opensIn > maxGrantDelay/' ./gateway/proxy 'TestAnEndpointWithALimitServes|TestALimitEndsWhose'
 mutant "a holder always has its turn" gateway/balance/token.go 's/holderTurn := l.lastGranted \&\& /holderTurn := /' ./gateway/proxy 'TestTheHolder'
 mutant "a slow endpoint has all its places" gateway/work/speed.go 's/if s.Engine == nil \|\| s.GapTarget <= 0 \|\| pace < SlowPace/if true/' ./gateway/balance 'TestSuite'
-mutant "a slow endpoint is preferred" gateway/balance/choice.go 's/Preferred:     e.preferred \&\& !e.slow\(\)/Preferred:     e.preferred/' ./gateway/balance 'TestSuite'
+mutant "a slow endpoint costs nothing" gateway/balance/choice.go 's/cost \+= slowCost \* c.Lacking/cost += 0/' ./gateway/balance 'TestSuite'
 mutant "a stream goes where it can't end" gateway/work/stream.go 's/case s.End\(w, w.Events, load\) > w.Left/case false/' ./gateway/proxy 'TestALongStreamGoes'
 mutant "a stream without time is sent" gateway/work/stream.go 's/case w.MinEvents > 0 \&\&/case false \&\&/' ./gateway/proxy 'TestAStreamThatNoEndpoint'
 mutant "the rest of a stream is refused for want of time" gateway/proxy/call.go 's/max\(w.Events-float64\(c.events\), 1\), 0/max(w.Events-float64(c.events), 1), w.Events/' ./gateway/proxy 'TestAStreamThatHasBegunIsResumed'
