--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -81,10 +81,6 @@
 	// begins, endDemand and endRunning those below which it ends.
 	beginDemand, beginRunning = 1.0, 0.85
 	endDemand, endRunning     = 0.92, 0.7
-	// beginOverfull and endOverfull are the running requests above which it begins and goes on at a
-	// demand of minDemand: endpoints have queues, so the demand is underestimated or room was lost.
-	beginOverfull, endOverfull = 1.15, 1.0
-	minDemand                  = 0.7
 	// minShortage is how long a shortage lasts at least. It is longer than the news of requests
 	// takes to reach all gateways.
 	minShortage = time.Second
@@ -101,11 +97,9 @@
 	}
 	demand, running := c.Fleet.Recent.Total(), c.Running
 	if !current {
-		return demand >= beginDemand*target && running >= beginRunning*target ||
-			demand >= minDemand*target && running >= beginOverfull*target
+		return demand >= beginDemand*target && running >= beginRunning*target
 	}
-	return since < minShortage || demand >= endDemand*target && running >= endRunning*target ||
-		demand >= minDemand*target && running >= endOverfull*target
+	return since < minShortage || demand >= endDemand*target && running >= endRunning*target
 }
 
 // Limits on the requests that one gateway runs during a shortage.
