--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,8 +38,6 @@
 	// defaultCoalescing is how long announcements of new chunks are coalesced before they are
 	// sent.
 	defaultCoalescing = 450 * time.Millisecond
-	// firstCopyWait is how long a request for a first copy waits for a chunk that is being read.
-	firstCopyWait = 250 * time.Millisecond
 	// chunkWriteTimeout limits the time for sending a chunk.
 	chunkWriteTimeout = 30 * time.Second
 )
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -124,9 +123,6 @@
 	}
 	first := r.URL.Query().Has(firstCopyParam)
 	b := s.chunk(root, i)
-	if b == nil && first {
-		b = s.awaitChunk(r.Context(), root, i)
-	}
 	if b == nil {
 		http.Error(w, "absent", s.absentStatus(root, i))
 		return
@@ -179,31 +175,6 @@
 	return http.StatusNotFound
 }
 
-// awaitChunk waits up to firstCopyWait for chunk i of root while it is being read from the origin
-// here. It returns nil if the chunk does not arrive.
-func (s *Server) awaitChunk(ctx context.Context, root weights.Digest, i int) []byte {
-	set := s.holdings.Set(root)
-	if set == nil {
-		return nil
-	}
-	t := time.NewTimer(firstCopyWait)
-	defer t.Stop()
-	for s.holdings.Reading(root, i) {
-		_, arrived := set.Since(set.Len())
-		if b := set.Get(i); b != nil {
-			return b
-		}
-		select {
-		case <-arrived:
-		case <-t.C:
-			return set.Get(i)
-		case <-ctx.Done():
-			return nil
-		}
-	}
-	return set.Get(i)
-}
-
 // serveWeights sends the complete weights to the engine on this VM.
 func (s *Server) serveWeights(w http.ResponseWriter, r *http.Request) {
 	root, err := weights.ParseDigest(r.PathValue("root"))
--- a/sidecar/stage/spread_test.go
+++ b/sidecar/stage/spread_test.go
@@ -240,12 +240,6 @@
 	if set := v.sets().Set(root); set != nil {
 		b = set.Get(i)
 	}
-	for n := 0; b == nil && req.FirstCopy && n < 25 && v.sets().Reading(root, i); n++ {
-		time.Sleep(10 * time.Millisecond)
-		if set := v.sets().Set(root); set != nil {
-			b = set.Get(i)
-		}
-	}
 	if b == nil && v.sets().Reading(root, i) {
 		return nil, &swarm.RefusalError{Refusal: swarm.RefusalReading}
 	}
--- a/swarm/transport.go
+++ b/swarm/transport.go
@@ -21,8 +21,8 @@
 type ChunkRequest struct {
 	Root  weights.Digest
 	Chunk int
-	// FirstCopy is set if the chunk is the first copy for another region. The member may wait
-	// for a chunk that it is reading from the origin, and sends it before others.
+	// FirstCopy is set if the chunk is the first copy for another region. The member sends it
+	// before others.
 	FirstCopy bool
 }
 
