--- a/leases/leases.go
+++ b/leases/leases.go
@@ -37,17 +37,14 @@
 	Demand float64
 }
 
-// demand returns the number of slots that callers ask for. Unless it is known, the requests in
-// flight are counted, which do not include those that were refused.
+// demand returns the number of slots that callers ask for: at least the requests in flight, which do
+// not include those that were refused. Callers' estimates may be low.
 func (f *Fleet) demand() float64 {
-	if f.Demand > 0 {
-		return f.Demand
-	}
 	n := 0
 	for _, e := range f.Endpoints {
 		n += e.InFlight
 	}
-	return float64(n)
+	return max(f.Demand, float64(n))
 }
 
 const (
