--- a/leases/pace_test.go
+++ b/leases/pace_test.go
@@ -90,20 +90,21 @@
 		waiting []int
 		want    bool
 	}{
-		"first":                       {fleet: fullFleet(), want: true},
-		"another one is out":          {fleet: fullFleet(), held: map[string]bool{"b": true}},
-		"another one is paused":       {fleet: paused(1, fullFleet())},
-		"spare capacity":              {fleet: newEndpoints(10, 4), held: map[string]bool{"b": true}, want: true},
-		"demand below in-flight":      {fleet: demanding(90, newEndpoints(10, 14)), held: map[string]bool{"b": true}, want: true},
-		"demand above in-flight":      {fleet: demanding(160, newEndpoints(10, 4)), held: map[string]bool{"b": true}},
-		"others have fewer requests":  {fleet: fullFleet(), waiting: []int{7}},
-		"others have as many":         {fleet: fullFleet(), waiting: []int{8, 9}, want: true},
-		"others have changed already": {fleet: changed(9, fullFleet()), held: map[string]bool{"b": true}},
-		"the time is up":              {fleet: fullFleet(), change: func(c *leases.Change) { c.Remaining = 0 }, held: map[string]bool{"b": true}, want: true},
-		"a newer version comes":       {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = 2 * time.Second }},
-		"it comes, and there is room": {fleet: withVersion(newEndpoints(10, 4)), change: func(c *leases.Change) { c.Remaining, c.NewerIn = 3*time.Second, 2*time.Second }, want: true},
-		"half of the zone is out":     {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.Remaining = 4 * time.Second }, held: map[string]bool{"b": true}},
-		"half of another zone is out": {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.VM, c.Remaining = "c", 4*time.Second }, held: map[string]bool{"b": true}, want: true},
+		"first":                        {fleet: fullFleet(), want: true},
+		"another one is out":           {fleet: fullFleet(), held: map[string]bool{"b": true}},
+		"another one is paused":        {fleet: paused(1, fullFleet())},
+		"spare capacity":               {fleet: newEndpoints(10, 4), held: map[string]bool{"b": true}, want: true},
+		"demand below in-flight":       {fleet: demanding(90, newEndpoints(10, 14)), held: map[string]bool{"b": true}},
+		"demand below in-flight, room": {fleet: demanding(20, newEndpoints(10, 4)), held: map[string]bool{"b": true}, want: true},
+		"demand above in-flight":       {fleet: demanding(160, newEndpoints(10, 4)), held: map[string]bool{"b": true}},
+		"others have fewer requests":   {fleet: fullFleet(), waiting: []int{7}},
+		"others have as many":          {fleet: fullFleet(), waiting: []int{8, 9}, want: true},
+		"others have changed already":  {fleet: changed(9, fullFleet()), held: map[string]bool{"b": true}},
+		"the time is up":               {fleet: fullFleet(), change: func(c *leases.Change) { c.Remaining = 0 }, held: map[string]bool{"b": true}, want: true},
+		"a newer version comes":        {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = 2 * time.Second }},
+		"it comes, and there is room":  {fleet: withVersion(newEndpoints(10, 4)), change: func(c *leases.Change) { c.Remaining, c.NewerIn = 3*time.Second, 2*time.Second }, want: true},
+		"half of the zone is out":      {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.Remaining = 4 * time.Second }, held: map[string]bool{"b": true}},
+		"half of another zone is out":  {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.VM, c.Remaining = "c", 4*time.Second }, held: map[string]bool{"b": true}, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := change
@@ -183,8 +184,8 @@
 	g := NewWithT(t)
 	last := change
 	last.Remaining = 0
-	f := demanding(0.9*9*16, fullFleet())
+	f := demanding(0.9*9*16, newEndpoints(10, 12))
 	g.Expect(leases.Decide(change, f, nil, nil).Spare).To(BeFalse())
 	g.Expect(leases.Decide(last, f, nil, nil).Spare).To(BeTrue())
-	g.Expect(leases.Decide(last, demanding(0.9*9*16+1, fullFleet()), nil, nil).Spare).To(BeFalse())
+	g.Expect(leases.Decide(last, demanding(0.9*9*16+1, newEndpoints(10, 12)), nil, nil).Spare).To(BeFalse())
 }
