--- a/sidecar/stage/order.go
+++ b/sidecar/stage/order.go
@@ -30,6 +30,10 @@
 // one whole version.
 const nearlyRead = 0.5
 
+// readsUnderWay is the number of chunks that are read at once from the origin, which no
+// member holds yet.
+const readsUnderWay = 2
+
 // OlderFirst returns whether the remaining chunks of an older version are read from the origin
 // before those of the newest one. That order is chosen if endpoints are then without usable
 // weights for a shorter time; and if no endpoint is without in either order, if most of the
@@ -40,7 +44,7 @@
 	if older != newest {
 		return older < newest
 	}
-	return p.olderUsable() && float64(p.Chunks-p.OlderUnknown) >= nearlyRead*float64(p.Chunks)
+	return p.olderUsable() && float64(p.Chunks-p.OlderUnknown+readsUnderWay) >= nearlyRead*float64(p.Chunks)
 }
 
 // readTime returns how long the origin's link takes for so many chunks.
