stage: a newer version is not waited for while the origin fails; tests

Change: nothing is expected while the origin fails; reads under way count where the rate is known; the test waits.

--- a/exchange/slots_test.go
+++ b/exchange/slots_test.go
@@ -33,6 +33,7 @@
 		request("refused", false)
 		request("first copy", true)
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		g.Expect(order).To(Equal([]string{"running", "first copy", "second", "third"}))
 	})
 }
--- a/sidecar/stage/order.go
+++ b/sidecar/stage/order.go
@@ -31,7 +31,7 @@
 const nearlyRead = 0.5
 
 // readsUnderWay is the number of chunks that are read at once from the origin, which no
-// member holds yet.
+// member holds yet. They end soon if the rate of its link is known.
 const readsUnderWay = 2
 
 // OlderFirst returns whether the remaining chunks of an older version are read from the origin
@@ -44,7 +44,11 @@
 	if older != newest {
 		return older < newest
 	}
-	return p.olderUsable() && float64(p.Chunks-p.OlderUnknown+readsUnderWay) >= nearlyRead*float64(p.Chunks)
+	read := p.Chunks - p.OlderUnknown
+	if p.ChunkTime > 0 {
+		read += readsUnderWay
+	}
+	return p.olderUsable() && float64(read) >= nearlyRead*float64(p.Chunks)
 }
 
 // readTime returns how long the origin's link takes for so many chunks.
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -254,10 +254,11 @@
 	s.lease = lease
 }
 
-// newerIn returns the expected time until a version newer than t is complete, or 0.
+// newerIn returns the expected time until a version newer than t is complete, or 0 if there is none or
+// nothing can be said because the origin fails.
 func (s *Stager) newerIn(model string, t target) time.Duration {
 	newest := s.target(model)
-	if newest.version <= t.version {
+	if newest.version <= t.version || s.originStatus.Failing() {
 		return 0
 	}
 	d := Download{Named: newest.firstSeen}
