--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -92,6 +93,15 @@
 	return fmt.Sprintf("admission: no place for the request at %s: %s", e.Service, e.Cause)
 }
 
+// AsRefused returns the refusal that err is, or nil.
+func AsRefused(err error) *RefusedError {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return nil
+}
+
 // Config holds the dependencies of a Gate. The functions are called with a lock held and must not
 // call the Gate.
 type Config struct {
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -1,25 +1,11 @@
 package admission
 
 import (
-	"errors"
 	"maps"
-	"math"
 	"sync"
 	"time"
 )
 
-// Times after which room and news are looked at again.
-const (
-	// shortageInterval applies during a shortage. It is shorter than the interval of heartbeats.
-	shortageInterval = 50 * time.Millisecond
-	// calmInterval applies otherwise. It bounds how late a shortage is seen.
-	calmInterval = 200 * time.Millisecond
-)
-
-// maxNewsAge is the age up to which news of other gateways is used. Older ones are no better than
-// an equal share.
-const maxNewsAge = 2 * time.Second
-
 // endsWindow and refusedWindow are the times over which the rates of ends and of refusals are
 // smoothed.
 const (
@@ -277,133 +263,3 @@
 	}
 	s.queue.waiting = left
 }
-
-// refresh updates the limits and admits waiting requests.
-func (s *service) refresh(g *Gate, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.update(g, now)
-	s.dispatch(g, now)
-}
-
-// update brings conditions, levels and limit up to date. The caller must hold s.mu.
-func (s *service) update(g *Gate, now time.Time) {
-	interval := calmInterval
-	if s.shortage {
-		interval = shortageInterval
-	}
-	if now.Sub(s.refreshedAt) < interval {
-		return
-	}
-	s.refreshedAt = now
-	supply, news := g.cfg.Supply(s.name, now), g.cfg.News(s.name, now)
-	if !mostLost(news) || s.mostHeardAt.IsZero() {
-		s.mostHeardAt = now
-	}
-	news.LostFor = now.Sub(s.mostHeardAt)
-	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
-	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
-	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
-	changed := short != s.shortage
-	if changed {
-		s.shortage, s.changedAt = short, now
-	}
-	levels := FullLevels()
-	if short {
-		levels = LevelsFor(s.conditions.Target(), s.conditions.Fleet.Recent)
-	}
-	changed = changed || levelsDiffer(levels, s.reported)
-	s.levels = levels
-	s.limit = math.Floor(Limit(&s.conditions) + g.rounding)
-	if changed {
-		s.reported = levels
-		g.cfg.OnChange(s.status(now))
-	}
-}
-
-// reportedChange is the change of a level that is reported to operators.
-const reportedChange = 0.25
-
-// levelsDiffer returns whether operators are told of a change of levels.
-func levelsDiffer(a, b Levels) bool {
-	for r := range a {
-		if math.Abs(a[r]-b[r]) >= reportedChange {
-			return true
-		}
-	}
-	return false
-}
-
-// cutOffTime is how long a gateway that hears less than half of the others takes itself to be cut
-// off. Callers leave a gateway that is cut off within seconds.
-const cutOffTime = 20 * time.Second
-
-// mostLost returns whether less than half of the known gateways are alive as far as is known.
-func mostLost(news News) bool {
-	return 2*news.Gateways < news.Known
-}
-
-// ConditionsFrom returns the conditions from what is known of endpoints and other gateways. News
-// that covers only some of them stands for all. A gateway that hears less than half of the gateways
-// that it knows of takes the others to be alive for cutOffTime: it is more likely to be cut off
-// itself, and their requests still use the room.
-func ConditionsFrom(supply Supply, news News, own Demand) Conditions {
-	others := news.Gateways
-	if mostLost(news) && news.LostFor < cutOffTime {
-		others = news.Known
-	}
-	c := Conditions{Room: supply.Room, Running: supply.Running, Own: own, Fleet: own, Gateways: others + 1, Covers: news.Covers, Age: news.Age}
-	if others == 0 {
-		return c
-	}
-	if news.Covers == 0 || news.Age > maxNewsAge {
-		c.Running = supply.Own * float64(others+1)
-		c.Fleet = own.plus(own, float64(others))
-		return c
-	}
-	factor := max(1, float64(others)/float64(news.Covers))
-	c.Running = supply.Own + (supply.Running-supply.Own)*factor
-	c.Fleet = own.plus(news.Demand, factor)
-	return c
-}
-
-// plus returns the sum of d and other, multiplied by factor.
-func (d Demand) plus(other Demand, factor float64) Demand {
-	for r, n := range other.Recent {
-		d.Recent[r] += n * factor
-	}
-	d.Mean += other.Mean * factor
-	return d
-}
-
-func (s *service) currentDemand(now time.Time) Demand {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.demand.demand(now)
-}
-
-func (s *service) statusNow() Status {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.status(s.refreshedAt)
-}
-
-// status returns the state for operators. The caller must hold s.mu.
-func (s *service) status(now time.Time) Status {
-	s.returns.advance(now)
-	told := 0
-	for _, n := range s.returns.counts {
-		told += n
-	}
-	return Status{Service: s.name, Shortage: s.shortage, Conditions: s.conditions, Levels: s.levels,
-		Limit: s.limit, Admitted: s.running, Waiting: len(s.queue.waiting), Told: told}
-}
-
-// AsRefused returns the refusal that err is, or nil.
-func AsRefused(err error) *RefusedError {
-	var refused *RefusedError
-	if errors.As(err, &refused) {
-		return refused
-	}
-	return nil
-}
