--- a/soak/overload.go
+++ b/soak/overload.go
@@ -49,6 +49,9 @@
 	rankSlack = 0.05
 	// minClassRequests is the number of requests from which a class is judged.
 	minClassRequests = 100
+	// minRankRequests is the number of requests of each rank from which ranks are compared. With
+	// fewer, chance alone often exceeds rankSlack.
+	minRankRequests = 1000
 )
 
 // Class is a group of requests that are treated alike, by client account and host.
@@ -119,7 +122,7 @@
 	}
 	urgent := s.sum(func(k Class) bool { return k.Host == streamHost })
 	bulk := s.sum(func(k Class) bool { return k.Host == bulkHost })
-	if min(urgent.asked, bulk.asked) >= minClassRequests && urgent.ratio() < bulk.ratio()-rankSlack {
+	if min(urgent.asked, bulk.asked) >= minRankRequests && urgent.ratio() < bulk.ratio()-rankSlack {
 		out = append(out, fmt.Sprintf("of the urgent %d of %d were served, of the less urgent %d of %d", urgent.served, urgent.asked, bulk.served, bulk.asked))
 	}
 	return out
--- a/soak/overload_test.go
+++ b/soak/overload_test.go
@@ -21,12 +21,13 @@
 		counts []served
 		want   int
 	}{
-		"all alike":                       {[]served{{urgent, 60, 100}, {bulk, 60, 100}, {small, 60, 100}}, 0},
-		"urgent behind, within the slack": {[]served{{urgent, 55, 100}, {bulk, 60, 100}}, 0},
-		"urgent behind":                   {[]served{{urgent, 54, 100}, {bulk, 60, 100}}, 1},
+		"all alike":                       {[]served{{urgent, 600, 1000}, {bulk, 600, 1000}, {small, 60, 100}}, 0},
+		"urgent behind, within the slack": {[]served{{urgent, 550, 1000}, {bulk, 600, 1000}}, 0},
+		"urgent behind":                   {[]served{{urgent, 549, 1000}, {bulk, 600, 1000}}, 1},
 		"a class at a quarter":            {[]served{{urgent, 400, 400}, {bulk, 100, 400}, {small, 20, 100}}, 0},
 		"a class below a quarter":         {[]served{{urgent, 400, 400}, {bulk, 100, 400}, {small, 10, 100}}, 1},
 		"too few to tell":                 {[]served{{urgent, 0, 99}, {bulk, 100, 100}}, 0},
+		"too few to compare ranks":        {[]served{{urgent, 500, 999}, {bulk, 600, 1000}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := soak.NewShares()
