--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -30,18 +30,19 @@
 	g.admissionMetrics.RecordStatus(g.gate.Status())
 }
 
-// supply implements admission.Config.Supply.
+// supply implements admission.Config.Supply. A slow endpoint counts with all of its slots: a caller who
+// is served late there is better off than one who is refused.
 func (g *Gateway) supply(service string, now time.Time) admission.Supply {
 	var out admission.Supply
 	for _, c := range g.capacities(service, now) {
-		if !c.Usable || c.Places <= 0 {
+		if !c.Usable {
 			out.Elsewhere += c.Own
 			if c.Open {
 				out.Open++
 			}
 			continue
 		}
-		out.Room += max(c.Places, float64(c.Slots))
+		out.Room += float64(max(c.Slots, 1))
 		out.Running += float64(c.InFlight)
 		out.Own += float64(c.Own)
 	}
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -34,7 +34,7 @@
 
 // Supply is the room that a service's endpoints have.
 type Supply struct {
-	// Room is the number of requests that can be served in time concurrently. Running is the number
+	// Room is the number of requests that the endpoints run concurrently. Running is the number
 	// that all gateways have outstanding at the same endpoints.
 	Room, Running float64
 	// Elsewhere is the number of this gateway's outstanding requests at endpoints that are not
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -54,8 +54,8 @@
 
 // Conditions is what a gateway knows of a service at one moment.
 type Conditions struct {
-	// Room is the number of requests that the service's endpoints can serve in time concurrently,
-	// Running the number that all gateways have outstanding there.
+	// Room is the number of requests that the service's endpoints run concurrently, Running the
+	// number that all gateways have outstanding there.
 	Room, Running float64
 	// Own is the demand of this gateway's callers, Fleet that of all gateways.
 	Own, Fleet Demand
@@ -78,9 +78,10 @@
 // the room doesn't switch the limits on and off.
 const (
 	// beginDemand and beginRunning are the demand and the running requests at which a shortage
-	// begins, endDemand and endRunning those below which it ends.
+	// begins.
 	beginDemand, beginRunning = 1.0, 0.85
-	endDemand, endRunning     = 0.92, 0.7
+	// endDemand and endRunning are the demand and the running requests below which it ends.
+	endDemand, endRunning = 0.92, 0.7
 	// minShortage is how long a shortage lasts at least. It is longer than the news of requests
 	// takes to reach all gateways.
 	minShortage = time.Second
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -96,8 +96,8 @@
 
 // ReturnAfter returns when a refused caller should return: at the first time at which a place comes
 // free that no other caller was told of. If that is soon enough for its latency target, the caller
-// loses nothing. While few are refused, that is likely at any time. Otherwise it is told the latest time that leaves two thirds of its time, since a
-// shortage is more likely to have ended then.
+// loses nothing. While few are refused, that is likely at any time. Otherwise it is told the latest
+// time that leaves two thirds of its time, since a shortage is more likely to have ended then.
 func ReturnAfter(f *ReturnForecast) time.Duration {
 	room := returnShare * f.FreePerSecond * returnStep.Seconds()
 	// The draw makes a fraction of a place per step count as often as that fraction.
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// endsWindow and refusedWindow are the times over which the rates of ends and of refusals are
-// smoothed.
 const (
-	endsWindow    = 2 * time.Second
+	// endsWindow is the time over which the rate at which places come free is smoothed.
+	endsWindow = 2 * time.Second
+	// refusedWindow is the time over which the share of refusals is smoothed.
 	refusedWindow = 3 * time.Second
 )
 
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -20,11 +20,11 @@
 	// has to outlast the reload. It is less than the load of a full endpoint, so that the
 	// few endpoints that have already reloaded do not receive all of these requests.
 	reloadCost = 0.5
-	// lateCost applies to a slow endpoint at which the first event is expected too late. Other
-	// endpoints that are not full come first.
+	// lateCost applies to a slow endpoint at which the first event is expected too late.
 	lateCost = 0.2
-	// slowCost is the cost of an endpoint that has no place for each slot but none at all. It keeps
-	// a slow endpoint less loaded than others by what it lacks in places.
+	// slowCost is multiplied by the share of its slots that a slow endpoint lacks in places. Such an
+	// endpoint is then less loaded than others at any load of the service, and still takes
+	// requests before callers are refused.
 	slowCost = 0.45
 	// prefillUnit is the pending prefill time that counts as one request per slot.
 	prefillUnit = 250 * time.Millisecond
--- a/gateway/balance/token.go
+++ b/gateway/balance/token.go
@@ -19,7 +19,8 @@
 	// coldTokenTTL and maxColdGrantDelay take the place of tokenTTL and maxGrantDelay while an
 	// endpoint is cold. A gateway uses such a token for its next request, so it is short-lived:
 	// all tokens granted within coldTokenTTL may be used at the same moment.
-	coldTokenTTL      = 150 * time.Millisecond
+	coldTokenTTL = 150 * time.Millisecond
+	// maxColdGrantDelay is described at coldTokenTTL.
 	maxColdGrantDelay = 100 * time.Millisecond
 	// minTokenRequestInterval is the shortest interval between two token requests of a
 	// gateway for one endpoint.
--- a/gateway/balance/zones_test.go
+++ b/gateway/balance/zones_test.go
@@ -62,7 +62,7 @@
 	// weights replaces the cumulative weights of the gateways once it is set.
 	weights []float64
 	// arrivals counts the requests of each zone, each with a weight that decays over
-	// zoneflow.DemandWindow.
+	// demandWindow.
 	arrivals map[string]float64
 	shares   map[string][]zoneflow.Share
 	// changes counts changes of the shares, mutual how often two zones sent to each other.
@@ -72,6 +72,9 @@
 	requests, abroad, bad map[string]int
 }
 
+// demandWindow is the time over which the demand of a zone is smoothed.
+const demandWindow = 2 * time.Second
+
 // newsDelay is how late others know of a zone's demand.
 const newsDelay = 300 * time.Millisecond
 
@@ -98,10 +101,10 @@
 	for _, e := range f.entries {
 		byZone[e.Zone] = &zoneflow.Zone{Name: e.Zone, Region: e.Zone}
 	}
-	measured := 1 - math.Exp(-max(f.now, time.Second).Seconds()/zoneflow.DemandWindow.Seconds())
+	measured := 1 - math.Exp(-max(f.now, time.Second).Seconds()/demandWindow.Seconds())
 	for name, zone := range byZone {
-		zone.Demand = z.arrivals[name] * meanRun.Seconds() / zoneflow.DemandWindow.Seconds() / measured
-		z.arrivals[name] *= math.Exp(-heartbeatInterval.Seconds() / zoneflow.DemandWindow.Seconds())
+		zone.Demand = z.arrivals[name] * meanRun.Seconds() / demandWindow.Seconds() / measured
+		z.arrivals[name] *= math.Exp(-heartbeatInterval.Seconds() / demandWindow.Seconds())
 	}
 	for _, e := range f.list.Endpoints {
 		byZone[e.Zone].Room += slots
--- a/gateway/work/observe.go
+++ b/gateway/work/observe.go
@@ -4,13 +4,13 @@
 
 // Constants of an estimate of an endpoint's pace from its streams.
 const (
-	// observedWeight is the weight of one stream among those of an endpoint, and serviceWeight
-	// among those of all endpoints of its service.
+	// observedWeight is the weight of one stream among those of an endpoint.
 	observedWeight = 1.0 / 8
-	serviceWeight  = 1.0 / 64
-	// minObserved is the number of streams of an endpoint before an estimate counts, and
-	// minServiceObserved the number of those of all endpoints.
-	minObserved        = 8
+	// serviceWeight is the weight of one stream among those of all endpoints of a service.
+	serviceWeight = 1.0 / 64
+	// minObserved is the number of streams of an endpoint before an estimate counts.
+	minObserved = 8
+	// minServiceObserved is the number of streams of all endpoints before an estimate counts.
 	minServiceObserved = 64
 	// slowAbove and normalBelow are the estimates from which an endpoint counts as slow, and
 	// below which it no longer does.
--- a/gateway/zoneflow/zoneflow.go
+++ b/gateway/zoneflow/zoneflow.go
@@ -8,13 +8,8 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 )
 
-// DemandWindow is the time over which demand should be smoothed. Flows follow a jump within about
-// half of it, and settle while the demand of a zone is steady.
-const DemandWindow = 2 * time.Second
-
 // Thresholds.
 const (
 	// comfortableLoad is the load, in requests per slot, up to which a zone keeps all of its
--- a/leases/pace.go
+++ b/leases/pace.go
@@ -40,8 +40,8 @@
 	// loadTime is how long an endpoint is unavailable during a change in addition to its drain.
 	loadTime = 450 * time.Millisecond
 	// scarceDrainShare is the part of the full drain that endpoints take without spare
-	// capacity. Nearly half of the streams have ended by then. A longer drain has other
-	// streams refused, since its slots stand empty, for those that it saves.
+	// capacity. Short streams end within it. The slots of an endpoint that drains longer stand
+	// empty while callers are refused.
 	scarceDrainShare = 0.3
 	// easyShare is the share of the endpoints that may be out at once with full drains.
 	easyShare = 0.1
