--- a/member/demand.go
+++ b/member/demand.go
@@ -135,9 +135,9 @@
 	return out
 }
 
-// ZoneDemand returns the work that callers ask for of a service, in slots of its endpoints, by the
-// availability zone of the gateways that received the requests. It includes this gateway, and is
-// nil if nothing is known.
+// ZoneDemand returns the recent demand for a service, in slots of its endpoints, by the availability
+// zone of the gateways that received the requests. It includes this gateway, and is nil if nothing is
+// known.
 func (t *Table) ZoneDemand(service string) map[string]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -239,9 +239,9 @@
 }
 
 // drain asks gateways to stop sending requests for the time pause, waits up to limit for running
-// requests to end, and returns how many are left. It waits up to queueTimeout for requests that gateways sent before they received
-// the pause and that are still queued: they would begin on the old weights, and past their
-// limit if this VM were suspended now.
+// requests to end, and returns how many are left. It waits up to queueTimeout for requests that
+// gateways sent before they received the pause and that are still queued: they would begin on the
+// old weights, and past their limit if this VM were suspended now.
 func (s *Stager) drain(ctx context.Context, limit, pause time.Duration) (left int) {
 	s.cfg.Fleet.Pause(ctx, pause)
 	wait.For(ctx, noticeDelay)
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -117,8 +117,8 @@
 	drainMargin = 600 * time.Millisecond
 )
 
-// leasedDrainFactor is the longest drain with a lease as a multiple of the usual response time. About
-// a fifth of the responses take longer.
+// leasedDrainFactor is the longest drain with a lease as a multiple of the usual response time. What
+// still runs then is cut, and resumes at another endpoint.
 const leasedDrainFactor = 2
 
 // LeasedDrain returns how long an endpoint whose requests others take drains at most.
