telemetry: a Writer that is closed does not wait for its next interval

Cause: after a write the goroutine slept for the whole write interval, also when Close had been called meanwhile. Change: the interval ends with Close; Close may be called twice.

--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -29,12 +29,18 @@
 	dropped int
 	wake    chan struct{}
 	closed  bool
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewWriter returns a Writer to w and starts its goroutine, which Close stops.
 func NewWriter(w io.Writer) *Writer {
-	out := &Writer{to: w, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	out := &Writer{
+		to:      w,
+		wake:    make(chan struct{}, 1),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
 	go out.run()
 	return out
 }
@@ -72,8 +78,11 @@
 // latest.
 func (w *Writer) Close() error {
 	w.mu.Lock()
-	w.closed = true
-	w.signal()
+	if !w.closed {
+		w.closed = true
+		close(w.closing)
+		w.signal()
+	}
 	w.mu.Unlock()
 	select {
 	case <-w.done:
@@ -92,7 +101,15 @@
 		if closed {
 			return
 		}
-		time.Sleep(writeInterval)
+		w.pause()
+	}
+}
+
+// pause waits for writeInterval, or until the Writer is closed.
+func (w *Writer) pause() {
+	select {
+	case <-w.closing:
+	case <-time.After(writeInterval):
 	}
 }
 
