endpoints: of two endpoints at one address the one whose record appeared later is used

Cause: after all machines lose power the records of the endpoints that ran before stand beside those of the ones that run now at the same addresses until they lapse. Change: roster.DropReplaced, after lapsed endpoints are added.

--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -7,6 +7,7 @@
 package endpoints
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,8 @@
 // could not be decoded.
 type decodedRecord struct {
 	revision int64
+	// since is the revision at which the record was first seen.
+	since    int64
 	endpoint *roster.Endpoint
 	readAt   time.Time
 }
@@ -94,6 +97,7 @@
 		l.cfg.Log.Info("lapsed endpoints kept", "endpoints", kept, "forMs", end.Sub(now).Milliseconds(), "revision", list.Revision)
 		time.AfterFunc(end.Sub(now), l.Update)
 	}
+	roster.DropReplaced(list, l.firstRevisions())
 	l.current.Store(list)
 	l.logChanges(previous, list)
 	l.cfg.OnChange(list)
@@ -108,7 +112,9 @@
 	for name, stored := range s.Objects {
 		d, known := l.decoded[name]
 		if !known || d.revision != stored.Revision {
+			since := d.since
 			d = l.decodeRecord(name, stored, now)
+			d.since = cmp.Or(since, stored.Revision)
 		}
 		records[name] = d
 		if d.endpoint != nil {
@@ -119,6 +125,15 @@
 	return list
 }
 
+// firstRevisions returns by ID the revision at which each record was first seen. The lock must be held.
+func (l *List) firstRevisions() map[string]int64 {
+	out := make(map[string]int64, len(l.decoded))
+	for name, d := range l.decoded {
+		out[name] = d.since
+	}
+	return out
+}
+
 // decodeRecord decodes a record and reports it if that fails.
 func (l *List) decodeRecord(name string, stored mirror.Object, now time.Time) decodedRecord {
 	endpoint, err := platform.DecodeEndpoint(stored.Data)
--- a/gateway/endpoints/endpoints_test.go
+++ b/gateway/endpoints/endpoints_test.go
@@ -63,6 +63,30 @@
 	})
 }
 
+// Guards against requests for endpoints that lost power with their VM and run under other IDs since:
+// each of them was refused by the endpoint that has the address now.
+func TestAnEndpointAtWhoseAddressAnotherStartedIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{}
+	l := newList(s)
+	put := func(revision int64, records map[string]int64) {
+		d := &mirror.Delta{Version: mirror.Version{Revision: revision}}
+		for name, written := range records {
+			data := fmt.Sprintf(`{"metadata":{"name":%q,"revision":%d},"spec":%s}`, name, written, born(0, "ready"))
+			d.Names = append(d.Names, name)
+			d.Objects = append(d.Objects, mirror.Object{Name: name, Revision: written, Data: []byte(data)})
+		}
+		s.state, _ = (&mirror.State{}).Apply(d)
+		l.Update()
+	}
+	put(9, map[string]int64{"before": 5, "after": 8})
+	g.Expect(l.Current().Endpoints).To(And(HaveLen(1), HaveKey("after")))
+	put(11, map[string]int64{"before": 11, "after": 8})
+	g.Expect(l.Current().Endpoints).To(And(HaveLen(1), HaveKey("after")), "a write of the earlier one that is late changes nothing")
+	put(12, map[string]int64{"before": 11})
+	g.Expect(l.Current().Endpoints).To(HaveKey("before"))
+}
+
 func TestLapsedEndpointsAreKeptAfterTheStoreWasLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
