proxy: a request waits for a cold endpoint that opens within a fraction of its target

Cause: where all endpoints had used up their rate limits, one holder was asked for a token. A token that was valid 10 to 100 ms later did not help the request that had asked, nor did a refusal lead to another holder: after a start of all, when all endpoints are cold, 1,300 requests were refused within 1.5 s while endpoints opened every 55 ms. Change: up to three holders are asked, and a request waits for a token or an endpoint of this gateway that opens within a quarter of the target (admission.WaitLimit).

--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -56,16 +56,15 @@
 	return live
 }
 
-// requestToken implements proxy.Config.RequestToken. It reports whether a token was granted for
-// immediate use; a token that becomes valid later is left for later requests.
-func (g *Gateway) requestToken(ctx context.Context, l roster.Incarnation) bool {
+// requestToken implements proxy.Config.RequestToken.
+func (g *Gateway) requestToken(ctx context.Context, l roster.Incarnation) (opensIn time.Duration, granted bool) {
 	list := g.endpoints.Current()
 	if list == nil || list.Endpoints[l.ID] == nil {
-		return false
+		return 0, false
 	}
 	holder, found := affinity.Holder(list.Endpoints[l.ID], g.readyGateways())
 	if !found || holder.Name == g.self.Name {
-		return false
+		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
 	defer cancel()
@@ -74,10 +73,10 @@
 		ColdFor: g.balancer.ColdFor(l, requestedAt)})
 	if err != nil {
 		g.log.Debug("no token from the holder of an endpoint", "endpoint", l.ID, "peer", holder.Peer, "err", err)
-		return false
+		return 0, false
 	}
 	g.balancer.ApplyTokenReply(l, balance.TokenReply{Granted: reply.Granted, OpensIn: reply.OpensIn, RequestedAt: requestedAt}, time.Now())
-	return reply.Granted && reply.OpensIn == 0
+	return reply.OpensIn, reply.Granted
 }
 
 // requestTokenAhead implements balance.Config.OnTokenWanted.
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -161,6 +161,15 @@
 	return c.lastEventID == "" && policy.Late(c.elapsed, c.route.LatencyTarget)
 }
 
+// waitLimit returns how long the call may wait at this gateway for an endpoint that opens. A response
+// that has begun waits by other rules; see pickOrAwaitLoad.
+func (c *call) waitLimit() time.Duration {
+	if c.headSent {
+		return 0
+	}
+	return admission.WaitLimit(c.route.LatencyTarget, c.elapsed+time.Since(c.startedAt))
+}
+
 // lastAttempt reports whether the route allows no further attempt.
 func (c *call) lastAttempt() bool {
 	return c.countedAttempts(len(c.attempted)) >= c.route.Attempts
--- a/gateway/proxy/fleet_test.go
+++ b/gateway/proxy/fleet_test.go
@@ -117,7 +117,7 @@
 		Random:        w.random(uint64(len(f.alive()))),
 		OnTokenWanted: func(l roster.Incarnation) { go f.askToken(w, l) },
 	})
-	w.askToken = func(_ context.Context, l roster.Incarnation) bool { return f.askToken(w, l) }
+	w.askToken = func(_ context.Context, l roster.Incarnation) (time.Duration, bool) { return f.askToken(w, l) }
 	w.balancer.Update(f.list())
 	w.client = upstream.NewClient(upstream.WithDialer(w))
 	w.budget = proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 })
@@ -235,17 +235,17 @@
 
 // askToken asks the holder of an endpoint, a few milliseconds away, for permission to send a
 // request there.
-func (f *fleet) askToken(w *harness, l roster.Incarnation) bool {
+func (f *fleet) askToken(w *harness, l roster.Incarnation) (opensIn time.Duration, granted bool) {
 	holder := f.holder(l.ID)
 	if holder == nil || holder == w {
-		return false
+		return 0, false
 	}
 	requestedAt := time.Now()
 	time.Sleep(4 * time.Millisecond)
 	now := time.Now()
-	granted, opensIn := holder.balancer.Grant(w.self.Name, l, w.balancer.ColdFor(l, requestedAt), now)
+	granted, opensIn = holder.balancer.Grant(w.self.Name, l, w.balancer.ColdFor(l, requestedAt), now)
 	w.balancer.ApplyTokenReply(l, balance.TokenReply{Granted: granted, OpensIn: opensIn, RequestedAt: requestedAt}, now)
-	return granted && opensIn == 0
+	return opensIn, granted
 }
 
 // isDead reports whether a gateway has ended.
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -99,7 +99,7 @@
 	gate *admission.Gate
 	// askToken asks another gateway for permission to send a request to an endpoint that it
 	// holds.
-	askToken func(context.Context, roster.Incarnation) bool
+	askToken func(context.Context, roster.Incarnation) (time.Duration, bool)
 }
 
 // logBuffer collects log lines from several goroutines.
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -66,7 +66,7 @@
 func (p *Proxy) pickOrAwaitLoad(ctx context.Context, c *call) (*balance.Lease, *verdict.Error) {
 	startedAt := time.Now()
 	for {
-		lease, err := p.pick(ctx, p.query(c))
+		lease, err := p.pick(ctx, c)
 		if !policy.WaitsForLoad(c.headSent, awaitsWeights(lease, err), time.Since(startedAt)) {
 			return lease, p.pickFailure(c, err)
 		}
@@ -79,15 +79,39 @@
 	}
 }
 
-// pick selects an endpoint. If all endpoints have stated that they take no requests for now, it
-// asks the gateway that holds one of them for permission to send a request there.
-func (p *Proxy) pick(ctx context.Context, q *balance.Query) (*balance.Lease, error) {
-	lease, err := p.cfg.Balancer.Pick(q, time.Now())
-	var full *balance.FullError
-	if errors.As(err, &full) && full.TokenFrom.ID != "" && p.cfg.RequestToken(ctx, full.TokenFrom) {
-		return p.cfg.Balancer.Pick(q, time.Now())
+// maxPicks is how often an endpoint is picked for one attempt while endpoints have used up their rate
+// limits. Each time another gateway may be asked, which takes a few milliseconds.
+const maxPicks = 4
+
+// pick selects an endpoint. If all endpoints have stated that they take no requests for now, it asks
+// the gateways that hold some of them for permission to send a request there, and waits for one that
+// opens soon enough for the caller.
+func (p *Proxy) pick(ctx context.Context, c *call) (*balance.Lease, error) {
+	until := time.Now().Add(c.waitLimit())
+	for n := 1; ; n++ {
+		lease, err := p.cfg.Balancer.Pick(p.query(c), time.Now())
+		var full *balance.FullError
+		if !errors.As(err, &full) || n == maxPicks || !p.awaitOpening(ctx, full, until) {
+			return lease, err
+		}
+	}
+}
+
+// awaitOpening requests a token if one can be requested, waits until an endpoint accepts a request, but
+// not beyond until, and returns whether an endpoint should be picked again.
+func (p *Proxy) awaitOpening(ctx context.Context, full *balance.FullError, until time.Time) bool {
+	opensIn, asked := full.OpensIn, full.TokenFrom.ID != ""
+	if asked {
+		d, granted := p.cfg.RequestToken(ctx, full.TokenFrom)
+		if !granted {
+			return true // to ask another gateway
+		}
+		opensIn = d
+	}
+	if opensIn > time.Until(until) || opensIn <= 0 {
+		return asked
 	}
-	return lease, err
+	return wait.For(ctx, opensIn)
 }
 
 // awaitsWeights reports whether the selected endpoint is about to load weights, or whether none
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -59,8 +59,9 @@
 	// Memory bounds the bodies that are held at the same time; nil for no limit.
 	Memory *Memory
 	// RequestToken asks the gateway that holds an endpoint for permission to send one request to it,
-	// and reports whether the request may be sent now. If nil, permission is never granted.
-	RequestToken func(ctx context.Context, l roster.Incarnation) bool
+	// and returns whether it was granted and the time after which the request may be sent. If nil,
+	// permission is never granted.
+	RequestToken func(ctx context.Context, l roster.Incarnation) (opensIn time.Duration, granted bool)
 	// Random returns a random number in [0, 1).
 	Random func() float64
 }
@@ -94,7 +95,7 @@
 		cfg.ReadAdvisory = func(int, http.Header) advisory.Advisory { return advisory.Advisory{Limit: advisory.Unknown{}} }
 	}
 	if cfg.RequestToken == nil {
-		cfg.RequestToken = func(context.Context, roster.Incarnation) bool { return false }
+		cfg.RequestToken = func(context.Context, roster.Incarnation) (time.Duration, bool) { return 0, false }
 	}
 	p := &Proxy{cfg: cfg, inFlight: drain.NewTracker(), callerTimeouts: newTimeoutTracker(), refusals: newRefusals(), crashes: newCrashDetector(cfg.Client.Refuses)}
 	p.stopCtx, p.CancelRequests = context.WithCancel(context.Background())
