admission: queued streams are hedged in a shortage, and a gateway without news keeps its share

Cause: in a lasting overload of 69 gateways some .05 of callers were late and a tenth of the slots idle at the same moment: gateways that learn of each other's requests .1 to .3 s late choose the same slot, and the second request waits in the endpoint's queue. Gateways without news multiplied their own few requests by the number of gateways, so the shortage ended and began for them by chance, and callers who were late already were admitted in between.

Change: a stream that was admitted in a shortage, whose first event is overdue and which can still begin in time elsewhere is hedged at once, at the slot that this gateway vacated last or at an endpoint with a free slot. A gateway that hears nobody any more goes for 20 s by what it knew of the others in the shortage. The test's fleet hedges queued requests by the rule of package policy. Ruled out by trials (docs/design/admission.md): reservations told to others, dealt out slots, waits at the gateway, other orders of vacated slots.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -59,6 +59,8 @@
 	// LostFor is the time for which less than half of the known gateways have been alive. The Gate
 	// sets it.
 	LostFor time.Duration
+	// Last is what was known when others were last heard. The Gate sets it.
+	Last Heard
 }
 
 // Cause is why a request is refused.
@@ -235,6 +237,15 @@
 	released bool
 }
 
+// TakeVacated returns an endpoint at which a request of this gateway has just ended, for a request
+// that waits at another endpoint, or empty if there is none or the room is not short.
+func (a *Grant) TakeVacated(now time.Time) string {
+	if a == nil {
+		return ""
+	}
+	return a.service.takeVacated(now)
+}
+
 // Release ends the admission when the request has ended. endpoint is the endpoint that served it, or
 // empty if it took no slot. Later calls have no effect.
 func (a *Grant) Release(endpoint string, now time.Time) {
--- a/gateway/admission/conditions.go
+++ b/gateway/admission/conditions.go
@@ -10,6 +10,21 @@
 // off. Callers leave a gateway that is cut off within seconds.
 const cutOffTime = 20 * time.Second
 
+// Heard is what a gateway knew of the others when it last heard them.
+type Heard struct {
+	// Demand is the demand of the others, Running the number of their requests.
+	Demand  Demand
+	Running float64
+	// Covers is the number of gateways that are included, Age the age of the news.
+	Covers int
+	Age    time.Duration
+}
+
+// usable returns whether the news tells the demand of others now.
+func (n *News) usable() bool {
+	return n.Covers > 0 && n.Age <= maxNewsAge
+}
+
 // mostLost returns whether less than half of the known gateways are alive as far as is known.
 func mostLost(news News) bool {
 	return 2*news.Gateways < news.Known
@@ -28,14 +43,18 @@
 	if others == 0 {
 		return c
 	}
-	if news.Covers == 0 || news.Age > maxNewsAge {
+	heard := Heard{Demand: news.Demand, Running: supply.Running - supply.Own, Covers: news.Covers}
+	if !news.usable() {
+		heard = news.Last
+	}
+	if heard.Covers == 0 || heard.Age > cutOffTime {
 		c.Running = supply.Own * float64(others+1)
 		c.Fleet = own.plus(own, float64(others))
 		return c
 	}
-	factor := max(1, float64(others)/float64(news.Covers))
-	c.Running = supply.Own + (supply.Running-supply.Own)*factor
-	c.Fleet = own.plus(news.Demand, factor)
+	factor := max(1, float64(others)/float64(heard.Covers))
+	c.Running = supply.Own + heard.Running*factor
+	c.Fleet = own.plus(heard.Demand, factor)
 	return c
 }
 
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/affinity"
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
 )
@@ -25,6 +27,10 @@
 	// first try is in time.
 	target = 400 * time.Millisecond
 	inTime = 240 * time.Millisecond
+	// toFirst is the time from when a request begins to run to its first event, checkInterval that
+	// between two looks at whether a request waits too long.
+	toFirst       = target - inTime
+	checkInterval = 100 * time.Millisecond
 	// patience is the time from a first try to the deadline.
 	patience       = 6 * time.Second
 	newsInterval   = 200 * time.Millisecond
@@ -85,6 +91,22 @@
 	firstAt       time.Duration
 	tries         int
 	gateway       int
+	// copies are the endpoints' queue entries of the current try, sentAt is when it was sent.
+	copies []*queued
+	sentAt time.Duration
+}
+
+// queued is a request that waits at an endpoint.
+type queued struct {
+	endpoint *endpoint
+	lease    *balance.Lease
+	run      func()
+}
+
+// leave removes a request that runs elsewhere from its queue.
+func (q *queued) leave(now time.Time) {
+	q.lease.Done(balance.Neutral, now)
+	q.endpoint.queued = slices.DeleteFunc(q.endpoint.queued, func(x *queued) bool { return x == q })
 }
 
 // tally counts the outcomes of callers, and the work of those that were served in time.
@@ -118,7 +140,7 @@
 // endpoint runs up to slots requests and queues others.
 type endpoint struct {
 	running int
-	queued  []func()
+	queued  []*queued
 	gone    bool
 	// life increases when the gateways restart, which ends all requests.
 	life int
@@ -131,9 +153,9 @@
 	}
 	e.running--
 	if len(e.queued) > 0 && !e.gone {
-		run := e.queued[0]
+		first := e.queued[0]
 		e.queued = e.queued[1:]
-		run()
+		first.run()
 	}
 }
 
@@ -430,6 +452,7 @@
 		f.refuse(c, 400*time.Millisecond+time.Duration(f.rand.Float64()*float64(1600*time.Millisecond)))
 		return
 	}
+	c.sentAt = f.now
 	f.send(c, lease, grant)
 }
 
@@ -466,7 +489,14 @@
 // send runs a request at an endpoint.
 func (f *fleet) send(c *caller, lease *balance.Lease, grant *admission.Grant) {
 	e := f.endpoints[lease.Record.ID]
-	run := func() {
+	this := &queued{endpoint: e, lease: lease}
+	this.run = func() {
+		for _, q := range c.copies {
+			if q != this {
+				q.leave(f.clock())
+			}
+		}
+		c.copies = nil
 		if e.gone {
 			f.end(c, func(t *tally) { t.rejected++ })
 			return
@@ -492,16 +522,42 @@
 	}
 	switch {
 	case e.running < slots:
-		run()
+		this.run()
 	case len(e.queued) < maxQueued:
-		e.queued = append(e.queued, run)
+		e.queued = append(e.queued, this)
+		c.copies = append(c.copies, this)
+		if grant != nil && len(c.copies) == 1 {
+			f.after(policy.OverdueAfter(toFirst), func() { f.hedge(c, lease, grant) })
+		}
 	default:
 		lease.Done(balance.Refused, f.clock())
+		if len(c.copies) > 0 {
+			return
+		}
 		grant.Release("", f.clock())
 		f.end(c, func(t *tally) { t.rejected++ })
 	}
 }
 
+// hedge sends a request that still waits at its endpoint to another one, as package proxy does.
+func (f *fleet) hedge(c *caller, lease *balance.Lease, grant *admission.Grant) {
+	if len(c.copies) != 1 || c.copies[0].lease != lease {
+		return
+	}
+	w, ok := policy.WaitForStream(policy.Stall{Admitted: grant.Enforced, FirstEvent: toFirst, TargetLeft: target - (f.now - c.firstAt),
+		StreamIdle: f.now - c.sentAt, StreamIdleLimit: time.Hour, EndpointIdleLimit: time.Hour}).(policy.Hedge)
+	if !ok {
+		return
+	}
+	second, err := f.gateways[c.gateway].balancer.Pick(&balance.Query{Service: "s", MaxLoad: w.MaxLoad, Admitted: true, Healthy: true,
+		Vacated: grant.TakeVacated(f.clock()), Exclude: []string{lease.Record.ID}}, f.clock())
+	if err != nil {
+		f.after(checkInterval, func() { f.hedge(c, lease, grant) })
+		return
+	}
+	f.send(c, second, grant)
+}
+
 // possible returns the work that the endpoints can do while requests arrive after the warm-up.
 func (f *fleet) possible() time.Duration {
 	return time.Duration(len(f.list.Endpoints)*slots) * playTime
--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -188,3 +188,78 @@
 		g.Expect(admission.AsRefused(err).Cause).To(Equal(admission.CauseShare))
 	})
 }
+
+func TestASlotThatCameFreeIsOfferedOnceDuringAShortage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &supply{}
+		gate, grants := full(t, s)
+		g.Expect(grants[5].TakeVacated(time.Now())).To(BeEmpty())
+		grants[0].Release("e0", time.Now())
+		grants[1].Release("e1", time.Now())
+		g.Expect(grants[5].TakeVacated(time.Now())).To(Equal("e1"), "the last one")
+		grant, err := gate.TryAcquire(request("a", 0), time.Now())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(grant.Vacated).To(Equal("e0"))
+		g.Expect(grants[5].TakeVacated(time.Now())).To(BeEmpty())
+		grants[2].Release("e2", time.Now())
+		s.running = 0
+		time.Sleep(2 * time.Second)
+		gate.Refresh(time.Now())
+		g.Expect(gate.Status()[0].Shortage).To(BeFalse())
+		grants[3].Release("e3", time.Now())
+		g.Expect(grants[5].TakeVacated(time.Now())).To(BeEmpty())
+		g.Expect((*admission.Grant)(nil).TakeVacated(time.Now())).To(BeEmpty())
+	})
+}
+
+// A gateway that hears nobody any more in a shortage goes by what it knew: its own few requests say
+// little of the fleet's, and between two of them it would take the shortage to be over.
+func TestAGatewayThatHearsNobodyGoesByWhatItKnew(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// demand is that of others while they are heard, running the number of their requests.
+		demand, running float64
+		short           bool
+	}{
+		{"in a shortage", 130, 86, true},
+		{"on a calm day", 40, 30, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				supply := admission.Supply{Room: 100, Running: x.running + 10, Own: 10}
+				news := admission.News{Demand: demandOf(x.demand), Covers: 9, Gateways: 9, Known: 9}
+				gate := admission.New(admission.Config{
+					Supply: func(string, time.Time) admission.Supply { return supply },
+					News:   func(string, time.Time) admission.News { return news },
+					Random: func() float64 { return 0 },
+				})
+				grant, err := gate.TryAcquire(request("a", 0), time.Now())
+				g.Expect(err).NotTo(HaveOccurred())
+				grant.Release("", time.Now())
+				status := func() admission.Status {
+					gate.Refresh(time.Now())
+					return gate.Status()[0]
+				}
+				for range 2 {
+					time.Sleep(200 * time.Millisecond)
+					g.Expect(status().Shortage).To(Equal(x.short))
+				}
+				supply, news = admission.Supply{Room: 100, Running: 3, Own: 3}, admission.News{Known: 9}
+				for range 19 {
+					time.Sleep(time.Second)
+					now := status()
+					g.Expect(now.Shortage).To(Equal(x.short))
+					if x.short {
+						g.Expect(now.Running).To(Equal(89.0))
+					} else {
+						g.Expect(now.Running).To(Equal(30.0), "its own, for each gateway")
+					}
+				}
+				time.Sleep(1100 * time.Millisecond)
+				g.Expect(status().Shortage).To(BeFalse())
+			})
+		})
+	}
+}
--- a/gateway/admission/levels_test.go
+++ b/gateway/admission/levels_test.go
@@ -127,6 +127,11 @@
 	g.Expect(admission.RepeatsAtOnce(1, 1)).To(BeFalse(), "one request shows nothing")
 }
 
+// heard is what was known of 9 other gateways the given time ago.
+func heard(age time.Duration) admission.Heard {
+	return admission.Heard{Demand: demandOf(70), Running: 100, Covers: 9, Age: age}
+}
+
 func TestWhatIsKnownOfSomeGatewaysStandsForAll(t *testing.T) {
 	supply := admission.Supply{Room: 100, Running: 50, Own: 10}
 	own := demandOf(5)
@@ -144,6 +149,11 @@
 		{"old news", admission.News{Demand: demandOf(45), Covers: 9, Gateways: 9, Known: 9, Age: 3 * time.Second}, 10, 50, 100},
 		{"a zone lost", admission.News{Demand: demandOf(25), Covers: 5, Gateways: 5, Known: 9}, 6, 30, 50},
 		{"cut off", admission.News{Known: 9}, 10, 50, 100},
+		{"none heard any more", admission.News{Gateways: 9, Known: 9, Last: heard(20 * time.Second)}, 10, 75, 110},
+		{"a third heard before", admission.News{Gateways: 9, Known: 9, Last: admission.Heard{Demand: demandOf(15), Running: 25, Covers: 3}}, 10, 50, 85},
+		{"cut off after it heard all", admission.News{Known: 9, Last: heard(time.Second)}, 10, 75, 110},
+		{"not heard for long", admission.News{Gateways: 9, Known: 9, Last: heard(20*time.Second + 1)}, 10, 50, 100},
+		{"heard again", admission.News{Demand: demandOf(45), Covers: 9, Gateways: 9, Known: 9, Last: heard(time.Second)}, 10, 50, 50},
 		{"most are lost", admission.News{Known: 9, LostFor: 20 * time.Second}, 1, 5, 50},
 	} {
 		t.Run(x.name, func(t *testing.T) {
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -70,10 +70,14 @@
 	open int
 	// mostHeardAt is when most of the known gateways were last alive.
 	mostHeardAt time.Time
-	shortage    bool
-	changedAt   time.Time
-	levels      Levels
-	limit       float64
+	// heard is what was known of the other gateways at heardAt, when they were last heard, if the
+	// room was short.
+	heard     Heard
+	heardAt   time.Time
+	shortage  bool
+	changedAt time.Time
+	levels    Levels
+	limit     float64
 	// reported holds the levels that OnChange was last called with.
 	reported Levels
 }
@@ -227,6 +231,17 @@
 	s.dispatch(a.gate, now)
 }
 
+// takeVacated returns the endpoint of the slot that came free last, or empty if there is none or no
+// shortage.
+func (s *service) takeVacated(now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.shortage {
+		return ""
+	}
+	return s.vacated.take(now)
+}
+
 // abandon ends the wait of w. cause is why its caller doesn't wait any more, or nil if the time is
 // over.
 func (s *service) abandon(g *Gate, w *waiter, cause error) (*Grant, error) {
--- a/gateway/admission/update.go
+++ b/gateway/admission/update.go
@@ -36,6 +36,7 @@
 		s.mostHeardAt = now
 	}
 	news.LostFor = now.Sub(s.mostHeardAt)
+	news.Last = s.lastHeard(&supply, &news, now)
 	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
@@ -56,6 +57,21 @@
 	}
 }
 
+// lastHeard returns what was known when other gateways were last heard, if the room was short then.
+// Otherwise a gateway that is cut off must notice a shortage by itself. The caller must hold s.mu.
+func (s *service) lastHeard(supply *Supply, news *News, now time.Time) Heard {
+	if news.usable() {
+		s.heard = Heard{}
+		if s.shortage {
+			s.heard = Heard{Demand: news.Demand, Running: supply.Running - supply.Own, Covers: news.Covers}
+		}
+		s.heardAt = now
+	}
+	out := s.heard
+	out.Age = now.Sub(s.heardAt)
+	return out
+}
+
 // reportedChange is the change of a level that is reported to operators.
 const reportedChange = 0.25
 
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -31,6 +31,9 @@
 	// vacatedBenefit is subtracted from the cost of Query.Vacated. It exceeds the costs of all
 	// others.
 	vacatedBenefit = 10
+	// freeSlotLoad is the load below which an endpoint has a free slot. It is the least limit for
+	// Query.Vacated.
+	freeSlotLoad = 1
 	// jitter scales the random number drawn for each endpoint, which distributes requests
 	// among endpoints of equal cost. It is less than any of the costs above.
 	jitter = 0.03
@@ -290,6 +293,9 @@
 			continue
 		}
 		limit := MaxLoad(q.MaxLoad, shared, e.preferred, preferred > 0)
+		if limit > 0 && e.record.ID == q.Vacated {
+			limit = max(limit, freeSlotLoad)
+		}
 		switch {
 		case limit > 0 && load >= limit:
 			c.full = true
--- a/gateway/balance/choice_test.go
+++ b/gateway/balance/choice_test.go
@@ -31,6 +31,20 @@
 	Entry("is unlimited if the request has no limit", 0.0, false, true, 0.0),
 )
 
+var _ = DescribeTable("a slot that was just vacated",
+	func(running int, maxLoad float64, want string) {
+		b := balancer(endpoints(2))
+		for range running {
+			pick(b, balance.Query{Service: "s", Include: []string{"e1"}}, now)
+		}
+		Expect(pick(b, balance.Query{Service: "s", Vacated: "e1", MaxLoad: maxLoad}, now).Record.ID).To(Equal(want))
+	},
+	Entry("is taken whatever else is free", 1, 1.25, "e1"),
+	Entry("and if the request needs a free slot", 1, 0.4, "e1"),
+	Entry("unless there is none", 2, 0.4, "e0"),
+	Entry("or the endpoint is full for the request", 3, 1.25, "e0"),
+)
+
 var _ = DescribeTable("the load limit for endpoints that other gateways prefer",
 	func(usable, preferred int, want float64) {
 		Expect(balance.SharedLoad(usable, preferred)).To(Equal(want))
--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -128,6 +128,11 @@
 	return s
 }
 
+// overdue makes s that of an admitted stream whose first event is just overdue.
+func overdue(s *policy.Stall) {
+	s.Admitted, s.FirstEvent, s.TargetLeft, s.StreamIdle = true, 160*ms, 160*ms, 200*ms
+}
+
 var _ = DescribeTable("a stream that waits",
 	func(change func(*policy.Stall), want policy.WaitDecision) {
 		Expect(policy.WaitForStream(stall(change))).To(Equal(want))
@@ -137,6 +142,13 @@
 		func(s *policy.Stall) { s.EndpointIdle++ }, policy.Hedge{}),
 	Entry("is hedged to an endpoint with a free slot if its response is lost",
 		func(s *policy.Stall) { s.StreamIdle++ }, policy.Hedge{MaxLoad: 0.8}),
+	Entry("is hedged during a shortage once it must be queued", overdue, policy.Hedge{MaxLoad: 0.8, Vacated: true}),
+	Entry("but not before", func(s *policy.Stall) { overdue(s); s.StreamIdle-- }, policy.KeepWaiting{}),
+	Entry("nor where nothing is short", func(s *policy.Stall) { overdue(s); s.Admitted = false }, policy.KeepWaiting{}),
+	Entry("nor once it has begun", func(s *policy.Stall) { overdue(s); s.Begun = true }, policy.KeepWaiting{}),
+	Entry("nor when it would be late elsewhere as well", func(s *policy.Stall) { overdue(s); s.TargetLeft-- }, policy.KeepWaiting{}),
+	Entry("nor without an estimate", func(s *policy.Stall) { overdue(s); s.FirstEvent = 0 }, policy.KeepWaiting{}),
+	Entry("nor on its last attempt", func(s *policy.Stall) { overdue(s); s.LastAttempt = true }, policy.KeepWaiting{}),
 	Entry("keeps waiting on its last attempt", func(s *policy.Stall) { s.LastAttempt, s.EndpointIdle = true, time.Hour }, policy.KeepWaiting{}),
 	Entry("abandons outdated weights before it began, even on its last attempt",
 		func(s *policy.Stall) { s.LastAttempt, s.Outdated = true, true }, policy.Abandon{}),
--- a/gateway/policy/stall.go
+++ b/gateway/policy/stall.go
@@ -61,6 +61,28 @@
 	StreamIdle time.Duration
 	// StreamIdleLimit is the limit of StreamIdle; see the function of that name.
 	StreamIdleLimit time.Duration
+	// Admitted is set if the request was admitted while the room was short.
+	Admitted bool
+	// FirstEvent is the time after which the first event was expected, or 0 if that is unknown.
+	// TargetLeft is what is left of the latency target, counted from the caller's first try.
+	FirstEvent, TargetLeft time.Duration
+}
+
+// overdueFactor is the multiple of the expected time to the first event after which a request is
+// taken to be queued. Below it, the difference is less than that between two streams of usual
+// lengths.
+const overdueFactor = 1.25
+
+// OverdueAfter returns the time after which a stream that has not begun is taken to be queued.
+// firstEvent is the expected time to its first event.
+func OverdueAfter(firstEvent time.Duration) time.Duration {
+	return time.Duration(overdueFactor * float64(firstEvent))
+}
+
+// queued returns whether the request waits for a slot during a shortage and could still begin in time
+// elsewhere.
+func (s *Stall) queued() bool {
+	return s.Admitted && !s.Begun && s.FirstEvent > 0 && s.FirstEvent <= s.TargetLeft && s.StreamIdle >= OverdueAfter(s.FirstEvent)
 }
 
 // WaitDecision says what to do with a request that is waiting for its endpoint. It is one of
@@ -83,6 +105,8 @@
 	// MaxLoad is the load below which the other endpoint must be, in requests per slot; 0 means
 	// any.
 	MaxLoad float64
+	// Vacated is set if a slot at which a request of this gateway has just ended is preferred.
+	Vacated bool
 }
 
 func (KeepWaiting) wait() {}
@@ -92,7 +116,9 @@
 // WaitForStream returns whether a stream keeps waiting for its endpoint. A stream must not begin
 // on outdated weights. If the endpoint is idle on all streams, any other endpoint may serve the
 // hedge. If it sends on other streams, only one with a free slot may, since the request's position
-// in the first endpoint's queue has value.
+// in the first endpoint's queue has value. During a shortage gateways that learn late of each other's
+// requests choose the same slot; a stream that waits for one then is hedged while it can still begin
+// in time.
 func WaitForStream(s Stall) WaitDecision {
 	switch {
 	case !s.Begun && s.Outdated:
@@ -101,6 +127,8 @@
 		return KeepWaiting{}
 	case s.EndpointIdle > s.EndpointIdleLimit:
 		return Hedge{}
+	case s.queued():
+		return Hedge{MaxLoad: hedgeMaxLoad, Vacated: true}
 	case s.StreamIdle > s.StreamIdleLimit:
 		return Hedge{MaxLoad: hedgeMaxLoad}
 	}
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -177,5 +177,5 @@
 		MaxAttempts: c.route.Attempts,
 		Left:        time.Until(c.deadline),
 	})
-	return c.hedge != nil || allowed && p.hedge(ctx, c, 0, 0)
+	return c.hedge != nil || allowed && p.hedge(ctx, c, policy.Hedge{}, 0)
 }
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -161,6 +161,15 @@
 	return c.lastEventID == "" && policy.Late(c.elapsed, c.route.LatencyTarget)
 }
 
+// targetLeft returns what is left of the latency target, counted from the caller's first try, or 0
+// once the response has begun.
+func (c *call) targetLeft(now time.Time) time.Duration {
+	if c.lastEventID != "" {
+		return 0
+	}
+	return max(0, c.route.LatencyTarget-c.elapsed-now.Sub(c.startedAt))
+}
+
 // lastAttempt reports whether the route allows no further attempt.
 func (c *call) lastAttempt() bool {
 	return c.countedAttempts(len(c.attempted)) >= c.route.Attempts
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -25,11 +25,11 @@
 }
 
 // hedge sends the request to another endpoint. The endpoint's load, in requests per slot, must
-// be below maxLoad, and it must not have been idle for longer than maxIdle; 0 means no limit. A
+// be below w.MaxLoad, and it must not have been idle for longer than maxIdle; 0 means no limit. A
 // hedge to an endpoint that is idle itself would waste retry budget that interrupted streams
 // need. If no endpoint qualifies or the retry budget is exhausted, hedge returns false and has
 // no effect.
-func (p *Proxy) hedge(ctx context.Context, c *call, maxLoad float64, maxIdle time.Duration) bool {
+func (p *Proxy) hedge(ctx context.Context, c *call, w policy.Hedge, maxIdle time.Duration) bool {
 	if p.poisonState(c) != poison.Clear {
 		return false // a second endpoint could crash under the request as well
 	}
@@ -39,8 +39,11 @@
 	if !c.headSent {
 		q.Work.MinEvents = q.Work.Events // a hedge that its deadline would cut off is of no use
 	}
-	if maxLoad > 0 && (q.MaxLoad == 0 || maxLoad < q.MaxLoad) {
-		q.MaxLoad = maxLoad
+	if w.MaxLoad > 0 && (q.MaxLoad == 0 || w.MaxLoad < q.MaxLoad) {
+		q.MaxLoad = w.MaxLoad
+	}
+	if w.Vacated {
+		q.Admitted, q.Vacated = true, c.grant.TakeVacated(now)
 	}
 	lease, err := p.cfg.Balancer.Pick(q, now)
 	if err != nil {
@@ -154,7 +157,7 @@
 	case policy.Abandon:
 		abandon = true
 	case policy.Hedge:
-		if c.hedge == nil && p.hedge(ctx, c, w.MaxLoad, p.answeringLimit(c)) {
+		if c.hedge == nil && p.hedge(ctx, c, w, p.answeringLimit(c)) {
 			p.logHedge(c, lease, s)
 		}
 	case policy.KeepWaiting:
--- a/gateway/proxy/idle.go
+++ b/gateway/proxy/idle.go
@@ -16,6 +16,9 @@
 	stalled := p.giveUpCheck(ctx, c, lease, time.Now())
 	w := upstream.NewWatchdog(func() bool { return p.withdrawIfQuarantined(c, lease) || stalled() })
 	c.watch.Store(w)
+	if first := lease.Expected().FirstEvent; first > 0 && c.grant != nil && c.grant.Enforced {
+		time.AfterFunc(policy.OverdueAfter(first), w.Wake)
+	}
 	return w
 }
 
@@ -53,5 +56,8 @@
 		EndpointIdleLimit: policy.EndpointIdleLimit(c.route.GapTarget),
 		StreamIdle:        now.Sub(waitingSince),
 		StreamIdleLimit:   c.idleLimit(),
+		Admitted:          c.grant != nil && c.grant.Enforced,
+		FirstEvent:        lease.Expected().FirstEvent,
+		TargetLeft:        c.targetLeft(now),
 	}
 }
