spec: a model of the limits under late, lost and partial news

Cause: that limits stay bounded while gateways hear of each other late, in part or not at all, or stand still, rested on the test's few plays.

Change: spec/admission.pml, untimed for the sum of running requests and the least limit, in ticks for the end of a shortage, with five mutations.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -66,6 +66,13 @@
 caught cold 0 -DEVERYONE
 caught cold 0 -DFREETOKEN
 caught cold 0 -DLATETOKEN
+good admission 0
+caught admission 0 -DALONE
+caught admission 0 -DPARTIAL
+caught admission 0 -DNOOWN
+caught admission 0 -DNOLEAST
+good admission 0 -DRETURN
+caught admission 0 -DRETURN -DFOREVER
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
