--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -170,6 +170,15 @@
 	return admission.WaitLimit(c.route.LatencyTarget, c.elapsed+time.Since(c.startedAt))
 }
 
+// targetLeft returns what is left of the latency target, counted from the caller's first try, or 0
+// once the response has begun.
+func (c *call) targetLeft(now time.Time) time.Duration {
+	if c.lastEventID != "" {
+		return 0
+	}
+	return max(0, c.route.LatencyTarget-c.elapsed-now.Sub(c.startedAt))
+}
+
 // lastAttempt reports whether the route allows no further attempt.
 func (c *call) lastAttempt() bool {
 	return c.countedAttempts(len(c.attempted)) >= c.route.Attempts
