admission, member: gateways share the rates of the busiest accounts during a shortage

Cause: each gateway judged an account by the requests that it received itself. With 69 gateways an account in a burst sends each of them a request or two a second, which is within what chance does, so its excess was served nearly as often as the requests of others.

Change: while the room of a service is short, heartbeats carry the rates of 16 accounts, recent and usual (at most 300 bytes a service, 8 services); relays add them up by service. FleetAccountShare decides by the sum. What is beyond an account's share no longer becomes usual during the shortage, and no longer counts as a refusal of others. The excess leaves one place free, and next to all while half of the demand has no room (Conditions.Unmet). An older gateway tells none and is told nothing that it reads.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -72,8 +72,9 @@
 
 // demandNews implements admission.Config.News.
 func (g *Gateway) demandNews(service string, now time.Time) admission.News {
-	d := g.table.Demand(service, now)
-	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
+	d, short := g.table.Demand(service, now), g.table.Shortage(service, now)
+	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Accounts: short.Accounts,
+		Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
 }
 
 // ownDemand returns the demand of this gateway's callers for heartbeats.
--- a/gateway/admission/accounts.go
+++ b/gateway/admission/accounts.go
@@ -4,6 +4,10 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silverdeck/silverdeck/member"
 )
 
 // Limits on client accounts during a shortage.
@@ -19,6 +23,9 @@
 	// its callers count as ignoring Retry-After. Some come as late for other reasons, such as a slow
 	// connection. minEarly is the least number of such requests.
 	earlyShare, minEarly = 0.15, 2.0
+	// sharedWindow is the time over which the recent number of an account's requests is measured if
+	// other gateways tell theirs: together they see enough of them.
+	sharedWindow = 2 * time.Second
 	// maxAccounts limits the number of accounts that are measured, and so the memory.
 	maxAccounts = 4096
 )
@@ -35,10 +42,24 @@
 	return (allowed + 1) / recent
 }
 
+// FleetAccountShare returns the result of AccountShare for the requests that all gateways receive of
+// an account. own is what this gateway receives, others the sum of what others tell, covers the number
+// of gateways that tell of any account. Those that don't tell of this one count with the mean usual
+// rate of those that do and with no recent requests: each gateway tells of its busiest accounts only,
+// and an account must not seem to send more than usual because just the gateways with many requests
+// tell of it. It answers a burst that is spread over so many gateways that none sees it.
+func FleetAccountShare(own, others member.AccountRate, covers int) float64 {
+	silent := max(1, float64(covers)/float64(max(others.Gateways, 1)))
+	window := sharedWindow.Seconds()
+	return AccountShare((own.Recent+others.Recent)*window, (own.Usual+others.Usual*silent)*window)
+}
+
 // account is what is known of a client account.
 type account struct {
-	// recent and usual count its requests, early those that came back before MinReturn.
-	recent, usual, early meter
+	// key identifies it in messages between gateways.
+	key uint32
+	// recent, latest and usual count its requests, early those that came back before MinReturn.
+	recent, latest, usual, early meter
 	// credit is the part of a request that the account may send; see take.
 	credit float64
 	// running is the number of its admitted requests.
@@ -48,16 +69,32 @@
 // count counts a request that came the given time after its caller's first try.
 func (a *account) count(elapsed time.Duration, now time.Time) {
 	a.recent.add(1, recentWindow, now)
+	a.latest.add(1, sharedWindow, now)
 	a.usual.add(1, usualWindow, now)
 	if isEarly(elapsed) {
 		a.early.add(1, recentWindow, now)
 	}
 }
 
+// rate returns what this gateway tells others of the account.
+func (a *account) rate(now time.Time) member.AccountRate {
+	return member.AccountRate{Account: a.key, Recent: a.latest.rate(sharedWindow, now), Usual: a.usual.rate(usualWindow, now), Gateways: 1}
+}
+
+// share returns the share of the account's requests that is served like those of others. What all
+// gateways receive of it decides, if others tell.
+func (a *account) share(others *fleetAccounts, now time.Time) float64 {
+	if told, ok := others.rates[a.key]; ok {
+		return FleetAccountShare(a.rate(now), told, others.covers)
+	}
+	return AccountShare(a.recent.rate(recentWindow, now)*recentWindow.Seconds(), a.usual.rate(usualWindow, now)*recentWindow.Seconds())
+}
+
 // take returns whether the account's next request is within its share. It spreads those that are
-// evenly over all.
-func (a *account) take(now time.Time) bool {
-	share := AccountShare(a.recent.rate(recentWindow, now)*recentWindow.Seconds(), a.usual.rate(usualWindow, now)*recentWindow.Seconds())
+// evenly over all. What is beyond the share doesn't become usual while it takes the room of others.
+func (a *account) take(others *fleetAccounts, now time.Time) bool {
+	share := a.share(others, now)
+	a.usual.add(share-1, usualWindow, now)
 	if share >= 1 {
 		a.credit = 0
 		return true
@@ -109,11 +146,17 @@
 	if len(s.byName) >= maxAccounts {
 		s.forgetIdle()
 	}
-	a = &account{}
+	a = &account{key: accountKey(name)}
 	s.byName[name] = a
 	return a
 }
 
+// accountKey returns the hash of an account's name. Two accounts with the same hash, of which there
+// are some in one of 4,000 deployments with 1,500 accounts, are judged by the sum of their requests.
+func accountKey(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
 // forgetIdle removes the half of the accounts whose last request was longest ago, except those that
 // have requests running.
 func (s *accounts) forgetIdle() {
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -18,6 +18,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/silverdeck/silverdeck/member"
 )
 
 // Request describes a request that asks to be admitted.
@@ -51,6 +53,8 @@
 type News struct {
 	// Demand is the demand of those that are included.
 	Demand Demand
+	// Accounts holds the request rates of client accounts, by member.AccountRate.Account.
+	Accounts map[uint32]member.AccountRate
 	// Covers is the number of gateways that are included, Gateways the number of other live
 	// gateways, Known that of other known gateways, dead or alive.
 	Covers, Gateways, Known int
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -146,8 +146,9 @@
 	// hears is unset while the gateway hears nothing of others.
 	hears bool
 	// load and demand are what the others have been told of this gateway.
-	load   map[roster.Incarnation]int
-	demand admission.Demand
+	load     map[roster.Incarnation]int
+	demand   admission.Demand
+	shortage []member.Shortage
 }
 
 // fleet plays a shape on virtual time.
@@ -161,6 +162,7 @@
 	endpoints map[string]*endpoint
 	total     map[roster.Incarnation]int
 	fleet     admission.Demand
+	rates     rateSums
 	toldAt    time.Duration
 
 	all           tally
@@ -299,17 +301,20 @@
 		out.Demand.Recent[r] -= d
 	}
 	out.Demand.Mean -= x.demand.Mean
+	f.addShortages(&out, x)
 	return out
 }
 
 // publish tells all gateways the loads and the demand of the others, and repeats itself.
 func (f *fleet) publish() {
 	sum, demand := map[roster.Incarnation]int{}, admission.Demand{}
+	shortages := make([][]member.Shortage, len(f.gateways))
 	loads, demands := make([]map[roster.Incarnation]int, len(f.gateways)), make([]admission.Demand, len(f.gateways))
 	for i, x := range f.gateways {
 		if x.lost {
 			continue
 		}
+		shortages[i] = x.gate.Shortages(f.clock())
 		loads[i], demands[i] = x.balancer.InFlight(), x.gate.Demand(f.clock())["s"]
 		for l, n := range loads[i] {
 			sum[l] += n
@@ -321,9 +326,10 @@
 	}
 	at := f.now
 	f.after(newsDelay, func() {
-		f.total, f.fleet, f.toldAt = sum, demand, at
+		f.total, f.fleet, f.rates, f.toldAt = sum, demand, rateSums{}, at
 		for i, x := range f.gateways {
-			x.load, x.demand = loads[i], demands[i]
+			x.load, x.demand, x.shortage = loads[i], demands[i], shortages[i]
+			f.rates.add(x.shortage, 1)
 			x.gate.Refresh(f.clock())
 		}
 	})
@@ -593,6 +599,9 @@
 			f := playAll(x.shape)
 			f.report(t)
 			expectNobodyStarves(g, f)
+			if x.hotFactor > 1 {
+				expectFirstAccountServedLeast(t, g, f)
+			}
 			g.Expect(f.utilization()).To(BeNumerically(">=", x.work))
 		})
 	}
--- a/gateway/admission/levels.go
+++ b/gateway/admission/levels.go
@@ -74,6 +74,15 @@
 	return targetUtilization * c.Room
 }
 
+// Unmet returns the share of all demand, between 0 and 1, that the room doesn't suffice for.
+func (c *Conditions) Unmet() float64 {
+	demand := c.Fleet.Recent.Total()
+	if demand <= c.Target() {
+		return 0
+	}
+	return 1 - c.Target()/demand
+}
+
 // Shortage thresholds, relative to Target. They differ so that a demand that is about as large as
 // the room doesn't switch the limits on and off.
 const (
@@ -144,6 +153,10 @@
 	mildRefusedShare = 0.1
 	// lateReserve is the number of reserves that a late caller leaves free above it.
 	lateReserve = 5
+	// maxExcessUnmet is the share of the demand without room up to which what is beyond an account's
+	// share is served from places that others leave: up to there, others are more likely to find one
+	// than not.
+	maxExcessUnmet = 0.5
 )
 
 // reserve returns the number of places of a limit that are kept for ranks and accounts that have
@@ -169,22 +182,26 @@
 	// Late is set if the caller can't be served within its latency target any more, or came back
 	// before it was told to, as others of its account do.
 	Late bool
-	// RefusedShare is the share of the callers who still could that were refused lately.
+	// RefusedShare is the share of the callers who still could, and are within their account's share,
+	// that were refused lately.
 	RefusedShare float64
+	// Unmet is the result of Conditions.Unmet.
+	Unmet float64
 }
 
 // Fits returns whether a request is admitted now. A rank that runs more than its part leaves a
 // reserve free for the others, which would otherwise find the places taken whenever they arrive;
 // callers who return when they were told are exempt. Late callers and what is beyond an account's
-// share get what others leave: a place that a late caller takes makes another caller late, so in a
-// lasting overload all would be.
+// share get what others leave. While others are refused, late callers get next to nothing: a place that
+// a late caller takes makes another caller late, so in a lasting overload all would be. What is beyond
+// an account's share is in time, so it fills places while most of the others find one.
 func Fits(s *Standing) bool {
 	free := s.Limit - float64(s.Running)
 	if free < 1 {
 		return false
 	}
 	switch {
-	case (s.Late || s.Exceeds) && s.RefusedShare > mildRefusedShare:
+	case s.Late && s.RefusedShare > mildRefusedShare, s.Exceeds && s.Unmet > maxExcessUnmet:
 		return free >= 1+lateReserve*reserve(s.Limit)
 	case s.Late, s.Exceeds, s.Level < 1 && s.RunningOfRank >= s.PartOfRank && !s.Returned:
 		return free >= 1+reserve(s.Limit)
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -51,8 +51,8 @@
 	demand   demandMeter
 	accounts accounts
 	ends     meter
-	// asked and refused count the callers who could be served in time, and those of them that were
-	// refused.
+	// asked and refused count the callers who could be served in time and are within their account's
+	// share, and those of them that were refused.
 	asked, refused meter
 	slotTimes      slotTimes
 	// running is the number of admitted requests, byRank by rank.
@@ -65,7 +65,9 @@
 	// The fields below are the result of the last refresh.
 	refreshedAt time.Time
 	conditions  Conditions
-	elsewhere   int
+	// fleetAccounts is what other gateways tell of accounts.
+	fleetAccounts fleetAccounts
+	elsewhere     int
 	// open is the number of requests that endpoints outside the room still accept from this gateway.
 	open int
 	// mostHeardAt is when most of the known gateways were last alive.
@@ -95,14 +97,20 @@
 	a := s.accounts.get(q.Account)
 	a.count(q.Elapsed, now)
 	early := isEarly(q.Elapsed) && a.repeats(now)
+	// Callers that can't be served in time any more get what others leave. In the demand they would
+	// make it grow with each refusal.
 	if !late && !early {
-		s.count(&q, now)
+		s.demand.add(q.Rank, s.slotTimes.expected(q.SlotTime), now)
 	}
 	s.update(g, now)
+	w := &waiter{request: &q, returned: returned, late: late || early, until: now}
+	w.exceeds = s.shortage && !a.take(&s.fleetAccounts, now)
+	if !w.late && !w.exceeds {
+		s.asked.add(1, refusedWindow, now)
+	}
 	if !s.shortage {
 		return s.admit(g, &q, false, now), nil, nil
 	}
-	w := &waiter{request: &q, returned: returned, late: late || early, exceeds: !a.take(now), until: now}
 	s.queue.prepare(w)
 	s.dispatch(g, now)
 	cause := s.check(w, now)
@@ -119,14 +127,6 @@
 	return nil, nil, s.refuse(g, w, cause, false, now)
 }
 
-// count counts a request in the demand. Callers that can't be served in time any more are not
-// counted: they get what others leave, and would show a demand that grows with each refusal.
-func (s *service) count(r *Request, now time.Time) {
-	slotTime := s.slotTimes.expected(r.SlotTime)
-	s.demand.add(r.Rank, slotTime, now)
-	s.asked.add(1, refusedWindow, now)
-}
-
 // check returns why a request can't be admitted now, or "".
 func (s *service) check(w *waiter, now time.Time) Cause {
 	if s.fits(w, now) { // requests that wait don't, or dispatch would have admitted them
@@ -173,6 +173,7 @@
 		Returned:      w.returned,
 		Late:          w.late,
 		RefusedShare:  s.refusedShare(now),
+		Unmet:         s.conditions.Unmet(),
 	})
 }
 
@@ -201,7 +202,7 @@
 		Random:        g.cfg.Random,
 	})
 	s.returns.expect(d, now)
-	if !w.late {
+	if !w.late && !w.exceeds {
 		s.refused.add(1, refusedWindow, now)
 	}
 	g.cfg.OnDecision(Decision{Service: s.name, Refused: cause, Waited: waited, Returned: w.returned})
--- a/gateway/admission/update.go
+++ b/gateway/admission/update.go
@@ -37,6 +37,7 @@
 	}
 	news.LostFor = now.Sub(s.mostHeardAt)
 	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
+	s.fleetAccounts = fleetAccountsFrom(news)
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
 	changed := short != s.shortage
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -104,7 +104,7 @@
 	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
 	now := time.Now()
 	b.Poison = poison.Pack(g.poison.Gossip(g.table.IsRelay(), now))
-	b.Demand = g.ownDemand(now)
+	b.Demand, b.Shortages = g.ownDemand(now), g.gate.Shortages(now)
 	b.Advice = advisory.Encode(g.balancer.Advisories(g.table.IsRelay(), now), now)
 	for kind, m := range g.mirrors {
 		b.Copies[kind] = m.State().Version()
--- a/member/digest.go
+++ b/member/digest.go
@@ -28,6 +28,9 @@
 	// Demand is the work that the callers of these gateways ask for, by service and zone; older
 	// versions omit and ignore it.
 	Demand []Demand `json:"demand,omitempty"`
+	// Shortages is what these gateways tell of the services whose room is short; older versions
+	// omit and ignore it.
+	Shortages []Shortage `json:"shortages,omitempty"`
 }
 
 // Roll describes a relay's membership list by a hash and its recent changes.
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -58,6 +58,10 @@
 	inFlight map[roster.Incarnation]int
 	suspects []roster.Incarnation
 	demand   []member.Demand
+	// accounts and dueAt are what the gateway tells of service s, whose room is short if accounts is
+	// not nil: rates of client accounts, and when a caller should return.
+	accounts []member.AccountRate
+	dueAt    time.Time
 	copies   int64
 	// poison records the requests during which endpoints terminated.
 	poison *poison.Table
@@ -191,6 +195,7 @@
 	b.SetEndpoints(n.inFlight, n.suspects)
 	b.Demand = n.demand
 	now := time.Now()
+	b.Shortages = n.shortages(now)
 	b.Poison = poison.Pack(n.poison.Gossip(n.table.IsRelay(), now))
 	b.Advice = advisory.Encode(n.balancer.Advisories(n.table.IsRelay(), now), now)
 	return b
--- a/member/member.go
+++ b/member/member.go
@@ -74,11 +74,14 @@
 	// Demand is the work that the gateway's callers ask for, by service; older versions omit and
 	// ignore it.
 	Demand []Demand `json:"demand,omitempty"`
+	// Shortages is what the gateway tells of the services whose room is short; older versions omit
+	// and ignore it.
+	Shortages []Shortage `json:"shortages,omitempty"`
 }
 
-// withoutEndpoints returns a copy of b without in-flight requests, suspects and demand.
+// withoutEndpoints returns a copy of b without in-flight requests, suspects, demand and shortages.
 func (b Heartbeat) withoutEndpoints() Heartbeat {
-	b.InFlight, b.Suspects, b.Born, b.Demand = nil, nil, nil, nil
+	b.InFlight, b.Suspects, b.Born, b.Demand, b.Shortages = nil, nil, nil, nil, nil
 	return b
 }
 
--- a/member/plan.go
+++ b/member/plan.go
@@ -63,7 +63,7 @@
 	t.ownRoll.update(t.reportedMembers(own), now)
 	roll := t.ownRoll.summary()
 	withLoads := own.Sequence%digestLoadsEvery == 0
-	zone := t.zoneTotals(own)
+	zone := t.zoneTotals(own, now)
 	fleet := t.fleetTotals(zone)
 	reduced := heartbeat.withoutEndpoints()
 	var out []outgoing
@@ -74,7 +74,7 @@
 		}
 		d := &Digest{Roll: roll}
 		if withLoads {
-			d.Loads = fleet.excluding(t.lastHeartbeat(e.Name))
+			d.Loads = fleet.excluding(t.direct[e.Name], now)
 		}
 		m := message{Heartbeat: &reduced, Digest: d}
 		// If this gateway sees no other relay, it may be mistaken: all gateways of the zone then
@@ -86,7 +86,7 @@
 	}
 	d := &Digest{Roll: roll}
 	if withLoads {
-		d.Loads = zone.excluding(nil)
+		d.Loads = zone.excluding(nil, now)
 	}
 	out = append(out, outgoing{addrs: t.farRelays(), message: message{Heartbeat: &reduced, Digest: d}})
 	probe := own.withoutEndpoints()
@@ -101,14 +101,6 @@
 	return out
 }
 
-// lastHeartbeat returns the last heartbeat of a gateway, or nil. The caller must hold t.mu.
-func (t *Table) lastHeartbeat(name string) *Heartbeat {
-	if p := t.direct[name]; p != nil {
-		return &p.heartbeat
-	}
-	return nil
-}
-
 // zoneRelays returns the relays of a zone except this gateway. The caller must hold t.mu.
 func (t *Table) zoneRelays(zone string) []Entry {
 	var out []Entry
--- a/member/sums.go
+++ b/member/sums.go
@@ -20,6 +20,8 @@
 	oldest time.Time
 	// demand caches otherDemand; it is nil while invalid.
 	demand demandSums
+	// shortages caches otherShortages; it is nil while invalid.
+	shortages shortageSums
 }
 
 // noteHeard updates oldest with a message that was heard at the given time.
@@ -131,13 +133,15 @@
 	covers             int
 	inFlight, suspects keyCounts
 	demand             demandSums
+	shortages          shortageSums
 }
 
 // zoneTotals returns the totals of this gateway's zone, including this gateway, whose heartbeat
 // is own. The caller must hold t.mu.
-func (t *Table) zoneTotals(own *Heartbeat) loadTotals {
-	out := loadTotals{covers: 1, inFlight: keyCounts{}, suspects: keyCounts{}, demand: t.directDemand()}
+func (t *Table) zoneTotals(own *Heartbeat, now time.Time) loadTotals {
+	out := loadTotals{covers: 1, inFlight: keyCounts{}, suspects: keyCounts{}, demand: t.directDemand(), shortages: t.directShortages()}
 	out.demand.addAll(own.Demand, t.self.Zone, 1)
+	out.shortages.addAll(own.Shortages, now)
 	ownCounts, ownSuspects := counts{}, counts{}
 	own.countInto(ownCounts, ownSuspects, 1)
 	out.inFlight.addCounts(ownCounts, 1)
@@ -156,23 +160,27 @@
 // t.mu.
 func (t *Table) fleetTotals(zone loadTotals) loadTotals {
 	far := t.ownView()
-	out := loadTotals{covers: far.covers + 1, inFlight: keyCounts{}, suspects: keyCounts{}, demand: maps.Clone(zone.demand)}
+	out := loadTotals{covers: far.covers + 1, inFlight: keyCounts{}, suspects: keyCounts{}, demand: maps.Clone(zone.demand), shortages: shortageSums{}}
 	out.inFlight.add(zone.inFlight)
 	out.suspects.add(zone.suspects)
+	out.shortages.addSums(zone.shortages)
 	for _, f := range far.remote {
 		out.inFlight.add(f.inFlight)
 		out.suspects.add(f.suspects)
 		out.demand.addAll(f.demand, "", 1)
+		out.shortages.addAll(f.shortages, f.heardAt)
 	}
 	return out
 }
 
-// excluding returns the totals for a receiver, without its own contribution. b is the
-// receiver's last heartbeat, or nil if there was none.
-func (s loadTotals) excluding(b *Heartbeat) *Loads {
-	if b == nil {
-		return &Loads{Covers: s.covers, InFlight: s.inFlight.pack(), Suspects: s.suspects.pack(), Demand: s.demand.encode()}
+// excluding returns the totals for a receiver, without its own contribution. p holds the
+// receiver's last heartbeat, or is nil if there was none.
+func (s loadTotals) excluding(p *peerState, now time.Time) *Loads {
+	if p == nil {
+		return &Loads{Covers: s.covers, InFlight: s.inFlight.pack(), Suspects: s.suspects.pack(), Demand: s.demand.encode(),
+			Shortages: s.shortages.encode(nil, now)}
 	}
+	b := &p.heartbeat
 	inFlight, suspects := counts{}, counts{}
 	b.countInto(inFlight, suspects, 1)
 	out := loadTotals{inFlight: keyCounts{}, suspects: keyCounts{}, demand: maps.Clone(s.demand)}
@@ -181,5 +189,8 @@
 	out.inFlight.addCounts(inFlight, -1)
 	out.suspects.add(s.suspects)
 	out.suspects.addCounts(suspects, -1)
-	return &Loads{Covers: s.covers - 1, InFlight: out.inFlight.pack(), Suspects: out.suspects.pack(), Demand: out.demand.encode()}
+	shortages := shortageSums{}
+	shortages.addAll(b.Shortages, p.heardAt)
+	return &Loads{Covers: s.covers - 1, InFlight: out.inFlight.pack(), Suspects: out.suspects.pack(), Demand: out.demand.encode(),
+		Shortages: s.shortages.encode(shortages, now)}
 }
