admission: callers who were told to return are known to all gateways

Cause: each gateway counted the callers that it told itself. One who returned to another gateway had precedence there only if that one had told as many, and a forecast did not know of what others had told.

Change: during a shortage heartbeats carry the counts by service and quarter of a second, from three steps ago on; relays add them up, shifted by their age. A gateway expects its part of all (ExpectedReturns, for Retry-After) and gives precedence to as many (Precedences). Gateways that disagree tell at most one caller a step each beyond their places, and give precedence to at most twice as many as were told. ReturnForecast.Expected is a number of callers with fractions now, and its test passes the same numbers.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -73,7 +73,7 @@
 // demandNews implements admission.Config.News.
 func (g *Gateway) demandNews(service string, now time.Time) admission.News {
 	d, short := g.table.Demand(service, now), g.table.Shortage(service, now)
-	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Accounts: short.Accounts,
+	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Accounts: short.Accounts, Told: short.Told,
 		Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
 }
 
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -55,6 +55,8 @@
 	Demand Demand
 	// Accounts holds the request rates of client accounts, by member.AccountRate.Account.
 	Accounts map[uint32]member.AccountRate
+	// Told counts the callers whom they told to return, as member.FleetShortage does.
+	Told []int
 	// Covers is the number of gateways that are included, Gateways the number of other live
 	// gateways, Known that of other known gateways, dead or alive.
 	Covers, Gateways, Known int
--- a/gateway/admission/fleet_shortage_test.go
+++ b/gateway/admission/fleet_shortage_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -24,11 +25,32 @@
 	}
 }
 
+// toldSums counts the callers that were told to return by step since the epoch.
+type toldSums map[int64]int
+
+// add adds what a gateway told at the given time, multiplied by sign.
+func (s toldSums) add(told []member.Shortage, sign int, at time.Time) {
+	for _, x := range told {
+		for i, n := range x.Told {
+			s[stepOf(at)+int64(i)-member.ToldPast] += sign * n
+		}
+	}
+}
+
+func stepOf(at time.Time) int64 { return at.UnixNano() / int64(member.ToldStep) }
+
 // addShortages adds what all gateways but x told last to news.
 func (f *fleet) addShortages(news *admission.News, x *gateway) {
-	sums := maps.Clone(f.rates)
-	sums.add(x.shortage, -1)
-	news.Accounts = sums
+	rates, told, at := maps.Clone(f.rates), maps.Clone(f.told), epoch.Add(f.toldAt)
+	if rates == nil {
+		return
+	}
+	rates.add(x.shortage, -1)
+	told.add(x.shortage, -1, at)
+	news.Accounts = rates
+	for i := range int64(member.ToldSteps) {
+		news.Told = append(news.Told, told[stepOf(f.clock())-member.ToldPast+i])
+	}
 }
 
 // expectFirstAccountServedLeast checks that the excess of the first account yields to all others.
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -163,6 +163,7 @@
 	total     map[roster.Incarnation]int
 	fleet     admission.Demand
 	rates     rateSums
+	told      toldSums
 	toldAt    time.Duration
 
 	all           tally
@@ -326,10 +327,11 @@
 	}
 	at := f.now
 	f.after(newsDelay, func() {
-		f.total, f.fleet, f.rates, f.toldAt = sum, demand, rateSums{}, at
+		f.total, f.fleet, f.rates, f.told, f.toldAt = sum, demand, rateSums{}, toldSums{}, at
 		for i, x := range f.gateways {
 			x.load, x.demand, x.shortage = loads[i], demands[i], shortages[i]
 			f.rates.add(x.shortage, 1)
+			f.told.add(x.shortage, 1, epoch.Add(at))
 			x.gate.Refresh(f.clock())
 		}
 	})
--- a/gateway/admission/levels_test.go
+++ b/gateway/admission/levels_test.go
@@ -201,7 +201,7 @@
 			for _, draw := range []float64{0, 0.25, 0.499} {
 				g := NewWithT(t)
 				d := admission.ReturnAfter(&admission.ReturnForecast{Target: target, Elapsed: x.elapsed, Left: x.left, FreePerSecond: x.rate, RefusedShare: x.refused,
-					Expected: func(time.Duration) int { return x.expected }, Random: func() float64 { return draw }})
+					Expected: func(time.Duration) float64 { return float64(x.expected) }, Random: func() float64 { return draw }})
 				g.Expect(d).To(And(BeNumerically(">=", x.min), BeNumerically("<=", x.max)))
 			}
 		})
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -1,13 +1,18 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/silverdeck/silverdeck/member"
+)
 
 // Times at which refused callers return.
 const (
 	// returnStep is the time step in which returning callers are counted.
-	returnStep = 250 * time.Millisecond
+	returnStep = member.ToldStep
 	// returnSteps is the number of steps that are counted: callers are told at most two seconds.
-	returnSteps = 16
+	// returnPast of them have passed.
+	returnSteps, returnPast = 16, member.ToldPast
 	// MinReturn is the shortest time after which a caller is told to return. Callers that return
 	// sooner ignore what they were told.
 	MinReturn = 100 * time.Millisecond
@@ -28,7 +33,11 @@
 // returns counts the callers that were told to return, by time step. The zero value is ready to
 // use.
 type returns struct {
-	counts [returnSteps]int
+	// own counts those that this gateway told, others those that other gateways told, taken those
+	// that returned here.
+	own, others, taken [returnSteps]int
+	// share is the part of all callers that come to this gateway.
+	share float64
 	// step is the step of the last call of advance.
 	step int64
 }
@@ -37,44 +46,93 @@
 	return at.UnixNano() / int64(returnStep)
 }
 
-// advance forgets the steps that have passed. A caller that is told a time is expected until the
-// end of the step that follows it.
+// slot returns the index of a step.
+func slot(step int64) int {
+	return int(step % returnSteps)
+}
+
+// advance forgets the steps that have passed. A caller that is told a time is expected until some
+// steps later, since other gateways learn of it late.
 func (r *returns) advance(now time.Time) {
 	step := stepOf(now)
 	if step-r.step >= returnSteps || step < r.step {
-		r.counts = [returnSteps]int{}
-		r.step = step
+		*r = returns{share: r.share, step: step}
 		return
 	}
 	for ; r.step < step; r.step++ {
-		r.counts[(r.step+returnSteps-1)%returnSteps] = 0
+		past := slot(r.step - returnPast + returnSteps)
+		r.own[past], r.others[past], r.taken[past] = 0, 0, 0
+	}
+}
+
+// hear replaces the counts of other gateways. told begins with the first step that is not forgotten.
+func (r *returns) hear(told []int, share float64, now time.Time) {
+	r.advance(now)
+	r.share, r.others = share, [returnSteps]int{}
+	for i, n := range told[:min(len(told), member.ToldSteps)] {
+		r.others[slot(r.step-returnPast+int64(i))] = n
+	}
+}
+
+// told returns the counts of this gateway as hear takes them, without steps at the end that have none.
+func (r *returns) told(now time.Time) []int {
+	r.advance(now)
+	var out []int
+	for i := range int64(member.ToldSteps) {
+		if n := r.own[slot(r.step-returnPast+i)]; n > 0 {
+			out = append(out, make([]int, int(i)-len(out))...)
+			out = append(out, n)
+		}
 	}
+	return out
 }
 
 // expect records that a caller was told to return after d.
 func (r *returns) expect(d time.Duration, now time.Time) {
 	r.advance(now)
-	if steps := stepOf(now.Add(d)) - r.step; steps < returnSteps-1 {
-		r.counts[(r.step+steps)%returnSteps]++
+	if steps := stepOf(now.Add(d)) - r.step; steps < returnSteps-returnPast {
+		r.own[slot(r.step+steps)]++
 	}
 }
 
 // take returns whether a caller that returns now was expected, and counts it off.
 func (r *returns) take(now time.Time) bool {
 	r.advance(now)
-	for _, step := range []int64{r.step + returnSteps - 1, r.step} {
-		if n := &r.counts[step%returnSteps]; *n > 0 {
-			*n--
-			return true
-		}
+	left := 0.0
+	for step := r.step - returnPast; step <= r.step; step++ {
+		left += Precedences(r.own[slot(step)], r.others[slot(step)], r.share) - float64(r.taken[slot(step)])
+	}
+	if left < 1 {
+		return false
 	}
-	return false
+	r.taken[slot(r.step)]++
+	return true
 }
 
-// expected returns the number of callers that were told to return in the step of now + d.
-func (r *returns) expected(d time.Duration, now time.Time) int {
+// expected returns how many callers return to this gateway in the step of now + d.
+func (r *returns) expected(d time.Duration, now time.Time) float64 {
 	r.advance(now)
-	return r.counts[stepOf(now.Add(d))%returnSteps]
+	at := slot(stepOf(now.Add(d)))
+	return ExpectedReturns(r.own[at], r.others[at], r.share)
+}
+
+// ExpectedReturns returns how many callers return to a gateway in a time step. own is the number that it
+// told itself, others that of other gateways, share the part of all callers that come to it. A caller
+// may return to any gateway, so it is this gateway's part of all. What others told is known late, so of
+// those that it told itself it counts all but one at least: it never tells more than one caller beyond
+// those that its own places suffice for.
+func ExpectedReturns(own, others int, share float64) float64 {
+	if others == 0 {
+		return float64(own)
+	}
+	return max(float64(own-1), share*float64(own+others))
+}
+
+// Precedences returns how many callers that return to a gateway in a time step go before new ones, given
+// the same numbers: its part of all that were told to, and no fewer than it told itself, of which
+// others may not know yet. Those of all gateways together are at most twice as many as were told.
+func Precedences(own, others int, share float64) float64 {
+	return max(float64(own), share*float64(own+others))
 }
 
 // ReturnForecast is what decides when a refused caller returns.
@@ -88,8 +146,8 @@
 	Exceeds bool
 	// RefusedShare is the share of the callers who could be served in time that were refused.
 	RefusedShare float64
-	// Expected returns how many callers were told to return at about the given time from now.
-	Expected func(d time.Duration) int
+	// Expected returns how many callers return to this gateway at about the given time from now.
+	Expected func(d time.Duration) float64
 	// Random returns a number in [0, 1), by which callers that are refused together are spread.
 	Random func() float64
 }
@@ -101,7 +159,7 @@
 func ReturnAfter(f *ReturnForecast) time.Duration {
 	room := returnShare * f.FreePerSecond * returnStep.Seconds()
 	// The draw makes a fraction of a place per step count as often as that fraction.
-	fits := func(d time.Duration) bool { return float64(f.Expected(d))+f.Random() < room }
+	fits := func(d time.Duration) bool { return f.Expected(d)+f.Random() < room }
 	soon := time.Duration(returnTargetFraction*float64(f.Target)) - f.Elapsed
 	if !f.Exceeds && soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -198,7 +198,7 @@
 		FreePerSecond: s.ends.rate(endsWindow, now),
 		Exceeds:       w.exceeds,
 		RefusedShare:  s.refusedShare(now),
-		Expected:      func(d time.Duration) int { return s.returns.expected(d, now) },
+		Expected:      func(d time.Duration) float64 { return s.returns.expected(d, now) },
 		Random:        g.cfg.Random,
 	})
 	s.returns.expect(d, now)
--- a/gateway/admission/shared.go
+++ b/gateway/admission/shared.go
@@ -15,12 +15,14 @@
 	covers int
 }
 
-// fleetAccountsFrom returns what is known of accounts. Old news is not used.
-func fleetAccountsFrom(news News) fleetAccounts {
+// hear records what other gateways tell of the service during a shortage. Old news is not used. The
+// caller must hold s.mu.
+func (s *service) hear(news News, now time.Time) {
 	if news.Age > maxNewsAge {
-		return fleetAccounts{}
+		news.Accounts, news.Told = nil, nil
 	}
-	return fleetAccounts{rates: news.Accounts, covers: news.Covers}
+	s.fleetAccounts = fleetAccounts{rates: news.Accounts, covers: news.Covers}
+	s.returns.hear(news.Told, Share(&s.conditions), now)
 }
 
 // sharedOfFleet is the number of accounts that a gateway tells of because they are the busiest of all
@@ -77,5 +79,6 @@
 	if !s.shortage {
 		return member.Shortage{}, false
 	}
-	return member.Shortage{Service: s.name, Accounts: member.PackAccounts(s.accounts.busiest(&s.fleetAccounts, now))}, true
+	accounts := s.accounts.busiest(&s.fleetAccounts, now)
+	return member.Shortage{Service: s.name, Accounts: member.PackAccounts(accounts), Told: s.returns.told(now)}, true
 }
--- a/gateway/admission/shared_test.go
+++ b/gateway/admission/shared_test.go
@@ -42,14 +42,14 @@
 
 // gateInShortage returns a gate of one of 69 gateways with room for some 4 requests each, a minute after
 // a shortage has begun.
-func gateInShortage(t *testing.T, news *admission.News) *admission.Gate {
+func gateInShortage(t *testing.T, news *admission.News, onDecision func(admission.Decision)) *admission.Gate {
 	t.Helper()
 	news.Gateways, news.Known, news.Covers = 68, 68, 68
 	news.Demand = admission.Demand{Recent: admission.Slots{360}, Mean: 360}
 	gate := admission.New(admission.Config{
 		Supply: func(string, time.Time) admission.Supply { return admission.Supply{Room: 345, Running: 331, Own: 5} },
 		News:   func(string, time.Time) admission.News { return *news },
-		Random: func() float64 { return 0 },
+		Random: func() float64 { return 0 }, OnDecision: onDecision,
 	})
 	for i := range 300 { // 15 accounts with a request every 3 s each
 		send(gate, fmt.Sprint(i%15))
@@ -88,7 +88,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				var news admission.News
-				gate := gateInShortage(t, &news)
+				gate := gateInShortage(t, &news, nil)
 				for range 3 { // all places but one are taken
 					_, err := gate.TryAcquire(shortRequest("0"), time.Now())
 					g.Expect(err).NotTo(HaveOccurred())
@@ -116,7 +116,7 @@
 		for i := range 10 { // the busiest of the others, of which this gateway knows only the second
 			news.Accounts[keyOf(fmt.Sprint("far", i))] = rate(float64(100-i), 5, 68)
 		}
-		gate := gateInShortage(t, &news)
+		gate := gateInShortage(t, &news, nil)
 		for i := range 20 {
 			for range 1 + i {
 				send(gate, fmt.Sprint("near", i))
--- a/gateway/admission/update.go
+++ b/gateway/admission/update.go
@@ -37,8 +37,8 @@
 	}
 	news.LostFor = now.Sub(s.mostHeardAt)
 	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
-	s.fleetAccounts = fleetAccountsFrom(news)
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
+	s.hear(news, now)
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
 	changed := short != s.shortage
 	if changed {
@@ -86,7 +86,7 @@
 func (s *service) status(now time.Time) Status {
 	s.returns.advance(now)
 	told := 0
-	for _, n := range s.returns.counts {
+	for _, n := range s.returns.own {
 		told += n
 	}
 	return Status{Service: s.name, Shortage: s.shortage, Conditions: s.conditions, Levels: s.levels,
