admission, balance: Retry-After knows of endpoints that load weights or are cold

Cause: a refused caller was told to return as places of this gateway come free, or else at the latest, also when an endpoint had told that it serves requests again within a second.

Change: balance.Capacity tells until when at the latest an endpoint loads (notices) or is cold (records), and how many slots it has. A gateway counts its share of half of them in the quarter of a second after that.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -40,6 +40,9 @@
 			if c.Open {
 				out.Open++
 			}
+			if c.ReadyIn > 0 {
+				out.Coming = append(out.Coming, admission.Arrival{In: c.ReadyIn, Places: float64(c.Coming)})
+			}
 			continue
 		}
 		out.Room += float64(max(c.Slots, 1))
@@ -65,6 +68,9 @@
 		}
 		for i := range min(len(out), len(found)) {
 			out[i].Usable = out[i].Usable || found[i].Usable
+			if out[i].ReadyIn == 0 {
+				out[i].ReadyIn, out[i].Coming = found[i].ReadyIn, found[i].Coming
+			}
 		}
 	}
 	return out
--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -44,11 +44,21 @@
 	Elsewhere int
 	// Own is the number of this gateway's requests in Running.
 	Own float64
+	// Coming holds the endpoints that are known to serve requests soon.
+	Coming []Arrival
 	// Open is the number of other endpoints, such as cold ones, that accept one request of this
 	// gateway now.
 	Open int
 }
 
+// Arrival is room that comes at a known time, such as that of an endpoint that loads weights.
+type Arrival struct {
+	// In is the latest time until it comes.
+	In time.Duration
+	// Places is the number of requests that it suffices for.
+	Places float64
+}
+
 // News is what other gateways told of a service.
 type News struct {
 	// Demand is the demand of those that are included.
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -22,6 +22,9 @@
 	// returnShare is the part of the places that come free that returning callers are told of.
 	// The others are left to new callers.
 	returnShare = 0.25
+	// comingShare is the part of the places that endpoints bring which returning callers are told of.
+	// They come late at times, and new callers take them too.
+	comingShare = 0.5
 	// soonRefusedShare is the share of refusals up to which callers return within their latency
 	// target: most of them then find a place at another gateway, which loses them nothing.
 	soonRefusedShare = 0.35
@@ -142,6 +145,8 @@
 	Target, Elapsed, Left time.Duration
 	// FreePerSecond is the rate at which places of this gateway come free.
 	FreePerSecond float64
+	// Coming holds the places that this gateway gets of endpoints that are about to serve requests.
+	Coming []Arrival
 	// Exceeds is set if the request is beyond its client account's share.
 	Exceeds bool
 	// RefusedShare is the share of the callers who could be served in time that were refused.
@@ -152,14 +157,24 @@
 	Random func() float64
 }
 
+// room returns the number of callers that are told to return at about the given time from now.
+func (f *ReturnForecast) room(d time.Duration) float64 {
+	coming := 0.0
+	for _, a := range f.Coming {
+		if a.In <= d && a.In > d-returnStep {
+			coming += a.Places
+		}
+	}
+	return returnShare*f.FreePerSecond*returnStep.Seconds() + comingShare*coming
+}
+
 // ReturnAfter returns when a refused caller should return: at the first time at which a place comes
-// free that no other caller was told of. If that is soon enough for its latency target, the caller
+// free that no other caller was told of, at an endpoint that serves requests or one that is about to. If that is soon enough for its latency target, the caller
 // loses nothing. While few are refused, that is likely at any time. Otherwise it is told the latest
 // time that leaves two thirds of its time, since a shortage is more likely to have ended then.
 func ReturnAfter(f *ReturnForecast) time.Duration {
-	room := returnShare * f.FreePerSecond * returnStep.Seconds()
 	// The draw makes a fraction of a place per step count as often as that fraction.
-	fits := func(d time.Duration) bool { return f.Expected(d)+f.Random() < room }
+	fits := func(d time.Duration) bool { return f.Expected(d)+f.Random() < f.room(d) }
 	soon := time.Duration(returnTargetFraction*float64(f.Target)) - f.Elapsed
 	if !f.Exceeds && soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
--- a/gateway/admission/returns_test.go
+++ b/gateway/admission/returns_test.go
@@ -98,3 +98,67 @@
 	steps := int(now.UnixNano()/int64(member.ToldStep) - now.Add(-d).UnixNano()/int64(member.ToldStep))
 	return x.Told[min(steps, len(x.Told)):]
 }
+
+func TestCallersReturnWhenEndpointsCome(t *testing.T) {
+	for name, c := range map[string]struct {
+		coming   []admission.Arrival
+		expected float64
+		draw     float64
+		from, to time.Duration
+	}{
+		"an endpoint comes":                   {coming: comes(1100, 4), from: 1250, to: 1500},
+		"as many were told as may return":     {coming: comes(1100, 4), expected: 2, from: 1500, to: 2000},
+		"one less was told":                   {coming: comes(1100, 4), expected: 1.5, from: 1250, to: 1500},
+		"it is one of many gateways":          {coming: comes(1100, 0.4), draw: 0.19, from: 1250, to: 1500},
+		"and this caller isn't told":          {coming: comes(1100, 0.4), draw: 0.21, from: 1500, to: 2000},
+		"the first of two":                    {coming: append(comes(1600, 4), comes(700, 4)...), from: 750, to: 1000},
+		"it comes too late":                   {coming: comes(2500, 4), from: 1500, to: 2000},
+		"it should have come, but did not so": {coming: comes(-200, 4), from: 1500, to: 2000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := admission.ReturnAfter(&admission.ReturnForecast{Target: 400 * time.Millisecond, Elapsed: 300 * time.Millisecond, Left: 10 * time.Second,
+				RefusedShare: 0.5, Coming: c.coming, Expected: func(time.Duration) float64 { return c.expected }, Random: func() float64 { return c.draw }})
+			g.Expect(d).To(BeNumerically(">=", c.from*time.Millisecond))
+			g.Expect(d).To(BeNumerically("<=", c.to*time.Millisecond))
+		})
+	}
+}
+
+// comes returns the arrival of some places after a number of milliseconds.
+func comes(ms int, places float64) []admission.Arrival {
+	return []admission.Arrival{{In: time.Duration(ms) * time.Millisecond, Places: places}}
+}
+
+// Guards against callers who are sent away to the end of their time although an endpoint has just told
+// that it serves requests sooner.
+func TestARefusalKnowsOfEndpointsThatCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		coming := []admission.Arrival{{In: 900 * time.Millisecond, Places: 12}}
+		gate := admission.New(admission.Config{
+			Supply: func(string, time.Time) admission.Supply {
+				return admission.Supply{Room: 4, Running: 4, Own: 4, Coming: coming}
+			},
+			News:   func(string, time.Time) admission.News { return admission.News{} },
+			Random: func() float64 { return 0.5 },
+		})
+		var told []time.Duration
+		for range 30 {
+			r := shortRequest("1")
+			r.Elapsed, r.SlotTime = 300*time.Millisecond, 10*time.Second
+			if _, err := gate.TryAcquire(r, time.Now()); err != nil {
+				told = append(told, admission.AsRefused(err).ReturnAfter)
+			}
+		}
+		atArrival := 0
+		for _, d := range told {
+			if d >= 900*time.Millisecond && d < 1400*time.Millisecond {
+				atArrival++
+			}
+		}
+		g.Expect(len(told)).To(BeNumerically(">", 15))
+		g.Expect(atArrival).To(BeNumerically(">=", 3))
+		g.Expect(atArrival).To(BeNumerically("<=", 6+1), "half of the places")
+	})
+}
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -68,6 +68,8 @@
 	// fleetAccounts is what other gateways tell of accounts.
 	fleetAccounts fleetAccounts
 	elsewhere     int
+	// coming holds the endpoints that serve requests soon, as of refreshedAt.
+	coming []Arrival
 	// open is the number of requests that endpoints outside the room still accept from this gateway.
 	open int
 	// mostHeardAt is when most of the known gateways were last alive.
@@ -196,6 +198,7 @@
 	d := ReturnAfter(&ReturnForecast{
 		Target: w.request.Target, Elapsed: w.request.Elapsed, Left: w.request.Left,
 		FreePerSecond: s.ends.rate(endsWindow, now),
+		Coming:        s.comingPlaces(now),
 		Exceeds:       w.exceeds,
 		RefusedShare:  s.refusedShare(now),
 		Expected:      func(d time.Duration) float64 { return s.returns.expected(d, now) },
@@ -209,6 +212,19 @@
 	return &RefusedError{Service: s.name, Cause: cause, ReturnAfter: d}
 }
 
+// comingPlaces returns the part of the room that comes which is this gateway's.
+func (s *service) comingPlaces(now time.Time) []Arrival {
+	if len(s.coming) == 0 {
+		return nil
+	}
+	share, since := Share(&s.conditions), now.Sub(s.refreshedAt)
+	out := make([]Arrival, 0, len(s.coming))
+	for _, a := range s.coming {
+		out = append(out, Arrival{In: a.In - since, Places: share * a.Places})
+	}
+	return out
+}
+
 // release ends a grant and admits waiting requests.
 func (s *service) release(a *Grant, endpoint string, now time.Time) {
 	s.mu.Lock()
--- a/gateway/admission/update.go
+++ b/gateway/admission/update.go
@@ -36,7 +36,7 @@
 		s.mostHeardAt = now
 	}
 	news.LostFor = now.Sub(s.mostHeardAt)
-	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
+	s.elsewhere, s.open, s.coming = min(supply.Elsewhere, s.running), supply.Open, supply.Coming
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
 	s.hear(news, now)
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -22,6 +22,10 @@
 	Usable, Cold bool
 	// Paused is set if the endpoint asked for no requests because it is about to load weights.
 	Paused bool
+	// ReadyIn is the latest time until the endpoint serves as many requests as it has slots, if it
+	// doesn't now because it loads weights or is cold; else 0. Coming is the number of these slots.
+	ReadyIn time.Duration
+	Coming  int
 	// Version is the version of the query's model that the endpoint holds, or 0.
 	Version int64
 }
@@ -48,11 +52,35 @@
 		} else {
 			p.Slots, p.Usable = e.record.Slots, serves
 		}
+		if p.ReadyIn = e.readyIn(q, now); p.ReadyIn > 0 {
+			p.Coming = e.record.Slots
+		}
 		out = append(out, p)
 	}
 	return out
 }
 
+// readyIn returns the latest time until e has loaded weights and is no longer cold. It is 0 if neither
+// keeps it from serving q, or if something else does.
+func (e *endpoint) readyIn(q *Query, now time.Time) time.Duration {
+	limit, paused := &e.advisory.limit, e.health.paused(now)
+	switch {
+	case !paused && !limit.cold(now):
+		return 0
+	case !paused && !e.eligible(q): // its weights are too old, and it is not about to load others
+		return 0
+	case e.evacuated || e.health.reassigned || !q.Regions.Permits(e.record.Region):
+		return 0
+	case now.Before(e.health.ejectedUntil) || limit.declared && limit.active(e.held, now):
+		return 0
+	}
+	until := e.health.pausedUntil
+	if limit.cold(now) {
+		until = later(until, limit.coldUntil)
+	}
+	return until.Sub(now)
+}
+
 // places returns the number of mean requests that e serves in time concurrently. With a rate limit,
 // for example while it is cold, no more run at once than start within the time that one takes.
 func (e *endpoint) places(now time.Time) float64 {
