policy, proxy: a refusal for want of time names the time left; demand counts answers

Cause: a request that no endpoint could finish before its deadline was refused with the Retry-After of a shortage, so its caller came back with less time, in vain. Admission estimated a request's slot time from its prompt and the engine's mean answer, though the caller may have told a bound or a guess of its answer. Two constants of a third were one rule.

Change: RetryAfterTooLate is all the time left; the test of too_late asks for just that where it asked for any value. admissionRequest uses call.tokens. LatestReturn holds the third for policy.RetryAfter and admission.ReturnAfter.

--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/member"
 )
 
@@ -179,7 +180,7 @@
 	if !f.Exceeds && soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
 	}
-	latest := min(maxReturn, f.Left/3)
+	latest := min(maxReturn, policy.LatestReturn(f.Left))
 	if f.Exceeds {
 		return latest
 	}
--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -94,6 +94,14 @@
 	Entry("is at least the default, however little time is left", 2*time.Second, 100*ms, 300*ms),
 )
 
+var _ = DescribeTable("Retry-After of a request that can't end in time",
+	func(left, want time.Duration) {
+		Expect(policy.RetryAfterTooLate(left)).To(Equal(want))
+	},
+	Entry("is all the time left", 800*ms, 800*ms),
+	Entry("is at least the default", 100*ms, 300*ms),
+)
+
 var _ = DescribeTable("an endpoint is full for a stream",
 	func(engine *routes.Engine, target time.Duration, prompt int, want float64) {
 		Expect(policy.MaxLoad(engine, target, prompt)).To(BeNumerically("~", want, 1e-9))
--- a/gateway/policy/retryafter.go
+++ b/gateway/policy/retryafter.go
@@ -37,11 +37,24 @@
 	return min(opensIn, maxShortageRetryAfter) + RetryAfterShortage(draw)
 }
 
+// LatestReturn returns the latest time at which a caller may be told to retry: a third of the time
+// left to its deadline.
+func LatestReturn(left time.Duration) time.Duration {
+	return left / waitDivisor
+}
+
 // RetryAfter returns the Retry-After of a request that was not run: wanted, or
-// RetryAfterDefault if that is zero, but at most a third of the time left to the deadline.
+// RetryAfterDefault if that is zero, but at most LatestReturn.
 func RetryAfter(wanted, left time.Duration) time.Duration {
 	if wanted == 0 {
 		wanted = RetryAfterDefault
 	}
-	return min(wanted, max(left/waitDivisor, RetryAfterDefault))
+	return min(wanted, max(LatestReturn(left), RetryAfterDefault))
+}
+
+// RetryAfterTooLate returns the Retry-After of a request that no endpoint could finish before its
+// deadline: all the time left, since it could less before that. It answers callers with little time
+// who come back with even less, each time in vain.
+func RetryAfterTooLate(left time.Duration) time.Duration {
+	return max(left, RetryAfterDefault)
 }
--- a/gateway/proxy/admission.go
+++ b/gateway/proxy/admission.go
@@ -33,7 +33,7 @@
 	r := &admission.Request{
 		Service:  c.service,
 		Rank:     c.rank(),
-		SlotTime: work.SlotTime(c.engine(), work.Estimate(c.engine(), work.Tokens{Prompt: float64(c.promptTokens)})),
+		SlotTime: work.SlotTime(c.engine(), c.tokens()),
 		Target:   c.route.LatencyTarget,
 		Left:     time.Until(c.deadline),
 	}
--- a/gateway/proxy/admission_test.go
+++ b/gateway/proxy/admission_test.go
@@ -75,3 +75,24 @@
 		w.g.Expect(w.logs.withMessage("attempt failed")).To(HaveLen(1))
 	}, always(occupyHandler), always(occupyHandler))
 }
+
+// Guards against a demand that counts a long answer as a short one.
+func TestTheDemandFollowsFromTheStatedLengths(t *testing.T) {
+	demand := func(header ...string) float64 {
+		total := 0.0
+		runHarness(t, func(w *harness) {
+			w.useGate()
+			w.useEngine()
+			w.send(http.MethodPost, "/stream/", "x", header...)
+			for _, d := range w.gate.Demand(time.Now()) {
+				total += d.Recent.Total()
+			}
+		}, always(events(10*time.Millisecond, end, 1, 2)))
+		return total
+	}
+	g := NewWithT(t)
+	mean, long := demand("Tokens", "100,800"), demand("Tokens", "100,800", "Hint", "400")
+	g.Expect(mean).To(BeNumerically(">", 0))
+	g.Expect(demand("Tokens", "100,4")).To(BeNumerically("<", mean))
+	g.Expect(long).To(BeNumerically(">", mean))
+}
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -138,8 +138,13 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		e.Code = verdict.CodeCanceled
 	}
-	if e.Verdict == verdict.NotRun {
-		e.RetryAfter = policy.RetryAfter(e.RetryAfter, time.Until(c.deadline))
+	left := time.Until(c.deadline)
+	switch {
+	case e.Verdict != verdict.NotRun:
+	case e.Code == policy.CodeTooLate:
+		e.RetryAfter = policy.RetryAfterTooLate(left)
+	default:
+		e.RetryAfter = policy.RetryAfter(e.RetryAfter, left)
 	}
 	return &e
 }
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -47,7 +47,7 @@
 		return nil
 	case errors.As(err, &tooLate):
 		p.cfg.Metrics.TooLate.Inc(1)
-		return p.shortageFailure(policy.CodeTooLate, "no endpoint of %s would finish in time", c.service)
+		return verdict.NewError(verdict.NotRun, policy.CodeTooLate, "no endpoint of %s would finish in time", c.service)
 	case errors.As(err, &full):
 		if !c.late() {
 			p.refusals.record(c.service, time.Now())
--- a/gateway/proxy/work_test.go
+++ b/gateway/proxy/work_test.go
@@ -59,7 +59,7 @@
 				}
 				w.g.Expect(a.Code).To(Equal(http.StatusServiceUnavailable))
 				w.g.Expect(a.elapsed).To(BeZero())
-				w.g.Expect(a.Header().Get("Retry-After")).NotTo(BeEmpty())
+				w.g.Expect(a.Header().Get("Retry-After")).To(Equal("0.539"), "a return before the deadline would be in vain")
 				w.g.Expect(w.endpoints["e0"].count()).To(BeZero())
 				w.g.Expect(w.metrics.TooLate.Count()).To(BeEquivalentTo(1))
 				w.g.Expect(w.logs.withMessage("not answered")).To(ConsistOf(
