--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -40,6 +40,9 @@
 			if c.Open {
 				out.Open++
 			}
+			if c.ReadyIn > 0 {
+				out.Coming = append(out.Coming, admission.Arrival{In: c.ReadyIn, Places: float64(c.Coming)})
+			}
 			continue
 		}
 		out.Room += float64(max(c.Slots, 1))
@@ -65,6 +68,9 @@
 		}
 		for i := range min(len(out), len(found)) {
 			out[i].Usable = out[i].Usable || found[i].Usable
+			if out[i].ReadyIn == 0 {
+				out[i].ReadyIn, out[i].Coming = found[i].ReadyIn, found[i].Coming
+			}
 		}
 	}
 	return out
@@ -72,8 +78,9 @@
 
 // demandNews implements admission.Config.News.
 func (g *Gateway) demandNews(service string, now time.Time) admission.News {
-	d := g.table.Demand(service, now)
-	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
+	d, short := g.table.Demand(service, now), g.table.Shortage(service, now)
+	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Accounts: short.Accounts, Told: short.Told,
+		Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
 }
 
 // ownDemand returns the demand of this gateway's callers for heartbeats.
