affinity: assign endpoints by consistent hashing with bounded loads

Change: each gateway's picks take the first endpoint with room along a sequence that depends on its name only; rooms are even. Small flows to other zones go to gateways in the order of a hash of service and name.

--- a/gateway/affinity/affinity.go
+++ b/gateway/affinity/affinity.go
@@ -11,20 +11,20 @@
 	"github.com/silverdeck/silverdeck/roster"
 )
 
-// minPreferred is the minimum number of endpoints per service that a gateway prefers, as far as
-// its zone has that many; with few endpoints, several gateways then share each of them. With a
-// single preferred endpoint, a gateway that receives more than its share of the requests sends
-// the excess to endpoints whose load it hardly knows, as all others do, and the more gateways
-// there are the more often. Three gave the best results for 9, 39 and 95 gateways. Late
-// requests at loads of 0.7 and 0.85, simulated on virtual time with sampleSize 2 of package
-// balance, 95 gateways and 120 endpoints: two 1.2 and 6.3%, three 0.8 and 4.9%, four 1.0 and
-// 4.9%. For two, three and four at 0.85: 39 gateways and 45 endpoints 6.5, 5.8 and 4.7%;
-// 150 gateways and 120 endpoints 6.4, 8.2 and 9.9%.
-const minPreferred = 3
+// Numbers of endpoints per service that a gateway prefers, as far as its zone has that many.
+const (
+	// minPreferred is the minimum of a gateway that receives as many requests as others of its
+	// zone. With few endpoints, several gateways share each of them.
+	minPreferred = 3
+	// fewestPreferred is the minimum of any gateway. With a single preferred endpoint, it would
+	// send what exceeds its share to endpoints whose load it hardly knows.
+	fewestPreferred = 2
+)
 
 // Preferred returns the IDs of the endpoints that the gateway named self prefers. The endpoints
 // of each service and zone are assigned to the live gateways of that zone, or to all gateways
-// if the zone has none. Preferred sorts live.
+// if the zone has none. Each endpoint is preferred by as many gateways as others, or one more,
+// and few assignments change with one gateway or endpoint. Preferred sorts live.
 func Preferred(list *roster.List, live []member.Entry, self string) map[string]bool {
 	out := map[string]bool{}
 	if list == nil {
@@ -33,32 +33,24 @@
 	slices.SortFunc(live, func(a, b member.Entry) int { return cmp.Compare(a.Name, b.Name) })
 	for g, ids := range byServiceZone(list) {
 		near := zoneOrAll(live, g.zone)
-		if !slices.ContainsFunc(near, func(e member.Entry) bool { return e.Name == self }) {
+		i := slices.IndexFunc(near, func(e member.Entry) bool { return e.Name == self })
+		if i < 0 {
 			continue
 		}
-		for i := range max(len(ids), min(minPreferred, len(ids))*len(near)) {
-			if near[i%len(near)].Name == self {
-				out[ids[endpointIndex(i, len(ids), len(near))]] = true
-			}
+		for _, endpoint := range assign(ids, weighted(near))[i] {
+			out[ids[endpoint]] = true
 		}
 	}
 	return out
 }
 
-// endpointIndex returns the index of the endpoint, out of n, in the i-th step of a round-robin
-// assignment to gateways. Without the correction, a gateway would be assigned the same endpoint
-// again after the least common multiple of both numbers; it is assigned the next one instead.
-func endpointIndex(i, n, gateways int) int {
-	return (i + i/lcm(n, gateways)) % n
-}
-
-// lcm returns the least common multiple of a and b.
-func lcm(a, b int) int {
-	x, y := a, b
-	for y != 0 {
-		x, y = y, x%y
+// weighted returns gateways that all receive as many requests.
+func weighted(entries []member.Entry) []gateway {
+	out := make([]gateway, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, gateway{name: e.Name, weight: 1})
 	}
-	return a / x * b
+	return out
 }
 
 // serviceZone identifies the endpoints that are assigned together.
--- a/gateway/affinity/lent.go
+++ b/gateway/affinity/lent.go
@@ -1,10 +1,11 @@
 package affinity
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/silverdeck/silverdeck/gateway/zoneflow"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
@@ -34,12 +35,12 @@
 	if list == nil || len(shares) == 0 {
 		return out
 	}
-	position, count := positionInZone(live, self)
-	if count == 0 {
-		return out
-	}
 	groups := byServiceZone(list)
 	for service, to := range shares {
+		position, count := positionInZone(live, self, service)
+		if count == 0 {
+			return out
+		}
 		n := LentCount(zoneflow.Total(to), count)
 		for slot := position; slot < n; slot += count {
 			zone, first := zoneOfSlot(to, slot, n)
@@ -52,20 +53,21 @@
 	return out
 }
 
-// positionInZone returns the position of self among the live gateways of its zone, by name, and
-// their number, which is 0 if self is not live.
-func positionInZone(live []member.Entry, self string) (position, count int) {
+// positionInZone returns the position of self among the live gateways of its zone and their number,
+// which is 0 if self is not live. The order is by a hash of service and name, so that small flows of
+// several services are not left to the same gateways.
+func positionInZone(live []member.Entry, self, service string) (position, count int) {
 	i := slices.IndexFunc(live, func(e member.Entry) bool { return e.Name == self })
 	if i < 0 {
 		return 0, 0
 	}
-	zone := live[i].Zone
+	own := xxhash.Sum64String(service + "\x00" + self)
 	for _, e := range live {
-		if e.Zone != zone {
+		if e.Zone != live[i].Zone {
 			continue
 		}
 		count++
-		if cmp.Less(e.Name, self) {
+		if xxhash.Sum64String(service+"\x00"+e.Name) < own {
 			position++
 		}
 	}
@@ -98,3 +100,19 @@
 	}
 	return out
 }
+
+// endpointIndex returns the index of the endpoint, out of n, in the i-th step of a round-robin
+// assignment to gateways. Without the correction, a gateway would be assigned the same endpoint
+// again after the least common multiple of both numbers; it is assigned the next one instead.
+func endpointIndex(i, n, gateways int) int {
+	return (i + i/lcm(n, gateways)) % n
+}
+
+// lcm returns the least common multiple of a and b.
+func lcm(a, b int) int {
+	x, y := a, b
+	for y != 0 {
+		x, y = y, x%y
+	}
+	return a / x * b
+}
--- a/gateway/affinity/lent_test.go
+++ b/gateway/affinity/lent_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/silverdeck/silverdeck/gateway/affinity"
 	"github.com/silverdeck/silverdeck/gateway/zoneflow"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 func TestLentCount(t *testing.T) {
@@ -54,6 +55,25 @@
 	}
 }
 
+// The first gateways by name are relays as well, and would all get the small flows.
+func TestSmallFlowsOfServicesAreLeftToDifferentGateways(t *testing.T) {
+	g := NewWithT(t)
+	const services = 46
+	list, shares := &roster.List{Endpoints: map[string]*roster.Endpoint{}}, map[string][]zoneflow.Share{}
+	for i := range services {
+		service := fmt.Sprint("s", i)
+		list.Endpoints["e-"+service] = &roster.Endpoint{ID: "e-" + service, Service: service, Zone: "b"}
+		shares[service] = []zoneflow.Share{{To: "b", Share: 0.01}}
+	}
+	live, sum, most := gateways(23, "a"), 0, 0
+	for _, e := range live {
+		n := len(affinity.Lent(list, live, e.Name, shares))
+		sum, most = sum+n, max(most, n)
+	}
+	g.Expect(sum).To(Equal(services * affinity.LentCount(0.01, 23)))
+	g.Expect(most).To(BeNumerically("<=", services/4))
+}
+
 func TestNothingIsLentWithoutNeed(t *testing.T) {
 	g := NewWithT(t)
 	list, live := endpointsInZones(3, "a", "b"), gateways(2, "a")
