affinity, member: endpoints are assigned by what gateways receive

Cause: callers choose gateways unevenly, and each gateway preferred as many endpoints whatever it received.

Change: a gateway tells its weight, its demand by the mean of its zone in steps of 1.5, with heartbeats and digests (omitted where 0), and quotas follow weights. Older programs omit and ignore both fields.

--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -258,7 +258,7 @@
 			return f.total[l] - x.load[l]
 		}})
 	x.balancer.Update(f.list)
-	x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.entryName(i)))
+	x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), nil, f.entryName(i)))
 	x.gate = admission.New(admission.Config{Random: f.rand.Float64,
 		Supply: func(string, time.Time) admission.Supply { return f.supply(x) },
 		News:   func(string, time.Time) admission.News { return f.news(x) },
@@ -360,7 +360,7 @@
 	f.list = &roster.List{Endpoints: remaining(f.list.Endpoints, gone)}
 	for i, x := range f.gateways {
 		x.balancer.Update(f.list)
-		x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.entryName(i)))
+		x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), nil, f.entryName(i)))
 	}
 }
 
--- a/gateway/affinity/affinity.go
+++ b/gateway/affinity/affinity.go
@@ -24,8 +24,10 @@
 // Preferred returns the IDs of the endpoints that the gateway named self prefers. The endpoints
 // of each service and zone are assigned to the live gateways of that zone, or to all gateways
 // if the zone has none. Each endpoint is preferred by as many gateways as others, or one more,
-// and few assignments change with one gateway or endpoint. Preferred sorts live.
-func Preferred(list *roster.List, live []member.Entry, self string) map[string]bool {
+// and few assignments change with one gateway or endpoint. weights are the weights of gateways by
+// name, those of weight 0 may be left out; a gateway that receives more requests prefers more
+// endpoints. Preferred sorts live.
+func Preferred(list *roster.List, live []member.Entry, weights map[string]int, self string) map[string]bool {
 	out := map[string]bool{}
 	if list == nil {
 		return out
@@ -37,18 +39,17 @@
 		if i < 0 {
 			continue
 		}
-		for _, endpoint := range assign(ids, weighted(near))[i] {
+		for _, endpoint := range assign(ids, weighted(near, weights))[i] {
 			out[ids[endpoint]] = true
 		}
 	}
 	return out
 }
 
-// weighted returns gateways that all receive as many requests.
-func weighted(entries []member.Entry) []gateway {
+func weighted(entries []member.Entry, weights map[string]int) []gateway {
 	out := make([]gateway, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, gateway{name: e.Name, weight: 1})
+		out = append(out, gateway{name: e.Name, rate: rateOf(weights[e.Name])})
 	}
 	return out
 }
--- a/gateway/affinity/affinity_test.go
+++ b/gateway/affinity/affinity_test.go
@@ -37,7 +37,7 @@
 func preferredBy(list *roster.List, live []member.Entry) map[string]int {
 	out := map[string]int{}
 	for _, e := range slices.Clone(live) {
-		for id := range affinity.Preferred(list, live, e.Name) {
+		for id := range affinity.Preferred(list, live, nil, e.Name) {
 			out[id]++
 		}
 	}
@@ -49,14 +49,14 @@
 	list := endpointsInZones(4, "a", "b", "c")
 	live := append(gateways(2, "a"), gateways(1, "b")...)
 	for _, e := range slices.Clone(live) {
-		for id := range affinity.Preferred(list, live, e.Name) {
+		for id := range affinity.Preferred(list, live, nil, e.Name) {
 			if zone := list.Endpoints[id].Zone; zone != "c" {
 				g.Expect(zone).To(Equal(e.Zone))
 			}
 		}
 	}
 	g.Expect(preferredBy(list, live)).To(HaveLen(12))
-	g.Expect(affinity.Preferred(nil, live, "a00")).To(BeEmpty())
+	g.Expect(affinity.Preferred(nil, live, nil, "a00")).To(BeEmpty())
 }
 
 // With only one preferred endpoint, or one for some gateways and two for others, gateways that
@@ -68,7 +68,7 @@
 			g := NewWithT(t)
 			list, live := endpointsInZones(n, "a"), gateways(count, "a")
 			for _, e := range slices.Clone(live) {
-				mine := affinity.Preferred(list, live, e.Name)
+				mine := affinity.Preferred(list, live, nil, e.Name)
 				g.Expect(len(mine)).To(BeNumerically(">=", min(3, n)), "%d endpoints, %d gateways", n, count)
 				g.Expect(len(mine)).To(BeNumerically("<=", max(3, n/count+1)), "%d endpoints, %d gateways", n, count)
 			}
@@ -95,6 +95,6 @@
 	}
 	for _, e := range slices.Clone(live) {
 		own := 24 / map[string]int{"a": 4, "b": 3}[e.Zone]
-		g.Expect(len(affinity.Preferred(list, live, e.Name))-own).To(Or(Equal(24/7), Equal(24/7+1)), e.Name)
+		g.Expect(len(affinity.Preferred(list, live, nil, e.Name))-own).To(Or(Equal(24/7), Equal(24/7+1)), e.Name)
 	}
 }
--- a/gateway/affinity/bench_test.go
+++ b/gateway/affinity/bench_test.go
@@ -18,7 +18,7 @@
 	shares := sharesOf(zoneflow.Share{To: "b", Share: 0.2}, zoneflow.Share{To: "c", Share: 0.1})
 	b.Run("Preferred", func(b *testing.B) {
 		for b.Loop() {
-			affinity.Preferred(list, live, "a07")
+			affinity.Preferred(list, live, nil, "a07")
 		}
 	})
 	b.Run("Lent", func(b *testing.B) {
--- a/gateway/affinity/held_test.go
+++ b/gateway/affinity/held_test.go
@@ -95,7 +95,7 @@
 		}
 		return testing.AllocsPerRun(20, func() {
 			affinity.Held(list, live, "g-a-0")
-			affinity.Preferred(list, live, "g-a-0")
+			affinity.Preferred(list, live, nil, "g-a-0")
 		})
 	}
 	g.Expect(steps("abcdefgh")).To(BeNumerically("<", 3*steps("a")))
--- a/gateway/affinity/quota.go
+++ b/gateway/affinity/quota.go
@@ -11,21 +11,21 @@
 // gateway is a gateway that endpoints are assigned to.
 type gateway struct {
 	name string
-	// weight is the rate of requests that it receives relative to others.
-	weight float64
+	// rate is the rate of requests that it receives relative to others.
+	rate float64
 }
 
-// quotas returns how many of n endpoints each gateway prefers, in proportion to its weight. Their
+// quotas returns how many of n endpoints each gateway prefers, in proportion to its rate. Their
 // sum is at least n.
 func quotas(gateways []gateway, n int) []int {
-	wanted, weights := max(n, min(minPreferred, n)*len(gateways)), 0.0
+	wanted, rates := max(n, min(minPreferred, n)*len(gateways)), 0.0
 	for _, g := range gateways {
-		weights += g.weight
+		rates += g.rate
 	}
 	out, rest := make([]int, len(gateways)), wanted
 	order := make([]rounding, 0, len(gateways))
 	for i, g := range gateways {
-		exact := float64(wanted) * g.weight / weights
+		exact := float64(wanted) * g.rate / rates
 		out[i] = min(max(int(exact+roundingError), min(fewestPreferred, n)), n)
 		rest -= out[i]
 		if out[i] < n {
@@ -43,7 +43,7 @@
 const roundingError = 1e-9
 
 // rounding is the position of a gateway among those whose quota is rounded up, highest key first.
-// It depends on the gateway's hash, so that a small change of all weights changes few quotas.
+// It depends on the gateway's hash, so that a small change of all rates changes few quotas.
 type rounding struct {
 	gateway int
 	key     float64
--- a/gateway/affinity/steady_test.go
+++ b/gateway/affinity/steady_test.go
@@ -14,9 +14,13 @@
 
 // preferences returns which gateways prefer which endpoints, as gateway and endpoint.
 func preferences(list *roster.List, live []member.Entry) map[[2]string]bool {
+	return preferencesBy(list, live, nil)
+}
+
+func preferencesBy(list *roster.List, live []member.Entry, weights map[string]int) map[[2]string]bool {
 	out := map[[2]string]bool{}
 	for _, e := range live {
-		for id := range affinity.Preferred(list, slices.Clone(live), e.Name) {
+		for id := range affinity.Preferred(list, slices.Clone(live), weights, e.Name) {
 			out[[2]string{e.Name, id}] = true
 		}
 	}
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -49,6 +49,9 @@
 	weightsShare float64
 	// zoned, if not nil, makes zones differ; see zones_test.go.
 	zoned *zoned
+	// rates, if not nil, are the rates of requests of the gateways of a zone, by turns, instead of
+	// random ones. Their weights are known.
+	rates []float64
 }
 
 // event is a scheduled event of the simulation.
@@ -126,11 +129,12 @@
 			OnTokenWanted: func(of roster.Incarnation) { f.requestToken(g, of) },
 		})
 		b.Update(list)
-		b.SetPreferred(affinity.Preferred(list, live, self.Name))
+		b.SetPreferred(affinity.Preferred(list, live, nil, self.Name))
 		f.gateways = append(f.gateways, b)
 		f.reported = append(f.reported, nil)
 	}
 	f.list, f.entries = list, live
+	f.assignByRates(s)
 	f.arrive(s, f.cumulativeWeights(s))
 	f.publishLoads()
 	f.startZones(s.zoned)
@@ -150,6 +154,9 @@
 	sum := 0.0
 	for g := range f.gateways {
 		w := 0.5 + f.rand.Float64()
+		if s.rates != nil {
+			w = s.rates[g%len(s.rates)]
+		}
 		if g < s.gateways {
 			w *= s.firstZoneFactor
 		}
@@ -160,6 +167,23 @@
 	return out
 }
 
+// assignByRates has all gateways compute which endpoints they prefer, by the rates of s.
+func (f *fleet) assignByRates(s scenario) {
+	if s.rates == nil {
+		return
+	}
+	weights, mean := map[string]int{}, 0.0
+	for _, rate := range s.rates {
+		mean += rate / float64(len(s.rates))
+	}
+	for g, e := range f.entries {
+		weights[e.Name] = affinity.Weight(s.rates[g%len(s.rates)]/mean*10, 10, 0)
+	}
+	for g, e := range f.entries {
+		f.gateways[g].SetPreferred(affinity.Preferred(f.list, slices.Clone(f.entries), weights, e.Name))
+	}
+}
+
 func (f *fleet) after(d time.Duration, do func()) {
 	heap.Push(&f.events, event{f.now + d, do})
 }
@@ -263,6 +287,10 @@
 		{scenario{zones: 5, gateways: 19, endpoints: 24, load: 0.7, firstZoneFactor: 1, weightsShare: 0.5}, 0.06, 0.001},
 		{scenario{zones: 5, gateways: 30, endpoints: 24, load: 0.7, firstZoneFactor: 1, weightsShare: 1}, 0.03, 0.001},
 		{scenario{zones: 5, gateways: 30, endpoints: 24, load: 0.85, firstZoneFactor: 1, weightsShare: 1}, 0.10, 0.001},
+		{scenario{zones: 3, gateways: 24, endpoints: 12, load: 0.7, firstZoneFactor: 1, weightsShare: 1, rates: []float64{1, 2, 3}}, 0.02, 0.001},
+		{scenario{zones: 3, gateways: 12, endpoints: 15, load: 0.85, firstZoneFactor: 1, weightsShare: 1, rates: []float64{1, 2, 3}}, 0.08, 0.001},
+		{scenario{zones: 5, gateways: 30, endpoints: 24, load: 0.7, firstZoneFactor: 1, weightsShare: 1, rates: []float64{1, 2, 3}}, 0.02, 0.001},
+		{scenario{zones: 5, gateways: 30, endpoints: 24, load: 0.85, firstZoneFactor: 1, weightsShare: 1, rates: []float64{1, 2, 3}}, 0.08, 0.001},
 	} {
 		t.Run(fmt.Sprintf("%+v", x.scenario), func(t *testing.T) {
 			t.Parallel()
--- a/gateway/balance/zones_test.go
+++ b/gateway/balance/zones_test.go
@@ -143,7 +143,7 @@
 func (f *fleet) assign() {
 	for g, b := range f.gateways {
 		self := f.entries[g]
-		preferred := affinity.Preferred(f.list, slices.Clone(f.entries), self.Name)
+		preferred := affinity.Preferred(f.list, slices.Clone(f.entries), nil, self.Name)
 		if f.zones.way == lent {
 			shares := map[string][]zoneflow.Share{"s": f.zones.shares[self.Zone]}
 			for id := range affinity.Lent(f.list, f.entries, self.Name, shares) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,6 +105,7 @@
 	// the Heartbeater's goroutine uses it.
 	lastAssignment assignmentInputs
 	flows          flows
+	weights        weights
 	flowMetrics    *FlowMetrics
 	// contacts are the contacts that the store is known to hold. contactsCheckedAt is when they
 	// were last compared; only the Heartbeater's goroutine uses it.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -104,7 +104,7 @@
 	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
 	now := time.Now()
 	b.Poison = poison.Pack(g.poison.Gossip(g.table.IsRelay(), now))
-	b.Demand = g.ownDemand(now)
+	b.Demand, b.Weight = g.ownDemand(now), g.weights.own
 	b.Advice = advisory.Encode(g.balancer.Advisories(g.table.IsRelay(), now), now)
 	for kind, m := range g.mirrors {
 		b.Copies[kind] = m.State().Version()
@@ -146,17 +146,19 @@
 // With 1,900 endpoints and 340 gateways this is too expensive for each heartbeat.
 func (g *Gateway) updateAssignment() {
 	g.updateFlows(time.Now())
-	now := assignmentInputs{endpoints: g.endpoints.Current(), members: g.table.Changes(), ready: g.Ready() == nil, flows: g.flows.changes}
+	g.updateWeights(time.Now())
+	now := assignmentInputs{endpoints: g.endpoints.Current(), members: g.table.Changes(), ready: g.Ready() == nil,
+		flows: g.flows.changes, weights: g.weights.changes}
 	before := g.lastAssignment
 	if before == now {
 		return
 	}
 	g.lastAssignment = now
-	preferred := affinity.Preferred(now.endpoints, g.gateways(), g.self.Name)
+	preferred := affinity.Preferred(now.endpoints, g.gateways(), g.weights.byName, g.self.Name)
 	maps.Copy(preferred, affinity.Lent(now.endpoints, g.gateways(), g.self.Name, g.flows.shares))
 	g.balancer.SetPreferred(preferred)
-	if before.flows = now.flows; before == now {
-		return // holders do not depend on flows
+	if before.flows, before.weights = now.flows, now.weights; before == now {
+		return // holders depend on neither
 	}
 	g.balancer.SetHeld(affinity.Held(now.endpoints, g.readyGateways(), g.self.Name), time.Now())
 }
@@ -166,8 +168,8 @@
 	endpoints *roster.List
 	members   uint64
 	ready     bool
-	// flows is flows.changes.
-	flows uint64
+	// flows is flows.changes, weights weights.changes.
+	flows, weights uint64
 }
 
 // onHeartbeat handles the arrival of another gateway's heartbeat.
--- a/member/digest.go
+++ b/member/digest.go
@@ -28,6 +28,9 @@
 	// Demand is the work that the callers of these gateways ask for, by service and zone; older
 	// versions omit and ignore it.
 	Demand []Demand `json:"demand,omitempty"`
+	// Weights holds the weights of the gateways of the sender's zone that differ from 0. It is
+	// sent within the zone; older versions omit and ignore it.
+	Weights PackedWeights `json:"weights,omitempty"`
 }
 
 // Roll describes a relay's membership list by a hash and its recent changes.
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -58,6 +58,7 @@
 	inFlight map[roster.Incarnation]int
 	suspects []roster.Incarnation
 	demand   []member.Demand
+	weight   int
 	copies   int64
 	// poison records the requests during which endpoints terminated.
 	poison *poison.Table
@@ -189,7 +190,7 @@
 	defer n.mu.Unlock()
 	b := member.Heartbeat{Entry: n.entry, Ready: true, Copies: map[string]mirror.Version{"config": {Revision: n.copies, Digest: uint64(n.copies)}}}
 	b.SetEndpoints(n.inFlight, n.suspects)
-	b.Demand = n.demand
+	b.Demand, b.Weight = n.demand, n.weight
 	now := time.Now()
 	b.Poison = poison.Pack(n.poison.Gossip(n.table.IsRelay(), now))
 	b.Advice = advisory.Encode(n.balancer.Advisories(n.table.IsRelay(), now), now)
--- a/member/member.go
+++ b/member/member.go
@@ -74,11 +74,14 @@
 	// Demand is the work that the gateway's callers ask for, by service; older versions omit and
 	// ignore it.
 	Demand []Demand `json:"demand,omitempty"`
+	// Weight is how many requests the gateway receives relative to others of its zone, in the
+	// steps of affinity.Weight; older versions omit and ignore it.
+	Weight int `json:"weight,omitempty"`
 }
 
-// withoutEndpoints returns a copy of b without in-flight requests, suspects and demand.
+// withoutEndpoints returns a copy of b without in-flight requests, suspects, demand, and weight.
 func (b Heartbeat) withoutEndpoints() Heartbeat {
-	b.InFlight, b.Suspects, b.Born, b.Demand = nil, nil, nil, nil
+	b.InFlight, b.Suspects, b.Born, b.Demand, b.Weight = nil, nil, nil, nil, 0
 	return b
 }
 
--- a/member/plan.go
+++ b/member/plan.go
@@ -28,7 +28,7 @@
 func (t *Table) plan(own Heartbeat, now time.Time) []outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ready, t.ownDemand = own.Ready, own.Demand
+	t.ready, t.ownDemand, t.ownWeight = own.Ready, own.Demand, own.Weight
 	if !t.usesRelays() {
 		return []outgoing{{addrs: t.peerAddrs(), message: message{Heartbeat: &own}}}
 	}
@@ -65,6 +65,7 @@
 	withLoads := own.Sequence%digestLoadsEvery == 0
 	zone := t.zoneTotals(own)
 	fleet := t.fleetTotals(zone)
+	weights := packWeights(t.directWeights())
 	reduced := heartbeat.withoutEndpoints()
 	var out []outgoing
 	relays := addrsOf(t.zoneRelays(t.self.Zone))
@@ -75,6 +76,7 @@
 		d := &Digest{Roll: roll}
 		if withLoads {
 			d.Loads = fleet.excluding(t.lastHeartbeat(e.Name))
+			d.Loads.Weights = weights
 		}
 		m := message{Heartbeat: &reduced, Digest: d}
 		// If this gateway sees no other relay, it may be mistaken: all gateways of the zone then
--- a/member/relay.go
+++ b/member/relay.go
@@ -29,6 +29,7 @@
 	covers             int
 	inFlight, suspects keyCounts
 	demand             []Demand
+	weights            map[uint32]int
 	heardAt            time.Time
 }
 
@@ -45,7 +46,7 @@
 	}
 	if d.Loads != nil {
 		r.loads = relayLoads{covers: d.Loads.Covers, inFlight: d.Loads.InFlight.unpack(), suspects: d.Loads.Suspects.unpack(),
-			demand: d.Loads.Demand, heardAt: now}
+			demand: d.Loads.Demand, weights: d.Loads.Weights.unpack(), heardAt: now}
 	}
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -45,8 +45,9 @@
 	// lastSent is the state that this gateway sent last; see needsFull.
 	lastSent sentState
 	ready    bool
-	// ownDemand is the demand in this gateway's last heartbeat.
+	// ownDemand and ownWeight are the demand and the weight in this gateway's last heartbeat.
 	ownDemand []Demand
+	ownWeight int
 }
 
 // NewTable returns an empty table of the gateway self.
