balance: a notice of a pace costs what one endpoint costs

Cause: each notice passed over all endpoints three times, and each heartbeat over all of them, to apply paces.

Change: endpoints are found by VM, and those that are slow by their streams are kept in a set.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -192,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	expected := chosen.speed.Times(&q.Work, chosen.perPlace(b.load(chosen)), chosen.prefill)
+	expected := chosen.expectedTimes(&q.Work, b.load(chosen), now)
 	chosen.addRequest(now)
 	chosen.advisory.limit.noteSent(now)
 	chosen.prefill += q.Prefill
@@ -234,11 +235,11 @@
 	if a.Pace != 0 {
 		defer b.setPace(a.Addr, a.Pace, a.ReceivedAt)
 	}
-	matches := b.addrMatcher(a.Addr)
+	find := b.finderFor(a.Addr)
 	b.eachShard(func(s *shard) {
-		for id, e := range s.endpoints {
-			announced := roster.Incarnation{ID: id, Born: a.Born}
-			if !matches(e.record) || announced.Before(e.record.Incarnation()) {
+		for _, e := range find(s) {
+			announced := roster.Incarnation{ID: e.record.ID, Born: a.Born}
+			if announced.Before(e.record.Incarnation()) {
 				continue
 			}
 			if !announced.Same(e.record.Incarnation()) {
@@ -252,21 +253,15 @@
 	})
 }
 
-// addrMatcher returns a function that reports whether a sidecar's notice for addr concerns
-// an endpoint. Endpoints with that address match or, if there are none, all endpoints on
-// the same VM.
-func (b *Balancer) addrMatcher(addr string) func(*roster.Endpoint) bool {
+// finderFor returns a function that finds the endpoints of a shard which a sidecar's notice for
+// addr concerns: those with that address or, if no shard has any, all on the same VM.
+func (b *Balancer) finderFor(addr string) func(*shard) []*endpoint {
 	known := false
-	b.eachShard(func(s *shard) {
-		for _, e := range s.endpoints {
-			known = known || e.record.Addr == addr
-		}
-	})
+	b.eachShard(func(s *shard) { known = known || len(s.at(addr)) > 0 })
 	if known {
-		return func(r *roster.Endpoint) bool { return r.Addr == addr }
+		return func(s *shard) []*endpoint { return s.at(addr) }
 	}
-	vm := roster.VM(addr)
-	return func(r *roster.Endpoint) bool { return roster.VM(r.Addr) == vm }
+	return func(s *shard) []*endpoint { return slices.Clone(s.byVM[roster.VM(addr)]) }
 }
 
 // restartedRecord returns the record of a restarted endpoint, which holds no weights yet.
@@ -319,6 +314,12 @@
 	return float64(b.totalInFlight(e)) / float64(max(e.record.Slots, 1))
 }
 
+// expectedTimes returns the expected times of a stream that is sent to e. A cold endpoint, which has
+// fewer places, is the more loaded.
+func (e *endpoint) expectedTimes(w *work.Stream, load float64, now time.Time) work.Times {
+	return e.speed.Times(w, load*float64(max(e.record.Slots, 1))/max(e.places(now), 1), e.prefill)
+}
+
 // perPlace converts a load per slot of e to one per place.
 func (e *endpoint) perPlace(load float64) float64 {
 	return load * float64(max(e.record.Slots, 1)) / e.speed.Places
--- a/gateway/balance/bench_test.go
+++ b/gateway/balance/bench_test.go
@@ -29,6 +29,23 @@
 	}
 }
 
+// BenchmarkPaceNotice measures the notice of a slow endpoint's sidecar, and BenchmarkExpirePaces what
+// paces cost with each heartbeat.
+func BenchmarkPaceNotice(b *testing.B) {
+	lb := withEngine(balancer(endpoints(1900)))
+	for b.Loop() {
+		tell(lb, 2.5, now)
+	}
+}
+
+func BenchmarkExpirePaces(b *testing.B) {
+	lb := withEngine(balancer(endpoints(1900)))
+	tell(lb, 2.5, now)
+	for b.Loop() {
+		lb.ExpirePaces(now)
+	}
+}
+
 // BenchmarkRoomByZone measures what flows cost with each heartbeat.
 func BenchmarkRoomByZone(b *testing.B) {
 	lb := balancer(endpoints(1900))
--- a/gateway/balance/pace.go
+++ b/gateway/balance/pace.go
@@ -53,38 +53,48 @@
 	}
 	b.paces[addr] = toldPace{pace: pace, until: now.Add(paceTTL)}
 	b.mu.Unlock()
-	b.applyPaces()
+	b.applyPaceAt(addr)
 }
 
 // ExpirePaces drops what sidecars told that have been silent for long, and what streams showed of
 // endpoints that got none for long. An endpoint of which nothing is known counts as working at its
 // engine's figures.
 func (b *Balancer) ExpirePaces(now time.Time) {
-	expired := false
-	b.mu.Lock()
-	for addr, told := range b.paces {
-		if now.After(told.until) {
-			delete(b.paces, addr)
-			expired = true
-		}
-	}
-	b.mu.Unlock()
-	if expired {
-		b.applyPaces()
+	for _, addr := range b.expireTold(now) {
+		b.applyPaceAt(addr)
 	}
 	b.eachShard(func(s *shard) {
-		for _, e := range s.endpoints {
-			if e.observed.Expire(now) {
+		for e := range s.observedSlow {
+			expired := e.observed.Expire(now)
+			if expired {
 				b.applyPace(s, e)
 			}
+			if expired || !s.isCurrent(e) {
+				delete(s.observedSlow, e)
+			}
 		}
 	})
 }
 
-// applyPaces applies the told paces to the endpoints.
-func (b *Balancer) applyPaces() {
+// expireTold drops what sidecars told that have been silent for long, and returns their endpoints'
+// addresses.
+func (b *Balancer) expireTold(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for addr, told := range b.paces {
+		if now.After(told.until) {
+			delete(b.paces, addr)
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// applyPaceAt applies the told pace of an address to the endpoints there.
+func (b *Balancer) applyPaceAt(addr string) {
 	b.eachShard(func(s *shard) {
-		for _, e := range s.endpoints {
+		for _, e := range s.at(addr) {
 			b.applyPace(s, e)
 		}
 	})
@@ -123,9 +133,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.observed.Observe(&s.ratio, &e.speed, events, duration, now)
+	s.noteObserved(e)
 	b.applyPace(s, e)
 }
 
+// noteObserved updates observedSlow. The lock must be held.
+func (s *shard) noteObserved(e *endpoint) {
+	if e.observed.Pace() == 1 || !s.isCurrent(e) {
+		delete(s.observedSlow, e)
+		return
+	}
+	if s.observedSlow == nil {
+		s.observedSlow = map[*endpoint]bool{}
+	}
+	s.observedSlow[e] = true
+}
+
 // PaceEvent reports that an endpoint has become slow, or no longer is.
 type PaceEvent struct {
 	// Endpoint is the endpoint's ID.
--- a/gateway/balance/pace_test.go
+++ b/gateway/balance/pace_test.go
@@ -120,6 +120,13 @@
 		b.Update(engineEndpoints(2))
 		Expect(places(b)).To(BeNumerically("==", 2))
 	})
+	It("remains slow when a notice tells that it started again", func() {
+		b := withEngine(balancer(engineEndpoints(2)))
+		for born := range int64(3) {
+			b.ApplyAnnouncement(balance.Announcement{Addr: "e0:1", Born: born, Pace: 2.5, ReceivedAt: now})
+			Expect(places(b)).To(BeNumerically("==", 2))
+		}
+	})
 	It("counts as working at its figures once its sidecar has been silent for long", func() {
 		b := withEngine(balancer(engineEndpoints(1)))
 		tell(b, 2.5, now)
@@ -193,6 +200,18 @@
 		b.ExpirePaces(at(30001))
 		Expect(places(b)).To(BeNumerically("==", 12), "no streams for long")
 	})
+	It("is slow no longer than its streams show it", func() {
+		b := compared()
+		observeSlow(b, 8)
+		observe(b, "e0", 40, 60*time.Millisecond)
+		Expect(places(b)).To(BeNumerically("==", 12))
+		observeSlow(b, 20)
+		b.Update(engineEndpoints(1))
+		b.ExpirePaces(at(30000))
+		Expect(places(b)).To(BeNumerically("<", 12))
+		b.ExpirePaces(at(30001))
+		Expect(places(b)).To(BeNumerically("==", 12))
+	})
 	It("works at its figures once its sidecar says so", func() {
 		b := compared()
 		observeSlow(b, 8)
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -17,6 +17,10 @@
 	// ordered holds the endpoints sorted by ID, so that the selection is deterministic for
 	// given random numbers.
 	ordered []*endpoint
+	// byVM holds the endpoints of each VM, from which sidecars send notices.
+	byVM map[string][]*endpoint
+	// observedSlow holds the endpoints that are slow by their streams.
+	observedSlow map[*endpoint]bool
 	// removed holds endpoints that no longer have a record, by ID.
 	removed map[string]*removedEndpoint
 	// evacuated holds the availability zones that are being evacuated. coldLimit applies to cold
@@ -88,12 +92,26 @@
 	s.sortEndpoints()
 }
 
-// sortEndpoints rebuilds ordered. The lock must be held.
+// sortEndpoints rebuilds ordered and byVM. The lock must be held.
 func (s *shard) sortEndpoints() {
-	s.ordered = s.ordered[:0]
+	s.ordered, s.byVM = s.ordered[:0], map[string][]*endpoint{}
 	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
-		s.ordered = append(s.ordered, s.endpoints[id])
+		e := s.endpoints[id]
+		s.ordered = append(s.ordered, e)
+		vm := roster.VM(e.record.Addr)
+		s.byVM[vm] = append(s.byVM[vm], e)
+	}
+}
+
+// at returns the endpoints with an address. The lock must be held.
+func (s *shard) at(addr string) []*endpoint {
+	var out []*endpoint
+	for _, e := range s.byVM[roster.VM(addr)] {
+		if e.record.Addr == addr {
+			out = append(out, e)
+		}
 	}
+	return out
 }
 
 // restart replaces e by its next incarnation, which has record r. Existing leases of e are
@@ -103,8 +121,10 @@
 	next.applyCold(s.coldLimit)
 	s.updateSpeed(next)
 	s.endpoints[r.ID] = next
-	if i := slices.Index(s.ordered, e); i >= 0 {
-		s.ordered[i] = next
+	for _, list := range [][]*endpoint{s.ordered, s.byVM[roster.VM(e.record.Addr)]} {
+		if i := slices.Index(list, e); i >= 0 {
+			list[i] = next
+		}
 	}
 	return next
 }
