balance, platform: a cold endpoint has the places that its rate fills

Cause: a cold endpoint counted in full for flows between zones, not at all for admission, and its word in health answers was not read.

Change: Capacity.Room and room count what runs at once at its rate while a mean stream takes its time; the expected times of a stream there follow.

No measured result yet: where a cold endpoint bears more than it serves flows are as before, and admission has more room.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -30,19 +30,19 @@
 	g.admissionMetrics.RecordStatus(g.gate.Status())
 }
 
-// supply implements admission.Config.Supply. A slow endpoint counts with all of its slots: a caller who
-// is served late there is better off than one who is refused.
+// supply implements admission.Config.Supply.
 func (g *Gateway) supply(service string, now time.Time) admission.Supply {
 	var out admission.Supply
 	for _, c := range g.capacities(service, now) {
-		if !c.Usable {
+		room := c.Room()
+		if room == 0 {
 			out.Elsewhere += c.Own
 			if c.Open {
 				out.Open++
 			}
 			continue
 		}
-		out.Room += float64(max(c.Slots, 1))
+		out.Room += room
 		out.Running += float64(c.InFlight)
 		out.Own += float64(c.Own)
 	}
@@ -65,6 +65,7 @@
 		}
 		for i := range min(len(out), len(found)) {
 			out[i].Usable = out[i].Usable || found[i].Usable
+			out[i].Cold = out[i].Cold || found[i].Cold
 		}
 	}
 	return out
--- a/gateway/advisory/advisory.go
+++ b/gateway/advisory/advisory.go
@@ -15,6 +15,8 @@
 	Limit Limit
 	// Leaving is set if the endpoint announces that it is shutting down.
 	Leaving bool
+	// Cold is how long the endpoint remains cold; 0 if it does not say so.
+	Cold time.Duration
 	// RetryAfter is how long the gateway whose request was refused must send the endpoint no
 	// requests; 0 if the endpoint asks for no delay.
 	RetryAfter time.Duration
--- a/gateway/balance/advisory.go
+++ b/gateway/balance/advisory.go
@@ -47,6 +47,18 @@
 	return changed
 }
 
+// extendCold applies that the endpoint remains cold for d. No response ends that early.
+func (s *advisoryState) extendCold(d time.Duration, now time.Time) {
+	if d == 0 {
+		return
+	}
+	wasCold := s.limit.cold(now)
+	s.limit.coldUntil = later(s.limit.coldUntil, now.Add(d))
+	if !wasCold {
+		s.limit.startHolding(now)
+	}
+}
+
 // extendBackoff applies a requested back-off of d and reports whether it ends later than
 // the known one. No response ends a back-off early.
 func (s *advisoryState) extendBackoff(d time.Duration, now time.Time) bool {
@@ -157,6 +169,7 @@
 	s := l.endpoint.advisory
 	first := len(a.Unreadable) > 0 && !s.unreadable
 	s.unreadable = s.unreadable || first
+	s.extendCold(a.Cold, now)
 	change := AdvisoryChange{
 		Limit:           s.limit.observe(a.Limit, sentAt, now),
 		NowLeaving:      s.markLeaving(a.Leaving),
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -26,6 +26,20 @@
 	Version int64
 }
 
+// Room returns how many requests of all gateways the endpoint takes concurrently before callers wait,
+// or 0 if it accepts none for the query. A slow endpoint has room in all of its slots: a caller who is
+// served late there is better off than one who is refused. A cold one has only the places that its
+// rate fills.
+func (c *Capacity) Room() float64 {
+	switch {
+	case c.Usable:
+		return float64(max(c.Slots, 1))
+	case c.Cold:
+		return c.Places
+	}
+	return 0
+}
+
 // Capacities returns the capacity of each endpoint of q's service that is not leaving.
 func (b *Balancer) Capacities(q *Query, now time.Time) []Capacity {
 	s := b.shard(q.Service)
@@ -54,7 +68,8 @@
 }
 
 // places returns the number of mean requests that e serves in time concurrently. With a rate limit,
-// for example while it is cold, no more run at once than start within the time that one takes.
+// for example while it is cold, no more run at once than start within the time that one takes; 0 if
+// that is unknown.
 func (e *endpoint) places(now time.Time) float64 {
 	if !e.rateLimited(now) {
 		return e.speed.Places
--- a/gateway/balance/cold_test.go
+++ b/gateway/balance/cold_test.go
@@ -13,6 +13,7 @@
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/residency"
+	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -209,6 +210,86 @@
 	})
 })
 
+var _ = Describe("The places of a cold endpoint", func() {
+	q := balance.Query{Service: "s"}
+	coldWithEngine := func(rate float64) *balance.Balancer {
+		l := engineEndpoints(1)
+		l.Endpoints["e0"].ColdUntil = at(5000)
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: noOtherLoad, Random: zeroRandom})
+		b.SetColdLimits(map[string]balance.ColdLimit{"s": {Duration: time.Second, Rate: rate}})
+		b.Update(l)
+		return withHeld(withEngine(b), "e0")
+	}
+	roomAt := func(b *balance.Balancer, ms int) float64 { return b.RoomByZone("s", []balance.Query{q}, at(ms))["a"] }
+	capacityAt := func(b *balance.Balancer, ms int) balance.Capacity { return b.Capacities(&q, at(ms))[0] }
+
+	It("are those that its rate fills while a mean stream runs", func() {
+		mean := work.SpeedOf(&work.Service{Engine: engine, GapTarget: 300 * time.Millisecond}, 12, 1).MeanTime
+		b := coldWithEngine(2)
+		Expect(roomAt(b, 0)).To(BeNumerically("~", 2*mean.Seconds(), 1e-9))
+		c := capacityAt(b, 0)
+		Expect(c.Cold).To(BeTrue())
+		Expect(c.Room()).To(BeNumerically("~", 2*mean.Seconds(), 1e-9))
+		Expect(roomAt(b, 5000)).To(Equal(12.0))
+		c = capacityAt(b, 5000)
+		Expect(c.Room()).To(Equal(12.0))
+	})
+	It("are no more than its slots", func() {
+		Expect(roomAt(coldWithEngine(1000), 0)).To(Equal(12.0))
+	})
+	It("are all while nothing is known of its engine", func() {
+		b := withHeld(coldBalancer(coldEndpoint(5000)), "e0")
+		Expect(roomAt(b, 0)).To(Equal(roomAt(b, 5000)))
+		Expect(roomAt(b, 0)).To(BeNumerically(">", 0))
+	})
+	It("lengthen the expected times of its streams", func() {
+		times := func(ms int) time.Duration {
+			b, with := coldWithEngine(2), q
+			with.Work = stream(100, time.Minute)
+			pick(b, with, at(ms+600))
+			return pick(b, with, at(ms+1200)).Expected().End
+		}
+		Expect(times(0)).To(BeNumerically(">", times(10_000)))
+	})
+})
+
+var _ = Describe("An endpoint that says that it is cold", func() {
+	q := balance.Query{Service: "s"}
+	say := func(b *balance.Balancer, cold time.Duration, ms int) {
+		l := pick(b, q, at(ms))
+		l.ApplyAdvisory(advisory.Advisory{Limit: advisory.Unlimited{}, Cold: cold}, at(ms), at(ms))
+		l.Done(balance.Served, at(ms))
+	}
+	accepts := func(b *balance.Balancer, ms int) bool {
+		_, err := b.Pick(&q, at(ms))
+		return err == nil
+	}
+
+	It("gets the requests of one that is cold by its record", func() {
+		b := withHeld(coldBalancer(coldEndpoint(0)), "e0")
+		say(b, 3*time.Second, 100)
+		Expect(accepts(b, 200)).To(BeFalse(), "the first interval starts then")
+		Expect(accepts(b, 600)).To(BeTrue())
+		Expect(accepts(b, 700)).To(BeFalse())
+		Expect(accepts(b, 3100)).To(BeTrue())
+		Expect(accepts(b, 3110)).To(BeTrue())
+	})
+	It("is cold no shorter than it said before", func() {
+		b := withHeld(coldBalancer(coldEndpoint(0)), "e0")
+		say(b, 3*time.Second, 100)
+		say(b, 0, 600)
+		say(b, time.Second, 1100)
+		Expect(accepts(b, 2900)).To(BeTrue())
+		Expect(accepts(b, 2950)).To(BeFalse())
+	})
+	It("is not limited in a service without a limit", func() {
+		b := balancer(endpoints(1))
+		say(b, 3*time.Second, 100)
+		Expect(accepts(b, 110)).To(BeTrue())
+		Expect(accepts(b, 120)).To(BeTrue())
+	})
+})
+
 var _ = Describe("A request that may be processed in some regions only", func() {
 	It("is sent to endpoints there, however busy", func() {
 		l := endpoints(3)
--- a/gateway/balance/zoneroom.go
+++ b/gateway/balance/zoneroom.go
@@ -30,10 +30,13 @@
 }
 
 // room returns the room of e in places. An endpoint that declares a limit has none: its holder has to
-// protect it. A cold one has as many as it would have later, since its slots fill up meanwhile.
+// protect it. A cold one has as many as its rate fills, if the time of a mean stream is known.
 func (e *endpoint) room(now time.Time) float64 {
 	if l := &e.advisory.limit; l.declared && l.active(e.held, now) {
 		return 0
 	}
-	return e.speed.Places
+	if e.speed.MeanTime == 0 {
+		return e.speed.Places
+	}
+	return e.places(now)
 }
