soak: callers and runners that read slowly, beside faults

Cause: slow readers were tested on virtual time only, not with the real programs.

Change: in the mix overload 40 callers ask one gateway for answers that exceed its memory and read them slowly or not at all, and a fault has the plain runner read requests slowly. Others' requests there must be served as often as elsewhere, and afterwards no gateway may hold a request or a byte of a body.

--- a/soak/address.go
+++ b/soak/address.go
@@ -15,8 +15,10 @@
 	portReady = 8002
 	// portDirectory answers questions for addresses at a gateway.
 	portDirectory = 8009
-	// portPeer takes calls of our own processes.
+	// portPeer takes calls of our own processes, and portObserve those of operators.
 	portPeer = 7700
+	// portObserve is described at portPeer.
+	portObserve = portPeer + 1
 	// portRunner is where an endpoint is reached, through a proxy that injects faults.
 	portRunner = 8001
 	// portDirect is where it is reached without the proxy.
@@ -27,6 +29,9 @@
 	portOrigin = 8006
 )
 
+// firstEntry is the last part of the first gateway's address.
+const firstEntry = 1
+
 func (w *world) addr(host, port int) string {
 	return fmt.Sprintf("%s.%d:%d", w.net, host, port)
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -142,16 +142,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
 	defer cancel()
 	var seen sending
+	var served bool
 	c.result.Asked.Add(1)
 	resp, err := c.client.Do(q.request(seen.trace(ctx), addr))
 	if err == nil {
 		defer func() { _ = resp.Body.Close() }()
 		c.world.heeded.passedOn(entry.name, resp.Header)
-		var served bool
 		served, err = c.check(resp, &q)
 		c.world.shares.Note(Class{c.account, q.host()}, served)
 	}
 	ended := time.Now()
+	if !q.stream {
+		c.world.beside.Note(PlainRequest{Gateway: entry.name, Began: began, Ended: ended, Served: served})
+	}
 	c.world.ledger.ended(entry.name, ended)
 	if err != nil {
 		c.result.Cut.Add(1)
--- a/soak/overload.go
+++ b/soak/overload.go
@@ -128,6 +128,15 @@
 	return out
 }
 
+// prepareOverload sets the slots of runner i. The plain one has some for each slow reader, so that
+// only gateways can be short of anything.
+func prepareOverload(s *slot, i int) {
+	s.cfg.Slots = overloadSlots
+	if i == 0 {
+		s.cfg.Slots, s.cfg.LongAnswer = 2*slowReaders, longAnswer
+	}
+}
+
 // overloadRoutes returns the route of less urgent streams, in MixOverload.
 func (w *world) overloadRoutes() []standin.Route {
 	if w.cfg.Mix != MixOverload {
@@ -172,6 +181,7 @@
 		{"entry frozen", func() { entry.signal(syscall.SIGSTOP) }, func() { entry.signal(syscall.SIGCONT) }, false},
 		{"entry stands still", func() { entry.standStill(still) }, nil, false},
 		{"entry cut off from the store", func() { storeLink.Set(Link{SilentIn: true}) }, func() { storeLink.Set(Link{}) }, false},
+		{"plain runner reads slowly", func() { w.runners[0].readSlowly(runnerReadPause) }, func() { w.runners[0].readSlowly(0) }, true},
 		{"runner restarted", func() { runner.restart(w.firstVersion(runner)) }, nil, true},
 		{"configuration", w.configure, nil, false},
 		{"new weights", w.nameVersion, nil, true},
--- a/soak/slot.go
+++ b/soak/slot.go
@@ -73,6 +73,13 @@
 	s.runner = standin.NewRunner(s.cfg, version)
 }
 
+// readSlowly makes the runner pause for d before each part of a request that it reads.
+func (s *slot) readSlowly(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.ReadSlowly(d)
+}
+
 // stall keeps all streams of the runner without an event for d.
 func (s *slot) stall(d time.Duration) {
 	s.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,6 +74,11 @@
 	for _, line := range w.shares.Judge() {
 		w.witness.AddViolation("%s", line)
 	}
+	if w.cfg.Mix == MixOverload {
+		for _, line := range w.beside.Judge(w.entries[0].name, w.isAtWork) {
+			w.witness.AddViolation("%s", line)
+		}
+	}
 	for _, line := range w.heeded.judge(w.isHeld, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
@@ -100,6 +105,7 @@
 		all = append(all, c)
 		asking.Go(func() { c.run(ctx) })
 	}
+	w.startSlowReaders(ctx, &asking)
 	if w.cfg.Previous != "" {
 		asking.Go(func() { w.upgrade(ctx) })
 	}
@@ -110,6 +116,7 @@
 	w.endPlaces()
 	asking.Wait()
 	time.Sleep(settleTime)
+	w.checkReleased()
 	for _, c := range all {
 		c.checkPromises()
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -92,6 +92,7 @@
 	heeded      *heeded
 	places      *places
 	shares      *Shares
+	beside      *Beside
 
 	mu sync.Mutex
 	// changes are the configurations that were written, faults what disturbed endpoints
@@ -106,7 +107,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(),
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(), beside: &Beside{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -156,8 +157,8 @@
 	if w.cfg.Mix == MixPlaces {
 		w.places.prepare(s)
 	}
-	if w.cfg.Mix == MixOverload && i > 0 {
-		s.cfg.Slots = overloadSlots
+	if w.cfg.Mix == MixOverload {
+		prepareOverload(s, i)
 	}
 	version := w.version
 	if i > 1 {
@@ -181,7 +182,7 @@
 }
 
 func (w *world) addEntry(i int) error {
-	host := 1 + i
+	host := firstEntry + i
 	a := entryAddr{callers: w.addr(host, portCallers), directory: w.addr(host, portDirectory), ready: w.addr(host, portReady)}
 	w.entryAddrs = append(w.entryAddrs, a)
 	return w.launch(&w.entries, "gateway", i, host, standin.ProcessSettings{Callers: a.callers, Ready: a.ready, Directory: a.directory})
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,6 +42,9 @@
 	// Pace is the factor by which the runner reports to be slower than the engine's figures; 0
 	// means that it does not report it.
 	Pace float64
+	// LongAnswer is the size in bytes of the answers to requests whose bodies begin with
+	// LongAnswer.
+	LongAnswer int
 	// Cold is how long the runner is cold after its start.
 	Cold time.Duration
 	// OnArrival, if not nil, is called for each request meant for this runner, with the IDs of
@@ -77,6 +79,8 @@
 	advisory advisory
 	// stalledUntil is the time until which streams get no events.
 	stalledUntil time.Time
+	// readPause is the time between two parts of a request that are read.
+	readPause time.Duration
 	// aborted is closed to abort the streams in progress, and then replaced.
 	aborted chan struct{}
 }
@@ -171,7 +175,7 @@
 // handleRequest executes a request, unless it is for another endpoint or there is no slot.
 func (r *Runner) handleRequest(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Silverdeck-Attempt-Id")
-	body, err := io.ReadAll(q.Body)
+	body, err := r.readBody(q.Body)
 	if err != nil {
 		return
 	}
@@ -223,7 +227,7 @@
 	w.Header().Set("X-Silverdeck-Response-Stamp", r.cfg.ID)
 	if r.cfg.Model == "" {
 		time.Sleep(requestDuration)
-		_, _ = io.WriteString(w, ResponseBody(id, string(body)))
+		r.writeAnswer(w, id, string(body))
 		return
 	}
 	aborted = !r.writeStream(w, q, id)
--- /dev/null
+++ b/standin/slow.go
@@ -0,0 +1,52 @@
+package standin
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"time"
+)
+
+// LongAnswer is how bodies of requests begin that ask for an answer of RunnerConfig.LongAnswer bytes.
+const LongAnswer = "long answer "
+
+// readPart is how much a runner reads at a time while it reads slowly.
+const readPart = 8 << 10
+
+// ReadSlowly makes the runner pause for d before each part of a request that it reads; 0 ends that.
+func (r *Runner) ReadSlowly(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readPause = d
+}
+
+// readBody reads the body of a request.
+func (r *Runner) readBody(body io.Reader) ([]byte, error) {
+	var out bytes.Buffer
+	for {
+		r.mu.Lock()
+		pause := r.readPause
+		r.mu.Unlock()
+		time.Sleep(pause)
+		if _, err := io.CopyN(&out, body, readPart); errors.Is(err, io.EOF) {
+			return out.Bytes(), nil
+		} else if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// writeAnswer writes the answer of a plain endpoint.
+func (r *Runner) writeAnswer(w io.Writer, id, body string) {
+	if !strings.HasPrefix(body, LongAnswer) {
+		_, _ = io.WriteString(w, ResponseBody(id, body))
+		return
+	}
+	part := bytes.Repeat([]byte{'a'}, readPart)
+	for left := r.cfg.LongAnswer; left > 0; left -= readPart {
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
+}
