affinity: a gateway's weight changes only after a second of other demand

Cause: the demand of a zone is incomplete for a moment when its relays change, and the weight that followed stood for five seconds.

Change: OwnWeight holds the weight and its times, tested without a network.

--- a/gateway/affinity/weight_test.go
+++ b/gateway/affinity/weight_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -24,6 +25,41 @@
 	}
 }
 
+// Each change has all gateways of the zone assign endpoints anew.
+func TestAGatewaysWeightChangesSeldom(t *testing.T) {
+	g := NewWithT(t)
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var w affinity.OwnWeight
+	// changes returns when the weight changes from one time to another, in milliseconds.
+	changes := func(from, to int, own func(ms int) float64) []int {
+		var out []int
+		for ms := from; ms < to; ms += 200 {
+			if w.Update(own(ms), 10, at(ms)) {
+				out = append(out, ms)
+			}
+		}
+		return out
+	}
+	steady := func(own float64) func(int) float64 { return func(int) float64 { return own } }
+
+	g.Expect(changes(0, 10_000, steady(30))).To(Equal([]int{5000}), "not at its start")
+	g.Expect(w.Weight()).To(Equal(3))
+	g.Expect(changes(10_000, 20_000, steady(10))).To(Equal([]int{11_000}))
+	g.Expect(w.Weight()).To(BeZero())
+	g.Expect(changes(20_000, 40_000, func(ms int) float64 {
+		if ms%2000 < 1000 {
+			return 30 // while others' demand is unknown
+		}
+		return 10
+	})).To(BeEmpty())
+	g.Expect(changes(40_000, 60_000, func(ms int) float64 {
+		if ms%10_000 < 5000 {
+			return 30
+		}
+		return 10
+	})).To(HaveLen(4))
+}
+
 // weighted returns n gateways that receive 1, 2, or 3 times as many requests, by turns, and their rates
 // and weights.
 func weighted(n int) (rates map[string]float64, weights map[string]int) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -104,7 +104,7 @@
 	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
 	now := time.Now()
 	b.Poison = poison.Pack(g.poison.Gossip(g.table.IsRelay(), now))
-	b.Demand, b.Weight = g.ownDemand(now), g.weights.own
+	b.Demand, b.Weight = g.ownDemand(now), g.weights.own.Weight()
 	b.Advice = advisory.Encode(g.balancer.Advisories(g.table.IsRelay(), now), now)
 	for kind, m := range g.mirrors {
 		b.Copies[kind] = m.State().Version()
