--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -30,22 +30,22 @@
 	g.admissionMetrics.RecordStatus(g.gate.Status())
 }
 
-// supply implements admission.Config.Supply. A slow endpoint counts with all of its slots: a caller who
-// is served late there is better off than one who is refused.
+// supply implements admission.Config.Supply.
 func (g *Gateway) supply(service string, now time.Time) admission.Supply {
 	var out admission.Supply
 	for _, c := range g.capacities(service, now) {
-		if !c.Usable {
+		room := c.Room()
+		if more := float64(c.Coming) - room; c.ReadyIn > 0 && more > 0 {
+			out.Coming = append(out.Coming, admission.Arrival{In: c.ReadyIn, Places: more})
+		}
+		if room == 0 {
 			out.Elsewhere += c.Own
 			if c.Open {
 				out.Open++
 			}
-			if c.ReadyIn > 0 {
-				out.Coming = append(out.Coming, admission.Arrival{In: c.ReadyIn, Places: float64(c.Coming)})
-			}
 			continue
 		}
-		out.Room += float64(max(c.Slots, 1))
+		out.Room += room
 		out.Running += float64(c.InFlight)
 		out.Own += float64(c.Own)
 	}
@@ -71,6 +71,7 @@
 			if out[i].ReadyIn == 0 {
 				out[i].ReadyIn, out[i].Coming = found[i].ReadyIn, found[i].Coming
 			}
+			out[i].Cold = out[i].Cold || found[i].Cold
 		}
 	}
 	return out
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -62,6 +62,7 @@
 	// not nil: rates of client accounts, and when a caller should return.
 	accounts []member.AccountRate
 	dueAt    time.Time
+	weight   int
 	copies   int64
 	// poison records the requests during which endpoints terminated.
 	poison *poison.Table
@@ -193,7 +194,7 @@
 	defer n.mu.Unlock()
 	b := member.Heartbeat{Entry: n.entry, Ready: true, Copies: map[string]mirror.Version{"config": {Revision: n.copies, Digest: uint64(n.copies)}}}
 	b.SetEndpoints(n.inFlight, n.suspects)
-	b.Demand = n.demand
+	b.Demand, b.Weight = n.demand, n.weight
 	now := time.Now()
 	b.Shortages = n.shortages(now)
 	b.Poison = poison.Pack(n.poison.Gossip(n.table.IsRelay(), now))
--- a/member/member.go
+++ b/member/member.go
@@ -77,11 +77,15 @@
 	// Shortages is what the gateway tells of the services whose room is short; older versions omit
 	// and ignore it.
 	Shortages []Shortage `json:"shortages,omitempty"`
+	// Weight is how many requests the gateway receives relative to others of its zone, in the
+	// steps of affinity.Weight; older versions omit and ignore it.
+	Weight int `json:"weight,omitempty"`
 }
 
-// withoutEndpoints returns a copy of b without in-flight requests, suspects, demand and shortages.
+// withoutEndpoints returns a copy of b without in-flight requests, suspects, demand, shortages, and
+// weight.
 func (b Heartbeat) withoutEndpoints() Heartbeat {
-	b.InFlight, b.Suspects, b.Born, b.Demand, b.Shortages = nil, nil, nil, nil, nil
+	b.InFlight, b.Suspects, b.Born, b.Demand, b.Shortages, b.Weight = nil, nil, nil, nil, nil, 0
 	return b
 }
 
