stage, leases: when a newer version is expected, if both are fetched at once

Cause, traced in virtual time (TestAFleetChangesOnceToTheNewerOfTwoVersions): TimeToComplete counted the newer version's download from the end of the older one's, so that 14 to 21 endpoints loaded a version that was replaced 1.5 to 2.5 s later (expected after 3.4 to 4.4 s). With that mended, single endpoints still erred by .3 to .6 s, as their chunks come in lumps, and the interval between requests was taken from the time that is left.

Change: the missing chunks take no longer than at the rate at which those of both have come; the owner goes by the median of the endpoints that wait; the time left is compared in full, less newerMargin as before.

The waiting endpoints that Decide takes are values now in place of counts; its table holds the same cases and more.

--- a/leases/pace.go
+++ b/leases/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,12 @@
 	Running int
 }
 
+// Waiter is another endpoint that waits for a lease. Its fields are those of Change.
+type Waiter struct {
+	Running int
+	NewerIn time.Duration
+}
+
 // Grant is the decision on a Change.
 type Grant struct {
 	Given bool
@@ -60,6 +67,13 @@
 	Endpoints, Pending int
 	// Remaining, Drain and NewerIn are those of Change.
 	Remaining, Drain, NewerIn time.Duration
+	// Interval is the time after which endpoints that were refused ask again.
+	Interval time.Duration
+}
+
+// left returns the time until the last lease requests.
+func (p *Pace) left() time.Duration {
+	return p.Remaining - p.Interval
 }
 
 // Needed returns how many endpoints have to be out at once, and how long each of them may drain,
@@ -71,11 +85,11 @@
 	switch {
 	case p.Pending <= 0 || p.awaitsNewer():
 		return 0, p.Drain
-	case p.Remaining <= 0:
+	case p.left() <= 0:
 		return p.Pending, 0
 	}
 	drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), p.scarceDrain()), 0)
-	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.Remaining)))), drain
+	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.left())))), drain
 }
 
 // awaitsNewer returns whether endpoints can wait for a newer version.
@@ -101,7 +115,7 @@
 // takes no longer than the time that is left allows for all pending ones, but for the last ones, which
 // nobody waits for.
 func SpareDrain(p Pace) time.Duration {
-	if p.Remaining <= 0 {
+	if p.left() <= 0 {
 		return p.Drain
 	}
 	return min(p.Drain, max(p.drainWith(maxUnavailableShare), p.scarceDrain()))
@@ -115,18 +129,20 @@
 // drainWith returns the drain with which all pending endpoints can change in time while a share of
 // all endpoints is out at once.
 func (p *Pace) drainWith(share float64) time.Duration {
-	return time.Duration(share*float64(p.Endpoints)*float64(p.Remaining)/float64(max(p.Pending, 1))) - loadTime
+	return time.Duration(share*float64(p.Endpoints)*float64(p.left())/float64(max(p.Pending, 1))) - loadTime
 }
 
 // Decide returns whether the endpoint of c may change now, while those of the VMs in held change
-// as well. waiting holds the numbers of running requests of the other endpoints that wait for a
-// lease: endpoints with fewer running requests precede others, since their loads cut fewer streams.
-func Decide(c Change, f *Fleet, held map[string]bool, waiting []int) Grant {
+// as well. waiting holds the other endpoints that wait for a lease: endpoints with fewer running requests
+// precede others, since their loads cut fewer streams.
+func Decide(c Change, f *Fleet, held map[string]bool, waiting []Waiter) Grant {
 	n := f.count(c, held)
 	g := Grant{Pending: n.pending, Out: n.out, Drain: c.Drain}
 	g.RetryAfter = RetryAfter(n.pending)
-	remaining := c.Remaining - g.RetryAfter
-	p := Pace{Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: remaining, Drain: c.Drain, NewerIn: c.NewerIn}
+	p := Pace{
+		Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: c.Remaining, Drain: c.Drain,
+		NewerIn: newerIn(c, waiting), Interval: g.RetryAfter,
+	}
 	needed, drain := Needed(p)
 	g.Needed = needed
 	switch {
@@ -187,11 +203,28 @@
 	return ""
 }
 
-// fewer returns how many of the counts are less than n.
-func fewer(counts []int, n int) int {
+// newerIn returns when a newer version is expected at the endpoint of c: the median of what it and
+// those that wait expect. All of them fetch from each other, and a single one knows less of when the
+// last chunks come.
+func newerIn(c Change, waiting []Waiter) time.Duration {
+	if c.NewerIn <= 0 {
+		return 0
+	}
+	expected := []time.Duration{c.NewerIn}
+	for _, w := range waiting {
+		if w.NewerIn > 0 {
+			expected = append(expected, w.NewerIn)
+		}
+	}
+	slices.Sort(expected)
+	return expected[len(expected)/2]
+}
+
+// fewer returns how many of the endpoints run fewer than n requests.
+func fewer(waiting []Waiter, n int) int {
 	less := 0
-	for _, c := range counts {
-		if c < n {
+	for _, w := range waiting {
+		if w.Running < n {
 			less++
 		}
 	}
--- a/leases/pace_test.go
+++ b/leases/pace_test.go
@@ -26,6 +26,7 @@
 		"none if there is no time":        {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 450 * time.Millisecond, Drain: drain}, 60, 0},
 		"all at once when the time is up": {leases.Pace{Endpoints: 60, Pending: 40, Drain: drain}, 40, 0},
 		"a newer version in time":         {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4 * time.Second, Drain: drain, NewerIn: 3 * time.Second}, 0, drain},
+		"those refused ask once more":     {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4800 * time.Millisecond, Drain: drain, Interval: 300 * time.Millisecond}, 10, 300 * time.Millisecond},
 		"a newer version too late":        {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4500 * time.Millisecond, Drain: drain, NewerIn: 4200 * time.Millisecond}, 10, 300 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -87,24 +88,30 @@
 		fleet   *leases.Fleet
 		change  func(c *leases.Change)
 		held    map[string]bool
-		waiting []int
+		waiting []leases.Waiter
 		want    bool
 	}{
-		"first":                        {fleet: fullFleet(), want: true},
-		"another one is out":           {fleet: fullFleet(), held: map[string]bool{"b": true}},
-		"another one is paused":        {fleet: paused(1, fullFleet())},
-		"spare capacity":               {fleet: newEndpoints(10, 4), held: map[string]bool{"b": true}, want: true},
-		"demand below in-flight":       {fleet: demanding(90, newEndpoints(10, 14)), held: map[string]bool{"b": true}},
-		"demand below in-flight, room": {fleet: demanding(20, newEndpoints(10, 4)), held: map[string]bool{"b": true}, want: true},
-		"demand above in-flight":       {fleet: demanding(160, newEndpoints(10, 4)), held: map[string]bool{"b": true}},
-		"others have fewer requests":   {fleet: fullFleet(), waiting: []int{7}},
-		"others have as many":          {fleet: fullFleet(), waiting: []int{8, 9}, want: true},
-		"others have changed already":  {fleet: changed(9, fullFleet()), held: map[string]bool{"b": true}},
-		"the time is up":               {fleet: fullFleet(), change: func(c *leases.Change) { c.Remaining = 0 }, held: map[string]bool{"b": true}, want: true},
-		"a newer version comes":        {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = 2 * time.Second }},
-		"it comes, and there is room":  {fleet: withVersion(newEndpoints(10, 4)), change: func(c *leases.Change) { c.Remaining, c.NewerIn = 3*time.Second, 2*time.Second }, want: true},
-		"half of the zone is out":      {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.Remaining = 4 * time.Second }, held: map[string]bool{"b": true}},
-		"half of another zone is out":  {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.VM, c.Remaining = "c", 4*time.Second }, held: map[string]bool{"b": true}, want: true},
+		"first":                            {fleet: fullFleet(), want: true},
+		"another one is out":               {fleet: fullFleet(), held: map[string]bool{"b": true}},
+		"another one is paused":            {fleet: paused(1, fullFleet())},
+		"spare capacity":                   {fleet: newEndpoints(10, 4), held: map[string]bool{"b": true}, want: true},
+		"demand below in-flight":           {fleet: demanding(90, newEndpoints(10, 14)), held: map[string]bool{"b": true}},
+		"demand below in-flight, room":     {fleet: demanding(20, newEndpoints(10, 4)), held: map[string]bool{"b": true}, want: true},
+		"demand above in-flight":           {fleet: demanding(160, newEndpoints(10, 4)), held: map[string]bool{"b": true}},
+		"others have fewer requests":       {fleet: fullFleet(), waiting: []leases.Waiter{{Running: 7}}},
+		"others have as many":              {fleet: fullFleet(), waiting: []leases.Waiter{{Running: 8}, {Running: 9}}, want: true},
+		"others have changed already":      {fleet: changed(9, fullFleet()), held: map[string]bool{"b": true}},
+		"the time is up":                   {fleet: fullFleet(), change: func(c *leases.Change) { c.Remaining = 0 }, held: map[string]bool{"b": true}, want: true},
+		"a newer version comes":            {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = 2 * time.Second }},
+		"it comes before the next request": {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = c.Remaining - 301*time.Millisecond }},
+		"it comes too late":                {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = c.Remaining - 300*time.Millisecond }, want: true},
+		"others expect it earlier":         {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = time.Minute }, waiting: expecting(2*time.Second, 3*time.Second)},
+		"others expect it later":           {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = 2 * time.Second }, waiting: expecting(time.Minute, time.Minute), want: true},
+		"others expect none":               {fleet: fullFleet(), change: func(c *leases.Change) { c.NewerIn = 2 * time.Second }, waiting: expecting(0, 0)},
+		"only others expect one":           {fleet: fullFleet(), waiting: expecting(2*time.Second, 2*time.Second), want: true},
+		"it comes, and there is room":      {fleet: withVersion(newEndpoints(10, 4)), change: func(c *leases.Change) { c.Remaining, c.NewerIn = 3*time.Second, 2*time.Second }, want: true},
+		"half of the zone is out":          {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.Remaining = 4 * time.Second }, held: map[string]bool{"b": true}},
+		"half of another zone is out":      {fleet: inZone(2, fullFleet()), change: func(c *leases.Change) { c.VM, c.Remaining = "c", 4*time.Second }, held: map[string]bool{"b": true}, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := change
@@ -139,6 +146,16 @@
 	return f
 }
 
+// expecting returns endpoints that wait with more requests than that of change, and expect a newer
+// version in the given times.
+func expecting(in ...time.Duration) []leases.Waiter {
+	var out []leases.Waiter
+	for _, d := range in {
+		out = append(out, leases.Waiter{Running: change.Running + 1, NewerIn: d})
+	}
+	return out
+}
+
 // inZone puts the first n endpoints into a zone of their own.
 func inZone(n int, f *leases.Fleet) *leases.Fleet {
 	for i := range n {
--- a/leases/table.go
+++ b/leases/table.go
@@ -14,12 +14,22 @@
 	waiting map[string]map[string]waiter
 }
 
-// waiter is an endpoint whose request for a lease was refused.
+// waiter is the latest refused request of an endpoint.
 type waiter struct {
 	running int
+	newerIn time.Duration
 	at      time.Time
 }
 
+// since returns w at a later time.
+func (w *waiter) since(now time.Time) Waiter {
+	out := Waiter{Running: w.running}
+	if w.newerIn > 0 {
+		out.NewerIn = max(w.newerIn-now.Sub(w.at), 1)
+	}
+	return out
+}
+
 // waitingRetries is the number of retry intervals after which an endpoint that has not asked again
 // no longer waits: the interval itself, and as much for the sidecar's polling and the way.
 const waitingRetries = 2
@@ -46,7 +56,7 @@
 func (t *Table) Schedule(service string, c Change, f *Fleet, d time.Duration, now time.Time) Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	waiting := t.waitingRunning(service, c.VM, RetryAfter(len(f.Endpoints)), now)
+	waiting := t.others(service, c.VM, RetryAfter(len(f.Endpoints)), now)
 	g := Decide(c, f, t.held(service, now), waiting)
 	if g.Given {
 		delete(t.waiting[service], c.VM)
@@ -56,7 +66,7 @@
 	if t.waiting[service] == nil {
 		t.waiting[service] = map[string]waiter{}
 	}
-	t.waiting[service][c.VM] = waiter{running: c.Running, at: now}
+	t.waiting[service][c.VM] = waiter{running: c.Running, newerIn: c.NewerIn, at: now}
 	return g
 }
 
@@ -81,17 +91,16 @@
 	t.expiresAt[service][vm] = until
 }
 
-// waitingRunning returns the numbers of running requests of the endpoints, other than that of vm,
-// that wait for a lease of a service. An endpoint that has not asked again in time waits no longer.
-// The caller must hold t.mu.
-func (t *Table) waitingRunning(service, vm string, retry time.Duration, now time.Time) []int {
-	var out []int
+// others returns the endpoints other than that of vm that wait for a lease of a service. An endpoint
+// that has not asked again in time waits no longer. The caller must hold t.mu.
+func (t *Table) others(service, vm string, retry time.Duration, now time.Time) []Waiter {
+	var out []Waiter
 	for other, w := range t.waiting[service] {
 		switch {
 		case now.Sub(w.at) > waitingRetries*retry:
 			delete(t.waiting[service], other)
 		case other != vm:
-			out = append(out, w.running)
+			out = append(out, w.since(now))
 		}
 	}
 	return out
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -61,8 +61,10 @@
 }
 
 // TimeToComplete returns the expected time until d is complete, or 0 if nothing can be said. It takes
-// as long as that of the earlier version, after which it began. Most chunks arrive late, once other
-// VMs have them, so that those that are missing say little before that time has passed.
+// as long as that of the earlier version, after which it began, but no longer than its missing chunks
+// take at the rate at which those of both have come: they may have been fetched at once. Most chunks
+// arrive late, once other VMs have them, so that those that are missing say little before that time
+// has passed.
 func TimeToComplete(d, earlier Download, now time.Time) time.Duration {
 	usual := earlier.Completed.Sub(earlier.Named)
 	if earlier.Completed.IsZero() || usual <= 0 {
@@ -77,8 +79,10 @@
 	if d.Total > 0 {
 		missing -= float64(d.Have) / float64(d.Total)
 	}
+	copies := 2 - missing // of both versions, since the earlier one was named
+	atRate := time.Duration(missing / copies * float64(now.Sub(earlier.Named)))
 	stalled := time.Duration(missing * float64(max(usual, elapsed)) / 2)
-	return max(usual-elapsed, stalled, time.Millisecond)
+	return max(min(usual-elapsed, atRate), stalled, time.Millisecond)
 }
 
 // SwitchTime returns the time at which an endpoint switches to other weights without a
--- a/sidecar/stage/switch_test.go
+++ b/sidecar/stage/switch_test.go
@@ -59,6 +59,8 @@
 		"begins after the earlier":       {stage.Download{Named: at(1)}, usual, 5, 3 * time.Second},
 		"few chunks after the same time": {stage.Download{Named: at(5), Have: 12, Total: 48}, usual, 9, 1500 * time.Millisecond},
 		"stalled":                        {stage.Download{Named: at(5), Have: 12, Total: 48}, usual, 13, 3 * time.Second},
+		"both were fetched at once":      {stage.Download{Named: at(1), Have: 24, Total: 48}, usual, 4, 4 * time.Second / 3},
+		"few chunks of it came":          {stage.Download{Named: at(1), Have: 1, Total: 48}, usual, 4.5, 3500 * time.Millisecond},
 		"last chunk is verified":         {stage.Download{Named: at(5), Have: 48, Total: 48}, usual, 10, time.Millisecond},
 	} {
 		NewWithT(t).Expect(stage.TimeToComplete(c.d, c.earlier, at(c.now))).To(Equal(c.want), name)
