leases, stage: endpoints drain before the newer version is complete

Change: the owner grants leases so early that the drain ends as the newer version is expected, to sidecars that state DrainsAhead (a new field at the end of LoadRequest). After its drain a sidecar loads the newest complete version; it waits for a newer one only if that is expected within the time that the older one's load would take.

compat: one added field of LoadRequest.

--- a/leases/pace.go
+++ b/leases/pace.go
@@ -21,6 +21,9 @@
 	NewerIn time.Duration
 	// Running is the number of requests that run or wait at the endpoint.
 	Running int
+	// DrainsAhead is set if the endpoint may drain before the newer version is complete, and then
+	// loads that one.
+	DrainsAhead bool
 }
 
 // Waiter is another endpoint that waits for a lease. Its fields are those of Change.
@@ -67,6 +70,8 @@
 	Endpoints, Pending int
 	// Remaining, Drain and NewerIn are those of Change.
 	Remaining, Drain, NewerIn time.Duration
+	// DrainsAhead is that of Change.
+	DrainsAhead bool
 	// Interval is the time after which endpoints that were refused ask again.
 	Interval time.Duration
 }
@@ -80,15 +85,20 @@
 // so that all pending ones begin to change in time. It answers a fleet without spare capacity: the
 // changes are spread evenly over the remaining time, instead of all happening at its end without a
 // drain. If a newer version is expected in time, all endpoints wait for it, since they would have to
-// change twice otherwise.
+// change twice otherwise. They begin to drain so early that the drain ends as it comes.
 func Needed(p Pace) (out int, drain time.Duration) {
+	if p.Pending <= 0 {
+		return 0, p.Drain
+	}
+	if p.left() > 0 {
+		drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), p.scarceDrain()), 0)
+	}
 	switch {
-	case p.Pending <= 0 || p.awaitsNewer():
+	case p.awaitsNewer() && !p.mayDrainAhead(drain):
 		return 0, p.Drain
 	case p.left() <= 0:
 		return p.Pending, 0
 	}
-	drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), p.scarceDrain()), 0)
 	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.left())))), drain
 }
 
@@ -97,12 +107,19 @@
 	return p.NewerIn > 0 && p.NewerIn < p.Remaining-newerMargin
 }
 
+// mayDrainAhead returns whether an endpoint that waits for a newer version may begin a drain, at the
+// end of which it is expected.
+func (p *Pace) mayDrainAhead(drain time.Duration) bool {
+	return p.DrainsAhead && p.NewerIn <= drain
+}
+
 // SkipsVersion returns whether endpoints wait for a newer version although others have spare capacity
 // for their requests. They do if all can change to the newer one with full drains, or if it comes
-// before a drain would end. Otherwise, two changes cut fewer streams than one without a drain.
+// before a drain and a load would end. Otherwise, two changes cut fewer streams than one without a
+// drain.
 func SkipsVersion(p Pace) bool {
 	switch {
-	case !p.awaitsNewer():
+	case !p.awaitsNewer() || p.mayDrainAhead(SpareDrain(p)):
 		return false
 	case p.NewerIn <= p.Drain+loadTime:
 		return true
@@ -141,7 +158,7 @@
 	g.RetryAfter = RetryAfter(n.pending)
 	p := Pace{
 		Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: c.Remaining, Drain: c.Drain,
-		NewerIn: newerIn(c, waiting), Interval: g.RetryAfter,
+		NewerIn: newerIn(c, waiting), DrainsAhead: c.DrainsAhead, Interval: g.RetryAfter,
 	}
 	needed, drain := Needed(p)
 	g.Needed = needed
--- a/leases/pace_test.go
+++ b/leases/pace_test.go
@@ -26,6 +26,8 @@
 		"none if there is no time":        {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 450 * time.Millisecond, Drain: drain}, 60, 0},
 		"all at once when the time is up": {leases.Pace{Endpoints: 60, Pending: 40, Drain: drain}, 40, 0},
 		"a newer version in time":         {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4 * time.Second, Drain: drain, NewerIn: 3 * time.Second}, 0, drain},
+		"a drain ends as the newer comes": {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4500 * time.Millisecond, Drain: drain, NewerIn: 300 * time.Millisecond, DrainsAhead: true}, 10, 300 * time.Millisecond},
+		"a drain would end before":        {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4500 * time.Millisecond, Drain: drain, NewerIn: 301 * time.Millisecond, DrainsAhead: true}, 0, drain},
 		"those refused ask once more":     {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4800 * time.Millisecond, Drain: drain, Interval: 300 * time.Millisecond}, 10, 300 * time.Millisecond},
 		"a newer version too late":        {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4500 * time.Millisecond, Drain: drain, NewerIn: 4200 * time.Millisecond}, 10, 300 * time.Millisecond},
 	} {
@@ -61,6 +63,8 @@
 		"time for full drains after it": {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 5 * time.Second, Drain: drain, NewerIn: 2 * time.Second}, true},
 		"too little time after it":      {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 4 * time.Second, Drain: drain, NewerIn: 2 * time.Second}, false},
 		"here before a drain ends":      {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 2 * time.Second, Drain: drain, NewerIn: 1450 * time.Millisecond}, true},
+		"a drain ends as it comes":      {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 5 * time.Second, Drain: drain, NewerIn: time.Second, DrainsAhead: true}, false},
+		"a drain would end before":      {leases.Pace{Endpoints: 60, Pending: 60, Remaining: 5 * time.Second, Drain: drain, NewerIn: 1001 * time.Millisecond, DrainsAhead: true}, true},
 		"here too late":                 {leases.Pace{Endpoints: 60, Pending: 1, Remaining: time.Second, Drain: drain, NewerIn: 700 * time.Millisecond}, false},
 	} {
 		NewWithT(t).Expect(leases.SkipsVersion(c.pace)).To(Equal(c.want), name)
--- a/leases/service.go
+++ b/leases/service.go
@@ -39,6 +39,7 @@
 	Held                      int64
 	Remaining, Drain, NewerIn time.Duration
 	Running                   int
+	DrainsAhead               bool
 }
 
 // LoadReply is the reply to a LoadRequest.
@@ -67,7 +68,7 @@
 		reply.Given = s.table.Acquire(q.Service, q.VM, f, d, time.Now())
 		return nil
 	}
-	c := Change{VM: q.VM, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
+	c := Change{VM: q.VM, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running, DrainsAhead: q.DrainsAhead}
 	g := s.table.Schedule(q.Service, c, f, d, time.Now())
 	reply.Given, reply.Drain, reply.Scheduled, reply.Again, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
 	s.onDecision(q, g)
--- a/sidecar/leases.go
+++ b/sidecar/leases.go
@@ -29,7 +29,7 @@
 	owner := leases.Owner(c.cfg.Service, gatewayAddrs(inv))
 	reply, err := leases.RequestLease(ctx, c.pool, owner, leases.LoadRequest{
 		Service: c.cfg.Service, Model: q.Model, VM: roster.VM(c.cfg.Endpoint), For: q.For,
-		Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running,
+		Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running, DrainsAhead: q.DrainsAhead,
 	})
 	if err != nil {
 		c.log.Debug("request for a load lease failed", "peer", owner, "err", err)
--- a/sidecar/stage/change_test.go
+++ b/sidecar/stage/change_test.go
@@ -31,6 +31,10 @@
 	mu        sync.Mutex
 	endpoints []*loadedEndpoint
 	table     *leases.Table
+	// alone is set if each VM is the only member that it knows.
+	alone bool
+	// drainsLate is set if no endpoint drains before a newer version is complete.
+	drainsLate bool
 	// unanswered makes lease requests fail.
 	unanswered bool
 	// scheduled is set if sidecars state what the endpoint runs.
@@ -50,9 +54,9 @@
 	// elsewhere, mostOut the most endpoints that were paused or loading at once, refused the
 	// streams, or their rests, that found no slot.
 	cut, mostOut, asked, refused int
-	// loads is the number of load orders, last the time of the last one.
-	loads int
-	last  time.Time
+	// loads is the number of load orders, first and last the times of the first and last one.
+	loads       int
+	first, last time.Time
 }
 
 // loadedEndpoint is an endpoint of a loadedFleet with its sidecar's view of the gateways.
@@ -81,6 +85,9 @@
 	f.mu.Lock()
 	f.loads++
 	f.last = time.Now()
+	if f.first.IsZero() {
+		f.first = f.last
+	}
 	if o.Finish {
 		e.finishing = true
 		f.mu.Unlock()
@@ -110,6 +117,15 @@
 	e.finishing = false
 }
 
+func (e *loadedEndpoint) Members(ctx context.Context) ([]swarm.Member, error) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if e.fleet.alone {
+		return []swarm.Member{{VM: e.name, Addr: e.name, Zone: "a", Region: "east"}}, nil
+	}
+	return e.fakeVM.Members(ctx)
+}
+
 func (e *loadedEndpoint) Pause(_ context.Context, d time.Duration) {
 	f := e.fleet
 	f.mu.Lock()
@@ -152,7 +168,7 @@
 		reply.Granted = f.table.Acquire("s", e.name, candidates, q.For, time.Now())
 		return reply
 	}
-	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
+	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running, DrainsAhead: q.DrainsAhead && !f.drainsLate}
 	table := f.table
 	if f.secondTable != nil && e.odd {
 		table = f.secondTable
@@ -299,6 +315,38 @@
 	g.Expect(after.cut+after.refused).To(BeNumerically("<", before.cut+before.refused), "streams cut or refused")
 }
 
+// Guards against endpoints that wait for a newer version and begin to drain only once it is complete,
+// when little time is left.
+func TestAFleetDrainsBeforeTheNewerVersionIsComplete(t *testing.T) {
+	// copyTime is how long a version takes to be complete.
+	const copyTime = limit / 3
+	play := func(late bool) (changeStats, time.Time) {
+		var complete time.Time
+		return changeFleet(t, 0.8, true, func(b *testEnv, f *loadedFleet, stagers []*stage.Stager) {
+			for _, e := range f.endpoints {
+				e.set(func() { e.delay = copyTime * 2 / chunks })
+			}
+			f.mu.Lock()
+			f.alone, f.drainsLate = true, late
+			f.mu.Unlock()
+			nameVersion(stagers, 2)
+			time.Sleep(copyTime)
+			nameVersion(stagers, 3)
+			complete = time.Now().Add(copyTime)
+			time.Sleep(limit)
+			f.expectAllRun(b, 3)
+		}), complete
+	}
+	late, _ := play(true)
+	ahead, complete := play(false)
+	t.Logf("late  %+v", late)
+	t.Logf("ahead %+v", ahead)
+	g := NewWithT(t)
+	g.Expect(ahead.first).To(BeTemporally("~", complete, 250*time.Millisecond))
+	g.Expect(ahead.loads).To(Equal(fleetSize))
+	g.Expect(ahead.cut+ahead.refused).To(BeNumerically("<", late.cut+late.refused), "streams cut or refused")
+}
+
 // Guards against a burst of loads when the gateway that grants leases ends.
 func TestAGrantorThatEndsDoesNotMakeAllChangeAtOnce(t *testing.T) {
 	for name, away := range map[string]time.Duration{"replaced": time.Second, "not replaced": limit} {
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -102,7 +102,8 @@
 	return nil
 }
 
-// load verifies the staged chunks and orders the endpoint to load them. lease is the endpoint's load
+// load verifies the staged chunks and orders the endpoint to load them, or those of a newer version
+// that was completed meanwhile. lease is the endpoint's load
 // lease, if it was granted one.
 func (s *Stager) load(ctx context.Context, model string, want target, set *weights.Set, lease Lease) error {
 	s.setLoading(model, want.version)
@@ -116,7 +117,10 @@
 	}
 	prep := preparation{}
 	if held := report.Version(model); held != 0 {
-		prep = s.prepare(ctx, model, held, report.Running, lease)
+		prep = s.prepare(ctx, model, held, report.Running, lease, want)
+		if want, set, err = s.restage(ctx, model, want, set); err != nil {
+			return err
+		}
 		// The staged chunks may have been corrupted in the meantime.
 		if err := s.verify(ctx, model, set); err != nil {
 			return err
@@ -153,14 +157,20 @@
 	return loadTimeout
 }
 
-// prepare keeps requests away from the endpoint, which runs version held, and drains it.
-func (s *Stager) prepare(ctx context.Context, model string, held int64, running int, lease Lease) preparation {
+// prepare keeps requests away from the endpoint, which runs version held, and drains it. A lease may
+// have been granted before a version newer than want is complete.
+func (s *Stager) prepare(ctx context.Context, model string, held int64, running int, lease Lease, want target) preparation {
 	end, _ := s.history.Deadline(model, held)
 	if FinishesRequests(lease, time.Until(end)) {
 		return preparation{finish: true, left: s.drain(ctx, 0, finishTimeout)}
 	}
 	drain := s.leasedDrain(model, held, running, lease)
-	return preparation{drain: drain, left: s.drain(ctx, drain, drain+loadPauseDuration)}
+	if !lease.Granted || s.newerIn(model, want) == 0 {
+		return preparation{drain: drain, left: s.drain(ctx, drain, drain+loadPauseDuration)}
+	}
+	prep := preparation{drain: drain, left: s.drain(ctx, drain, drain+loadLead+loadPauseDuration)}
+	s.awaitNewer(ctx, model, want, end.Add(-drainMargin))
+	return prep
 }
 
 // loadCrashes counts consecutive loads of a version during which the endpoint terminated.
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -150,6 +150,8 @@
 	NewerIn time.Duration
 	// Running is the number of requests that run or wait at the endpoint.
 	Running int
+	// DrainsAhead is set if the endpoint may drain before the newer version is complete.
+	DrainsAhead bool
 }
 
 // Lease is the answer to a request for a load lease. With a lease, an endpoint may drain
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -245,7 +245,7 @@
 	drain := LeasedDrain(s.cfg.Fleet.Capacity())
 	lease := s.cfg.Fleet.RequestLoadLease(ctx, LeaseRequest{
 		Model: model, Held: held, For: drain + maxLoadTime, Remaining: last.Sub(now), Drain: drain,
-		NewerIn: s.newerIn(model, want), Running: report.Running + report.Queued,
+		NewerIn: s.newerIn(model, want), Running: report.Running + report.Queued, DrainsAhead: true,
 	})
 	s.leaseAskedAt, s.leaseRetryAt = now, now.Add(lease.RetryAfter)
 	if !lease.Granted {
