leases: endpoints of a large fleet ask for leases when their turn comes

Cause: from 100 waiting endpoints on each asked so rarely that endpoints changed by their draw, without an even pace.

Change: the owner tells each when its turn comes, by its place in the order over the time that is left (LoadReply.Turn, a new field at the end); only those whose turn has come compete and ask at short intervals. Smaller fleets are as before.

--- a/leases/pace.go
+++ b/leases/pace.go
@@ -26,10 +26,13 @@
 	DrainsAhead bool
 }
 
-// Waiter is another endpoint that waits for a lease. Its fields are those of Change.
+// Waiter is another endpoint that waits for a lease. Its fields are those of Change, except for
+// AsksIn, the time until it requests the lease again.
 type Waiter struct {
+	VM      string
 	Running int
 	NewerIn time.Duration
+	AsksIn  time.Duration
 }
 
 // Grant is the decision on a Change.
@@ -44,6 +47,8 @@
 	Pending, Out, Needed int
 	// RetryAfter is the time after which a refused endpoint asks again.
 	RetryAfter time.Duration
+	// Turn is set if RetryAfter follows from the endpoint's place among those that wait.
+	Turn bool
 }
 
 const (
@@ -155,19 +160,19 @@
 func Decide(c Change, f *Fleet, held map[string]bool, waiting []Waiter) Grant {
 	n := f.count(c, held)
 	g := Grant{Pending: n.pending, Out: n.out, Drain: c.Drain}
-	g.RetryAfter = RetryAfter(n.pending)
 	p := Pace{
 		Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: c.Remaining, Drain: c.Drain,
-		NewerIn: newerIn(c, waiting), DrainsAhead: c.DrainsAhead, Interval: g.RetryAfter,
+		NewerIn: newerIn(c, waiting), DrainsAhead: c.DrainsAhead, Interval: min(RetryAfter(n.pending), maxPacedInterval),
 	}
 	needed, drain := Needed(p)
 	g.Needed = needed
+	g.RetryAfter, g.Turn = nextRequest(c, p, drain, waiting)
 	switch {
 	case SkipsVersion(p): // refused
 	case CanGrant(f, held, c.VM) || c.Remaining <= 0 && f.canSpare(held, c.VM, maxLastUtilization):
 		g.Given, g.Spare, g.Drain = true, true, SpareDrain(p)
 	default:
-		g.Given = fewer(waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
+		g.Given = preceding(p, waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
 		g.Drain = drain
 	}
 	return g
@@ -236,14 +241,3 @@
 	slices.Sort(expected)
 	return expected[len(expected)/2]
 }
-
-// fewer returns how many of the endpoints run fewer than n requests.
-func fewer(waiting []Waiter, n int) int {
-	less := 0
-	for _, w := range waiting {
-		if w.Running < n {
-			less++
-		}
-	}
-	return less
-}
--- a/leases/service.go
+++ b/leases/service.go
@@ -56,6 +56,8 @@
 	Drain     time.Duration
 	// Spare is set if the other endpoints have capacity for all requests.
 	Spare bool
+	// Turn is set if Again is when the endpoint's turn comes, however late that is.
+	Turn bool
 }
 
 // Begin grants or refuses a lease. Its name is part of the RPC protocol.
@@ -71,6 +73,7 @@
 	c := Change{VM: q.VM, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running, DrainsAhead: q.DrainsAhead}
 	g := s.table.Schedule(q.Service, c, f, d, time.Now())
 	reply.Given, reply.Drain, reply.Scheduled, reply.Again, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
+	reply.Turn = g.Turn
 	s.onDecision(q, g)
 	return nil
 }
--- a/leases/table.go
+++ b/leases/table.go
@@ -19,11 +19,13 @@
 	running int
 	newerIn time.Duration
 	at      time.Time
+	// retryAfter is the time after which it asks again.
+	retryAfter time.Duration
 }
 
 // since returns w at a later time.
 func (w *waiter) since(now time.Time) Waiter {
-	out := Waiter{Running: w.running}
+	out := Waiter{Running: w.running, AsksIn: w.retryAfter - now.Sub(w.at)}
 	if w.newerIn > 0 {
 		out.NewerIn = max(w.newerIn-now.Sub(w.at), 1)
 	}
@@ -66,7 +68,7 @@
 	if t.waiting[service] == nil {
 		t.waiting[service] = map[string]waiter{}
 	}
-	t.waiting[service][c.VM] = waiter{running: c.Running, newerIn: c.NewerIn, at: now}
+	t.waiting[service][c.VM] = waiter{running: c.Running, newerIn: c.NewerIn, at: now, retryAfter: g.RetryAfter}
 	return g
 }
 
@@ -95,12 +97,14 @@
 // that has not asked again in time waits no longer. The caller must hold t.mu.
 func (t *Table) others(service, vm string, retry time.Duration, now time.Time) []Waiter {
 	var out []Waiter
-	for other, w := range t.waiting[service] {
+	for name, w := range t.waiting[service] {
 		switch {
-		case now.Sub(w.at) > waitingRetries*retry:
-			delete(t.waiting[service], other)
-		case other != vm:
-			out = append(out, w.since(now))
+		case now.Sub(w.at) > waitingRetries*max(w.retryAfter, retry):
+			delete(t.waiting[service], name)
+		case name != vm:
+			other := w.since(now)
+			other.VM = name
+			out = append(out, other)
 		}
 	}
 	return out
--- a/sidecar/leases.go
+++ b/sidecar/leases.go
@@ -35,5 +35,8 @@
 		c.log.Debug("request for a load lease failed", "peer", owner, "err", err)
 		return stage.Lease{RetryAfter: leaseRetryInterval}
 	}
-	return stage.Lease{Granted: reply.Given, AvailableLater: reply.Comes, RetryAfter: reply.Again, Scheduled: reply.Scheduled, Drain: reply.Drain, Spare: reply.Spare}
+	return stage.Lease{
+		Granted: reply.Given, AvailableLater: reply.Comes, RetryAfter: reply.Again,
+		Scheduled: reply.Scheduled, Drain: reply.Drain, Spare: reply.Spare, Turn: reply.Turn,
+	}
 }
--- a/sidecar/stage/ahead_test.go
+++ b/sidecar/stage/ahead_test.go
@@ -67,3 +67,41 @@
 		})
 	}
 }
+
+// Guards against endpoints that wait for a newer version and begin to drain only once it is complete,
+// when little time is left.
+func TestAFleetDrainsBeforeTheNewerVersionIsComplete(t *testing.T) {
+	// copyTime is how long a version takes to be complete.
+	const copyTime = limit / 3
+	play := func(late bool) (changeStats, time.Time) {
+		var complete time.Time
+		return changeFleet(t, 0.8, true, func(b *testEnv, f *loadedFleet, stagers []*stage.Stager) {
+			for _, e := range f.endpoints {
+				e.set(func() { e.delay = copyTime * 2 / chunks })
+			}
+			f.mu.Lock()
+			f.alone, f.drainsLate = true, late
+			f.mu.Unlock()
+			nameVersion(stagers, 2)
+			time.Sleep(copyTime)
+			nameVersion(stagers, 3)
+			complete = time.Now().Add(copyTime)
+			time.Sleep(limit)
+			f.expectAllRun(b, 3)
+		}), complete
+	}
+	const plays = 5
+	var late, ahead int
+	for range plays {
+		without, _ := play(true)
+		with, complete := play(false)
+		t.Logf("late  %+v", without)
+		t.Logf("ahead %+v", with)
+		g := NewWithT(t)
+		g.Expect(with.first).To(BeTemporally("~", complete, 250*time.Millisecond))
+		g.Expect(with.loads).To(Equal(fleetSize))
+		late += without.cut + without.refused
+		ahead += with.cut + with.refused
+	}
+	NewWithT(t).Expect(ahead).To(BeNumerically("<", late), "streams cut or refused")
+}
--- a/sidecar/stage/stage.go
+++ b/sidecar/stage/stage.go
@@ -170,4 +170,6 @@
 	Drain     time.Duration
 	// Spare is set if the other endpoints have capacity for all requests.
 	Spare bool
+	// Turn is set if RetryAfter is when the endpoint's turn comes.
+	Turn bool
 }
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -40,15 +40,15 @@
 	return end.Add(-lastChangeLead)
 }
 
-// maxScheduledRetry is the longest interval between lease requests with which the grantor can spread
-// the changes. If more endpoints wait, each asks so rarely that leases would be granted too late, and
-// endpoints change at their own times.
+// maxScheduledRetry is the longest interval between lease requests with which a grantor that gives no
+// turns can spread the changes. If more endpoints wait, each asks so rarely that leases would be
+// granted too late, and endpoints change at their own times.
 const maxScheduledRetry = 500 * time.Millisecond
 
 // FollowsSchedule returns whether an endpoint waits for the lease that it was promised instead of
 // changing at its own time.
 func FollowsSchedule(l Lease) bool {
-	return l.Scheduled && l.RetryAfter <= maxScheduledRetry
+	return l.Scheduled && (l.Turn || l.RetryAfter <= maxScheduledRetry)
 }
 
 // Download is the state of the download of a version.
--- a/sidecar/stage/switch_test.go
+++ b/sidecar/stage/switch_test.go
@@ -20,6 +20,7 @@
 	g := NewWithT(t)
 	g.Expect(stage.FollowsSchedule(stage.Lease{Scheduled: true, RetryAfter: 500 * time.Millisecond})).To(BeTrue())
 	g.Expect(stage.FollowsSchedule(stage.Lease{Scheduled: true, RetryAfter: 501 * time.Millisecond})).To(BeFalse(), "asks too rarely")
+	g.Expect(stage.FollowsSchedule(stage.Lease{Scheduled: true, Turn: true, RetryAfter: 4 * time.Second})).To(BeTrue(), "asks when its turn comes")
 	g.Expect(stage.FollowsSchedule(stage.Lease{RetryAfter: 100 * time.Millisecond})).To(BeFalse(), "an older gateway")
 }
 
