stage: a load follows as soon as its version is complete; drains at the endpoint's pace

Cause: the stager took its next step up to 150 ms after a version was complete (500 ms while it ran its former target), also for endpoints without usable weights. Drains of slow endpoints were reckoned at the engine's figures.

Change: the completion of a version wakes the stager. The usual time of an answer is counted at the pace that the endpoint reports.

--- a/sidecar/pace.go
+++ b/sidecar/pace.go
@@ -53,6 +53,16 @@
 	return untold, p.current
 }
 
+// Current returns the endpoint's pace, or 1 if it reported none.
+func (p *Pace) Current() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current == 0 {
+		return 1
+	}
+	return p.current
+}
+
 // endpointWithPace is the endpoint on this VM, whose pace is passed on with each report.
 type endpointWithPace struct {
 	stage.Endpoint
--- a/sidecar/pace_test.go
+++ b/sidecar/pace_test.go
@@ -48,6 +48,7 @@
 				untold, pace := p.Observe(o.reported, o.gateways, start.Add(o.at))
 				g.Expect(untold).To(Equal(o.untold), "at %v", o.at)
 				g.Expect(pace).To(Equal(o.pace), "at %v", o.at)
+				g.Expect(p.Current()).To(Equal(max(o.pace, 1)), "at %v", o.at)
 			}
 		})
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -215,7 +215,7 @@
 	if inv == nil {
 		return stage.Capacity{}
 	}
-	return stage.Capacity{Slots: inv.Slots, AnswerTime: inv.AnswerTime}
+	return stage.Capacity{Slots: inv.Slots, AnswerTime: inv.AnswerTime}.AtPace(c.pace.Current())
 }
 
 // notify sends n to the gateways at addrs, with the start time of the running endpoint process.
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -146,6 +146,13 @@
 	AnswerTime time.Duration
 }
 
+// AtPace returns the capacity of an endpoint that is slower than its engine's figures by the given
+// factor, whose responses take longer.
+func (c Capacity) AtPace(pace float64) Capacity {
+	c.AnswerTime = time.Duration(pace * float64(c.AnswerTime))
+	return c
+}
+
 // DrainTime returns how long an endpoint with so many running requests drains, where remaining
 // is the time until its weights expire. Its own load is taken as an estimate of the load
 // of the other endpoints.
--- a/sidecar/stage/switch_test.go
+++ b/sidecar/stage/switch_test.go
@@ -14,6 +14,9 @@
 	g.Expect(stage.LeasedDrain(stage.Capacity{Slots: 16, AnswerTime: 800 * time.Millisecond})).To(Equal(1600 * time.Millisecond))
 	g.Expect(stage.LeasedDrain(stage.Capacity{Slots: 16, AnswerTime: time.Minute})).To(Equal(1800 * time.Millisecond))
 	g.Expect(stage.LeasedDrain(stage.Capacity{})).To(BeZero())
+	slow := stage.Capacity{Slots: 16, AnswerTime: 400 * time.Millisecond}.AtPace(1.5)
+	g.Expect(slow).To(Equal(stage.Capacity{Slots: 16, AnswerTime: 600 * time.Millisecond}))
+	g.Expect(stage.LeasedDrain(slow)).To(Equal(1200 * time.Millisecond))
 }
 
 func TestFollowsSchedule(t *testing.T) {
--- a/sidecar/stage/target.go
+++ b/sidecar/stage/target.go
@@ -37,12 +37,17 @@
 	} else {
 		s.history.Add(model, version, now)
 	}
+	s.wakeUp()
+	s.wakeFetchLoop()
+	return true
+}
+
+// wakeUp lets Run take its next step at once.
+func (s *Stager) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
-	s.wakeFetchLoop()
-	return true
 }
 
 // RecordNaming records when a version of model was named, as reported by others.
@@ -118,6 +123,7 @@
 	if s.complete[model].version < t.version {
 		t.completedAt = time.Now()
 		s.complete[model] = t
+		s.wakeUp()
 	}
 }
 
