--- a/leases/pace.go
+++ b/leases/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,18 @@
 	NewerIn time.Duration
 	// Running is the number of requests that run or wait at the endpoint.
 	Running int
+	// DrainsAhead is set if the endpoint may drain before the newer version is complete, and then
+	// loads that one.
+	DrainsAhead bool
+}
+
+// Waiter is another endpoint that waits for a lease. Its fields are those of Change, except for
+// AsksIn, the time until it requests the lease again.
+type Waiter struct {
+	VM      string
+	Running int
+	NewerIn time.Duration
+	AsksIn  time.Duration
 }
 
 // Grant is the decision on a Change.
@@ -34,6 +47,8 @@
 	Pending, Out, Needed int
 	// RetryAfter is the time after which a refused endpoint asks again.
 	RetryAfter time.Duration
+	// Turn is set if RetryAfter follows from the endpoint's place among those that wait.
+	Turn bool
 }
 
 const (
@@ -60,22 +75,36 @@
 	Endpoints, Pending int
 	// Remaining, Drain and NewerIn are those of Change.
 	Remaining, Drain, NewerIn time.Duration
+	// DrainsAhead is that of Change.
+	DrainsAhead bool
+	// Interval is the time after which endpoints that were refused ask again.
+	Interval time.Duration
+}
+
+// left returns the time until the last lease requests.
+func (p *Pace) left() time.Duration {
+	return p.Remaining - p.Interval
 }
 
 // Needed returns how many endpoints have to be out at once, and how long each of them may drain,
 // so that all pending ones begin to change in time. It answers a fleet without spare capacity: the
 // changes are spread evenly over the remaining time, instead of all happening at its end without a
 // drain. If a newer version is expected in time, all endpoints wait for it, since they would have to
-// change twice otherwise.
+// change twice otherwise. They begin to drain so early that the drain ends as it comes.
 func Needed(p Pace) (out int, drain time.Duration) {
+	if p.Pending <= 0 {
+		return 0, p.Drain
+	}
+	if p.left() > 0 {
+		drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), p.scarceDrain()), 0)
+	}
 	switch {
-	case p.Pending <= 0 || p.awaitsNewer():
+	case p.awaitsNewer() && !p.mayDrainAhead(drain):
 		return 0, p.Drain
-	case p.Remaining <= 0:
+	case p.left() <= 0:
 		return p.Pending, 0
 	}
-	drain = max(min(p.drainWith(easyShare), p.Drain), min(p.drainWith(maxPacedShare), p.scarceDrain()), 0)
-	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.Remaining)))), drain
+	return min(p.Pending, int(math.Ceil(float64(p.Pending)*float64(drain+loadTime)/float64(p.left())))), drain
 }
 
 // awaitsNewer returns whether endpoints can wait for a newer version.
@@ -83,12 +112,19 @@
 	return p.NewerIn > 0 && p.NewerIn < p.Remaining-newerMargin
 }
 
+// mayDrainAhead returns whether an endpoint that waits for a newer version may begin a drain, at the
+// end of which it is expected.
+func (p *Pace) mayDrainAhead(drain time.Duration) bool {
+	return p.DrainsAhead && p.NewerIn <= drain
+}
+
 // SkipsVersion returns whether endpoints wait for a newer version although others have spare capacity
 // for their requests. They do if all can change to the newer one with full drains, or if it comes
-// before a drain would end. Otherwise, two changes cut fewer streams than one without a drain.
+// before a drain and a load would end. Otherwise, two changes cut fewer streams than one without a
+// drain.
 func SkipsVersion(p Pace) bool {
 	switch {
-	case !p.awaitsNewer():
+	case !p.awaitsNewer() || p.mayDrainAhead(SpareDrain(p)):
 		return false
 	case p.NewerIn <= p.Drain+loadTime:
 		return true
@@ -101,7 +137,7 @@
 // takes no longer than the time that is left allows for all pending ones, but for the last ones, which
 // nobody waits for.
 func SpareDrain(p Pace) time.Duration {
-	if p.Remaining <= 0 {
+	if p.left() <= 0 {
 		return p.Drain
 	}
 	return min(p.Drain, max(p.drainWith(maxUnavailableShare), p.scarceDrain()))
@@ -115,26 +151,28 @@
 // drainWith returns the drain with which all pending endpoints can change in time while a share of
 // all endpoints is out at once.
 func (p *Pace) drainWith(share float64) time.Duration {
-	return time.Duration(share*float64(p.Endpoints)*float64(p.Remaining)/float64(max(p.Pending, 1))) - loadTime
+	return time.Duration(share*float64(p.Endpoints)*float64(p.left())/float64(max(p.Pending, 1))) - loadTime
 }
 
 // Decide returns whether the endpoint of c may change now, while those of the VMs in held change
-// as well. waiting holds the numbers of running requests of the other endpoints that wait for a
-// lease: endpoints with fewer running requests precede others, since their loads cut fewer streams.
-func Decide(c Change, f *Fleet, held map[string]bool, waiting []int) Grant {
+// as well. waiting holds the other endpoints that wait for a lease: endpoints with fewer running requests
+// precede others, since their loads cut fewer streams.
+func Decide(c Change, f *Fleet, held map[string]bool, waiting []Waiter) Grant {
 	n := f.count(c, held)
 	g := Grant{Pending: n.pending, Out: n.out, Drain: c.Drain}
-	g.RetryAfter = RetryAfter(n.pending)
-	remaining := c.Remaining - g.RetryAfter
-	p := Pace{Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: remaining, Drain: c.Drain, NewerIn: c.NewerIn}
+	p := Pace{
+		Endpoints: len(f.Endpoints), Pending: n.pending, Remaining: c.Remaining, Drain: c.Drain,
+		NewerIn: newerIn(c, waiting), DrainsAhead: c.DrainsAhead, Interval: min(RetryAfter(n.pending), maxPacedInterval),
+	}
 	needed, drain := Needed(p)
 	g.Needed = needed
+	g.RetryAfter, g.Turn = nextRequest(c, p, drain, waiting)
 	switch {
 	case SkipsVersion(p): // refused
 	case CanGrant(f, held, c.VM) || c.Remaining <= 0 && f.canSpare(held, c.VM, maxLastUtilization):
 		g.Given, g.Spare, g.Drain = true, true, SpareDrain(p)
 	default:
-		g.Given = fewer(waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
+		g.Given = preceding(p, waiting, c.Running) < needed-n.out && (drain == 0 || !n.zoneFull())
 		g.Drain = drain
 	}
 	return g
@@ -187,13 +225,19 @@
 	return ""
 }
 
-// fewer returns how many of the counts are less than n.
-func fewer(counts []int, n int) int {
-	less := 0
-	for _, c := range counts {
-		if c < n {
-			less++
+// newerIn returns when a newer version is expected at the endpoint of c: the median of what it and
+// those that wait expect. All of them fetch from each other, and a single one knows less of when the
+// last chunks come.
+func newerIn(c Change, waiting []Waiter) time.Duration {
+	if c.NewerIn <= 0 {
+		return 0
+	}
+	expected := []time.Duration{c.NewerIn}
+	for _, w := range waiting {
+		if w.NewerIn > 0 {
+			expected = append(expected, w.NewerIn)
 		}
 	}
-	return less
+	slices.Sort(expected)
+	return expected[len(expected)/2]
 }
--- a/sidecar/stage/change_test.go
+++ b/sidecar/stage/change_test.go
@@ -28,9 +28,17 @@
 // loadedFleet is a fleet of endpoints that run streams. Gateways hear of pauses at once and send a
 // stream to the endpoint with the fewest.
 type loadedFleet struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// size is the number of endpoints.
+	size      int
 	endpoints []*loadedEndpoint
 	table     *leases.Table
+	// requests holds the times of the lease requests by VM.
+	requests map[string][]time.Time
+	// alone is set if each VM is the only member that it knows.
+	alone bool
+	// drainsLate is set if no endpoint drains before a newer version is complete.
+	drainsLate bool
 	// unanswered makes lease requests fail.
 	unanswered bool
 	// scheduled is set if sidecars state what the endpoint runs.
@@ -50,9 +58,9 @@
 	// elsewhere, mostOut the most endpoints that were paused or loading at once, refused the
 	// streams, or their rests, that found no slot.
 	cut, mostOut, asked, refused int
-	// loads is the number of load orders, last the time of the last one.
-	loads int
-	last  time.Time
+	// loads is the number of load orders, first and last the times of the first and last one.
+	loads       int
+	first, last time.Time
 }
 
 // loadedEndpoint is an endpoint of a loadedFleet with its sidecar's view of the gateways.
@@ -81,6 +89,9 @@
 	f.mu.Lock()
 	f.loads++
 	f.last = time.Now()
+	if f.first.IsZero() {
+		f.first = f.last
+	}
 	if o.Finish {
 		e.finishing = true
 		f.mu.Unlock()
@@ -110,6 +121,15 @@
 	e.finishing = false
 }
 
+func (e *loadedEndpoint) Members(ctx context.Context) ([]swarm.Member, error) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if e.fleet.alone {
+		return []swarm.Member{{VM: e.name, Addr: e.name, Zone: "a", Region: "east"}}, nil
+	}
+	return e.fakeVM.Members(ctx)
+}
+
 func (e *loadedEndpoint) Pause(_ context.Context, d time.Duration) {
 	f := e.fleet
 	f.mu.Lock()
@@ -146,19 +166,21 @@
 	if f.unanswered {
 		return stage.Lease{RetryAfter: 500 * time.Millisecond}
 	}
+	f.requests[e.name] = append(f.requests[e.name], time.Now())
 	candidates := f.candidates()
-	reply := stage.Lease{RetryAfter: leases.RetryAfter(fleetSize), AvailableLater: leases.CanGrantLater(candidates, e.name)}
+	reply := stage.Lease{RetryAfter: leases.RetryAfter(f.size), AvailableLater: leases.CanGrantLater(candidates, e.name)}
 	if !f.scheduled {
 		reply.Granted = f.table.Acquire("s", e.name, candidates, q.For, time.Now())
 		return reply
 	}
-	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running}
+	c := leases.Change{VM: e.name, Held: q.Held, Remaining: q.Remaining, Drain: q.Drain, NewerIn: q.NewerIn, Running: q.Running, DrainsAhead: q.DrainsAhead && !f.drainsLate}
 	table := f.table
 	if f.secondTable != nil && e.odd {
 		table = f.secondTable
 	}
 	g := table.Schedule("s", c, candidates, q.For, time.Now())
 	reply.Granted, reply.Drain, reply.Scheduled, reply.RetryAfter, reply.Spare = g.Given, g.Drain, true, g.RetryAfter, g.Spare
+	reply.Turn = g.Turn
 	return reply
 }
 
@@ -201,7 +223,7 @@
 // runLoad sends streams of exponential duration at load times the fleet's capacity.
 func (f *loadedFleet) runLoad(ctx context.Context, load float64) {
 	random := rand.New(rand.NewPCG(1, 2))
-	rate := load * fleetSize * fleetSlots / meanAnswer.Seconds()
+	rate := load * float64(f.size*fleetSlots) / meanAnswer.Seconds()
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		f.mu.Lock()
@@ -213,10 +235,17 @@
 
 // changeFleet lets f play with a fleet at a load, and returns the cost of its changes of weights.
 func changeFleet(t *testing.T, load float64, scheduled bool, play func(b *testEnv, f *loadedFleet, stagers []*stage.Stager)) changeStats {
-	f := &loadedFleet{table: leases.NewTable(), scheduled: scheduled}
+	f := &loadedFleet{size: fleetSize, table: leases.NewTable(), scheduled: scheduled}
+	f.change(t, load, play)
+	return f.changeStats
+}
+
+// change lets play change the weights of the fleet at a load.
+func (f *loadedFleet) change(t *testing.T, load float64, play func(b *testEnv, f *loadedFleet, stagers []*stage.Stager)) {
+	f.requests = map[string][]time.Time{}
 	runVirtual(t, func(b *testEnv) {
 		var stagers []*stage.Stager
-		for i := range fleetSize {
+		for i := range f.size {
 			vm := newFakeVM(1)
 			vm.capacity = stage.Capacity{Slots: fleetSlots, AnswerTime: meanAnswer}
 			e := &loadedEndpoint{fakeVM: vm, fleet: f, name: fmt.Sprintf("vm%d", i), odd: i%2 == 1, streams: map[*time.Timer]time.Time{}}
@@ -232,7 +261,6 @@
 		f.mu.Unlock()
 		play(b, f, stagers)
 	})
-	return f.changeStats
 }
 
 // nameVersion names a version and returns the time from which older weights must not be used.
--- a/sidecar/stage/switch_test.go
+++ b/sidecar/stage/switch_test.go
@@ -14,12 +14,16 @@
 	g.Expect(stage.LeasedDrain(stage.Capacity{Slots: 16, AnswerTime: 800 * time.Millisecond})).To(Equal(1600 * time.Millisecond))
 	g.Expect(stage.LeasedDrain(stage.Capacity{Slots: 16, AnswerTime: time.Minute})).To(Equal(1800 * time.Millisecond))
 	g.Expect(stage.LeasedDrain(stage.Capacity{})).To(BeZero())
+	slow := stage.Capacity{Slots: 16, AnswerTime: 400 * time.Millisecond}.AtPace(1.5)
+	g.Expect(slow).To(Equal(stage.Capacity{Slots: 16, AnswerTime: 600 * time.Millisecond}))
+	g.Expect(stage.LeasedDrain(slow)).To(Equal(1200 * time.Millisecond))
 }
 
 func TestFollowsSchedule(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(stage.FollowsSchedule(stage.Lease{Scheduled: true, RetryAfter: 500 * time.Millisecond})).To(BeTrue())
 	g.Expect(stage.FollowsSchedule(stage.Lease{Scheduled: true, RetryAfter: 501 * time.Millisecond})).To(BeFalse(), "asks too rarely")
+	g.Expect(stage.FollowsSchedule(stage.Lease{Scheduled: true, Turn: true, RetryAfter: 4 * time.Second})).To(BeTrue(), "asks when its turn comes")
 	g.Expect(stage.FollowsSchedule(stage.Lease{RetryAfter: 100 * time.Millisecond})).To(BeFalse(), "an older gateway")
 }
 
@@ -59,6 +63,8 @@
 		"begins after the earlier":       {stage.Download{Named: at(1)}, usual, 5, 3 * time.Second},
 		"few chunks after the same time": {stage.Download{Named: at(5), Have: 12, Total: 48}, usual, 9, 1500 * time.Millisecond},
 		"stalled":                        {stage.Download{Named: at(5), Have: 12, Total: 48}, usual, 13, 3 * time.Second},
+		"both were fetched at once":      {stage.Download{Named: at(1), Have: 24, Total: 48}, usual, 4, 4 * time.Second / 3},
+		"few chunks of it came":          {stage.Download{Named: at(1), Have: 1, Total: 48}, usual, 4.5, 3500 * time.Millisecond},
 		"last chunk is verified":         {stage.Download{Named: at(5), Have: 48, Total: 48}, usual, 10, time.Millisecond},
 	} {
 		NewWithT(t).Expect(stage.TimeToComplete(c.d, c.earlier, at(c.now))).To(Equal(c.want), name)
