swarm, stage: few chunks are under way when an origin goes, and turns after its return have no gaps

Cause: turns were .9 of a chunk's time and began at each VM's own start, so that 8 to 13 reads shared the origin's link and were all lost when it failed. A manifest took .2 s, since a VM that did not have it yet was asked again 120 ms later. After an outage VMs that had read nothing meanwhile went by turns long past and read chunks whose readers had just begun; readers that tried the origin at its return read out of turn, and its link idled in their turns; each paused up to 1 s however few chunks were missing. A reader that did not answer for 600 ms was waited for another 300 ms.

Change: turns are as long as a chunk takes and count from the naming, which is the same moment for all (HeadStart). A chunk that comes before its turn gives it to those after it. A failing origin is tried by the fleet every 10 to 20 ms (RetryPause). A chunk that was nowhere, after 500 ms without one, is the end of an outage for VMs that noticed none. A query for a manifest waits up to 250 ms where it is awaited too. A reader that was silent is not waited for again.

The model's query for a manifest now goes to the stager's own server, where it read the holdings directly.

Version 2 with chunks garbled and members killed is still given up.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -135,7 +135,9 @@
 mutant "loads that end the endpoint go on" sidecar/stage/stager.go 's/ \|\| s.inLoadBackoff\(model, want.version\)//' ./sidecar/stage 'TestWeightsThatEnd'
 
 mutant "three chunks are sent side by side" sidecar/stage/sending.go 's/Uploads = 1/Uploads = 3/' ./sidecar/stage 'TestAVersionIsWholeEverywhereSoon'
-mutant "turns count from each VM's own start" swarm/schedule.go 's/d.began.Add\(-d.cfg.HeadStart\)/d.began/; s/turnShare = 0.9/turnShare = 1.0/' ./sidecar/stage 'TestAVersionIsWholeEverywhereThough'
+mutant "reads share the link of an origin that fails" swarm/schedule.go 's/originLinkTime\(d.cfg.OriginRate, m, s.position\[c\]\)/originLinkTime(d.cfg.OriginRate, m, s.position[c]) * 9 \/ 10/' ./sidecar/stage 'TestAnOriginThatFailsSends'
+mutant "an outage that this VM did not notice" swarm/neighbours.go 's/\td.noteFirstCopy\(\)//' ./sidecar/stage 'TestAnOriginThatFailsSends'
+mutant "turns count from each VM's own start" swarm/schedule.go 's/d.began.Add\(-d.cfg.HeadStart\)/d.began/' ./sidecar/stage 'TestAVersionIsWholeEverywhereThough'
 mutant "a version is left before the manifest of the newer is there" sidecar/stage/fetch.go 's/if _, err := s.openSet\(ctx, model, newest\); err != nil \|\| worthFinishing\(set\)/if worthFinishing(set)/' ./sidecar/stage 'TestAVersionIsNotLeft'
 mutant "all who ask for a chunk wait" exchange/server.go 's/s.waiting = waiting/s.waiting = 100 + waiting/' ./exchange 'TestChunksAreSent'
 
--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -332,10 +332,25 @@
 // headStart returns how long other VMs may have been reading a version from the origin. All
 // VMs learn of a version at about the same time, but receive its manifest one after another.
 func (s *Stager) headStart(model string, version int64) time.Duration {
-	if t := s.target(model); t.version == version {
-		return min(time.Since(t.firstSeen), maxHeadStart)
+	t := s.target(model)
+	if t.version != version {
+		return 0
 	}
-	return 0
+	heard := time.Since(t.firstSeen)
+	if naming, known := s.history.Replaced(model, version-1); known && !naming.TimeUnknown {
+		return HeadStart(heard, time.Since(naming.At))
+	}
+	return min(heard, maxHeadStart)
+}
+
+// HeadStart returns how long other VMs may have been reading a version that this VM has heard of,
+// and that was named, the given times ago. The naming is the same moment for all VMs, unless they
+// all heard of it late.
+func HeadStart(heard, named time.Duration) time.Duration {
+	if named >= heard && named <= maxHeadStart {
+		return named
+	}
+	return min(heard, maxHeadStart)
 }
 
 // importPlaced adds the chunks from the endpoint's staging area that belong to the set.
--- a/sidecar/stage/holdings.go
+++ b/sidecar/stage/holdings.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/weights"
@@ -20,6 +21,8 @@
 	versions map[versionKey]weights.Digest
 	// insertionOrder lists the roots of the sets, oldest first.
 	insertionOrder []weights.Digest
+	// added is closed and replaced when a set is added.
+	added chan struct{}
 }
 
 // versionKey identifies a version of a model.
@@ -29,7 +32,7 @@
 }
 
 func newHoldings() *holdings {
-	return &holdings{Sets: exchange.NewSets(), versions: map[versionKey]weights.Digest{}}
+	return &holdings{Sets: exchange.NewSets(), versions: map[versionKey]weights.Digest{}, added: make(chan struct{})}
 }
 
 // lookup returns the chunk set of a version, or nil.
@@ -40,6 +43,25 @@
 	return h.Set(root)
 }
 
+// await returns the chunk set of a version, for which it waits up to limit, or nil.
+func (h *holdings) await(model string, version int64, limit time.Duration) *weights.Set {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	for {
+		h.mu.Lock()
+		added := h.added
+		h.mu.Unlock()
+		if set := h.lookup(model, version); set != nil {
+			return set
+		}
+		select {
+		case <-added:
+		case <-t.C:
+			return nil
+		}
+	}
+}
+
 // add adds an empty set for the version with manifest m and evicts the oldest set if there
 // are more than maxSets.
 func (h *holdings) add(model string, version int64, m *weights.Manifest) *weights.Set {
@@ -47,6 +69,8 @@
 	defer h.mu.Unlock()
 	set, added := h.Add(m)
 	h.versions[versionKey{model, version}] = set.Root()
+	close(h.added)
+	h.added = make(chan struct{})
 	if !added {
 		return set
 	}
--- a/sidecar/stage/manifest.go
+++ b/sidecar/stage/manifest.go
@@ -30,6 +30,9 @@
 	manifestRetryDelay = 120 * time.Millisecond
 	// manifestQueryTimeout is the timeout of a query to another VM.
 	manifestQueryTimeout = 400 * time.Millisecond
+	// manifestHoldTime is how long a query waits at a VM that does not have the manifest yet. It
+	// is below manifestQueryTimeout, so that the VM is not taken for unresponsive.
+	manifestHoldTime = 250 * time.Millisecond
 	// manifestFanout is the number of VMs that query the same manifestReaders VMs. It lets a
 	// manifest reach a large fleet in few steps without overloading the initial readers.
 	manifestFanout = 16
@@ -89,9 +92,9 @@
 // errNoManifest is returned for a manifest that this VM does not have.
 var errNoManifest = errors.New("stage: no such manifest here")
 
-// Manifest returns the manifest of a version.
+// Manifest returns the manifest of a version. It waits a while for one that is not present.
 func (m *ManifestServer) Manifest(q VersionRequest, reply *exchange.ManifestReply) error {
-	set := m.holdings.lookup(q.Model, q.Version)
+	set := m.holdings.await(q.Model, q.Version, manifestHoldTime)
 	if set == nil {
 		return errNoManifest
 	}
--- a/sidecar/stage/manifest_test.go
+++ b/sidecar/stage/manifest_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/weights"
@@ -112,3 +113,26 @@
 		}
 	}
 }
+
+// Guards against a manifest that reaches VMs up to 120 ms after the VM that they have asked for it
+// received it.
+func TestAManifestIsSentAsSoonAsItIsThere(t *testing.T) {
+	for name, c := range map[string]struct {
+		after, want time.Duration
+		found       bool
+	}{
+		"soon": {100 * time.Millisecond, 100 * time.Millisecond, true},
+		"late": {time.Second, 250 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runStager(t, 1, func(g *WithT, _ *fakeVM, s *stage.Stager) {
+				began := time.Now()
+				time.AfterFunc(c.after, func() { s.SetTarget("m", 2, false) })
+				var reply exchange.ManifestReply
+				err := s.Manifests().Manifest(stage.VersionRequest{Model: "m", Version: 2}, &reply)
+				g.Expect(err == nil).To(Equal(c.found))
+				g.Expect(time.Since(began)).To(BeNumerically("~", c.want, 5*time.Millisecond))
+			})
+		})
+	}
+}
--- a/sidecar/stage/rules_test.go
+++ b/sidecar/stage/rules_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+func TestHeadStart(t *testing.T) {
+	for name, c := range map[string]struct{ heard, named, want time.Duration }{
+		"named before it was heard of":    {100 * time.Millisecond, 250 * time.Millisecond, 250 * time.Millisecond},
+		"at the limit":                    {100 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond},
+		"all hear late":                   {100 * time.Millisecond, 401 * time.Millisecond, 100 * time.Millisecond},
+		"all hear late, manifest later":   {900 * time.Millisecond, 8 * time.Second, 400 * time.Millisecond},
+		"clocks differ: named afterwards": {100 * time.Millisecond, -50 * time.Millisecond, 100 * time.Millisecond},
+	} {
+		NewWithT(t).Expect(stage.HeadStart(c.heard, c.named)).To(Equal(c.want), name)
+	}
+}
+
 func TestLoadBackoff(t *testing.T) {
 	for crashes, want := range map[int]time.Duration{
 		0: 0, 2: 0, 3: time.Second, 4: 2 * time.Second, 9: 64 * time.Second, 10: 64 * time.Second, 1000: 64 * time.Second,
--- a/sidecar/stage/spread_test.go
+++ b/sidecar/stage/spread_test.go
@@ -134,6 +134,8 @@
 	mu          sync.Mutex
 	reads       int
 	crossRegion int
+	// lost counts the chunks that were being sent when the origin failed, served those sent.
+	lost, served int
 	// firstServed holds by offset when the origin first sent a chunk.
 	firstServed map[int64]time.Time
 	// outage is the start and end of an outage of the origin.
@@ -156,6 +158,9 @@
 	s.mu.Unlock()
 	came := transfer(int(n), s.origin, o.vm.down)
 	if s.originIsDown() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lost++
 		return nil, errDown
 	}
 	s.recordServed(off)
@@ -167,6 +172,7 @@
 func (s *rollout) recordServed(off int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.served++
 	if _, before := s.firstServed[off]; !before {
 		s.firstServed[off] = time.Now()
 	}
--- a/sidecar/stage/twoversions_test.go
+++ b/sidecar/stage/twoversions_test.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/exchange"
 	"github.com/silverdeck/silverdeck/sidecar/stage"
 	"github.com/silverdeck/silverdeck/swarm"
 	"github.com/silverdeck/silverdeck/weights"
@@ -127,11 +128,11 @@
 	if !v.waitAwake(ctx) {
 		return nil, errDown
 	}
-	set := v.sets().(heldSets).Holdings.(*stagerHoldings).version(q.Version)
-	if set == nil {
-		return nil, errDown
+	var reply exchange.ManifestReply
+	if err := v.sets().(heldSets).Holdings.(*stagerHoldings).stage.Manifests().Manifest(q, &reply); err != nil {
+		return nil, err
 	}
-	return set.Manifest(), nil
+	return weights.ParseManifest(reply.Manifest)
 }
 
 // stagerHoldings are the holdings of a Stager, of which versions are found by their manifests'
@@ -145,7 +146,6 @@
 func (h *stagerHoldings) Reading(root weights.Digest, i int) bool {
 	return h.stage.Holdings().Reading(root, i)
 }
-func (h *stagerHoldings) version(v int64) *weights.Set { return h.Set(h.roots[v]) }
 
 // play runs the story until every version that can be complete is, or the time is over.
 func (f *stagedFleet) play(t *testing.T, until time.Duration) {
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -36,6 +36,8 @@
 	after *Download
 	// resumedAt is the end of the last outage of the origin that the turns allow for.
 	resumedAt time.Time
+	// firstCopyAt is when a neighbour last announced a chunk that no known member held.
+	firstCopyAt time.Time
 	// standby lists the members that replace lost neighbours, in order of preference.
 	standby []Member
 	avail   *availability
@@ -72,6 +74,7 @@
 		d.link = congestion.New(cfg.LinkRate, set.Manifest().ChunkSize)
 	}
 	d.resumedAt = cfg.OriginStatus.resumed()
+	d.firstCopyAt = d.began
 	d.stats.Total = len(set.Manifest().Chunks)
 	held, _ := set.Since(0)
 	for _, c := range held {
@@ -180,6 +183,11 @@
 func (d *Download) Unknown() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.unknown()
+}
+
+// unknown is Unknown for a caller that holds the lock.
+func (d *Download) unknown() int {
 	n := 0
 	for c := range d.avail.have {
 		if !d.avail.known(c) {
@@ -259,6 +267,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.followOrigin()
+	d.schedule.closeGaps(d)
 	d.fillNeighbours(ctx)
 	if d.mode == ModePaused {
 		return
--- a/swarm/neighbours.go
+++ b/swarm/neighbours.go
@@ -109,6 +109,7 @@
 		if !d.avail.known(c) && n.failures == 0 {
 			// Somebody may have read the chunk from the origin just now.
 			d.cfg.OriginStatus.recordHint(d.cfg.takeoverDelay(d.set.Manifest().Size) / probeDivisor)
+			d.noteFirstCopy()
 		}
 		d.avail.holders[c] |= 1 << i
 	}
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -190,13 +190,17 @@
 }
 
 // mayPostpone reports whether chunk c may be postponed once more in favour of m. While the origin
-// does not answer, no other member could read it either.
+// does not answer, no other member could read it either. A straggler is not waited for: it has been
+// silent for longer than a read takes.
 func (d *Download) mayPostpone(c int, m Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cfg.OriginStatus.suspect() {
 		return true
 	}
+	if d.skips(m) {
+		return false
+	}
 	if m.Region != d.self.Region {
 		return d.schedule.postponed[c] < maxRemotePostponements
 	}
--- a/swarm/originstatus.go
+++ b/swarm/originstatus.go
@@ -57,8 +57,24 @@
 	return !time.Now().Before(o.retryAt)
 }
 
-// recordFailure suspends reads for pause, which doubles with each consecutive failure up to
-// maxBackoffShift times. jitter in [0.5, 1] keeps members from retrying at the same moment.
+// Pauses of a failing origin's readers.
+const (
+	// probeInterval is the mean interval at which a fleet tries a failing origin, whose return is
+	// then noticed within a fraction of a chunk's time.
+	probeInterval = 15 * time.Millisecond
+	// maxRetryPause limits the pause of one member.
+	maxRetryPause = time.Second
+)
+
+// RetryPause returns how long the reader of a chunk pauses after a failed read, where unknown is
+// the number of chunks that no known member holds, and shortest the lower limit. Each of these
+// chunks has a reader that tries the origin, so that few of them have to try it more often.
+func RetryPause(unknown int, shortest time.Duration) time.Duration {
+	return min(max(time.Duration(unknown)*probeInterval, shortest), max(shortest, maxRetryPause))
+}
+
+// recordFailure suspends reads for pause. jitter in [0.5, 1] keeps members from retrying at the
+// same moment.
 func (o *OriginStatus) recordFailure(pause time.Duration, jitter float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -66,11 +82,19 @@
 	if time.Since(o.resumedAt) < relapseTime {
 		o.faults = max(o.faults, outageFaults)
 	}
-	pause <<= min(o.faults-1, maxBackoffShift)
 	o.failedAt = time.Now()
 	o.retryAt = o.failedAt.Add(time.Duration(jitter * float64(pause)))
 }
 
+// recordEndOfStall records the end of an outage that no failed read may have shown here.
+func (o *OriginStatus) recordEndOfStall() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.resumedAt = time.Now()
+	o.faults = 0
+	o.retryAt = time.Time{}
+}
+
 // recordSuccess records a successful read.
 func (o *OriginStatus) recordSuccess() {
 	o.mu.Lock()
--- a/swarm/outage_test.go
+++ b/swarm/outage_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/swarm"
 )
 
 // Guards against concurrent reads of several copies after an outage of the origin. After six seconds
@@ -28,3 +32,13 @@
 		expectAllRead(t, n, distinct, reads, took, 3*minDuration/2)
 	}
 }
+
+func TestRetryPause(t *testing.T) {
+	const shortest = 250 * time.Millisecond
+	for unknown, want := range map[int]time.Duration{
+		0: shortest, 16: shortest, 17: 255 * time.Millisecond, 66: 990 * time.Millisecond, 67: time.Second, 1000: time.Second,
+	} {
+		NewWithT(t).Expect(swarm.RetryPause(unknown, shortest)).To(Equal(want), "%d", unknown)
+	}
+	NewWithT(t).Expect(swarm.RetryPause(1000, 2*time.Second)).To(Equal(2 * time.Second))
+}
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -99,17 +99,29 @@
 		return
 	}
 	d.stats.Blocked = "origin: " + err.Error()
-	d.cfg.OriginStatus.recordFailure(d.originPause())
+	shortest := d.cfg.takeoverDelay(d.set.Manifest().Size)
+	d.cfg.OriginStatus.recordFailure(RetryPause(d.unknown(), shortest), d.pauseJitter())
 	if d.cfg.OriginStatus.Failing() {
 		// The origin caused the delay, not the members that should have read chunks earlier.
 		s.restart(d, time.Now())
 	}
 }
 
-// originPause returns the pause after a first failure of the origin and the jitter to apply.
-// The caller holds the lock.
-func (d *Download) originPause() (pause time.Duration, jitter float64) {
-	return d.cfg.takeoverDelay(d.set.Manifest().Size), 0.5 + d.cfg.Rand.Float64()/2
+// pauseJitter returns the factor that keeps members from retrying at the same moment. The caller
+// holds the lock.
+func (d *Download) pauseJitter() float64 {
+	return 0.5 + d.cfg.Rand.Float64()/2
+}
+
+// noteFirstCopy records that a neighbour has a chunk that no known member held. If none had come
+// for lastingFault although chunks were due, the origin has failed meanwhile, perhaps unnoticed by
+// this member, which then must not go by turns from before. The caller holds the lock.
+func (d *Download) noteFirstCopy() {
+	since := latest(d.firstCopyAt, d.schedule.start)
+	d.firstCopyAt = time.Now()
+	if d.firstCopyAt.Sub(since) >= lastingFault {
+		d.cfg.OriginStatus.recordEndOfStall()
+	}
 }
 
 // originCorrupt handles a corrupt chunk from the origin. The chunk is read again at once, and
@@ -120,8 +132,8 @@
 	d.stats.CorruptOrigin++
 	s.corrupt[c]++
 	if n := s.corrupt[c] - 1; n > 0 {
-		pause, jitter := d.originPause()
-		s.due[c] = time.Now().Add(time.Duration(jitter * float64(pause<<min(n-1, maxBackoffShift))))
+		pause := d.cfg.takeoverDelay(d.set.Manifest().Size) << min(n-1, maxBackoffShift)
+		s.due[c] = time.Now().Add(time.Duration(d.pauseJitter() * float64(pause)))
 	}
 	if s.corrupt[c] >= maxOriginCorrupt {
 		d.stats.Blocked = blockedCorrupt
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -17,18 +17,13 @@
 	// unrankedSpread times the takeover delay is the interval over which reads by unranked
 	// members are spread, so that they do not coincide.
 	unrankedSpread = 16
-	// maxBackoffShift limits the exponential backoff after origin failures to two doublings.
+	// maxBackoffShift limits the exponential backoff after corrupt reads to two doublings.
 	maxBackoffShift = 2
 	// remoteStartDivisor makes a region request a chunk that another region reads first half
 	// a takeover delay after the chunk's turn, which is about when the chunk has been read.
 	remoteStartDivisor = 2
 )
 
-// turnShare is the interval between the turns of successive chunks, as a fraction of the
-// time that one chunk takes on the origin's link. It is below one so that the link does not
-// idle while a reader connects or starts late.
-const turnShare = 0.9
-
 // schedule determines which chunks this member reads from the origin for its region, and
 // when. It is guarded by the Download's lock.
 type schedule struct {
@@ -58,6 +53,8 @@
 	// position is each chunk's place in the order of reads, counted among the chunks that were
 	// missing when the turns were computed.
 	position []int
+	// awaited marks the chunks that have a turn of their own which has not been given up.
+	awaited []bool
 	// changed is set once the origin reports that it has another version.
 	changed bool
 }
@@ -115,15 +112,40 @@
 // first, with the first turn: they need none.
 func (s *schedule) takePositions(d *Download) {
 	s.position = make([]int, len(s.due))
+	s.awaited = make([]bool, len(s.due))
 	n := 0
 	for c := range s.position {
 		s.position[c] = n
-		if !d.avail.known(c) {
+		s.awaited[c] = !d.avail.known(c)
+		if s.awaited[c] {
 			n++
 		}
 	}
 }
 
+// closeGaps gives the turns of chunks that came before them to the chunks after those. Some are read
+// out of turn, above all when an origin returns, and its link would idle in their turns.
+func (s *schedule) closeGaps(d *Download) {
+	turn := originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
+	if turn <= 0 {
+		return
+	}
+	now := time.Now()
+	gaps := 0
+	for c := range s.position {
+		switch {
+		case !s.start.Add(time.Duration(s.position[c]) * turn).After(now):
+		case s.awaited[c] && d.avail.known(c):
+			s.awaited[c] = false
+			gaps++
+		case s.awaited[c] && gaps > 0:
+			s.position[c] -= gaps
+			s.due[c] = s.due[c].Add(-time.Duration(gaps) * turn)
+			s.originAt[c] = s.originAt[c].Add(-time.Duration(gaps) * turn)
+		}
+	}
+}
+
 // end returns when the origin's link has sent the last of the chunks that no known member holds.
 // Turns are shorter than that takes.
 func (s *schedule) end(d *Download) time.Time {
@@ -158,10 +180,10 @@
 
 // assign computes this member's rank and start times for each chunk.
 //
-// The origin's link is divided into time slots: chunk c has its turn after c times slightly
-// less than the transfer time of one chunk. The first chunks thus arrive early and spread
-// among the members while later ones are read, and the limit on the link's rate holds without
-// coordination.
+// The origin's link is divided into time slots: chunk c has its turn after c times the transfer
+// time of one chunk. The first chunks thus arrive early and spread among the members while later
+// ones are read, the limit on the link's rate holds without coordination, and an origin that fails
+// loses the few chunks that it is sending.
 //
 // A chunk is read first in the region of its home reader, the member that ranks first among
 // all members. Other regions request it there, and read it from the origin only after the
@@ -173,7 +195,7 @@
 	oneCopy := originLinkTime(d.cfg.OriginRate, m, len(m.Chunks))
 	region := inRegion(d.members, d.self.Region)
 	for c := range m.Chunks {
-		turn := s.start.Add(turnOffset(d.cfg.OriginRate, m, s.position[c]))
+		turn := s.start.Add(originLinkTime(d.cfg.OriginRate, m, s.position[c]))
 		ranks := ranked(d.set.Root(), c, region, maxRanks)
 		s.earlier[c], s.rank[c] = earlierReaders(ranks, d.self.VM)
 		wait := time.Duration(s.rank[c]) * late
@@ -206,12 +228,6 @@
 	s.limiter.SetLimit(limit)
 }
 
-// turnOffset returns the time from the start of the schedule to chunk c's turn on the
-// origin's link.
-func turnOffset(originRate float64, m *weights.Manifest, c int) time.Duration {
-	return time.Duration(turnShare * float64(originLinkTime(originRate, m, c)))
-}
-
 // originLinkTime returns the time that the origin's link takes for the chunks before chunk c.
 // For c equal to the number of chunks this is the time of one full copy.
 func originLinkTime(originRate float64, m *weights.Manifest, c int) time.Duration {
