swarm: other regions get a chunk from the reader that took it over

Cause: where a chunk's home reader was gone, the next in rank of its region read it 250 ms later, but other regions went on asking the home reader until the time of a copy had passed, and then read the chunk from the origin. In the model with five VMs killed, three chunks of version 2 were in one region only from 9.5 s until it had expired.

Change: the first reader of a region asks the two that rank next after the home reader if that one does not hold the chunk, is unreachable or silent.

--- a/swarm/firstcopy_test.go
+++ b/swarm/firstcopy_test.go
@@ -145,3 +145,29 @@
 		net.finish(time.Minute)
 	})
 }
+
+// Guards against regions that wait the time of one copy for a chunk whose reader in another region is
+// gone, although the member next in rank there has it. After five VMs had been killed, three chunks
+// of a version were at one region only until it had expired.
+func TestAReaderThatIsGoneDelaysOtherRegionsOnlyBriefly(t *testing.T) {
+	play := func(kill int) (took time.Duration, reads int) {
+		simulate(t, func(net *network) {
+			_, m := version(0)
+			list := regions(3, 8)
+			net.options = fleetOptions(len(list))
+			net.start(m, list)
+			for _, x := range list[:kill] {
+				net.kill(x.VM)
+			}
+			took, reads = net.finish(time.Minute), net.origin.readCount()
+		})
+		return took, reads
+	}
+	free, _ := play(0)
+	took, reads := play(2)
+	t.Logf("complete after %v and %d reads, %v without readers that are gone", took, reads, free)
+	g := NewWithT(t)
+	// The takeover, which is at worst begun by a timeout, and the copies to all members.
+	g.Expect(took).To(BeNumerically("<=", free+copyTime/6+copyTime/3+6*chunkTime))
+	g.Expect(reads).To(BeNumerically("<=", chunks*11/10))
+}
--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -79,11 +79,13 @@
 		delete(d.schedule.fromOrigin, c)
 		d.mu.Unlock()
 	}()
+	homeReaderGone := false
 	for _, m := range earlier {
 		d.mu.Lock()
 		passed := d.banned(m) || d.skips(m)
 		d.mu.Unlock()
 		if passed {
+			homeReaderGone = homeReaderGone || m.Region != d.self.Region
 			continue
 		}
 		switch d.fetchFromReader(ctx, c, m, m.Region != d.self.Region) {
@@ -95,8 +97,12 @@
 				return
 			}
 		case readerUnavailable:
+			homeReaderGone = homeReaderGone || m.Region != d.self.Region
 		}
 	}
+	if homeReaderGone && rank == 0 && d.fetchFromHomeRegion(ctx, c) {
+		return
+	}
 	if d.originUnusable() && d.fetchFromOtherRegions(ctx, c) {
 		return
 	}
--- a/swarm/otherregions.go
+++ b/swarm/otherregions.go
@@ -21,6 +21,35 @@
 	return false
 }
 
+// fetchFromHomeRegion requests chunk c from the readers in its home reader's region that rank after
+// that one and read it in its place. It reports whether the chunk was received.
+func (d *Download) fetchFromHomeRegion(ctx context.Context, c int) bool {
+	for _, m := range d.nextHomeReaders(c) {
+		if d.fetchFromReader(ctx, c, m, true) == readerDelivered {
+			return true
+		}
+	}
+	return false
+}
+
+// nextHomeReaders returns the members that rank next after the home reader of chunk c in its region,
+// except banned ones and stragglers.
+func (d *Download) nextHomeReaders(c int) []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	home := ranked(d.set.Root(), c, d.members, 1)
+	if len(home) == 0 {
+		return nil
+	}
+	var out []Member
+	for _, m := range ranked(d.set.Root(), c, inRegion(d.members, home[0].Region), 1+readersPerRegion)[1:] {
+		if !d.banned(m) && !d.skips(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // readersPerRegion is how many readers of each other region are tried. It is more than one
 // because the first reader may have failed together with the origin.
 const readersPerRegion = 2
