--- a/swarm/obtain.go
+++ b/swarm/obtain.go
@@ -79,11 +79,13 @@
 		delete(d.schedule.fromOrigin, c)
 		d.mu.Unlock()
 	}()
+	homeReaderGone := false
 	for _, m := range earlier {
 		d.mu.Lock()
 		passed := d.banned(m) || d.skips(m)
 		d.mu.Unlock()
 		if passed {
+			homeReaderGone = homeReaderGone || m.Region != d.self.Region
 			continue
 		}
 		switch d.fetchFromReader(ctx, c, m, m.Region != d.self.Region) {
@@ -95,8 +97,12 @@
 				return
 			}
 		case readerUnavailable:
+			homeReaderGone = homeReaderGone || m.Region != d.self.Region
 		}
 	}
+	if homeReaderGone && rank == 0 && d.fetchFromHomeRegion(ctx, c) {
+		return
+	}
 	if d.originUnusable() && d.fetchFromOtherRegions(ctx, c) {
 		return
 	}
@@ -190,13 +196,17 @@
 }
 
 // mayPostpone reports whether chunk c may be postponed once more in favour of m. While the origin
-// does not answer, no other member could read it either.
+// does not answer, no other member could read it either. A straggler is not waited for: it has been
+// silent for longer than a read takes.
 func (d *Download) mayPostpone(c int, m Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cfg.OriginStatus.suspect() {
 		return true
 	}
+	if d.skips(m) {
+		return false
+	}
 	if m.Region != d.self.Region {
 		return d.schedule.postponed[c] < maxRemotePostponements
 	}
