proxy: queued streams are not hedged at endpoints where they would be late as well

Slow endpoints are kept less loaded than others, so those with a free slot are mostly slow ones. And gateways are lost one after the other, so that what was heard of the last one stood for all.

Change: such a hedge is given up where its first event is expected after the latency target. What was known of others is kept from when most of them were heard.

--- a/gateway/admission/gate_test.go
+++ b/gateway/admission/gate_test.go
@@ -246,7 +246,12 @@
 					time.Sleep(200 * time.Millisecond)
 					g.Expect(status().Shortage).To(Equal(x.short))
 				}
-				supply, news = admission.Supply{Room: 100, Running: 3, Own: 3}, admission.News{Known: 9}
+				supply = admission.Supply{Room: 100, Running: 3, Own: 3}
+				for covers := 4; covers >= 0; covers-- { // the others are lost one after the other
+					news = admission.News{Known: 9, Covers: covers, Demand: demandOf(float64(covers))}
+					gate.Refresh(time.Now())
+					time.Sleep(40 * time.Millisecond)
+				}
 				for range 19 {
 					time.Sleep(time.Second)
 					now := status()
--- a/gateway/admission/service.go
+++ b/gateway/admission/service.go
@@ -70,8 +70,8 @@
 	open int
 	// mostHeardAt is when most of the known gateways were last alive.
 	mostHeardAt time.Time
-	// heard is what was known of the other gateways at heardAt, when they were last heard, if the
-	// room was short.
+	// heard is what was known of the other gateways at heardAt, when most of them were last heard,
+	// if the room was short.
 	heard     Heard
 	heardAt   time.Time
 	shortage  bool
--- a/gateway/admission/update.go
+++ b/gateway/admission/update.go
@@ -57,10 +57,10 @@
 	}
 }
 
-// lastHeard returns what was known when other gateways were last heard, if the room was short then.
-// Otherwise a gateway that is cut off must notice a shortage by itself. The caller must hold s.mu.
+// lastHeard returns what was known when most of the known gateways were last heard, if the room was
+// short then: they are lost one after the other, and the last one says little of all. Otherwise a gateway that is cut off must notice a shortage by itself. The caller must hold s.mu.
 func (s *service) lastHeard(supply *Supply, news *News, now time.Time) Heard {
-	if news.usable() {
+	if news.usable() && 2*news.Covers >= news.Known {
 		s.heard = Heard{}
 		if s.shortage {
 			s.heard = Heard{Demand: news.Demand, Running: supply.Running - supply.Own, Covers: news.Covers}
--- a/gateway/policy/stall.go
+++ b/gateway/policy/stall.go
@@ -79,10 +79,16 @@
 	return time.Duration(overdueFactor * float64(firstEvent))
 }
 
+// BeginsInTime returns whether the first event of a stream, which is expected after the given time,
+// arrives within what is left of its latency target.
+func BeginsInTime(firstEvent, targetLeft time.Duration) bool {
+	return firstEvent > 0 && firstEvent <= targetLeft
+}
+
 // queued returns whether the request waits for a slot during a shortage and could still begin in time
 // elsewhere.
 func (s *Stall) queued() bool {
-	return s.Admitted && !s.Begun && s.FirstEvent > 0 && s.FirstEvent <= s.TargetLeft && s.StreamIdle >= OverdueAfter(s.FirstEvent)
+	return s.Admitted && !s.Begun && BeginsInTime(s.FirstEvent, s.TargetLeft) && s.StreamIdle >= OverdueAfter(s.FirstEvent)
 }
 
 // WaitDecision says what to do with a request that is waiting for its endpoint. It is one of
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -49,6 +49,10 @@
 	if err != nil {
 		return false // keep waiting for the current endpoint
 	}
+	if w.Vacated && !policy.BeginsInTime(lease.Expected().FirstEvent, c.targetLeft(now)) {
+		lease.Done(balance.Neutral, now) // a slow endpoint, which is less loaded than others
+		return false
+	}
 	if !p.takeRetryBudget(c, Hedge, now) { // a response that has begun continues without the hedge, too
 		lease.Done(balance.Neutral, now)
 		return false
--- a/gateway/proxy/queued_test.go
+++ b/gateway/proxy/queued_test.go
@@ -41,13 +41,15 @@
 	for _, x := range []struct {
 		name    string
 		short   bool
+		slow    []string
 		vacated []string
 		second  string
 		after   time.Duration
 	}{
-		{"at another endpoint", true, []string{"e0"}, "e1", 112500 * time.Microsecond},
-		{"at one that was just vacated", true, []string{"e2", "e0"}, "e2", 112500 * time.Microsecond},
-		{"not without a shortage", false, nil, "", 0},
+		{"at another endpoint", true, nil, []string{"e0"}, "e1", 112500 * time.Microsecond},
+		{"at one that was just vacated", true, nil, []string{"e2", "e0"}, "e2", 112500 * time.Microsecond},
+		{"not at slow ones, where it would be late as well", true, []string{"e1", "e2"}, []string{"e0"}, "", 0},
+		{"not without a shortage", false, nil, nil, "", 0},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			runHarness(t, func(w *harness) {
@@ -55,6 +57,9 @@
 				if x.short {
 					w.useShortage(x.vacated...)
 				}
+				for _, id := range x.slow {
+					w.announcePace(id, 4)
+				}
 				sentAt := time.Now()
 				a := w.send(http.MethodPost, "/stream/", "x", "Tokens", "1000,800", "Hint", "30")
 				w.g.Expect(a.Body.String()).To(Equal(stream(1)))
