--- a/gateway/admission/bench_test.go
+++ b/gateway/admission/bench_test.go
@@ -46,3 +46,26 @@
 		})
 	}
 }
+
+// BenchmarkShortages tells what a gateway with the most accounts tells others.
+func BenchmarkShortages(b *testing.B) {
+	gate := admission.New(admission.Config{
+		Supply: func(string, time.Time) admission.Supply { return admission.Supply{Room: 100, Running: 96} },
+		News:   func(string, time.Time) admission.News { return admission.News{} },
+		Random: func() float64 { return 0.5 },
+	})
+	now := epoch
+	for i := range 4096 {
+		now = now.Add(time.Millisecond)
+		if grant, err := gate.TryAcquire(request(fmt.Sprint(i), 0), now); err == nil {
+			grant.Release("", now)
+		}
+	}
+	if len(gate.Shortages(now)) != 1 {
+		b.Fatal("no shortage")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		gate.Shortages(now)
+	}
+}
--- a/gateway/admission/shared.go
+++ b/gateway/admission/shared.go
@@ -32,29 +32,51 @@
 
 // busiest returns the accounts that this gateway tells others of.
 func (s *accounts) busiest(others *fleetAccounts, now time.Time) []member.AccountRate {
-	all := make([]member.AccountRate, 0, len(s.byName)+len(others.rates))
+	all := make([]rankedRate, 0, len(s.byName)+len(others.rates))
 	known := make(map[uint32]bool, len(s.byName))
 	for _, a := range s.byName {
 		known[a.key] = true
-		all = append(all, a.rate(now))
+		rate := a.rate(now)
+		all = append(all, rankedRate{rate, rate.Recent + others.rates[a.key].Recent})
 	}
 	for key, told := range others.rates {
 		if !known[key] && told.Recent > 0 {
-			all = append(all, member.AccountRate{Account: key, Gateways: 1})
+			all = append(all, rankedRate{member.AccountRate{Account: key, Gateways: 1}, told.Recent})
 		}
 	}
-	sortBy(all, func(r member.AccountRate) float64 { return r.Recent + others.rates[r.Account].Recent })
-	if len(all) > sharedOfFleet {
-		sortBy(all[sharedOfFleet:], func(r member.AccountRate) float64 { return r.Recent })
+	out := highest(all, sharedOfFleet, func(r rankedRate) float64 { return r.fleet })
+	told := map[uint32]bool{}
+	for _, r := range out {
+		told[r.Account] = true
 	}
-	return all[:min(len(all), member.MaxAccounts)]
+	all = slices.DeleteFunc(all, func(r rankedRate) bool { return told[r.Account] })
+	return append(out, highest(all, member.MaxAccounts-len(out), func(r rankedRate) float64 { return r.Recent })...)
 }
 
-// sortBy sorts rates by the result of f, the highest first.
-func sortBy(rates []member.AccountRate, f func(member.AccountRate) float64) {
-	slices.SortFunc(rates, func(a, b member.AccountRate) int {
-		return cmp.Or(cmp.Compare(f(b), f(a)), cmp.Compare(a.Account, b.Account))
-	})
+// rankedRate is an account's rate at this gateway, with its recent rate at all gateways.
+type rankedRate struct {
+	member.AccountRate
+	fleet float64
+}
+
+// highest returns the n rates with the highest result of by.
+func highest(rates []rankedRate, n int, by func(rankedRate) float64) []member.AccountRate {
+	var top []rankedRate
+	for _, r := range rates {
+		if len(top) == n && by(r) <= by(top[n-1]) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, r, func(a, b rankedRate) int {
+			return cmp.Or(cmp.Compare(by(b), by(a)), cmp.Compare(a.Account, b.Account))
+		})
+		top = slices.Insert(top, at, r)
+		top = top[:min(len(top), n)]
+	}
+	out := make([]member.AccountRate, 0, len(top))
+	for _, r := range top {
+		out = append(out, r.AccountRate)
+	}
+	return out
 }
 
 // Shortages returns what this gateway tells others of the services whose room is short, those with
