swarm: turns after an outage count from when the origin answered again

Cause: VMs hear of an origin's return by its first chunk, some 200 ms later, and began their turns then, among chunks most of which were being read already.

Change: the turns begin four chunks' times before the news, but not before the last failed read of this VM.

--- a/swarm/download.go
+++ b/swarm/download.go
@@ -106,6 +106,10 @@
 // the end of the turns before it.
 const turnTolerance = 2
 
+// resumeLag is how many chunks' times on the origin's link pass until other members know that it has
+// sent a first chunk. It is shared by a few reads then.
+const resumeLag = 4
+
 // Mode says where a download takes chunks from.
 type Mode int
 
@@ -147,7 +151,8 @@
 func (d *Download) followOrigin() {
 	if at := d.cfg.OriginStatus.resumed(); at.After(d.resumedAt) {
 		d.resumedAt = at
-		d.schedule.restart(d, at)
+		lag := resumeLag * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
+		d.schedule.restart(d, d.cfg.OriginStatus.returned(lag))
 	}
 	now := time.Now()
 	at := now
--- a/swarm/originstatus.go
+++ b/swarm/originstatus.go
@@ -127,3 +127,11 @@
 	defer o.mu.Unlock()
 	return o.resumedAt
 }
+
+// returned returns when the origin began to answer again after an outage, if that takes lag to become
+// known: not before the last failed read here.
+func (o *OriginStatus) returned(lag time.Duration) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return latest(o.resumedAt.Add(-lag), o.failedAt)
+}
