--- a/sidecar/stage/fetch.go
+++ b/sidecar/stage/fetch.go
@@ -200,12 +200,13 @@
 	p := s.pending(ctx, model, older.version, newest.version, a, b)
 	olderFirst := OlderFirst(p)
 	s.logOrder(model, f, older.version, newest.version, olderFirst, p)
-	b.SetMode(swarm.ModeAll)
 	if olderFirst {
 		a.SetMode(swarm.ModeAll)
-		b.ReadAfter(a)
+		b.ReadAfter(a) // before the mode, which lets b read at once
+		b.SetMode(swarm.ModeAll)
 		return
 	}
+	b.SetMode(swarm.ModeAll)
 	b.ReadAfter(nil)
 	mode := s.modeBehindNewest(model, older.version, f.byVersion[newest.version], p)
 	a.SetMode(mode)
