--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -170,9 +170,10 @@
 }
 
 // ReturnAfter returns when a refused caller should return: at the first time at which a place comes
-// free that no other caller was told of, at an endpoint that serves requests or one that is about to. If that is soon enough for its latency target, the caller
-// loses nothing. While few are refused, that is likely at any time. Otherwise it is told the latest
-// time that leaves two thirds of its time, since a shortage is more likely to have ended then.
+// free that no other caller was told of, at an endpoint that serves requests or one that is about to.
+// If that is soon enough for its latency target, the caller loses nothing. While few are refused, that
+// is likely at any time. Otherwise it is told the latest time that leaves two thirds of its time, since
+// a shortage is more likely to have ended then.
 func ReturnAfter(f *ReturnForecast) time.Duration {
 	// The draw makes a fraction of a place per step count as often as that fraction.
 	fits := func(d time.Duration) bool { return f.Expected(d)+f.Random() < f.room(d) }
