--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -30,19 +30,22 @@
 	g.admissionMetrics.RecordStatus(g.gate.Status())
 }
 
-// supply implements admission.Config.Supply. A slow endpoint counts with all of its slots: a caller who
-// is served late there is better off than one who is refused.
+// supply implements admission.Config.Supply.
 func (g *Gateway) supply(service string, now time.Time) admission.Supply {
 	var out admission.Supply
 	for _, c := range g.capacities(service, now) {
-		if !c.Usable {
+		room := c.Room()
+		if more := float64(c.Coming) - room; c.ReadyIn > 0 && more > 0 {
+			out.Coming = append(out.Coming, admission.Arrival{In: c.ReadyIn, Places: more})
+		}
+		if room == 0 {
 			out.Elsewhere += c.Own
 			if c.Open {
 				out.Open++
 			}
 			continue
 		}
-		out.Room += float64(max(c.Slots, 1))
+		out.Room += room
 		out.Running += float64(c.InFlight)
 		out.Own += float64(c.Own)
 	}
@@ -65,6 +68,10 @@
 		}
 		for i := range min(len(out), len(found)) {
 			out[i].Usable = out[i].Usable || found[i].Usable
+			if out[i].ReadyIn == 0 {
+				out[i].ReadyIn, out[i].Coming = found[i].ReadyIn, found[i].Coming
+			}
+			out[i].Cold = out[i].Cold || found[i].Cold
 		}
 	}
 	return out
@@ -72,8 +79,9 @@
 
 // demandNews implements admission.Config.News.
 func (g *Gateway) demandNews(service string, now time.Time) admission.News {
-	d := g.table.Demand(service, now)
-	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
+	d, short := g.table.Demand(service, now), g.table.Shortage(service, now)
+	return admission.News{Demand: admission.Demand{Recent: admission.Slots(d.Slots), Mean: d.Mean}, Accounts: short.Accounts, Told: short.Told,
+		Covers: d.Covers, Gateways: d.Gateways, Known: d.Known, Age: d.Age}
 }
 
 // ownDemand returns the demand of this gateway's callers for heartbeats.
--- a/gateway/admission/fleet_test.go
+++ b/gateway/admission/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/silverdeck/silverdeck/gateway/admission"
 	"github.com/silverdeck/silverdeck/gateway/affinity"
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/member"
 	"github.com/silverdeck/silverdeck/roster"
 )
@@ -25,6 +27,10 @@
 	// first try is in time.
 	target = 400 * time.Millisecond
 	inTime = 240 * time.Millisecond
+	// toFirst is the time from when a request begins to run to its first event, checkInterval that
+	// between two looks at whether a request waits too long.
+	toFirst       = target - inTime
+	checkInterval = 100 * time.Millisecond
 	// patience is the time from a first try to the deadline.
 	patience       = 6 * time.Second
 	newsInterval   = 200 * time.Millisecond
@@ -85,6 +91,22 @@
 	firstAt       time.Duration
 	tries         int
 	gateway       int
+	// copies are the endpoints' queue entries of the current try, sentAt is when it was sent.
+	copies []*queued
+	sentAt time.Duration
+}
+
+// queued is a request that waits at an endpoint.
+type queued struct {
+	endpoint *endpoint
+	lease    *balance.Lease
+	run      func()
+}
+
+// leave removes a request that runs elsewhere from its queue.
+func (q *queued) leave(now time.Time) {
+	q.lease.Done(balance.Neutral, now)
+	q.endpoint.queued = slices.DeleteFunc(q.endpoint.queued, func(x *queued) bool { return x == q })
 }
 
 // tally counts the outcomes of callers, and the work of those that were served in time.
@@ -118,7 +140,7 @@
 // endpoint runs up to slots requests and queues others.
 type endpoint struct {
 	running int
-	queued  []func()
+	queued  []*queued
 	gone    bool
 	// life increases when the gateways restart, which ends all requests.
 	life int
@@ -131,9 +153,9 @@
 	}
 	e.running--
 	if len(e.queued) > 0 && !e.gone {
-		run := e.queued[0]
+		first := e.queued[0]
 		e.queued = e.queued[1:]
-		run()
+		first.run()
 	}
 }
 
@@ -146,8 +168,9 @@
 	// hears is unset while the gateway hears nothing of others.
 	hears bool
 	// load and demand are what the others have been told of this gateway.
-	load   map[roster.Incarnation]int
-	demand admission.Demand
+	load     map[roster.Incarnation]int
+	demand   admission.Demand
+	shortage []member.Shortage
 }
 
 // fleet plays a shape on virtual time.
@@ -161,6 +184,8 @@
 	endpoints map[string]*endpoint
 	total     map[roster.Incarnation]int
 	fleet     admission.Demand
+	rates     rateSums
+	told      toldSums
 	toldAt    time.Duration
 
 	all           tally
@@ -258,7 +283,7 @@
 			return f.total[l] - x.load[l]
 		}})
 	x.balancer.Update(f.list)
-	x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.entryName(i)))
+	x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), nil, f.entryName(i)))
 	x.gate = admission.New(admission.Config{Random: f.rand.Float64,
 		Supply: func(string, time.Time) admission.Supply { return f.supply(x) },
 		News:   func(string, time.Time) admission.News { return f.news(x) },
@@ -299,17 +324,20 @@
 		out.Demand.Recent[r] -= d
 	}
 	out.Demand.Mean -= x.demand.Mean
+	f.addShortages(&out, x)
 	return out
 }
 
 // publish tells all gateways the loads and the demand of the others, and repeats itself.
 func (f *fleet) publish() {
 	sum, demand := map[roster.Incarnation]int{}, admission.Demand{}
+	shortages := make([][]member.Shortage, len(f.gateways))
 	loads, demands := make([]map[roster.Incarnation]int, len(f.gateways)), make([]admission.Demand, len(f.gateways))
 	for i, x := range f.gateways {
 		if x.lost {
 			continue
 		}
+		shortages[i] = x.gate.Shortages(f.clock())
 		loads[i], demands[i] = x.balancer.InFlight(), x.gate.Demand(f.clock())["s"]
 		for l, n := range loads[i] {
 			sum[l] += n
@@ -321,9 +349,11 @@
 	}
 	at := f.now
 	f.after(newsDelay, func() {
-		f.total, f.fleet, f.toldAt = sum, demand, at
+		f.total, f.fleet, f.rates, f.told, f.toldAt = sum, demand, rateSums{}, toldSums{}, at
 		for i, x := range f.gateways {
-			x.load, x.demand = loads[i], demands[i]
+			x.load, x.demand, x.shortage = loads[i], demands[i], shortages[i]
+			f.rates.add(x.shortage, 1)
+			f.told.add(x.shortage, 1, epoch.Add(at))
 			x.gate.Refresh(f.clock())
 		}
 	})
@@ -360,7 +390,7 @@
 	f.list = &roster.List{Endpoints: remaining(f.list.Endpoints, gone)}
 	for i, x := range f.gateways {
 		x.balancer.Update(f.list)
-		x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), f.entryName(i)))
+		x.balancer.SetPreferred(affinity.Preferred(f.list, f.entries(), nil, f.entryName(i)))
 	}
 }
 
@@ -430,6 +460,7 @@
 		f.refuse(c, 400*time.Millisecond+time.Duration(f.rand.Float64()*float64(1600*time.Millisecond)))
 		return
 	}
+	c.sentAt = f.now
 	f.send(c, lease, grant)
 }
 
@@ -466,7 +497,14 @@
 // send runs a request at an endpoint.
 func (f *fleet) send(c *caller, lease *balance.Lease, grant *admission.Grant) {
 	e := f.endpoints[lease.Record.ID]
-	run := func() {
+	this := &queued{endpoint: e, lease: lease}
+	this.run = func() {
+		for _, q := range c.copies {
+			if q != this {
+				q.leave(f.clock())
+			}
+		}
+		c.copies = nil
 		if e.gone {
 			f.end(c, func(t *tally) { t.rejected++ })
 			return
@@ -492,16 +530,42 @@
 	}
 	switch {
 	case e.running < slots:
-		run()
+		this.run()
 	case len(e.queued) < maxQueued:
-		e.queued = append(e.queued, run)
+		e.queued = append(e.queued, this)
+		c.copies = append(c.copies, this)
+		if grant != nil && len(c.copies) == 1 {
+			f.after(policy.OverdueAfter(toFirst), func() { f.hedge(c, lease, grant) })
+		}
 	default:
 		lease.Done(balance.Refused, f.clock())
+		if len(c.copies) > 0 {
+			return
+		}
 		grant.Release("", f.clock())
 		f.end(c, func(t *tally) { t.rejected++ })
 	}
 }
 
+// hedge sends a request that still waits at its endpoint to another one, as package proxy does.
+func (f *fleet) hedge(c *caller, lease *balance.Lease, grant *admission.Grant) {
+	if len(c.copies) != 1 || c.copies[0].lease != lease {
+		return
+	}
+	w, ok := policy.WaitForStream(policy.Stall{Admitted: grant.Enforced, FirstEvent: toFirst, TargetLeft: target - (f.now - c.firstAt),
+		StreamIdle: f.now - c.sentAt, StreamIdleLimit: time.Hour, EndpointIdleLimit: time.Hour}).(policy.Hedge)
+	if !ok {
+		return
+	}
+	second, err := f.gateways[c.gateway].balancer.Pick(&balance.Query{Service: "s", MaxLoad: w.MaxLoad, Admitted: true, Healthy: true,
+		Vacated: grant.TakeVacated(f.clock()), Exclude: []string{lease.Record.ID}}, f.clock())
+	if err != nil {
+		f.after(checkInterval, func() { f.hedge(c, lease, grant) })
+		return
+	}
+	f.send(c, second, grant)
+}
+
 // possible returns the work that the endpoints can do while requests arrive after the warm-up.
 func (f *fleet) possible() time.Duration {
 	return time.Duration(len(f.list.Endpoints)*slots) * playTime
@@ -593,6 +657,9 @@
 			f := playAll(x.shape)
 			f.report(t)
 			expectNobodyStarves(g, f)
+			if x.hotFactor > 1 {
+				expectFirstAccountServedLeast(t, g, f)
+			}
 			g.Expect(f.utilization()).To(BeNumerically(">=", x.work))
 		})
 	}
--- a/gateway/admission/update.go
+++ b/gateway/admission/update.go
@@ -36,8 +36,10 @@
 		s.mostHeardAt = now
 	}
 	news.LostFor = now.Sub(s.mostHeardAt)
-	s.elsewhere, s.open = min(supply.Elsewhere, s.running), supply.Open
+	news.Last = s.lastHeard(&supply, &news, now)
+	s.elsewhere, s.open, s.coming = min(supply.Elsewhere, s.running), supply.Open, supply.Coming
 	s.conditions = ConditionsFrom(supply, news, s.demand.demand(now))
+	s.hear(news, now)
 	short := InShortage(&s.conditions, s.shortage, now.Sub(s.changedAt))
 	changed := short != s.shortage
 	if changed {
@@ -56,6 +58,21 @@
 	}
 }
 
+// lastHeard returns what was known when most of the known gateways were last heard, if the room was
+// short then: they are lost one after the other, and the last one says little of all. Otherwise a gateway that is cut off must notice a shortage by itself. The caller must hold s.mu.
+func (s *service) lastHeard(supply *Supply, news *News, now time.Time) Heard {
+	if news.usable() && 2*news.Covers >= news.Known {
+		s.heard = Heard{}
+		if s.shortage {
+			s.heard = Heard{Demand: news.Demand, Running: supply.Running - supply.Own, Covers: news.Covers}
+		}
+		s.heardAt = now
+	}
+	out := s.heard
+	out.Age = now.Sub(s.heardAt)
+	return out
+}
+
 // reportedChange is the change of a level that is reported to operators.
 const reportedChange = 0.25
 
@@ -85,7 +102,7 @@
 func (s *service) status(now time.Time) Status {
 	s.returns.advance(now)
 	told := 0
-	for _, n := range s.returns.counts {
+	for _, n := range s.returns.own {
 		told += n
 	}
 	return Status{Service: s.name, Shortage: s.shortage, Conditions: s.conditions, Levels: s.levels,
--- a/member/plan.go
+++ b/member/plan.go
@@ -28,7 +28,7 @@
 func (t *Table) plan(own Heartbeat, now time.Time) []outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ready, t.ownDemand = own.Ready, own.Demand
+	t.ready, t.ownDemand, t.ownWeight = own.Ready, own.Demand, own.Weight
 	if !t.usesRelays() {
 		return []outgoing{{addrs: t.peerAddrs(), message: message{Heartbeat: &own}}}
 	}
@@ -63,8 +63,9 @@
 	t.ownRoll.update(t.reportedMembers(own), now)
 	roll := t.ownRoll.summary()
 	withLoads := own.Sequence%digestLoadsEvery == 0
-	zone := t.zoneTotals(own)
+	zone := t.zoneTotals(own, now)
 	fleet := t.fleetTotals(zone)
+	weights := packWeights(t.directWeights())
 	reduced := heartbeat.withoutEndpoints()
 	var out []outgoing
 	relays := addrsOf(t.zoneRelays(t.self.Zone))
@@ -74,7 +75,8 @@
 		}
 		d := &Digest{Roll: roll}
 		if withLoads {
-			d.Loads = fleet.excluding(t.lastHeartbeat(e.Name))
+			d.Loads = fleet.excluding(t.direct[e.Name], now)
+			d.Loads.Weights = weights
 		}
 		m := message{Heartbeat: &reduced, Digest: d}
 		// If this gateway sees no other relay, it may be mistaken: all gateways of the zone then
@@ -86,7 +88,7 @@
 	}
 	d := &Digest{Roll: roll}
 	if withLoads {
-		d.Loads = zone.excluding(nil)
+		d.Loads = zone.excluding(nil, now)
 	}
 	out = append(out, outgoing{addrs: t.farRelays(), message: message{Heartbeat: &reduced, Digest: d}})
 	probe := own.withoutEndpoints()
@@ -101,14 +103,6 @@
 	return out
 }
 
-// lastHeartbeat returns the last heartbeat of a gateway, or nil. The caller must hold t.mu.
-func (t *Table) lastHeartbeat(name string) *Heartbeat {
-	if p := t.direct[name]; p != nil {
-		return &p.heartbeat
-	}
-	return nil
-}
-
 // zoneRelays returns the relays of a zone except this gateway. The caller must hold t.mu.
 func (t *Table) zoneRelays(zone string) []Entry {
 	var out []Entry
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -69,6 +69,9 @@
 mutant "what came in a standstill is not read" gateway/upstream/watch.go 's/time.Since\(deadline\) > suspensionThreshold/deadline.IsZero()/' ./gateway/upstream 'TestWhatCame'
 mutant "an error answer is given away" gateway/proxy/attempt.go 's/last == nil \|\| p.fallBack\(w, c\)/last == nil/' ./gateway/proxy 'TestAnErrorAnswerIsNot'
 mutant "hedges use up what cut answers need" gateway/proxy/hedge.go 's/takeRetryBudget\(c, Hedge, now\)/takeRetryBudget(c, c.purpose(), now)/' ./gateway/proxy 'TestHedgesLeaveBudget'
+mutant "a queued stream waits until it is late" gateway/policy/stall.go 's/case s.queued\(\):/case s.queued() \&\& s.Outdated:/' ./gateway/proxy 'TestAStreamThatIsQueued'
+mutant "a queued stream is not sent to the vacated slot" gateway/proxy/hedge.go 's/= true, c.grant.TakeVacated\(now\)/= true, ""/' ./gateway/proxy 'TestAStreamThatIsQueued'
+mutant "a gateway without news goes by its own requests" gateway/admission/update.go 's/news.Last = /_ = /' ./gateway/admission 'TestAGatewayThatHearsNobody'
 mutant "an answer does not return" gateway/policy/retry.go 's/return attempts < reuseFactor\*maxAttempts \&\&/return false \&\&/' ./gateway/proxy 'TestAStreamGoesOnWhereItWasBefore'
 mutant "a leaving gateway takes everything" gateway/policy/leaving.go 's/return !deadline.After\(end\)/return true/' ./gateway/proxy 'TestALeavingGateway'
 mutant "what a gateway ends gets no answer" gateway/proxy/proxy.go 's/cancelCause\(context.DeadlineExceeded\)/_ = cancelCause/' ./gateway/proxy 'TestWhatHasNoAnswer'
@@ -135,7 +138,9 @@
 mutant "loads that end the endpoint go on" sidecar/stage/stager.go 's/ \|\| s.inLoadBackoff\(model, want.version\)//' ./sidecar/stage 'TestWeightsThatEnd'
 
 mutant "three chunks are sent side by side" sidecar/stage/sending.go 's/Uploads = 1/Uploads = 3/' ./sidecar/stage 'TestAVersionIsWholeEverywhereSoon'
-mutant "turns count from each VM's own start" swarm/schedule.go 's/d.began.Add\(-d.cfg.HeadStart\)/d.began/; s/turnShare = 0.9/turnShare = 1.0/' ./sidecar/stage 'TestAVersionIsWholeEverywhereThough'
+mutant "reads share the link of an origin that fails" swarm/schedule.go 's/originLinkTime\(d.cfg.OriginRate, m, s.position\[c\]\)/originLinkTime(d.cfg.OriginRate, m, s.position[c]) * 9 \/ 10/' ./sidecar/stage 'TestAnOriginThatFailsSends'
+mutant "an outage that this VM did not notice" swarm/neighbours.go 's/\td.noteFirstCopy\(\)//' ./sidecar/stage 'TestAnOriginThatFailsSends'
+mutant "turns count from each VM's own start" swarm/schedule.go 's/d.began.Add\(-d.cfg.HeadStart\)/d.began/' ./sidecar/stage 'TestAVersionIsWholeEverywhereThough'
 mutant "a version is left before the manifest of the newer is there" sidecar/stage/fetch.go 's/if _, err := s.openSet\(ctx, model, newest\); err != nil \|\| worthFinishing\(set\)/if worthFinishing(set)/' ./sidecar/stage 'TestAVersionIsNotLeft'
 mutant "all who ask for a chunk wait" exchange/server.go 's/s.waiting = waiting/s.waiting = 100 + waiting/' ./exchange 'TestChunksAreSent'
 
--- a/sidecar/stage/rules_test.go
+++ b/sidecar/stage/rules_test.go
@@ -58,8 +58,10 @@
 func TestWorthLoading(t *testing.T) {
 	g := NewWithT(t)
 	limit := time.Date(2030, 1, 1, 0, 0, 8, 0, time.UTC)
-	g.Expect(stage.WorthLoading(limit, limit.Add(-1500*time.Millisecond))).To(BeTrue())
-	g.Expect(stage.WorthLoading(limit, limit.Add(-1500*time.Millisecond+1))).To(BeFalse())
+	g.Expect(stage.WorthLoading(limit, limit.Add(-1500*time.Millisecond), false)).To(BeTrue())
+	g.Expect(stage.WorthLoading(limit, limit.Add(-1500*time.Millisecond+1), false)).To(BeFalse())
+	g.Expect(stage.WorthLoading(limit, limit.Add(-800*time.Millisecond), true)).To(BeTrue())
+	g.Expect(stage.WorthLoading(limit, limit.Add(-800*time.Millisecond+1), true)).To(BeFalse())
 }
 
 func TestWorthFinishing(t *testing.T) {
@@ -114,6 +116,18 @@
 	}
 }
 
+func TestHeadStart(t *testing.T) {
+	for name, c := range map[string]struct{ heard, named, want time.Duration }{
+		"named before it was heard of":    {100 * time.Millisecond, 250 * time.Millisecond, 250 * time.Millisecond},
+		"at the limit":                    {100 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond},
+		"all hear late":                   {100 * time.Millisecond, 401 * time.Millisecond, 100 * time.Millisecond},
+		"all hear late, manifest later":   {900 * time.Millisecond, 8 * time.Second, 400 * time.Millisecond},
+		"clocks differ: named afterwards": {100 * time.Millisecond, -50 * time.Millisecond, 100 * time.Millisecond},
+	} {
+		NewWithT(t).Expect(stage.HeadStart(c.heard, c.named)).To(Equal(c.want), name)
+	}
+}
+
 func TestLoadBackoff(t *testing.T) {
 	for crashes, want := range map[int]time.Duration{
 		0: 0, 2: 0, 3: time.Second, 4: 2 * time.Second, 9: 64 * time.Second, 10: 64 * time.Second, 1000: 64 * time.Second,
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -40,15 +40,15 @@
 	return end.Add(-lastChangeLead)
 }
 
-// maxScheduledRetry is the longest interval between lease requests with which the grantor can spread
-// the changes. If more endpoints wait, each asks so rarely that leases would be granted too late, and
-// endpoints change at their own times.
+// maxScheduledRetry is the longest interval between lease requests with which a grantor that gives no
+// turns can spread the changes. If more endpoints wait, each asks so rarely that leases would be
+// granted too late, and endpoints change at their own times.
 const maxScheduledRetry = 500 * time.Millisecond
 
 // FollowsSchedule returns whether an endpoint waits for the lease that it was promised instead of
 // changing at its own time.
 func FollowsSchedule(l Lease) bool {
-	return l.Scheduled && l.RetryAfter <= maxScheduledRetry
+	return l.Scheduled && (l.Turn || l.RetryAfter <= maxScheduledRetry)
 }
 
 // Download is the state of the download of a version.
@@ -61,8 +61,10 @@
 }
 
 // TimeToComplete returns the expected time until d is complete, or 0 if nothing can be said. It takes
-// as long as that of the earlier version, after which it began. Most chunks arrive late, once other
-// VMs have them, so that those that are missing say little before that time has passed.
+// as long as that of the earlier version, after which it began, but no longer than its missing chunks
+// take at the rate at which those of both have come: they may have been fetched at once. Most chunks
+// arrive late, once other VMs have them, so that those that are missing say little before that time
+// has passed.
 func TimeToComplete(d, earlier Download, now time.Time) time.Duration {
 	usual := earlier.Completed.Sub(earlier.Named)
 	if earlier.Completed.IsZero() || usual <= 0 {
@@ -77,8 +79,10 @@
 	if d.Total > 0 {
 		missing -= float64(d.Have) / float64(d.Total)
 	}
+	copies := 2 - missing // of both versions, since the earlier one was named
+	atRate := time.Duration(missing / copies * float64(now.Sub(earlier.Named)))
 	stalled := time.Duration(missing * float64(max(usual, elapsed)) / 2)
-	return max(usual-elapsed, stalled, time.Millisecond)
+	return max(min(usual-elapsed, atRate), stalled, time.Millisecond)
 }
 
 // SwitchTime returns the time at which an endpoint switches to other weights without a
@@ -142,6 +146,13 @@
 	AnswerTime time.Duration
 }
 
+// AtPace returns the capacity of an endpoint that is slower than its engine's figures by the given
+// factor, whose responses take longer.
+func (c Capacity) AtPace(pace float64) Capacity {
+	c.AnswerTime = time.Duration(pace * float64(c.AnswerTime))
+	return c
+}
+
 // DrainTime returns how long an endpoint with so many running requests drains, where remaining
 // is the time until its weights expire. Its own load is taken as an estimate of the load
 // of the other endpoints.
--- a/swarm/download.go
+++ b/swarm/download.go
@@ -36,6 +36,8 @@
 	after *Download
 	// resumedAt is the end of the last outage of the origin that the turns allow for.
 	resumedAt time.Time
+	// firstCopyAt is when a neighbour last announced a chunk that no known member held.
+	firstCopyAt time.Time
 	// standby lists the members that replace lost neighbours, in order of preference.
 	standby []Member
 	avail   *availability
@@ -72,6 +74,7 @@
 		d.link = congestion.New(cfg.LinkRate, set.Manifest().ChunkSize)
 	}
 	d.resumedAt = cfg.OriginStatus.resumed()
+	d.firstCopyAt = d.began
 	d.stats.Total = len(set.Manifest().Chunks)
 	held, _ := set.Since(0)
 	for _, c := range held {
@@ -103,6 +106,10 @@
 // the end of the turns before it.
 const turnTolerance = 2
 
+// resumeLag is how many chunks' times on the origin's link pass until other members know that it has
+// sent a first chunk. It is shared by a few reads then.
+const resumeLag = 4
+
 // Mode says where a download takes chunks from.
 type Mode int
 
@@ -144,7 +151,8 @@
 func (d *Download) followOrigin() {
 	if at := d.cfg.OriginStatus.resumed(); at.After(d.resumedAt) {
 		d.resumedAt = at
-		d.schedule.restart(d, at)
+		lag := resumeLag * originLinkTime(d.cfg.OriginRate, d.set.Manifest(), 1)
+		d.schedule.restart(d, d.cfg.OriginStatus.returned(lag))
 	}
 	now := time.Now()
 	at := now
@@ -180,6 +188,11 @@
 func (d *Download) Unknown() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.unknown()
+}
+
+// unknown is Unknown for a caller that holds the lock.
+func (d *Download) unknown() int {
 	n := 0
 	for c := range d.avail.have {
 		if !d.avail.known(c) {
@@ -259,6 +272,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.followOrigin()
+	d.schedule.closeGaps(d)
 	d.fillNeighbours(ctx)
 	if d.mode == ModePaused {
 		return
