--- a/gateway/affinity/lent_test.go
+++ b/gateway/affinity/lent_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// Guards against a gateway that is lent the same endpoint several times, and so prefers few, where the
+// numbers of gateways and endpoints have a common divisor.
+func TestAGatewayIsLentDifferentEndpoints(t *testing.T) {
+	list, live := endpointsInZones(4, "b"), gateways(2, "a")
+	for _, e := range slices.Clone(live) {
+		lent := affinity.Lent(list, live, e.Name, sharesOf(zoneflow.Share{To: "b", Share: 1}))
+		NewWithT(t).Expect(lent).To(HaveLen(4))
+	}
+}
+
 // The first gateways by name are relays as well, and would all get the small flows.
 func TestSmallFlowsOfServicesAreLeftToDifferentGateways(t *testing.T) {
 	g := NewWithT(t)
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/work"
@@ -91,48 +90,6 @@
 	return min(limit, shared)
 }
 
-// FullError reports that all endpoints of a service that may take the request are at their
-// limit.
-type FullError struct {
-	Service string
-	// OpensIn is the time until the first endpoint accepts requests again, if all eligible
-	// endpoints have a rate limit or asked for a back-off; 0 if another endpoint is merely
-	// full.
-	OpensIn time.Duration
-	// TokenFrom is an endpoint with a rate limit whose holder can be asked for a token, if
-	// there is one.
-	TokenFrom roster.Incarnation
-}
-
-// Error implements error.
-func (e *FullError) Error() string {
-	return fmt.Sprintf("balance: all endpoints of %s are full", e.Service)
-}
-
-// DeadlineError reports that a stream would be cut off by its deadline at each endpoint that may take
-// it, even if its answer were much shorter than expected.
-type DeadlineError struct {
-	Service string
-}
-
-// Error implements error.
-func (e *DeadlineError) Error() string {
-	return fmt.Sprintf("balance: no endpoint of %s would finish in time", e.Service)
-}
-
-// NoEndpointError reports that no endpoint of a service is eligible for the request.
-type NoEndpointError struct {
-	Service string
-	// Loading is set if an endpoint that the request may use is paused: it accepts requests
-	// again once it has loaded weights.
-	Loading bool
-}
-
-// Error implements error.
-func (e *NoEndpointError) Error() string {
-	return fmt.Sprintf("balance: no endpoint of %s", e.Service)
-}
-
 // lowestCost keeps the endpoint with the lowest cost.
 type lowestCost struct {
 	endpoint *endpoint
@@ -286,40 +243,43 @@
 			}
 			continue
 		}
-		load := b.load(e)
-		fit := e.speed.Fit(&q.Work, e.perPlace(load), e.prefill)
-		if fit == work.NeverEnds {
-			c.neverEnds = true
-			continue
-		}
 		limit := MaxLoad(q.MaxLoad, shared, e.preferred, preferred > 0)
 		if limit > 0 && e.record.ID == q.Vacated {
 			limit = max(limit, freeSlotLoad)
 		}
-		switch {
-		case limit > 0 && load >= limit:
-			c.full = true
-		case !b.usable(e, now):
-			c.unusable.consider(e, b.cost(e, load, q, now))
-		case fit == work.EndsLate:
-			c.overrun.consider(e, load)
-		case q.LeastLoaded:
-			c.usable.consider(e, load)
-		case q.Vacated != "" && e.record.ID == q.Vacated:
-			c.usable.consider(e, load-vacatedBenefit)
-		case e.preferred || e.rateLimited(now):
-			c.usable.consider(e, b.cost(e, load, q, now))
-		case q.LatestVersion > 0 && !e.reloadPending(q):
-			c.upToDate.add(e, load)
-		case e.record.Zone == b.cfg.Zone:
-			c.sameZone.add(e, load)
-		default:
-			c.otherZone.add(e, load)
-		}
+		b.addOpen(&c, e, q, limit, now)
 	}
 	return c
 }
 
+// addOpen adds an endpoint that accepts requests to c. limit is the load at which it is full, or 0.
+func (b *Balancer) addOpen(c *candidates, e *endpoint, q *Query, limit float64, now time.Time) {
+	load := b.load(e)
+	fit := e.speed.Fit(&q.Work, e.perPlace(load), e.prefill)
+	switch {
+	case fit == work.NeverEnds:
+		c.neverEnds = true
+	case limit > 0 && load >= limit:
+		c.full = true
+	case !b.usable(e, now):
+		c.unusable.consider(e, b.cost(e, load, q, now))
+	case fit == work.EndsLate:
+		c.overrun.consider(e, load)
+	case q.LeastLoaded:
+		c.usable.consider(e, load)
+	case q.Vacated != "" && e.record.ID == q.Vacated:
+		c.usable.consider(e, load-vacatedBenefit)
+	case e.preferred || e.rateLimited(now):
+		c.usable.consider(e, b.cost(e, load, q, now))
+	case q.LatestVersion > 0 && !e.reloadPending(q):
+		c.upToDate.add(e, load)
+	case e.record.Zone == b.cfg.Zone:
+		c.sameZone.add(e, load)
+	default:
+		c.otherZone.add(e, load)
+	}
+}
+
 // preferred returns the number of endpoints that the gateway prefers, and how many of them
 // can be used for q.
 func (b *Balancer) preferred(s *shard, q *Query, now time.Time) (usable, preferred int) {
--- a/sidecar/stage/rules.go
+++ b/sidecar/stage/rules.go
@@ -5,6 +5,7 @@
 // How long before a version expires a load of it must begin to be worthwhile. A load takes about
 // 500 ms.
 const (
+	// minLoadMargin applies to an endpoint that runs another version.
 	minLoadMargin = 1500 * time.Millisecond
 	// minEmptyLoadMargin applies to an endpoint that runs nothing: the load takes nothing from callers,
 	// and what begins in the time that is left may end after it.
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/silverdeck/silverdeck/exchange"
@@ -200,87 +199,6 @@
 	return !s.worthLoading(model, version, false)
 }
 
-// maySwitch returns whether this endpoint may switch to want now, and its lease. A lease is
-// requested from the earliest permitted time on. Without one, the endpoint switches at its
-// individual time or, if a lease will be available later, at the latest permitted time. The time
-// limit counts from the version that first superseded the running one, whichever version is loaded
-// in the end.
-func (s *Stager) maySwitch(ctx context.Context, model string, report *Report, want target) (Lease, bool) {
-	held := report.Version(model)
-	naming, replaced := s.history.Replaced(model, held)
-	if held == 0 || !replaced || naming.TimeUnknown {
-		return Lease{}, true // nothing is loaded, or the time left is unknown
-	}
-	now := time.Now()
-	end := naming.At.Add(s.cfg.VersionLimit)
-	last := LastChange(end)
-	switch {
-	case !now.Before(end):
-		return Lease{}, true // no request may begin on the old weights
-	case now.Before(EarliestSwitch(naming.At, s.cfg.VersionLimit, want.completedAt)):
-		return Lease{}, false
-	}
-	if !now.Before(last) && s.leaseAskedAt.Before(last) {
-		s.leaseRetryAt = now // a last request
-	}
-	s.requestLease(ctx, model, report, want, last)
-	if s.lease.Granted {
-		lease := s.lease
-		s.lease.Granted = false
-		return lease, true
-	}
-	if !time.Now().Before(last) {
-		return Lease{Scheduled: s.lease.Scheduled, Drain: LeasedDrain(s.cfg.Fleet.Capacity())}, true
-	}
-	at := SwitchTime(naming.At, s.cfg.VersionLimit, want.completedAt, s.switchOffset(model))
-	switch {
-	case FollowsSchedule(s.lease):
-		at = last
-	case s.lease.AvailableLater:
-		at = LatestSwitch(naming.At, s.cfg.VersionLimit)
-	}
-	return Lease{}, !time.Now().Before(at)
-}
-
-// switchOffset returns the endpoint's position in the switching period, in [0, 1). It is
-// a hash, so that it stays the same after a restart.
-func (s *Stager) switchOffset(model string) float64 {
-	return float64(xxhash.Sum64String(model+"\x00"+s.cfg.Self.VM)) / (1 << 64)
-}
-
-// requestLease requests a load lease for the endpoint, no more often than the last answer permits.
-func (s *Stager) requestLease(ctx context.Context, model string, report *Report, want target, last time.Time) {
-	now := time.Now()
-	if now.Before(s.leaseRetryAt) {
-		return
-	}
-	held := report.Version(model)
-	drain := LeasedDrain(s.cfg.Fleet.Capacity())
-	lease := s.cfg.Fleet.RequestLoadLease(ctx, LeaseRequest{
-		Model: model, Held: held, For: drain + maxLoadTime, Remaining: last.Sub(now), Drain: drain,
-		NewerIn: s.newerIn(model, want), Running: report.Running + report.Queued, DrainsAhead: true,
-	})
-	s.leaseAskedAt, s.leaseRetryAt = now, now.Add(lease.RetryAfter)
-	if !lease.Granted {
-		s.leasesRefused++
-	}
-	s.lease = lease
-}
-
-// newerIn returns the expected time until a version newer than t is complete, or 0 if there is none or
-// nothing can be said because the origin fails.
-func (s *Stager) newerIn(model string, t target) time.Duration {
-	newest := s.target(model)
-	if newest.version <= t.version || s.originStatus.Failing() {
-		return 0
-	}
-	d := Download{Named: newest.firstSeen}
-	if set := s.holdings.lookup(model, newest.version); set != nil {
-		d.Have, d.Total = set.Len(), len(set.Manifest().Chunks)
-	}
-	return TimeToComplete(d, Download{Named: t.firstSeen, Completed: t.completedAt}, time.Now())
-}
-
 // logAndBackOff logs a failed step and waits before the next one.
 func (s *Stager) logAndBackOff(ctx context.Context, what, model string, version int64, err error) {
 	if ctx.Err() != nil {
