--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -11,7 +11,7 @@
 packages=$(go list ./... | grep -vE '/(standalone/session|swarm)$')
 for try in 1 2 3 4 5; do
   # shellcheck disable=SC2086 # one word for each package
-  go test -race -timeout 10m -skip "$1" $packages 2>&1 | tee "$out"
+  go test -race -timeout 20m -skip "$1" $packages 2>&1 | tee "$out"
   [ "${PIPESTATUS[0]}" = 0 ] && exit 0
   grep -qE '^--- FAIL|DATA RACE|^panic:' "$out" && exit 1
   grep -qE 'ThreadSanitizer: CHECK failed|SIGSEGV: segmentation violation' "$out" || exit 1
