stage: what was staged ahead is remembered for each model

Cause: one value was kept for all models, so an endpoint with two models that both wait for a lease would have staged each of them again at every step. Change: a map by model.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -163,7 +163,7 @@
 mutant "ends that another request explains count" gateway/poison/table.go 's/if q.Explains\(&other.Record\)/if false/' ./gateway/poison 'TestSharedCrashes'
 mutant "changes without room are not paced" leases/pace.go 's/< needed-n.out &&/< p.Endpoints \&\&/' ./sidecar/stage 'TestAFleetUnderLoad'
 mutant "nobody waits for a newer version" leases/pace.go 's/return p.NewerIn > 0 && /return false \&\& /' ./leases 'TestDecide|TestNeeded'
-mutant "a complete version is staged with its lease only" sidecar/stage/placing.go 's/if s.staged == now \{/if true {/' ./sidecar/stage 'TestACompleteVersionSurvives'
+mutant "a complete version is staged with its lease only" sidecar/stage/placing.go 's/if s.staged\[model\] == now \{/if true {/' ./sidecar/stage 'TestACompleteVersionSurvives'
 mutant "endpoints that were replaced are used" roster/replaced.go 's/if since\[id\] </if false \&\& since[id] </' ./gateway/endpoints 'TestAnEndpointAtWhoseAddress'
 mutant "a token for a moment later is not waited for" gateway/proxy/pick.go 's/opensIn = d$/opensIn = 0*d/m' ./gateway/proxy 'TestARequestWaitsForACold'
 mutant "busy endpoints change first" leases/turns.go 's/if w.Running < n &&/if w.Running < 0 \&\&/' ./leases 'TestDecide'
--- a/sidecar/stage/placing.go
+++ b/sidecar/stage/placing.go
@@ -27,7 +27,6 @@
 
 // stagedVersion is a version that is staged at the endpoint since the endpoint's start.
 type stagedVersion struct {
-	model       string
 	version     int64
 	startMillis int64
 }
@@ -36,14 +35,14 @@
 // for a lease. The staging area outlives this process: without it, VMs that all lose their memory would
 // read the version from the origin again, and an endpoint that restarts would wait for the chunks.
 func (s *Stager) stageAhead(ctx context.Context, model string, report *Report, want target, set *weights.Set) error {
-	now := stagedVersion{model: model, version: want.version, startMillis: report.StartMillis}
-	if s.staged == now {
+	now := stagedVersion{version: want.version, startMillis: report.StartMillis}
+	if s.staged[model] == now {
 		return nil
 	}
 	if err := s.placeAll(ctx, model, set); err != nil {
 		return err
 	}
-	s.staged = now
+	s.staged[model] = now
 	return nil
 }
 
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -64,8 +64,8 @@
 	// leasesRefused counts the refused requests since the last load. Used only by Run.
 	leasesRefused int
 
-	// staged is the version that was last staged ahead of its load. Used only by Run.
-	staged stagedVersion
+	// staged holds by model the version that was last staged ahead of its load. Used only by Run.
+	staged map[string]stagedVersion
 
 	// orderSem is a binary semaphore. It is held while an order is sent, and from reading the
 	// sequence number to sending an unload order that is based on it.
@@ -99,6 +99,7 @@
 		complete:   map[string]target{},
 		superseded: map[string][]target{},
 		loading:    map[string]int64{},
+		staged:     map[string]stagedVersion{},
 
 		fetchWake:    make(chan struct{}, 1),
 		originStatus: &swarm.OriginStatus{},
