--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -255,12 +255,22 @@
 // expectedTimes returns the expected times of a stream that is sent to e. A cold endpoint, which has
 // fewer places, is the more loaded.
 func (e *endpoint) expectedTimes(w *work.Stream, load float64, now time.Time) work.Times {
-	return e.speed.Times(w, load*float64(max(e.record.Slots, 1))/max(e.places(now), 1), e.prefill)
+	return e.speed.Times(w, e.perPlace(load, now), e.prefill)
 }
 
-// perPlace converts a load per slot of e to one per place.
-func (e *endpoint) perPlace(load float64) float64 {
-	return load * float64(max(e.record.Slots, 1)) / e.speed.Places
+// fit returns whether w can be served in time at e.
+func (e *endpoint) fit(w *work.Stream, load float64, now time.Time) work.Fit {
+	return e.speed.Fit(w, e.perPlace(load, now), e.prefill)
+}
+
+// perPlace converts a load per slot of e to one per place. Where the time of a mean stream is unknown,
+// a rate limit takes no places.
+func (e *endpoint) perPlace(load float64, now time.Time) float64 {
+	places := e.speed.Places
+	if e.speed.MeanTime > 0 {
+		places = max(e.places(now), 1)
+	}
+	return load * float64(max(e.record.Slots, 1)) / places
 }
 
 // totalInFlight returns the outstanding requests of all gateways at e. The counts of other
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -21,7 +21,7 @@
 	reloadCost = 0.5
 	// lateCost applies to a slow endpoint at which the first event is expected too late.
 	lateCost = 0.2
-	// slowCost is multiplied by the share of its slots that a slow endpoint lacks in places. Such an
+	// slowCost is multiplied by the share of its slots that a slow or cold endpoint lacks in places. Such an
 	// endpoint is then less loaded than others at any load of the service, and still takes
 	// requests before callers are refused.
 	slowCost = 0.45
@@ -255,7 +255,7 @@
 // addOpen adds an endpoint that accepts requests to c. limit is the load at which it is full, or 0.
 func (b *Balancer) addOpen(c *candidates, e *endpoint, q *Query, limit float64, now time.Time) {
 	load := b.load(e)
-	fit := e.speed.Fit(&q.Work, e.perPlace(load), e.prefill)
+	fit := e.fit(&q.Work, load, now)
 	switch {
 	case fit == work.NeverEnds:
 		c.neverEnds = true
@@ -304,9 +304,19 @@
 		Prefill:       time.Duration(e.speed.Pace * float64(e.prefill)),
 		OtherZone:     e.record.Zone != b.cfg.Zone,
 		Preferred:     e.preferred || e.rateLimited(now),
-		Lacking:       1 - e.speed.Places/float64(max(e.record.Slots, 1)),
-		Late:          e.speed.Fit(&q.Work, e.perPlace(load), e.prefill) == work.BeginsLate,
+		Lacking:       e.lacking(now),
+		Late:          e.fit(&q.Work, load, now) == work.BeginsLate,
 		ReloadPending: e.reloadPending(q),
 		Random:        b.cfg.Random(),
 	})
 }
+
+// lacking returns the share of the slots of e that are no places. A limit that e declares does not count:
+// only answers to requests show when it has ended.
+func (e *endpoint) lacking(now time.Time) float64 {
+	places := e.speed.Places
+	if e.speed.MeanTime > 0 && !e.advisory.limit.declared {
+		places = e.places(now)
+	}
+	return 1 - places/float64(max(e.record.Slots, 1))
+}
--- a/gateway/balance/cold_test.go
+++ b/gateway/balance/cold_test.go
@@ -251,6 +251,46 @@
 		}
 		Expect(times(0)).To(BeNumerically(">", times(10_000)))
 	})
+
+	// beside returns a Balancer with the cold endpoint e0, which it holds and which bears two requests
+	// a second, so that it has less than a third of 12 places, and e1. Each has the given number of requests.
+	beside := func(e0, e1 int) *balance.Balancer {
+		l := engineEndpoints(2)
+		l.Endpoints["e0"].ColdUntil = at(5000)
+		others := map[string]int{"e0": e0, "e1": e1}
+		b := balance.New(balance.Config{Zone: "a", OtherLoad: func(of roster.Incarnation) int { return others[of.ID] }, Random: zeroRandom})
+		b.SetColdLimits(twoPerSecond)
+		b.Update(l)
+		b.SetPreferred(map[string]bool{"e0": true, "e1": true})
+		return withHeld(withEngine(b), "e0")
+	}
+	chosen := func(b *balance.Balancer, q balance.Query, ms int) string { return pick(b, q, at(ms)).Record.ID }
+
+	It("make it less loaded than others by those that it lacks", func() {
+		Expect(chosen(beside(0, 3), q, 600)).To(Equal("e1"))
+		Expect(chosen(beside(0, 5), q, 600)).To(Equal("e0"))
+		Expect(chosen(beside(0, 3), q, 5000)).To(Equal("e0"), "once it is warm")
+	})
+	It("do not keep requests from one that declares a limit, whose answers show when that ends", func() {
+		b := beside(0, 3)
+		l := pick(b, balance.Query{Service: "s", Include: []string{"e0"}}, at(600))
+		l.ApplyAdvisory(advisory.Advisory{Limit: advisory.PerSecond(2)}, at(600), at(600))
+		l.Done(balance.Served, at(600))
+		Expect(chosen(b, q, 1200)).To(Equal("e0"))
+	})
+	It("do not make it less loaded while nothing is known of its engine", func() {
+		b := beside(0, 3)
+		b.SetServices(nil)
+		Expect(chosen(b, q, 600)).To(Equal("e0"))
+	})
+	It("let a stream with little time left go to another", func() {
+		with := q
+		with.Work = stream(200, 2750*time.Millisecond) // 40 passes take 2.6 s at e1, and .3 s more at a full endpoint
+		Expect(chosen(beside(3, 8), with, 600)).To(Equal("e1"))
+		Expect(chosen(beside(3, 8), with, 5000)).To(Equal("e0"), "once it is warm")
+		with.Work = stream(200, time.Minute)
+		Expect(chosen(beside(3, 8), with, 600)).To(Equal("e0"))
+	})
 })
 
 var _ = Describe("An endpoint that says that it is cold", func() {
