--- a/gateway/balance/advisory.go
+++ b/gateway/balance/advisory.go
@@ -170,6 +170,7 @@
 	first := len(a.Unreadable) > 0 && !s.unreadable
 	s.unreadable = s.unreadable || first
 	s.extendCold(a.Cold, now)
+	defer l.shard.note(l.endpoint, now)
 	change := AdvisoryChange{
 		Limit:           s.limit.observe(a.Limit, sentAt, now),
 		NowLeaving:      s.markLeaving(a.Leaving),
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -160,7 +160,7 @@
 	for name, records := range byService {
 		s := b.services[name]
 		if s == nil {
-			s = &shard{endpoints: map[string]*endpoint{}, evacuated: b.evacuated, coldLimit: b.coldLimits[name], engines: b.engines[name]}
+			s = &shard{endpoints: map[string]*endpoint{}, busy: map[*endpoint]bool{}, evacuated: b.evacuated, coldLimit: b.coldLimits[name], engines: b.engines[name]}
 			b.services[name] = s
 		}
 		b.updateShard(s, records)
@@ -193,7 +193,7 @@
 		return nil, err
 	}
 	expected := chosen.expectedTimes(&q.Work, b.load(chosen), now)
-	chosen.addRequest(now)
+	s.addRequest(chosen, now)
 	chosen.advisory.limit.noteSent(now)
 	chosen.prefill += q.Prefill
 	chosen.health.beginProbe(now)
@@ -206,6 +206,7 @@
 		for id, e := range s.endpoints {
 			e.preferred = ids[id]
 		}
+		s.index.current = false
 	})
 }
 
--- a/gateway/balance/choice.go
+++ b/gateway/balance/choice.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/work"
-	"github.com/silverdeck/silverdeck/roster"
 )
 
 // Costs that are added to an endpoint's load, in requests per slot.
@@ -90,83 +89,6 @@
 	return min(limit, shared)
 }
 
-// lowestCost keeps the endpoint with the lowest cost.
-type lowestCost struct {
-	endpoint *endpoint
-	cost     float64
-}
-
-func (c *lowestCost) consider(e *endpoint, cost float64) {
-	if c.endpoint == nil || cost < c.cost {
-		c.endpoint, c.cost = e, cost
-	}
-}
-
-// requestToken returns the endpoint, whose holder the caller asks for a token, or the zero value
-// if there is none.
-func (c *lowestCost) requestToken(now time.Time) roster.Incarnation {
-	if c.endpoint == nil {
-		return roster.Incarnation{}
-	}
-	c.endpoint.advisory.limit.noteTokenRequest(now)
-	return c.endpoint.record.Incarnation()
-}
-
-// candidates holds the endpoints that a request may be sent to.
-type candidates struct {
-	// usable is the best of the endpoints that the gateway prefers and of those that were
-	// sampled. unusable is the best of the ejected, paused, and suspected endpoints.
-	usable, unusable lowestCost
-	// overrun is the best of the usable endpoints at which the stream is expected to be cut off
-	// by its deadline.
-	overrun lowestCost
-	// sameZone and otherZone are samples of the endpoints that other gateways prefer, in
-	// this zone and in others. upToDate is a sample of those that hold the latest weights,
-	// for a request with LatestVersion set.
-	sameZone, otherZone, upToDate reservoir
-	// full is set if an endpoint was left out because it is full. loading is set if a
-	// paused endpoint was left out as not eligible.
-	full, loading bool
-	// neverEnds is set if an endpoint was left out because the stream could not end there in
-	// time.
-	neverEnds bool
-	// opensIn is the shortest time until an endpoint with a rate limit or a back-off
-	// accepts the request; 0 if there is none.
-	opensIn time.Duration
-	// tokenFrom is an endpoint whose holder can be asked for a token. staleLimit is one
-	// that has not been heard from for a long time. Either is nil if there is none.
-	tokenFrom, staleLimit *endpoint
-	// cold is a sample of the cold endpoints whose holders can be asked for a token.
-	cold reservoir
-}
-
-// addUnavailable adds an endpoint that accepts no request until opensIn has passed.
-func (c *candidates) addUnavailable(e *endpoint, opensIn time.Duration, now time.Time) {
-	if c.opensIn == 0 || opensIn < c.opensIn {
-		c.opensIn = opensIn
-	}
-	if e.held {
-		e.advisory.limit.holderBlockedAt = now
-	}
-	if !e.mayRequestToken(now) {
-		return
-	}
-	c.tokenFrom = e
-	if e.advisory.limit.stale(now) {
-		c.staleLimit = e
-	}
-}
-
-// requestToken returns the endpoint whose holder should be asked for a token, if there is
-// one that is not already being asked through Config.OnTokenWanted.
-func (c *candidates) requestToken(now time.Time) roster.Incarnation {
-	if c.tokenFrom == nil || c.tokenFrom == c.staleLimit {
-		return roster.Incarnation{}
-	}
-	c.tokenFrom.advisory.limit.noteTokenRequest(now)
-	return c.tokenFrom.record.Incarnation()
-}
-
 // choose returns the endpoint with the lowest cost among those that the gateway prefers and
 // a small sample of the others, from its own zone and from other zones. An ejected, paused,
 // or suspected endpoint is selected only if there is no other and none is merely full. The
@@ -176,11 +98,6 @@
 	if e := c.staleLimit; e != nil {
 		b.wantToken(e, now)
 	}
-	for _, sampled := range [][]endpointLoad{c.sameZone.items(), c.otherZone.items(), c.upToDate.items()} {
-		for _, x := range sampled {
-			c.usable.consider(x.endpoint, b.cost(x.endpoint, x.load, q, now))
-		}
-	}
 	cold := b.cheapestCold(&c, q, now)
 	switch {
 	case c.usable.endpoint != nil:
@@ -221,80 +138,6 @@
 	b.cfg.OnTokenWanted(e.record.Incarnation())
 }
 
-// candidates returns the endpoints that a request for q may be sent to.
-func (b *Balancer) candidates(s *shard, q *Query, now time.Time) candidates {
-	empty := reservoir{random: b.cfg.Random}
-	c := candidates{sameZone: empty, otherZone: empty, upToDate: empty, cold: empty}
-	usable, preferred := b.preferred(s, q, now)
-	shared := SharedLoad(usable, preferred)
-	if q.Admitted {
-		shared = q.MaxLoad
-	}
-	responds := b.respondingFilter(s, q.MaxIdle, now)
-	for _, e := range s.ordered {
-		if !e.eligible(q) || !responds(e) {
-			c.loading = c.loading || e.included(q) && e.health.paused(now)
-			continue
-		}
-		if opensIn := e.opensIn(now); opensIn > 0 {
-			c.addUnavailable(e, opensIn, now)
-			if e.offersColdToken(now) && b.usable(e, now) {
-				c.cold.add(e, b.load(e))
-			}
-			continue
-		}
-		limit := MaxLoad(q.MaxLoad, shared, e.preferred, preferred > 0)
-		if limit > 0 && e.record.ID == q.Vacated {
-			limit = max(limit, freeSlotLoad)
-		}
-		b.addOpen(&c, e, q, limit, now)
-	}
-	return c
-}
-
-// addOpen adds an endpoint that accepts requests to c. limit is the load at which it is full, or 0.
-func (b *Balancer) addOpen(c *candidates, e *endpoint, q *Query, limit float64, now time.Time) {
-	load := b.load(e)
-	fit := e.fit(&q.Work, load, now)
-	switch {
-	case fit == work.NeverEnds:
-		c.neverEnds = true
-	case limit > 0 && load >= limit:
-		c.full = true
-	case !b.usable(e, now):
-		c.unusable.consider(e, b.cost(e, load, q, now))
-	case fit == work.EndsLate:
-		c.overrun.consider(e, load)
-	case q.LeastLoaded:
-		c.usable.consider(e, load)
-	case q.Vacated != "" && e.record.ID == q.Vacated:
-		c.usable.consider(e, load-vacatedBenefit)
-	case e.preferred || e.rateLimited(now):
-		c.usable.consider(e, b.cost(e, load, q, now))
-	case q.LatestVersion > 0 && !e.reloadPending(q):
-		c.upToDate.add(e, load)
-	case e.record.Zone == b.cfg.Zone:
-		c.sameZone.add(e, load)
-	default:
-		c.otherZone.add(e, load)
-	}
-}
-
-// preferred returns the number of endpoints that the gateway prefers, and how many of them
-// can be used for q.
-func (b *Balancer) preferred(s *shard, q *Query, now time.Time) (usable, preferred int) {
-	for _, e := range s.ordered {
-		if !e.preferred {
-			continue
-		}
-		preferred++
-		if e.eligible(q) && b.usable(e, now) && !e.rateLimited(now) && !e.inBackoff(now) {
-			usable++
-		}
-	}
-	return usable, preferred
-}
-
 // cost returns the cost of selecting e, which has the given load, for q. An endpoint with a
 // rate limit counts as preferred by any gateway that may send there, since no other gateway
 // does so at that time.
--- a/gateway/balance/cold.go
+++ b/gateway/balance/cold.go
@@ -44,6 +44,7 @@
 	for _, e := range s.endpoints {
 		e.applyCold(limit)
 	}
+	s.index.current = false
 }
 
 // applyCold applies the endpoint's record and the service's limit to the rate limit of e.
@@ -78,4 +79,5 @@
 		}
 		e.evacuated = evacuated
 	}
+	s.index.current = false
 }
--- a/gateway/balance/idle.go
+++ b/gateway/balance/idle.go
@@ -73,21 +73,37 @@
 	return activityUnknown
 }
 
-// respondingFilter returns a function that reports whether an endpoint satisfies
-// Query.MaxIdle. The shard's lock must be held.
-func (b *Balancer) respondingFilter(s *shard, maxIdle time.Duration, now time.Time) func(*endpoint) bool {
+// respondingFilter decides which endpoints satisfy Query.MaxIdle. The zero value permits all.
+type respondingFilter struct {
+	balancer      *Balancer
+	maxIdle       time.Duration
+	now           time.Time
+	mayTryUnknown bool
+}
+
+// respondingFilter returns the filter for a selection now. The shard's lock must be held.
+func (b *Balancer) respondingFilter(s *shard, maxIdle time.Duration, now time.Time) respondingFilter {
 	if maxIdle == 0 {
-		return func(*endpoint) bool { return true }
+		return respondingFilter{}
 	}
-	count, tried := map[activity]int{}, false
-	for _, e := range s.ordered {
-		state := b.activity(e, maxIdle, now)
-		count[state]++
-		tried = tried || state == activityUnknown && e.inFlight > 0
+	silent, responding, tried := 0, 0, false
+	for e := range s.busy {
+		switch b.activity(e, maxIdle, now) {
+		case activitySilent:
+			silent++
+		case activityResponding:
+			responding++
+		case activityUnknown:
+			tried = true
+		}
 	}
-	mayTryUnknown := MayTryUnknown(count[activitySilent], count[activityResponding], tried)
-	return func(e *endpoint) bool {
-		state := b.activity(e, maxIdle, now)
-		return state == activityResponding || state == activityUnknown && mayTryUnknown
+	return respondingFilter{balancer: b, maxIdle: maxIdle, now: now, mayTryUnknown: MayTryUnknown(silent, responding, tried)}
+}
+
+func (f *respondingFilter) permits(e *endpoint) bool {
+	if f.maxIdle == 0 {
+		return true
 	}
+	state := f.balancer.activity(e, f.maxIdle, f.now)
+	return state == activityResponding || state == activityUnknown && f.mayTryUnknown
 }
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -92,7 +92,7 @@
 func (l *Lease) Done(o Outcome, now time.Time) {
 	l.shard.mu.Lock()
 	defer l.shard.mu.Unlock()
-	l.endpoint.inFlight--
+	l.shard.removeRequest(l.endpoint)
 	l.releasePrefill()
 	h := &l.endpoint.health
 	change := h.record(o, l.endpoint.inFlight, now)
--- a/gateway/balance/propagation.go
+++ b/gateway/balance/propagation.go
@@ -89,7 +89,7 @@
 func (b *Balancer) MergeAdvisories(records []advisory.Record, now time.Time) []advisory.Record {
 	var changed []advisory.Record
 	for _, r := range records {
-		b.withEndpoint(r.Endpoint, func(e *endpoint) {
+		b.withEndpoint(r.Endpoint, now, func(e *endpoint) {
 			if e.advisory.merge(&r, now) {
 				changed = append(changed, r)
 			}
@@ -108,5 +108,6 @@
 			}
 			e.held = ids[id]
 		}
+		s.index.current = false
 	})
 }
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -17,10 +17,13 @@
 	// ordered holds the endpoints sorted by ID, so that the selection is deterministic for
 	// given random numbers.
 	ordered []*endpoint
+	index   index
 	// byVM holds the endpoints of each VM, from which sidecars send notices.
 	byVM map[string][]*endpoint
 	// observedSlow holds the endpoints that are slow by their streams.
 	observedSlow map[*endpoint]bool
+	// busy holds the endpoints with requests of this gateway.
+	busy map[*endpoint]bool
 	// removed holds endpoints that no longer have a record, by ID.
 	removed map[string]*removedEndpoint
 	// evacuated holds the availability zones that are being evacuated. coldLimit applies to cold
@@ -61,6 +64,9 @@
 	// the resulting speed.
 	pace  float64
 	speed work.Speed
+	// group is the group of the shard's index to which the endpoint belongs, position its position there.
+	group    *group
+	position int
 	// observed is the estimate of pace from the endpoint's streams.
 	observed work.Observations
 }
@@ -74,6 +80,7 @@
 		if records[id] == nil {
 			s.keepRemoved(e)
 			delete(s.endpoints, id)
+			delete(s.busy, e)
 		}
 	}
 	for id, r := range records {
@@ -90,6 +97,7 @@
 		}
 	}
 	s.sortEndpoints()
+	s.index.current = false
 }
 
 // sortEndpoints rebuilds ordered and byVM. The lock must be held.
@@ -121,6 +129,8 @@
 	next.applyCold(s.coldLimit)
 	s.updateSpeed(next)
 	s.endpoints[r.ID] = next
+	delete(s.busy, e)
+	s.index.current = false
 	for _, list := range [][]*endpoint{s.ordered, s.byVM[roster.VM(e.record.Addr)]} {
 		if i := slices.Index(list, e); i >= 0 {
 			list[i] = next
@@ -162,14 +172,23 @@
 	return q.LatestVersion > 0 && e.holds(q.Model) < q.LatestVersion
 }
 
-// addRequest counts a request that is sent now.
-func (e *endpoint) addRequest(now time.Time) {
+// addRequest counts a request that is sent to e now. The lock must be held.
+func (s *shard) addRequest(e *endpoint, now time.Time) {
 	if e.inFlight == 0 {
 		e.busySince = now
+		s.busy[e] = true
 	}
 	e.inFlight++
 }
 
+// removeRequest counts a request that has ended at e. The lock must be held.
+func (s *shard) removeRequest(e *endpoint) {
+	e.inFlight--
+	if e.inFlight == 0 {
+		delete(s.busy, e)
+	}
+}
+
 // holds returns the version of model that the endpoint is known to hold, or 0.
 func (e *endpoint) holds(model string) int64 {
 	if e.announced.Model == model {
--- a/gateway/balance/token.go
+++ b/gateway/balance/token.go
@@ -143,13 +143,13 @@
 // ColdFor returns how long an endpoint will remain cold as far as this gateway knows.
 func (b *Balancer) ColdFor(of roster.Incarnation, now time.Time) time.Duration {
 	var out time.Duration
-	b.withEndpoint(of, func(e *endpoint) { out = max(e.advisory.limit.coldUntil.Sub(now), 0) })
+	b.withEndpoint(of, now, func(e *endpoint) { out = max(e.advisory.limit.coldUntil.Sub(now), 0) })
 	return out
 }
 
 // Grant implements tokens.Granter.
 func (b *Balancer) Grant(gateway string, of roster.Incarnation, coldFor time.Duration, now time.Time) (granted bool, opensIn time.Duration) {
-	b.withEndpoint(of, func(e *endpoint) {
+	b.withEndpoint(of, now, func(e *endpoint) {
 		if !e.held {
 			return
 		}
@@ -174,7 +174,7 @@
 
 // ApplyTokenReply applies the holder's reply to a token request.
 func (b *Balancer) ApplyTokenReply(of roster.Incarnation, r TokenReply, now time.Time) {
-	b.withEndpoint(of, func(e *endpoint) {
+	b.withEndpoint(of, now, func(e *endpoint) {
 		l := &e.advisory.limit
 		if r.Granted {
 			l.tokenFrom = now.Add(r.OpensIn)
@@ -189,10 +189,11 @@
 
 // withEndpoint calls f with the given incarnation of an endpoint, if it is known, with the
 // lock held.
-func (b *Balancer) withEndpoint(of roster.Incarnation, f func(*endpoint)) {
+func (b *Balancer) withEndpoint(of roster.Incarnation, now time.Time, f func(*endpoint)) {
 	b.eachShard(func(s *shard) {
 		if e := s.endpoints[of.ID]; e != nil && e.record.Incarnation().Same(of) {
 			f(e)
+			s.note(e, now)
 		}
 	})
 }
