soak: large requests at endpoints that read slowly, beside others

Cause: in the mix overload endpoints read slowly, but bodies of 48 KB fit into the kernel's buffers, so a gateway never felt it. Change: 32 callers send bodies of 1 to 4 MiB to one gateway. The plain endpoint pauses for 4 ms before each 8 KiB of a body that is longer than 64 KiB, behind a proxy with small segments and buffers: over loopback the kernel takes 3.9 MB for a target that reads nothing, there 67 KB. Checked from outside: a gateway holds no more than .15 of its memory limit of bodies, each 100 ms, and nothing 4 s after the last caller; a large request that a gateway at work took gets an answer, and one that was refused never ran; its body arrives as sent (hash); usual requests at that gateway and at the one with slow readers are served, and served within their target of 200 ms, at most 5 in 100 less often than at the others, which count without these two. Requests at a gateway while it is frozen, killed or kept still are not compared: its process does not run then, and with faults drawn for one gateway more than for others the comparison said nothing of slow readers. Large bodies are recorded as length and hash.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -27,6 +27,11 @@
 	Asked, Served, Refused, Cut, Other atomic.Int64
 }
 
+// String returns the counts for people.
+func (r *Result) String() string {
+	return fmt.Sprintf("%d asked, %d served, %d refused, %d cut, %d others", r.Asked.Load(), r.Served.Load(), r.Refused.Load(), r.Cut.Load(), r.Other.Load())
+}
+
 // caller asks the directory and sends requests, on connections that it keeps.
 type caller struct {
 	world  *world
@@ -39,6 +44,9 @@
 	key     string
 	account string
 	repeats bool
+	// large is set for a sender of large requests. cut are those that got no answer.
+	large bool
+	cut   []largeCut
 	// refused are requests that were promised not to run.
 	mu      sync.Mutex
 	refused []string
@@ -73,6 +81,8 @@
 	streamLimit = 6 * time.Second
 	// plainLimit is how long it waits for a plain answer, as the users' do.
 	plainLimit = 1500 * time.Millisecond
+	// plainTarget is the time within which a plain answer is wanted.
+	plainTarget = 200 * time.Millisecond
 	// resolveLimit is how long it waits for the directory.
 	resolveLimit = time.Second
 	// addressHeld is for how long most callers keep an answer of the directory, and
@@ -139,7 +149,7 @@
 func (c *caller) ask(entry *process, addr string) {
 	q := c.draw(entry)
 	began := time.Now() // before its time begins to count
-	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
+	ctx, cancel := context.WithTimeout(context.Background(), c.patience(&q))
 	defer cancel()
 	var seen sending
 	var served bool
@@ -152,8 +162,8 @@
 		c.world.shares.Note(Class{c.account, q.host()}, served)
 	}
 	ended := time.Now()
-	if !q.stream {
-		c.world.beside.Note(PlainRequest{Gateway: entry.name, Began: began, Ended: ended, Served: served})
+	if !q.stream && !c.large {
+		c.world.beside.Note(PlainRequest{Gateway: entry.name, Began: began, Ended: ended, Served: served, InTime: served && ended.Sub(began) <= plainTarget})
 	}
 	c.world.ledger.ended(entry.name, ended)
 	if err != nil {
@@ -161,6 +171,7 @@
 		limit := began.Add(q.limit.Truncate(time.Millisecond))
 		c.noteCut(&Exchange{ID: q.id, Gateway: entry.name, End: ended, Limit: limit, Begun: resp != nil}, &seen)
 		c.checkStop(entry, q.id, began, ended, limit, err)
+		c.noteLargeCut(entry.name, q.id, began, ended, &seen, err)
 	}
 	c.checkRuns(&q)
 	if err == nil {
@@ -283,7 +294,7 @@
 	if !q.stream && run.Count > 1 {
 		c.world.witness.AddViolation("request %s ran %d times", q.id, run.Count)
 	}
-	if run.Body != q.body || run.Tenant != c.account {
+	if run.Body != standin.Summarize(q.body) || run.Tenant != c.account {
 		c.world.witness.AddViolation("request %s ran as %q for %q", q.id, run.Body, run.Tenant)
 	}
 }
--- a/soak/configure.go
+++ b/soak/configure.go
@@ -17,11 +17,12 @@
 		Version: w.configVersion,
 		Routes: append([]standin.Route{
 			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond, Priority: w.streamRank(), AllowedRegions: w.streamRegions},
-			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, Priority: standin.DefaultRank},
+			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: plainTarget, Priority: standin.DefaultRank},
 		}, append(w.overloadRoutes(), w.otherRoutes()...)...),
 		Model: model, ModelService: modelService, PlainService: plainService,
 		Origin:  w.addr(251, portOrigin),
 		Account: accountName, Key: apiKey, OtherAccounts: w.otherAccounts(),
+		MaxBody:   w.maxBody(),
 		Engine:    w.engine(),
 		ColdStart: coldTime, ColdPerSecond: w.coldPerSecond(),
 	})
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -31,8 +31,8 @@
 	// away.
 	MixPlaces Mix = "places"
 	// MixOverload has more streams of two ranks and two client accounts than the runners can
-	// serve, and callers and runners that read slowly, beside gateways that are killed, stopped,
-	// frozen and cut off.
+	// serve, and callers and runners that read slowly, large answers and large requests, beside
+	// gateways that are killed, stopped, frozen and cut off.
 	MixOverload Mix = "overload"
 )
 
--- a/soak/overload.go
+++ b/soak/overload.go
@@ -69,6 +69,15 @@
 	return float64(s.served) / float64(max(s.asked, 1))
 }
 
+// count returns s with one more request.
+func (s share) count(served bool) share {
+	s.asked++
+	if served {
+		s.served++
+	}
+	return s
+}
+
 // Shares counts requests by class. It is safe for concurrent use.
 type Shares struct {
 	mu sync.Mutex
@@ -84,12 +93,7 @@
 func (s *Shares) Note(k Class, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := s.by[k]
-	n.asked++
-	if served {
-		n.served++
-	}
-	s.by[k] = n
+	s.by[k] = s.by[k].count(served)
 }
 
 // sum adds up the classes for which keep returns true.
@@ -128,12 +132,12 @@
 	return out
 }
 
-// prepareOverload sets the slots of runner i. The plain one has some for each slow reader, so that
-// only gateways can be short of anything.
+// prepareOverload sets the slots of runner i. The plain one has some for each slow reader
+// and each sender of large requests, so that only gateways can be short of anything.
 func prepareOverload(s *slot, i int) {
 	s.cfg.Slots = overloadSlots
 	if i == 0 {
-		s.cfg.Slots, s.cfg.LongAnswer = 2*slowReaders, longAnswer
+		s.cfg.Slots, s.cfg.LongAnswer, s.cfg.LargePause = 2*(slowReaders+largeSenders), longAnswer, largePause
 	}
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -27,6 +27,10 @@
 	disturbed, planned time.Time
 	// stops, reloads and faults are all such times.
 	stops, reloads, faults []time.Time
+	// frozenAt is when it was frozen, or zero while it runs. away are the times in which it did not
+	// run, or had just begun to.
+	frozenAt time.Time
+	away     []Span
 	// replacement is the program that takes the place of program, or empty; replacedAt is when
 	// it did.
 	replacement string
@@ -97,9 +101,31 @@
 		p.faults = append(p.faults, now)
 		p.asked = p.asked || s == syscall.SIGKILL
 	}
+	p.noteAway(s, now)
 	_ = p.command.Process.Signal(s)
 }
 
+// noteAway notes when a signal keeps the program from running. The caller holds the lock.
+func (p *process) noteAway(s syscall.Signal, now time.Time) {
+	switch {
+	case s == syscall.SIGSTOP && p.frozenAt.IsZero():
+		p.frozenAt = now
+	case s == syscall.SIGCONT && !p.frozenAt.IsZero():
+		p.away = append(p.away, Span{From: p.frozenAt, To: now.Add(restartPause)})
+		p.frozenAt = time.Time{}
+	case s == syscall.SIGKILL:
+		p.away = append(p.away, Span{From: now, To: now.Add(faultMemory)})
+	}
+}
+
+// isAway returns whether the program did not run, or had just begun to, at some time of a span.
+func (p *process) isAway(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := History{Faults: p.away}
+	return h.faultWithin(from, to)
+}
+
 // Gaps of a series of signals, as of a supervisor that asks again.
 const (
 	// askedAgain is when a process is asked to stop once more, in the middle of its stop.
@@ -153,6 +179,8 @@
 	if p.command == nil || p.command.Process == nil {
 		return
 	}
+	now := time.Now()
+	p.away = append(p.away, Span{From: now, To: now.Add(d + restartPause)})
 	running := p.command.Process
 	_ = running.Signal(syscall.SIGSTOP)
 	time.AfterFunc(d, func() { _ = running.Signal(syscall.SIGCONT) })
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,10 +4,12 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 // Proxy passes TCP connections on to a target. It is safe for concurrent use.
 type Proxy struct {
 	addr, target string
+	// narrow is described at NewNarrowProxy.
+	narrow bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -36,13 +40,33 @@
 
 // NewProxy starts a Proxy on addr before target.
 func NewProxy(addr, target string) (*Proxy, error) {
-	l, err := net.Listen("tcp4", addr)
-	if err != nil {
-		return nil, err
-	}
-	p := &Proxy{addr: addr, target: target, listener: l, conns: map[net.Conn]bool{}}
-	go p.accept(l)
-	return p, nil
+	p := &Proxy{addr: addr, target: target, conns: map[net.Conn]bool{}}
+	return p, p.listen(true)
+}
+
+// Sizes of a narrow proxy, in bytes.
+const (
+	// narrowBuffer is the size of its socket buffers.
+	narrowBuffer = 8 << 10
+	// narrowSegment is that of its segments, as on a network.
+	narrowSegment = 1460
+)
+
+// NewNarrowProxy starts a Proxy that takes little more than its target has read. Otherwise, the
+// kernel takes several megabytes for a target on the same machine.
+func NewNarrowProxy(addr, target string) (*Proxy, error) {
+	p := &Proxy{addr: addr, target: target, narrow: true, conns: map[net.Conn]bool{}}
+	return p, p.listen(true)
+}
+
+// listenNarrow makes the connections of a listener narrow.
+func listenNarrow(_, _ string, c syscall.RawConn) error {
+	var err error
+	failed := c.Control(func(fd uintptr) {
+		err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, narrowBuffer),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, narrowSegment))
+	})
+	return errors.Join(failed, err)
 }
 
 // Set changes how connections are treated.
@@ -50,7 +74,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = l
-	p.listen(!l.Gone)
+	_ = p.listen(!l.Gone) // as if it had not come back; the next change tries again
 	if !l.Refuse && !l.Gone {
 		return
 	}
@@ -60,21 +84,26 @@
 }
 
 // listen takes new connections, or takes none any more. The caller holds the lock.
-func (p *Proxy) listen(wanted bool) {
+func (p *Proxy) listen(wanted bool) error {
 	if wanted == (p.listener != nil) {
-		return
+		return nil
 	}
 	if !wanted {
 		_ = p.listener.Close()
 		p.listener = nil
-		return
+		return nil
+	}
+	var cfg net.ListenConfig
+	if p.narrow {
+		cfg.Control = listenNarrow
 	}
-	l, err := net.Listen("tcp4", p.addr)
+	l, err := cfg.Listen(context.Background(), "tcp4", p.addr)
 	if err != nil {
-		return // as if it had not come back; the next change tries again
+		return err
 	}
 	p.listener = l
 	go p.accept(l)
+	return nil
 }
 
 // Close ends the proxy and its connections.
@@ -108,6 +137,9 @@
 		reset(near)
 		return
 	}
+	if tcp, ok := far.(*net.TCPConn); ok && p.narrow {
+		_ = tcp.SetWriteBuffer(narrowBuffer) // fails only if the connection has ended
+	}
 	p.keep(near, far)
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(far, near, func(l Link) bool { return l.SilentOut }) })
--- a/soak/question.go
+++ b/soak/question.go
@@ -30,6 +30,9 @@
 	if c.random.IntN(20) == 0 {
 		q.limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
 	}
+	if c.large {
+		c.enlarge(&q)
+	}
 	return q
 }
 
--- a/soak/sending.go
+++ b/soak/sending.go
@@ -9,9 +9,9 @@
 
 // sending is how far the sending of a request came. It is safe for concurrent use.
 type sending struct {
-	mu   sync.Mutex
-	kept bool
-	at   time.Time
+	mu              sync.Mutex
+	connected, kept bool
+	at              time.Time
 }
 
 // trace returns ctx so that a request with it is followed.
@@ -20,7 +20,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.kept = info.Reused
+			s.connected, s.kept = true, info.Reused
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			s.mu.Lock()
@@ -39,3 +39,10 @@
 	defer s.mu.Unlock()
 	return s.kept, s.at, !s.at.IsZero()
 }
+
+// isConnected returns whether there was a connection for the request.
+func (s *sending) isConnected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connected
+}
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -56,9 +57,11 @@
 	Gateway      string
 	Began, Ended time.Time
 	Served       bool
+	// InTime is set for one that was served within the target.
+	InTime bool
 }
 
-// Beside holds the plain requests of usual callers beside slow readers. It is safe for concurrent
+// Beside holds the plain requests of usual callers beside slow readers and large requests. It is safe for concurrent
 // use.
 type Beside struct {
 	mu  sync.Mutex
@@ -72,34 +75,52 @@
 	b.all = append(b.all, r)
 }
 
-// Judge returns a line if requests at the gateway slow, which has slow readers, were served less often
-// than at others. held returns whether a gateway was at work from one time to another.
-func (b *Beside) Judge(slow string, held func(gateway string, from, to time.Time) bool) []string {
+// Judge returns a line for each of the gateways in beside, which have slow readers or large
+// requests, where requests were served, or served in time, less often than at the others. held
+// returns whether a gateway was at work from one time to another.
+func (b *Beside) Judge(beside []string, held func(gateway string, from, to time.Time) bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var there, elsewhere share
+	served, inTime := map[string]share{}, map[string]share{}
 	for _, r := range b.all {
 		if !held(r.Gateway, r.Began, r.Ended) {
 			continue
 		}
-		s := &elsewhere
-		if r.Gateway == slow {
-			s = &there
-		}
-		s.asked++
-		if r.Served {
-			s.served++
+		where := elsewhere
+		if slices.Contains(beside, r.Gateway) {
+			where = r.Gateway
 		}
+		served[where] = served[where].count(r.Served)
+		inTime[where] = inTime[where].count(r.InTime)
+	}
+	var out []string
+	for _, gateway := range beside {
+		out = append(out, compareBeside(gateway, "served", served)...)
+		out = append(out, compareBeside(gateway, "served in time", inTime)...)
 	}
-	if min(there.asked, elsewhere.asked) < minHeldUp || there.ratio() >= elsewhere.ratio()-heldUpSlack {
+	return out
+}
+
+// elsewhere stands for the gateways without slow readers and large requests.
+const elsewhere = ""
+
+// compareBeside returns a line if the share of a gateway is smaller than that elsewhere.
+func compareBeside(gateway, what string, shares map[string]share) []string {
+	there, others := shares[gateway], shares[elsewhere]
+	if min(there.asked, others.asked) < minHeldUp || there.ratio() >= others.ratio()-heldUpSlack {
 		return nil
 	}
-	return []string{fmt.Sprintf("beside slow readers %d of %d were served, elsewhere %d of %d", there.served, there.asked, elsewhere.served, elsewhere.asked)}
+	return []string{fmt.Sprintf("beside slow readers and large requests at %s %d of %d were %s, elsewhere %d of %d", gateway, there.served, there.asked, what, others.served, others.asked)}
 }
 
-// isAtWork implements heldFunc for gateways that were not asked to stop shortly before either: one
-// that starts again has no configuration at first.
+// isAtWork implements heldFunc for gateways that ran all the time and were not asked to stop shortly
+// before either: one that starts again has no configuration at first.
 func (w *world) isAtWork(gateway string, from, to time.Time) bool {
+	for _, p := range w.entries {
+		if p.name == gateway && p.isAway(from, to) {
+			return false
+		}
+	}
 	for _, stop := range w.history(gateway).Stops {
 		if stop.Before(to) && stop.Add(plannedWindow).After(from) {
 			return false
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,10 @@
 	Asked, Served, Refused, Cut, Others int64
 	// MemoryKB is the most that one of our processes held, in kilobytes.
 	MemoryKB int
+	// Large counts the large requests in words, BodyBytes is the most that a gateway held of bodies.
+	// Both are empty but in MixOverload.
+	Large     string
+	BodyBytes int
 	// Ended is how many endpoints ended under the request that ends them, LateSends how many
 	// times it reached one once all gateways in touch must have known.
 	Ended, LateSends int
@@ -25,8 +29,12 @@
 
 // String returns the report for people.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d ended under one request, %d KB held at the most, %d promises broken",
-		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.Ended, r.MemoryKB, len(r.Broken))
+	large := ""
+	if r.Large != "" {
+		large = fmt.Sprintf(", %d KB of bodies; large requests: %s", r.BodyBytes>>10, r.Large)
+	}
+	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d ended under one request, %d KB held at the most, %d promises broken%s",
+		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.Ended, r.MemoryKB, len(r.Broken), large)
 }
 
 // Limits of a soak.
@@ -63,6 +71,9 @@
 	defer cancel()
 	go w.heartbeats(ctx)
 	go w.lookAtMemory(ctx)
+	for i := range w.entries {
+		go w.lookAtBodies(ctx, i)
+	}
 	result := &Result{}
 	w.play(result, report)
 	for _, line := range w.ledger.judge(w.history, platformBounds) {
@@ -75,7 +86,8 @@
 		w.witness.AddViolation("%s", line)
 	}
 	if w.cfg.Mix == MixOverload {
-		for _, line := range w.beside.Judge(w.entries[0].name, w.isAtWork) {
+		report.Large = w.large.String()
+		for _, line := range w.beside.Judge([]string{w.entries[0].name, w.entries[w.largeEntry()].name}, w.isAtWork) {
 			w.witness.AddViolation("%s", line)
 		}
 	}
@@ -90,6 +102,7 @@
 	report.MemoryKB = w.checkProcesses()
 	report.Asked, report.Served, report.Refused = result.Asked.Load(), result.Served.Load(), result.Refused.Load()
 	report.Cut, report.Others = result.Cut.Load(), result.Other.Load()
+	report.BodyBytes = w.mostBodies
 	report.Broken = w.witness.Violations()
 	return report, nil
 }
@@ -106,6 +119,7 @@
 		asking.Go(func() { c.run(ctx) })
 	}
 	w.startSlowReaders(ctx, &asking)
+	all = append(all, w.sendLarge(ctx, &asking)...)
 	if w.cfg.Previous != "" {
 		asking.Go(func() { w.upgrade(ctx) })
 	}
@@ -119,6 +133,7 @@
 	w.checkReleased()
 	for _, c := range all {
 		c.checkPromises()
+		c.checkLarge()
 	}
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -93,6 +93,8 @@
 	places      *places
 	shares      *Shares
 	beside      *Beside
+	// large counts the large requests.
+	large *Result
 
 	mu sync.Mutex
 	// changes are the configurations that were written, faults what disturbed endpoints
@@ -101,13 +103,15 @@
 	faults  []Span
 	// streamRegions are the regions that the configuration allows for streams.
 	streamRegions []string
+	// mostBodies is the most that the bodies of a gateway took, in bytes.
+	mostBodies int
 }
 
 // newWorld starts everything.
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(), beside: &Beside{},
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(), beside: &Beside{}, large: &Result{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -169,7 +173,11 @@
 	if err := w.serve(w.addr(host, portDirect), s); err != nil {
 		return err
 	}
-	link, err := NewProxy(w.addr(host, portRunner), w.addr(host, portDirect))
+	newProxy := NewProxy
+	if w.cfg.Mix == MixOverload && i == 0 {
+		newProxy = NewNarrowProxy
+	}
+	link, err := newProxy(w.addr(host, portRunner), w.addr(host, portDirect))
 	if err != nil {
 		return err
 	}
--- a/standin/format.go
+++ b/standin/format.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -88,6 +89,8 @@
 	Model, ModelService, PlainService string
 	Origin                            string
 	Account, Key                      string
+	// MaxBody is the size limit of a request body in bytes, by default defaultMaxBody.
+	MaxBody int
 	// OtherAccounts are the client accounts beside Account.
 	OtherAccounts []Account
 	// Engine describes the endpoints of ModelService.
@@ -123,6 +126,9 @@
 // DefaultPathPrefix is the path prefix of routes without a Prefix.
 const DefaultPathPrefix = "/go/"
 
+// defaultMaxBody is the default of Configuration.MaxBody.
+const defaultMaxBody = 1 << 16
+
 type jsonObject = map[string]any
 
 // Configure writes the operator's configuration, as the object "main" of the kind "config".
@@ -141,7 +147,7 @@
 			jsonObject{"name": c.PlainService, "max_connections": 200},
 			jsonObject{"name": "weights", "origin": c.Origin, "link_mbps": 1000},
 		},
-		"limits":  jsonObject{"max_body_bytes": 1 << 16, "idle_timeout_ms": 15000},
+		"limits":  jsonObject{"max_body_bytes": cmp.Or(c.MaxBody, defaultMaxBody), "idle_timeout_ms": 15000},
 		"tenants": c.accounts(),
 	})
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -45,6 +45,8 @@
 	// LongAnswer is the size in bytes of the answers to requests whose bodies begin with
 	// LongAnswer.
 	LongAnswer int
+	// LargePause is the time between two parts that the runner reads of a body from LargeBody on.
+	LargePause time.Duration
 	// Cold is how long the runner is cold after its start.
 	Cold time.Duration
 	// OnArrival, if not nil, is called for each request meant for this runner, with the IDs of
@@ -217,7 +219,7 @@
 
 // run executes a request that has a slot.
 func (r *Runner) run(w http.ResponseWriter, q *http.Request, id string, body []byte) {
-	r.cfg.Recorder.RunStarted(id, string(body), q.Header.Get("X-Silverdeck-Tenant"))
+	r.cfg.Recorder.RunStarted(id, Summarize(string(body)), q.Header.Get("X-Silverdeck-Tenant"))
 	aborted := false
 	defer func() { r.cfg.Recorder.RunEnded(id, aborted) }()
 	if r.cfg.CrashOn != nil && r.cfg.CrashOn(id, string(body)) {
--- a/standin/slow.go
+++ b/standin/slow.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -11,6 +13,9 @@
 // LongAnswer is how bodies of requests begin that ask for an answer of RunnerConfig.LongAnswer bytes.
 const LongAnswer = "long answer "
 
+// LargeBody is the size in bytes from which on a body is summarized and RunnerConfig.LargePause holds.
+const LargeBody = 64 << 10
+
 // readPart is how much a runner reads at a time while it reads slowly.
 const readPart = 8 << 10
 
@@ -28,6 +33,9 @@
 		r.mu.Lock()
 		pause := r.readPause
 		r.mu.Unlock()
+		if out.Len() >= LargeBody {
+			pause = max(pause, r.cfg.LargePause)
+		}
 		time.Sleep(pause)
 		if _, err := io.CopyN(&out, body, readPart); errors.Is(err, io.EOF) {
 			return out.Bytes(), nil
@@ -37,6 +45,14 @@
 	}
 }
 
+// Summarize returns body, or the length and the hash of one that is too large to be kept.
+func Summarize(body string) string {
+	if len(body) < LargeBody {
+		return body
+	}
+	return fmt.Sprintf("%d bytes %x", len(body), sha256.Sum256([]byte(body)))
+}
+
 // writeAnswer writes the answer of a plain endpoint.
 func (r *Runner) writeAnswer(w io.Writer, id, body string) {
 	if !strings.HasPrefix(body, LongAnswer) {
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -29,9 +29,9 @@
 	r.aborted = make(chan struct{})
 }
 
-// ResponseBody returns the response body of a plain endpoint.
+// ResponseBody returns the response body of a plain endpoint. A large body is summarized in it.
 func ResponseBody(id, body string) string {
-	return "answer to " + id + ": " + body
+	return "answer to " + id + ": " + Summarize(body)
 }
 
 // FormatEvent returns event n of a stream in the format of server-sent events.
