--- a/scripts/race-sessions.sh
+++ b/scripts/race-sessions.sh
@@ -14,13 +14,15 @@
 for package in standalone/session swarm; do
   go test -race -c -o "$root/out/race.test" "./$package" || exit 1
   cd "$root/$package" || exit 1
-  for t in $("$root/out/race.test" -test.list .); do
+  tests=$("$root/out/race.test" -test.list .) && [ -n "$tests" ] || exit 1
+  for t in $tests; do
     status=1
     for try in 1 2 3 4 5; do
       "$root/out/race.test" -test.timeout 2m -test.run "^$t\$" -test.skip "$1" >"$out" 2>&1
       status=$?
       [ $status = 0 ] && break
       grep -qE '^--- FAIL|DATA RACE|^panic:' "$out" && break
+      grep -E '^fatal error:' "$out" | grep -qv 'unexpected signal' && break
       grep -qE 'ThreadSanitizer: CHECK failed|SIGSEGV: segmentation violation' "$out" || break
       echo "$t: the race detector itself died, try $try"
     done
