--- a/serve/reloadable.go
+++ b/serve/reloadable.go
@@ -68,6 +68,11 @@
 	return s, nil
 }
 
+// Addr returns the address at which the server listens.
+func (s *Reloadable) Addr() net.Addr {
+	return s.listener.Addr()
+}
+
 func listenTCP(addr string) (*net.TCPListener, error) {
 	a, err := net.ResolveTCPAddr("tcp4", addr)
 	if err != nil {
