member: whether a datagram is lost does not depend on the order of goroutines

Cause: all links of the fleet drew from one generator, in the order in which goroutines came, and the balancers from one without a seed: in tests with one datagram in 20 lost and a bound of 600 ms each run lost others. Change: each link and each balancer has draws of its own, seeded by its name. The rates, the bounds and the sizes stay. Measured: member under the race detector green; the two tests with loss at 6 gateways 400 times green before and after, so no failure is put down to this.

--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -28,8 +29,10 @@
 	*WithT
 	ctx context.Context
 
-	mu       sync.Mutex
-	random   *rand.Rand
+	mu sync.Mutex
+	// links has the draws for the datagrams from one gateway to another, so that the fate of a
+	// datagram does not depend on the order in which goroutines run.
+	links    map[[2]string]*rand.Rand
 	loss     float64
 	gateways map[string]*node
 	// blocked returns whether datagrams from one gateway to another, by name, are dropped.
@@ -120,11 +123,12 @@
 	s := f.sent[from]
 	f.sent[from] = traffic{datagrams: s.datagrams + 1, bytes: s.bytes + len(p)}
 	n := f.gateways[to]
-	if n == nil || f.random.Float64() < f.loss || (f.blocked != nil && f.blocked(from, n.entry.Name)) {
+	link := f.link(from, to)
+	lost, delay := link.Float64() < f.loss, time.Millisecond+time.Duration(link.IntN(2000))*time.Microsecond
+	if n == nil || lost || (f.blocked != nil && f.blocked(from, n.entry.Name)) {
 		return
 	}
 	data := append([]byte{}, p...)
-	delay := time.Millisecond + time.Duration(f.random.IntN(2000))*time.Microsecond
 	time.AfterFunc(delay, func() {
 		select {
 		case n.conn.queue <- data:
@@ -133,6 +137,22 @@
 	})
 }
 
+// link returns the draws for a link. The caller holds f.mu.
+func (f *fleet) link(from, to string) *rand.Rand {
+	key := [2]string{from, to}
+	if f.links[key] == nil {
+		f.links[key] = newRandom(from + " " + to)
+	}
+	return f.links[key]
+}
+
+// newRandom returns draws that depend on name alone.
+func newRandom(name string) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return rand.New(rand.NewPCG(1, h.Sum64()))
+}
+
 // start starts gateway i with the first listed gateways in its list from the store.
 func (f *fleet) start(i int, life uint64, listed int, change func(*member.Entry)) *node {
 	entry := newEntry(i, life)
@@ -145,7 +165,7 @@
 			n.beater.SendSoon()
 		}
 	})
-	n.balancer = balance.New(balance.Config{OtherLoad: n.table.InFlight, Random: rand.Float64, OnAdvisory: func() { n.beater.SendSoon() }})
+	n.balancer = balance.New(balance.Config{OtherLoad: n.table.InFlight, Random: newRandom(entry.Name).Float64, OnAdvisory: func() { n.beater.SendSoon() }})
 	n.balancer.Update(advisingEndpoint)
 	n.conn = &conn{node: n, addr: peerAddr(i), queue: make(chan []byte, 1<<12), done: make(chan struct{})}
 	var known []member.Entry
@@ -266,7 +286,7 @@
 func runFleet(t *testing.T, n int, f func(f *fleet, nodes []*node)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := &fleet{WithT: NewWithT(t), ctx: ctx, random: rand.New(rand.NewPCG(1, 2)),
+		w := &fleet{WithT: NewWithT(t), ctx: ctx, links: map[[2]string]*rand.Rand{},
 			gateways: map[string]*node{}, sent: map[string]traffic{}}
 		defer func() {
 			cancel()
