--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -174,21 +174,19 @@
 	return returnShare*f.FreePerSecond*returnStep.Seconds() + comingShare*coming
 }
 
-// latest returns the latest time at which the caller may return for its request to end in time.
-func (f *ReturnForecast) latest() time.Duration {
-	return min(maxReturn, policy.LatestReturnToEnd(f.Left, f.SlotTime))
+// needs returns the time that the request needs to end. A caller who can still be served within its
+// latency target, but whose request is expected to be cut off, has a chance only if the estimate is wrong.
+func (f *ReturnForecast) needs() time.Duration {
+	if f.Elapsed < f.Target && f.Left-f.SlotTime < MinReturn {
+		return time.Duration(minEndShare * float64(f.SlotTime))
+	}
+	return f.SlotTime
 }
 
-// CanReturn returns whether a refused caller can return at all for its request to end by its deadline. As
-// long as it can be served within its latency target, it is told not to only if even a much shorter
-// answer would be cut off: the estimate may be wrong, and a return costs it nothing. It answers long
-// answers, whose callers would return in vain, to be refused again or cut off.
+// CanReturn returns whether a refused caller can return at all for its request to end by its deadline. It
+// answers long answers, whose callers would return in vain, to be refused again or cut off.
 func CanReturn(f *ReturnForecast) bool {
-	needs := f.SlotTime
-	if f.Elapsed < f.Target {
-		needs = time.Duration(minEndShare * float64(needs))
-	}
-	return f.Left-needs >= MinReturn
+	return f.Left-f.needs() >= MinReturn
 }
 
 // ReturnAfter returns when a refused caller should return: at the first time at which a place comes
@@ -199,7 +197,7 @@
 func ReturnAfter(f *ReturnForecast) time.Duration {
 	// The draw makes a fraction of a place per step count as often as that fraction.
 	fits := func(d time.Duration) bool { return f.Expected(d)+f.Random() < f.room(d) }
-	latest := max(MinReturn, f.latest())
+	latest := max(MinReturn, min(maxReturn, policy.LatestReturnToEnd(f.Left, f.needs())))
 	soon := time.Duration(returnTargetFraction*float64(f.Target)) - f.Elapsed
 	if !f.Exceeds && soon > MinReturn && (f.RefusedShare <= soonRefusedShare || fits(soon)) {
 		return MinReturn + time.Duration(f.Random()*float64(soon-MinReturn))
