gateway: how far estimates are off, by route

An operator saw that estimates are off, not of which kind of request. The histograms of expected against seen times to the first event and to the end are now kept by route as well: 24 routes, some 100 KB, later ones as other. Names on /metrics only grow.

--- a/gateway/proxy/expected.go
+++ b/gateway/proxy/expected.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"github.com/silverdeck/silverdeck/gateway/work"
+)
 
 // streamMeasurement measures the events that one endpoint sent of a stream.
 type streamMeasurement struct {
@@ -19,16 +23,13 @@
 }
 
 // recordStream compares a complete stream with what was expected of it at its endpoint.
-func (p *Proxy) recordStream(a *attempt, m *streamMeasurement) {
+func (p *Proxy) recordStream(c *call, a *attempt, m *streamMeasurement) {
 	a.lease.ObserveStream(m.events, m.last.Sub(m.first), time.Now())
 	expected := a.lease.Expected()
 	if m.resumed || m.events == 0 || expected.End == 0 {
 		return
 	}
-	p.cfg.Metrics.FirstEventRatio.Update(percentOf(m.first.Sub(a.sentAt), expected.FirstEvent))
-	p.cfg.Metrics.EndRatio.Update(percentOf(m.last.Sub(a.sentAt), expected.End))
-}
-
-func percentOf(seen, expected time.Duration) int64 {
-	return int64(100 * seen / max(expected, 1))
+	seen := work.Times{FirstEvent: m.first.Sub(a.sentAt), End: m.last.Sub(a.sentAt)}
+	p.cfg.Metrics.AllRatios.update(seen, expected)
+	p.cfg.Metrics.RouteRatios.Of(c.route.Name).update(seen, expected)
 }
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -49,9 +49,9 @@
 	// Whole is the time to the end of a response, FirstEvent the time to the first event of a
 	// stream, both in microseconds.
 	Whole, FirstEvent metrics.Histogram
-	// FirstEventRatio and EndRatio are the times to the first event and to the end of a stream at
-	// the endpoint that served it, in percent of what was expected.
-	FirstEventRatio, EndRatio metrics.Histogram
+	// AllRatios compares streams with what was expected of them, RouteRatios the same by route.
+	AllRatios   Ratios
+	RouteRatios *RouteRatios
 	// TooLate counts streams that no endpoint could have finished before their deadline.
 	TooLate metrics.Counter
 }
@@ -64,30 +64,30 @@
 func NewMetrics(r metrics.Registry) *Metrics {
 	sample := func() metrics.Sample { return metrics.NewUniformSample(histogramSample) }
 	return &Metrics{
-		Served:          metrics.NewRegisteredCounter("gateway.served", r),
-		Failed:          metrics.NewRegisteredCounter("gateway.failed", r),
-		Repeats:         metrics.NewRegisteredCounter("gateway.repeats", r),
-		Connections:     metrics.NewRegisteredCounter("gateway.connections", r),
-		Left:            metrics.NewRegisteredCounter("gateway.left", r),
-		Ended:           metrics.NewRegisteredCounter("gateway.ended", r),
-		Withheld:        metrics.NewRegisteredCounter("gateway.withheld", r),
-		Hedged:          metrics.NewRegisteredCounter("gateway.hedged", r),
-		OverBudget:      metrics.NewRegisteredCounter("gateway.over_budget", r),
-		Cut:             metrics.NewRegisteredCounter("gateway.cut", r),
-		Overdue:         metrics.NewRegisteredCounter("gateway.overdue", r),
-		Limits:          metrics.NewRegisteredCounter("gateway.limits", r),
-		Leavings:        metrics.NewRegisteredCounter("gateway.leavings", r),
-		Rests:           metrics.NewRegisteredCounter("gateway.rests", r),
-		Closed:          metrics.NewRegisteredCounter("gateway.closed", r),
-		NotAdmitted:     metrics.NewRegisteredCounter("gateway.not_admitted", r),
-		Unreadable:      metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
-		PassedThrough:   metrics.NewRegisteredCounter("gateway.passed_through", r),
-		CallersStalled:  metrics.NewRegisteredCounter("gateway.callers_stalled", r),
-		FirstEventRatio: metrics.NewRegisteredHistogram("gateway.first_event_expected_percent", r, sample()),
-		EndRatio:        metrics.NewRegisteredHistogram("gateway.end_expected_percent", r, sample()),
-		TooLate:         metrics.NewRegisteredCounter("gateway.too_late", r),
-		Whole:           metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
-		FirstEvent:      metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
+		Served:         metrics.NewRegisteredCounter("gateway.served", r),
+		Failed:         metrics.NewRegisteredCounter("gateway.failed", r),
+		Repeats:        metrics.NewRegisteredCounter("gateway.repeats", r),
+		Connections:    metrics.NewRegisteredCounter("gateway.connections", r),
+		Left:           metrics.NewRegisteredCounter("gateway.left", r),
+		Ended:          metrics.NewRegisteredCounter("gateway.ended", r),
+		Withheld:       metrics.NewRegisteredCounter("gateway.withheld", r),
+		Hedged:         metrics.NewRegisteredCounter("gateway.hedged", r),
+		OverBudget:     metrics.NewRegisteredCounter("gateway.over_budget", r),
+		Cut:            metrics.NewRegisteredCounter("gateway.cut", r),
+		Overdue:        metrics.NewRegisteredCounter("gateway.overdue", r),
+		Limits:         metrics.NewRegisteredCounter("gateway.limits", r),
+		Leavings:       metrics.NewRegisteredCounter("gateway.leavings", r),
+		Rests:          metrics.NewRegisteredCounter("gateway.rests", r),
+		Closed:         metrics.NewRegisteredCounter("gateway.closed", r),
+		NotAdmitted:    metrics.NewRegisteredCounter("gateway.not_admitted", r),
+		Unreadable:     metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
+		PassedThrough:  metrics.NewRegisteredCounter("gateway.passed_through", r),
+		CallersStalled: metrics.NewRegisteredCounter("gateway.callers_stalled", r),
+		AllRatios:      newRatios(r, "gateway.", histogramSample),
+		RouteRatios:    newRouteRatios(r),
+		TooLate:        metrics.NewRegisteredCounter("gateway.too_late", r),
+		Whole:          metrics.NewRegisteredHistogram("gateway.whole_us", r, sample()),
+		FirstEvent:     metrics.NewRegisteredHistogram("gateway.first_event_us", r, sample()),
 	}
 }
 
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -54,7 +54,7 @@
 				return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended inside an event"), balance.Failed
 			}
 			sendHead(w, c, x)
-			p.recordStream(a, &measured)
+			p.recordStream(c, a, &measured)
 			return nil, balance.Served
 		}
 		if err != nil {
--- a/gateway/proxy/work_test.go
+++ b/gateway/proxy/work_test.go
@@ -1,14 +1,17 @@
 package proxy_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/proxy"
 	"github.com/silverdeck/silverdeck/gateway/work"
 	"github.com/silverdeck/silverdeck/routes"
 )
@@ -119,8 +122,33 @@
 		w.useEngine()
 		// 40 ms of prefill and a pass are expected before the first event, then two passes.
 		w.send("POST", "/stream/", "x", "Tokens", "1000,800", "Hint", "30")
-		w.g.Expect(w.metrics.FirstEventRatio.Mean()).To(Equal(200.0))
-		w.g.Expect(w.metrics.EndRatio.Mean()).To(BeNumerically("~", 100*540/190, 1))
-		w.g.Expect(w.metrics.EndRatio.Count()).To(BeEquivalentTo(1))
+		w.g.Expect(w.metrics.AllRatios.FirstEvent.Mean()).To(Equal(200.0))
+		w.g.Expect(w.metrics.AllRatios.End.Mean()).To(BeNumerically("~", 100*540/190, 1))
+		w.g.Expect(w.metrics.AllRatios.End.Count()).To(BeEquivalentTo(1))
+		w.g.Expect(w.metrics.RouteRatios.Of("stream").FirstEvent.Mean()).To(Equal(200.0))
+		w.g.Expect(w.metrics.RouteRatios.Of("stream").End.Count()).To(BeEquivalentTo(1))
+		w.g.Expect(w.metrics.RouteRatios.Of("brief").End.Count()).To(BeZero())
 	}, always(events(180*time.Millisecond, end, 1, 2, 3)))
 }
+
+// Guards against a configuration with many routes that takes the memory of the gateway.
+func TestTheRoutesThatAreToldApartAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	registry := metrics.NewRegistry()
+	ratios := proxy.NewMetrics(registry).RouteRatios
+	count := func() (n int) {
+		registry.Each(func(string, any) { n++ })
+		return n
+	}
+	before := count()
+	first := ratios.Of("route-0")
+	for i := range 1000 {
+		ratios.Of(fmt.Sprintf("route-%d", i)).End.Update(1)
+	}
+	g.Expect(count() - before).To(Equal(2 * 24))
+	g.Expect(ratios.Of("route-0")).To(BeIdenticalTo(first), "those that came first stay")
+	g.Expect(first.End.Count()).To(BeEquivalentTo(1))
+	g.Expect(ratios.Of("other").End.Count()).To(BeEquivalentTo(1000 - 24))
+	g.Expect(ratios.Of(`route 0"`)).To(BeIdenticalTo(ratios.Of("other")))
+	g.Expect(registry.Get("gateway.route.route_0.end_expected_percent")).NotTo(BeNil())
+}
