--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -104,6 +104,16 @@
 	Entry("leaves two thirds if it is unknown how long it takes", 6*time.Second, time.Duration(0), 2*time.Second),
 )
 
+var _ = DescribeTable("the return of a request that finds no endpoint",
+	func(after, left, needs, want time.Duration) {
+		Expect(policy.ReturnToEnd(after, left, needs)).To(Equal(want))
+	},
+	Entry("is as drawn", time.Second, 6*time.Second, 4*time.Second, time.Second),
+	Entry("is sooner if it would not end", time.Second, 6*time.Second, 5200*ms, 800*ms),
+	Entry("is as drawn if it can't end", time.Second, 6*time.Second, 6*time.Second, time.Second),
+	Entry("is as drawn if it is unknown how long it takes", time.Second, 6*time.Second, time.Duration(0), time.Second),
+)
+
 var _ = DescribeTable("Retry-After of a request that can't end in time",
 	func(left, want time.Duration) {
 		Expect(policy.RetryAfterTooLate(left)).To(Equal(want))
--- a/gateway/policy/retryafter.go
+++ b/gateway/policy/retryafter.go
@@ -50,6 +50,15 @@
 	return min(LatestReturn(left), left-needs)
 }
 
+// ReturnToEnd returns after, or as much less as it takes for a request that takes needs to end by its
+// deadline. A request that can't end anyway returns after that time.
+func ReturnToEnd(after, left, needs time.Duration) time.Duration {
+	if slack := left - needs; slack > 0 {
+		return min(after, slack)
+	}
+	return after
+}
+
 // RetryAfter returns the Retry-After of a request that was not run: wanted, or
 // RetryAfterDefault if that is zero, but at most LatestReturn.
 func RetryAfter(wanted, left time.Duration) time.Duration {
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -149,9 +149,7 @@
 // shortageFailure returns the failure of a request for which no endpoint is available. Its caller returns
 // early enough for the request to end, if it can.
 func (p *Proxy) shortageFailure(c *call, code verdict.Code, format string) *verdict.Error {
-	after := policy.RetryAfterShortage(p.cfg.Random())
-	if slack := time.Until(c.deadline) - work.SlotTime(c.engine(), c.tokens()); slack > 0 {
-		after = min(after, slack)
-	}
+	needs := work.SlotTime(c.engine(), c.tokens())
+	after := policy.ReturnToEnd(policy.RetryAfterShortage(p.cfg.Random()), time.Until(c.deadline), needs)
 	return verdict.NewError(verdict.NotRun, code, format, c.service).WithRetryAfter(after)
 }
