--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -94,6 +94,26 @@
 	Entry("is at least the default, however little time is left", 2*time.Second, 100*ms, 300*ms),
 )
 
+var _ = DescribeTable("the latest return of a request that is to end in time",
+	func(left, needs, want time.Duration) {
+		Expect(policy.LatestReturnToEnd(left, needs)).To(Equal(want))
+	},
+	Entry("leaves two thirds of the time", 6*time.Second, 2*time.Second, 2*time.Second),
+	Entry("leaves enough for a long answer", 6*time.Second, 5500*ms, 500*ms),
+	Entry("is in the past for one that can't end", 4*time.Second, 5500*ms, -1500*ms),
+	Entry("leaves two thirds if it is unknown how long it takes", 6*time.Second, time.Duration(0), 2*time.Second),
+)
+
+var _ = DescribeTable("the return of a request that finds no endpoint",
+	func(after, left, needs, want time.Duration) {
+		Expect(policy.ReturnToEnd(after, left, needs)).To(Equal(want))
+	},
+	Entry("is as drawn", time.Second, 6*time.Second, 4*time.Second, time.Second),
+	Entry("is sooner if it would not end", time.Second, 6*time.Second, 5200*ms, 800*ms),
+	Entry("is as drawn if it can't end", time.Second, 6*time.Second, 6*time.Second, time.Second),
+	Entry("is as drawn if it is unknown how long it takes", time.Second, 6*time.Second, time.Duration(0), time.Second),
+)
+
 var _ = DescribeTable("Retry-After of a request that can't end in time",
 	func(left, want time.Duration) {
 		Expect(policy.RetryAfterTooLate(left)).To(Equal(want))
