directory: callers of a zone that is lost reach another one

Cause: a caller asks the three nearest processes that answer look-ups, and every gateway answered them. In a zone of three gateways or more all three are the zone's own, so until the zone was back no look-up of its callers got out (84 VMs, zone dark from 10 to 15 s: none of the look-ups in that time came from the lost zone's callers, 357 connections came to nothing). A look-up that had got out would have been answered with nothing: the host's routes name different regions, and none is in all of them.

Change: silverdeck-directory runs on two VMs of each zone and passes look-ups on to the gateway beside it; the gateway serves them at its address for operators. Where no gateway in the caller's region or a region that all routes allow is alive, those of regions that some of the host's routes allow are named; they refuse what must not be processed there, as before.

The test of the deploy file fails on the old one; "the zone is lost" fails on the old directory.Addresses. The test "returns nothing rather than gateways that must not get the requests" now also gives what the gateway passes for such a host (Possible); it asks for the same result.

--- a/compat/layout_test.go
+++ b/compat/layout_test.go
@@ -26,11 +26,12 @@
 
 // foreign are folders that hold what a program of a deployment must not link.
 var foreign = map[string][]string{
-	"silverdeck-gateway": {"standalone/", "standin", "soak"},
-	"silverdeck-sidecar": {"standalone/", "standin", "soak", "gateway/proxy", "gateway/balance", "gateway/policy"},
-	"silverdeck-entry":   {"gateway", "sidecar", "platform", "standin", "soak"},
-	"silverdeck-agent":   {"gateway", "sidecar", "platform", "standin", "soak"},
-	"silverdeck":         {"gateway", "sidecar", "platform", "standin", "soak"},
+	"silverdeck-gateway":   {"standalone/", "standin", "soak"},
+	"silverdeck-directory": {"standalone/", "standin", "soak", "gateway/proxy", "gateway/balance", "gateway/policy"},
+	"silverdeck-sidecar":   {"standalone/", "standin", "soak", "gateway/proxy", "gateway/balance", "gateway/policy"},
+	"silverdeck-entry":     {"gateway", "sidecar", "platform", "standin", "soak"},
+	"silverdeck-agent":     {"gateway", "sidecar", "platform", "standin", "soak"},
+	"silverdeck":           {"gateway", "sidecar", "platform", "standin", "soak"},
 }
 
 func TestNoProgramLinksTheOtherDeployment(t *testing.T) {
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -16,23 +16,33 @@
 // Client describes a client that looks up gateways.
 type Client struct {
 	Zone, Region string
-	// Permitted are the regions, beside the client's own, whose gateways may get its requests.
+	// Permitted are the regions, beside the client's own, whose gateways may get all of its
+	// requests.
 	Permitted residency.Regions
+	// Possible are the regions in which at least some of its requests may be processed.
+	Possible residency.Regions
 }
 
 // Addresses returns the addresses of the live gateways in the availability zone of the client.
 // If the zone has fewer than two, gateways of other zones are added to make two, preferably
-// from the client's region. Successive values of turn rotate among the candidates.
+// from the client's region. Where the client's region and the permitted ones have none alive,
+// those of the possible regions are added: they refuse the requests that must not be processed
+// there, and without them the client would reach nobody. Successive values of turn rotate among the candidates.
 func Addresses(live []member.Entry, c Client, turn int) []string {
-	var selected, others []member.Entry
+	var selected, others, lastResort []member.Entry
 	for _, e := range live {
 		switch {
 		case e.Zone == c.Zone:
 			selected = append(selected, e)
 		case e.Region == c.Region || c.Permitted.Permits(e.Region):
 			others = append(others, e)
+		case c.Possible.Permits(e.Region):
+			lastResort = append(lastResort, e)
 		}
 	}
+	if len(selected)+len(others) == 0 {
+		others = lastResort
+	}
 	selected = append(selected, fallbacks(others, c.Region, minLocalGateways-len(selected), turn)...)
 	out := make([]string, 0, len(selected))
 	for _, e := range selected[:min(len(selected), maxAddresses)] {
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -40,8 +40,20 @@
 		Entry("any region without a restriction", []member.Entry{a1, c1}, nil, "a1", "c1"),
 	)
 
+	DescribeTable("returns gateways of regions that some of the routes allow where no other is alive",
+		func(live []member.Entry, routes [][]string, want ...string) {
+			c := directory.Client{Zone: "a", Region: "east", Permitted: residency.Intersect(routes...), Possible: residency.Union(routes...)}
+			Expect(directory.Addresses(live, c, 0)).To(HaveExactElements(want))
+		},
+		Entry("the zone is lost", []member.Entry{c1, c2}, [][]string{{"east"}, {"west"}}, "c1", "c2"),
+		Entry("another route allows all regions", []member.Entry{c1}, [][]string{{"east"}, nil}, "c1"),
+		Entry("the region has another zone", []member.Entry{b1, c1}, [][]string{{"east"}, {"west"}}, "b1"),
+		Entry("the zone has one gateway", []member.Entry{a1, c1}, [][]string{{"east"}, {"west"}}, "a1"),
+	)
+
 	It("returns nothing rather than gateways that must not get the requests", func() {
-		c := directory.Client{Zone: "a", Region: "east", Permitted: residency.Intersect([]string{"north"})}
+		north := []string{"north"}
+		c := directory.Client{Zone: "a", Region: "east", Permitted: residency.Intersect(north), Possible: residency.Union(north)}
 		Expect(directory.Addresses([]member.Entry{c1, c2}, c, 0)).To(BeEmpty())
 	})
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -102,6 +102,9 @@
 	status, body = get(g, "http://"+cfg.Directory+platform.ResolvePath+"?zone=a", "")
 	g.Expect(status).To(Equal(http.StatusOK))
 	g.Expect(body).To(ContainSubstring(cfg.Callers))
+	status, passedOn := get(g, "http://"+cfg.Observe+platform.ResolvePath+"?zone=a", "")
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(passedOn).To(Equal(body), "as the directory process asks")
 }
 
 func TestAGatewayTellsProcessesBesideEndpointsWhatTheStoreHolds(t *testing.T) {
--- a/gateway/residency/residency.go
+++ b/gateway/residency/residency.go
@@ -26,6 +26,19 @@
 	return out
 }
 
+// Union returns the regions that are in one of the lists at least. An empty list stands for all
+// regions.
+func Union(lists ...[]string) Regions {
+	out := Regions{Restricted: len(lists) > 0}
+	for _, list := range lists {
+		if len(list) == 0 {
+			return Regions{}
+		}
+		out.Names = append(out.Names, list...)
+	}
+	return out
+}
+
 // Permits reports whether a request may be processed in region. A region that is not known, "",
 // is permitted only if all regions are.
 func (r Regions) Permits(region string) bool {
--- a/gateway/residency/residency_test.go
+++ b/gateway/residency/residency_test.go
@@ -41,3 +41,28 @@
 	residency.Intersect(list, []string{"b"})
 	NewWithT(t).Expect(list).To(Equal([]string{"a", "b"}))
 }
+
+func TestARegionIsPossibleIfOneListNamesIt(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		lists    [][]string
+		possible []string
+		refused  []string
+	}{
+		{"no lists", nil, []string{"a", ""}, nil},
+		{"one list", [][]string{{"a"}}, []string{"a"}, []string{"b", ""}},
+		{"two lists", [][]string{{"a"}, {"b"}}, []string{"a", "b"}, []string{"c", ""}},
+		{"an empty list allows all", [][]string{{"a"}, {}}, []string{"a", "b", ""}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			union := residency.Union(c.lists...)
+			for _, region := range c.possible {
+				g.Expect(union.Permits(region)).To(BeTrue(), region)
+			}
+			for _, region := range c.refused {
+				g.Expect(union.Permits(region)).To(BeFalse(), region)
+			}
+		})
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -111,11 +111,12 @@
 	return serve.HTTP(s, addr, g.log)
 }
 
-// observeHandler serves metrics and debugging data to operators, and DELETE /quarantine/KEY,
-// which lifts a quarantine.
+// observeHandler serves metrics and debugging data to operators, DELETE /quarantine/KEY, which
+// lifts a quarantine, and the look-ups that the directory process on this VM passes on.
 func (g *Gateway) observeHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", telemetry.NewObserveHandler(g.registry, g, g.cfg.Profiles))
+	mux.Handle(platform.ResolvePath, g.directoryHandler())
 	mux.HandleFunc("DELETE /quarantine/{key}", func(w http.ResponseWriter, r *http.Request) {
 		if err := g.poison.Clear(r.PathValue("key"), time.Now()); err != nil {
 			http.Error(w, err.Error(), http.StatusNotFound)
@@ -148,7 +149,8 @@
 		if g.Ready() == nil {
 			live = append(live, g.self)
 		}
-		client := directory.Client{Zone: q.Zone, Region: q.Region, Permitted: g.permittedRegions(q.Host)}
+		client := directory.Client{Zone: q.Zone, Region: q.Region}
+		client.Permitted, client.Possible = g.regionsOf(q.Host)
 		addresses := directory.Addresses(live, client, rand.IntN(addressSeeds))
 		if len(addresses) == 0 {
 			c.String(http.StatusServiceUnavailable, "no entry is ready")
@@ -159,14 +161,19 @@
 	return router
 }
 
-// permittedRegions returns the regions whose gateways may get the requests for a host. The
-// account of a request is not known when its address is looked up.
-func (g *Gateway) permittedRegions(host string) residency.Regions {
+// regionsOf returns the regions whose gateways may get all requests for a host, and those whose
+// gateways may get some. The account of a request is not known when its address is looked up.
+func (g *Gateway) regionsOf(host string) (permitted, possible residency.Regions) {
 	config := g.proxy.Routes()
 	if config == nil {
-		return residency.Regions{}
+		return residency.Regions{}, residency.Regions{}
 	}
-	return residency.Intersect(config.RegionsOfHost(host)...)
+	lists := config.RegionsOfHost(host)
+	permitted = residency.Intersect(lists...)
+	if !config.HasUnrestrictedRoute(host) {
+		possible = residency.Union(lists...)
+	}
+	return permitted, possible
 }
 
 // addressTTL returns how long callers may cache a directory answer.
--- /dev/null
+++ b/lookup/lookup_test.go
@@ -0,0 +1,73 @@
+package lookup_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/lookup"
+	"github.com/silverdeck/silverdeck/platform"
+)
+
+// startDirectory starts a process that passes look-ups on to gateway, and returns its address.
+func startDirectory(t *testing.T, gateway string) string {
+	g := NewWithT(t)
+	cfg := &platform.Settings{Directory: fmt.Sprintf("127.%d.%d.9:8009", 100+os.Getpid()%100, os.Getpid()/100%250), Observe: gateway}
+	d := lookup.New(cfg, log.New(io.Discard))
+	g.Expect(d.Start(context.Background())).To(Succeed())
+	t.Cleanup(func() { _ = d.Stop(context.Background()) })
+	return cfg.Directory
+}
+
+func lookUp(g *WithT, addr string) (status int, body string) {
+	resp, err := http.Get("http://" + addr + platform.ResolvePath + "?name=h&zone=a")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	return resp.StatusCode, string(data)
+}
+
+func TestALookUpIsAnsweredByTheGatewayOnTheSameVM(t *testing.T) {
+	g := NewWithT(t)
+	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.RequestURI())
+	}))
+	defer gateway.Close()
+	status, body := lookUp(g, startDirectory(t, gateway.Listener.Addr().String()))
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal("/resolve?name=h&zone=a"))
+}
+
+// A caller gives each process a second, so a gateway that is away or silent must not take it.
+func TestALookUpFailsSoonWithoutAGateway(t *testing.T) {
+	released := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-released }))
+	defer silent.Close()
+	defer close(released)
+	away := httptest.NewServer(http.NotFoundHandler())
+	away.Close()
+	for name, server := range map[string]*httptest.Server{"silent": silent, "away": away} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			started := time.Now()
+			status, _ := lookUp(g, startDirectory(t, server.Listener.Addr().String()))
+			g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+			g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		})
+	}
+}
+
+func TestADirectoryNeedsAnAddress(t *testing.T) {
+	g := NewWithT(t)
+	d := lookup.New(&platform.Settings{Observe: "127.0.0.1:1"}, log.New(io.Discard))
+	g.Expect(d.Start(context.Background())).To(MatchError(ContainSubstring("no address")))
+}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -197,6 +197,12 @@
 	return out
 }
 
+// HasUnrestrictedRoute reports whether a host has a route that allows all regions. It ignores a
+// port in host.
+func (c *Config) HasUnrestrictedRoute(host string) bool {
+	return slices.ContainsFunc(c.hosts[hostName(host)], func(r *Route) bool { return len(r.AllowedRegions) == 0 })
+}
+
 // hostName returns a host in lower case and without its port.
 func hostName(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 {
