lookup: asks the gateway itself, without a ready-made proxy

Cause: forwarding is the project's own work, and the handler of the standard library passed on whatever it was sent, in any size. Change: a GET of the same path and query, an answer that is read whole and of bounded size. Race tests of lookup and compat pass.

--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -6,9 +6,8 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,6 +20,8 @@
 	// answerTimeout bounds the time that the gateway on the same VM may take. Callers try the
 	// next process after a second.
 	answerTimeout = 300 * time.Millisecond
+	// maxAnswer bounds the size of the gateway's answer, in bytes.
+	maxAnswer = 64 << 10
 	// headerTimeout bounds the time to read a request header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds the time for which a connection may be idle.
@@ -31,34 +32,59 @@
 
 // Directory passes look-ups on to the gateway on the same VM.
 type Directory struct {
-	addr   string
-	server *http.Server
-	log    *log.Logger
+	// addr is the address at which it answers, gateway that of the gateway on this VM.
+	addr, gateway string
+	server        *http.Server
+	client        *http.Client
+	log           *log.Logger
 }
 
 // New returns a Directory that is not started.
 func New(cfg *platform.Settings, l *log.Logger) *Directory {
+	d := &Directory{addr: cfg.Directory, gateway: cfg.Observe, client: &http.Client{Transport: &http.Transport{}}, log: l}
 	mux := http.NewServeMux()
-	mux.Handle(platform.ResolvePath, newForwarder(cfg.Observe))
-	return &Directory{
-		addr:   cfg.Directory,
-		server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		log:    l,
-	}
+	mux.HandleFunc("GET "+platform.ResolvePath, d.passOn)
+	d.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return d
 }
 
-// newForwarder returns a handler that passes requests on to gateway, and answers 503 if it does
-// not respond in time.
-func newForwarder(gateway string) http.Handler {
-	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: gateway})
-	proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, err error) {
+// passOn answers with what the gateway on this VM answers, or 503 if it does not respond in time.
+func (d *Directory) passOn(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
+	defer cancel()
+	answer, err := d.ask(ctx, r.URL.RequestURI())
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", answer.contentType)
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body) // fails only if the caller has gone
+}
+
+// answer is a whole answer of the gateway.
+type answer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// ask asks the gateway on this VM for the given path and query.
+func (d *Directory) ask(ctx context.Context, uri string) (*answer, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.gateway+uri, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }() // nothing is lost if this fails
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, err
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
-		defer cancel()
-		proxy.ServeHTTP(w, r.WithContext(ctx))
-	})
+	return &answer{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}, nil
 }
 
 // Start starts answering.
