swarm: missing chunks take turns in trying a failing origin

Cause: TestAnOriginThatFailsSendsHardlyAnyChunkInVain/early was red in 2 of 9 runs under -race. Readers drew their pauses, so that nobody tried the origin for up to 100 ms, and members hear of its return at different times, so that its link idled for 20 to 90 ms before the last chunk.

Change: a reader's next try is at its chunk's place among the missing ones in each pause, counted from the naming (swarm.NextTry), and its chunks are due then.

--- a/swarm/download.go
+++ b/swarm/download.go
@@ -221,6 +221,9 @@
 	defer d.mu.Unlock()
 	d.members = slices.Clone(members)
 	d.schedule.assign(d)
+	if d.cfg.OriginStatus.Failing() {
+		d.schedule.tryInTurn(d)
+	}
 	d.standby = d.unusedCandidates()
 	d.signal()
 }
--- a/swarm/originstatus.go
+++ b/swarm/originstatus.go
@@ -73,9 +73,19 @@
 	return min(max(time.Duration(unknown)*probeInterval, shortest), max(shortest, maxRetryPause))
 }
 
-// recordFailure suspends reads for pause. jitter in [0.5, 1] keeps members from retrying at the
-// same moment.
-func (o *OriginStatus) recordFailure(pause time.Duration, jitter float64) {
+// NextTry returns how long after a failed read, which was since after the naming, the reader of a
+// missing chunk tries the origin again. Missing chunks take turns in each pause by their place among
+// them, a part of 1, so that a fleet's tries are evenly spaced. It waits for shortest at least.
+func NextTry(since, pause, shortest time.Duration, place float64) time.Duration {
+	if pause <= 0 {
+		return shortest
+	}
+	at := time.Duration(place * float64(pause))
+	return shortest + ((at-since-shortest)%pause+pause)%pause
+}
+
+// recordFailure suspends reads for pause.
+func (o *OriginStatus) recordFailure(pause time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.faults++
@@ -83,7 +93,14 @@
 		o.faults = max(o.faults, outageFaults)
 	}
 	o.failedAt = time.Now()
-	o.retryAt = o.failedAt.Add(time.Duration(jitter * float64(pause)))
+	o.retryAt = o.failedAt.Add(pause)
+}
+
+// nextTry returns when the origin may be read again.
+func (o *OriginStatus) nextTry() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.retryAt
 }
 
 // recordEndOfStall records the end of an outage that no failed read may have shown here.
--- a/swarm/readorigin.go
+++ b/swarm/readorigin.go
@@ -99,12 +99,37 @@
 		return
 	}
 	d.stats.Blocked = "origin: " + err.Error()
-	shortest := d.cfg.takeoverDelay(d.set.Manifest().Size)
-	d.cfg.OriginStatus.recordFailure(RetryPause(d.unknown(), shortest), d.pauseJitter())
+	d.cfg.OriginStatus.recordFailure(d.retryPause())
 	if d.cfg.OriginStatus.Failing() {
 		// The origin caused the delay, not the members that should have read chunks earlier.
 		s.restart(d, time.Now())
+		s.tryInTurn(d)
+	}
+}
+
+// retryPause returns how long this member pauses after a failed read. The caller holds the lock.
+func (d *Download) retryPause() time.Duration {
+	shortest := d.cfg.takeoverDelay(d.set.Manifest().Size)
+	missing := d.unknown()
+	pause := RetryPause(missing, shortest)
+	since := time.Since(d.began.Add(-d.cfg.HeadStart))
+	next, place := time.Duration(0), 0
+	for c := range d.avail.have {
+		if d.avail.known(c) {
+			continue
+		}
+		if d.schedule.home[c] && d.schedule.rank[c] == 0 {
+			try := NextTry(since, pause, pause/2, float64(place)/float64(missing))
+			if next == 0 || try < next {
+				next = try
+			}
+		}
+		place++
+	}
+	if next == 0 {
+		return time.Duration(d.pauseJitter() * float64(pause))
 	}
+	return next
 }
 
 // pauseJitter returns the factor that keeps members from retrying at the same moment. The caller
--- a/swarm/schedule.go
+++ b/swarm/schedule.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// tryInTurn makes this member's own chunks due when it may try a failing origin again. Their turns
+// would be due as if it answered.
+func (s *schedule) tryInTurn(d *Download) {
+	at := d.cfg.OriginStatus.nextTry()
+	for c := range s.due {
+		if s.home[c] && s.rank[c] == 0 {
+			s.due[c], s.originAt[c] = at, at
+		}
+	}
+}
+
 // end returns when the origin's link has sent the last of the chunks that no known member holds.
 // Turns are shorter than that takes.
 func (s *schedule) end(d *Download) time.Time {
@@ -194,8 +205,9 @@
 	late := d.cfg.takeoverDelay(m.Size)
 	oneCopy := originLinkTime(d.cfg.OriginRate, m, len(m.Chunks))
 	region := inRegion(d.members, d.self.Region)
+	last := s.lastTurn(d)
 	for c := range m.Chunks {
-		turn := s.start.Add(originLinkTime(d.cfg.OriginRate, m, s.position[c]))
+		turn := s.start.Add(originLinkTime(d.cfg.OriginRate, m, min(s.position[c], last)))
 		ranks := ranked(d.set.Root(), c, region, maxRanks)
 		s.earlier[c], s.rank[c] = earlierReaders(ranks, d.self.VM)
 		wait := time.Duration(s.rank[c]) * late
@@ -217,6 +229,21 @@
 	}
 }
 
+// lastTurn returns the place of the last turn. After an outage, of whose end the members have heard at
+// different times, the last chunks share a turn: else the origin's link may idle before the last one.
+func (s *schedule) lastTurn(d *Download) int {
+	last := 0
+	for c, p := range s.position {
+		if s.awaited[c] {
+			last = max(last, p)
+		}
+	}
+	if !d.resumedAt.After(d.began) {
+		return last
+	}
+	return max(last-turnTolerance, 0)
+}
+
 // setBudget changes the limits on origin reads while the download runs.
 func (s *schedule) setBudget(d *Download, rate, copies float64) {
 	before := s.share(d)
