compat: a failed go list tells its reason

Cause: one run of the layout test failed with 'exit status 1' alone; a source file was just being written beside it (with an empty one it fails each time). Change: the test prints what go list says. Measured: compat green under the race detector.

--- a/compat/layout_test.go
+++ b/compat/layout_test.go
@@ -11,9 +11,12 @@
 // linked returns the packages of this module that a program links, without the
 // module's name.
 func linked(t *testing.T, program string) []string {
-	out, err := exec.Command("go", "list", "-deps", module+"/cmd/"+program).Output()
+	var problems strings.Builder
+	list := exec.Command("go", "list", "-deps", module+"/cmd/"+program)
+	list.Stderr = &problems
+	out, err := list.Output()
 	if err != nil {
-		t.Fatal(err)
+		t.Fatal(err, problems.String())
 	}
 	var packages []string
 	for _, p := range strings.Fields(string(out)) {
