serve: a request that was just read is not lost in a planned stop

Change: the socket is read without waiting under the lock that the stop takes, and waited for outside it.

--- a/serve/connections.go
+++ b/serve/connections.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 
 	"github.com/silverdeck/silverdeck/conncheck"
 )
@@ -25,6 +29,8 @@
 // idle until the whole header of the next request has been read.
 type connection struct {
 	net.Conn
+	// raw is the socket, or nil if there is none.
+	raw   syscall.RawConn
 	owner *connections
 	once  sync.Once
 
@@ -43,6 +49,9 @@
 // add wraps conn and adds it to the open connections.
 func (s *connections) add(conn net.Conn) *connection {
 	c := &connection{Conn: conn, owner: s}
+	if socket, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = socket.SyscallConn() // fails only if the connection has ended
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = true
@@ -129,18 +138,55 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What leaves the socket is noted under the same lock: closeIfIdle sees a
+// request either in the socket or as being read.
 func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	if c.raw == nil || len(p) == 0 {
+		return c.Conn.Read(p)
+	}
+	var n int
+	var failed error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, failed = c.readNow(int(fd), p)
+		return !errors.Is(failed, syscall.EAGAIN) // otherwise it is called again once there is something to read
+	})
+	switch {
+	case err != nil:
+		return 0, c.readError(err)
+	case failed != nil:
+		return 0, c.readError(os.NewSyscallError("read", failed))
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readError returns err as a net.Conn does: http.Server answers errors of other kinds.
+func (c *connection) readError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		err = op.Err
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// readNow reads what is in the socket, without waiting.
+func (c *connection) readNow(fd int, p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closedIdle {
 		return 0, net.ErrClosed
 	}
-	if n > 0 {
-		c.reading = true
+	for {
+		n, err := syscall.Read(fd, p)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if n > 0 {
+			c.reading = true
+		}
+		return n, err
 	}
-	return n, err
 }
 
 // closeIfIdle closes the connection if it is idle. A connection with a request still unread
