--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -33,7 +33,7 @@
 	// that can still be served in time.
 	returnTargetFraction = 0.5
 	// minEndShare is the share of its expected time that a request takes at least. Estimates follow
-	// callers' guesses, which are often far off: one in twenty takes less than half of them.
+	// callers' guesses, which are often far off.
 	minEndShare = 0.5
 )
 
--- a/gateway/balance/sample.go
+++ b/gateway/balance/sample.go
@@ -4,10 +4,7 @@
 // request. The known load of these endpoints is as old as the last heartbeat. If all of
 // them were compared, all gateways would select the same few at the same moment, and more
 // so the more gateways there are. The better of two random endpoints ("power of two
-// choices") is rarely selected by many gateways at once. Late requests at a load of 0.7,
-// with 9, 39, and 95 gateways and 1.3 times as many endpoints: 1.0, 5.1, and 13.4% without
-// sampling and without the three preferred endpoints of package affinity, 0.5, 1.2, and
-// 1.0% with both (TestTheFleetPlaces…, means of 10 and 30 runs).
+// choices") is rarely selected by many gateways at once.
 const sampleSize = 2
 
 // endpointLoad is an endpoint and its load.
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// answerTimeout bounds the time that the gateway on the same VM may take. Callers try the
+	// AnswerTimeout bounds the time that the gateway on the same VM may take. Callers try the
 	// next process after a second.
-	answerTimeout = 300 * time.Millisecond
+	AnswerTimeout = 300 * time.Millisecond
 	// maxAnswer bounds the size of the gateway's answer, in bytes.
 	maxAnswer = 64 << 10
 	// headerTimeout bounds the time to read a request header.
@@ -50,7 +50,7 @@
 
 // passOn answers with what the gateway on this VM answers, or 503 if it does not respond in time.
 func (d *Directory) passOn(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), AnswerTimeout)
 	defer cancel()
 	answer, err := d.ask(ctx, r.URL.RequestURI())
 	if err != nil {
