gateway: log lines tell how an answer was framed and how much of it came

'answered' and 'attempt failed' had nothing that told an answer that its endpoint ended from one that was broken off: framing (length, chunks, or close, which marks no end), bodyBytes, and callerFraming are added.

--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -28,7 +28,7 @@
 // contains the fields that were determined before the request was rejected.
 func (p *Proxy) accept(w http.ResponseWriter, r *http.Request) (*call, *verdict.Error) {
 	names := &p.cfg.Headers
-	c := &call{id: r.Header.Get(names.RequestID), startedAt: time.Now(), config: p.routes.Load()}
+	c := &call{id: r.Header.Get(names.RequestID), startedAt: time.Now(), config: p.routes.Load(), http10: !r.ProtoAtLeast(1, 1)}
 	if c.config == nil {
 		return c, verdict.NewError(verdict.NotRun, verdict.CodeNoEndpoint, "no configuration yet").WithRetryAfter(policy.RetryAfterNoConfig)
 	}
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -153,6 +153,7 @@
 	if r.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
+	c.callerFraming = c.framingFor(r.length)
 	c.headSent = true
 	w.WriteHeader(r.status)
 	return writeToCaller(w, r.body)
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -51,6 +51,20 @@
 	a.lease.Done(a.outcome, time.Now())
 }
 
+// receivedBody describes the body of an endpoint's response for the log.
+type receivedBody struct {
+	framing upstream.Framing
+	bytes   int64
+}
+
+// body returns what was received of the response's body.
+func (a *attempt) body() receivedBody {
+	if a.exchange == nil {
+		return receivedBody{}
+	}
+	return receivedBody{framing: a.exchange.Framing, bytes: a.exchange.BytesRead()}
+}
+
 // run sends the request to one endpoint after another until one responds. It returns the failure
 // to report to the caller, or nil.
 func (p *Proxy) run(ctx context.Context, w http.ResponseWriter, c *call) *verdict.Error {
@@ -159,6 +173,7 @@
 	if a.failure == nil {
 		a.failure, a.outcome = p.forward(ctx, w, c, a)
 	}
+	c.received = a.body()
 	if a.outcome == balance.Failed && c.route.Kind == routes.Stream &&
 		a.lease.Idle(a.sentAt, time.Now()) > policy.EndpointIdleLimit(c.route.GapTarget) {
 		a.outcome = balance.Unresponsive
@@ -168,7 +183,7 @@
 	}
 	if a.failure != nil {
 		c.recordFailure(a.failure)
-		p.logAttemptFailure(c, a.lease, a.sentAt, a.failure)
+		p.logAttemptFailure(c, a)
 		p.detectCrash(c, a)
 	}
 	return a.failure
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -22,6 +22,8 @@
 	route   *routes.Route
 	account *routes.Account
 	service string
+	// http10 is set if the caller does not know chunks.
+	http10 bool
 	// regions are the regions in which the request may be processed.
 	regions residency.Regions
 	// held is the memory that the bodies of the request and of its response take.
@@ -89,6 +91,10 @@
 	// firstEvent is the time to the first event of a stream, longestGap the longest pause
 	// between later events.
 	firstEvent, longestGap time.Duration
+	// received describes the body of the last response, and callerFraming how the response was
+	// framed to the caller.
+	received      receivedBody
+	callerFraming upstream.Framing
 	// noRetryReason states why there was no further attempt, for the log.
 	noRetryReason string
 }
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -132,7 +132,7 @@
 	}
 	c.hedge = nil
 	c.recordFailure(h.failure)
-	p.logAttemptFailure(c, h.lease, h.sentAt, h.failure)
+	p.logAttemptFailure(c, &h.attempt)
 	p.detectCrash(c, &h.attempt)
 	h.finish()
 	return false
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -102,7 +102,8 @@
 	}
 	p.cfg.Log.Info("answered", "request", c.id, "route", c.route.Name, "config", c.config.Version,
 		"endpoints", c.attempted, "ms", elapsed.Milliseconds(),
-		"firstEventMs", c.firstEvent.Milliseconds(), "longestGapMs", c.longestGap.Milliseconds())
+		"firstEventMs", c.firstEvent.Milliseconds(), "longestGapMs", c.longestGap.Milliseconds(),
+		"framing", c.received.framing.String(), "bodyBytes", c.received.bytes, "callerFraming", c.callerFraming.String())
 }
 
 // takeRetryBudget takes one retry, hedge or resume of c from the retry budget and reports
@@ -120,10 +121,12 @@
 }
 
 // logAttemptFailure logs that an attempt did not give a usable response.
-func (p *Proxy) logAttemptFailure(c *call, lease *balance.Lease, sentAt time.Time, e *verdict.Error) {
+func (p *Proxy) logAttemptFailure(c *call, a *attempt) {
+	lease, e, body := a.lease, a.failure, a.body()
 	p.cfg.Log.Info("attempt failed", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
 		"weights", lease.Holds(c.model), "attempt", len(c.attempted), "ms", time.Since(c.startedAt).Milliseconds(),
-		"sentMs", time.Since(sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model),
+		"sentMs", time.Since(a.sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model),
+		"framing", body.framing.String(), "bodyBytes", body.bytes,
 		"code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent,
 		"event", c.lastEventID, "err", e.Err)
 }
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -88,6 +88,7 @@
 		return
 	}
 	c.headSent = true
+	c.callerFraming = c.framingFor(-1)
 	header.CopyEndToEnd(w.Header(), x.Header)
 	w.WriteHeader(x.Status)
 }
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -105,6 +105,8 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+	// Framing is how the end of the body is found.
+	Framing Framing
 	// NewConnection is set if a connection was opened for the request.
 	NewConnection bool
 
@@ -162,6 +164,7 @@
 		Status:        head.StatusCode,
 		Header:        head.Header,
 		Length:        head.ContentLength,
+		Framing:       framingOf(head),
 		NewConnection: !cn.reused,
 		body:          head.Body,
 		conn:          cn,
@@ -268,6 +271,11 @@
 	return n, err
 }
 
+// BytesRead returns the number of bytes of the body that were read.
+func (x *Exchange) BytesRead() int64 {
+	return x.bytesRead
+}
+
 // SetReadDeadline sets the deadline for reading the body.
 func (x *Exchange) SetReadDeadline(t time.Time) {
 	_ = x.conn.SetReadDeadline(t)
