gateway: an answer without a length or chunks is passed on without a mark of its end

Cause: the endpoint's answer had neither a length nor chunks, so that its connection's end told nothing, and the gateway read io.EOF as 'complete'. A fact that was not known became a promise on the next hop. Change: upstream.Framing tells how an answer is framed. One that ends with its connection is framed to the caller as it came: the caller knows as much as the gateway does, and it costs its connection alone. Where the content proves a cut (policy.CheckUnmarkedEnd: no event, an open JSON value, the rest of a stream whose end was promised) it counts as cut and is tried elsewhere if the route allows it. A cut that is known afterwards is a reset, also to callers of HTTP/1.0, whose streams always end with their connection.

--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -6,12 +6,10 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
-	"github.com/silverdeck/silverdeck/gateway/header"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -74,14 +72,18 @@
 // drainBody reads a short body so that the connection can be reused. If that fails, the
 // connection is closed together with the exchange.
 func drainBody(x *upstream.Exchange) {
+	if x.Framing == upstream.FramedByClose {
+		return // the connection can't be reused
+	}
 	x.SetReadDeadline(time.Now().Add(drainTimeout))
 	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxDrain))
 }
 
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
-	status int
-	header http.Header
+	status  int
+	header  http.Header
+	framing upstream.Framing
 	// length is the length of the body, or -1 if it is not known. body is the part that was read.
 	length int64
 	body   []byte
@@ -96,11 +98,17 @@
 	if err != nil && !errors.Is(err, errNoMemory) {
 		return verdict.Classify(verdict.Answering, err), balance.Failed
 	}
-	response := &bufferedResponse{status: x.Status, header: x.Header, length: int64(len(body)), body: body}
+	response := &bufferedResponse{status: x.Status, header: x.Header, framing: x.Framing, length: int64(len(body)), body: body}
 	if !whole {
 		response.length = x.Length
 		return p.passThrough(ctx, w, c, x, response)
 	}
+	if x.Framing == upstream.FramedByClose {
+		end := policy.UnmarkedEnd{Status: x.Status, JSON: isJSON(x.Header), Body: body}
+		if failure := policy.CheckUnmarkedEnd(end); failure != nil {
+			return failure, balance.Failed
+		}
+	}
 	outcome := balance.Served
 	if x.Status >= http.StatusInternalServerError {
 		outcome = balance.Failed
@@ -130,6 +138,9 @@
 			break
 		}
 		if errors.Is(readErr, io.EOF) {
+			if err = c.flush(w); err != nil {
+				break
+			}
 			return nil, balance.Served
 		}
 		if readErr != nil {
@@ -142,20 +153,21 @@
 
 // send writes the response to the caller. A caller that does not read is disconnected.
 func (p *Proxy) send(w http.ResponseWriter, c *call, r *bufferedResponse) {
-	if err := r.writeTo(w, c); errors.Is(err, os.ErrDeadlineExceeded) {
+	err := r.writeTo(w, c)
+	if err == nil {
+		err = c.flush(w)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		p.cfg.Metrics.CallersStalled.Inc(1)
 	}
+	if err != nil {
+		c.abort(w)
+	}
 }
 
 // writeTo writes the response, or the part of it that was read, to the caller.
 func (r *bufferedResponse) writeTo(w http.ResponseWriter, c *call) error {
-	header.CopyEndToEnd(w.Header(), r.header)
-	if r.length >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(r.length, 10))
-	}
-	c.callerFraming = c.framingFor(r.length)
-	c.headSent = true
-	w.WriteHeader(r.status)
+	c.sendHead(w, r.status, r.header, r.framing, r.length)
 	return writeToCaller(w, r.body)
 }
 
--- a/gateway/proxy/fail.go
+++ b/gateway/proxy/fail.go
@@ -20,7 +20,7 @@
 func (p *Proxy) fail(w http.ResponseWriter, c *call, e *verdict.Error) {
 	p.logFailure(c, e)
 	if c.headSent {
-		panic(http.ErrAbortHandler)
+		c.abort(w)
 	}
 	// A process that was suspended past the write deadline of the endpoint's response must still
 	// be able to report the outcome. Setting the deadline fails only if the caller has
--- a/gateway/proxy/framing.go
+++ b/gateway/proxy/framing.go
@@ -1,11 +1,36 @@
 package proxy
 
-import "github.com/silverdeck/silverdeck/gateway/upstream"
+import (
+	"mime"
+	"net/http"
+	"strings"
 
-// framingFor returns how a response is framed to the caller. length is its length, or -1 if that is
-// not known.
-func (c *call) framingFor(length int64) upstream.Framing {
+	"github.com/silverdeck/silverdeck/gateway/header"
+	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/serve"
+)
+
+// sendHead sends the head of a response. length is the length of its body, or -1 if it is not
+// known. The caller is promised a mark at the end only if the endpoint promised one.
+func (c *call) sendHead(w http.ResponseWriter, status int, h http.Header, framing upstream.Framing, length int64) {
+	c.headSent = true
+	c.callerFraming = c.framingFor(framing, length)
+	header.CopyEndToEnd(w.Header(), h)
+	switch c.callerFraming {
+	case upstream.FramedByLength:
+		header.SetLength(w.Header(), length)
+	case upstream.FramedByClose:
+		w.Header().Set("Transfer-Encoding", "identity") // makes net/http end the body with the connection
+	}
+	w.WriteHeader(status)
+}
+
+// framingFor returns how a response is framed to the caller, given its framing by the endpoint and
+// its length, or -1.
+func (c *call) framingFor(framing upstream.Framing, length int64) upstream.Framing {
 	switch {
+	case framing == upstream.FramedByClose:
+		return upstream.FramedByClose
 	case length >= 0:
 		return upstream.FramedByLength
 	case c.http10:
@@ -13,3 +38,35 @@
 	}
 	return upstream.FramedByChunks
 }
+
+// endPromised reports whether the caller was told that the end of the response will be marked.
+func (c *call) endPromised() bool {
+	return c.headSent && c.callerFraming != upstream.FramedByClose
+}
+
+// abort ends a response that is not complete. It does not return. Without a mark of the end, only a
+// reset tells the caller that the response was cut.
+func (c *call) abort(w http.ResponseWriter) {
+	if c.callerFraming == upstream.FramedByClose {
+		_ = serve.Reset(w) // otherwise the connection is closed
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// flush sends what net/http has buffered of a response that ends with its connection, so that an
+// error is seen before the end.
+func (c *call) flush(w http.ResponseWriter) error {
+	if c.callerFraming != upstream.FramedByClose {
+		return nil
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+// isJSON reports whether a response states that its body is JSON.
+func isJSON(h http.Header) bool {
+	if h.Get("Content-Encoding") != "" {
+		return false
+	}
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+}
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -46,6 +46,8 @@
 	// too long or there was no memory for them. CallersStalled counts callers that were
 	// disconnected because they did not read.
 	PassedThrough, CallersStalled metrics.Counter
+	// Unframed counts responses to whose end the endpoint set no mark.
+	Unframed metrics.Counter
 	// Whole is the time to the end of a response, FirstEvent the time to the first event of a
 	// stream, both in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -82,6 +84,7 @@
 		NotAdmitted:    metrics.NewRegisteredCounter("gateway.not_admitted", r),
 		Unreadable:     metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		PassedThrough:  metrics.NewRegisteredCounter("gateway.passed_through", r),
+		Unframed:       metrics.NewRegisteredCounter("gateway.unframed", r),
 		CallersStalled: metrics.NewRegisteredCounter("gateway.callers_stalled", r),
 		AllRatios:      newRatios(r, "gateway.", histogramSample),
 		RouteRatios:    newRouteRatios(r),
@@ -95,7 +98,11 @@
 func (p *Proxy) recordServed(c *call) {
 	elapsed := time.Since(c.startedAt)
 	p.cfg.Metrics.Served.Inc(1)
-	p.cfg.Poison.RecordAnswer(c.copies, time.Now())
+	if c.received.framing == upstream.FramedByClose {
+		p.cfg.Metrics.Unframed.Inc(1)
+	} else {
+		p.cfg.Poison.RecordAnswer(c.copies, time.Now())
+	}
 	p.cfg.Metrics.Whole.Update(elapsed.Microseconds())
 	if len(c.attempted) > 1 {
 		p.cfg.Metrics.Repeats.Inc(int64(len(c.attempted) - 1))
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
-	"github.com/silverdeck/silverdeck/gateway/header"
+	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -35,6 +35,7 @@
 	var reader eventReader
 	reader.limit = maxEvent
 	watch := p.watch(ctx, c, lease)
+	received := 0 // parts of one or more events
 	for {
 		if err := x.Await(watch); err != nil {
 			return streamFailure(ctx, err), balance.Failed
@@ -42,6 +43,7 @@
 		complete, err := reader.next(x)
 		lease.Received(time.Now())
 		if len(complete) > 0 {
+			received++
 			lease.PrefillDone()
 			measured.add(time.Now())
 			p.cancelHedge(c)
@@ -53,7 +55,13 @@
 			if remainder := reader.incomplete(); len(remainder) > 0 {
 				return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended inside an event"), balance.Failed
 			}
-			sendHead(w, c, x)
+			if x.Framing == upstream.FramedByClose {
+				end := policy.UnmarkedEnd{Status: x.Status, Stream: true, Events: received, EndPromised: c.endPromised()}
+				if failure := policy.CheckUnmarkedEnd(end); failure != nil {
+					return failure, balance.Failed
+				}
+			}
+			beginStream(w, c, x)
 			p.recordStream(c, a, &measured)
 			return nil, balance.Served
 		}
@@ -69,7 +77,7 @@
 	if !c.headSent {
 		p.cfg.Metrics.FirstEvent.Update(c.firstEvent.Microseconds())
 	}
-	sendHead(w, c, x)
+	beginStream(w, c, x)
 	if id := lastEventID(complete); id != "" {
 		c.lastEventID = id
 	}
@@ -82,15 +90,11 @@
 	return nil
 }
 
-// sendHead sends the response head unless it was already sent.
-func sendHead(w http.ResponseWriter, c *call, x *upstream.Exchange) {
-	if c.headSent {
-		return
+// beginStream sends the response head unless it was already sent.
+func beginStream(w http.ResponseWriter, c *call, x *upstream.Exchange) {
+	if !c.headSent {
+		c.sendHead(w, x.Status, x.Header, x.Framing, -1)
 	}
-	c.headSent = true
-	c.callerFraming = c.framingFor(-1)
-	header.CopyEndToEnd(w.Header(), x.Header)
-	w.WriteHeader(x.Status)
 }
 
 func streamFailure(ctx context.Context, err error) *verdict.Error {
--- a/gateway/proxy/unframed_test.go
+++ b/gateway/proxy/unframed_test.go
@@ -151,9 +151,11 @@
 	for _, tc := range []struct {
 		name, path, protocol string
 		first, second        handler
-		status               int
-		framing, body        string
-		err                  error
+		// later handles all requests but the first of each endpoint.
+		later         handler
+		status        int
+		framing, body string
+		err           error
 	}{
 		{name: "a plain one", path: "/unsafe/x", first: unframed(200, textType, "hello"), status: 200, framing: "close", body: "hello"},
 		{name: "an empty one", path: "/unsafe/x", first: unframed(200, textType, ""), status: 200, framing: "close"},
@@ -179,7 +181,11 @@
 		{name: "a stream without events that may be resumed", path: "/stream/x",
 			first: unframed(200, eventsType, ""), second: events(0, end, 1, 2), status: 200, framing: "chunks", body: stream(1, 2)},
 		{name: "the rest of a stream that began with chunks", path: "/stream/x",
-			first: events(0, cut, 1), second: unframed(200, eventsType, stream(2)), status: 200, framing: "chunks", body: stream(1, 2), err: io.ErrUnexpectedEOF},
+			first: events(0, cut, 1), second: unframed(200, eventsType, stream(2)), later: respond(500, "fail"),
+			status: 200, framing: "chunks", body: stream(1, 2), err: io.ErrUnexpectedEOF},
+		{name: "the rest of a stream that began with chunks, whose end another endpoint marks", path: "/stream/x",
+			first: events(0, cut, 1), second: unframed(200, eventsType, stream(2)), later: events(0, end),
+			status: 200, framing: "chunks", body: stream(1, 2)},
 		{name: "the first part of a stream that ends with chunks", path: "/stream/x",
 			first: unframed(200, eventsType, stream(1)+"id: 2\nda"), second: events(0, end, 2), status: 200, framing: "close", body: stream(1, 2)},
 		{name: "a stream to a caller without chunks", path: "/once/x", protocol: "HTTP/1.0",
@@ -191,9 +197,14 @@
 			if tc.protocol == "" {
 				tc.protocol = "HTTP/1.1"
 			}
-			scripts := [][]handler{{tc.first}}
-			if tc.second != nil {
-				scripts = append(scripts, []handler{tc.second})
+			var scripts [][]handler
+			for _, first := range []handler{tc.first, tc.second} {
+				switch {
+				case first != nil && tc.later != nil:
+					scripts = append(scripts, []handler{first, tc.later})
+				case first != nil:
+					scripts = append(scripts, []handler{first})
+				}
 			}
 			got := startSocketGateway(t, scripts...).send(tc.path, tc.protocol)
 			g := NewWithT(t)
@@ -223,3 +234,16 @@
 	}
 	s.g.Expect(s.endpoints[0].count()).To(Equal(3))
 }
+
+// TestARefusalWithoutALengthIsNotReadToItsEnd guards against waiting for a connection that can't be reused.
+func TestARefusalWithoutALengthIsNotReadToItsEnd(t *testing.T) {
+	refusal := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\n\r\n", r.Header.Get("Id"))
+		return hang(c, r)
+	}
+	runHarness(t, func(w *harness) {
+		got := w.send("POST", "/unsafe/x", "")
+		w.g.Expect(got.Body.String()).To(Equal("hello"))
+		w.g.Expect(got.elapsed).To(BeNumerically("<", time.Millisecond))
+	}, []handler{refusal}, []handler{respond(200, "hello")})
+}
