soak, standin: endpoints whose answers have neither a length nor chunks

Callers check that an answer which looks whole is whole, and that a mark which the endpoint set isn't lost.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -203,6 +203,7 @@
 // was cut.
 func (c *caller) check(resp *http.Response, q *question) (served bool, err error) {
 	w := c.world.witness
+	c.checkFraming(resp, q.id)
 	switch {
 	case resp.Header.Get(names.RequestID) != q.id:
 		w.AddViolation("request %s got an answer to %q", q.id, resp.Header.Get(names.RequestID))
@@ -214,7 +215,11 @@
 		if err != nil {
 			return false, err
 		}
-		if string(got) != standin.ResponseBody(q.id, q.body) {
+		whole := standin.ResponseBody(q.id, q.body)
+		if isCutUnframed(resp, string(got), whole) {
+			return false, errUnmarkedEnd
+		}
+		if string(got) != whole {
 			w.AddViolation("request %s got %q", q.id, got)
 		}
 		c.result.Served.Add(1)
@@ -258,6 +263,9 @@
 	for n := 1; ; n++ {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && event == "" {
+			if n <= c.world.cfg.events() && isUnframed(resp) {
+				return errUnmarkedEnd
+			}
 			if n != c.world.cfg.events()+1 {
 				c.world.witness.AddViolation("stream %s ended as whole after %d events", id, n-1)
 			}
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -34,12 +34,15 @@
 	// serve, and callers and runners that read slowly, large answers and large requests, beside
 	// gateways that are killed, stopped, frozen and cut off.
 	MixOverload Mix = "overload"
+	// MixUnframed has runners whose answers have neither a length nor chunks, half of them cut,
+	// beside runners that end and gateways that are killed, stopped and frozen.
+	MixUnframed Mix = "unframed"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -74,6 +77,8 @@
 		return w.drawPlaces(r)
 	case MixOverload:
 		return w.drawOverload(r)
+	case MixUnframed:
+		return w.drawUnframed(r)
 	}
 	return w.draw(r, chance)
 }
--- a/standin/recorder.go
+++ b/standin/recorder.go
@@ -16,6 +16,8 @@
 	Running int
 	// Aborted is set if the execution that ended last was aborted by its endpoint.
 	Aborted bool
+	// Unframed is set if an answer had neither a length nor chunks.
+	Unframed bool
 	// AbortedAt is the time at which an endpoint last aborted an execution.
 	AbortedAt time.Time
 }
@@ -69,6 +71,15 @@
 	c.runs[id] = r
 }
 
+// Unframed records that an answer to the request id has neither a length nor chunks.
+func (c *Recorder) Unframed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.runs[id]
+	r.Unframed = true
+	c.runs[id] = r
+}
+
 // Runs returns the executions of the request id.
 func (c *Recorder) Runs(id string) RequestRuns {
 	c.mu.Lock()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -79,6 +79,9 @@
 	running  int
 	draining bool
 	advisory advisory
+	// unframed is set while answers have neither a length nor chunks; unframedAnswers counts them.
+	unframed        bool
+	unframedAnswers int
 	// stalledUntil is the time until which streams get no events.
 	stalledUntil time.Time
 	// readPause is the time between two parts of a request that are read.
@@ -227,12 +230,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Silverdeck-Response-Stamp", r.cfg.ID)
+	end := r.nextEnding()
+	if end != endMarked {
+		r.cfg.Recorder.Unframed(id)
+		withholdFraming(w, end)
+	}
 	if r.cfg.Model == "" {
 		time.Sleep(requestDuration)
-		r.writeAnswer(w, id, string(body))
+		aborted = !r.writeAnswer(w, end, id, string(body))
 		return
 	}
-	aborted = !r.writeStream(w, q, id)
+	aborted = !r.writeStream(w, q, end, id)
 	if aborted {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/slow.go
+++ b/standin/slow.go
@@ -53,16 +53,16 @@
 	return fmt.Sprintf("%d bytes %x", len(body), sha256.Sum256([]byte(body)))
 }
 
-// writeAnswer writes the answer of a plain endpoint.
-func (r *Runner) writeAnswer(w io.Writer, id, body string) {
+// writeAnswer writes the answer of a plain endpoint and reports whether it wrote the whole.
+func (r *Runner) writeAnswer(w io.Writer, end ending, id, body string) bool {
 	if !strings.HasPrefix(body, LongAnswer) {
-		_, _ = io.WriteString(w, ResponseBody(id, body))
-		return
+		return cutAnswer(w, end, ResponseBody(id, body))
 	}
 	part := bytes.Repeat([]byte{'a'}, readPart)
 	for left := r.cfg.LongAnswer; left > 0; left -= readPart {
 		if _, err := w.Write(part); err != nil {
-			return
+			return true
 		}
 	}
+	return true
 }
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,7 +39,7 @@
 }
 
 // writeStream writes the events after Last-Event-Id. It returns false if the stream was aborted.
-func (r *Runner) writeStream(w http.ResponseWriter, q *http.Request, id string) bool {
+func (r *Runner) writeStream(w http.ResponseWriter, q *http.Request, end ending, id string) bool {
 	r.mu.Lock()
 	aborted := r.aborted
 	r.mu.Unlock()
@@ -50,8 +49,9 @@
 		if !r.waitForEvent(aborted) {
 			return false
 		}
-		if _, err := io.WriteString(w, FormatEvent(id, n)); err != nil {
-			return true
+		if !cutEvent(w, end, n, r.cfg.Events, FormatEvent(id, n)) {
+			_ = http.NewResponseController(w).Flush() // the head, if nothing else
+			return false
 		}
 		if http.NewResponseController(w).Flush() != nil || q.Context().Err() != nil {
 			return true
