--- a/standin/store.go
+++ b/standin/store.go
@@ -17,6 +17,7 @@
 // Store is an in-memory fake of the platform's object store. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
+	era      int64
 	revision int64
 	// objects contains the objects by kind and name.
 	objects map[string]map[string]storedObject
@@ -56,7 +57,7 @@
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{objects: map[string]map[string]storedObject{}, changed: make(chan struct{})}
+	return &Store{era: 1, objects: map[string]map[string]storedObject{}, changed: make(chan struct{})}
 }
 
 // SetFault sets the fault of the store. The zero value makes it work again.
@@ -135,8 +136,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
-	fault := s.fault
+	fault, era := s.fault, s.era
 	s.mu.Unlock()
+	w.Header().Set(EraHeader, strconv.FormatInt(era, 10))
 	switch {
 	case fault.Unresponsive:
 		<-r.Context().Done()
@@ -197,7 +199,8 @@
 	defer timeout.Stop()
 	for timedOut := false; ; {
 		s.mu.Lock()
-		dropped, at, changed := since < s.compactedAt, s.revision, s.changed
+		dropped, at, changed := since < s.compactedAt || since > s.revision, s.revision, s.changed
+		w.Header().Set(EraHeader, strconv.FormatInt(s.era, 10))
 		events := s.eventsSince(kind, since)
 		s.mu.Unlock()
 		if dropped {
