mirror, replica, proxy: positions in the store are compared by era, then by revision

Cause: the store gives out lower revisions again, and every comparison took the higher revision for the newer state: mirrors dropped each list (in a loop of 12 ms), gateways handed back what was lost, and objects and compressed copies with the same name and revision passed for the same. Change: a position is (era, revision), compared in mirror.Position.After alone. The era comes from the header of every answer of the store, failed ones included. A watch that is answered in another era is followed by a list, and any call that shows a new era makes the copies that are read from the store be listed anew. Copies, deltas, configurations, decoded records and compressed objects know their era. Between gateways the era is a field that older programs leave out and ignore: a copy without it counts as of the first era that the process has seen, so that upgrades go on and a former era is not handed back once another has begun. A configuration in force does not go back though the store lists an older version. A list that is older than the copy is followed by a pause.

--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -7,6 +7,7 @@
 package endpoints
 
 import (
+	"bytes"
 	"cmp"
 	"sync"
 	"sync/atomic"
@@ -50,16 +51,23 @@
 	decoded map[string]decodedRecord
 }
 
-// decodedRecord is the decoded form of a record at a revision. endpoint is nil if the record
+// decodedRecord is the decoded form of a record at a position. endpoint is nil if the record
 // could not be decoded.
 type decodedRecord struct {
-	revision int64
-	// since is the revision at which the record was first seen.
-	since    int64
+	at mirror.Position
+	// since is the position at which the record was first seen.
+	since    mirror.Position
+	data     []byte
 	endpoint *roster.Endpoint
 	readAt   time.Time
 }
 
+// isSame reports whether the record is the stored one in the given era. The revision alone does not tell
+// after the store returned from a copy, since revisions are given out again.
+func (d *decodedRecord) isSame(stored mirror.Object, era int64) bool {
+	return d.at.Revision == stored.Revision && (d.at.Era == era || bytes.Equal(d.data, stored.Data))
+}
+
 // New returns a List that is empty until the first call to Update.
 func New(cfg Config) *List {
 	return &List{cfg: cfg}
@@ -97,7 +105,7 @@
 		l.cfg.Log.Info("lapsed endpoints kept", "endpoints", kept, "forMs", end.Sub(now).Milliseconds(), "revision", list.Revision)
 		time.AfterFunc(end.Sub(now), l.Update)
 	}
-	roster.DropReplaced(list, l.firstRevisions())
+	roster.DropReplaced(list, l.firstPositions())
 	l.current.Store(list)
 	l.logChanges(previous, list)
 	l.cfg.OnChange(list)
@@ -107,15 +115,16 @@
 // decoded again; records that cannot be decoded, such as those of other programs, are omitted.
 // The lock must be held.
 func (l *List) decode(s *mirror.State, now time.Time) *roster.List {
-	list := &roster.List{Revision: s.Revision, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
+	list := &roster.List{Revision: s.Revision, Era: s.Era, Endpoints: make(map[string]*roster.Endpoint, len(s.Objects))}
 	records := make(map[string]decodedRecord, len(s.Objects))
 	for name, stored := range s.Objects {
 		d, known := l.decoded[name]
-		if !known || d.revision != stored.Revision {
-			since := d.since
+		since := d.since
+		if !known || !d.isSame(stored, s.Era) {
 			d = l.decodeRecord(name, stored, now)
-			d.since = cmp.Or(since, stored.Revision)
 		}
+		d.at = mirror.Position{Era: s.Era, Revision: stored.Revision}
+		d.since = cmp.Or(since, d.at)
 		records[name] = d
 		if d.endpoint != nil {
 			list.Endpoints[name] = d.endpoint
@@ -125,9 +134,9 @@
 	return list
 }
 
-// firstRevisions returns by ID the revision at which each record was first seen. The lock must be held.
-func (l *List) firstRevisions() map[string]int64 {
-	out := make(map[string]int64, len(l.decoded))
+// firstPositions returns by ID the position at which each record was first seen. The lock must be held.
+func (l *List) firstPositions() map[string]mirror.Position {
+	out := make(map[string]mirror.Position, len(l.decoded))
 	for name, d := range l.decoded {
 		out[name] = d.since
 	}
@@ -142,7 +151,7 @@
 	} else {
 		endpoint.Region, endpoint.ColdUntil = l.cfg.Regions[endpoint.Zone], now.Add(endpoint.Cold)
 	}
-	return decodedRecord{revision: stored.Revision, endpoint: endpoint, readAt: now}
+	return decodedRecord{data: stored.Data, endpoint: endpoint, readAt: now}
 }
 
 // keepLaterIncarnations replaces endpoints whose record belongs to an earlier incarnation than
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,7 @@
 	g.contacts.Store(&member.Contacts{})
 	g.inventory = inventory.NewServer(g.describeService, g.versions.WithKnownTime)
 	g.mirrors = g.newMirrors()
+	g.store.OnEra(g.onStoreEra)
 	g.syncer.SetMirrors(g.mirrors, platform.KindMembers)
 	return g
 }
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -41,6 +41,7 @@
 		g.log.Error("bad configuration", "revision", stored.Revision, "err", err)
 		return
 	}
+	config.Era = s.Era
 	if !g.proxy.Supersedes(config) {
 		return
 	}
@@ -50,7 +51,7 @@
 	g.balancer.SetColdLimits(g.coldLimits(config))
 	g.balancer.SetServices(engineServices(config))
 	g.proxy.SetConfig(config)
-	g.log.Info("configuration in force", "version", config.Version, "revision", config.Revision)
+	g.log.Info("configuration in force", "version", config.Version, "revision", config.Revision, "era", config.Era)
 	g.inventory.Broadcast()
 }
 
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/routes"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -107,8 +108,15 @@
 	return supersedes(c, p.routes.Load())
 }
 
+// supersedes reports whether c replaces old. A store that returned from a copy may list an older version
+// than the one in force, which then stays in force.
 func supersedes(c, old *routes.Config) bool {
-	return old == nil || (c.Revision > old.Revision && c.Version >= old.Version)
+	return old == nil || (positionOf(c).After(positionOf(old)) && c.Version >= old.Version)
+}
+
+// positionOf returns the position of a configuration in the store.
+func positionOf(c *routes.Config) mirror.Position {
+	return mirror.Position{Era: c.Era, Revision: c.Revision}
 }
 
 // SetConfig puts c in force for subsequent requests and reports whether it did. A configuration
--- a/gateway/replica/service.go
+++ b/gateway/replica/service.go
@@ -18,11 +18,17 @@
 
 	mu sync.Mutex
 	// compressed caches large objects in compressed form, by name.
-	compressed map[string]mirror.Object
+	compressed map[string]compressedObject
 	// bundles caches the last encoded bundle of each kind.
 	bundles map[string]bundle
 }
 
+// compressedObject is an object of an era in compressed form.
+type compressedObject struct {
+	era    int64
+	object mirror.Object
+}
+
 // bundle is an encoded and compressed delta between two versions of a copy.
 type bundle struct {
 	from int64
@@ -32,7 +38,7 @@
 
 // NewService returns a Service for mirrors, which are keyed by kind.
 func NewService(mirrors map[string]*mirror.Mirror) *Service {
-	return &Service{mirrors: mirrors, compressed: map[string]mirror.Object{}, bundles: map[string]bundle{}}
+	return &Service{mirrors: mirrors, compressed: map[string]compressedObject{}, bundles: map[string]bundle{}}
 }
 
 // ServiceName is the net/rpc name of Service.
@@ -48,6 +54,8 @@
 	Changed int64
 	// Bundles is set by gateways that support StateReply.Bundle.
 	Bundles bool
+	// Era is the era of Changed; older versions omit and ignore it.
+	Era int64
 }
 
 // StateReply is a copy. Packed names the objects whose data is compressed.
@@ -76,13 +84,16 @@
 	if state.Revision == 0 {
 		return ErrNoCopy
 	}
+	if q.Era != state.Era && q.Era != 0 {
+		q.Changed = 0 // its revisions mean something else
+	}
 	reply.Delta = *state.Since(q.Changed)
 	reply.Packed = map[string]bool{}
 	for i, o := range reply.Delta.Objects {
 		if len(o.Data) < compressionThreshold {
 			continue
 		}
-		compressed, err := s.compressObject(o)
+		compressed, err := s.compressObject(state.Era, o)
 		if err != nil {
 			return err
 		}
@@ -150,19 +161,19 @@
 	maxDecompressedSize = 16 << 20
 )
 
-// compressObject returns o with compressed data, and caches the result.
-func (s *Service) compressObject(o mirror.Object) (mirror.Object, error) {
+// compressObject returns o, which is of the given era, with compressed data, and caches the result.
+func (s *Service) compressObject(era int64, o mirror.Object) (mirror.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cached := s.compressed[o.Name]; cached.Revision == o.Revision {
-		return cached, nil
+	if cached := s.compressed[o.Name]; cached.era == era && cached.object.Revision == o.Revision {
+		return cached.object, nil
 	}
 	data, err := compress(o.Data)
 	if err != nil {
 		return o, err
 	}
 	o.Data = data
-	s.compressed[o.Name] = o
+	s.compressed[o.Name] = compressedObject{era, o}
 	return o, nil
 }
 
--- a/gateway/replica/syncer.go
+++ b/gateway/replica/syncer.go
@@ -201,7 +201,7 @@
 // ones from other gateways.
 func (s *Syncer) SyncWithPeers(ctx context.Context, now time.Time) {
 	for kind, m := range s.mirrors {
-		newer := s.table.PeersWithNewer(kind, m.State().Version())
+		newer := s.table.PeersWithNewer(kind, m.IsNewer)
 		if s.StartFetch(kind, len(newer) > 0, now) {
 			go s.Fetch(ctx, kind, newer[rand.IntN(len(newer))])
 		}
@@ -239,12 +239,13 @@
 	if err != nil {
 		s.log.Info("no copy from another entry", "kind", kind, "peer", addr, "err", err)
 		if ShouldFetchFromStore(s.behindFor(kind)) {
-			m.NoteNewerRevision(m.State().Revision + 1)
+			p := m.State().Position()
+			m.NoteNewer(mirror.Position{Era: p.Era, Revision: p.Revision + 1})
 		}
 		return
 	}
 	if m.ReplaceIfNewer(state) {
-		s.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", state.Revision)
+		s.log.Info("copy taken from another entry", "kind", kind, "peer", addr, "revision", state.Revision, "era", state.Era)
 	}
 }
 
@@ -268,7 +269,7 @@
 	defer cancel()
 	for _, known := range []int64{current.Changed, 0} {
 		var reply StateReply
-		if err := s.pool.Call(ctx, addr, methodState, StateRequest{Kind: kind, Changed: known, Bundles: true}, &reply); err != nil {
+		if err := s.pool.Call(ctx, addr, methodState, StateRequest{Kind: kind, Changed: known, Bundles: true, Era: current.Era}, &reply); err != nil {
 			return nil, err
 		}
 		delta, err := reply.decode()
--- a/gateway/replica/syncer_test.go
+++ b/gateway/replica/syncer_test.go
@@ -46,11 +46,15 @@
 
 // setCopy replaces g's copy of kind by the given objects at revision.
 func (g *gateway) setCopy(kind string, revision int64, objects ...mirror.Object) {
-	names := []string{}
+	g.setCopyInEra(0, kind, revision, objects...)
+}
+
+// setCopyInEra is like setCopy, for a store that has begun the given era.
+func (g *gateway) setCopyInEra(era int64, kind string, revision int64, objects ...mirror.Object) {
+	d := &mirror.Delta{Version: mirror.Version{Era: era, Revision: revision}, Objects: objects}
 	for _, o := range objects {
-		names = append(names, o.Name)
+		d.Names = append(d.Names, o.Name)
 	}
-	d := &mirror.Delta{Version: mirror.Version{Revision: revision}, Names: names, Objects: objects}
 	s, _ := (&mirror.State{}).Apply(d)
 	g.mirrors[kind].ReplaceIfNewer(s)
 }
@@ -107,6 +111,27 @@
 	g.Expect(bytes.Equal(got.Data, large.Data)).To(BeTrue())
 }
 
+// TestACopyOfALaterEraReplacesAllObjects guards against objects and cached data of a former era that have the same names and revisions.
+func TestACopyOfALaterEraReplacesAllObjects(t *testing.T) {
+	g := NewWithT(t)
+	one, other := newGateway("one"), newGateway("other")
+	large := func(text string) mirror.Object { return object("main", 4, `"`+strings.Repeat(text, 2000)+`"`) }
+	for era, text := range []string{1: "before", 2: "after"} {
+		if text == "" {
+			continue
+		}
+		other.setCopyInEra(int64(era), config, 4, large(text))
+		one.Fetch(context.Background(), config, other.serve(t))
+		g.Expect(string(one.mirrors[config].State().Objects["main"].Data)).To(ContainSubstring(text))
+	}
+	service := replica.NewService(other.mirrors)
+	var before, after replica.StateReply
+	g.Expect(service.State(replica.StateRequest{Kind: config}, &before)).To(Succeed())
+	other.setCopyInEra(3, config, 4, large("later"))
+	g.Expect(service.State(replica.StateRequest{Kind: config}, &after)).To(Succeed())
+	g.Expect(after.Delta.Objects[0].Data).NotTo(Equal(before.Delta.Objects[0].Data))
+}
+
 func TestAGatewayWithoutACopyReturnsAnError(t *testing.T) {
 	g := NewWithT(t)
 	var reply replica.StateReply
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -42,6 +42,7 @@
 	Self      member.Entry     `json:"self"`
 	Live      []member.Entry   `json:"live"`
 	Revisions map[string]int64 `json:"revisions"`
+	Eras      map[string]int64 `json:"eras"`
 	InFlight  map[string]int   `json:"inFlight"`
 	Versions  []debugVersion   `json:"versions"`
 	// Poison lists the requests under which endpoints crashed.
@@ -65,11 +66,12 @@
 
 // State implements telemetry.StatusProvider.
 func (g *Gateway) State() any {
-	revisions := map[string]int64{}
+	revisions, eras := map[string]int64{}, map[string]int64{}
 	for kind, m := range g.mirrors {
-		revisions[kind] = m.State().Revision
+		s := m.State()
+		revisions[kind], eras[kind] = s.Revision, s.Era
 	}
-	return debugState{Self: g.self, Live: g.table.Live(), Revisions: revisions, InFlight: byID(g.balancer.InFlight()), Versions: g.debugVersions(),
+	return debugState{Self: g.self, Live: g.table.Live(), Revisions: revisions, Eras: eras, InFlight: byID(g.balancer.InFlight()), Versions: g.debugVersions(),
 		Poison: g.poison.List(time.Now()), Paces: byID(g.balancer.Paces()), Admission: g.gate.Status()}
 }
 
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -528,7 +528,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		for i, n := range nodes[5:] {
-			f.Expect(n.table.PeersWithNewer("config", mirror.Version{Revision: 5, Digest: 5})).To(ContainElement(peerAddr((i+5)%5)), n.entry.Name)
+			f.Expect(n.table.PeersWithNewer("config", newerThan(mirror.Version{Revision: 5, Digest: 5}))).To(ContainElement(peerAddr((i+5)%5)), n.entry.Name)
 		}
 	})
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -109,18 +109,18 @@
 		t.HandleHeartbeat(newHeartbeat("y", 1, 8, nil), now)
 		t.HandleHeartbeat(newHeartbeat("z", 1, 9, nil), now)
 		version := func(n int64) mirror.Version { return mirror.Version{Revision: n, Digest: uint64(n)} }
-		Expect(t.PeersWithNewer("config", version(3))).To(Equal([]string{"y:1", "z:1"}))
-		Expect(t.PeersWithNewer("config", version(8))).To(Equal([]string{"z:1"}))
-		Expect(t.PeersWithNewer("config", version(9))).To(BeEmpty())
-		Expect(t.PeersWithNewer("config", mirror.Version{Revision: 8, Digest: 9})).To(BeEmpty(), "the same objects, confirmed later")
+		Expect(t.PeersWithNewer("config", newerThan(version(3)))).To(Equal([]string{"y:1", "z:1"}))
+		Expect(t.PeersWithNewer("config", newerThan(version(8)))).To(Equal([]string{"z:1"}))
+		Expect(t.PeersWithNewer("config", newerThan(version(9)))).To(BeEmpty())
+		Expect(t.PeersWithNewer("config", newerThan(mirror.Version{Revision: 8, Digest: 9}))).To(BeEmpty(), "the same objects, confirmed later")
 	})
 	It("prefers gateways of its own zone", func() {
 		far := newHeartbeat("a", 1, 9, nil)
 		far.Entry.Zone = "elsewhere"
 		t.HandleHeartbeat(far, now)
-		Expect(t.PeersWithNewer("config", mirror.Version{})).To(Equal([]string{"a:1"}))
+		Expect(t.PeersWithNewer("config", newerThan(mirror.Version{}))).To(Equal([]string{"a:1"}))
 		t.HandleHeartbeat(newHeartbeat("z", 1, 8, nil), now)
-		Expect(t.PeersWithNewer("config", mirror.Version{})).To(Equal([]string{"z:1"}))
+		Expect(t.PeersWithNewer("config", newerThan(mirror.Version{}))).To(Equal([]string{"z:1"}))
 	})
 })
 
@@ -212,3 +212,8 @@
 		Expect(t.StoreLost()).To(BeFalse(), "no gateway reports it")
 	})
 })
+
+// newerThan returns a function that reports whether a version is newer than mine.
+func newerThan(mine mirror.Version) func(mirror.Version) bool {
+	return func(v mirror.Version) bool { return v.NewerThan(mine) }
+}
--- a/member/watch.go
+++ b/member/watch.go
@@ -122,17 +122,18 @@
 	return lost
 }
 
-// PeersWithNewer returns the peer addresses of gateways whose copy of kind is newer than mine.
+// PeersWithNewer returns the peer addresses of gateways whose copy of kind has a version that
+// isNewer returns true for.
 // Only gateways heard directly count: relays bring a copy into their zone, and the zone's other
 // gateways take it from them. Gateways of this gateway's zone are preferred; others are
 // returned only if there are none.
-func (t *Table) PeersWithNewer(kind string, mine mirror.Version) []string {
+func (t *Table) PeersWithNewer(kind string, isNewer func(mirror.Version) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var near, far []string
 	for _, p := range t.direct {
 		switch {
-		case !p.heartbeat.Copies[kind].NewerThan(mine):
+		case !isNewer(p.heartbeat.Copies[kind]):
 		case p.heartbeat.Entry.Zone == t.self.Zone:
 			near = append(near, p.heartbeat.Entry.Peer)
 		default:
--- a/mirror/config.go
+++ b/mirror/config.go
@@ -25,7 +25,7 @@
 	// Watches of other kinds may have been dropped at the same time. It may be nil.
 	OnHistoryGone func()
 	// Active reports whether the mirror reads the store itself. An inactive mirror only
-	// receives copies through ReplaceIfNewer, or lists once after NoteNewerRevision. If Active
+	// receives copies through ReplaceIfNewer, or lists once after NoteNewer. If Active
 	// is nil, the mirror is always active.
 	Active func() bool
 	Log    *log.Logger
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -40,11 +40,14 @@
 	notify func(*State)
 
 	state atomic.Pointer[State]
-	// knownRevision is the highest revision passed to NoteNewerRevision since the last list.
-	knownRevision atomic.Int64
+	// known is the latest position passed to NoteNewer since the last list.
+	known atomic.Pointer[Position]
 	// lost is set while the store is unreachable. Only Run's goroutine uses it.
 	lost bool
 
+	// firstEra is the first era of a copy that is not 0.
+	firstEra atomic.Int64
+
 	// mu serializes changes of state and guards the functions below.
 	mu sync.Mutex
 	// cancel ends the current call; cancelWatch ends it only if it is a watch.
@@ -64,6 +67,7 @@
 	}
 	m := &Mirror{cfg: cfg, notify: notify}
 	m.state.Store(&State{})
+	m.known.Store(&Position{})
 	return m
 }
 
@@ -85,7 +89,7 @@
 			pause = minBackoff
 			continue
 		}
-		if m.knownRevision.Load() > m.State().Revision {
+		if m.behind() {
 			pause = minBackoff
 		}
 		wait.For(ctx, time.Duration((0.5+m.cfg.Random())*float64(pause)))
@@ -96,7 +100,7 @@
 // idle reports whether the mirror currently makes no calls. A mirror that becomes idle no
 // longer reports the store as unreachable.
 func (m *Mirror) idle() bool {
-	if m.cfg.Active() || m.knownRevision.Load() > m.State().Revision {
+	if m.cfg.Active() || m.behind() {
 		return false
 	}
 	if m.lost {
@@ -106,15 +110,20 @@
 	return true
 }
 
-// NoteNewerRevision records that a revision exists elsewhere. If the copy is older, the
-// current call is canceled and a list follows: the watch should have delivered the revision.
-func (m *Mirror) NoteNewerRevision(revision int64) {
+// behind reports whether a later position than that of the copy exists.
+func (m *Mirror) behind() bool {
+	return m.known.Load().After(m.State().Position())
+}
+
+// NoteNewer records that a position exists elsewhere. If the copy is older, the current call is
+// canceled and a list follows: the watch should have delivered what is there.
+func (m *Mirror) NoteNewer(p Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision <= m.State().Revision || revision <= m.knownRevision.Load() {
+	if !p.After(m.State().Position()) || !p.After(*m.known.Load()) {
 		return
 	}
-	m.knownRevision.Store(revision)
+	m.known.Store(&p)
 	if m.cancel != nil {
 		m.cancel()
 	}
@@ -130,12 +139,29 @@
 	}
 }
 
+// IsNewer reports whether v is the version of a later copy than this one with different objects. A
+// copy whose era is not known, as of an older program, is taken to be of the first era that this
+// process has seen: once another one has begun, such copies are never newer.
+func (m *Mirror) IsNewer(v Version) bool {
+	v.Era = m.assumedEra(v.Era)
+	return v.NewerThan(m.State().Version())
+}
+
+// assumedEra returns era, or the first one if it is not known.
+func (m *Mirror) assumedEra(era int64) int64 {
+	if era == 0 {
+		return m.firstEra.Load()
+	}
+	return era
+}
+
 // ReplaceIfNewer replaces the copy by s, which was obtained from another process, if s is
 // newer. It reports whether it did.
 func (m *Mirror) ReplaceIfNewer(s *State) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !s.Version().NewerThan(m.State().Version()) {
+	s.Era = m.assumedEra(s.Era)
+	if !m.IsNewer(s.Version()) {
 		return false
 	}
 	m.set(s)
@@ -147,21 +173,20 @@
 
 // step makes one call to the store, or a list after a watch whose history is gone.
 func (m *Mirror) step(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	call, cancel := m.cancelable(ctx)
 	defer cancel()
-	m.mu.Lock()
-	m.cancel = cancel
-	m.mu.Unlock()
 	current := m.State()
-	if current.Revision == 0 || m.knownRevision.Load() > current.Revision {
-		return m.list(ctx)
+	if current.Revision == 0 || m.behind() {
+		return m.list(call)
 	}
-	events, at, err := m.watch(ctx, current.Revision)
+	events, at, err := m.watch(call, current.Position())
 	var gone *HistoryGoneError
 	if errors.As(err, &gone) {
-		m.cfg.Log.Info("history gone", "kind", m.cfg.Kind, "revision", current.Revision)
+		m.cfg.Log.Info("history gone", "kind", m.cfg.Kind, "revision", current.Revision, "era", current.Era, "storeEra", gone.Era)
 		m.cfg.OnHistoryGone()
-		return m.list(ctx)
+		call, cancel = m.cancelable(ctx) // the watch may have been canceled for the same reason
+		defer cancel()
+		return m.list(call)
 	}
 	if err != nil {
 		m.noteFailure(err)
@@ -175,13 +200,22 @@
 	return nil
 }
 
-// watch returns the changes after revision. Recheck cancels it.
-func (m *Mirror) watch(ctx context.Context, revision int64) ([]Event, int64, error) {
+// cancelable returns a context that ends when the copy is replaced or known to be behind.
+func (m *Mirror) cancelable(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cancel = cancel
+	return ctx, cancel
+}
+
+// watch returns the changes after p. Recheck cancels it.
+func (m *Mirror) watch(ctx context.Context, p Position) ([]Event, Position, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.setCancelWatch(cancel)
 	defer m.setCancelWatch(nil)
-	return m.cfg.Source.Watch(ctx, revision, m.nextPollTimeout())
+	return m.cfg.Source.Watch(ctx, p, m.nextPollTimeout())
 }
 
 func (m *Mirror) setCancelWatch(cancel context.CancelFunc) {
@@ -210,18 +244,27 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.knownRevision.Store(0)
-	if at > m.State().Revision {
+	m.known.Store(&Position{})
+	current := m.State().Position()
+	switch {
+	case at.After(current):
 		m.set(s)
+	case current.After(at):
+		m.cfg.Log.Info("list older than the copy", "kind", m.cfg.Kind, "revision", current.Revision, "era", current.Era,
+			"storeRevision", at.Revision, "storeEra", at.Era)
+		return errOldList
 	}
 	return nil
 }
 
+// errOldList means that the store listed less than this mirror has.
+var errOldList = errors.New("mirror: the list is older than the copy")
+
 // apply applies events to base, unless the copy has been replaced since.
-func (m *Mirror) apply(base *State, events []Event, at int64) {
+func (m *Mirror) apply(base *State, events []Event, at Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.State() != base || at <= base.Revision {
+	if m.State() != base || !at.After(base.Position()) {
 		return
 	}
 	if len(events) == 0 {
@@ -229,7 +272,7 @@
 		// than changes it did not deliver.
 		return
 	}
-	s := &State{Revision: at, Changed: base.Changed, Digest: base.Digest, Objects: maps.Clone(base.Objects)}
+	s := &State{Era: at.Era, Revision: at.Revision, Changed: base.Changed, Digest: base.Digest, Objects: maps.Clone(base.Objects)}
 	for _, e := range events {
 		s.Changed = max(s.Changed, e.Object.Revision)
 		if e.Gone {
@@ -242,6 +285,11 @@
 }
 
 func (m *Mirror) set(s *State) {
+	m.firstEra.CompareAndSwap(0, s.Era)
+	if old := m.State(); s.Era != old.Era && old.Era != 0 {
+		m.cfg.Log.Warn("store returned from a copy", "kind", m.cfg.Kind, "era", s.Era, "revision", s.Revision,
+			"oldEra", old.Era, "oldRevision", old.Revision)
+	}
 	m.state.Store(s)
 	m.notify(s)
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -65,30 +65,31 @@
 
 var errDown = errors.New("down")
 
-func (s *store) List(context.Context) ([]mirror.Object, int64, error) {
+func (s *store) List(context.Context) ([]mirror.Object, mirror.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errDown
+		return nil, mirror.Position{}, errDown
 	}
 	var out []mirror.Object
 	for name, revision := range s.objects {
 		out = append(out, mirror.Object{Name: name, Revision: revision})
 	}
-	return out, s.revision, nil
+	return out, mirror.Position{Revision: s.revision}, nil
 }
 
-func (s *store) Watch(ctx context.Context, revision int64, hold time.Duration) ([]mirror.Event, int64, error) {
+func (s *store) Watch(ctx context.Context, p mirror.Position, hold time.Duration) ([]mirror.Event, mirror.Position, error) {
+	revision := p.Revision
 	s.mu.Lock()
 	s.calls++
 	unresponsive, down, gone := s.unresponsive, s.down, revision < s.oldest
 	s.mu.Unlock()
 	switch {
 	case down:
-		return nil, 0, errDown
+		return nil, mirror.Position{}, errDown
 	case gone:
-		return nil, 0, &mirror.HistoryGoneError{Revision: revision}
+		return nil, mirror.Position{}, &mirror.HistoryGoneError{Revision: revision}
 	case unresponsive:
 		return s.blockUnanswered(ctx, hold)
 	}
@@ -104,25 +105,25 @@
 			return s.blockUnanswered(ctx, hold)
 		}
 		if len(events) > 0 {
-			return events, at, nil
+			return events, mirror.Position{Revision: at}, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return nil, at, nil
+			return nil, mirror.Position{Revision: at}, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, mirror.Position{}, ctx.Err()
 		}
 	}
 }
 
 // blockUnanswered is a watch that the store never answers and the client gives up.
-func (s *store) blockUnanswered(ctx context.Context, hold time.Duration) ([]mirror.Event, int64, error) {
+func (s *store) blockUnanswered(ctx context.Context, hold time.Duration) ([]mirror.Event, mirror.Position, error) {
 	select {
 	case <-time.After(hold + time.Second):
-		return nil, 0, context.DeadlineExceeded
+		return nil, mirror.Position{}, context.DeadlineExceeded
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, mirror.Position{}, ctx.Err()
 	}
 }
 
@@ -222,7 +223,7 @@
 		s.set(func() { s.unresponsive = true })
 		s.change("b", false)
 		synctest.Wait()
-		m.NoteNewerRevision(2)
+		m.NoteNewer(mirror.Position{Revision: 2})
 		time.Sleep(200 * time.Millisecond)
 		g.Expect(names(m)).To(ConsistOf("a", "b"))
 	})
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -23,19 +23,21 @@
 
 // Source reads objects of one kind.
 type Source interface {
-	// List returns all objects and the store's revision.
-	List(ctx context.Context) ([]Object, int64, error)
-	// Watch waits for changes after revision and returns them with the revision from which
-	// to continue. timeout is how long the store may wait; if nothing has changed by then,
-	// there are no events. If the store no longer has the changes, the error is a
-	// *HistoryGoneError.
-	Watch(ctx context.Context, revision int64, timeout time.Duration) ([]Event, int64, error)
+	// List returns all objects and the store's position.
+	List(ctx context.Context) ([]Object, Position, error)
+	// Watch waits for changes after p and returns them with the position from which to
+	// continue. timeout is how long the store may wait; if nothing has changed by then,
+	// there are no events. If the store no longer has the changes, or is in another era, the
+	// error is a *HistoryGoneError.
+	Watch(ctx context.Context, p Position, timeout time.Duration) ([]Event, Position, error)
 }
 
-// HistoryGoneError is returned when the store no longer has the changes after Revision. The
-// objects must be listed instead.
+// HistoryGoneError is returned when the store no longer has the changes after Revision, in the era
+// of that revision. The objects must be listed instead.
 type HistoryGoneError struct {
 	Revision int64
+	// Era is the era of the store.
+	Era int64
 }
 
 // Error implements error.
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -14,22 +14,36 @@
 	// Digest is a hash of the names and revisions of all objects.
 	Digest  uint64
 	Objects map[string]Object
+	// Era is the era of the store to which all revisions belong.
+	Era int64
+}
+
+// Position returns the position of the copy.
+func (s *State) Position() Position {
+	return Position{Era: s.Era, Revision: s.Revision}
 }
 
 // Version identifies a copy, to determine which of two is newer.
 type Version struct {
 	Revision int64  `json:"rev"`
 	Digest   uint64 `json:"digest"`
+	// Era is the store's; older versions omit and ignore it.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Version returns the copy's version.
 func (s *State) Version() Version {
-	return Version{Revision: s.Revision, Digest: s.Digest}
+	return Version{Revision: s.Revision, Digest: s.Digest, Era: s.Era}
+}
+
+// Position returns the position of the copy.
+func (v Version) Position() Position {
+	return Position{Era: v.Era, Revision: v.Revision}
 }
 
 // NewerThan reports whether v is a later copy than u with different objects.
 func (v Version) NewerThan(u Version) bool {
-	return v.Revision > u.Revision && (v.Digest != u.Digest || u.Revision == 0)
+	return v.Position().After(u.Position()) && (v.Digest != u.Digest || v.Era != u.Era || u.Revision == 0)
 }
 
 // digest returns the object's contribution to a copy's digest.
@@ -52,9 +66,9 @@
 	}
 }
 
-// newState returns an empty copy at revision with room for n objects.
-func newState(revision int64, n int) *State {
-	return &State{Revision: revision, Objects: make(map[string]Object, n)}
+// newState returns an empty copy at p with room for n objects.
+func newState(p Position, n int) *State {
+	return &State{Era: p.Era, Revision: p.Revision, Objects: make(map[string]Object, n)}
 }
 
 // Delta is the difference of a copy from an older one.
@@ -79,9 +93,12 @@
 }
 
 // Apply returns s with d applied. It returns false if an object is missing from both s and d,
-// or if the digest of the result differs from that of d.
+// or if the digest of the result differs from that of d. Objects of another era are not used.
 func (s *State) Apply(d *Delta) (*State, bool) {
-	out := newState(d.Version.Revision, len(d.Names))
+	if d.Version.Era != s.Era && d.Version.Era != 0 {
+		s = &State{}
+	}
+	out := newState(d.Version.Position(), len(d.Names))
 	changed := make(map[string]Object, len(d.Objects))
 	for _, o := range d.Objects {
 		changed[o.Name] = o
--- a/roster/replaced_test.go
+++ b/roster/replaced_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -15,13 +16,14 @@
 	for _, c := range []struct {
 		name      string
 		endpoints []*roster.Endpoint
-		since     map[string]int64
+		since     map[string]mirror.Position
 		want      []string
 	}{
-		{"different addresses", []*roster.Endpoint{at("a", "1:1"), at("b", "1:2")}, map[string]int64{"a": 1, "b": 2}, []string{"a", "b"}},
-		{"the later one at an address stays", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1"), at("c", "1:1")}, map[string]int64{"a": 1, "b": 3, "c": 2}, []string{"b"}},
-		{"one without a record goes", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1")}, map[string]int64{"b": 2}, []string{"b"}},
-		{"it is not known which is later", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1")}, map[string]int64{"a": 4, "b": 4}, []string{"a", "b"}},
+		{"different addresses", []*roster.Endpoint{at("a", "1:1"), at("b", "1:2")}, map[string]mirror.Position{"a": {Revision: 1}, "b": {Revision: 2}}, []string{"a", "b"}},
+		{"the later one at an address stays", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1"), at("c", "1:1")}, map[string]mirror.Position{"a": {Revision: 1}, "b": {Revision: 3}, "c": {Revision: 2}}, []string{"b"}},
+		{"one without a record goes", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1")}, map[string]mirror.Position{"b": {Revision: 2}}, []string{"b"}},
+		{"the later one is of a later era", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1")}, map[string]mirror.Position{"a": {Era: 1, Revision: 9}, "b": {Era: 2, Revision: 4}}, []string{"b"}},
+		{"it is not known which is later", []*roster.Endpoint{at("a", "1:1"), at("b", "1:1")}, map[string]mirror.Position{"a": {Revision: 4}, "b": {Revision: 4}}, []string{"a", "b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,9 +51,10 @@
 	return 0
 }
 
-// List holds all endpoints at one revision of the store.
+// List holds all endpoints at one revision of the store, in one of its eras.
 type List struct {
 	Revision  int64
+	Era       int64
 	Endpoints map[string]*Endpoint
 }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -135,12 +135,12 @@
 
 // Config is one version of the configuration.
 type Config struct {
-	// Version is the operator's version number, Revision the store's revision.
-	Version, Revision int64
-	Services          map[string]*Service
-	Limits            Limits
-	hosts             map[string][]*Route
-	accounts          map[string]*Account
+	// Version is the operator's version number, Revision the store's revision in era Era.
+	Version, Revision, Era int64
+	Services               map[string]*Service
+	Limits                 Limits
+	hosts                  map[string][]*Route
+	accounts               map[string]*Account
 	// longestTargets and longestTimeouts hold the longest latency target and timeout of the
 	// streams that each service answers.
 	longestTargets, longestTimeouts map[string]time.Duration
