endpoints: what an endpoint said outlives the store's return from a copy

Cause: the list of endpoints believed the store alone. With positions compared by era the old copy is taken, and an older record makes a leaving endpoint ready, one that is gone present, and one that came since absent. Change: an endpoint that leaves does so until its end, whatever a record says. One that was gone is not used for a record that came back with the store, until the record has outlasted the time in which records lapse; never if it had said that it leaves. One that the copy lacks is kept as after an outage.

--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -49,6 +49,8 @@
 	mu sync.Mutex
 	// decoded caches the decoded records by ID.
 	decoded map[string]decodedRecord
+	// departed holds the endpoints that went within departedMemory, by ID.
+	departed map[string]departed
 }
 
 // decodedRecord is the decoded form of a record at a position. endpoint is nil if the record
@@ -70,7 +72,7 @@
 
 // New returns a List that is empty until the first call to Update.
 func New(cfg Config) *List {
-	return &List{cfg: cfg}
+	return &List{cfg: cfg, departed: map[string]departed{}}
 }
 
 // Current returns the current list, or nil before the first call to Update.
@@ -97,8 +99,16 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	list := l.decode(l.cfg.Records(), now)
-	listed := len(list.Endpoints)
 	previous := l.current.Load()
+	if previous == nil {
+		previous = &roster.List{}
+	}
+	if list.Era != previous.Era && previous.Era != 0 {
+		l.cfg.Retention.StoreRestored(now)
+	}
+	keepLeaving(list, previous)
+	l.dropDeparted(list, now)
+	listed := len(list.Endpoints)
 	l.keepLaterIncarnations(list, previous, now)
 	end := l.cfg.Retention.AddRetained(list, previous, now)
 	if kept := len(list.Endpoints) - listed; kept > 0 {
@@ -106,6 +116,7 @@
 		time.AfterFunc(end.Sub(now), l.Update)
 	}
 	roster.DropReplaced(list, l.firstPositions())
+	l.noteDeparted(list, previous, now)
 	l.current.Store(list)
 	l.logChanges(previous, list)
 	l.cfg.OnChange(list)
@@ -160,9 +171,6 @@
 // regardless: its writer must be alive, and its clock may have been set back. The lock must be
 // held.
 func (l *List) keepLaterIncarnations(list, previous *roster.List, now time.Time) {
-	if previous == nil {
-		return
-	}
 	for name, e := range list.Endpoints {
 		known := previous.Endpoints[name]
 		if known == nil || !e.Incarnation().Before(known.Incarnation()) {
@@ -179,9 +187,6 @@
 
 // logChanges logs each endpoint that was added, changed or removed.
 func (l *List) logChanges(previous, list *roster.List) {
-	if previous == nil {
-		previous = &roster.List{}
-	}
 	for name, current := range list.Endpoints {
 		if !sameForRouting(previous.Endpoints[name], current) {
 			l.cfg.Log.Info("endpoint", "endpoint", name, "service", current.Service, "addr", current.Addr, "zone", current.Zone,
--- a/roster/retention.go
+++ b/roster/retention.go
@@ -63,6 +63,14 @@
 	r.returnedAt = now
 }
 
+// StoreRestored records that the store returned from a copy. The records of endpoints that started since
+// the copy was made are missing until they are written again.
+func (r *Retention) StoreRestored(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returnedAt = now
+}
+
 // AddRetained adds to list those endpoints of before that are missing from it and may return.
 // It returns when the first of them expires, or the zero time if none was added.
 func (r *Retention) AddRetained(list, before *List, now time.Time) time.Time {
