gateway: gateways write again what the store lost when it returned from a copy

Where the store comes back from a copy, gateways that registered since were not listed there for as long as they lived, and a quarantine was lost: gateways and sidecars that start later could not find or know them. Cause: a gateway writes its record once, at its start, and trusts the store's answer for good.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,9 @@
 	peers *peerconn.Pool
 	// namingsRequested wakes runNamingQueries.
 	namingsRequested chan struct{}
+	// era is the latest era of a copy; rewriteRequested wakes runRewrites.
+	era              atomic.Int64
+	rewriteRequested chan struct{}
 	// unreadableVersions, unreadableMembers and unreadableQuarantines track records that
 	// can't be decoded.
 	unreadableVersions, unreadableMembers, unreadableQuarantines *unreadable.Reporter
@@ -138,6 +141,7 @@
 		flowMetrics: NewFlowMetrics(registry),
 
 		namingsRequested: make(chan struct{}, 1),
+		rewriteRequested: make(chan struct{}, 1),
 	}
 	g.quarantineLoaded, g.markQuarantineLoaded = context.WithCancel(context.Background())
 	g.poison, g.trials = poison.NewTable(g.onPoisonChange), poison.NewTrials()
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -65,6 +65,7 @@
 		go m.Run(ctx)
 	}
 	go g.register(ctx)
+	go g.runRewrites(ctx)
 	go g.runNamingQueries(ctx)
 	go g.closeIdleConnections(ctx)
 	go g.loadQuarantine(ctx)
--- a/gateway/poison/list.go
+++ b/gateway/poison/list.go
@@ -35,6 +35,19 @@
 	record Record
 }
 
+// Quarantined returns the keys of the quarantined requests.
+func (t *Table) Quarantined() []Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Key
+	for k, q := range t.requests {
+		if q.State() == Quarantined {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 // List returns the suspected and quarantined requests, the most recently changed first.
 func (t *Table) List(now time.Time) []RequestStatus {
 	t.mu.Lock()
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -45,6 +45,7 @@
 		Log:            g.log,
 	}, func(s *mirror.State) {
 		use(s)
+		g.noteCopyEra(s.Era)
 		g.announceCopies()
 	})
 }
