soak: a store that returns from copies

The mix 'restored' takes the store away for up to .8 s and brings it back from a copy of up to 5 s before, twice in a row at times, beside configurations in quick succession, runners that leave, new weights, dropped history, and gateways that are killed, stopped and frozen. The operator writes again within .5 s, runners with their heartbeats; records of runners that are gone lapse. Each gateway is asked on the routes of versions of the configuration whether the latest is in force in time and whether one went back; requests that reach a runner after its word are counted where the store was calm.

--- a/soak/configure.go
+++ b/soak/configure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/silverdeck/silverdeck/standin"
@@ -13,12 +14,18 @@
 	defer w.mu.Unlock()
 	w.configVersion++
 	sent := time.Now()
+	w.writeConfiguration()
+	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
+}
+
+// writeConfiguration writes the current version. The caller holds the lock.
+func (w *world) writeConfiguration() {
 	w.store.Configure(standin.Configuration{
 		Version: w.configVersion,
 		Routes: append([]standin.Route{
 			{Name: "stream", Host: streamHost, Service: modelService, Stream: true, Timeout: streamLimit, LatencyTarget: 400 * time.Millisecond, Priority: w.streamRank(), AllowedRegions: w.streamRegions},
 			{Name: "plain", Host: plainHost, Service: plainService, Timeout: 2 * time.Second, LatencyTarget: plainTarget, Priority: standin.DefaultRank},
-		}, append(w.overloadRoutes(), w.otherRoutes()...)...),
+		}, slices.Concat(w.overloadRoutes(), w.versionRoutes(), w.otherRoutes())...),
 		Model: model, ModelService: modelService, PlainService: plainService,
 		Origin:  w.addr(251, portOrigin),
 		Account: accountName, Key: apiKey, OtherAccounts: w.otherAccounts(),
@@ -26,7 +33,7 @@
 		Engine:    w.engine(),
 		ColdStart: coldTime, ColdPerSecond: w.coldPerSecond(),
 	})
-	w.changes = append(w.changes, Change{Sent: sent, Acked: time.Now()})
+	w.restores.noteConfiguration(w.configVersion, time.Now())
 }
 
 // coldPerSecond returns the limit on requests to cold runners, or 0 if they have none.
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -37,12 +37,15 @@
 	// MixUnframed has runners whose answers have neither a length nor chunks, half of them cut,
 	// beside runners that end and gateways that are killed, stopped and frozen.
 	MixUnframed Mix = "unframed"
+	// MixRestored has a store that returns from copies again and again, beside configurations, runners
+	// that leave, new weights, and gateways that are killed, stopped and frozen.
+	MixRestored Mix = "restored"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -79,6 +82,8 @@
 		return w.drawOverload(r)
 	case MixUnframed:
 		return w.drawUnframed(r)
+	case MixRestored:
+		return w.drawRestored(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -94,6 +94,9 @@
 	for _, line := range w.heeded.judge(w.isHeld, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
+	for _, line := range w.restores.judge(w.isHeld, platformBounds) {
+		w.witness.AddViolation("%s", line)
+	}
 	w.fatal.judge(w, report)
 	if !w.awaitAll(healLimit) {
 		w.witness.AddViolation("not every entry serves every route %s after the last fault", healLimit)
@@ -123,6 +126,12 @@
 	if w.cfg.Previous != "" {
 		asking.Go(func() { w.upgrade(ctx) })
 	}
+	if w.cfg.Mix == MixRestored {
+		asking.Go(func() { w.keepCopies(ctx) })
+		for i := range w.entries {
+			asking.Go(func() { w.probeVersions(ctx, i) })
+		}
+	}
 	if w.cfg.Mix == MixCrash {
 		asking.Go(func() { w.sendFatal(ctx) })
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -92,6 +92,7 @@
 	heeded      *heeded
 	places      *places
 	shares      *Shares
+	restores    *restores
 	beside      *Beside
 	// large counts the large requests.
 	large *Result
@@ -111,7 +112,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(), beside: &Beside{}, large: &Result{},
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), beside: &Beside{}, large: &Result{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -164,6 +165,9 @@
 	if w.cfg.Mix == MixOverload {
 		prepareOverload(s, i)
 	}
+	if w.cfg.Mix == MixRestored {
+		s.cfg.OnArrival = w.restores.arrived
+	}
 	version := w.version
 	if i > 1 {
 		version = 0
--- a/standin/copy.go
+++ b/standin/copy.go
@@ -40,3 +40,8 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Names returns the names of the objects of a kind.
+func (c *StoreCopy) Names(kind string) []string {
+	return slices.Sorted(maps.Keys(c.objects[kind]))
+}
