--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -56,7 +56,7 @@
 	g := NewWithT(t)
 	store := newStore()
 	c := store.Copy()
-	k := quarantine(store, "/fatal", time.Now().Add(5*time.Minute))
+	k := quarantine(store, "/lost", time.Now().Add(5*time.Minute))
 	cfg := startGatewayWithStore(t, store, 71)
 	client := platform.NewStore(cfg.Store, metrics.NewRegistry())
 	names := func() []string {
