gateway: an evacuation holds while the store that returned from a copy lacks it

Callers' requests went into a zone that the operator had evacuated for as long as the store, back from a copy, did not list the evacuation again. Cause: what the store lists was taken for what is in force. Change: the zones that were in force at the return stay so for lapsedRetention, in which the operator writes again what was lost, beside those that are listed. Test: TestAnEvacuationThatTheCopyLacksHoldsUntilItIsWrittenAgain was red before.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -78,3 +78,21 @@
 		g.Eventually(func() map[string]bool { return servedBy(g, cfg) }, eventuallyTimeout).Should(Equal(map[string]bool{c.want: true}), c.regions)
 	}
 }
+
+// TestAnEvacuationThatTheCopyLacksHoldsUntilItIsWrittenAgain guards against requests to the zone after the store returned from a copy.
+func TestAnEvacuationThatTheCopyLacksHoldsUntilItIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	store := newStore()
+	cfg := startZones(t, store, 72)
+	served := func() map[string]bool { return servedBy(g, cfg) }
+	c := store.Copy()
+	store.Put(platform.KindEvacuations, "a", json.RawMessage(`{}`))
+	g.Eventually(served, eventuallyTimeout).Should(Equal(map[string]bool{"200b": true}))
+	store.Restore(c)
+	g.Consistently(served, time.Second).Should(Equal(map[string]bool{"200b": true}))
+	store.Put(platform.KindEvacuations, "a", json.RawMessage(`{}`))
+	g.Consistently(served, 3*time.Second).Should(Equal(map[string]bool{"200b": true}))
+	store.Restore(c)
+	g.Eventually(served, eventuallyTimeout).Should(HaveKey("200a"), "the operator did not write it again")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	// the Heartbeater's goroutine uses it.
 	lastAssignment assignmentInputs
 	flows          flows
+	evacuations    evacuations
 	weights        weights
 	flowMetrics    *FlowMetrics
 	// contacts are the contacts that the store is known to hold. contactsCheckedAt is when they
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -27,7 +27,7 @@
 		platform.KindMembers:   g.newMirror(platform.KindMembers, coalesceMembers, g.applyMembers),
 	}
 	if g.cfg.EvacuationLimit > 0 {
-		mirrors[platform.KindEvacuations] = g.newMirror(platform.KindEvacuations, 0, g.applyEvacuations)
+		mirrors[platform.KindEvacuations] = g.newMirror(platform.KindEvacuations, 0, func(*mirror.State) { g.applyEvacuations() })
 	}
 	return mirrors
 }
