spec: positions of era and revision among gateways

A store that returns from a copy up to twice, a gateway that lists and watches and two that copy from each other, with answers that are late. Comparing revisions alone, going on with a watch of a former era and taking any copy of a peer are caught.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -74,5 +74,11 @@
 good admission 0 -DRETURN
 caught admission 0 -DRETURN -DFOREVER
 
+good era 0
+good era 1
+caught era 0 -DANYCOPY
+caught era 1 -DREVISIONS
+caught era 1 -DNOERA
+
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
