--- a/compat/calls_test.go
+++ b/compat/calls_test.go
@@ -78,9 +78,9 @@
 	r.note(show(objects), at.Revision, err)
 	objects, err = store.ListStale(ctx, platform.KindConfig)
 	r.note(show(objects), err)
-	events, at, err := source.Watch(ctx, mirror.Position{Revision: 9}, 2500*time.Millisecond)
+	events, at, err := source.Watch(ctx, mirror.Position{Era: 1, Revision: 9}, 2500*time.Millisecond)
 	r.note(fmt.Sprintf("%s %v", events[0].Object.Data, events[0].Gone), at.Revision, err)
-	_, _, err = source.Watch(ctx, mirror.Position{Revision: 9}, time.Second)
+	_, _, err = source.Watch(ctx, mirror.Position{Era: 1, Revision: 9}, time.Second)
 	var gone *mirror.HistoryGoneError
 	r.note("history gone", errors.As(err, &gone))
 	contacts, err := store.Contacts(ctx)
--- a/mirror/position.go
+++ b/mirror/position.go
@@ -3,7 +3,7 @@
 // Position is a point in the history of the store. The store begins an era each time it returns from
 // a copy: it has lost the latest changes, and gives out their revisions again.
 type Position struct {
-	// Era is 0 if it is not known, as in copies from older programs.
+	// Era counts from 1. It is 0 if it is not known, as in copies from older programs.
 	Era, Revision int64
 }
 
