standalone: a plain answer without a length is passed on without a mark of its end

Streams were not concerned, as their last event tells. Change: the agent says in a header that the engine marked no end; entries, the relay between entries and the answers kept for tickets leave it unmarked. Older programs leave the header out and ignore it.

--- a/standalone/agent/run.go
+++ b/standalone/agent/run.go
@@ -136,6 +136,9 @@
 	h.Del("Content-Length")
 	h.Set(hop.HeaderAttempt, meta.Attempt)
 	h.Set(hop.HeaderLoad, hop.FormatLoad(r.load()))
+	if !hop.MarksEnd(resp) {
+		h.Set(hop.HeaderUnmarked, "1")
+	}
 	hop.Declare(h)
 	w.WriteHeader(resp.StatusCode)
 	mark := hop.NewEndMark()
--- a/standalone/caller/relay.go
+++ b/standalone/caller/relay.go
@@ -48,6 +48,9 @@
 	for k, v := range resp.Header {
 		w.Header()[k] = v
 	}
+	if !hop.MarksEnd(resp) {
+		hop.LeaveUnmarked(w.Header())
+	}
 	if hop.IsStream(resp.Header) {
 		w.WriteHeader(resp.StatusCode)
 		_ = stream(w, &doneReader{src: resp.Body}) // the caller is told in the stream itself
--- a/standalone/caller/serve.go
+++ b/standalone/caller/serve.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -96,7 +95,7 @@
 		w.Header()[k] = v
 	}
 	w.Header().Set(verdict.Header, verdict.Ran.String())
-	w.Header().Set("Content-Length", strconv.Itoa(len(o.Body)))
+	hop.SetLength(w.Header(), len(o.Body))
 	w.WriteHeader(o.Status)
 	_, _ = w.Write(o.Body)
 }
@@ -151,7 +150,10 @@
 		return err
 	}
 	header.Set(verdict.Header, verdict.Ran.String())
-	header.Set("Content-Length", strconv.Itoa(len(b)))
+	if result.Unmarked {
+		hop.LeaveUnmarked(header)
+	}
+	hop.SetLength(header, len(b))
 	w.WriteHeader(result.Status)
 	_, _ = w.Write(b)
 	return nil
--- a/standalone/forward/forward.go
+++ b/standalone/forward/forward.go
@@ -39,6 +39,8 @@
 	Body   io.ReadCloser
 	Load   peer.Load
 	Loaded bool
+	// Unmarked is set if the engine did not mark the end of its answer, which may be cut.
+	Unmarked bool
 }
 
 // Forwarder sends attempts. It is safe for concurrent use.
@@ -87,7 +89,10 @@
 	h := http.Header{}
 	hop.CopyHeader(h, resp.Header)
 	body := &markedBody{resp: resp, mark: hop.NewEndMark(), cut: &f.Cut}
-	return &Answer{Status: resp.StatusCode, Header: h, Body: body, Load: load, Loaded: loaded}, nil
+	return &Answer{
+		Status: resp.StatusCode, Header: h, Body: body, Load: load, Loaded: loaded,
+		Unmarked: resp.Header.Get(hop.HeaderUnmarked) != "",
+	}, nil
 }
 
 // markedBody checks the end mark of an answer.
--- a/standalone/hop/header.go
+++ b/standalone/hop/header.go
@@ -37,9 +37,12 @@
 
 // Headers and trailers of the answer.
 const (
-	HeaderLoad    = "Silverdeck-Load"
-	TrailerLength = "Silverdeck-Length"
-	TrailerDigest = "Silverdeck-Digest"
+	HeaderLoad = "Silverdeck-Load"
+	// HeaderUnmarked is set if the engine did not mark the end of its answer. The end mark then
+	// tells only that the agent passed on all that it got. Older programs omit and ignore it.
+	HeaderUnmarked = "Silverdeck-Unmarked"
+	TrailerLength  = "Silverdeck-Length"
+	TrailerDigest  = "Silverdeck-Digest"
 )
 
 // RunPrefix stands before the path of a request on an agent's peer port.
--- a/standalone/session/world_test.go
+++ b/standalone/session/world_test.go
@@ -315,6 +315,8 @@
 	prompt  string
 	started time.Time
 	took    time.Duration
+	// marked is set if a length or chunks tell where the answer ends.
+	marked bool
 }
 
 // ask sends a request of n words to the model by an entry.
@@ -342,6 +344,7 @@
 	b, err := io.ReadAll(resp.Body)
 	a.status, a.header, a.body, a.err = resp.StatusCode, resp.Header, string(b), err
 	a.took = time.Since(a.started)
+	a.marked = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return a
 }
 
--- a/standalone/standin/plain.go
+++ b/standalone/standin/plain.go
@@ -14,6 +14,8 @@
 type Plain struct {
 	mu   sync.Mutex
 	runs []Run
+	// unframed is set while answers have neither a length nor chunks and are cut in the middle.
+	unframed bool
 }
 
 // NewPlain returns a Plain.
@@ -35,9 +37,22 @@
 	}
 	p.mu.Lock()
 	p.runs = append(p.runs, Run{ID: r.Header.Get("X-Request-Id"), Key: r.URL.Path, Done: true})
+	unframed := p.unframed
 	p.mu.Unlock()
+	answer := PlainAnswer(r.URL.Path, body)
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = io.WriteString(w, PlainAnswer(r.URL.Path, body))
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // makes net/http end the answer with the connection
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// CutUnframed makes the service send answers with neither a length nor chunks, and cut them.
+func (p *Plain) CutUnframed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unframed = true
 }
 
 // Runs returns the log of runs.
