endpoints: an endpoint that is ready again by a later record is used

One that starts again under its ID and tells no time of its start would have got no request any more; used it. Change: the earlier word outlives only a record that came back with the store and differs from the one before. A record that is written afterwards is the endpoint's own word. Test: TestAnEndpointThatIsReadyAgainByALaterRecordIsUsed was red before.

--- a/gateway/endpoints/departed.go
+++ b/gateway/endpoints/departed.go
@@ -22,12 +22,12 @@
 	refused bool
 }
 
-// keepLeaving marks the endpoints that leave according to previous: an endpoint that leaves does so until
-// its end, but an older record may return with the store.
-func keepLeaving(list, previous *roster.List) {
+// keepLeaving marks the endpoints that leave according to previous and whose records returned with the
+// store. A record that was written since is its endpoint's own word. The lock must be held.
+func (l *List) keepLeaving(list, previous *roster.List) {
 	for id, e := range list.Endpoints {
 		known := previous.Endpoints[id]
-		if known == nil || !known.Leaving || e.Leaving || !known.Incarnation().Same(e.Incarnation()) {
+		if known == nil || !l.decoded[id].returned || !known.Leaving || e.Leaving || !known.Incarnation().Same(e.Incarnation()) {
 			continue
 		}
 		leaving := *e
--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -58,8 +58,11 @@
 type decodedRecord struct {
 	at mirror.Position
 	// since is the position at which the record was first seen.
-	since    mirror.Position
-	data     []byte
+	since mirror.Position
+	data  []byte
+	// returned is set if the record came back with the store and differs from the one before. It may be
+	// older than that one.
+	returned bool
 	endpoint *roster.Endpoint
 	readAt   time.Time
 }
@@ -106,7 +109,7 @@
 	if list.Era != previous.Era && previous.Era != 0 {
 		l.cfg.Retention.StoreRestored(now)
 	}
-	keepLeaving(list, previous)
+	l.keepLeaving(list, previous)
 	l.dropDeparted(list, now)
 	listed := len(list.Endpoints)
 	l.keepLaterIncarnations(list, previous, now)
@@ -132,7 +135,9 @@
 		d, known := l.decoded[name]
 		since := d.since
 		if !known || !d.isSame(stored, s.Era) {
+			returned := known && d.at.Era != 0 && d.at.Era != s.Era
 			d = l.decodeRecord(name, stored, now)
+			d.returned = returned
 		}
 		d.at = mirror.Position{Era: s.Era, Revision: stored.Revision}
 		d.since = cmp.Or(since, d.at)
--- a/gateway/endpoints/era_test.go
+++ b/gateway/endpoints/era_test.go
@@ -95,3 +95,22 @@
 	l.Update()
 	g.Expect(l.Current().Endpoints).To(HaveKey("e1"))
 }
+
+// TestAnEndpointThatIsReadyAgainByALaterRecordIsUsed guards against an endpoint that leaves for good after it started again under its ID.
+func TestAnEndpointThatIsReadyAgainByALaterRecordIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{}
+	l := newList(s)
+	leaving := func(era, revision int64, state string) bool {
+		s.put(revision, born(0, state))
+		s.state.Era = era
+		l.Update()
+		return l.Current().Endpoints["e1"].Leaving
+	}
+	g.Expect(leaving(1, 3, "draining")).To(BeTrue())
+	g.Expect(leaving(1, 5, "ready")).To(BeFalse())
+	g.Expect(leaving(1, 7, "draining")).To(BeTrue())
+	g.Expect(leaving(2, 5, "ready")).To(BeTrue(), "an older record")
+	g.Expect(leaving(2, 5, "ready")).To(BeTrue(), "and still")
+	g.Expect(leaving(2, 6, "ready")).To(BeFalse(), "written since")
+}
