--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -88,6 +88,8 @@
 	trials *poison.Trials
 	// logs holds the gateway's log lines in JSON.
 	logs logBuffer
+	// dials is the number of connections that the gateway has opened.
+	dials atomic.Int64
 	// reportedLoad is the number of requests in progress at the gateway's last heartbeat.
 	reportedMu   sync.Mutex
 	reportedLoad map[roster.Incarnation]int
@@ -258,6 +260,7 @@
 	if e == nil || w.isDown(addr) {
 		return nil, syscall.ECONNREFUSED
 	}
+	w.dials.Add(1)
 	near, far := net.Pipe()
 	e.track(far)
 	go e.serve(far)
