gateway/proxy: events whose lines end in CR LF are passed on as they arrive

Callers of an endpoint whose lines end in CR LF got nothing of its streams: no event was recognized, so that all was held back until the end and then taken for an event that had been cut. A stream that ended inside such a blank line could not be told from one without events either.

Cause: an event was looked for by LF LF alone. Both blank lines are recognized now, in one function, also where they are mixed. Bare CR is not: no engine in use sends it.

Red before: TestAStreamOfCRLFLinesIsForwardedAsItArrives and the case "inside a blank line of CR LF" of TestAStreamThatEndsInsideAnEventIsNotPassedOnAsWhole; three cases of the latter stay known red.

--- a/gateway/proxy/cut_event_test.go
+++ b/gateway/proxy/cut_event_test.go
@@ -101,3 +101,13 @@
 		return end(c, r)
 	}})
 }
+
+// TestBlankLinesOfBothKindsAreTheEndOfAnEvent guards against a whole stream that counts as cut.
+func TestBlankLinesOfBothKindsAreTheEndOfAnEvent(t *testing.T) {
+	for _, ending := range []string{"\n\n", "\r\n\r\n", "\n\n\r\n", "\r\n\r\n\n", "\n\r\n", "\n\n\n"} {
+		got := startSocketGateway(t, []handler{unframed(200, eventsType, "data: x"+ending)}).send("/once/", "HTTP/1.1")
+		g := NewWithT(t)
+		g.Expect(got.err).NotTo(HaveOccurred(), "%q", ending)
+		g.Expect(got.body).To(Equal("data: x"+ending), "%q", ending)
+	}
+}
--- a/gateway/proxy/events.go
+++ b/gateway/proxy/events.go
@@ -15,8 +15,25 @@
 	limit int
 }
 
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
+// An event ends with a blank line, and lines end with LF or CR LF; see the HTML standard, section
+// 9.2.5. Lines that end with CR alone are not recognized.
+var (
+	blankLine     = []byte("\n\n")
+	blankLineCRLF = []byte("\n\r\n")
+)
+
+// completeEvents returns the length of the complete events at the beginning of b.
+func completeEvents(b []byte) int {
+	n := 0
+	if at := bytes.LastIndex(b, blankLine); at >= 0 {
+		n = at + len(blankLine)
+	}
+	from := max(n-1, 0) // the LF before a blank line may end another one
+	if at := bytes.LastIndex(b[from:], blankLineCRLF); at >= 0 {
+		n = from + at + len(blankLineCRLF)
+	}
+	return n
+}
 
 // next reads once from src and returns the complete events received so far. They are valid until
 // the next call.
@@ -28,9 +45,7 @@
 	}
 	n, err := src.Read(r.buffer[len(r.buffer):cap(r.buffer)])
 	r.buffer = r.buffer[:len(r.buffer)+n]
-	if at := bytes.LastIndex(r.buffer, eventEnd); at >= 0 {
-		r.consumed = at + len(eventEnd)
-	}
+	r.consumed = completeEvents(r.buffer)
 	if err == nil && len(r.buffer)-r.consumed > r.limit {
 		err = fmt.Errorf("gateway: event exceeds %d bytes", r.limit)
 	}
