gateway/proxy: a stream on a route for plain answers that ends inside an event counts as cut

Callers of a route for plain answers got a stream of events that its endpoint had broken off inside an event, without a length or chunks, like one that may be whole: the connection was closed, not reset.

Cause: a cut event was looked for in the loop that forwards streams alone. Answers that are kept until their end, and those that are passed on because they are too long for that, are checked as well: what does not end with a blank line is tried elsewhere where the route allows it, answered with 502, or reset if a part was sent. Answers with a length or chunks are whole by that, as before.

--- a/gateway/policy/unmarked.go
+++ b/gateway/policy/unmarked.go
@@ -21,9 +21,10 @@
 	Events int
 	// EndPromised is set if the caller was told that the end of the response will be marked.
 	EndPromised bool
-	// JSON is set if the endpoint states that Body, which is only known of buffered responses, is JSON.
-	JSON bool
-	Body []byte
+	// JSON and EventStream are set if the endpoint states that Body, which is only known of buffered
+	// responses, is JSON or a stream of events.
+	JSON, EventStream bool
+	Body              []byte
 }
 
 // CheckUnmarkedEnd returns the reason why a response was cut or can't be ended, or nil. A response
@@ -36,10 +37,27 @@
 		return verdict.NewError(verdict.Ran, verdict.CodeCut, "the rest of the stream ended without a mark")
 	case e.Status < http.StatusMultipleChoices && e.JSON && isCutJSON(e.Body):
 		return verdict.NewError(verdict.Ran, verdict.CodeCut, "the answer ended inside a JSON value")
+	case e.Status < http.StatusMultipleChoices && e.EventStream && EndsInsideEvent(e.Body):
+		return CutEventError()
 	}
 	return nil
 }
 
+// CutEventError returns the failure of a stream that ended inside an event.
+func CutEventError() *verdict.Error {
+	return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended inside an event")
+}
+
+// EventEndSize is the maximum length, in bytes, of what ends an event: the last LF of a line and a blank
+// line, which ends with LF or CR LF.
+const EventEndSize = 3
+
+// EndsInsideEvent reports whether a stream of events ends inside an event. tail holds at least its last
+// EventEndSize bytes.
+func EndsInsideEvent(tail []byte) bool {
+	return len(tail) > 0 && !bytes.HasSuffix(tail, []byte("\n\n")) && !bytes.HasSuffix(tail, []byte("\n\r\n"))
+}
+
 // isCutJSON reports whether b ends before the end of a JSON value. It returns false if b is not
 // JSON.
 func isCutJSON(b []byte) bool {
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
@@ -104,7 +105,7 @@
 		return p.passThrough(ctx, w, c, x, response)
 	}
 	if x.Framing == upstream.FramedByClose {
-		end := policy.UnmarkedEnd{Status: x.Status, JSON: isJSON(x.Header), Body: body}
+		end := policy.UnmarkedEnd{Status: x.Status, JSON: isJSON(x.Header), EventStream: isEventStream(x.Header), Body: body}
 		if failure := policy.CheckUnmarkedEnd(end); failure != nil {
 			return failure, balance.Failed
 		}
@@ -131,12 +132,17 @@
 	p.cancelHedge(c)
 	c.passedThrough = true
 	err := r.writeTo(w, c)
+	tail := lastBytes(r.body, nil)
 	buffer := make([]byte, copyBuffer)
 	for err == nil {
 		n, readErr := x.Read(buffer)
+		tail = lastBytes(tail, buffer[:n])
 		if err = writeToCaller(w, buffer[:n]); err != nil {
 			break
 		}
+		if errors.Is(readErr, io.EOF) && x.Framing == upstream.FramedByClose && isEventStream(x.Header) && policy.EndsInsideEvent(tail) {
+			return policy.CutEventError(), balance.Failed
+		}
 		if errors.Is(readErr, io.EOF) {
 			if err = c.flush(w); err != nil {
 				break
@@ -151,6 +157,13 @@
 	return verdict.NewError(verdict.Ran, verdict.CodeCanceled, "the caller is gone or does not read").WithCause(err), balance.Neutral
 }
 
+// lastBytes returns the end of a followed by b, of at most policy.EventEndSize bytes.
+func lastBytes(a, b []byte) []byte {
+	a, b = a[max(len(a)-policy.EventEndSize, 0):], b[max(len(b)-policy.EventEndSize, 0):]
+	joined := slices.Concat(a, b)
+	return joined[max(len(joined)-policy.EventEndSize, 0):]
+}
+
 // send writes the response to the caller. A caller that does not read is disconnected.
 func (p *Proxy) send(w http.ResponseWriter, c *call, r *bufferedResponse) {
 	err := r.writeTo(w, c)
--- a/gateway/proxy/framing.go
+++ b/gateway/proxy/framing.go
@@ -64,9 +64,24 @@
 
 // isJSON reports whether a response states that its body is JSON.
 func isJSON(h http.Header) bool {
+	kind := mediaType(h)
+	return kind == "application/json" || strings.HasSuffix(kind, "+json")
+}
+
+// isEventStream reports whether a response states that its body is a stream of events.
+func isEventStream(h http.Header) bool {
+	return mediaType(h) == "text/event-stream"
+}
+
+// mediaType returns the media type of a response's body, or an empty string if the body is encoded or
+// its type is not stated.
+func mediaType(h http.Header) string {
 	if h.Get("Content-Encoding") != "" {
-		return false
+		return ""
 	}
 	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+	if err != nil {
+		return ""
+	}
+	return kind
 }
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -53,7 +53,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			if remainder := reader.incomplete(); len(remainder) > 0 {
-				return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended inside an event"), balance.Failed
+				return policy.CutEventError(), balance.Failed
 			}
 			if x.Framing == upstream.FramedByClose {
 				end := policy.UnmarkedEnd{Status: x.Status, Stream: true, Events: received, EndPromised: c.endPromised()}
