gateway: an answer without a mark of its end that a crash cut is not passed on as whole

Callers of an answer with neither a length nor chunks that was cut between two events, or anywhere in a plain one, by a crash of its endpoint got it like a whole one.

Cause: the end of the connection says nothing by itself, and it was all that was asked. But an endpoint that crashed refuses connections. The address is asked for one at the end of such an answer: it replaces the one that the answer took, so that the next request opens none, and costs a round trip at the end of the answer alone. Where it is refused, the answer was cut: resumed or repeated where the route allows it, else reset or 502, and logged as an end of the endpoint. A check that began before the answer ended does not show that the endpoint survived, and is made again.

--- a/gateway/policy/unmarked.go
+++ b/gateway/policy/unmarked.go
@@ -21,24 +21,25 @@
 	Events int
 	// EndPromised is set if the caller was told that the end of the response will be marked.
 	EndPromised bool
-	// JSON and EventStream are set if the endpoint states that Body, which is only known of buffered
-	// responses, is JSON or a stream of events.
-	JSON, EventStream bool
-	Body              []byte
+	// InsideEvent is set if the response is a stream of events and ended inside one.
+	InsideEvent bool
+	// JSON is set if the endpoint states that Body, which is only known of buffered responses, is JSON.
+	JSON bool
+	Body []byte
 }
 
 // CheckUnmarkedEnd returns the reason why a response was cut or can't be ended, or nil. A response
 // that may be complete is forwarded without a mark of its end.
 func CheckUnmarkedEnd(e UnmarkedEnd) *verdict.Error {
 	switch {
+	case e.InsideEvent && e.Status < http.StatusMultipleChoices:
+		return CutEventError()
 	case e.Stream && e.Events == 0:
 		return verdict.NewError(verdict.Ran, verdict.CodeCut, "the stream ended without an event")
 	case e.Stream && e.EndPromised:
 		return verdict.NewError(verdict.Ran, verdict.CodeCut, "the rest of the stream ended without a mark")
 	case e.Status < http.StatusMultipleChoices && e.JSON && isCutJSON(e.Body):
 		return verdict.NewError(verdict.Ran, verdict.CodeCut, "the answer ended inside a JSON value")
-	case e.Status < http.StatusMultipleChoices && e.EventStream && EndsInsideEvent(e.Body):
-		return CutEventError()
 	}
 	return nil
 }
--- a/gateway/policy/unmarked_test.go
+++ b/gateway/policy/unmarked_test.go
@@ -27,12 +27,21 @@
 	Entry("holds no JSON value", policy.UnmarkedEnd{Status: 200, JSON: true, Body: []byte(" ")}, true),
 	Entry("is not the JSON that it is called", policy.UnmarkedEnd{Status: 200, JSON: true, Body: []byte(`hello {`)}, false),
 	Entry("is an error that ends inside a JSON value", policy.UnmarkedEnd{Status: 500, JSON: true, Body: []byte(`{"a"`)}, false),
-	Entry("is a buffered stream of events", policy.UnmarkedEnd{Status: 200, EventStream: true, Body: []byte("data: x\n\n")}, false),
-	Entry("is a buffered stream of events with CR LF", policy.UnmarkedEnd{Status: 200, EventStream: true, Body: []byte("data: x\r\n\r\n")}, false),
-	Entry("is a buffered stream that ends inside an event", policy.UnmarkedEnd{Status: 200, EventStream: true, Body: []byte("data: x\n")}, true),
-	Entry("is a buffered stream that ends inside a blank line", policy.UnmarkedEnd{Status: 200, EventStream: true, Body: []byte("data: x\r\n\r")}, true),
-	Entry("is an error in a stream of events", policy.UnmarkedEnd{Status: 500, EventStream: true, Body: []byte("data: x")}, false),
+	Entry("is a stream that ends inside an event", policy.UnmarkedEnd{Status: 200, InsideEvent: true}, true),
+	Entry("is an error that ends inside an event", policy.UnmarkedEnd{Status: 500, InsideEvent: true}, false),
 	Entry("is a stream", policy.UnmarkedEnd{Status: 200, Stream: true, Events: 1}, false),
 	Entry("is a stream without events", policy.UnmarkedEnd{Status: 200, Stream: true}, true),
 	Entry("is a stream whose caller was promised a mark", policy.UnmarkedEnd{Status: 200, Stream: true, Events: 1, EndPromised: true}, true),
 )
+
+var _ = DescribeTable("the end of a stream of events",
+	func(tail string, inside bool) {
+		Expect(policy.EndsInsideEvent([]byte(tail))).To(Equal(inside))
+	},
+	Entry("with a blank line", "data: x\n\n", false),
+	Entry("with a blank line of CR LF", "data: x\r\n\r\n", false),
+	Entry("of an empty stream", "", false),
+	Entry("with a line", "data: x\n", true),
+	Entry("with a part of a line", "data: x", true),
+	Entry("with a part of a blank line", "data: x\r\n\r", true),
+)
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -102,11 +102,12 @@
 	response := &bufferedResponse{status: x.Status, header: x.Header, framing: x.Framing, length: int64(len(body)), body: body}
 	if !whole {
 		response.length = x.Length
-		return p.passThrough(ctx, w, c, x, response)
+		return p.passThrough(ctx, w, c, a, response)
 	}
 	if x.Framing == upstream.FramedByClose {
-		end := policy.UnmarkedEnd{Status: x.Status, JSON: isJSON(x.Header), EventStream: isEventStream(x.Header), Body: body}
-		if failure := policy.CheckUnmarkedEnd(end); failure != nil {
+		end := policy.UnmarkedEnd{Status: x.Status, JSON: isJSON(x.Header), Body: body,
+			InsideEvent: isEventStream(x.Header) && policy.EndsInsideEvent(body)}
+		if failure := p.checkUnmarkedEnd(a, end); failure != nil {
 			return failure, balance.Failed
 		}
 	}
@@ -127,7 +128,8 @@
 
 // passThrough forwards a response of which a part was read, and the rest as it arrives. The endpoint
 // is read no faster than the caller reads.
-func (p *Proxy) passThrough(ctx context.Context, w http.ResponseWriter, c *call, x *upstream.Exchange, r *bufferedResponse) (*verdict.Error, balance.Outcome) {
+func (p *Proxy) passThrough(ctx context.Context, w http.ResponseWriter, c *call, a *attempt, r *bufferedResponse) (*verdict.Error, balance.Outcome) {
+	x := a.exchange
 	p.cfg.Metrics.PassedThrough.Inc(1)
 	p.cancelHedge(c)
 	c.passedThrough = true
@@ -140,8 +142,11 @@
 		if err = writeToCaller(w, buffer[:n]); err != nil {
 			break
 		}
-		if errors.Is(readErr, io.EOF) && x.Framing == upstream.FramedByClose && isEventStream(x.Header) && policy.EndsInsideEvent(tail) {
-			return policy.CutEventError(), balance.Failed
+		if errors.Is(readErr, io.EOF) && x.Framing == upstream.FramedByClose {
+			end := policy.UnmarkedEnd{Status: x.Status, InsideEvent: isEventStream(x.Header) && policy.EndsInsideEvent(tail)}
+			if failure := p.checkUnmarkedEnd(a, end); failure != nil {
+				return failure, balance.Failed
+			}
 		}
 		if errors.Is(readErr, io.EOF) {
 			if err = c.flush(w); err != nil {
--- a/gateway/proxy/crash.go
+++ b/gateway/proxy/crash.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"io"
 	"sync"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/roster"
+	"github.com/silverdeck/silverdeck/verdict"
 )
 
 // crashCacheTTL is how long the result for an endpoint that crashed is reused for other requests that
@@ -36,17 +38,22 @@
 	return &crashDetector{refuses: refuses, checks: map[roster.Incarnation]*crashCheck{}}
 }
 
-// hasCrashed reports whether an endpoint has crashed after a connection to it broke. Concurrent
-// callers share one check.
-func (d *crashDetector) hasCrashed(e *roster.Endpoint, now time.Time) bool {
-	check, first := d.lookup(e.Incarnation(), now)
-	if first {
-		check.crashed = d.refuses(e.Addr)
-		d.discardUnlessCrashed(e.Incarnation(), check)
-		close(check.done)
+// hasCrashed reports whether an endpoint has crashed after a connection to it ended. Concurrent
+// callers share one check, except that one which began before the connection ended can't show that
+// the endpoint survived.
+func (d *crashDetector) hasCrashed(e *roster.Endpoint, endedAt time.Time) bool {
+	for {
+		check, first := d.lookup(e.Incarnation(), time.Now())
+		if first {
+			check.crashed = d.refuses(e.Addr)
+			d.discardUnlessCrashed(e.Incarnation(), check)
+			close(check.done)
+		}
+		<-check.done
+		if check.crashed || !check.at.Before(endedAt) {
+			return check.crashed
+		}
 	}
-	<-check.done
-	return check.crashed
 }
 
 // discardUnlessCrashed removes the check from the cache if the endpoint is alive, because it may
@@ -77,6 +84,20 @@
 	return e, true
 }
 
+// checkUnmarkedEnd returns why a response that ended with its connection was cut, or nil if it may be
+// complete. The end of the connection is the same in both cases, but an endpoint that crashed refuses
+// further ones. The connection opened to find out replaces the one that the response took.
+func (p *Proxy) checkUnmarkedEnd(a *attempt, end policy.UnmarkedEnd) *verdict.Error {
+	failure := policy.CheckUnmarkedEnd(end)
+	if failure == nil && !a.lease.Leaving() && p.crashes.hasCrashed(a.lease.Record, time.Now()) {
+		failure = verdict.NewError(verdict.Ran, verdict.CodeCut, "the endpoint crashed as the answer ended")
+	}
+	if failure == nil {
+		return nil
+	}
+	return failure.WithCause(io.ErrUnexpectedEOF)
+}
+
 // detectCrash checks whether the endpoint of a failed attempt crashed while it had the request. An
 // endpoint that crashed is marked unreachable, so that other requests do not each have to find out
 // by a failed connection: without this, 3 of 200 requests failed in the test of requests that
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -52,14 +52,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if remainder := reader.incomplete(); len(remainder) > 0 {
-				return policy.CutEventError(), balance.Failed
-			}
-			if x.Framing == upstream.FramedByClose {
-				end := policy.UnmarkedEnd{Status: x.Status, Stream: true, Events: received, EndPromised: c.endPromised()}
-				if failure := policy.CheckUnmarkedEnd(end); failure != nil {
-					return failure, balance.Failed
-				}
+			if failure := p.checkStreamEnd(c, a, received, len(reader.incomplete()) > 0); failure != nil {
+				return failure, balance.Failed
 			}
 			beginStream(w, c, x)
 			p.recordStream(c, a, &measured)
@@ -71,6 +65,20 @@
 	}
 }
 
+// checkStreamEnd returns why a stream of which the given number of parts arrived was cut, or nil if it is or
+// may be complete.
+func (p *Proxy) checkStreamEnd(c *call, a *attempt, received int, insideEvent bool) *verdict.Error {
+	if a.exchange.Framing == upstream.FramedByClose {
+		return p.checkUnmarkedEnd(a, policy.UnmarkedEnd{
+			Status: a.exchange.Status, Stream: true, Events: received, EndPromised: c.endPromised(), InsideEvent: insideEvent,
+		})
+	}
+	if insideEvent {
+		return policy.CutEventError()
+	}
+	return nil
+}
+
 // forwardEvents writes complete events to the caller.
 func (p *Proxy) forwardEvents(w http.ResponseWriter, out *http.ResponseController, c *call, x *upstream.Exchange, complete []byte) *verdict.Error {
 	c.recordEvent(time.Now(), c.startedAt)
