gateway, platform: log lines at the end of an endpoint tell what requests may have in common

Requests that differ but share a part of their prompt ended one endpoint after the other, and no line told that they shared it: the key of `endpoint ended` is that of the whole request. The line names route, account, model, weights, prompt tokens and the shared parts of the prompt now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -229,6 +229,7 @@
 		NewestVersion:   g.versions.Latest,
 		WeightsDeadline: g.versions.Deadline,
 		ReadAdvisory:    platform.ReadAdvisory,
+		ReadSharedParts: platform.ReadSharedParts,
 		RequestToken:    g.requestToken,
 		Memory:          g.newMemory(),
 		Gate:            g.gate,
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -32,6 +32,8 @@
 	// copies identifies the request together with all copies of it, for example retries by its
 	// caller or the same request through other gateways.
 	copies *poison.Request
+	// parts are the parts of the prompt that other requests may share.
+	parts []poison.PartID
 	// model is the model named by the caller, if any.
 	model string
 	// promptTokens is the number of tokens that the engine must process before it can respond.
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -140,11 +140,21 @@
 
 // logEndpointCrash logs that an endpoint ended while it had a request. Lines with the same key
 // belong to copies of one request, lines with the same endpoint to the requests that were in
-// progress there.
+// progress there. The rest is what different requests may have in common.
 func (p *Proxy) logEndpointCrash(c *call, lease *balance.Lease) {
 	p.cfg.Metrics.Ended.Inc(1)
 	p.cfg.Log.Warn("endpoint ended", "request", c.id, "key", c.copies.Key().String(), "endpoint", lease.Record.ID,
-		"born", lease.Record.Born, "addr", lease.Record.Addr, "others", lease.OtherInFlight(), "begun", c.headSent, "event", c.lastEventID)
+		"born", lease.Record.Born, "addr", lease.Record.Addr, "others", lease.OtherInFlight(), "begun", c.headSent, "event", c.lastEventID,
+		"route", c.route.Name, "account", c.copies.Account, "model", c.model, "weights", lease.Holds(c.model), "promptTokens", c.promptTokens, "parts", c.partNames())
+}
+
+// partNames returns the shared parts of the prompt as in log lines.
+func (c *call) partNames() []string {
+	names := make([]string, 0, len(c.parts))
+	for _, id := range c.parts {
+		names = append(names, id.String())
+	}
+	return names
 }
 
 // logWithdrawn logs that a request is withdrawn from an endpoint.
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -50,6 +50,9 @@
 	// ReadAdvisory parses what the head of a response states about its endpoint. If nil,
 	// responses state nothing.
 	ReadAdvisory func(status int, h http.Header) advisory.Advisory
+	// ReadSharedParts returns the parts of a request's prompt that other requests may share. If nil,
+	// there are none.
+	ReadSharedParts func(h http.Header) []poison.PartID
 	// Poison records the requests under which endpoints crashed.
 	Poison *poison.Table
 	// AcquireTrial asks for the lease on a suspected request for at most d. It returns whether
@@ -95,6 +98,9 @@
 	if cfg.ReadAdvisory == nil {
 		cfg.ReadAdvisory = func(int, http.Header) advisory.Advisory { return advisory.Advisory{Limit: advisory.Unknown{}} }
 	}
+	if cfg.ReadSharedParts == nil {
+		cfg.ReadSharedParts = func(http.Header) []poison.PartID { return nil }
+	}
 	if cfg.RequestToken == nil {
 		cfg.RequestToken = func(context.Context, roster.Incarnation) (time.Duration, bool) { return 0, false }
 	}
