gateway/proxy: a failing test of a part of prompts that ends each endpoint that answers it

The fleet of the tests starts endpoints again under another ID and exchanges records of crashes at its heartbeats of 0.2 s.

--- a/gateway/proxy/fleet_test.go
+++ b/gateway/proxy/fleet_test.go
@@ -33,6 +33,10 @@
 	gateways []*harness
 	// dead holds the gateways that have ended.
 	dead map[*harness]bool
+	// starts is how often an endpoint has started again.
+	starts map[string]int
+	// trials are the leases on suspected requests and parts.
+	trials *poison.Trials
 }
 
 // random returns a source of random numbers with the given seed.
@@ -88,7 +92,7 @@
 // runFleet runs f with n gateways and one endpoint for each script.
 func runFleet(t *testing.T, n int, f func(f *fleet), scripts ...[]handler) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := &fleet{g: NewWithT(t), endpoints: map[string]*endpoint{}, dead: map[*harness]bool{}}
+		fl := &fleet{g: NewWithT(t), endpoints: map[string]*endpoint{}, dead: map[*harness]bool{}, starts: map[string]int{}, trials: poison.NewTrials()}
 		for i, s := range scripts {
 			fl.endpoints[fmt.Sprintf("e%d", i)] = &endpoint{script: s}
 		}
@@ -121,7 +125,7 @@
 	w.balancer.Update(f.list())
 	w.client = upstream.NewClient(upstream.WithDialer(w))
 	w.budget = proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 })
-	w.poison, w.trials = poison.NewTable(func(poison.Change) {}), poison.NewTrials()
+	w.poison, w.trials = poison.NewTable(func(poison.Change) {}), f.trials
 	w.proxy = w.newTestProxy()
 	w.proxy.SetConfig(configuration())
 	go w.simulateTraffic(ctx)
@@ -142,9 +146,16 @@
 
 // list returns the endpoints as recorded in the store.
 func (f *fleet) list() *roster.List {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	list := &roster.List{Revision: 1, Endpoints: map[string]*roster.Endpoint{}}
-	for id := range f.endpoints {
-		list.Endpoints[id] = &roster.Endpoint{ID: id, Service: "s", Addr: id, Zone: "a", Slots: 16,
+	for addr := range f.endpoints {
+		id := addr
+		if n := f.starts[addr]; n > 0 {
+			id = fmt.Sprintf("%s-%d", addr, n)
+			list.Revision += int64(n)
+		}
+		list.Endpoints[id] = &roster.Endpoint{ID: id, Service: "s", Addr: addr, Zone: "a", Slots: 16,
 			Weights: []roster.Weights{{Model: "m", Version: 1}}}
 	}
 	return list
@@ -181,10 +192,40 @@
 			w.reportedLoad = inFlight
 			w.reportedMu.Unlock()
 			f.shareAdvisories(w)
+			f.sharePoison(w)
+		}
+	}
+}
+
+// sharePoison sends the records of crashes that are due at w to the other gateways.
+func (f *fleet) sharePoison(w *harness) {
+	now := time.Now()
+	records := w.poison.Gossip(false, now)
+	for _, other := range f.alive() {
+		if other != w {
+			other.poison.Merge(records, now)
 		}
 	}
 }
 
+// crash ends the process of an endpoint and starts it again under another ID after restartTime.
+func (f *fleet) crash(addr string) {
+	for _, w := range f.alive() {
+		w.setDown(addr, true)
+	}
+	f.endpoints[addr].closeAll()
+	time.AfterFunc(restartTime, func() {
+		f.mu.Lock()
+		f.starts[addr]++
+		f.mu.Unlock()
+		for _, w := range f.alive() {
+			w.setDown(addr, false)
+			w.balancer.Update(f.list())
+		}
+		f.assignEndpoints()
+	})
+}
+
 // shareAdvisories sends the advisories that endpoints gave to w to the other gateways.
 func (f *fleet) shareAdvisories(w *harness) {
 	now := time.Now()
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -178,6 +178,7 @@
 		WeightsDeadline: func(string, int64) (time.Time, bool) { return w.weightsDeadline, !w.weightsDeadline.IsZero() },
 		NewestVersion:   func(string) int64 { return w.newest.Load() },
 		ReadAdvisory:    readAdvisory,
+		ReadSharedParts: readSharedParts,
 		RequestToken:    w.askToken,
 		Memory:          w.memory,
 		Gate:            w.gate,
@@ -202,6 +203,23 @@
 	return a
 }
 
+// readSharedParts returns the parts that a request names in its header, separated by commas, but the last.
+func readSharedParts(h http.Header) []poison.PartID {
+	names := strings.Split(h.Get("Parts"), ",")
+	var out []poison.PartID
+	for _, name := range names[:len(names)-1] {
+		out = append(out, partID(name))
+	}
+	return out
+}
+
+// partID returns the ID of a part with a short name.
+func partID(name string) poison.PartID {
+	var id poison.PartID
+	copy(id[:], name)
+	return id
+}
+
 // setDown sets whether an endpoint refuses connections.
 func (w *harness) setDown(id string, down bool) {
 	w.downMu.Lock()
