--- a/gateway/poison/part.go
+++ b/gateway/poison/part.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // PartID identifies a part of a prompt that several requests may share. It is a number of up to 128
@@ -17,3 +19,23 @@
 	}
 	return s
 }
+
+// Key returns the key of the part in requests to a service. It does not depend on the client account:
+// what crashes an endpoint is the content, and a crash aborts the requests of all accounts.
+func (id PartID) Key(service string) Key {
+	return Key{Kind: KindPart, Shape: ServiceHash(service), Digest: Digest(id)}
+}
+
+// TrialKey returns the key of the lease on a trial of a part: one for all parts in requests to a service,
+// since requests with one of them hold others that may be the cause.
+func (k Key) TrialKey() Key {
+	if k.Kind == KindPart {
+		return Key{Kind: KindPart, Shape: k.Shape}
+	}
+	return k
+}
+
+// ServiceHash returns the hash of a service's name as in the keys of parts.
+func ServiceHash(service string) Shape {
+	return Shape(xxhash.Sum64String(service))
+}
--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -17,11 +17,25 @@
 	// again where it is retried: with a threshold of two, one in eleven of the requests of a
 	// dozen endpoints would be quarantined as well. The platform's rules use three, too.
 	crashThreshold = 3
-	// maxRecordedCrashes is the number of crashes that a record keeps. Those beyond
+	// roundThreshold is the number of rounds of crashes that quarantines a part of prompts. Where
+	// endpoints are so few that they are all down between two rounds, minRounds are enough if they
+	// have manyCrashes together.
+	roundThreshold = 3
+	minRounds      = 2
+	manyCrashes    = 5
+	// roundTime is the duration of a round. All crashes within a round count once for a part: a
+	// rack, or all endpoints that meet the same fault, end within it as seen by all gateways.
+	roundTime = 200 * time.Millisecond
+	// trialRounds is the number of rounds from which a part is sent in one copy at a time. A part
+	// that many requests share is answered completely between two rounds.
+	trialRounds = 2
+	// maxRecordedCrashes is the number of crashes that the record of a request keeps. Those beyond
 	// crashThreshold distinguish the request that causes the crashes from one that merely
 	// shared some of its endpoints.
 	maxRecordedCrashes = 8
-	// relapseCrashThreshold replaces crashThreshold for a request that was quarantined before.
+	// maxPartCrashes is the same for a part, of which several requests are in progress at a time.
+	maxPartCrashes = 16
+	// relapseCrashThreshold replaces the thresholds for a suspect that was quarantined before.
 	relapseCrashThreshold = 1
 	// quarantineTime is the duration of the first quarantine. It is limited because the
 	// endpoints' software or weights may have been fixed, and doubles with each relapse. A
@@ -45,41 +59,52 @@
 	return Incarnation(xxhash.Sum64String(l.ID + "\x00" + strconv.FormatInt(l.Born, 10)))
 }
 
-// Record is the state of a request that gateways exchange. Merging records of one request is
+// Record is the state of a suspect that gateways exchange. Merging records of one suspect is
 // commutative, associative and idempotent.
 type Record struct {
 	Key Key
-	// Generation is the number of times that the request was cleared. Records of an earlier
+	// Generation is the number of times that the suspect was cleared. Records of an earlier
 	// generation are ignored.
 	Generation uint32
 	// Relapses is the number of quarantines that have expired.
 	Relapses uint8
-	// Crashes are the endpoint incarnations that crashed while processing the request in this
-	// generation, sorted, without duplicates and limited to maxRecordedCrashes.
+	// Confirmed is set for a part once a gateway has counted enough rounds of crashes in this
+	// generation; see isConfirmed.
+	Confirmed bool
+	// Crashes are the endpoint incarnations that crashed while processing the suspect in this
+	// generation, sorted, without duplicates and limited in number.
 	Crashes []Incarnation
+	// Ages are the times since the crashes of a part were noticed, in the order of Crashes, if
+	// they are known. They are not a part of the state.
+	Ages []time.Duration
 }
 
-// State is the level of suspicion against a request.
+// State is the level of suspicion against a suspect, or against a request because of its suspects.
 type State int
 
-// The states of a request.
+// The states.
 const (
-	// Clear means that no crash is recorded for the request.
+	// Clear means that no crash is recorded.
 	Clear State = iota
-	// Suspected means that an endpoint crashed while processing the request.
+	// Suspected means that an endpoint crashed while processing the suspect.
 	Suspected
-	// Quarantined means that the request is sent to no endpoint.
+	// OnTrial means that one copy at a time is sent to an endpoint. It is a state of requests.
+	OnTrial
+	// Quarantined means that the suspect is sent to no endpoint.
 	Quarantined
 )
 
-// State returns the state of the request.
+// State returns the state of the suspect.
 func (r *Record) State() State {
-	limit := crashThreshold
+	quarantined := r.Confirmed
+	if r.Key.Kind == KindRequest {
+		quarantined = len(r.Crashes) >= crashThreshold
+	}
 	if r.Relapses > 0 {
-		limit = relapseCrashThreshold
+		quarantined = len(r.Crashes) >= relapseCrashThreshold
 	}
 	switch {
-	case len(r.Crashes) >= limit:
+	case quarantined:
 		return Quarantined
 	case len(r.Crashes) > 0:
 		return Suspected
@@ -87,9 +112,56 @@
 	return Clear
 }
 
-// Explains returns whether the crashes that both requests share are attributed to r: it is
-// quarantined, and more endpoints crashed while processing it than o. The crashes of a request
-// that was quarantined before are always attributed to that request itself.
+// maxCrashes returns the number of crashes that the record keeps.
+func (r *Record) maxCrashes() int {
+	if r.Key.Kind == KindPart {
+		return maxPartCrashes
+	}
+	return maxRecordedCrashes
+}
+
+// isInitial reports whether the record says nothing: no crash in this generation, and no quarantine
+// before.
+func (r *Record) isInitial() bool {
+	return len(r.Crashes) == 0 && r.Relapses == 0
+}
+
+// contestedBy reports whether o is an alternative explanation of the crashes of r, a quarantined part:
+// as many endpoints crashed under o, and of those that crashed under r too few did so without o.
+func (r *Record) contestedBy(o *Record) bool {
+	if o.State() != Quarantined || len(o.Crashes) < len(r.Crashes) {
+		return false
+	}
+	unshared := 0
+	for _, l := range r.Crashes {
+		if !o.hasCrash(l) {
+			unshared++
+		}
+	}
+	return unshared < min(crashThreshold, len(r.Crashes))
+}
+
+// isConfirmed reports whether crashes in so many rounds confirm a part as their cause.
+func isConfirmed(rounds, crashes int) bool {
+	return rounds >= roundThreshold || rounds >= minRounds && crashes >= manyCrashes
+}
+
+// roundsOf returns the number of rounds of crashes that were noticed at the given times.
+func roundsOf(times []time.Time) int {
+	rounds := 0
+	var began time.Time
+	for _, at := range slices.SortedFunc(slices.Values(times), time.Time.Compare) {
+		if rounds == 0 || at.Sub(began) >= roundTime {
+			rounds++
+			began = at
+		}
+	}
+	return rounds
+}
+
+// Explains returns whether the crashes that both suspects share are attributed to r: it is
+// quarantined, and more endpoints crashed while processing it than o. The crashes of a suspect
+// that was quarantined before are always attributed to that suspect itself.
 func (r *Record) Explains(o *Record) bool {
 	if r.State() != Quarantined || len(o.Crashes) >= len(r.Crashes) || o.Relapses > 0 {
 		return false
@@ -113,7 +185,7 @@
 	return out
 }
 
-// Join merges two records of one request.
+// Join merges two records of one suspect.
 func Join(a, b Record) Record {
 	switch {
 	case a.Generation > b.Generation:
@@ -121,21 +193,22 @@
 	case b.Generation > a.Generation:
 		return b
 	}
-	out := a
+	out := Record{Key: a.Key, Generation: a.Generation}
 	out.Relapses = max(a.Relapses, b.Relapses)
+	out.Confirmed = a.Confirmed || b.Confirmed
 	out.Crashes = slices.Concat(a.Crashes, b.Crashes)
 	slices.Sort(out.Crashes)
 	out.Crashes = slices.Compact(out.Crashes)
-	out.Crashes = out.Crashes[:min(len(out.Crashes), maxRecordedCrashes)]
+	out.Crashes = out.Crashes[:min(len(out.Crashes), out.maxCrashes())]
 	return out
 }
 
-// equal returns whether two records of one request are equal.
+// equal returns whether two records of one suspect are equal.
 func (r *Record) equal(o *Record) bool {
-	return r.Generation == o.Generation && r.Relapses == o.Relapses && slices.Equal(r.Crashes, o.Crashes)
+	return r.Generation == o.Generation && r.Relapses == o.Relapses && r.Confirmed == o.Confirmed && slices.Equal(r.Crashes, o.Crashes)
 }
 
-// cleared returns the record that replaces r when the request is cleared.
+// cleared returns the record that replaces r when the suspect is cleared.
 func (r *Record) cleared() Record {
 	return Record{Key: r.Key, Generation: r.Generation + 1}
 }
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -1,6 +1,10 @@
 package poison
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,64 +14,65 @@
 
 // Limits of a table.
 const (
-	// maxRequests is the maximum number of requests in a table, some 600 KB. Suspected requests
-	// are evicted before quarantined ones, the least recently changed first. Endpoints with 16
-	// slots and as many queued requests can crash 128 times before one is evicted.
-	maxRequests = 4096
-	// settleTime is how long two records must be unchanged before the crashes of one request are
+	// maxSuspects is the maximum number of suspects in a table, some 700 KB. Those with the fewest
+	// crashes are evicted first, quarantined ones last. Endpoints with 16 slots and as many queued
+	// requests, each with two parts of its own, can crash 40 times before one is evicted.
+	maxSuspects = 4096
+	// settleTime is how long two records must be unchanged before the crashes of one suspect are
 	// attributed to the other: the requests aborted by a crash are recorded one by one, and the
 	// content of a lost datagram arrives with the next heartbeat.
 	settleTime = 250 * time.Millisecond
 )
 
-// Cause says why the record of a request changed.
+// Cause says why the record of a suspect changed.
 type Cause string
 
 // The causes of changes.
 const (
-	// CauseCrashes means that endpoints crashed while processing the request.
+	// CauseCrashes means that endpoints crashed while processing the suspect.
 	CauseCrashes Cause = "ends"
-	// CauseAnswered means that an endpoint answered the request completely.
+	// CauseAnswered means that an endpoint answered a request with the suspect completely.
 	CauseAnswered Cause = "answered"
-	// CauseOperator means that an operator cleared the request.
+	// CauseOperator means that an operator cleared the suspect.
 	CauseOperator Cause = "operator"
 	// CauseExpired means that the quarantine expired.
 	CauseExpired Cause = "time"
-	// CauseExplained means that the crashes were attributed to another request that was in
+	// CauseExplained means that the crashes were attributed to another suspect that was in
 	// progress at the same endpoints.
 	CauseExplained Cause = "explained"
 	// CauseGossip means that the change came from another gateway.
 	CauseGossip Cause = "told"
 )
 
-// Change describes a change of a request's record.
+// Change describes a change of a suspect's record.
 type Change struct {
 	Record Record
 	Before State
 	Cause  Cause
 }
 
-// Table records the requests that endpoints were processing when they crashed. It is safe for
-// concurrent use.
+// Table records what endpoints were processing when they crashed. It is safe for concurrent use.
 type Table struct {
 	// onChange is called with changes; see NewTable.
 	onChange func(Change)
-	// size is the number of requests, which is almost always 0.
+	// size is the number of suspects, which is almost always 0.
 	size atomic.Int64
 
 	mu       sync.Mutex
-	requests map[Key]*request
+	suspects map[Key]*suspect
 	// shapes is the number of requests with each shape.
 	shapes map[Shape]int
-	// quarantineSentAt is when Gossip last returned all quarantined requests.
+	// quarantineSentAt is when Gossip last returned all quarantined suspects.
 	quarantineSentAt time.Time
 }
 
-// request is the table's entry for a request.
-type request struct {
+// suspect is the table's entry for a suspect.
+type suspect struct {
 	Record
-	// changedAt is when the record last changed.
-	changedAt time.Time
+	// changedAt is when the record last changed, and crashedAt when a crash was last added.
+	changedAt, crashedAt time.Time
+	// noticedAt are the times at which the crashes of a part were noticed by any gateway.
+	noticedAt map[Incarnation]time.Time
 	// gossipOwnUntil is the time until which this gateway's own last change is included in its
 	// heartbeats, whatever other gateways send meanwhile. gossipUntil is the same for a change
 	// from any gateway.
@@ -78,27 +83,109 @@
 // change of a record that did not come from another gateway. It must neither block nor use
 // the table.
 func NewTable(onChange func(Change)) *Table {
-	return &Table{onChange: onChange, requests: map[Key]*request{}, shapes: map[Shape]int{}}
+	return &Table{onChange: onChange, suspects: map[Key]*suspect{}, shapes: map[Shape]int{}}
 }
 
-// Lookup returns the state of a request, and its key if it is not clear. It hashes a request's body
-// only if the table holds requests of the same shape.
-func (t *Table) Lookup(r *Request) (State, Key) {
-	if t.size.Load() == 0 || !t.hasShape(r.Shape()) {
-		return Clear, Key{}
-	}
-	k := r.Key()
-	return t.State(k), k
+// Assessment is what the records of a request's suspects mean for the request.
+type Assessment struct {
+	// State is the strictest of the states that follow from the suspects.
+	State State
+	// Cause is the suspect from which State follows.
+	Cause Key
+	// Trials are the keys of the leases that a request needs that is on trial; see Key.TrialKey.
+	Trials []Key
+	// Crashes is the number of crashes of the suspect with the most crashes.
+	Crashes int
 }
 
-// State returns the state of the request with the given key.
-func (t *Table) State(k Key) State {
+// Assess returns what the records say about a request. It hashes the request's body only if the table
+// holds requests of the same shape.
+func (t *Table) Assess(s *Suspects) Assessment {
+	if t.size.Load() == 0 {
+		return Assessment{}
+	}
+	own, suspected := t.requestKey(s.Request)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q := t.requests[k]; q != nil {
-		return q.State()
+	var out Assessment
+	if q := t.suspects[own]; suspected && q != nil {
+		out.add(q.Record, t.stateFor(q, s.Parts))
+	}
+	if part := t.worstPart(s.Parts); part != nil {
+		out.add(part.Record, t.stateFor(part, s.Parts))
+	}
+	return out
+}
+
+// add takes in the state that follows from one suspect.
+func (a *Assessment) add(r Record, state State) {
+	if state > a.State {
+		a.State, a.Cause = state, r.Key
+	}
+	if state == OnTrial {
+		a.Trials = append(a.Trials, r.Key.TrialKey())
+	}
+	a.Crashes = max(a.Crashes, len(r.Crashes))
+}
+
+// requestKey returns the key of a request, and whether the table may hold it.
+func (t *Table) requestKey(r *Request) (Key, bool) {
+	if !t.hasShape(r.Shape()) {
+		return Key{}, false
+	}
+	return r.Key(), true
+}
+
+// worstPart returns the part from which the strictest state follows for a request with all of parts, of
+// these the one with the most crashes, or nil if no part is suspected. The caller holds the lock.
+func (t *Table) worstPart(parts []Key) *suspect {
+	var worst *suspect
+	for _, k := range parts {
+		q := t.suspects[k]
+		if q == nil || q.State() == Clear {
+			continue
+		}
+		if worst == nil || cmp.Or(cmp.Compare(t.stateFor(q, parts), t.stateFor(worst, parts)), cmp.Compare(len(q.Crashes), len(worst.Crashes)), bytes.Compare(k.Digest[:], worst.Key.Digest[:])) > 0 {
+			worst = q
+		}
+	}
+	return worst
+}
+
+// stateFor returns the state that follows from a suspect for a request with the given parts. The caller
+// holds the lock.
+func (t *Table) stateFor(q *suspect, parts []Key) State {
+	state := q.State()
+	switch {
+	case state == Suspected && (q.Key.Kind == KindRequest || q.rounds() >= trialRounds):
+		return OnTrial
+	case state == Quarantined && q.Key.Kind == KindPart && t.contested(q, parts):
+		return OnTrial
 	}
-	return Clear
+	return state
+}
+
+// contested reports whether the crashes under a quarantined part may be due to another suspect that a
+// request with the given parts does not have. Such a request may tell which of them it is. The caller
+// holds the lock.
+func (t *Table) contested(q *suspect, parts []Key) bool {
+	for k, other := range t.suspects {
+		if k != q.Key && !slices.Contains(parts, k) && q.contestedBy(&other.Record) {
+			return true
+		}
+	}
+	return false
+}
+
+// rounds returns the number of rounds of crashes of a part.
+func (q *suspect) rounds() int {
+	return roundsOf(slices.Collect(maps.Values(q.noticedAt)))
+}
+
+// State returns the state of the suspect with the given key.
+func (t *Table) State(k Key) State {
+	r := t.Record(k)
+	return r.State()
 }
 
 func (t *Table) hasShape(s Shape) bool {
@@ -107,44 +194,77 @@
 	return t.shapes[s] > 0
 }
 
-// Record returns the record of the request with the given key.
+// Record returns the record of the suspect with the given key.
 func (t *Table) Record(k Key) Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q := t.requests[k]; q != nil {
-		return q.Record
+	if q := t.suspects[k]; q != nil {
+		return q.withAges(time.Now())
 	}
 	return Record{Key: k}
 }
 
-// RecordCrash records that an endpoint crashed while processing a request, and returns the
-// resulting state of the request.
-func (t *Table) RecordCrash(r *Request, l roster.Incarnation, now time.Time) State {
-	k := r.Key()
+// Records returns the records of suspects.
+func (t *Table) Records(keys []Key) []Record {
+	out := make([]Record, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, t.Record(k))
+	}
+	return out
+}
+
+// withAges returns the record with the ages of its crashes.
+func (q *suspect) withAges(now time.Time) Record {
+	r := q.Record
+	if len(q.noticedAt) == 0 {
+		return r
+	}
+	for _, l := range r.Crashes {
+		r.Ages = append(r.Ages, now.Sub(q.noticedAt[l]))
+	}
+	return r
+}
+
+// RecordCrash records that an endpoint crashed while processing a request. Each of its suspects may be
+// the cause.
+func (t *Table) RecordCrash(s *Suspects, l roster.Incarnation, now time.Time) {
+	keys := append([]Key{s.Request.Key()}, s.Parts...)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropExplained(now)
-	next := Record{Key: k, Crashes: []Incarnation{IncarnationOf(l)}}
-	if q := t.requests[k]; q != nil {
-		next.Generation = q.Generation
+	for _, k := range keys {
+		next := Record{Key: k, Crashes: []Incarnation{IncarnationOf(l)}}
+		if q := t.suspects[k]; q != nil {
+			next.Generation = q.Generation
+		}
+		t.update(next, true, CauseCrashes, now)
 	}
-	return t.update(next, true, CauseCrashes, now)
 }
 
-// RecordAnswer clears a request that an endpoint answered completely: it does not crash every
-// endpoint that starts to process it.
-func (t *Table) RecordAnswer(r *Request, now time.Time) {
-	state, k := t.Lookup(r)
-	if state == Clear {
+// RecordAnswer clears the suspects of a request that an endpoint answered completely, and whose answer
+// ended at endedAt: none of them crashes every endpoint that starts to process it. An answer that ended
+// before the last crash clears nothing.
+func (t *Table) RecordAnswer(s *Suspects, endedAt, now time.Time) {
+	if t.size.Load() == 0 {
 		return
 	}
-	t.clear(k, CauseAnswered, now)
+	keys := s.Parts
+	if own, suspected := t.requestKey(s.Request); suspected {
+		keys = append([]Key{own}, keys...)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range keys {
+		if q := t.suspects[k]; q != nil && !q.isInitial() && endedAt.After(q.crashedAt) {
+			t.update(q.cleared(), true, CauseAnswered, now)
+		}
+	}
 }
 
 func (t *Table) clear(k Key, cause Cause, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q := t.requests[k]; q != nil {
+	if q := t.suspects[k]; q != nil {
 		t.update(q.cleared(), true, cause, now)
 	}
 }
@@ -155,7 +275,7 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, r := range records {
-		before := t.requests[r.Key]
+		before := t.suspects[r.Key]
 		if before == nil && r.State() == Clear {
 			continue // not suspected here either
 		}
@@ -174,39 +294,73 @@
 	return changed
 }
 
-// update merges a record into the table and returns the resulting state. The caller holds the
-// lock.
-func (t *Table) update(r Record, own bool, cause Cause, now time.Time) State {
-	q := t.requests[r.Key]
+// update merges a record into the table. The caller holds the lock.
+func (t *Table) update(r Record, own bool, cause Cause, now time.Time) {
+	q := t.suspects[r.Key]
 	if q == nil {
-		t.evict()
-		q = &request{Record: Record{Key: r.Key, Generation: r.Generation}}
-		t.requests[r.Key] = q
-		t.shapes[r.Key.Shape]++
-		t.size.Add(1)
+		q = t.insert(Record{Key: r.Key, Generation: r.Generation})
 	}
 	before := q.State()
 	joined := Join(q.Record, r)
 	if joined.equal(&q.Record) {
-		return before
+		return
+	}
+	if len(joined.Crashes) > 0 {
+		q.crashedAt = now
 	}
 	q.Record, q.changedAt, q.gossipUntil = joined, now, now.Add(gossipTime)
+	if q.Key.Kind == KindPart && q.noteCrashes(&r, now) {
+		own, cause = true, CauseCrashes
+	}
 	if own {
 		q.gossipOwnUntil = q.gossipUntil
 	}
 	if own || q.State() != before {
-		t.onChange(Change{Record: joined, Before: before, Cause: cause})
+		t.onChange(Change{Record: q.Record, Before: before, Cause: cause})
 	}
-	return q.State()
 }
 
-// evict removes a request if the table is full. The caller holds the lock.
+// noteCrashes takes in when the crashes in r, a record that was merged into the one of q, were noticed.
+// It reports whether that confirmed q, a part, as the cause.
+func (q *suspect) noteCrashes(r *Record, now time.Time) bool {
+	times := map[Incarnation]time.Time{}
+	for _, l := range q.Crashes {
+		if at, found := q.noticedAt[l]; found {
+			times[l] = at
+			continue
+		}
+		times[l] = now
+		if i := slices.Index(r.Crashes, l); i >= 0 && i < len(r.Ages) {
+			times[l] = now.Add(-r.Ages[i])
+		}
+	}
+	q.noticedAt = times
+	if q.Confirmed || !isConfirmed(q.rounds(), len(q.Crashes)) {
+		return false
+	}
+	q.Confirmed = true
+	return true
+}
+
+// insert adds a suspect. The caller holds the lock.
+func (t *Table) insert(r Record) *suspect {
+	t.evict()
+	q := &suspect{Record: r}
+	t.suspects[r.Key] = q
+	if r.Key.Kind == KindRequest {
+		t.shapes[r.Key.Shape]++
+	}
+	t.size.Add(1)
+	return q
+}
+
+// evict removes a suspect if the table is full. The caller holds the lock.
 func (t *Table) evict() {
-	if len(t.requests) < maxRequests {
+	if len(t.suspects) < maxSuspects {
 		return
 	}
-	var oldest *request
-	for _, q := range t.requests {
+	var oldest *suspect
+	for _, q := range t.suspects {
 		if oldest == nil || q.evictedBefore(oldest) {
 			oldest = q
 		}
@@ -215,29 +369,29 @@
 }
 
 // evictedBefore returns whether q is evicted before o.
-func (q *request) evictedBefore(o *request) bool {
-	if held, other := q.State() == Quarantined, o.State() == Quarantined; held != other {
-		return other
-	}
-	return q.changedAt.Before(o.changedAt)
+func (q *suspect) evictedBefore(o *suspect) bool {
+	order := cmp.Or(cmp.Compare(q.State(), o.State()), cmp.Compare(len(q.Crashes), len(o.Crashes)), q.changedAt.Compare(o.changedAt))
+	return order < 0
 }
 
-func (t *Table) remove(q *request) {
-	delete(t.requests, q.Key)
-	if t.shapes[q.Key.Shape]--; t.shapes[q.Key.Shape] == 0 {
-		delete(t.shapes, q.Key.Shape)
+func (t *Table) remove(q *suspect) {
+	delete(t.suspects, q.Key)
+	if q.Key.Kind == KindRequest {
+		if t.shapes[q.Key.Shape]--; t.shapes[q.Key.Shape] == 0 {
+			delete(t.shapes, q.Key.Shape)
+		}
 	}
 	t.size.Add(-1)
 }
 
-// dropExplained removes crashes that are attributed to other requests. The caller holds the
+// dropExplained removes crashes that are attributed to other suspects. The caller holds the
 // lock.
 func (t *Table) dropExplained(now time.Time) {
-	for _, q := range t.requests {
+	for _, q := range t.suspects {
 		if q.State() != Quarantined || now.Sub(q.changedAt) < settleTime {
 			continue
 		}
-		for _, other := range t.requests {
+		for _, other := range t.suspects {
 			if q.Explains(&other.Record) && now.Sub(other.changedAt) >= settleTime {
 				t.update(other.withoutCrashesOf(&q.Record), true, CauseExplained, now)
 			}
@@ -245,11 +399,11 @@
 	}
 }
 
-// expire ends expired quarantines and removes requests that have not changed for a long time.
+// expire ends expired quarantines and removes suspects that have not changed for a long time.
 // The caller holds the lock.
 func (t *Table) expire(now time.Time) {
 	t.dropExplained(now)
-	for _, q := range t.requests {
+	for _, q := range t.suspects {
 		age := now.Sub(q.changedAt)
 		switch {
 		case q.State() == Quarantined && age >= QuarantineTime(q.Relapses):
--- a/gateway/poison/table_test.go
+++ b/gateway/poison/table_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/gateway/poison"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // gateway is a table with the causes of the changes that it reported.
@@ -37,8 +38,24 @@
 	return state
 }
 
+// RecordCrash records that an endpoint crashed while processing a request without shared parts, and
+// returns the resulting state of the request.
+func (g *gateway) RecordCrash(r *poison.Request, l roster.Incarnation, now time.Time) poison.State {
+	g.Table.RecordCrash(&poison.Suspects{Request: r}, l, now)
+	return g.State(r.Key())
+}
+
+// RecordAnswer records that an endpoint answered a request, right after now.
+func (g *gateway) RecordAnswer(r *poison.Request, now time.Time) {
+	g.Table.RecordAnswer(&poison.Suspects{Request: r}, now.Add(1), now)
+}
+
+// state returns the state that a gateway finds for a request. One that is suspected is on trial.
 func (g *gateway) state(r *poison.Request) poison.State {
-	state, _ := g.Lookup(r)
+	state := g.Assess(&poison.Suspects{Request: r}).State
+	if state == poison.OnTrial {
+		return poison.Suspected
+	}
 	return state
 }
 
@@ -153,7 +170,7 @@
 	g.Expect(len(poison.Pack(x.Gossip(true, at(time.Millisecond))))).To(BeNumerically("<", 8<<10))
 }
 
-func BenchmarkLookup(b *testing.B) {
+func BenchmarkAssess(b *testing.B) {
 	for name, n := range map[string]int{"empty table": 0, "other requests": 100} {
 		b.Run(name, func(b *testing.B) {
 			x := newGateway()
@@ -164,7 +181,7 @@
 			}
 			r := request()
 			for b.Loop() {
-				x.Lookup(r)
+				x.Assess(&poison.Suspects{Request: r})
 			}
 		})
 	}
--- a/gateway/poison/trials.go
+++ b/gateway/poison/trials.go
@@ -12,9 +12,9 @@
 // long. It is longer than callers wait for a response.
 const maxTrialTime = 10 * time.Second
 
-// maxTrials is the maximum number of leases that a gateway keeps, the same as that of requests
+// maxTrials is the maximum number of leases that a gateway keeps, the same as that of suspects
 // in a table.
-const maxTrials = maxRequests
+const maxTrials = maxSuspects
 
 // Owner returns which of the named gateways keeps the lease on a request. It uses rendezvous
 // hashing, so that few requests change their owner when a gateway joins or leaves.
--- a/gateway/policy/crash.go
+++ b/gateway/policy/crash.go
@@ -12,7 +12,7 @@
 // IsWithheld returns whether a failure code means that the request is withheld from endpoints
 // because others crashed while processing it.
 func IsWithheld(code verdict.Code) bool {
-	return code == CodeQuarantined || code == CodeOnTrial
+	return code == CodeQuarantined || code == CodePartQuarantined || code == CodeOnTrial
 }
 
 // isolationCrashes is the number of crashes after which a request is sent to the least loaded
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -23,8 +23,12 @@
 	// CodeQuarantined means that endpoints crashed while processing the request or another
 	// copy of it, and that it is no longer sent to any endpoint.
 	CodeQuarantined verdict.Code = "quarantined"
-	// CodeOnTrial means that endpoints crashed while processing another copy of the request.
-	// One further copy is being tried; all others are withheld until its result is known.
+	// CodePartQuarantined means that endpoints crashed while processing other requests with a part of
+	// the prompt, and that no request with that part is sent to any endpoint.
+	CodePartQuarantined verdict.Code = "part_quarantined"
+	// CodeOnTrial means that endpoints crashed while processing another copy of the request, or
+	// another request with a part of its prompt. One is being tried; all others are withheld until
+	// its result is known.
 	CodeOnTrial verdict.Code = "on_trial"
 	// CodeTooLarge means that the body exceeds the configured limit.
 	CodeTooLarge verdict.Code = "too_large"
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -62,8 +62,10 @@
 	if !p.acceptsDeadline(c.deadline) {
 		return c, verdict.NewError(verdict.NotRun, verdict.CodeLeaving, "this gateway ends before the request may").WithRetryAfter(policy.RetryAfterDefault)
 	}
-	c.parts = p.cfg.ReadSharedParts(r.Header)
-	c.copies = poisonRequest(r, c.account, body)
+	c.suspects.Request = poisonRequest(r, c.account, body)
+	for _, id := range p.cfg.ReadSharedParts(r.Header) {
+		c.suspects.Parts = append(c.suspects.Parts, id.Key(c.service))
+	}
 	c.request = &upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: p.forwardHeader(r.Header, c), Body: body}
 	return c, nil
 }
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -99,6 +99,7 @@
 	if err != nil && !errors.Is(err, errNoMemory) {
 		return verdict.Classify(verdict.Answering, err), balance.Failed
 	}
+	endedAt := time.Now()
 	response := &bufferedResponse{status: x.Status, header: x.Header, framing: x.Framing, length: int64(len(body)), body: body}
 	if !whole {
 		response.length = x.Length
@@ -111,6 +112,7 @@
 			return failure, balance.Failed
 		}
 	}
+	c.recordCompleted(a, endedAt)
 	outcome := balance.Served
 	if x.Status >= http.StatusInternalServerError {
 		outcome = balance.Failed
@@ -138,6 +140,7 @@
 	buffer := make([]byte, copyBuffer)
 	for err == nil {
 		n, readErr := x.Read(buffer)
+		endedAt := time.Now()
 		tail = lastBytes(tail, buffer[:n])
 		if err = writeToCaller(w, buffer[:n]); err != nil {
 			break
@@ -149,6 +152,7 @@
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
+			c.recordCompleted(a, endedAt)
 			if err = c.flush(w); err != nil {
 				break
 			}
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/routes"
@@ -75,8 +76,8 @@
 	for tries := 1; last != nil && p.shouldContinue(ctx, c, tries, last); tries++ {
 		last = p.try(ctx, w, c)
 	}
-	if last != nil && p.quarantined(c) {
-		last = withheld(policy.CodeQuarantined)
+	if a := p.assess(c); last != nil && a.State == poison.Quarantined {
+		last = withheld(a.Cause)
 	}
 	if last == nil || p.fallBack(w, c) {
 		return nil
@@ -86,7 +87,7 @@
 
 // shouldContinue reports whether another attempt follows after the given number of tries.
 func (p *Proxy) shouldContinue(ctx context.Context, c *call, tries int, last *verdict.Error) bool {
-	if policy.IsWithheld(last.Code) || p.quarantined(c) {
+	if policy.IsWithheld(last.Code) || c.crashedOnTrial || p.quarantined(c) {
 		c.noRetryReason = policy.Withheld.String()
 		return false
 	}
@@ -154,7 +155,7 @@
 	}
 	left := time.Until(c.deadline)
 	switch {
-	case e.Verdict != verdict.NotRun:
+	case e.Verdict != verdict.NotRun, e.Code == policy.CodePartQuarantined:
 	case e.Code == policy.CodeTooLate:
 		e.RetryAfter = policy.RetryAfterTooLate(left)
 	default:
@@ -209,6 +210,10 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if failure := p.admit(ctx, c); failure != nil { // crashes may have become known meanwhile
+		lease.Done(balance.Neutral, time.Now())
+		return nil, failure
+	}
 	c.recordAttempt(lease.Record.ID, lease.Holds(c.model))
 	a := &attempt{lease: lease, sentAt: time.Now(), outcome: balance.Neutral}
 	if ctx.Err() != nil || time.Until(c.deadline) < time.Millisecond { // the deadline header is in milliseconds
--- a/gateway/proxy/call.go
+++ b/gateway/proxy/call.go
@@ -29,11 +29,10 @@
 	// held is the memory that the bodies of the request and of its response take.
 	held    reservation
 	request *upstream.Request
-	// copies identifies the request together with all copies of it, for example retries by its
-	// caller or the same request through other gateways.
-	copies *poison.Request
-	// parts are the parts of the prompt that other requests may share.
-	parts []poison.PartID
+	// suspects are what may be the cause if an endpoint crashes: the request together with all copies
+	// of it, for example retries by its caller or the same request through other gateways, and the
+	// parts of its prompt that other requests may share.
+	suspects poison.Suspects
 	// model is the model named by the caller, if any.
 	model string
 	// promptTokens is the number of tokens that the engine must process before it can respond.
@@ -67,13 +66,17 @@
 	// fallback is an endpoint's error response, kept while another endpoint may give a better
 	// one.
 	fallback *bufferedResponse
-	// releaseLease releases the lease held while the request is suspected, or is nil. crashCount
-	// is the number of endpoints that had crashed under the request and its copies when it was
-	// admitted.
-	releaseLease func()
+	// releaseTrials releases the leases held while the request is on trial, by their keys. crashCount
+	// is the number of endpoints that had crashed under one of its suspects when it was admitted.
+	releaseTrials map[poison.Key]func()
 	// grant is the admission of the request, or nil before; see acquireGrant.
 	grant      *admission.Grant
 	crashCount int
+	// crashedOnTrial is set if an endpoint crashed while the request was on trial because of a part of
+	// its prompt.
+	crashedOnTrial bool
+	// completedAt is when the response ended, if the endpoint is known to have survived it.
+	completedAt time.Time
 	// withdrawn is set if the request was quarantined while an endpoint had it.
 	withdrawn bool
 	// mayHaveRun is set if the request may have run on any endpoint.
--- a/gateway/proxy/crash.go
+++ b/gateway/proxy/crash.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/policy"
+	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -98,6 +100,15 @@
 	return failure.WithCause(io.ErrUnexpectedEOF)
 }
 
+// recordCompleted records that a successful response ended at endedAt and that the endpoint survived it.
+// Of a leaving endpoint whose response had no mark of its end that is not known.
+func (c *call) recordCompleted(a *attempt, endedAt time.Time) {
+	unknown := a.exchange.Framing == upstream.FramedByClose && a.lease.Leaving()
+	if a.exchange.Status < http.StatusMultipleChoices && !unknown {
+		c.completedAt = endedAt
+	}
+}
+
 // detectCrash checks whether the endpoint of a failed attempt crashed while it had the request. An
 // endpoint that crashed is marked unreachable, so that other requests do not each have to find out
 // by a failed connection: without this, 3 of 200 requests failed in the test of requests that
@@ -108,5 +119,6 @@
 	}
 	a.outcome = balance.Unreachable
 	p.logEndpointCrash(c, a.lease)
-	p.cfg.Poison.RecordCrash(c.copies, a.lease.Record.Incarnation(), time.Now())
+	c.crashedOnTrial = c.crashedOnTrial || c.triesPart()
+	p.cfg.Poison.RecordCrash(&c.suspects, a.lease.Record.Incarnation(), time.Now())
 }
--- a/gateway/proxy/fleet_test.go
+++ b/gateway/proxy/fleet_test.go
@@ -126,6 +126,9 @@
 	w.client = upstream.NewClient(upstream.WithDialer(w))
 	w.budget = proxy.NewBudget(0.2, 100, 10*time.Second, func() int { return 1 })
 	w.poison, w.trials = poison.NewTable(func(poison.Change) {}), f.trials
+	w.askTrial = func(k poison.Key, parts []poison.Key, d time.Duration) (func(), bool) {
+		return f.askTrial(w, k, parts, d)
+	}
 	w.proxy = w.newTestProxy()
 	w.proxy.SetConfig(configuration())
 	go w.simulateTraffic(ctx)
@@ -208,6 +211,21 @@
 	}
 }
 
+// askTrial asks the first gateway, a few milliseconds away, for the lease on a trial. As in a running
+// fleet, both exchange their records of the parts, also when the lease is released.
+func (f *fleet) askTrial(w *harness, k poison.Key, parts []poison.Key, d time.Duration) (release func(), granted bool) {
+	owner := f.alive()[0]
+	holder := fmt.Sprintf("%p", new(int))
+	time.Sleep(4 * time.Millisecond)
+	owner.poison.Merge(w.poison.Records(parts), time.Now())
+	granted = f.trials.Begin(k, holder, d, time.Now())
+	w.poison.Merge(owner.poison.Records(parts), time.Now())
+	return func() {
+		owner.poison.Merge(w.poison.Records(parts), time.Now())
+		f.trials.End(k, holder)
+	}, granted
+}
+
 // crash ends the process of an endpoint and starts it again under another ID after restartTime.
 func (f *fleet) crash(addr string) {
 	for _, w := range f.alive() {
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -86,6 +86,8 @@
 	// poison records the requests under which endpoints ended, trials the leases on them.
 	poison *poison.Table
 	trials *poison.Trials
+	// askTrial asks the gateway of the fleet that grants trials; nil for a gateway that runs alone.
+	askTrial func(k poison.Key, parts []poison.Key, d time.Duration) (func(), bool)
 	// logs holds the gateway's log lines in JSON.
 	logs logBuffer
 	// dials is the number of connections that the gateway has opened.
@@ -182,7 +184,7 @@
 		RequestToken:    w.askToken,
 		Memory:          w.memory,
 		Gate:            w.gate,
-		Poison:          w.poison, AcquireTrial: w.trial,
+		Poison:          w.poison, AcquireTrial: w.acquireTrial,
 		MinVersion: func(string) int64 { return w.minVersion.Load() }, Random: func() float64 { return float64(w.randomMilli.Load()) / 1000 },
 	})
 }
@@ -233,8 +235,15 @@
 	return w.down[id]
 }
 
+func (w *harness) acquireTrial(ctx context.Context, k poison.Key, parts []poison.Key, d time.Duration) (func(), bool) {
+	if w.askTrial != nil {
+		return w.askTrial(k, parts, d)
+	}
+	return w.trial(ctx, k, parts, d)
+}
+
 // trial grants leases as a gateway that runs alone does.
-func (w *harness) trial(_ context.Context, k poison.Key, d time.Duration) (func(), bool) {
+func (w *harness) trial(_ context.Context, k poison.Key, _ []poison.Key, d time.Duration) (func(), bool) {
 	return func() { w.trials.End(k, "") }, w.trials.Begin(k, "", d, time.Now())
 }
 
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -30,7 +30,7 @@
 // need. If no endpoint qualifies or the retry budget is exhausted, hedge returns false and has
 // no effect.
 func (p *Proxy) hedge(ctx context.Context, c *call, w policy.Hedge, maxIdle time.Duration) bool {
-	if p.poisonState(c) != poison.Clear {
+	if p.assess(c).State != poison.Clear {
 		return false // a second endpoint could crash under the request as well
 	}
 	now := time.Now()
--- a/gateway/proxy/idle.go
+++ b/gateway/proxy/idle.go
@@ -13,8 +13,9 @@
 // watch returns the Watch that decides whether the endpoint of lease is given up, either for a
 // hedge or because the request was quarantined.
 func (p *Proxy) watch(ctx context.Context, c *call, lease *balance.Lease) *upstream.Watchdog {
-	stalled := p.giveUpCheck(ctx, c, lease, time.Now())
-	w := upstream.NewWatchdog(func() bool { return p.withdrawIfQuarantined(c, lease) || stalled() })
+	sentAt := time.Now()
+	stalled := p.giveUpCheck(ctx, c, lease, sentAt)
+	w := upstream.NewWatchdog(func() bool { return p.withdrawIfQuarantined(c, lease, sentAt) || stalled() })
 	c.watch.Store(w)
 	if first := lease.Expected().FirstEvent; first > 0 && c.grant != nil && c.grant.Enforced {
 		time.AfterFunc(policy.OverdueAfter(first), w.Wake)
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -100,8 +101,9 @@
 	p.cfg.Metrics.Served.Inc(1)
 	if c.received.framing == upstream.FramedByClose {
 		p.cfg.Metrics.Unframed.Inc(1)
-	} else {
-		p.cfg.Poison.RecordAnswer(c.copies, time.Now())
+	}
+	if !c.completedAt.IsZero() {
+		p.cfg.Poison.RecordAnswer(&c.suspects, c.completedAt, time.Now())
 	}
 	p.cfg.Metrics.Whole.Update(elapsed.Microseconds())
 	if len(c.attempted) > 1 {
@@ -143,23 +145,23 @@
 // progress there. The rest is what different requests may have in common.
 func (p *Proxy) logEndpointCrash(c *call, lease *balance.Lease) {
 	p.cfg.Metrics.Ended.Inc(1)
-	p.cfg.Log.Warn("endpoint ended", "request", c.id, "key", c.copies.Key().String(), "endpoint", lease.Record.ID,
+	p.cfg.Log.Warn("endpoint ended", "request", c.id, "key", c.suspects.Request.Key().String(), "endpoint", lease.Record.ID,
 		"born", lease.Record.Born, "addr", lease.Record.Addr, "others", lease.OtherInFlight(), "begun", c.headSent, "event", c.lastEventID,
-		"route", c.route.Name, "account", c.copies.Account, "model", c.model, "weights", lease.Holds(c.model), "promptTokens", c.promptTokens, "parts", c.partNames())
+		"route", c.route.Name, "account", c.suspects.Request.Account, "model", c.model, "weights", lease.Holds(c.model), "promptTokens", c.promptTokens, "parts", c.partNames())
 }
 
 // partNames returns the shared parts of the prompt as in log lines.
 func (c *call) partNames() []string {
-	names := make([]string, 0, len(c.parts))
-	for _, id := range c.parts {
-		names = append(names, id.String())
+	names := make([]string, 0, len(c.suspects.Parts))
+	for _, k := range c.suspects.Parts {
+		names = append(names, poison.PartID(k.Digest).String())
 	}
 	return names
 }
 
 // logWithdrawn logs that a request is withdrawn from an endpoint.
 func (p *Proxy) logWithdrawn(c *call, lease *balance.Lease) {
-	p.cfg.Log.Info("request withdrawn", "request", c.id, "key", c.copies.Key().String(), "endpoint", lease.Record.ID,
+	p.cfg.Log.Info("request withdrawn", "request", c.id, "key", c.suspects.Request.Key().String(), "endpoint", lease.Record.ID,
 		"ms", time.Since(c.startedAt).Milliseconds())
 }
 
--- a/gateway/proxy/part_test.go
+++ b/gateway/proxy/part_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/poison"
 )
 
 // Bounds of the platform's rules on a part of prompts that ends endpoints.
@@ -89,8 +91,9 @@
 	for id := from; id <= 4; id++ {
 		time.Sleep(100 * time.Millisecond)
 		if deadly {
-			w.note(&w.crashedAt)
-			w.crash(addr)
+			if w.crashOnce(addr) {
+				w.note(&w.crashedAt)
+			}
 			return false
 		}
 		if !write(c, stream(id)) {
@@ -100,6 +103,15 @@
 	return finish(c, r)
 }
 
+// crashOnce ends an endpoint and returns true, unless another request has ended it.
+func (w *partWorld) crashOnce(addr string) bool {
+	if w.alive()[0].isDown(addr) {
+		return false
+	}
+	w.crash(addr)
+	return true
+}
+
 func (w *partWorld) note(times *[]time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -231,3 +243,121 @@
 		})
 	}
 }
+
+// crashSome ends n endpoints at the same moment, the next ones each time.
+func (w *partWorld) crashSome(from, n int) {
+	for i := range n {
+		w.crash(fmt.Sprintf("e%d", (from+i)%len(w.endpoints)))
+	}
+}
+
+// TestEndpointsThatEndByThemselvesHoldBackNoSharedPart guards against requests that are refused because of what they share.
+func TestEndpointsThatEndByThemselvesHoldBackNoSharedPart(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// crashes is called once the load has begun.
+		crashes func(w *partWorld)
+	}{
+		{"one after the other", func(w *partWorld) {
+			for i := range 20 {
+				w.crashSome(7*i, 1)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}},
+		{"a third of them, three times", func(w *partWorld) {
+			for i := range 3 {
+				w.crashSome(7*i, 7)
+				time.Sleep(4 * time.Second)
+			}
+		}},
+		{"all of them", func(w *partWorld) { w.crashSome(0, 20) }},
+	} {
+		for _, framing := range []string{chunkedAnswers, unmarkedAnswers} {
+			t.Run(tc.name+", "+framing, func(t *testing.T) {
+				runPartWorld(t, 4, 20, framing, func(w *partWorld) {
+					ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+					defer cancel()
+					var sound *tally
+					var loads sync.WaitGroup
+					loads.Go(func() { sound = w.load(ctx, 1, 150, soundParts, countAll) })
+					time.Sleep(2 * time.Second)
+					tc.crashes(w)
+					loads.Wait()
+					t.Logf("%d of %d answered, %d withheld", sound.answered, sound.sent, sound.withheld)
+					w.g.Expect(sound.withheld).To(BeZero())
+				})
+			})
+		}
+	}
+}
+
+// quarantinePart makes the gateway know a part as the cause of crashes.
+func (w *harness) quarantinePart(name string) {
+	r := poison.Record{Key: partID(name).Key("s"), Confirmed: true, Crashes: []poison.Incarnation{1, 2, 3}}
+	w.poison.Merge([]poison.Record{r}, time.Now())
+}
+
+// TestARequestWithAQuarantinedPartIsRefusedAtOnceAsNotRun guards against callers that are told that it may have run.
+func TestARequestWithAQuarantinedPartIsRefusedAtOnceAsNotRun(t *testing.T) {
+	for _, path := range []string{"/stream/", "/once/", "/safe/", "/unsafe/"} {
+		runHarness(t, func(w *harness) {
+			w.quarantinePart(deadlyPart)
+			got := w.send("POST", path, "", "Parts", "shared,"+deadlyPart+",own")
+			w.g.Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+			w.g.Expect(got.Header().Get("Silverdeck-Verdict")).To(Equal("not-run"))
+			w.g.Expect(got.Header()).NotTo(HaveKey("Retry-After"), "there is no time at which it would be served")
+			w.g.Expect(got.elapsed).To(BeZero())
+			w.g.Expect(w.endpoints["e0"].count()).To(BeZero())
+			w.g.Expect(w.metrics.Withheld.Count()).To(Equal(int64(1)))
+			for _, parts := range []string{"shared,own", "shared," + deadlyPart, ""} { // the last part is the request's own
+				w.g.Expect(w.send("POST", path, "", "Parts", parts).Code).To(Equal(http.StatusOK))
+			}
+		}, always(threeEvents))
+	}
+}
+
+// TestRequestsUnderWayAreWithdrawnWhenTheirPartIsQuarantined guards against copies that end endpoints after the verdict.
+func TestRequestsUnderWayAreWithdrawnWhenTheirPartIsQuarantined(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second []handler
+		aborted       bool
+	}{
+		{"queued at an endpoint", always(hang), always(hang), false},
+		{"a resumed stream that is queued at an endpoint", always(events(20*time.Millisecond, cut, 1, 2)), always(hang), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runHarness(t, func(w *harness) {
+				time.AfterFunc(300*time.Millisecond, func() { w.quarantinePart(deadlyPart) })
+				got := w.send("POST", "/stream/", "", "Parts", deadlyPart+",own")
+				w.g.Expect(got.aborted).To(Equal(tc.aborted))
+				if !tc.aborted {
+					w.g.Expect(got.Code).To(Equal(http.StatusBadGateway), "it may have run")
+				}
+				w.g.Expect(got.elapsed).To(BeNumerically("<", 450*time.Millisecond))
+				w.g.Expect(w.logs.withMessage("request withdrawn")).NotTo(BeEmpty())
+			}, tc.first, tc.second)
+		})
+	}
+}
+
+// TestAGatewayThatStartsSendsNoRequestWithAQuarantinedPart guards against a gateway that has to learn by crashes of its own.
+func TestAGatewayThatStartsSendsNoRequestWithAQuarantinedPart(t *testing.T) {
+	runPartWorld(t, 4, 20, chunkedAnswers, func(w *partWorld) {
+		all, end := context.WithCancel(context.Background())
+		defer end()
+		ctx, cancel := context.WithTimeout(all, 6*time.Second)
+		defer cancel()
+		w.load(ctx, 1, 25, deadlyAt(1), countAll)
+		w.mu.Lock()
+		before := len(w.arrivedAt)
+		w.mu.Unlock()
+		w.add(all)
+		time.Sleep(1500 * time.Millisecond) // everything quarantined is told once a second
+		gateways := w.alive()
+		for i := range 10 {
+			gateways[len(gateways)-1].send("POST", "/stream/", fmt.Sprint(i), "Parts", "shared,"+deadlyPart+",own")
+		}
+		w.g.Expect(w.arrivedAt).To(HaveLen(before))
+	})
+}
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -55,9 +55,9 @@
 	ReadSharedParts func(h http.Header) []poison.PartID
 	// Poison records the requests under which endpoints crashed.
 	Poison *poison.Table
-	// AcquireTrial asks for the lease on a suspected request for at most d. It returns whether
-	// the lease was granted and a function that releases it.
-	AcquireTrial func(ctx context.Context, k poison.Key, d time.Duration) (release func(), granted bool)
+	// AcquireTrial asks for the lease with key k on a request with the given parts of the prompt, for at
+	// most d. It returns whether the lease was granted and a function that releases it.
+	AcquireTrial func(ctx context.Context, k poison.Key, parts []poison.Key, d time.Duration) (release func(), granted bool)
 	// Gate admits requests while endpoints can't serve all; nil admits all.
 	Gate *admission.Gate
 	// Memory bounds the bodies that are held at the same time; nil for no limit.
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -52,9 +52,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			endedAt := time.Now()
 			if failure := p.checkStreamEnd(c, a, received, len(reader.incomplete()) > 0); failure != nil {
 				return failure, balance.Failed
 			}
+			c.recordCompleted(a, endedAt)
 			beginStream(w, c, x)
 			p.recordStream(c, a, &measured)
 			return nil, balance.Served
--- a/gateway/proxy/withhold.go
+++ b/gateway/proxy/withhold.go
@@ -11,82 +11,107 @@
 	"github.com/silverdeck/silverdeck/wait"
 )
 
-// poisonState returns whether the call's request is suspected or quarantined.
-func (p *Proxy) poisonState(c *call) poison.State {
-	state, _ := p.cfg.Poison.Lookup(c.copies)
-	return state
+// assess returns what earlier crashes mean for the call's request.
+func (p *Proxy) assess(c *call) poison.Assessment {
+	return p.cfg.Poison.Assess(&c.suspects)
 }
 
+// quarantined reports whether the call's request must not be sent to any endpoint.
 func (p *Proxy) quarantined(c *call) bool {
-	return p.poisonState(c) == poison.Quarantined
+	return p.assess(c).State == poison.Quarantined
 }
 
 // admit returns why the call's request must not be sent to an endpoint now, or nil. Endpoints
 // are worth more than a response to a request that crashes them: a quarantined request is sent
-// to none, and of a suspected request only one copy in the fleet is in progress at a time, so
+// to none, and of a request on trial only one copy in the fleet is in progress at a time, so
 // that its effect is known before the next copy is sent. Without this, 60 endpoints crashed under
 // one request in a soak run of 15 s.
 func (p *Proxy) admit(ctx context.Context, c *call) *verdict.Error {
-	state, key := p.cfg.Poison.Lookup(c.copies)
-	switch state {
+	a := p.assess(c)
+	c.crashCount = a.Crashes
+	switch a.State {
 	case poison.Quarantined:
-		return withheld(policy.CodeQuarantined)
-	case poison.Clear:
+		return withheld(a.Cause)
+	case poison.Clear, poison.Suspected:
 		return nil
 	}
-	c.crashCount = len(p.cfg.Poison.Record(key).Crashes)
-	if c.releaseLease != nil {
-		return nil
+	for _, k := range a.Trials {
+		if c.releaseTrials[k] != nil {
+			continue
+		}
+		if failure := p.acquireTrial(ctx, c, k); failure != nil {
+			return failure
+		}
 	}
-	return p.acquireTrial(ctx, c, key)
+	return nil
 }
 
 // trialPollInterval is the time between two requests for a lease: a third of the smallest gap
 // target of streams on the deployed sites.
 const trialPollInterval = 100 * time.Millisecond
 
-// acquireTrial acquires the lease on a suspected request, or returns why the request is
+// acquireTrial acquires the lease on a suspect of the call's request, or returns why the request is
 // withheld. A resumed response waits for the lease, because its caller can't be told to retry.
-func (p *Proxy) acquireTrial(ctx context.Context, c *call, key poison.Key) *verdict.Error {
+func (p *Proxy) acquireTrial(ctx context.Context, c *call, k poison.Key) *verdict.Error {
 	for {
-		release, granted := p.cfg.AcquireTrial(ctx, key, time.Until(c.deadline))
+		release, granted := p.cfg.AcquireTrial(ctx, k, c.suspects.Parts, time.Until(c.deadline))
 		if granted {
-			c.releaseLease = release
+			if c.releaseTrials == nil {
+				c.releaseTrials = map[poison.Key]func(){}
+			}
+			c.releaseTrials[k] = release
 			return nil
 		}
+		a := p.assess(c)
 		switch {
-		case p.quarantined(c): // the gateway that grants the lease may have reported it
-			return withheld(policy.CodeQuarantined)
+		case a.State == poison.Quarantined: // the gateway that grants the lease may have reported it
+			return withheld(a.Cause)
 		case !c.headSent || !wait.For(ctx, trialPollInterval):
-			return withheld(policy.CodeOnTrial)
-		case p.poisonState(c) == poison.Clear:
+			return onTrial()
+		case p.assess(c).State == poison.Clear:
 			return nil
 		}
 	}
 }
 
-// releaseTrial releases the lease on the call's request, if it holds one.
+// triesPart reports whether the call's request is on trial because of a part of its prompt.
+func (c *call) triesPart() bool {
+	for k := range c.releaseTrials {
+		if k.Kind == poison.KindPart {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseTrial releases the leases on the call's request.
 func (p *Proxy) releaseTrial(c *call) {
-	if c.releaseLease != nil {
-		c.releaseLease()
+	for _, release := range c.releaseTrials {
+		release()
 	}
 }
 
-// withheld returns the failure reported for a request that is sent to no endpoint. Copies of a
-// quarantined request have run, and a retry would fail as well, so its failure has no retry
-// time.
-func withheld(code verdict.Code) *verdict.Error {
-	if code == policy.CodeOnTrial {
-		return verdict.NewError(verdict.NotRun, code, "an endpoint ended under this request, of which another copy is being tried").WithRetryAfter(policy.RetryAfterTrial)
+// withheld returns the failure reported for a request that is sent to no endpoint because of a suspect.
+// Copies of a quarantined request have run; of one with a quarantined part, others have. A retry would
+// fail as well, so neither has a retry time.
+func withheld(cause poison.Key) *verdict.Error {
+	if cause.Kind == poison.KindPart {
+		return verdict.NewError(verdict.NotRun, policy.CodePartQuarantined, "endpoints ended under requests with part %s of the prompt", poison.PartID(cause.Digest))
 	}
-	return verdict.NewError(verdict.MayHaveRun, code, "endpoints ended under this request")
+	return verdict.NewError(verdict.MayHaveRun, policy.CodeQuarantined, "endpoints ended under this request")
+}
+
+// onTrial returns the failure reported for a request of which another copy is in progress.
+func onTrial() *verdict.Error {
+	e := verdict.NewError(verdict.NotRun, policy.CodeOnTrial, "an endpoint ended under this request, of which another copy is being tried")
+	return e.WithRetryAfter(policy.RetryAfterTrial)
 }
 
-// withdrawIfQuarantined reports whether the request is withdrawn from its endpoint because it
-// was quarantined after it was sent. It may still be queued there, and an endpoint ends only
+// withdrawIfQuarantined reports whether the request is withdrawn from its endpoint, to which it was sent
+// at sentAt, because it was quarantined since. It may still be queued there, and an endpoint ends only
 // once it begins to run the request.
-func (p *Proxy) withdrawIfQuarantined(c *call, lease *balance.Lease) bool {
-	if c.headSent || !p.quarantined(c) {
+func (p *Proxy) withdrawIfQuarantined(c *call, lease *balance.Lease, sentAt time.Time) bool {
+	if c.lastEventAt.After(sentAt) || c.passedThrough || !p.quarantined(c) {
 		return false
 	}
 	c.withdrawn = true
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -30,7 +30,7 @@
 	maxQuarantineAttempts = 30
 )
 
-// onPoisonChange handles a change of a request's record. It is called with the table's lock
+// onPoisonChange handles a change of a suspect's record. It is called with the table's lock
 // held.
 func (g *Gateway) onPoisonChange(c poison.Change) {
 	state := c.Record.State()
@@ -40,27 +40,52 @@
 	if state == c.Before {
 		return
 	}
-	key := c.Record.Key.String()
+	g.logPoisonChange(&c)
+	if g.storesChange(&c) {
+		go g.storeQuarantine(c.Record.Key)
+	}
+}
+
+// logPoisonChange logs that a suspect was quarantined or cleared.
+func (g *Gateway) logPoisonChange(c *poison.Change) {
+	key, ends, forMS := c.Record.Key.String(), len(c.Record.Crashes), poison.QuarantineTime(c.Record.Relapses).Milliseconds()
+	quarantined, isPart := c.Record.State() == poison.Quarantined, c.Record.Key.Kind == poison.KindPart
 	switch {
-	case state == poison.Quarantined:
-		g.log.Warn("request quarantined", "key", key, "cause", string(c.Cause), "ends", len(c.Record.Crashes),
-			"relapses", c.Record.Relapses, "forMs", poison.QuarantineTime(c.Record.Relapses).Milliseconds())
-	case c.Before != poison.Clear:
+	case quarantined && isPart:
+		g.log.Warn("prompt part quarantined", "key", key, "service", g.serviceOf(c.Record.Key), "cause", string(c.Cause), "ends", ends,
+			"relapses", c.Record.Relapses, "forMs", forMS)
+	case quarantined:
+		g.log.Warn("request quarantined", "key", key, "cause", string(c.Cause), "ends", ends, "relapses", c.Record.Relapses, "forMs", forMS)
+	case c.Before == poison.Clear:
+	case isPart:
+		g.log.Info("prompt part cleared", "key", key, "service", g.serviceOf(c.Record.Key), "cause", string(c.Cause), "quarantined", c.Before == poison.Quarantined)
+	default:
 		g.log.Info("request cleared", "key", key, "cause", string(c.Cause), "quarantined", c.Before == poison.Quarantined)
 	}
-	if g.storesChange(&c) {
-		go g.storeQuarantine(c.Record.Key)
+}
+
+// serviceOf returns the name of the service of a part, or an empty string for a request or if the
+// configuration in force has no such service.
+func (g *Gateway) serviceOf(k poison.Key) string {
+	if k.Kind != poison.KindPart || g.proxy == nil || g.proxy.Routes() == nil {
+		return ""
+	}
+	for name := range g.proxy.Routes().Services {
+		if poison.ServiceHash(name) == k.Shape {
+			return name
+		}
 	}
+	return ""
 }
 
 // storesChange reports whether this gateway writes a change to the store. All gateways learn
-// of it at about the same time; only the owner of the request's key writes it.
+// of it at about the same time; only the owner of the suspect's key writes it.
 func (g *Gateway) storesChange(c *poison.Change) bool {
 	quarantine := c.Before == poison.Quarantined || c.Record.State() == poison.Quarantined
 	return quarantine && g.ownerOf(c.Record.Key).Name == g.self.Name
 }
 
-// ownerOf returns the gateway that grants the trial leases on a request.
+// ownerOf returns the gateway that grants the trial lease with a key.
 func (g *Gateway) ownerOf(k poison.Key) member.Entry {
 	gateways := g.gateways()
 	names := make([]string, 0, len(gateways))
@@ -71,16 +96,18 @@
 }
 
 // acquireTrial implements proxy.Config.AcquireTrial: it requests the lease from the owner of
-// the request's key. If the owner can't be reached, for example because it has just crashed,
+// its key. If the owner can't be reached, for example because it has just crashed,
 // or is an older version without leases, this gateway grants the lease itself, which covers
 // only its own copies of the request.
-func (g *Gateway) acquireTrial(ctx context.Context, k poison.Key, d time.Duration) (func(), bool) {
+func (g *Gateway) acquireTrial(ctx context.Context, k poison.Key, parts []poison.Key, d time.Duration) (func(), bool) {
 	holder := fmt.Sprintf("%s/%d/%d", g.self.Name, g.self.Life, g.lastTrialID.Add(1))
 	owner := g.ownerOf(k)
 	if owner.Name != g.self.Name {
-		reply, err := g.requestTrial(ctx, owner, poison.BeginRequest{Key: k, Holder: holder, For: d, Records: g.packRecord(k)})
+		q := poison.BeginRequest{Key: k, Holder: holder, For: d}
+		q.Records, q.Parts = g.packRecords(k, parts)
+		reply, err := g.requestTrial(ctx, owner, q)
 		if err == nil {
-			return func() { go g.releaseTrial(owner, k, holder) }, reply.Given
+			return func() { go g.releaseTrial(owner, k, parts, holder) }, reply.Given
 		}
 		g.log.Debug("trial lease request failed; granting it locally", "peer", owner.Peer, "err", err)
 	}
@@ -94,33 +121,36 @@
 	if err != nil {
 		return nil, err
 	}
-	g.poison.Merge(poison.Unpack(reply.Records), time.Now())
+	g.poison.Merge(append(poison.Unpack(reply.Records), poison.UnpackParts(reply.Parts)...), time.Now())
 	return reply, nil
 }
 
 // releaseTrial releases a lease. If that fails, the lease expires.
-func (g *Gateway) releaseTrial(owner member.Entry, k poison.Key, holder string) {
+func (g *Gateway) releaseTrial(owner member.Entry, k poison.Key, parts []poison.Key, holder string) {
 	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
 	defer cancel()
-	if err := poison.CallEnd(ctx, g.peers, owner.Peer, poison.EndRequest{Key: k, Holder: holder, Records: g.packRecord(k)}); err != nil {
+	q := poison.EndRequest{Key: k, Holder: holder}
+	q.Records, q.Parts = g.packRecords(k, parts)
+	if err := poison.CallEnd(ctx, g.peers, owner.Peer, q); err != nil {
 		g.log.Debug("trial lease not released; it will expire", "peer", owner.Peer, "err", err)
 	}
 }
 
-// packRecord returns the encoded record of a request.
-func (g *Gateway) packRecord(k poison.Key) []byte {
-	return poison.Pack([]poison.Record{g.poison.Record(k)})
+// packRecords returns the encoded record of the request with key k, if it is one, and those of parts.
+func (g *Gateway) packRecords(k poison.Key, parts []poison.Key) (request, encodedParts []byte) {
+	return poison.Pack([]poison.Record{g.poison.Record(k)}), poison.PackParts(g.poison.Records(parts))
 }
 
 // mergePoison merges records from another gateway. A relay forwards new ones immediately.
-func (g *Gateway) mergePoison(data []byte) {
-	if g.poison.Merge(poison.Unpack(data), time.Now()) && g.table.IsRelay() {
+func (g *Gateway) mergePoison(requests, parts []byte) {
+	records := append(poison.Unpack(requests), poison.UnpackParts(parts)...)
+	if g.poison.Merge(records, time.Now()) && g.table.IsRelay() {
 		g.heartbeater.SendSoon()
 	}
 }
 
-// storeQuarantine writes the request's quarantine to the store, or deletes it there if the
-// request is not quarantined.
+// storeQuarantine writes the suspect's quarantine to the store, or deletes it there if the
+// suspect is not quarantined.
 func (g *Gateway) storeQuarantine(k poison.Key) {
 	ctx := context.Background()
 	for range maxQuarantineAttempts {
@@ -141,13 +171,13 @@
 	return g.store.Put(ctx, platform.KindQuarantine, r.Key.String(), platform.NewQuarantine(r, until))
 }
 
-// awaitQuarantine blocks until the quarantined requests are loaded or quarantineLoadTimeout
+// awaitQuarantine blocks until the quarantined requests and parts are loaded or quarantineLoadTimeout
 // has passed.
 func (g *Gateway) awaitQuarantine() {
 	<-g.quarantineLoaded.Done()
 }
 
-// applyQuarantine merges the quarantined requests from the store and deletes expired ones.
+// applyQuarantine merges the quarantined requests and parts from the store and deletes expired ones.
 func (g *Gateway) applyQuarantine(objects []mirror.Object) {
 	now := time.Now()
 	for _, o := range objects {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -45,8 +45,8 @@
 	Eras      map[string]int64 `json:"eras"`
 	InFlight  map[string]int   `json:"inFlight"`
 	Versions  []debugVersion   `json:"versions"`
-	// Poison lists the requests under which endpoints crashed.
-	Poison []poison.RequestStatus `json:"poison"`
+	// Poison lists the requests and parts of prompts under which endpoints crashed.
+	Poison []poison.Status `json:"poison"`
 	// Paces holds the paces of slow endpoints by ID.
 	Paces map[string]float64 `json:"paces"`
 	// Admission lists the state of admission by service.
@@ -105,7 +105,8 @@
 	}
 	b.SetEndpoints(g.balancer.InFlight(), g.balancer.Suspects(time.Now()))
 	now := time.Now()
-	b.Poison = poison.Pack(g.poison.Gossip(g.table.IsRelay(), now))
+	records := g.poison.Gossip(g.table.IsRelay(), now)
+	b.Poison, b.PoisonParts = poison.Pack(records), poison.PackParts(records)
 	b.Demand, b.Shortages, b.Weight = g.ownDemand(now), g.gate.Shortages(now), g.weights.own.Weight()
 	b.Advice = advisory.Encode(g.balancer.Advisories(g.table.IsRelay(), now), now)
 	for kind, m := range g.mirrors {
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -217,7 +217,8 @@
 	b.Demand, b.Weight = n.demand, n.weight
 	now := time.Now()
 	b.Shortages = n.shortages(now)
-	b.Poison = poison.Pack(n.poison.Gossip(n.table.IsRelay(), now))
+	records := n.poison.Gossip(n.table.IsRelay(), now)
+	b.Poison, b.PoisonParts = poison.Pack(records), poison.PackParts(records)
 	b.Advice = advisory.Encode(n.balancer.Advisories(n.table.IsRelay(), now), now)
 	return b
 }
@@ -231,8 +232,9 @@
 }
 
 // handlePoison records reports from another gateway; a relay forwards them.
-func (n *node) handlePoison(data []byte) {
-	if n.poison.Merge(poison.Unpack(data), time.Now()) && n.table.IsRelay() {
+func (n *node) handlePoison(requests, parts []byte) {
+	records := append(poison.Unpack(requests), poison.UnpackParts(parts)...)
+	if n.poison.Merge(records, time.Now()) && n.table.IsRelay() {
 		n.beater.SendSoon()
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -68,6 +68,8 @@
 	// Poison holds reports of requests during which endpoints terminated, as encoded by package
 	// poison; older versions omit and ignore it.
 	Poison []byte `json:"poison,omitempty"`
+	// PoisonParts holds the same of parts of prompts; older versions omit and ignore it.
+	PoisonParts []byte `json:"poisonParts,omitempty"`
 	// Advice holds what endpoints stated about themselves in their responses; older versions
 	// omit and ignore it.
 	Advice []Advice `json:"advice,omitempty"`
--- a/member/news_test.go
+++ b/member/news_test.go
@@ -14,12 +14,15 @@
 // fatalRequest is a request that makes endpoints terminate.
 var fatalRequest = &poison.Request{Method: "POST", URI: "/go", Account: "acme", Body: []byte("fatal")}
 
+// fatalPart is a part of its prompt.
+var fatalPart = poison.PartID{1}.Key("s")
+
 // reportFailures makes each of three gateways observe that an endpoint terminated during the
 // request.
 func reportFailures(nodes []*node) {
 	for i := range 3 {
 		at := nodes[i*(len(nodes)-1)/2]
-		at.poison.RecordCrash(fatalRequest, roster.Incarnation{ID: fmt.Sprint("e", i)}, time.Now())
+		at.poison.RecordCrash(&poison.Suspects{Request: fatalRequest, Parts: []poison.Key{fatalPart}}, roster.Incarnation{ID: fmt.Sprint("e", i)}, time.Now())
 	}
 }
 
@@ -27,7 +30,7 @@
 func quarantinedBy(nodes []*node) int {
 	count := 0
 	for _, n := range nodes {
-		if state, _ := n.poison.Lookup(fatalRequest); state == poison.Quarantined {
+		if n.poison.State(fatalRequest.Key()) == poison.Quarantined {
 			count++
 		}
 	}
@@ -78,7 +81,7 @@
 				f.blocked = func(from, to string) bool { return from == away.entry.Name || to == away.entry.Name }
 				f.mu.Unlock()
 				for i := range 3 {
-					nodes[i].poison.RecordCrash(fatalRequest, roster.Incarnation{ID: fmt.Sprint("e", i)}, time.Now())
+					nodes[i].poison.RecordCrash(&poison.Suspects{Request: fatalRequest, Parts: []poison.Key{fatalPart}}, roster.Incarnation{ID: fmt.Sprint("e", i)}, time.Now())
 				}
 				time.Sleep(5 * time.Second)
 				f.Expect(quarantinedBy(nodes)).To(Equal(size - 1))
--- a/member/wire.go
+++ b/member/wire.go
@@ -53,9 +53,9 @@
 	AfterRound func(dead []string)
 	// OnHeartbeat is called after each new heartbeat of another gateway.
 	OnHeartbeat func()
-	// OnPoison is called with the reports in a new heartbeat of requests during which endpoints
-	// terminated. It may be nil.
-	OnPoison func([]byte)
+	// OnPoison is called with the reports in a new heartbeat of requests, and of parts of prompts,
+	// during which endpoints terminated. It may be nil.
+	OnPoison func(requests, parts []byte)
 	// OnAdvice is called with the endpoints' statements in a new heartbeat. It may be nil.
 	OnAdvice func([]Advice)
 	// OnNotice is called with each notice.
@@ -84,7 +84,7 @@
 		h.OnSent = func(Kind, int, int) {}
 	}
 	if h.OnPoison == nil {
-		h.OnPoison = func([]byte) {}
+		h.OnPoison = func(_, _ []byte) {}
 	}
 	if h.OnAdvice == nil {
 		h.OnAdvice = func([]Advice) {}
@@ -208,8 +208,8 @@
 
 // dispatch calls the handlers for a new heartbeat.
 func (b *Heartbeater) dispatch(heartbeat *Heartbeat) {
-	if len(heartbeat.Poison) > 0 {
-		b.handlers.OnPoison(heartbeat.Poison)
+	if len(heartbeat.Poison) > 0 || len(heartbeat.PoisonParts) > 0 {
+		b.handlers.OnPoison(heartbeat.Poison, heartbeat.PoisonParts)
 	}
 	if len(heartbeat.Advice) > 0 {
 		b.handlers.OnAdvice(heartbeat.Advice)
