soak: a part of prompts that ends each endpoint that answers it

The mix `parts` sends requests with one part in their prompts, no two alike, at 2 to 25 a second: first, second or third in the list, with or without another that only comes with it. Endpoints end before or after the first event, under answers with and without a mark of their end, beside endpoints that end by themselves and gateways that are killed, one by one and all at once, stopped and frozen. It judges the two rules: how many reach endpoints later than the contact time after the fifth end, and how many other streams are served from twice that time on.

The header of prompts is one of header.Names, which the soak uses.

--- a/cmd/silverdeck-soak/main.go
+++ b/cmd/silverdeck-soak/main.go
@@ -23,7 +23,7 @@
 	Routes   int      `arg:"--routes" help:"how many more routes the configuration has"`
 	Events   int      `arg:"--events" help:"how many events a stream has"`
 	PauseMS  int      `arg:"--pause-ms" help:"the time between two events of a stream, in milliseconds"`
-	Mix      soak.Mix `arg:"--mix" default:"faults" help:"what happens meanwhile: faults, long for planned work on busy VMs beside streams of seconds, crash for a request that ends each endpoint that runs it, answers for endpoints that tell of themselves in their answers, places for regions, evacuations and cold endpoints, overload for more streams than the endpoints can serve, unframed for endpoints that break off answers with neither a length nor chunks, or restored for a store that returns from copies some seconds old"`
+	Mix      soak.Mix `arg:"--mix" default:"faults" help:"what happens meanwhile: faults, long for planned work on busy VMs beside streams of seconds, crash for a request that ends each endpoint that runs it, answers for endpoints that tell of themselves in their answers, places for regions, evacuations and cold endpoints, overload for more streams than the endpoints can serve, unframed for endpoints that break off answers with neither a length nor chunks, or parts for a part of prompts that ends each endpoint that answers it, restored for a store that returns from copies some seconds old"`
 	Programs string   `arg:"--programs" default:"bin" help:"the folder of the built programs"`
 	Previous string   `arg:"--previous" help:"a folder of programs of an earlier release, from which processes start and are replaced one by one"`
 	Out      string   `arg:"--out" default:"out/soak" help:"a folder for settings and logs"`
--- a/gateway/header/header.go
+++ b/gateway/header/header.go
@@ -24,6 +24,8 @@
 	Model string
 	// Tokens holds the number of prompt tokens and the maximum number of tokens to generate.
 	Tokens string
+	// Prompt lists the parts of a request's prompt.
+	Prompt string
 	// LengthHint is the client's guess of the number of tokens that will be generated.
 	LengthHint string
 	// Signature is the endpoint's signature of its response.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -162,6 +162,9 @@
 		c.world.shares.Note(Class{c.account, q.host()}, served)
 	}
 	ended := time.Now()
+	if q.prompt != "" && q.limit == streamLimit {
+		c.world.parts.note(stream{gateway: entry.name, at: began, ended: ended, served: served})
+	}
 	if !q.stream && !c.large {
 		c.world.beside.Note(PlainRequest{Gateway: entry.name, Began: began, Ended: ended, Served: served, InTime: served && ended.Sub(began) <= plainTarget})
 	}
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -155,9 +155,14 @@
 
 // inTouch returns whether a gateway ran undisturbed for a while before a time.
 func (w *world) inTouch(gateway string, at time.Time) bool {
+	return w.inTouchUntil(gateway, at, at)
+}
+
+// inTouchUntil returns whether a gateway ran undisturbed for a while before a time and until another.
+func (w *world) inTouchUntil(gateway string, at, end time.Time) bool {
 	for _, p := range w.entries {
 		if p.name == gateway {
-			return !p.history().disturbed(at.Add(-platformBounds.Contact), at)
+			return !p.history().disturbed(at.Add(-platformBounds.Contact), end)
 		}
 	}
 	return false
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -37,6 +37,10 @@
 	// MixUnframed has runners whose answers have neither a length nor chunks, half of them cut,
 	// beside runners that end and gateways that are killed, stopped and frozen.
 	MixUnframed Mix = "unframed"
+	// MixParts has requests that differ and share a part of their prompt which ends each endpoint that
+	// answers it, beside endpoints that end by themselves or set no mark to the end of their answers,
+	// gateways that are killed, one by one and all at once, stopped, frozen and cut off from others.
+	MixParts Mix = "parts"
 	// MixRestored has a store that returns from copies again and again, beside configurations, runners
 	// that leave, new weights, and gateways that are killed, stopped and frozen.
 	MixRestored Mix = "restored"
@@ -45,7 +49,7 @@
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored, MixParts}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -84,6 +88,8 @@
 		return w.drawUnframed(r)
 	case MixRestored:
 		return w.drawRestored(r)
+	case MixParts:
+		return w.drawParts(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/question.go
+++ b/soak/question.go
@@ -14,6 +14,8 @@
 	// key is the API key. stream is set for streams, bulk for those of the lower rank.
 	key          string
 	stream, bulk bool
+	// prompt lists the parts of the prompt, if there are any.
+	prompt string
 	// limit is how long its answer is waited for.
 	limit time.Duration
 }
@@ -27,6 +29,9 @@
 		q.stream, q.limit = true, streamLimit
 		q.bulk = c.world.cfg.Mix == MixOverload && c.random.IntN(2) == 0
 	}
+	if q.stream && c.world.cfg.Mix == MixParts {
+		q.prompt = soundPrompt(c.random)
+	}
 	if c.random.IntN(20) == 0 {
 		q.limit = time.Duration(c.random.Int64N(int64(patienceLimit)))
 	}
@@ -46,6 +51,9 @@
 	if q.stream {
 		r.Header.Set(names.Model, model)
 	}
+	if q.prompt != "" {
+		r.Header.Set(names.Prompt, q.prompt)
+	}
 	r.GetBody = nil
 	return r
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,7 +20,7 @@
 	// Both are empty but in MixOverload.
 	Large     string
 	BodyBytes int
-	// Ended is how many endpoints ended under the request that ends them, LateSends how many
+	// Ended is how many endpoints ended under the request or part that ends them, LateSends how many
 	// times it reached one once all gateways in touch must have known.
 	Ended, LateSends int
 	// Faults has a line for each fault, Broken one for each broken promise.
@@ -33,7 +33,7 @@
 	if r.Large != "" {
 		large = fmt.Sprintf(", %d KB of bodies; large requests: %s", r.BodyBytes>>10, r.Large)
 	}
-	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d ended under one request, %d KB held at the most, %d promises broken%s",
+	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d ended under one request or part, %d KB held at the most, %d promises broken%s",
 		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.Ended, r.MemoryKB, len(r.Broken), large)
 }
 
@@ -98,6 +98,7 @@
 		w.witness.AddViolation("%s", line)
 	}
 	w.fatal.judge(w, report)
+	w.parts.judge(w, report)
 	if !w.awaitAll(healLimit) {
 		w.witness.AddViolation("not every entry serves every route %s after the last fault", healLimit)
 	}
@@ -135,6 +136,9 @@
 	if w.cfg.Mix == MixCrash {
 		asking.Go(func() { w.sendFatal(ctx) })
 	}
+	if w.cfg.Mix == MixParts {
+		asking.Go(func() { w.sendFatalPart(ctx) })
+	}
 	w.disturb(ctx, func(line string) { report.Faults = append(report.Faults, line) })
 	w.endPlaces()
 	asking.Wait()
--- a/soak/world.go
+++ b/soak/world.go
@@ -89,6 +89,7 @@
 	disturbedAt atomic.Int64
 	ledger      *ledger
 	fatal       *fatal
+	parts       *parts
 	heeded      *heeded
 	places      *places
 	shares      *Shares
@@ -112,7 +113,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), beside: &Beside{}, large: &Result{},
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, parts: newParts(cfg.Seed), heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), beside: &Beside{}, large: &Result{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -156,6 +157,10 @@
 	if w.cfg.Mix == MixCrash {
 		s.cfg.CrashOn = func(id, body string) bool { return w.fatal.begins(s, id, body) }
 	}
+	if w.cfg.Mix == MixParts {
+		s.cfg.CrashOnPrompt = w.parts.reached
+		s.cfg.Crash = func() { w.parts.crashed(s.crash(leastDown+spreadDown, w.firstVersion(s))) }
+	}
 	if i > 0 {
 		s.cfg.Service, s.cfg.Model = modelService, model
 	}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -39,6 +39,11 @@
 	// request crashes the runner. A function that returns true must also close the runner's
 	// connections.
 	CrashOn func(id, body string) bool
+	// CrashOnPrompt, if not nil, is called when the first event of a stream is due, with the request's ID
+	// and the list of the parts of its prompt, and returns how many events the runner sends before
+	// the request crashes it, or -1 if it does not. Crash crashes the runner.
+	CrashOnPrompt func(id, prompt string) int
+	Crash         func()
 	// Pace is the factor by which the runner reports to be slower than the engine's figures; 0
 	// means that it does not report it.
 	Pace float64
@@ -82,6 +87,8 @@
 	// unframed is set while answers have neither a length nor chunks; unframedAnswers counts them.
 	unframed        bool
 	unframedAnswers int
+	// unmarked is set while answers have neither a length nor chunks, and are whole.
+	unmarked bool
 	// stalledUntil is the time until which streams get no events.
 	stalledUntil time.Time
 	// readPause is the time between two parts of a request that are read.
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -44,11 +44,19 @@
 	aborted := r.aborted
 	r.mu.Unlock()
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	crashAfter := -1
+	if r.cfg.CrashOnPrompt != nil {
+		crashAfter = r.cfg.CrashOnPrompt(id, q.Header.Get("X-Silverdeck-Prompt-Prefix"))
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := first + 1; n <= r.cfg.Events; n++ {
 		if !r.waitForEvent(aborted) {
 			return false
 		}
+		if n-first-1 == crashAfter {
+			r.cfg.Crash()
+			return false
+		}
 		if !cutEvent(w, end, n, r.cfg.Events, FormatEvent(id, n)) {
 			_ = http.NewResponseController(w).Flush() // the head, if nothing else
 			return false
--- a/standin/unframed.go
+++ b/standin/unframed.go
@@ -33,10 +33,20 @@
 	r.unframed = on
 }
 
+// SetUnmarked makes the runner send whole answers with neither a length nor chunks, or ends that.
+func (r *Runner) SetUnmarked(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unmarked = on
+}
+
 // nextEnding returns how the next answer ends.
 func (r *Runner) nextEnding() ending {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.unmarked {
+		return endWhole
+	}
 	if !r.unframed {
 		return endMarked
 	}
