gateway: a shared part of long streams is not taken for what ends endpoints

Cause: three rounds of crashes come within .4 s where such requests are many, while a stream takes a second or two. Where most streams die with their endpoints, none with the shared part ends in between.

Change: events that still come half a second after the first one of an answer show that the endpoint survives it. That is weaker than a complete answer, as an endpoint may crash later, so it clears nothing: six rounds are needed then in place of three, requests with the part are not on trial, and a part that was confirmed before is tried. It is told like crashes are. A part whose quarantine has expired is tried by one request at a time, where several would have been in progress before the first crash.

--- a/gateway/poison/part_test.go
+++ b/gateway/poison/part_test.go
@@ -101,6 +101,33 @@
 	g.Expect(x.assess(2)).To(Equal(poison.Quarantined), "no other explanation is left")
 }
 
+// TestAPartThatEndpointsSurviveIsNotHeldBack guards against rounds of crashes in which no long answer can end.
+func TestAPartThatEndpointsSurviveIsNotHeldBack(t *testing.T) {
+	g, x, y := NewWithT(t), newGateway(), newGateway()
+	now := x.crashRounds(0, 1, 1, 2)
+	x.RecordSurvival([]poison.Key{part(1)}, now)
+	g.Expect(x.Record(part(1)).Survived).To(BeFalse(), "seen before the crash")
+	x.RecordSurvival([]poison.Key{part(1)}, now.Add(1))
+	y.Merge(poison.UnpackParts(poison.PackParts(x.Gossip(false, now))), now)
+	x.crashRounds(1, 4, 1, 2)
+	y.crashRounds(1, 4, 1, 2)
+	for _, each := range []*gateway{x, y} {
+		g.Expect(each.assess(1)).To(Equal(poison.Suspected))
+		g.Expect(each.assess(2)).To(Equal(poison.Quarantined))
+	}
+	x.crashRounds(5, 1, 1)
+	g.Expect(x.assess(1)).To(Equal(poison.Quarantined), "it crashes endpoints after a while")
+}
+
+// TestAPartThatEndpointsSurviveAfterItsQuarantineIsTried guards against a verdict from too little evidence.
+func TestAPartThatEndpointsSurviveAfterItsQuarantineIsTried(t *testing.T) {
+	g, x := NewWithT(t), newGateway()
+	now := x.crashRounds(0, 3, 1)
+	g.Expect(x.assess(1)).To(Equal(poison.Quarantined))
+	x.RecordSurvival([]poison.Key{part(1)}, now.Add(1))
+	g.Expect(x.assess(1)).To(Equal(poison.OnTrial))
+}
+
 func TestAPartWithMoreCrashesExplainsThoseOfOthers(t *testing.T) {
 	g, x := NewWithT(t), newGateway()
 	x.crashRounds(0, 3, 1, 2)
@@ -118,10 +145,11 @@
 		last := x.crashRounds(0, 3, 1)
 		expired := last.Add(poison.QuarantineTime(0))
 		x.Gossip(false, expired)
-		g.Expect(x.assess(1)).To(Equal(poison.Clear))
+		g.Expect(x.assess(1)).To(Equal(poison.OnTrial), "one of its requests tells")
 		want := poison.Quarantined
 		if answered {
 			x.Table.RecordAnswer(prompt(1), expired, expired)
+			g.Expect(x.assess(1)).To(Equal(poison.Clear))
 			want = poison.Suspected
 		}
 		x.Table.RecordCrash(prompt(1), incarnation(9), expired.Add(time.Second))
@@ -152,7 +180,7 @@
 	g := NewWithT(t)
 	sent := []poison.Record{
 		{Key: part(1), Generation: 3, Relapses: 1, Crashes: []poison.Incarnation{5, 6}, Ages: []time.Duration{time.Second, time.Minute}},
-		{Key: part(2), Generation: 9, Confirmed: true, Crashes: []poison.Incarnation{1, 2, 3}, Ages: []time.Duration{1e6, 2e6, 3e6}},
+		{Key: part(2), Generation: 9, Confirmed: true, Survived: true, Crashes: []poison.Incarnation{1, 2, 3}, Ages: []time.Duration{1e6, 2e6, 3e6}},
 	}
 	data := poison.PackParts(append(sent, record(3, 1, 5)))
 	g.Expect(poison.UnpackParts(data)).To(Equal(sent))
--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -26,9 +26,15 @@
 	// roundTime is the duration of a round. All crashes within a round count once for a part: a
 	// rack, or all endpoints that meet the same fault, end within it as seen by all gateways.
 	roundTime = 200 * time.Millisecond
-	// trialRounds is the number of rounds from which a part is sent in one copy at a time. A part
-	// that many requests share is answered completely between two rounds.
+	// trialRounds is the number of rounds from which a part is sent in one copy at a time.
 	trialRounds = 2
+	// survivedRounds is the number of rounds that replaces those above for a part that an endpoint
+	// survived. Streams take longer than the time between two rounds, so that parts which most
+	// requests share may not be answered completely in between.
+	survivedRounds = 6
+	// SurvivalTime is how long after the first event of an answer further events show that the
+	// endpoint survives it.
+	SurvivalTime = 500 * time.Millisecond
 	// maxRecordedCrashes is the number of crashes that the record of a request keeps. Those beyond
 	// crashThreshold distinguish the request that causes the crashes from one that merely
 	// shared some of its endpoints.
@@ -71,6 +77,10 @@
 	// Confirmed is set for a part once a gateway has counted enough rounds of crashes in this
 	// generation; see isConfirmed.
 	Confirmed bool
+	// Survived is set for a part if an endpoint has written a part of an answer with it for
+	// SurvivalTime since a crash of this generation. That is weaker than a complete answer: the
+	// endpoint may crash later.
+	Survived bool
 	// Crashes are the endpoint incarnations that crashed while processing the suspect in this
 	// generation, sorted, without duplicates and limited in number.
 	Crashes []Incarnation
@@ -141,11 +151,21 @@
 	return unshared < min(crashThreshold, len(r.Crashes))
 }
 
-// isConfirmed reports whether crashes in so many rounds confirm a part as their cause.
-func isConfirmed(rounds, crashes int) bool {
+// isConfirmed reports whether crashes in so many rounds confirm a part as their cause. survived is set if
+// an endpoint survived an answer with it meanwhile.
+func isConfirmed(rounds, crashes int, survived bool) bool {
+	if survived {
+		return rounds >= survivedRounds
+	}
 	return rounds >= roundThreshold || rounds >= minRounds && crashes >= manyCrashes
 }
 
+// requiresTrial reports whether a part under which endpoints crashed in so many rounds is sent in one copy
+// at a time.
+func requiresTrial(rounds int, survived bool) bool {
+	return rounds >= trialRounds && !survived
+}
+
 // roundsOf returns the number of rounds of crashes that were noticed at the given times.
 func roundsOf(times []time.Time) int {
 	rounds := 0
@@ -195,7 +215,7 @@
 	}
 	out := Record{Key: a.Key, Generation: a.Generation}
 	out.Relapses = max(a.Relapses, b.Relapses)
-	out.Confirmed = a.Confirmed || b.Confirmed
+	out.Confirmed, out.Survived = a.Confirmed || b.Confirmed, a.Survived || b.Survived
 	out.Crashes = slices.Concat(a.Crashes, b.Crashes)
 	slices.Sort(out.Crashes)
 	out.Crashes = slices.Compact(out.Crashes)
@@ -205,7 +225,7 @@
 
 // equal returns whether two records of one suspect are equal.
 func (r *Record) equal(o *Record) bool {
-	return r.Generation == o.Generation && r.Relapses == o.Relapses && r.Confirmed == o.Confirmed && slices.Equal(r.Crashes, o.Crashes)
+	return r.Generation == o.Generation && r.Relapses == o.Relapses && r.Confirmed == o.Confirmed && r.Survived == o.Survived && slices.Equal(r.Crashes, o.Crashes)
 }
 
 // cleared returns the record that replaces r when the suspect is cleared.
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -33,6 +33,8 @@
 	CauseCrashes Cause = "ends"
 	// CauseAnswered means that an endpoint answered a request with the suspect completely.
 	CauseAnswered Cause = "answered"
+	// CauseSurvived means that an endpoint survived a part of an answer with the suspect.
+	CauseSurvived Cause = "survived"
 	// CauseOperator means that an operator cleared the suspect.
 	CauseOperator Cause = "operator"
 	// CauseExpired means that the quarantine expired.
@@ -142,7 +144,7 @@
 	var worst *suspect
 	for _, k := range parts {
 		q := t.suspects[k]
-		if q == nil || q.State() == Clear {
+		if q == nil || q.isInitial() {
 			continue
 		}
 		if worst == nil || cmp.Or(cmp.Compare(t.stateFor(q, parts), t.stateFor(worst, parts)), cmp.Compare(len(q.Crashes), len(worst.Crashes)), bytes.Compare(k.Digest[:], worst.Key.Digest[:])) > 0 {
@@ -157,9 +159,25 @@
 func (t *Table) stateFor(q *suspect, parts []Key) State {
 	state := q.State()
 	switch {
-	case state == Suspected && (q.Key.Kind == KindRequest || q.rounds() >= trialRounds):
+	case q.Key.Kind == KindRequest && state == Suspected:
 		return OnTrial
-	case state == Quarantined && q.Key.Kind == KindPart && t.contested(q, parts):
+	case q.Key.Kind == KindPart:
+		return t.partStateFor(q, parts)
+	}
+	return state
+}
+
+// partStateFor is stateFor for a part. The caller holds the lock.
+func (t *Table) partStateFor(q *suspect, parts []Key) State {
+	state, rounds := q.State(), q.rounds()
+	switch {
+	case state == Suspected && requiresTrial(rounds, q.Survived):
+		return OnTrial
+	case state == Quarantined && q.Survived && !isConfirmed(rounds, len(q.Crashes), true):
+		return OnTrial
+	case state == Quarantined && t.contested(q, parts):
+		return OnTrial
+	case state == Clear && q.Relapses > 0: // several requests with it would be in progress at a time
 		return OnTrial
 	}
 	return state
@@ -261,6 +279,21 @@
 	}
 }
 
+// RecordSurvival records that an endpoint has been writing an answer with the given parts for
+// SurvivalTime, up to now.
+func (t *Table) RecordSurvival(parts []Key, now time.Time) {
+	if t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range parts {
+		if q := t.suspects[k]; q != nil && len(q.Crashes) > 0 && !q.Survived && now.After(q.crashedAt) {
+			t.update(Record{Key: k, Generation: q.Generation, Survived: true}, true, CauseSurvived, now)
+		}
+	}
+}
+
 func (t *Table) clear(k Key, cause Cause, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -305,7 +338,7 @@
 	if joined.equal(&q.Record) {
 		return
 	}
-	if len(joined.Crashes) > 0 {
+	if len(joined.Crashes) > 0 && !slices.Equal(joined.Crashes, q.Crashes) {
 		q.crashedAt = now
 	}
 	q.Record, q.changedAt, q.gossipUntil = joined, now, now.Add(gossipTime)
@@ -335,7 +368,7 @@
 		}
 	}
 	q.noticedAt = times
-	if q.Confirmed || !isConfirmed(q.rounds(), len(q.Crashes)) {
+	if q.Confirmed || !isConfirmed(q.rounds(), len(q.Crashes), q.Survived) {
 		return false
 	}
 	q.Confirmed = true
--- a/gateway/poison/wire.go
+++ b/gateway/poison/wire.go
@@ -16,8 +16,11 @@
 	partCrashSize = crashSize + 4
 )
 
-// confirmedFlag is set in the number of relapses of a part that is confirmed.
-const confirmedFlag = 0x80
+// Flags in the number of relapses of a part.
+const (
+	confirmedFlag = 0x80
+	survivedFlag  = 0x40
+)
 
 // Pack encodes the records of requests and leaves out others. Each consists of shape, digest, generation,
 // relapses, number of crashes and the crashes, with integers in big-endian order.
@@ -36,7 +39,7 @@
 }
 
 // PackParts encodes the records of parts and leaves out others. The encoding is that of Pack, with
-// confirmedFlag in the relapses, and with the age in milliseconds behind each crash.
+// flags in the relapses, and with the age in milliseconds behind each crash.
 func PackParts(records []Record) []byte {
 	var out []byte
 	for _, r := range records {
@@ -47,6 +50,9 @@
 		if r.Confirmed {
 			relapses |= confirmedFlag
 		}
+		if r.Survived {
+			relapses |= survivedFlag
+		}
 		out = appendHead(out, &r, relapses)
 		for i, l := range r.Crashes {
 			out = binary.BigEndian.AppendUint64(out, uint64(l))
@@ -96,7 +102,8 @@
 	for len(p) >= recordSize {
 		r, crashes := unpackHead(KindPart, p)
 		r.Confirmed = r.Relapses&confirmedFlag != 0
-		r.Relapses &^= confirmedFlag
+		r.Survived = r.Relapses&survivedFlag != 0
+		r.Relapses &^= confirmedFlag | survivedFlag
 		p = p[recordSize:]
 		if len(p) < crashes*partCrashSize {
 			break
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -21,6 +21,8 @@
 type attempt struct {
 	lease  *balance.Lease
 	sentAt time.Time
+	// firstEventAt is when the first event of a stream arrived, or zero before.
+	firstEventAt time.Time
 	// exchange is the response once its head was received. failure is why there is no response
 	// or why it can't be used.
 	exchange *upstream.Exchange
--- a/gateway/proxy/part_test.go
+++ b/gateway/proxy/part_test.go
@@ -40,6 +40,8 @@
 type partWorld struct {
 	*fleet
 	framing string
+	// events is the number of events of an answer.
+	events int
 
 	mu sync.Mutex
 	// crashedAt are the times at which endpoints ended under the part, arrivedAt those at which
@@ -54,7 +56,7 @@
 		scripts = append(scripts, always(hang))
 	}
 	runFleet(t, n, func(fl *fleet) {
-		w := &partWorld{fleet: fl, framing: framing}
+		w := &partWorld{fleet: fl, framing: framing, events: 4}
 		for addr, e := range fl.endpoints {
 			e.script = always(func(c net.Conn, r *http.Request) bool { return w.answer(addr, c, r) })
 		}
@@ -88,7 +90,7 @@
 	}
 	from := 1
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event"), &from)
-	for id := from; id <= 4; id++ {
+	for id := from; id <= w.events; id++ {
 		time.Sleep(100 * time.Millisecond)
 		if deadly {
 			if w.crashOnce(addr) {
@@ -291,6 +293,25 @@
 	}
 }
 
+// TestASharedPartOfLongStreamsIsNotTakenForTheCause guards against rounds of crashes between which no stream ends.
+func TestASharedPartOfLongStreamsIsNotTakenForTheCause(t *testing.T) {
+	for seed := range uint64(5) {
+		runPartWorld(t, 4, 20, chunkedAnswers, func(w *partWorld) {
+			w.events = 20
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			var sound *tally
+			var loads sync.WaitGroup
+			loads.Go(func() { sound = w.load(ctx, 10*seed+1, 60, soundParts, countAll) })
+			time.Sleep(1500 * time.Millisecond) // the first streams have not ended yet
+			loads.Go(func() { w.load(ctx, 10*seed+2, 25, deadlyAt(1), countAll) })
+			loads.Wait()
+			t.Logf("%d crashes, %d of %d answered, %d withheld", len(w.crashedAt), sound.answered, sound.sent, sound.withheld)
+			w.g.Expect(sound.withheld).To(BeZero())
+		})
+	}
+}
+
 // quarantinePart makes the gateway know a part as the cause of crashes.
 func (w *harness) quarantinePart(name string) {
 	r := poison.Record{Key: partID(name).Key("s"), Confirmed: true, Crashes: []poison.Incarnation{1, 2, 3}}
--- a/gateway/proxy/stream.go
+++ b/gateway/proxy/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -44,6 +45,7 @@
 		lease.Received(time.Now())
 		if len(complete) > 0 {
 			received++
+			p.recordSurvival(c, a, time.Now())
 			lease.PrefillDone()
 			measured.add(time.Now())
 			p.cancelHedge(c)
@@ -67,6 +69,16 @@
 	}
 }
 
+// recordSurvival records that the endpoint has been writing the answer for a while, if it has.
+func (p *Proxy) recordSurvival(c *call, a *attempt, now time.Time) {
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = now
+	}
+	if now.Sub(a.firstEventAt) >= poison.SurvivalTime {
+		p.cfg.Poison.RecordSurvival(c.suspects.Parts, now)
+	}
+}
+
 // checkStreamEnd returns why a stream of which the given number of parts arrived was cut, or nil if it is or
 // may be complete.
 func (p *Proxy) checkStreamEnd(c *call, a *attempt, received int, insideEvent bool) *verdict.Error {
