gateway: an answer without a mark from an endpoint that does not answer afterwards clears nothing

Where an address neither accepted nor refused a connection in time after an answer without a mark of its end, the answer counted as survived, and cleared what the endpoint may have died of.

Cause: the check told only whether connections are refused. It tells three things now, and only an accepted connection shows that the endpoint survived; the answer itself is passed on without a mark as before.

Red with the former condition: TestAnAnswerWithoutAMarkFromASilentEndpointClearsNothing.

--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -27,6 +27,8 @@
 	// or why it can't be used.
 	exchange *upstream.Exchange
 	failure  *verdict.Error
+	// liveness is whether the endpoint was running after a response without a mark of its end.
+	liveness upstream.Liveness
 	// head is the response head as evaluated by package policy, advisory what it states about
 	// the endpoint; see applyAdvisory.
 	head     policy.ResponseHead
--- a/gateway/proxy/crash.go
+++ b/gateway/proxy/crash.go
@@ -21,8 +21,8 @@
 // crashDetector determines whether an endpoint has crashed, with a single check for all requests
 // that were in progress there. It is safe for concurrent use.
 type crashDetector struct {
-	// refuses reports whether connections to an address are refused.
-	refuses func(addr string) bool
+	// checkLiveness opens a connection to an address.
+	checkLiveness func(addr string) upstream.Liveness
 
 	mu     sync.Mutex
 	checks map[roster.Incarnation]*crashCheck
@@ -31,29 +31,34 @@
 // crashCheck is the check of one endpoint.
 type crashCheck struct {
 	at time.Time
-	// done is closed once crashed is set.
-	done    chan struct{}
-	crashed bool
+	// done is closed once result is set.
+	done   chan struct{}
+	result upstream.Liveness
 }
 
-func newCrashDetector(refuses func(addr string) bool) *crashDetector {
-	return &crashDetector{refuses: refuses, checks: map[roster.Incarnation]*crashCheck{}}
+func newCrashDetector(checkLiveness func(addr string) upstream.Liveness) *crashDetector {
+	return &crashDetector{checkLiveness: checkLiveness, checks: map[roster.Incarnation]*crashCheck{}}
 }
 
-// hasCrashed reports whether an endpoint has crashed after a connection to it ended. Concurrent
-// callers share one check, except that one which began before the connection ended can't show that
-// the endpoint survived.
-func (d *crashDetector) hasCrashed(e *roster.Endpoint, endedAt time.Time) bool {
+// hasCrashed reports whether an endpoint has crashed after a connection to it broke.
+func (d *crashDetector) hasCrashed(e *roster.Endpoint, brokeAt time.Time) bool {
+	return d.check(e, brokeAt) == upstream.Terminated
+}
+
+// check returns whether the process of an endpoint was running after a connection to it ended at
+// endedAt. Concurrent callers share one check, except that one which began before the connection ended
+// can't show that the endpoint survived.
+func (d *crashDetector) check(e *roster.Endpoint, endedAt time.Time) upstream.Liveness {
 	for {
 		check, first := d.lookup(e.Incarnation(), time.Now())
 		if first {
-			check.crashed = d.refuses(e.Addr)
+			check.result = d.checkLiveness(e.Addr)
 			d.discardUnlessCrashed(e.Incarnation(), check)
 			close(check.done)
 		}
 		<-check.done
-		if check.crashed || !check.at.Before(endedAt) {
-			return check.crashed
+		if check.result == upstream.Terminated || !check.at.Before(endedAt) {
+			return check.result
 		}
 	}
 }
@@ -63,7 +68,7 @@
 func (d *crashDetector) discardUnlessCrashed(l roster.Incarnation, e *crashCheck) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !e.crashed && d.checks[l] == e {
+	if e.result != upstream.Terminated && d.checks[l] == e {
 		delete(d.checks, l)
 	}
 }
@@ -91,7 +96,10 @@
 // further ones. The connection opened to find out replaces the one that the response took.
 func (p *Proxy) checkUnmarkedEnd(a *attempt, end policy.UnmarkedEnd) *verdict.Error {
 	failure := policy.CheckUnmarkedEnd(end)
-	if failure == nil && !a.lease.Leaving() && p.crashes.hasCrashed(a.lease.Record, time.Now()) {
+	if failure == nil && !a.lease.Leaving() {
+		a.liveness = p.crashes.check(a.lease.Record, time.Now())
+	}
+	if a.liveness == upstream.Terminated {
 		failure = verdict.NewError(verdict.Ran, verdict.CodeCut, "the endpoint crashed as the answer ended")
 	}
 	if failure == nil {
@@ -100,11 +108,11 @@
 	return failure.WithCause(io.ErrUnexpectedEOF)
 }
 
-// recordCompleted records that a successful response ended at endedAt and that the endpoint survived it.
-// Of a leaving endpoint whose response had no mark of its end that is not known.
+// recordCompleted records that a successful response ended at endedAt, if the endpoint is known to have
+// survived it. Without a mark of the end, only the endpoint's liveness afterwards shows that.
 func (c *call) recordCompleted(a *attempt, endedAt time.Time) {
-	unknown := a.exchange.Framing == upstream.FramedByClose && a.lease.Leaving()
-	if a.exchange.Status < http.StatusMultipleChoices && !unknown {
+	survived := a.exchange.Framing != upstream.FramedByClose || a.liveness == upstream.Listening
+	if a.exchange.Status < http.StatusMultipleChoices && survived {
 		c.completedAt = endedAt
 	}
 }
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -92,6 +92,8 @@
 	logs logBuffer
 	// dials is the number of connections that the gateway has opened.
 	dials atomic.Int64
+	// unreachable is set while connections are neither accepted nor refused.
+	unreachable atomic.Bool
 	// reportedLoad is the number of requests in progress at the gateway's last heartbeat.
 	reportedMu   sync.Mutex
 	reportedLoad map[roster.Incarnation]int
@@ -282,11 +284,15 @@
 }
 
 // DialContext implements upstream.Dialer.
-func (w *harness) DialContext(_ context.Context, _, addr string) (net.Conn, error) {
+func (w *harness) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
 	e := w.endpoints[addr]
 	if e == nil || w.isDown(addr) {
 		return nil, syscall.ECONNREFUSED
 	}
+	if w.unreachable.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	w.dials.Add(1)
 	near, far := net.Pipe()
 	e.track(far)
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -104,7 +104,7 @@
 	if cfg.RequestToken == nil {
 		cfg.RequestToken = func(context.Context, roster.Incarnation) (time.Duration, bool) { return 0, false }
 	}
-	p := &Proxy{cfg: cfg, inFlight: drain.NewTracker(), callerTimeouts: newTimeoutTracker(), refusals: newRefusals(), crashes: newCrashDetector(cfg.Client.Refuses)}
+	p := &Proxy{cfg: cfg, inFlight: drain.NewTracker(), callerTimeouts: newTimeoutTracker(), refusals: newRefusals(), crashes: newCrashDetector(cfg.Client.CheckLiveness)}
 	p.stopCtx, p.CancelRequests = context.WithCancel(context.Background())
 	return p
 }
--- a/gateway/proxy/unmarked_crash_test.go
+++ b/gateway/proxy/unmarked_crash_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/gateway/poison"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // unmarked returns a handler that sends a response with neither a length nor chunks, and then calls rest.
@@ -79,3 +82,25 @@
 		w.g.Expect(w.dials.Load()).To(BeNumerically("<=", asked+1))
 	}, always(unmarkedEvents))
 }
+
+// TestAnAnswerWithoutAMarkFromASilentEndpointClearsNothing guards against an exoneration without evidence.
+func TestAnAnswerWithoutAMarkFromASilentEndpointClearsNothing(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		runHarness(t, func(w *harness) {
+			suspects := &poison.Suspects{Request: &poison.Request{Method: "POST", URI: "/other"}, Parts: []poison.Key{partID("shared").Key("s")}}
+			w.poison.RecordCrash(suspects, roster.Incarnation{ID: "gone"}, time.Now())
+			time.Sleep(time.Millisecond)
+			w.endpoints["e0"].script = always(func(c net.Conn, r *http.Request) bool {
+				w.unreachable.Store(silent)
+				return unframed(200, eventsType, stream(1, 2))(c, r)
+			})
+			got := w.send("POST", "/once/", "", "Parts", "shared,own")
+			w.g.Expect(got.aborted).To(BeFalse())
+			want := poison.Clear
+			if silent {
+				want = poison.Suspected
+			}
+			w.g.Expect(w.poison.State(suspects.Parts[0])).To(Equal(want))
+		}, always(hang))
+	}
+}
