gateway/poison: a record of a later generation keeps the ages of its crashes once

A gateway that took over a record of a later generation told it on with ages that did not belong to its crashes: those of the message stayed in the record, and its own were added behind. Rounds of crashes would have been counted from wrong times.

Cause: the record of a message was taken as it came. Ages are kept as times and left out of the record.

Red before: TestRecordsOfALaterGenerationKeepTheAgesOfTheirCrashes.

--- a/gateway/poison/part_test.go
+++ b/gateway/poison/part_test.go
@@ -138,6 +138,19 @@
 	g.Expect(x.assess(3)).To(Equal(poison.Clear))
 }
 
+// TestRecordsOfALaterGenerationKeepTheAgesOfTheirCrashes guards against rounds that are counted from wrong times.
+func TestRecordsOfALaterGenerationKeepTheAgesOfTheirCrashes(t *testing.T) {
+	g, x, y := NewWithT(t), newGateway(), newGateway()
+	y.crashRounds(0, 1, 1)
+	last := x.crashRounds(0, 1, 1)
+	x.Table.RecordAnswer(prompt(1), last.Add(1), last.Add(1))
+	now := x.crashRounds(1, 2, 1)
+	y.Merge(poison.UnpackParts(poison.PackParts(x.Gossip(false, now))), now)
+	r := y.Records([]poison.Key{part(1)})[0]
+	g.Expect(r.Crashes).To(HaveLen(2))
+	g.Expect(r.Ages).To(HaveLen(2))
+}
+
 // TestAPartThatWasAnsweredAfterItsQuarantineDoesNotRelapse guards against one crash that stops a popular part.
 func TestAPartThatWasAnsweredAfterItsQuarantineDoesNotRelapse(t *testing.T) {
 	for _, answered := range []bool{false, true} {
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -341,6 +341,7 @@
 	if len(joined.Crashes) > 0 && !slices.Equal(joined.Crashes, q.Crashes) {
 		q.crashedAt = now
 	}
+	joined.Ages = nil // kept as times in noticedAt
 	q.Record, q.changedAt, q.gossipUntil = joined, now, now.Add(gossipTime)
 	if q.Key.Kind == KindPart && q.noteCrashes(&r, now) {
 		own, cause = true, CauseCrashes
