gateway: a part that most requests share does not hide the one that ends endpoints

Callers of a part that most requests share would have been refused for ten minutes, and the part that ends endpoints sent on, where the first was charged with a crash more: one with another cause, or one whose cause was at a gateway that was killed before it could tell. The one with more crashes explained the other's.

Found by reading the rule against crashes that are not reported.

Change: a part explains only crashes of others beside which enough are left that it has alone. A part that has been quarantined for two seconds is tried, one request at a time, where too few crashes are its own, also if the other has fewer; by then most others have been answered. The worst part of a request is no longer found by its ID among equals.

Red before: TestAPopularPartWithAFurtherCrashDoesNotHideTheCause.

--- a/gateway/poison/part_test.go
+++ b/gateway/poison/part_test.go
@@ -40,12 +40,13 @@
 		now = at(time.Duration(from+i) * round)
 		g.Table.RecordCrash(prompt(parts...), incarnation(from+i), now)
 	}
+	g.now = now
 	return now
 }
 
 // assess returns the state of a new request with the given parts.
 func (g *gateway) assess(parts ...byte) poison.State {
-	return g.Assess(prompt(parts...)).State
+	return g.Assess(prompt(parts...), g.now).State
 }
 
 func TestAPartIsQuarantinedAfterThreeRoundsOfCrashes(t *testing.T) {
@@ -57,7 +58,7 @@
 	x.crashRounds(2, 1, 1)
 	g.Expect(x.assess(1)).To(Equal(poison.Quarantined))
 	g.Expect(x.assess(2)).To(Equal(poison.Clear), "another part")
-	g.Expect(x.Assess(&poison.Suspects{Request: request(), Parts: []poison.Key{poison.PartID{15: 1}.Key("other")}}).State).
+	g.Expect(x.Assess(&poison.Suspects{Request: request(), Parts: []poison.Key{poison.PartID{15: 1}.Key("other")}}, start).State).
 		To(Equal(poison.Clear), "another service")
 	g.Expect(x.List(at(round))).To(ContainElement(HaveField("Part", "1")))
 }
@@ -133,11 +134,32 @@
 	x.crashRounds(0, 3, 1, 2)
 	last := x.crashRounds(3, 1, 2, 3)
 	g.Expect(x.assess(2)).To(Equal(poison.Quarantined))
+	x.now = last.Add(3 * time.Second)
+	g.Expect(x.assess(2)).To(Equal(poison.OnTrial), "most of its crashes are those of another part")
+	last = x.crashRounds(4, 2, 2, 3)
+	x.now = last.Add(3 * time.Second)
+	g.Expect(x.assess(2)).To(Equal(poison.Quarantined))
 	x.Gossip(false, last.Add(time.Second))
 	g.Expect(x.assess(1)).To(Equal(poison.Clear))
 	g.Expect(x.assess(3)).To(Equal(poison.Clear))
 }
 
+// TestAPopularPartWithAFurtherCrashDoesNotHideTheCause guards against crashes whose cause no gateway reported.
+func TestAPopularPartWithAFurtherCrashDoesNotHideTheCause(t *testing.T) {
+	g, x := NewWithT(t), newGateway()
+	x.crashRounds(0, 3, 1, 2)
+	last := x.crashRounds(3, 2, 1)
+	x.Gossip(false, last.Add(time.Second))
+	g.Expect(x.assess(1, 2)).To(Equal(poison.Quarantined))
+	g.Expect(x.assess(1)).To(Equal(poison.Quarantined))
+	x.now = last.Add(3 * time.Second)
+	g.Expect(x.assess(1, 2)).To(Equal(poison.Quarantined))
+	g.Expect(x.assess(1)).To(Equal(poison.OnTrial))
+	x.Table.RecordAnswer(prompt(1), last.Add(time.Second), last.Add(time.Second))
+	g.Expect(x.assess(1)).To(Equal(poison.Clear))
+	g.Expect(x.assess(2)).To(Equal(poison.Quarantined))
+}
+
 // TestRecordsOfALaterGenerationKeepTheAgesOfTheirCrashes guards against rounds that are counted from wrong times.
 func TestRecordsOfALaterGenerationKeepTheAgesOfTheirCrashes(t *testing.T) {
 	g, x, y := NewWithT(t), newGateway(), newGateway()
@@ -235,6 +257,6 @@
 	}
 	s := prompt(1, 2, 3)
 	for b.Loop() {
-		x.Assess(s)
+		x.Assess(s, start)
 	}
 }
--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -32,6 +32,9 @@
 	// survived. Streams take longer than the time between two rounds, so that parts which most
 	// requests share may not be answered completely in between.
 	survivedRounds = 6
+	// contestTime is how long a quarantined part is not tried because of others with fewer crashes.
+	// By then most of these have been answered.
+	contestTime = 2 * time.Second
 	// SurvivalTime is how long after the first event of an answer further events show that the
 	// endpoint survives it.
 	SurvivalTime = 500 * time.Millisecond
@@ -136,19 +139,26 @@
 	return len(r.Crashes) == 0 && r.Relapses == 0
 }
 
-// contestedBy reports whether o is an alternative explanation of the crashes of r, a quarantined part:
-// as many endpoints crashed under o, and of those that crashed under r too few did so without o.
-func (r *Record) contestedBy(o *Record) bool {
-	if o.State() != Quarantined || len(o.Crashes) < len(r.Crashes) {
+// contestedBy reports whether o is an alternative explanation of the crashes of r, a quarantined part that
+// has not changed for the given time: as many endpoints crashed under o, and too few under r alone. After
+// contestTime o may have fewer crashes, because a part that most requests share is also charged with
+// crashes that have other causes, or whose cause no gateway reported.
+func (r *Record) contestedBy(o *Record, unchanged time.Duration) bool {
+	if o.State() != Quarantined || r.standsWithout(o) {
 		return false
 	}
+	return len(o.Crashes) >= len(r.Crashes) || unchanged >= contestTime
+}
+
+// standsWithout reports whether enough endpoints crashed under r that did not crash under o.
+func (r *Record) standsWithout(o *Record) bool {
 	unshared := 0
 	for _, l := range r.Crashes {
 		if !o.hasCrash(l) {
 			unshared++
 		}
 	}
-	return unshared < min(crashThreshold, len(r.Crashes))
+	return unshared >= min(crashThreshold, len(r.Crashes))
 }
 
 // isConfirmed reports whether crashes in so many rounds confirm a part as their cause. survived is set if
@@ -181,11 +191,15 @@
 
 // Explains returns whether the crashes that both suspects share are attributed to r: it is
 // quarantined, and more endpoints crashed while processing it than o. The crashes of a suspect
-// that was quarantined before are always attributed to that suspect itself.
+// that was quarantined before are always attributed to that suspect itself, and a part explains only
+// what does not contest it.
 func (r *Record) Explains(o *Record) bool {
 	if r.State() != Quarantined || len(o.Crashes) >= len(r.Crashes) || o.Relapses > 0 {
 		return false
 	}
+	if r.Key.Kind == KindPart && !r.standsWithout(o) {
+		return false
+	}
 	return slices.ContainsFunc(o.Crashes, r.hasCrash)
 }
 
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -102,7 +101,7 @@
 
 // Assess returns what the records say about a request. It hashes the request's body only if the table
 // holds requests of the same shape.
-func (t *Table) Assess(s *Suspects) Assessment {
+func (t *Table) Assess(s *Suspects, now time.Time) Assessment {
 	if t.size.Load() == 0 {
 		return Assessment{}
 	}
@@ -111,10 +110,10 @@
 	defer t.mu.Unlock()
 	var out Assessment
 	if q := t.suspects[own]; suspected && q != nil {
-		out.add(q.Record, t.stateFor(q, s.Parts))
+		out.add(q.Record, t.stateFor(q, s.Parts, now))
 	}
-	if part := t.worstPart(s.Parts); part != nil {
-		out.add(part.Record, t.stateFor(part, s.Parts))
+	if part := t.worstPart(s.Parts, now); part != nil {
+		out.add(part.Record, t.stateFor(part, s.Parts, now))
 	}
 	return out
 }
@@ -140,15 +139,17 @@
 
 // worstPart returns the part from which the strictest state follows for a request with all of parts, of
 // these the one with the most crashes, or nil if no part is suspected. The caller holds the lock.
-func (t *Table) worstPart(parts []Key) *suspect {
+func (t *Table) worstPart(parts []Key, now time.Time) *suspect {
 	var worst *suspect
+	var worstState State
 	for _, k := range parts {
 		q := t.suspects[k]
 		if q == nil || q.isInitial() {
 			continue
 		}
-		if worst == nil || cmp.Or(cmp.Compare(t.stateFor(q, parts), t.stateFor(worst, parts)), cmp.Compare(len(q.Crashes), len(worst.Crashes)), bytes.Compare(k.Digest[:], worst.Key.Digest[:])) > 0 {
-			worst = q
+		state := t.stateFor(q, parts, now)
+		if worst == nil || cmp.Or(cmp.Compare(state, worstState), cmp.Compare(len(q.Crashes), len(worst.Crashes))) > 0 {
+			worst, worstState = q, state
 		}
 	}
 	return worst
@@ -156,26 +157,26 @@
 
 // stateFor returns the state that follows from a suspect for a request with the given parts. The caller
 // holds the lock.
-func (t *Table) stateFor(q *suspect, parts []Key) State {
+func (t *Table) stateFor(q *suspect, parts []Key, now time.Time) State {
 	state := q.State()
 	switch {
 	case q.Key.Kind == KindRequest && state == Suspected:
 		return OnTrial
 	case q.Key.Kind == KindPart:
-		return t.partStateFor(q, parts)
+		return t.partStateFor(q, parts, now)
 	}
 	return state
 }
 
 // partStateFor is stateFor for a part. The caller holds the lock.
-func (t *Table) partStateFor(q *suspect, parts []Key) State {
+func (t *Table) partStateFor(q *suspect, parts []Key, now time.Time) State {
 	state, rounds := q.State(), q.rounds()
 	switch {
 	case state == Suspected && requiresTrial(rounds, q.Survived):
 		return OnTrial
 	case state == Quarantined && q.Survived && !isConfirmed(rounds, len(q.Crashes), true):
 		return OnTrial
-	case state == Quarantined && t.contested(q, parts):
+	case state == Quarantined && t.contested(q, parts, now):
 		return OnTrial
 	case state == Clear && q.Relapses > 0: // several requests with it would be in progress at a time
 		return OnTrial
@@ -186,9 +187,9 @@
 // contested reports whether the crashes under a quarantined part may be due to another suspect that a
 // request with the given parts does not have. Such a request may tell which of them it is. The caller
 // holds the lock.
-func (t *Table) contested(q *suspect, parts []Key) bool {
+func (t *Table) contested(q *suspect, parts []Key, now time.Time) bool {
 	for k, other := range t.suspects {
-		if k != q.Key && !slices.Contains(parts, k) && q.contestedBy(&other.Record) {
+		if k != q.Key && !slices.Contains(parts, k) && q.contestedBy(&other.Record, now.Sub(q.changedAt)) {
 			return true
 		}
 	}
--- a/gateway/poison/table_test.go
+++ b/gateway/poison/table_test.go
@@ -16,6 +16,8 @@
 type gateway struct {
 	*poison.Table
 	causes []poison.Cause
+	// now is the time of assessments of parts.
+	now time.Time
 }
 
 func newGateway() *gateway {
@@ -52,7 +54,7 @@
 
 // state returns the state that a gateway finds for a request. One that is suspected is on trial.
 func (g *gateway) state(r *poison.Request) poison.State {
-	state := g.Assess(&poison.Suspects{Request: r}).State
+	state := g.Assess(&poison.Suspects{Request: r}, start).State
 	if state == poison.OnTrial {
 		return poison.Suspected
 	}
@@ -181,7 +183,7 @@
 			}
 			r := request()
 			for b.Loop() {
-				x.Assess(&poison.Suspects{Request: r})
+				x.Assess(&poison.Suspects{Request: r}, start)
 			}
 		})
 	}
--- a/gateway/proxy/withhold.go
+++ b/gateway/proxy/withhold.go
@@ -13,7 +13,7 @@
 
 // assess returns what earlier crashes mean for the call's request.
 func (p *Proxy) assess(c *call) poison.Assessment {
-	return p.cfg.Poison.Assess(&c.suspects)
+	return p.cfg.Poison.Assess(&c.suspects, time.Now())
 }
 
 // quarantined reports whether the call's request must not be sent to any endpoint.
