gateway: what most requests share is not sent to one endpoint after a rack's crashes

Requests with a part under which two endpoints had ended at once were all sent to the least loaded endpoint until one of them was answered, though nothing but a common cause spoke against the part.

Cause: requests are isolated by the number of crashes, which counted for any suspect. It counts for those for which a request is on trial; of requests themselves that is the same as before.

Red before: TestRequestsThatAreNotOnTrialAreNotSentToOneEndpoint (Crashes 3 where 0 is wanted).

--- a/gateway/poison/part_test.go
+++ b/gateway/poison/part_test.go
@@ -49,6 +49,17 @@
 	return g.Assess(prompt(parts...), g.now).State
 }
 
+// TestRequestsThatAreNotOnTrialAreNotSentToOneEndpoint guards against a rack whose crashes move what most requests share.
+func TestRequestsThatAreNotOnTrialAreNotSentToOneEndpoint(t *testing.T) {
+	g, x := NewWithT(t), newGateway()
+	for i := range 3 {
+		x.Table.RecordCrash(prompt(1), incarnation(i), start)
+	}
+	g.Expect(x.Assess(prompt(1), start)).To(Equal(poison.Assessment{State: poison.Suspected, Cause: part(1)}))
+	now := x.crashRounds(3, 1, 1)
+	g.Expect(x.Assess(prompt(1), now).Crashes).To(Equal(4))
+}
+
 func TestAPartIsQuarantinedAfterThreeRoundsOfCrashes(t *testing.T) {
 	g, x := NewWithT(t), newGateway()
 	x.crashRounds(0, 1, 1)
--- a/gateway/poison/table.go
+++ b/gateway/poison/table.go
@@ -95,7 +95,8 @@
 	Cause Key
 	// Trials are the keys of the leases that a request needs that is on trial; see Key.TrialKey.
 	Trials []Key
-	// Crashes is the number of crashes of the suspect with the most crashes.
+	// Crashes is the number of crashes of the suspect with the most crashes for which the request is
+	// on trial.
 	Crashes int
 }
 
@@ -125,8 +126,8 @@
 	}
 	if state == OnTrial {
 		a.Trials = append(a.Trials, r.Key.TrialKey())
+		a.Crashes = max(a.Crashes, len(r.Crashes))
 	}
-	a.Crashes = max(a.Crashes, len(r.Crashes))
 }
 
 // requestKey returns the key of a request, and whether the table may hold it.
