--- a/gateway/poison/record.go
+++ b/gateway/poison/record.go
@@ -17,12 +17,13 @@
 	// again where it is retried: with a threshold of two, one in eleven of the requests of a
 	// dozen endpoints would be quarantined as well. The platform's rules use three, too.
 	crashThreshold = 3
-	// roundThreshold is the number of rounds of crashes that quarantines a part of prompts. Where
-	// endpoints are so few that they are all down between two rounds, minRounds are enough if they
-	// have manyCrashes together.
+	// roundThreshold is the number of rounds of crashes that quarantines a part of prompts.
 	roundThreshold = 3
-	minRounds      = 2
-	manyCrashes    = 5
+	// minRounds is the number of rounds that is enough if they have manyCrashes together: endpoints
+	// may be so few that they are all down between two rounds.
+	minRounds = 2
+	// manyCrashes is the number of crashes with which minRounds are enough.
+	manyCrashes = 5
 	// roundTime is the duration of a round. All crashes within a round count once for a part: a
 	// rack, or all endpoints that meet the same fault, end within it as seen by all gateways.
 	roundTime = 200 * time.Millisecond
--- a/gateway/poison/wire.go
+++ b/gateway/poison/wire.go
@@ -11,15 +11,18 @@
 	// recordSize is the size of a record without its crashes: shape, digest, generation,
 	// relapses and number of crashes.
 	recordSize = 8 + len(Digest{}) + 4 + 1 + 1
-	// crashSize is the size of a crash of a request, and partCrashSize that of a part.
-	crashSize     = 8
+	// crashSize is the size of a crash of a request.
+	crashSize = 8
+	// partCrashSize is the size of a crash of a part, with its age.
 	partCrashSize = crashSize + 4
 )
 
 // Flags in the number of relapses of a part.
 const (
+	// confirmedFlag is set if the part is confirmed.
 	confirmedFlag = 0x80
-	survivedFlag  = 0x40
+	// survivedFlag is set if an endpoint survived the part.
+	survivedFlag = 0x40
 )
 
 // Pack encodes the records of requests and leaves out others. Each consists of shape, digest, generation,
--- a/gateway/proxy/cut_event_test.go
+++ b/gateway/proxy/cut_event_test.go
@@ -54,16 +54,7 @@
 			if tc.protocol == "" {
 				tc.protocol = "HTTP/1.1"
 			}
-			var scripts [][]handler
-			for _, first := range []handler{tc.first, tc.second} {
-				switch {
-				case first != nil && tc.later != nil:
-					scripts = append(scripts, []handler{first, tc.later})
-				case first != nil:
-					scripts = append(scripts, []handler{first})
-				}
-			}
-			got := startSocketGateway(t, scripts...).send(tc.path, tc.protocol)
+			got := startSocketGateway(t, scriptsOf(tc.later, tc.first, tc.second)...).send(tc.path, tc.protocol)
 			g := NewWithT(t)
 			switch {
 			case tc.body == "502":
--- a/gateway/proxy/unframed_test.go
+++ b/gateway/proxy/unframed_test.go
@@ -134,6 +134,21 @@
 	}
 }
 
+// scriptsOf returns a script for each handler of a first request that is not nil. later handles all further
+// requests, unless it is nil.
+func scriptsOf(later handler, first ...handler) [][]handler {
+	var out [][]handler
+	for _, h := range first {
+		switch {
+		case h != nil && later != nil:
+			out = append(out, []handler{h, later})
+		case h != nil:
+			out = append(out, []handler{h})
+		}
+	}
+	return out
+}
+
 // cut closes the connection without ending the response.
 func cut(net.Conn, *http.Request) bool {
 	return false
@@ -197,16 +212,7 @@
 			if tc.protocol == "" {
 				tc.protocol = "HTTP/1.1"
 			}
-			var scripts [][]handler
-			for _, first := range []handler{tc.first, tc.second} {
-				switch {
-				case first != nil && tc.later != nil:
-					scripts = append(scripts, []handler{first, tc.later})
-				case first != nil:
-					scripts = append(scripts, []handler{first})
-				}
-			}
-			got := startSocketGateway(t, scripts...).send(tc.path, tc.protocol)
+			got := startSocketGateway(t, scriptsOf(tc.later, tc.first, tc.second)...).send(tc.path, tc.protocol)
 			g := NewWithT(t)
 			g.Expect(got.status).To(Equal(tc.status))
 			g.Expect(got.framing).To(Equal(tc.framing))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,6 +76,21 @@
 	}
 	result := &Result{}
 	w.play(result, report)
+	w.judge(report)
+	if !w.awaitAll(healLimit) {
+		w.witness.AddViolation("not every entry serves every route %s after the last fault", healLimit)
+	}
+	w.endAll()
+	report.MemoryKB = w.checkProcesses()
+	report.Asked, report.Served, report.Refused = result.Asked.Load(), result.Served.Load(), result.Refused.Load()
+	report.Cut, report.Others = result.Cut.Load(), result.Other.Load()
+	report.BodyBytes = w.mostBodies
+	report.Broken = w.witness.Violations()
+	return report, nil
+}
+
+// judge notes the promises that were broken.
+func (w *world) judge(report *Report) {
 	for _, line := range w.ledger.judge(w.history, platformBounds) {
 		w.witness.AddViolation("%s", line)
 	}
@@ -99,16 +114,6 @@
 	}
 	w.fatal.judge(w, report)
 	w.parts.judge(w, report)
-	if !w.awaitAll(healLimit) {
-		w.witness.AddViolation("not every entry serves every route %s after the last fault", healLimit)
-	}
-	w.endAll()
-	report.MemoryKB = w.checkProcesses()
-	report.Asked, report.Served, report.Refused = result.Asked.Load(), result.Served.Load(), result.Refused.Load()
-	report.Cut, report.Others = result.Cut.Load(), result.Other.Load()
-	report.BodyBytes = w.mostBodies
-	report.Broken = w.witness.Violations()
-	return report, nil
 }
 
 // play lets callers ask while faults come, and then looks at old promises.
--- a/soak/world.go
+++ b/soak/world.go
@@ -147,6 +147,23 @@
 	return nil
 }
 
+// prepare makes runner i do what the mix asks for.
+func (w *world) prepare(s *slot, i int) {
+	switch w.cfg.Mix {
+	case MixCrash:
+		s.cfg.CrashOn = func(id, body string) bool { return w.fatal.begins(s, id, body) }
+	case MixParts:
+		s.cfg.CrashOnPrompt = w.parts.reached
+		s.cfg.Crash = func() { w.parts.crashed(s.crash(leastDown+spreadDown, w.firstVersion(s))) }
+	case MixPlaces:
+		w.places.prepare(s)
+	case MixOverload:
+		prepareOverload(s, i)
+	case MixRestored:
+		s.cfg.OnArrival = w.restores.arrived
+	}
+}
+
 // addRunner adds a runner; number 0 is the plain one, the others have a sidecar.
 func (w *world) addRunner(i int) error {
 	host := 100 + i
@@ -154,25 +171,10 @@
 		Service: plainService, Zone: zone(i), Address: w.addr(host, portRunner), Slots: 16, Recorder: w.witness, Store: w.store,
 		Events: w.cfg.Events, EventInterval: w.cfg.EventPause, AbortOnLoad: w.cfg.Mix == MixLong, OnRequest: w.heeded.reached, OnRetryAfter: w.heeded.rested,
 	}}
-	if w.cfg.Mix == MixCrash {
-		s.cfg.CrashOn = func(id, body string) bool { return w.fatal.begins(s, id, body) }
-	}
-	if w.cfg.Mix == MixParts {
-		s.cfg.CrashOnPrompt = w.parts.reached
-		s.cfg.Crash = func() { w.parts.crashed(s.crash(leastDown+spreadDown, w.firstVersion(s))) }
-	}
 	if i > 0 {
 		s.cfg.Service, s.cfg.Model = modelService, model
 	}
-	if w.cfg.Mix == MixPlaces {
-		w.places.prepare(s)
-	}
-	if w.cfg.Mix == MixOverload {
-		prepareOverload(s, i)
-	}
-	if w.cfg.Mix == MixRestored {
-		s.cfg.OnArrival = w.restores.arrived
-	}
+	w.prepare(s, i)
 	version := w.version
 	if i > 1 {
 		version = 0
