soak: a request that its endpoint broke off does not count as lost where the end is recorded late

Their logs show that both endpoints that had them had crashed ("connection reset by peer", "endpoint ended"), the second 6 ms after it got them, and that the retry budget was used up: ten endpoints ended within .25 s.

Cause: the caller's connection ends some milliseconds before the stand-in's handler has recorded its end; on a busy machine the run was still in progress as it was looked at. It is looked at again for at most .1 s, the time that is allowed between an endpoint's abort and the caller's cut already. Whether the endpoint or the gateway ended the run is told apart as before.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -185,7 +185,7 @@
 // checkStop looks at a request that was cut at a gateway that was asked to stop: nothing that
 // an endpoint goes on with may be cut by that.
 func (c *caller) checkStop(entry *process, id string, began, ended, limit time.Time, err error) {
-	run := c.world.witness.Runs(id)
+	run := c.world.witness.SettledRuns(id)
 	if ended.Before(limit) && entry.onlyPlanned(began) && c.world.calm(began) && run.Count > 0 && !run.AbortedByEndpoint(ended) {
 		c.world.witness.AddViolation("request %s was cut by the planned stop of %s: %v", id, entry.name, err)
 	}
@@ -197,8 +197,9 @@
 	if e.Kept, e.Sent, whole = seen.result(); !whole {
 		return // no gateway can have read it whole
 	}
-	run := c.world.witness.Runs(e.ID)
-	e.PassedOn, e.BrokenOff, e.Working = run.Count > 0, run.AbortedByEndpoint(e.End), run.Running > 0
+	e.Working = c.world.witness.Runs(e.ID).Running > 0
+	run := c.world.witness.SettledRuns(e.ID)
+	e.PassedOn, e.BrokenOff = run.Count > 0, run.AbortedByEndpoint(e.End)
 	c.world.ledger.cutOff(e)
 }
 
--- a/standin/recorder.go
+++ b/standin/recorder.go
@@ -87,6 +87,20 @@
 	return c.runs[id]
 }
 
+// settlePollInterval is the time between two looks at executions that have not ended yet.
+const settlePollInterval = 5 * time.Millisecond
+
+// SettledRuns is like Runs, but waits for a short time for executions to end: a caller may see its
+// connection break before the endpoint that crashed has recorded the end of the execution.
+func (c *Recorder) SettledRuns(id string) RequestRuns {
+	for began := time.Now(); ; time.Sleep(settlePollInterval) {
+		r := c.Runs(id)
+		if r.Running == 0 || time.Since(began) >= abortPropagationTime {
+			return r
+		}
+	}
+}
+
 // AddViolation records the violation of a guarantee.
 func (c *Recorder) AddViolation(format string, args ...any) {
 	c.mu.Lock()
