gateway/proxy: a resumed stream does not wait for a lease that it does not need any more

A stream that had begun and waited for the lease of a trial went on waiting, until its callers left or its time was over, where an endpoint had meanwhile been seen to survive its part.

Cause: only a suspect that had been cleared ended the wait; one that is not on trial any more ends it as well. Red before: TestAStreamThatWaitsForATrialGoesOnOnceItsPartIsSurvived (aborted).

--- a/gateway/proxy/part_test.go
+++ b/gateway/proxy/part_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/gateway/poison"
+	"github.com/silverdeck/silverdeck/roster"
 )
 
 // Bounds of the platform's rules on a part of prompts that ends endpoints.
@@ -362,6 +363,29 @@
 	}
 }
 
+// TestAStreamThatWaitsForATrialGoesOnOnceItsPartIsSurvived guards against a wait for a lease that is not needed any more.
+func TestAStreamThatWaitsForATrialGoesOnOnceItsPartIsSurvived(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		shared := partID("shared").Key("s")
+		crash := func() {
+			other := &poison.Suspects{Request: &poison.Request{URI: "/other"}, Parts: []poison.Key{shared}}
+			w.poison.RecordCrash(other, roster.Incarnation{ID: "other", Born: time.Now().UnixNano()}, time.Now())
+		}
+		crash()
+		time.Sleep(time.Second)
+		w.trials.Begin(shared.TrialKey(), "another request", 10*time.Second, time.Now())
+		w.endpoints["e0"].script = always(events(20*time.Millisecond, func(c net.Conn, r *http.Request) bool {
+			crash()
+			time.AfterFunc(300*time.Millisecond, func() { w.poison.RecordSurvival([]poison.Key{shared}, time.Now()) })
+			return cut(c, r)
+		}, 1))
+		got := w.send("POST", "/stream/", "", "Parts", "shared,own")
+		w.g.Expect(got.aborted).To(BeFalse())
+		w.g.Expect(got.Body.String()).To(Equal(stream(1, 2, 3)))
+		w.g.Expect(got.elapsed).To(BeNumerically("<", 600*time.Millisecond))
+	}, always(hang), always(threeEvents))
+}
+
 // TestAGatewayThatStartsSendsNoRequestWithAQuarantinedPart guards against a gateway that has to learn by crashes of its own.
 func TestAGatewayThatStartsSendsNoRequestWithAQuarantinedPart(t *testing.T) {
 	runPartWorld(t, 4, 20, chunkedAnswers, func(w *partWorld) {
--- a/gateway/proxy/withhold.go
+++ b/gateway/proxy/withhold.go
@@ -68,7 +68,7 @@
 			return withheld(a.Cause)
 		case !c.headSent || !wait.For(ctx, trialPollInterval):
 			return onTrial()
-		case p.assess(c).State == poison.Clear:
+		case p.assess(c).State < poison.OnTrial:
 			return nil
 		}
 	}
