--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,7 +123,9 @@
 mutant "nobody reads the store before it has listened" gateway/replica/rules.go 's/return selected && firstListed/return false/' ./gateway/replica 'TestTheFirstThatTheStoreLists'
 
 mutant "an end is charged to nobody" gateway/proxy/crash.go 's/p.cfg.Poison.RecordCrash\(c.copies, a.lease.Record.Incarnation\(\), time.Now\(\)\)/_ = c/' ./gateway/proxy 'TestARequestThatEnds'
-mutant "an answer that breaks off counts as an end" gateway/upstream/refused.go 's/return errors.Is/return true || errors.Is/; s/put\(cn\)\n\treturn false/put(cn)\n\treturn true/' ./gateway/proxy 'TestAnAnswerThatBreaksOff'
+mutant "an answer that breaks off counts as an end" gateway/upstream/liveness.go 's/put\(cn\)\n\treturn Listening/put(cn)\n\treturn Terminated/' ./gateway/proxy 'TestAnAnswerThatBreaksOff'
+mutant "an answer without a mark is not looked into" gateway/proxy/crash.go 's/if a.liveness == upstream.Terminated/if false/' ./gateway/proxy 'TestAnAnswerWithoutAMarkThatACrash'
+mutant "survival does not count" gateway/proxy/stream.go 's/>= poison.SurvivalTime/>= 1000*poison.SurvivalTime/' ./gateway/proxy 'TestASharedPartOfLongStreams'
 mutant "copies are tried side by side" gateway/proxy/withhold.go 's/case poison.Clear, poison.Suspected:/case poison.Clear, poison.Suspected, poison.OnTrial:/' ./gateway/proxy 'TestARequestThatEnds'
 mutant "a whole answer clears nothing" gateway/poison/table.go 's/t.update\(q.cleared\(\), true, CauseAnswered, now\)/_ = k/' ./gateway/poison 'TestACompleteAnswer'
 mutant "an answer from before the crash clears" gateway/poison/table.go 's/ && endedAt.After\(q.crashedAt\)//' ./gateway/poison 'TestACompleteAnswer'
