gateway/proxy: a request beside a trial of its part is not told that an endpoint ended under it

Callers of a request with a suspected part, refused while another request with the part was tried, were told that an endpoint had ended under this request, which had been sent to none. Code, verdict and Retry-After were right.

Cause: one message for leases of both kinds. Red before: TestARequestBesideATrialOfItsPartIsNotToldThatAnEndpointEndedUnderIt.

--- a/gateway/proxy/part_test.go
+++ b/gateway/proxy/part_test.go
@@ -363,6 +363,24 @@
 	}
 }
 
+// TestARequestBesideATrialOfItsPartIsNotToldThatAnEndpointEndedUnderIt guards against an untrue reason.
+func TestARequestBesideATrialOfItsPartIsNotToldThatAnEndpointEndedUnderIt(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		shared := partID("shared").Key("s")
+		for i := range int64(2) {
+			other := &poison.Suspects{Request: &poison.Request{URI: "/other"}, Parts: []poison.Key{shared}}
+			w.poison.RecordCrash(other, roster.Incarnation{ID: "other", Born: i + 1}, time.Now())
+			time.Sleep(time.Second)
+		}
+		w.trials.Begin(shared.TrialKey(), "another request", 10*time.Second, time.Now())
+		got := w.send("POST", "/stream/", "", "Parts", "shared,own")
+		w.g.Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(got.Header().Get("Silverdeck-Verdict")).To(Equal("not-run"))
+		w.g.Expect(got.Header()).To(HaveKey("Retry-After"))
+		w.g.Expect(got.Body.String()).To(HavePrefix("on_trial: endpoints ended under requests with a part of the prompt"))
+	}, always(threeEvents))
+}
+
 // TestAStreamThatWaitsForATrialGoesOnOnceItsPartIsSurvived guards against a wait for a lease that is not needed any more.
 func TestAStreamThatWaitsForATrialGoesOnOnceItsPartIsSurvived(t *testing.T) {
 	runHarness(t, func(w *harness) {
--- a/gateway/proxy/withhold.go
+++ b/gateway/proxy/withhold.go
@@ -67,7 +67,7 @@
 		case a.State == poison.Quarantined: // the gateway that grants the lease may have reported it
 			return withheld(a.Cause)
 		case !c.headSent || !wait.For(ctx, trialPollInterval):
-			return onTrial()
+			return onTrial(k)
 		case p.assess(c).State < poison.OnTrial:
 			return nil
 		}
@@ -101,10 +101,14 @@
 	return verdict.NewError(verdict.MayHaveRun, policy.CodeQuarantined, "endpoints ended under this request")
 }
 
-// onTrial returns the failure reported for a request of which another copy is in progress.
-func onTrial() *verdict.Error {
-	e := verdict.NewError(verdict.NotRun, policy.CodeOnTrial, "an endpoint ended under this request, of which another copy is being tried")
-	return e.WithRetryAfter(policy.RetryAfterTrial)
+// onTrial returns the failure reported for a request while another has the lease with key k: a copy of it,
+// or a request with a suspected part.
+func onTrial(k poison.Key) *verdict.Error {
+	message := "an endpoint ended under this request, of which another copy is being tried"
+	if k.Kind == poison.KindPart {
+		message = "endpoints ended under requests with a part of the prompt, of which another is being tried"
+	}
+	return verdict.NewError(verdict.NotRun, policy.CodeOnTrial, "%s", message).WithRetryAfter(policy.RetryAfterTrial)
 }
 
 // withdrawIfQuarantined reports whether the request is withdrawn from its endpoint, to which it was sent
