--- a/review/drive/record.go
+++ b/review/drive/record.go
@@ -18,6 +18,8 @@
 	attempts map[string]*attempt
 	// order lists what breaks ORDER, drain what breaks DRAIN.
 	order, drain []string
+	// cut is the number of requests that runners had when they ended.
+	cut int
 }
 
 // attempt is one client attempt, with an ID of its own.
