review: case 3, a late write takes back that a runner leaves

A write that a runner made while it was ready, and that the store does late, puts the entry of a draining runner back to ready, and gateways send it requests again, some of which are lost as it ends.

--- a/review/drive/late.go
+++ b/review/drive/late.go
@@ -14,28 +14,31 @@
 
 // The service of case late.
 const (
-	lateRunners  = 14
+	lateRunners  = 20
 	lateSlots    = 6
-	lateClients  = 40
+	lateWork     = 100 * time.Millisecond
+	lateClients  = 60
 	heartbeat    = 1200 * time.Millisecond
 	drainLimit   = 2 * time.Second
-	drainLinger  = 1500 * time.Millisecond
+	drainLinger  = 500 * time.Millisecond
 	contactTime  = 3 * time.Second
 	drainMachine = 100
 )
 
 // The disruption: for lostTime, lostShare per cent of the store's writes get no answer and are done
 // between minLate and maxLate later. Runners are asked to leave once the store has been without it for
-// contactTime: leaving of them at once, and replaced of them two at a time, each replaceGap.
+// contactTime: leaving of them, scaleIns times at once, and others two at a time, each replaceGap.
 const (
-	lostTime   = 2 * time.Second
+	lostTime   = 1500 * time.Millisecond
 	lostShare  = 35
 	minLate    = time.Second
 	maxLate    = 6 * time.Second
-	leaving    = 2
+	leaving    = 3
+	scaleIns   = 2
 	replaced   = 4
 	replaceGap = 800 * time.Millisecond
-	rounds     = 9
+	lastPause  = 2600 * time.Millisecond
+	rounds     = 10
 )
 
 // fleet is the runners of case late.
@@ -73,7 +76,7 @@
 	f.started++
 	machine := drainMachine + f.started
 	n := &lateRunner{addr: f.platform.addr(machine, portApp), zone: zones[machine%len(zones)], fleet: f, state: "ready",
-		runner: runner{id: fmt.Sprintf("i-%d", f.started), record: f.record, work: plainWork, slots: make(chan struct{}, lateSlots), limit: 2 * lateSlots}}
+		runner: runner{id: fmt.Sprintf("i-%d", f.started), record: f.record, work: lateWork, slots: make(chan struct{}, lateSlots), limit: 2 * lateSlots}}
 	l, err := net.Listen("tcp4", n.addr)
 	if err != nil {
 		return err
@@ -175,7 +178,7 @@
 		for _, c := range n.conns {
 			_ = c.Close()
 		}
-		n.record.note("%s has ended", n.id)
+		n.record.lost(n.id, int(n.places.Load()))
 	})
 }
 
@@ -227,7 +230,7 @@
 		time.Sleep(lostTime)
 		f.setLost(false)
 		time.Sleep(contactTime + 50*time.Millisecond)
-		if err := f.take(leaving); err != nil {
+		if err := f.take(leaving * scaleIns); err != nil {
 			return err
 		}
 		for range replaced / 2 {
@@ -236,7 +239,7 @@
 			}
 			time.Sleep(replaceGap)
 		}
-		time.Sleep(4 * time.Second)
+		time.Sleep(lastPause)
 	}
 	cancel()
 	group.Wait()
@@ -259,3 +262,11 @@
 	r.drain = append(r.drain, fmt.Sprintf("request %s reached %s %d ms after the store took that it is draining", id, runner, since.Milliseconds()))
 	r.add("%s", r.drain[len(r.drain)-1])
 }
+
+// lost notes the end of a runner and how many requests ran or waited there.
+func (r *record) lost(runner string, requests int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut += requests
+	r.add("%s has ended with %d requests; %d were lost so far", runner, requests, r.cut)
+}
