review: case 2 with shorter streams, which end well before a runner that drains does

A stream that began .7 s after its runner stated draining ended .05 s before the runner did without the disruption. Streams have 20 events in place of 25.

--- a/review/drive/streamrunner.go
+++ b/review/drive/streamrunner.go
@@ -15,7 +15,7 @@
 
 // Streams of the stand-in runners.
 const (
-	streamEvents = 25
+	streamEvents = 20
 	streamPause  = 150 * time.Millisecond
 	modelName    = "daka510000"
 )
