review: the limits as the site file has them, and case 3 inside them

Case 3 replaced two runners each .8 s, where the site file has x 2.0 with gap_s 1.0 (.88 goes with x 1.0), and quoted a range of gap_s that isn't there; it waits 1.0 s now.

--- a/review/drive/late.go
+++ b/review/drive/late.go
@@ -36,7 +36,7 @@
 	leaving    = 3
 	scaleIns   = 2
 	replaced   = 4
-	replaceGap = 800 * time.Millisecond
+	replaceGap = time.Second
 	lastPause  = 2600 * time.Millisecond
 	rounds     = 10
 )
