gateway/proxy: failed attempts tell which request the answer belongs to

Whether a refusal was the endpoint's answer to the request or a second answer to an earlier one could not be seen in the log: "attempt failed" had neither the status of the answer nor the ID that it carried. It has both now, as status and answers.

--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/header"
 	"github.com/silverdeck/silverdeck/gateway/poison"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
@@ -56,6 +57,15 @@
 	a.lease.Done(a.outcome, time.Now())
 }
 
+// answeredRequest returns the ID of the request that the response belongs to, by its header, or an
+// empty string if there is no response.
+func (a *attempt) answeredRequest(names *header.Names) string {
+	if a.exchange == nil {
+		return ""
+	}
+	return a.exchange.Header.Get(names.RequestID)
+}
+
 // receivedBody describes the body of an endpoint's response for the log.
 type receivedBody struct {
 	framing upstream.Framing
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -135,7 +135,7 @@
 	p.cfg.Log.Info("attempt failed", "request", c.id, "endpoint", lease.Record.ID, "addr", lease.Record.Addr,
 		"weights", lease.Holds(c.model), "attempt", len(c.attempted), "ms", time.Since(c.startedAt).Milliseconds(),
 		"sentMs", time.Since(a.sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model),
-		"framing", body.framing.String(), "bodyBytes", body.bytes,
+		"framing", body.framing.String(), "bodyBytes", body.bytes, "status", a.head.Status, "answers", a.answeredRequest(&p.cfg.Headers),
 		"code", string(e.Code), "verdict", e.Verdict.String(), "detail", e.Detail, "begun", c.headSent,
 		"event", c.lastEventID, "err", e.Err)
 }
