gateway/policy: a refusal of another request is not taken for the answer

Callers saw: requests that may run at most once ran on two endpoints; with one endpoint only, requests that had run were answered 503. An answer to another request with 421 also took its endpoint out of use for good.

Cause: CheckResponse looked at 421 and at the header that says "not run" before it looked whose answer it is. An endpoint may send a second answer to an earlier request in the place where the next one is due. If that was a refusal, the request that the endpoint had begun counted as not run and went to another one, and the connection, with the due answer still to come, went back to the pool.

Change: the ID is the first thing looked at; an answer to another request says nothing, whatever its status, and is not drained, so that its connection is reset. IsFromEndpoint follows from the result in place of a second look at the same two fields. An answer without an ID counts if nothing was answered on its connection before, since then it can't be a second one.

--- a/gateway/policy/answer.go
+++ b/gateway/policy/answer.go
@@ -12,22 +12,34 @@
 	Status int
 	// NotRun is set when the endpoint states that it did not run the request.
 	NotRun bool
-	// OtherRequest is set when the response carries the ID of another request.
+	// OtherRequest is set when the response does not belong to the request; see IsForeign.
 	OtherRequest bool
 	// Signed is set when the response carries the endpoint's signature.
 	Signed bool
 }
 
+// IsForeign returns whether a response that carries the given ID belongs to another request than
+// requestID. An endpoint may send a second answer to an earlier request on a connection, in the place
+// where the next one is due. A response without an ID can only belong to the request if that is the
+// first one on its connection.
+func IsForeign(id, requestID string, firstOnConnection bool) bool {
+	if id == "" {
+		return !firstOnConnection
+	}
+	return id != requestID
+}
+
 // CheckResponse returns the reason why a response can't be forwarded, or nil. A caller must
-// not receive a status that promises more than is known, nor a response to another request.
+// not receive a status that promises more than is known, nor a response to another request, which
+// proves nothing about this one, whatever its status.
 func CheckResponse(a ResponseHead) *verdict.Error {
 	switch {
+	case a.OtherRequest:
+		return verdict.NewError(verdict.MayHaveRun, verdict.CodeCrossed, "answer to another request")
 	case a.Status == http.StatusMisdirectedRequest:
 		return verdict.NewError(verdict.NotRun, CodeMisdirected, "another endpoint has the address")
 	case a.NotRun:
 		return verdict.NewError(verdict.NotRun, verdict.CodeOverloaded, "refused by the endpoint with %d", a.Status)
-	case a.OtherRequest:
-		return verdict.NewError(verdict.MayHaveRun, verdict.CodeCrossed, "answer to another request")
 	case a.Status < http.StatusMultipleChoices && !a.Signed:
 		return verdict.NewError(verdict.MayHaveRun, verdict.CodeCut, "answer without a signature")
 	case impliesNotRun(a.Status):
@@ -38,9 +50,9 @@
 
 // IsFromEndpoint returns whether the advisory headers of a response describe the endpoint that
 // the request was sent to. A 421 comes from another endpoint, and a response to another
-// request may.
-func IsFromEndpoint(a ResponseHead) bool {
-	return a.Status != http.StatusMisdirectedRequest && !a.OtherRequest
+// request may. failure is the result of CheckResponse.
+func IsFromEndpoint(failure *verdict.Error) bool {
+	return failure == nil || failure.Code != CodeMisdirected && failure.Code != verdict.CodeCrossed
 }
 
 // impliesNotRun returns whether callers read a status as "the request was not run". An
--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -216,6 +216,8 @@
 	Entry("from another endpoint", policy.ResponseHead{Status: 421, Signed: true}, verdict.NotRun, policy.CodeMisdirected),
 	Entry("that refuses the request", policy.ResponseHead{Status: 503, NotRun: true}, verdict.NotRun, verdict.CodeOverloaded),
 	Entry("to another request", policy.ResponseHead{Status: 200, Signed: true, OtherRequest: true}, verdict.MayHaveRun, verdict.CodeCrossed),
+	Entry("that refuses another request", policy.ResponseHead{Status: 503, NotRun: true, OtherRequest: true}, verdict.MayHaveRun, verdict.CodeCrossed),
+	Entry("to another request, from another endpoint", policy.ResponseHead{Status: 421, NotRun: true, OtherRequest: true}, verdict.MayHaveRun, verdict.CodeCrossed),
 	Entry("without a signature", policy.ResponseHead{Status: 200}, verdict.MayHaveRun, verdict.CodeCut),
 	Entry("that is an error needs no signature", policy.ResponseHead{Status: 500}, verdict.Ran, verdict.Code("")),
 	Entry("with a status that implies that the request was not run", policy.ResponseHead{Status: 429}, verdict.MayHaveRun, verdict.CodeEngine),
@@ -223,6 +225,17 @@
 	Entry("with the status of an unavailable server", policy.ResponseHead{Status: 503}, verdict.MayHaveRun, verdict.CodeEngine),
 )
 
+var _ = DescribeTable("whether a response belongs to another request",
+	func(id string, first, want bool) {
+		Expect(policy.IsForeign(id, "r1", first)).To(Equal(want))
+	},
+	Entry("with the request's ID", "r1", false, false),
+	Entry("with another ID", "r0", false, true),
+	Entry("with another ID, on a new connection", "r0", true, true),
+	Entry("without an ID, after others", "", false, true),
+	Entry("without an ID, on a new connection", "", true, false),
+)
+
 var _ = DescribeTable("the status that a caller receives",
 	func(v verdict.Verdict, code verdict.Code, want int) {
 		Expect(policy.Status(verdict.NewError(v, code, "x"))).To(Equal(want))
--- a/gateway/proxy/advisory.go
+++ b/gateway/proxy/advisory.go
@@ -16,7 +16,7 @@
 		return
 	}
 	a.head = p.head(c, a.exchange)
-	if !policy.IsFromEndpoint(a.head) {
+	if !policy.IsFromEndpoint(policy.CheckResponse(a.head)) {
 		return
 	}
 	a.advisory = p.cfg.ReadAdvisory(a.exchange.Status, a.exchange.Header)
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -65,7 +65,7 @@
 	return policy.ResponseHead{
 		Status:       x.Status,
 		NotRun:       x.Header.Get(names.NotRun) != "",
-		OtherRequest: x.Header.Get(names.RequestID) != c.id,
+		OtherRequest: policy.IsForeign(x.Header.Get(names.RequestID), c.id, x.NewConnection),
 		Signed:       x.Header.Get(names.Signature) != "",
 	}
 }
