gateway/upstream: an answer that stands behind another request's is delivered

Callers saw: 502 where their answer followed a second answer to an earlier request on the same connection.

So whole answers to other requests are read past, up to four, of 64 KiB each and for at most 50 ms, before the head that counts; waiting for it is subject to the same rules as before. Not past an answer whose end can't be found: without a length or chunks, or on a connection that had a HEAD request, since the answer to that has no body, whatever its header says. There, and for another request's answer on a new connection, the attempt fails as before. The connection carries no other request in either case. A metric counts such answers, a line names the endpoint.

--- a/gateway/proxy/advisory.go
+++ b/gateway/proxy/advisory.go
@@ -16,6 +16,7 @@
 		return
 	}
 	a.head = p.head(c, a.exchange)
+	p.countForeign(c, a)
 	if !policy.IsFromEndpoint(policy.CheckResponse(a.head)) {
 		return
 	}
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -65,11 +65,19 @@
 	return policy.ResponseHead{
 		Status:       x.Status,
 		NotRun:       x.Header.Get(names.NotRun) != "",
-		OtherRequest: policy.IsForeign(x.Header.Get(names.RequestID), c.id, x.NewConnection),
+		OtherRequest: p.isForeign(c)(x.Header, x.NewConnection),
 		Signed:       x.Header.Get(names.Signature) != "",
 	}
 }
 
+// isForeign returns a function that reports whether a response belongs to another request than c.
+func (p *Proxy) isForeign(c *call) func(h http.Header, newConnection bool) bool {
+	name, id := p.cfg.Headers.RequestID, c.id
+	return func(h http.Header, newConnection bool) bool {
+		return policy.IsForeign(h.Get(name), id, newConnection)
+	}
+}
+
 // drainBody reads a short body so that the connection can be reused. If that fails, the
 // connection is closed together with the exchange.
 func drainBody(x *upstream.Exchange) {
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -234,8 +234,8 @@
 		a.failure = verdict.NewError(verdict.NotRun, verdict.CodeDeadline, "no time left")
 		return a, nil
 	}
-	fresh := !c.route.Repeatable() && len(c.attempted) > 1
-	a.exchange, a.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, p.prepare(c, lease), upstream.Options{NewConnection: fresh, Watchdog: p.watch(ctx, c, lease)})
+	options := upstream.Options{NewConnection: !c.route.Repeatable() && len(c.attempted) > 1, Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
+	a.exchange, a.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, p.prepare(c, lease), options)
 	p.applyAdvisory(c, a)
 	if a.failure != nil {
 		a.outcome = outcomeOfSendFailure(a.failure)
--- a/gateway/proxy/foreign_answer_test.go
+++ b/gateway/proxy/foreign_answer_test.go
@@ -5,9 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/silverdeck/silverdeck/verdict"
 )
 
 // after returns a handler that writes s before it responds with h.
@@ -49,3 +53,59 @@
 		})
 	}
 }
+
+// Requests whose answer stood behind a second answer to an earlier one failed with 502.
+func TestAnAnswerBehindAnotherRequestsIsDelivered(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: r0\r\nStamp: st\r\n"
+	for name, foreign := range map[string]string{
+		"success":           surplus(200, "Stamp: st\r\n"),
+		"refusal":           surplus(503, "Not-Run: 1\r\n"),
+		"without an ID":     "HTTP/1.1 200 OK\r\nStamp: st\r\nContent-Length: 2\r\n\r\nok",
+		"no content":        "HTTP/1.1 204 No Content\r\nId: r0\r\n\r\n",
+		"stream":            head + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n",
+		"behind an interim": "HTTP/1.1 100 Continue\r\n\r\n" + surplus(200, "Stamp: st\r\n"),
+		"two":               surplus(200, "Stamp: st\r\n") + surplus(503, "Not-Run: 1\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runHarness(t, func(w *harness) {
+				w.send("POST", "/unsafe/", "x", "Id", "r0")
+				a := w.send("POST", "/unsafe/", "x", "Id", "r1")
+				w.g.Expect(a.Code).To(Equal(200))
+				w.g.Expect(a.Body.String()).To(Equal("due"))
+				w.send("POST", "/unsafe/", "x", "Id", "r2")
+				w.g.Expect(w.dials.Load()).To(Equal(int64(2)), "more may follow on the first connection")
+				w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+			}, []handler{respond(200, "done"), after(foreign, respond(200, "due"))}, always(respond(200, "other")))
+		})
+	}
+}
+
+// A response that belongs to another request and whose end can't be found must not be read past.
+func TestAForeignAnswerWithoutAKnownEndFailsTheAttempt(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: r0\r\nStamp: st\r\n"
+	for name, foreign := range map[string]string{
+		"without a length":  head + "\r\n",
+		"and then closes":   head + "Connection: close\r\nContent-Length: 2\r\n\r\nok",
+		"long":              fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, 1<<20, strings.Repeat("x", 1<<20)),
+		"that does not end": head + "Content-Length: 9\r\n\r\nok",
+		"many":              strings.Repeat(surplus(200, "Stamp: st\r\n"), 9),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runHarness(t, func(w *harness) {
+				w.send("POST", "/unsafe/", "x", "Id", "r0")
+				a := w.send("POST", "/unsafe/", "x", "Id", "r1")
+				w.g.Expect(a.Code).To(Equal(502))
+				w.g.Expect(a.Header().Get(verdict.Header)).To(Equal("may-have-run"))
+				w.g.Expect(a.elapsed).To(BeNumerically("<=", 100*time.Millisecond))
+				w.g.Expect(w.endpoints["e1"].count()).To(BeZero())
+			}, []handler{respond(200, "done"), after(foreign, hang)}, always(respond(200, "other")))
+		})
+	}
+	t.Run("to a HEAD request", func(t *testing.T) {
+		runHarness(t, func(w *harness) {
+			w.send("HEAD", "/unsafe/", "", "Id", "r0")
+			a := w.send("POST", "/unsafe/", "x", "Id", "r1")
+			w.g.Expect(a.Code).To(Equal(502))
+		}, []handler{respond(200, ""), after(head+"Content-Length: 400\r\n\r\n", respond(200, "due"))})
+	})
+}
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -84,13 +84,15 @@
 // hedgeOptions returns the options for sending a hedge. A stream is withdrawn if the weights of
 // its endpoint become too old for it to begin.
 func (p *Proxy) hedgeOptions(c *call, lease *balance.Lease) upstream.Options {
+	options := upstream.Options{IsForeign: p.isForeign(c)}
 	if c.route.Kind != routes.Stream {
-		return upstream.Options{}
+		return options
 	}
 	model := c.model
-	return upstream.Options{Watchdog: upstream.NewWatchdog(func() bool {
+	options.Watchdog = upstream.NewWatchdog(func() bool {
 		return lease.Holds(model) < p.cfg.MinVersion(model)
-	})}
+	})
+	return options
 }
 
 // judgeHedge checks the head of a hedge's response. A response that is no better than waiting
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -49,6 +49,8 @@
 	PassedThrough, CallersStalled metrics.Counter
 	// Unframed counts responses to whose end the endpoint set no mark.
 	Unframed metrics.Counter
+	// Foreign counts responses that belonged to other requests.
+	Foreign metrics.Counter
 	// Whole is the time to the end of a response, FirstEvent the time to the first event of a
 	// stream, both in microseconds.
 	Whole, FirstEvent metrics.Histogram
@@ -86,6 +88,7 @@
 		Unreadable:     metrics.NewRegisteredCounter("gateway.unreadable_headers", r),
 		PassedThrough:  metrics.NewRegisteredCounter("gateway.passed_through", r),
 		Unframed:       metrics.NewRegisteredCounter("gateway.unframed", r),
+		Foreign:        metrics.NewRegisteredCounter("gateway.foreign", r),
 		CallersStalled: metrics.NewRegisteredCounter("gateway.callers_stalled", r),
 		AllRatios:      newRatios(r, "gateway.", histogramSample),
 		RouteRatios:    newRouteRatios(r),
@@ -140,6 +143,19 @@
 		"event", c.lastEventID, "err", e.Err)
 }
 
+// countForeign counts the responses to other requests that an attempt received, and logs those that were
+// skipped.
+func (p *Proxy) countForeign(c *call, a *attempt) {
+	n := a.exchange.Skipped
+	if n > 0 {
+		p.cfg.Log.Info("foreign answers skipped", "request", c.id, "endpoint", a.lease.Record.ID, "addr", a.lease.Record.Addr, "answers", n)
+	}
+	if a.head.OtherRequest {
+		n++
+	}
+	p.cfg.Metrics.Foreign.Inc(int64(n))
+}
+
 // logEndpointCrash logs that an endpoint ended while it had a request. Lines with the same key
 // belong to copies of one request, lines with the same endpoint to the requests that were in
 // progress there. The rest is what different requests may have in common.
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -49,6 +49,8 @@
 	// idleUntil is the time from which the connection must not be reused.
 	idleUntil time.Time
 	reused    bool
+	// hadHead is set once a HEAD request was sent.
+	hadHead bool
 	// readErr is the error that ended reading, or nil.
 	readErr error
 }
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -108,6 +108,8 @@
 	Framing Framing
 	// NewConnection is set if a connection was opened for the request.
 	NewConnection bool
+	// Skipped is the number of responses to other requests that preceded this one.
+	Skipped int
 
 	body      io.ReadCloser
 	conn      *conn
@@ -125,6 +127,9 @@
 	NewConnection bool
 	// Watchdog is used while waiting for the response headers. It may be nil.
 	Watchdog *Watchdog
+	// IsForeign reports whether a response with header h belongs to another request. Such a response
+	// is skipped where the one that is due can follow it, and returned where not. Nil accepts all.
+	IsForeign func(h http.Header, newConnection bool) bool
 }
 
 // TCP keep-alive probes, which detect a dead endpoint within five seconds.
@@ -153,7 +158,7 @@
 		cn = newConn(opened)
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
-	head, progress, err := cn.roundTrip(q, o.Watchdog)
+	head, skipped, progress, err := cn.roundTrip(q, &o)
 	if err != nil {
 		stop()
 		cn.abort()
@@ -165,10 +170,11 @@
 		Length:        head.ContentLength,
 		Framing:       framingOf(head),
 		NewConnection: !cn.reused,
+		Skipped:       skipped,
 		body:          head.Body,
 		conn:          cn,
 		pool:          pool,
-		closeConn:     head.Close,
+		closeConn:     head.Close || skipped > 0,
 		stopAbort:     stop,
 	}, nil
 }
@@ -182,26 +188,32 @@
 	return err
 }
 
-// roundTrip writes q and reads the response headers, skipping informational responses.
-func (c *conn) roundTrip(q *Request, w *Watchdog) (*http.Response, verdict.Progress, error) {
+// roundTrip writes q and reads the response headers, skipping informational responses and up to maxSkipped
+// responses to other requests, whose number it returns.
+func (c *conn) roundTrip(q *Request, o *Options) (resp *http.Response, skipped int, p verdict.Progress, err error) {
+	c.hadHead = c.hadHead || q.Method == http.MethodHead
 	n, err := c.writeRequest(q)
 	if err != nil {
 		if n == 0 && !errors.Is(err, net.ErrClosed) {
-			return nil, verdict.Connected, err
+			return nil, 0, verdict.Connected, err
 		}
-		return nil, verdict.Written, err
-	}
-	if err := w.await(c); err != nil {
-		return nil, verdict.Written, err
+		return nil, 0, verdict.Written, err
 	}
 	for {
+		if err := o.Watchdog.await(c); err != nil {
+			return nil, skipped, verdict.Written, err
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
 		if err != nil {
-			return nil, verdict.Written, err
+			return nil, skipped, verdict.Written, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, verdict.Answering, nil
+		if !o.isForeign(resp, !c.reused) || skipped == maxSkipped || !c.skip(resp) {
+			return resp, skipped, verdict.Answering, nil
 		}
+		skipped++
 	}
 }
 
