gateway/policy: an attempt that its ID doesn't tell from an earlier one opens a connection

Callers saw, in tests only: a stream that had begun was cut at an endpoint that would have gone on with it; a request without an ID could get a second answer to an earlier request.

A stream may go on at an endpoint that refused it before; the second copy of that refusal stood on the kept connection and carried the right ID. And without an ID nothing tells answers apart but the connection.

Change: policy.NeedsNewConnection decides it for these two and for retries of requests that may run once, which had a connection of their own already; a test holds that now (green before).

TestASecondRefusalOfAStreamIsNotTakenForTheAnswerToItsRest and TestARequestWithoutAnIDIsNotAnsweredWithAnothers were red before.

--- a/gateway/policy/policy_test.go
+++ b/gateway/policy/policy_test.go
@@ -236,6 +236,17 @@
 	Entry("without an ID, on a new connection", "", true, false),
 )
 
+var _ = DescribeTable("whether a request needs a new connection",
+	func(s policy.Send, want bool) {
+		Expect(policy.NeedsNewConnection(s)).To(Equal(want))
+	},
+	Entry("not the first time", policy.Send{HasID: true}, false),
+	Entry("not if it may run more than once", policy.Send{HasID: true, Repeatable: true, Attempts: 1}, false),
+	Entry("at an endpoint that had it", policy.Send{HasID: true, Repeatable: true, Attempts: 1, Again: true}, true),
+	Entry("after another attempt, if it may run once", policy.Send{HasID: true, Attempts: 1}, true),
+	Entry("without an ID", policy.Send{Repeatable: true}, true),
+)
+
 var _ = DescribeTable("the status that a caller receives",
 	func(v verdict.Verdict, code verdict.Code, want int) {
 		Expect(policy.Status(verdict.NewError(v, code, "x"))).To(Equal(want))
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -228,13 +229,13 @@
 		lease.Done(balance.Neutral, time.Now())
 		return nil, failure
 	}
+	options := p.sendOptions(ctx, c, lease)
 	c.recordAttempt(lease.Record.ID, lease.Holds(c.model))
 	a := &attempt{lease: lease, sentAt: time.Now(), outcome: balance.Neutral}
 	if ctx.Err() != nil || time.Until(c.deadline) < time.Millisecond { // the deadline header is in milliseconds
 		a.failure = verdict.NewError(verdict.NotRun, verdict.CodeDeadline, "no time left")
 		return a, nil
 	}
-	options := upstream.Options{NewConnection: !c.route.Repeatable() && len(c.attempted) > 1, Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
 	a.exchange, a.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, p.prepare(c, lease), options)
 	p.applyAdvisory(c, a)
 	if a.failure != nil {
@@ -244,6 +245,18 @@
 	return a, nil
 }
 
+// sendOptions returns the options for sending the request to an endpoint, before that is recorded as
+// attempted.
+func (p *Proxy) sendOptions(ctx context.Context, c *call, lease *balance.Lease) upstream.Options {
+	newConnection := policy.NeedsNewConnection(policy.Send{
+		HasID:      c.id != "",
+		Repeatable: c.route.Repeatable(),
+		Attempts:   len(c.attempted),
+		Again:      slices.Contains(c.attempted, lease.Record.ID),
+	})
+	return upstream.Options{NewConnection: newConnection, Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
+}
+
 // countConnection counts the connection if a new one was opened for the response.
 func (p *Proxy) countConnection(a *attempt) {
 	if a.exchange != nil && a.exchange.NewConnection {
--- a/gateway/proxy/foreign_answer_test.go
+++ b/gateway/proxy/foreign_answer_test.go
@@ -24,6 +24,22 @@
 	}
 }
 
+// onReusedConn returns a handler that responds with h and writes s before that on a connection that has
+// had a request.
+func onReusedConn(s string, h handler) handler {
+	return func(c net.Conn, r *http.Request) bool {
+		if r.Context().Value(reusedConn{}) != nil {
+			return after(s, h)(c, r)
+		}
+		return h(c, r)
+	}
+}
+
+// surplusTo returns a second copy of the refusal of the request with the given ID.
+func surplusTo(id string) string {
+	return strings.Replace(surplus(503, "Not-Run: 1\r\n"), "r0", id, 1)
+}
+
 // surplus returns a second copy of the answer to another request.
 func surplus(status int, header string) string {
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: r0\r\n%sContent-Length: 4\r\n\r\nbusy", status, header)
@@ -109,3 +125,36 @@
 		}, []handler{respond(200, ""), after(head+"Content-Length: 400\r\n\r\n", respond(200, "due"))})
 	})
 }
+
+// A second answer to a stream's own earlier attempt carries the same ID and was taken for the answer to the next one.
+func TestASecondRefusalOfAStreamIsNotTakenForTheAnswerToItsRest(t *testing.T) {
+	refuse := respond(503, "", "Not-Run: 1")
+	runHarness(t, func(w *harness) {
+		a := w.send("POST", "/stream/", "x")
+		w.g.Expect(a.aborted).To(BeFalse())
+		w.g.Expect(a.Body.String()).To(Equal(stream(1, 2, 3)))
+		w.g.Expect(w.endpoints["e1"].count()).To(Equal(2))
+	}, []handler{events(0, raw(""), 1), refuse}, []handler{refuse, onReusedConn(surplusTo("r1"), events(0, end, 2, 3))})
+}
+
+// A retry on a connection that its own refusal came on would take a second copy of that for its answer.
+func TestARetryThatMayRunOnceOpensAConnection(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		w.endpoints["e1"].script = always(respond(200, "done"))
+		w.balancer.SetPreferred(map[string]bool{"e1": true})
+		w.send("POST", "/unsafe/", "x", "Id", "r0")
+		w.balancer.SetPreferred(map[string]bool{"e0": true})
+		w.send("POST", "/unsafe/", "x", "Id", "r1")
+		w.g.Expect(w.dials.Load()).To(Equal(int64(3)))
+	}, always(respond(503, "", "Not-Run: 1")), always(respond(200, "done")))
+}
+
+// Without an ID of the request, nothing but the connection shows whose answer it is.
+func TestARequestWithoutAnIDIsNotAnsweredWithAnothers(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		w.send("POST", "/unsafe/", "x", "Id", "r0")
+		a := w.send("POST", "/unsafe/", "x", "Id", "")
+		w.g.Expect(a.Code).To(Equal(200))
+		w.g.Expect(a.Body.String()).To(Equal("due"))
+	}, []handler{respond(200, "done"), onReusedConn("HTTP/1.1 200 OK\r\nStamp: st\r\nContent-Length: 4\r\n\r\nbusy", respond(200, "due"))})
+}
--- a/gateway/proxy/harness_test.go
+++ b/gateway/proxy/harness_test.go
@@ -325,14 +325,20 @@
 	e.conns = nil
 }
 
+// reusedConn is the context key that marks requests on connections that had others before.
+type reusedConn struct{}
+
 func (e *endpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
-	for {
+	for served := 0; ; served++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if served > 0 {
+			r = r.WithContext(context.WithValue(r.Context(), reusedConn{}, true))
+		}
 		body, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		if !e.record(r, string(body))(c, r) {
