gateway/endpoints: the line "endpoint" tells the sequence of the record

A record that an endpoint wrote earlier and that the store took later could not be told from a new one in the log: the sequence was decoded and dropped. It is kept in roster.Endpoint and logged.

--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -195,7 +195,7 @@
 	for name, current := range list.Endpoints {
 		if !sameForRouting(previous.Endpoints[name], current) {
 			l.cfg.Log.Info("endpoint", "endpoint", name, "service", current.Service, "addr", current.Addr, "zone", current.Zone,
-				"born", current.Born, "leaving", current.Leaving, "coldMs", current.Cold.Milliseconds(), "weights", current.Weights, "revision", list.Revision)
+				"born", current.Born, "leaving", current.Leaving, "coldMs", current.Cold.Milliseconds(), "weights", current.Weights, "sequence", current.Sequence, "revision", list.Revision)
 		}
 	}
 	for name := range previous.Endpoints {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -34,6 +34,9 @@
 	Cold      time.Duration
 	ColdUntil time.Time
 	Weights   []Weights
+	// Sequence is the number of times that the endpoint had written its record, or 0 if it is unknown,
+	// as with older versions. The store keeps a record whose sequence alone has risen as it was.
+	Sequence int64
 }
 
 // Incarnation returns the incarnation of the endpoint.
