gateway/endpoints: of an endpoint's records the one written last counts

Callers saw: requests sent to endpoints that were leaving, more than drain_ms after the store had taken that; those that an endpoint had when it ended were lost, with 502 where they may not run twice.

Cause: the store may apply a write seconds late, after a later one of the same endpoint. A heartbeat from before took back that the endpoint leaves, until its next one; for an endpoint that goes without stating it, it brought the record back. The list took records in the order in which they came and dropped their sequence.

Change: one rule for what took three (keepLeaving, dropDeparted, keepLaterIncarnations), comparison.supersedes, by sequence, incarnation and era. A record that may have been written earlier is not used until it has outlasted the time in which records lapse, and never where the endpoint had stated that it leaves. All of it is as old: weights, slots, cold times stay as well.

Records without a sequence, of older programs, count as they come, as before.

--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -65,6 +65,8 @@
 	returned bool
 	endpoint *roster.Endpoint
 	readAt   time.Time
+	// unused is set once a later record was used in place of this one.
+	unused bool
 }
 
 // isSame reports whether the record is the stored one in the given era. The revision alone does not tell
@@ -109,10 +111,8 @@
 	if list.Era != previous.Era && previous.Era != 0 {
 		l.cfg.Retention.StoreRestored(now)
 	}
-	l.keepLeaving(list, previous)
-	l.dropDeparted(list, now)
+	l.keepLatest(list, previous, now)
 	listed := len(list.Endpoints)
-	l.keepLaterIncarnations(list, previous, now)
 	end := l.cfg.Retention.AddRetained(list, previous, now)
 	if kept := len(list.Endpoints) - listed; kept > 0 {
 		l.cfg.Log.Info("lapsed endpoints kept", "endpoints", kept, "forMs", end.Sub(now).Milliseconds(), "revision", list.Revision)
@@ -170,26 +170,6 @@
 	return decodedRecord{data: stored.Data, endpoint: endpoint, readAt: now}
 }
 
-// keepLaterIncarnations replaces endpoints whose record belongs to an earlier incarnation than
-// the one in previous, because a write of the earlier incarnation may reach the store seconds
-// late and overwrite the record of the later one. A record that persists for RecordTTL is used
-// regardless: its writer must be alive, and its clock may have been set back. The lock must be
-// held.
-func (l *List) keepLaterIncarnations(list, previous *roster.List, now time.Time) {
-	for name, e := range list.Endpoints {
-		known := previous.Endpoints[name]
-		if known == nil || !e.Incarnation().Before(known.Incarnation()) {
-			continue
-		}
-		remaining := l.decoded[name].readAt.Add(l.cfg.RecordTTL).Sub(now)
-		if remaining <= 0 {
-			continue
-		}
-		list.Endpoints[name] = known
-		time.AfterFunc(remaining, l.Update)
-	}
-}
-
 // logChanges logs each endpoint that was added, changed or removed.
 func (l *List) logChanges(previous, list *roster.List) {
 	for name, current := range list.Endpoints {
