gateway/balance: gateways tell those that start which endpoints leave by their records

Its neighbours know better; they told only what endpoints had said in answers.

They tell it in the same field of heartbeats now, which older programs read as well, and only for records with a sequence, since an endpoint whose record has none may be ready again under its ID. Whoever has it from the record already doesn't pass it on as news.

TestAGatewayThatStartsLearnsWhichEndpointsLeave/told was red before.

Not covered: the late record of an endpoint that went without stating that it leaves; a gateway that starts while that is there uses it until it lapses.

--- a/gateway/balance/advisory.go
+++ b/gateway/balance/advisory.go
@@ -23,10 +23,10 @@
 }
 
 // merge applies a record from another gateway and reports whether it contained new
-// information.
-func (s *advisoryState) merge(r *advisory.Record, now time.Time) bool {
+// information. recorded is set if the endpoint is known to be leaving by its record in the store.
+func (s *advisoryState) merge(r *advisory.Record, recorded bool, now time.Time) bool {
 	change := s.limit.merge(r, now)
-	newlyLeaving := s.markLeaving(r.Leaving)
+	newlyLeaving := s.markLeaving(r.Leaving) && !recorded
 	if change == LimitUnchanged && !newlyLeaving {
 		return false
 	}
--- a/gateway/balance/propagation.go
+++ b/gateway/balance/propagation.go
@@ -52,7 +52,7 @@
 func (s *shard) advisories(all bool, n int, now time.Time) []advisory.Record {
 	var due []*endpoint
 	for _, e := range s.ordered {
-		active := (e.held || all) && (e.rateLimited(now) || e.advisory.leaving)
+		active := (e.held || all) && (e.rateLimited(now) || e.leavingForGood())
 		if e.advisory.propagation.due(all, active, now) {
 			due = append(due, e)
 		}
@@ -80,17 +80,23 @@
 		Limit:       l.advertised(),
 		HeardAt:     l.heardAt,
 		ConfirmedAt: l.confirmedAt,
-		Leaving:     e.advisory.leaving,
+		Leaving:     e.leavingForGood(),
 	}
 }
 
+// leavingForGood reports whether e is leaving and can't be ready again in its incarnation. Without a
+// sequence a record does not show that no earlier one was mistaken for it.
+func (e *endpoint) leavingForGood() bool {
+	return e.advisory.leaving || e.record.Leaving && e.record.Sequence > 0
+}
+
 // MergeAdvisories applies records from another gateway and returns those that contained new
 // information.
 func (b *Balancer) MergeAdvisories(records []advisory.Record, now time.Time) []advisory.Record {
 	var changed []advisory.Record
 	for _, r := range records {
 		b.withEndpoint(r.Endpoint, now, func(e *endpoint) {
-			if e.advisory.merge(&r, now) {
+			if e.advisory.merge(&r, e.record.Leaving, now) {
 				changed = append(changed, r)
 			}
 		})
