soak: second answers of endpoints, and writes that the store applies late

The stand-in's records of endpoints have a sequence now and change only if something else does, as on the platform.

--- /dev/null
+++ b/soak/late.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/silverdeck/silverdeck/standin"
+)
+
+// Shares in MixLate.
+const (
+	// lateWrites is the share of writes that the store applies late.
+	lateWrites = 0.4
+	// secondAnswers is the share of answers that runners send a second time.
+	secondAnswers = 0.05
+	// refusedRequests is the share of requests that a runner refuses although it has room.
+	refusedRequests = 0.4
+)
+
+// late is what goes on in MixLate.
+type late struct {
+	// answers is set while runners send second answers.
+	answers atomic.Bool
+
+	mu sync.Mutex
+	// windows is the number of windows that are open in which the store applies writes late, the first of
+	// them since the time since.
+	windows int
+	since   time.Time
+}
+
+// inWindow reports whether the store applies writes late.
+func (l *late) inWindow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.windows > 0
+}
+
+// sendsAgain reports whether an answer is sent a second time.
+func (l *late) sendsAgain() bool {
+	return l.answers.Load() && rand.Float64() < secondAnswers
+}
+
+// listen returns the listener of a runner's own address.
+func (w *world) listen(l net.Listener) net.Listener {
+	if w.cfg.Mix != MixLate {
+		return l
+	}
+	return &standin.RepeatingListener{Listener: l, Again: w.late.sendsAgain}
+}
+
+// drawLate returns what happens in MixLate.
+func (w *world) drawLate(r *rand.Rand) fault {
+	entry := w.entries[r.IntN(len(w.entries))]
+	runner := w.runners[1+r.IntN(len(w.runners)-1)]
+	refuses := w.runners[r.IntN(len(w.runners))]
+	answers := fault{"second answers", func() { w.late.answers.Store(true) }, func() { w.late.answers.Store(false) }, true}
+	all := []fault{
+		answers, answers, answers,
+		{"runner refuses", func() { refuses.setRefuse(refusedRequests) }, func() { refuses.setRefuse(0) }, true},
+		{"runner refuses", func() { refuses.setRefuse(refusedRequests) }, func() { refuses.setRefuse(0) }, true},
+		{"late writes", w.beginLateWrites, w.endLateWrites, false},
+		{"late writes", w.beginLateWrites, w.endLateWrites, false},
+		{"runner leaves", func() { w.leaveStore(runner) }, nil, true},
+		{"runner leaves", func() { w.leaveStore(runner) }, nil, true},
+		{"runner goes", func() { w.goFromStore(runner) }, nil, true},
+		{"entry killed", func() { entry.signal(syscall.SIGKILL) }, nil, false},
+		{"entry stopped", entry.askToStop, nil, false},
+		{"entry frozen", func() { entry.signal(syscall.SIGSTOP) }, func() { entry.signal(syscall.SIGCONT) }, false},
+		{"configuration", w.configure, nil, false},
+	}
+	return all[r.IntN(len(all))]
+}
+
+func (w *world) beginLateWrites() {
+	w.late.mu.Lock()
+	defer w.late.mu.Unlock()
+	if w.late.windows == 0 {
+		w.late.since = time.Now()
+	}
+	w.late.windows++
+	w.store.SetLate(lateWrites)
+}
+
+// endLateWrites ends them. What was sent before is still applied, while the store counts as calm again.
+func (w *world) endLateWrites() {
+	w.late.mu.Lock()
+	defer w.late.mu.Unlock()
+	w.late.windows--
+	if w.late.windows > 0 {
+		return
+	}
+	w.store.SetLate(0)
+	w.restores.mu.Lock()
+	defer w.restores.mu.Unlock()
+	w.restores.away = append(w.restores.away, Span{From: w.late.since, To: time.Now()})
+}
+
+// goFromStore makes a runner leave without stating it: its record goes, and it ends some time after that.
+func (w *world) goFromStore(s *slot) {
+	w.leaveBy(s, (*standin.Runner).Go)
+}
+
+// setRefuse makes the runner refuse a share of its requests.
+func (s *slot) setRefuse(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runner.SetRefuse(share)
+}
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -44,12 +44,16 @@
 	// MixRestored has a store that returns from copies again and again, beside configurations, runners
 	// that leave, new weights, and gateways that are killed, stopped and frozen.
 	MixRestored Mix = "restored"
+	// MixLate has runners that send answers a second time where the next one is due, and refuse requests,
+	// and a store that applies writes late, beside runners that leave or go, and gateways that are
+	// killed, stopped and frozen.
+	MixLate Mix = "late"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored, MixParts}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored, MixParts, MixLate}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -90,6 +94,8 @@
 		return w.drawRestored(r)
 	case MixParts:
 		return w.drawParts(r)
+	case MixLate:
+		return w.drawLate(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/restored.go
+++ b/soak/restored.go
@@ -176,13 +176,18 @@
 
 // leaveStore makes a runner say that it leaves, and end some time after that.
 func (w *world) leaveStore(s *slot) {
-	if !w.store.Available() {
+	w.leaveBy(s, (*standin.Runner).Drain)
+}
+
+// leaveBy makes a runner leave with a change of its record, which leave makes, and end some time after that.
+func (w *world) leaveBy(s *slot, leave func(*standin.Runner)) {
+	if !w.store.Available() || w.late.inWindow() {
 		return
 	}
 	s.mu.Lock()
 	id := s.cfg.ID
+	leave(s.runner)
 	s.mu.Unlock()
-	s.leave()
 	w.restores.mu.Lock()
 	if _, known := w.restores.left[id]; !known {
 		w.restores.left[id] = time.Now()
--- a/soak/slot.go
+++ b/soak/slot.go
@@ -63,6 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lives > 0 {
+		s.runner.End()
 		s.cfg.Store.Delete("servers", s.cfg.ID)
 	}
 	s.lives++
--- a/soak/world.go
+++ b/soak/world.go
@@ -94,6 +94,7 @@
 	places      *places
 	shares      *Shares
 	restores    *restores
+	late        *late
 	beside      *Beside
 	// large counts the large requests.
 	large *Result
@@ -113,7 +114,7 @@
 func newWorld(cfg Config) (*world, error) {
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, parts: newParts(cfg.Seed), heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), beside: &Beside{}, large: &Result{},
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, parts: newParts(cfg.Seed), heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), late: &late{}, beside: &Beside{}, large: &Result{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -141,10 +142,14 @@
 	if err != nil {
 		return err
 	}
+	w.serveOn(l, h)
+	return nil
+}
+
+func (w *world) serveOn(l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h}
 	w.servers = append(w.servers, s)
 	go func() { _ = s.Serve(l) }()
-	return nil
 }
 
 // prepare makes runner i do what the mix asks for.
@@ -159,7 +164,7 @@
 		w.places.prepare(s)
 	case MixOverload:
 		prepareOverload(s, i)
-	case MixRestored:
+	case MixRestored, MixLate:
 		s.cfg.OnArrival = w.restores.arrived
 	}
 }
@@ -181,9 +186,11 @@
 	}
 	s.restart(version)
 	w.runners = append(w.runners, s)
-	if err := w.serve(w.addr(host, portDirect), s); err != nil {
+	direct, err := net.Listen("tcp4", w.addr(host, portDirect))
+	if err != nil {
 		return err
 	}
+	w.serveOn(w.listen(direct), s)
 	newProxy := NewProxy
 	if w.cfg.Mix == MixOverload && i == 0 {
 		newProxy = NewNarrowProxy
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -83,7 +84,13 @@
 	staged   [Chunks][]byte
 	running  int
 	draining bool
-	advisory advisory
+	// written is how often the runner wrote its record. gone is set once it writes it no more, ended once
+	// the runner has ended.
+	written     int64
+	gone, ended bool
+	// refuseShare is the share of requests that are refused although there is a slot.
+	refuseShare float64
+	advisory    advisory
 	// unframed is set while answers have neither a length nor chunks; unframedAnswers counts them.
 	unframed        bool
 	unframedAnswers int
@@ -132,14 +139,48 @@
 
 func (r *Runner) writeRecord() {
 	r.mu.Lock()
+	if r.gone {
+		r.mu.Unlock()
+		return
+	}
 	state := "ready"
 	if r.draining {
 		state = "draining"
 	}
 	spec := map[string]any{"service": r.cfg.Service, "address": r.cfg.Address, "zone": r.cfg.Zone, "slots": r.cfg.Slots,
 		"state": state, "cold_remaining_ms": r.coldMillis(), "models": r.loadedModels()}
+	r.written++
+	written := r.written
+	r.mu.Unlock()
+	r.cfg.Store.PutRecord(r.cfg.ID, spec, written, r.isAlive)
+}
+
+// Go deletes the runner's record, which the runner does not write again. Late writes may bring it back.
+func (r *Runner) Go() {
+	r.mu.Lock()
+	r.gone = true
 	r.mu.Unlock()
-	r.cfg.Store.Put("servers", r.cfg.ID, spec)
+	r.cfg.Store.Delete("servers", r.cfg.ID)
+}
+
+// End makes the store apply no late writes of the runner any more.
+func (r *Runner) End() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+func (r *Runner) isAlive() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.ended
+}
+
+// SetRefuse makes the runner refuse a share of its requests.
+func (r *Runner) SetRefuse(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuseShare = share
 }
 
 // coldMillis returns for how long the runner is cold after its start, in milliseconds, or 0 once it
@@ -258,7 +299,7 @@
 func (r *Runner) acquireSlot() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= 2*r.cfg.Slots || (r.cfg.Model != "" && r.version == 0) {
+	if r.running >= 2*r.cfg.Slots || (r.cfg.Model != "" && r.version == 0) || rand.Float64() < r.refuseShare {
 		return false
 	}
 	r.running++
--- a/standin/store.go
+++ b/standin/store.go
@@ -27,6 +27,8 @@
 	// changed is closed at the next change.
 	changed chan struct{}
 	fault   StoreFault
+	// lateShare is the share of writes that get no answer and are applied later.
+	lateShare float64
 }
 
 // StoreFault describes how the store fails.
@@ -245,22 +247,41 @@
 		http.Error(w, "invalid object", http.StatusBadRequest)
 		return
 	}
+	revision, _ := strconv.ParseInt(r.URL.Query().Get("revision"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch r.Method {
+	if d := s.drawLate(); d > 0 {
+		time.AfterFunc(d, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(r.Method, kind, name, o, revision)
+		})
+		panic(http.ErrAbortHandler)
+	}
+	status, answer := s.apply(r.Method, kind, name, o, revision)
+	writeJSON(w, status, answer)
+}
+
+// apply carries out a write and returns the status and the body of its answer. A revision that is not 0 is
+// the condition of a deletion. The caller holds s.mu.
+func (s *Store) apply(method, kind, name string, o storedObject, revision int64) (int, any) {
+	switch method {
 	case http.MethodPost:
 		if old, found := s.objects[kind][o.Metadata.Name]; found {
-			writeJSON(w, http.StatusConflict, old)
-			return
+			return http.StatusConflict, old
 		}
-		writeJSON(w, http.StatusCreated, s.put(kind, o.Metadata.Name, o.Spec))
+		return http.StatusCreated, s.put(kind, o.Metadata.Name, o.Spec)
 	case http.MethodPut:
-		writeJSON(w, http.StatusOK, s.put(kind, name, o.Spec))
+		return http.StatusOK, s.put(kind, name, o.Spec)
 	case http.MethodDelete:
+		if old, found := s.objects[kind][name]; found && revision != 0 && old.Metadata.Revision != revision {
+			return http.StatusConflict, old
+		}
 		if !s.remove(kind, name) {
-			http.NotFound(w, r)
+			return http.StatusNotFound, nil
 		}
 	}
+	return http.StatusOK, nil
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
