gateway/proxy: an answer without a mark that the crash of a leaving endpoint cut is not whole

Callers saw: streams with neither a length nor chunks that ended like whole ones after some of their events, where an endpoint crashed that had said that it leaves.

Cause: at the end of such an answer the address is asked for a connection, but not where the endpoint leaves, so that one that ends as planned after a whole answer doesn't make that count as cut. An endpoint that leaves goes on for drain_ms at least and can crash meanwhile.

Change: it is asked in either case. An answer that ends together with its endpoint is resumed or repeated where the route allows it, else reset; neither end can be promised, and a stream that may go on after its last event loses nothing. Such an end still puts no request under suspicion.

--- a/gateway/proxy/crash.go
+++ b/gateway/proxy/crash.go
@@ -96,7 +96,7 @@
 // further ones. The connection opened to find out replaces the one that the response took.
 func (p *Proxy) checkUnmarkedEnd(a *attempt, end policy.UnmarkedEnd) *verdict.Error {
 	failure := policy.CheckUnmarkedEnd(end)
-	if failure == nil && !a.lease.Leaving() {
+	if failure == nil {
 		a.liveness = p.crashes.check(a.lease.Record, time.Now())
 	}
 	if a.liveness == upstream.Terminated {
