gateway/endpoints: a record that was gone for a moment doesn't bring its endpoint back

A record that was created anew counts like one that was gone. The stand-in's store tells it as well.

TestARecordThatWasGoneForAMoment- IsNotUsed was red before. TestEndpointsThatLapsedTogetherAreUsedAtOnce was red with the rule alone and is what the exception is for; TestARecordThatLapsedInAnOutageIsUsedAtOnce holds what was so.

--- a/gateway/endpoints/departed.go
+++ b/gateway/endpoints/departed.go
@@ -16,6 +16,8 @@
 	// era is the era of the store in which it went, at the time at.
 	era int64
 	at  time.Time
+	// lapsed is set if its record may have lapsed while it was running.
+	lapsed bool
 }
 
 // noteDeparted remembers the endpoints of previous that are not in list. The lock must be held.
@@ -25,9 +27,17 @@
 			delete(l.departed, id)
 		}
 	}
-	for id, e := range previous.Endpoints {
+	gone := map[string]bool{}
+	for id := range previous.Endpoints {
 		if list.Endpoints[id] == nil {
-			l.departed[id] = departed{endpoint: e, era: list.Era, at: now}
+			gone[id] = true
 		}
 	}
+	if len(gone) == 0 {
+		return
+	}
+	lapsed := l.cfg.Retention.MayHaveLapsed(gone, previous, now)
+	for id := range gone {
+		l.departed[id] = departed{endpoint: previous.Endpoints[id], era: list.Era, at: now, lapsed: lapsed}
+	}
 }
--- a/gateway/endpoints/endpoints_test.go
+++ b/gateway/endpoints/endpoints_test.go
@@ -25,6 +25,8 @@
 	state *mirror.State
 	// unreadable holds the name of a record for each time that it was reported as unreadable.
 	unreadable []string
+	// created is the revision at which the record of e1 was created, for histories.
+	created int64
 }
 
 // put replaces all records by one record of e1, at revision.
--- a/gateway/endpoints/order.go
+++ b/gateway/endpoints/order.go
@@ -16,9 +16,10 @@
 	known, record *roster.Endpoint
 	// returned is set if record came back with the store from a copy, in place of another one.
 	returned bool
-	// gone is set if the endpoint had no record any more, for the time goneFor.
-	gone    bool
-	goneFor time.Duration
+	// gone is set if the endpoint had no record any more, for the time goneFor. lapsed is set if that may
+	// have lapsed while the endpoint was running.
+	gone, lapsed bool
+	goneFor      time.Duration
 	// outlasted is set once record has been in the store for so long that it would have lapsed if its
 	// endpoint had not renewed it.
 	outlasted bool
@@ -51,7 +52,7 @@
 	case later && c.known.Leaving:
 		return false
 	case c.gone:
-		return c.returned || c.record.Sequence > 0 && c.goneFor < lateWriteLimit
+		return c.returned || !c.lapsed && c.record.Sequence > 0 && c.goneFor < lateWriteLimit
 	}
 	return c.returned && !later && c.known.Leaving
 }
@@ -59,8 +60,13 @@
 // keepLatest replaces the records of list that don't supersede what is known of their endpoints, or
 // removes them if that is that the endpoint is gone. The lock must be held.
 func (l *List) keepLatest(list, previous *roster.List, now time.Time) {
+	recreated := recreated(list, previous)
+	lapsed := len(recreated) > 0 && l.cfg.Retention.MayHaveLapsed(recreated, previous, now)
 	for id, e := range list.Endpoints {
 		c := l.compare(e, previous, list.Era, now)
+		if recreated[id] {
+			c.gone, c.lapsed = true, lapsed
+		}
 		if c.known == nil {
 			continue
 		}
@@ -77,13 +83,26 @@
 	}
 }
 
+// recreated returns the IDs of the endpoints whose records were gone between previous and list and are back.
+// Both may come with one answer of the store.
+func recreated(list, previous *roster.List) map[string]bool {
+	out := map[string]bool{}
+	for id, e := range list.Endpoints {
+		known := previous.Endpoints[id]
+		if known != nil && list.Era == previous.Era && known.Created > 0 && e.Created > known.Created {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // compare returns the comparison of e with what is known of the endpoint, which is nil if nothing is. The
 // lock must be held.
 func (l *List) compare(e *roster.Endpoint, previous *roster.List, era int64, now time.Time) *comparison {
 	d := l.decoded[e.ID]
 	c := &comparison{known: previous.Endpoints[e.ID], record: e, returned: d.returned, outlasted: !now.Before(d.readAt.Add(l.cfg.RecordTTL))}
 	if gone, found := l.departed[e.ID]; found && c.known == nil {
-		c.known, c.gone, c.goneFor = gone.endpoint, true, d.readAt.Sub(gone.at)
+		c.known, c.gone, c.lapsed, c.goneFor = gone.endpoint, true, gone.lapsed, d.readAt.Sub(gone.at)
 		c.returned = gone.era != era
 	}
 	return c
--- a/gateway/endpoints/order_test.go
+++ b/gateway/endpoints/order_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/gateway/endpoints"
 	"github.com/silverdeck/silverdeck/mirror"
 	"github.com/silverdeck/silverdeck/roster"
 )
@@ -21,6 +23,7 @@
 type history struct {
 	g    *WithT
 	s    *store
+	l    *endpoints.List
 	take func(spec string) *roster.Endpoint
 }
 
@@ -31,7 +34,8 @@
 		s := &store{}
 		l := newList(s)
 		revision := int64(0)
-		f(&history{g: NewWithT(t), s: s, take: func(spec string) *roster.Endpoint {
+		s.created = 1
+		f(&history{g: NewWithT(t), s: s, l: l, take: func(spec string) *roster.Endpoint {
 			revision++
 			era := int64(1)
 			if s.state != nil {
@@ -39,7 +43,10 @@
 			}
 			s.put(revision, spec)
 			if spec == "" {
+				s.created = revision + 1
 				s.state = &mirror.State{Revision: revision}
+			} else {
+				s.create()
 			}
 			s.state.Era = era
 			l.Update()
@@ -48,6 +55,13 @@
 	})
 }
 
+// create puts the revision at which the record of e1 was created into it.
+func (s *store) create() {
+	o := s.state.Objects["e1"]
+	o.Data = []byte(strings.Replace(string(o.Data), `"name"`, fmt.Sprintf(`"made":%d,"name"`, s.created), 1))
+	s.state.Objects["e1"] = o
+}
+
 // A write that the store applied late took back that an endpoint leaves, and requests sent there were lost as it ended.
 func TestALateRecordDoesNotTakeBackThatAnEndpointLeaves(t *testing.T) {
 	playHistory(t, func(h *history) {
@@ -123,3 +137,51 @@
 		h.g.Expect(h.take(written(10, "ready", 1)).Leaving).To(BeFalse())
 	})
 }
+
+// A gateway that got the end of a record and the late write in one answer of the store did not see that it had gone.
+func TestARecordThatWasGoneForAMomentIsNotUsed(t *testing.T) {
+	playHistory(t, func(h *history) {
+		h.take(written(1, "ready", 1))
+		h.s.created = 2
+		h.g.Expect(h.take(written(5, "ready", 1))).To(BeNil())
+		time.Sleep(recordTTL)
+		synctest.Wait()
+		h.g.Expect(h.take(written(6, "ready", 2))).NotTo(BeNil(), "renewed")
+	})
+}
+
+// Records that lapsed in an outage of the store and are back must not take their endpoints out of use.
+func TestARecordThatLapsedInAnOutageIsUsedAtOnce(t *testing.T) {
+	playHistory(t, func(h *history) {
+		h.take(written(1, "ready", 1))
+		h.l.SetStoreLost(true, time.Now())
+		time.Sleep(5 * time.Second)
+		h.l.SetStoreLost(false, time.Now())
+		h.s.created = 2
+		h.g.Expect(h.take(written(5, "ready", 1))).NotTo(BeNil())
+	})
+}
+
+// Endpoints whose records lapsed together, and which were given up, must be used at once when they write again.
+func TestEndpointsThatLapsedTogetherAreUsedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &store{}
+		l := newList(s)
+		list := func(revision int64, sequence int, endpoints ...int) {
+			s.list(revision, endpoints...)
+			for name, o := range s.state.Objects {
+				o.Data = []byte(strings.Replace(string(o.Data), `"service"`, fmt.Sprintf(`"sequence":%d,"service"`, sequence), 1))
+				s.state.Objects[name] = o
+			}
+			l.Update()
+		}
+		list(9, 1, 1, 2, 3, 4)
+		list(10, 1, 4)
+		time.Sleep(retention)
+		synctest.Wait()
+		g.Expect(l.Current().Endpoints).To(HaveLen(1))
+		list(11, 8, 1, 2, 3, 4)
+		g.Expect(l.Current().Endpoints).To(HaveLen(4))
+	})
+}
--- a/roster/retention.go
+++ b/roster/retention.go
@@ -105,6 +105,19 @@
 	return first
 }
 
+// MayHaveLapsed reports whether the records of endpoints of before that were gone for a moment, as listed by
+// ID, may have lapsed while their endpoints were running.
+func (r *Retention) MayHaveLapsed(gone map[string]bool, before *List, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.storeLost || now.Before(r.returnedAt.Add(r.grace)) {
+		return true
+	}
+	left := &List{Endpoints: maps.Clone(before.Endpoints)}
+	maps.DeleteFunc(left.Endpoints, func(id string, _ *Endpoint) bool { return gone[id] })
+	return isMassDisappearance(left, before)
+}
+
 // expiry returns when an endpoint expires, as far as is known now. The lock must be held.
 func (r *Retention) expiry(t retained, now time.Time) time.Time {
 	if !t.mass {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -37,6 +37,8 @@
 	// Sequence is the number of times that the endpoint had written its record, or 0 if it is unknown,
 	// as with older versions. The store keeps a record whose sequence alone has risen as it was.
 	Sequence int64
+	// Created is the revision of the store at which the record was created, or 0 if it is unknown.
+	Created int64
 }
 
 // Incarnation returns the incarnation of the endpoint.
--- a/standin/store.go
+++ b/standin/store.go
@@ -44,6 +44,8 @@
 type metadata struct {
 	Name     string `json:"name"`
 	Revision int64  `json:"revision"`
+	// Created is the revision at which the object was created.
+	Created int64 `json:"made"`
 }
 
 type storedObject struct {
@@ -102,11 +104,15 @@
 
 // put writes an object and returns it. The caller holds s.mu.
 func (s *Store) put(kind, name string, spec json.RawMessage) storedObject {
-	if old, found := s.objects[kind][name]; found && string(old.Spec) == string(spec) {
+	old, found := s.objects[kind][name]
+	if found && string(old.Spec) == string(spec) {
 		return old
 	}
 	s.revision++
-	o := storedObject{Metadata: metadata{Name: name, Revision: s.revision}, Spec: spec}
+	o := storedObject{Metadata: metadata{Name: name, Revision: s.revision, Created: s.revision}, Spec: spec}
+	if found {
+		o.Metadata.Created = old.Metadata.Created
+	}
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]storedObject{}
 	}
