--- a/gateway/balance/propagation.go
+++ b/gateway/balance/propagation.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// leavingForGood reports whether e is leaving and can't be ready again in its incarnation. Without a
-// sequence a record does not show that no earlier one was mistaken for it.
+// leavingForGood reports whether e is leaving and can't be ready again in its incarnation. A record
+// without a sequence may be followed by that of a later run under the same ID.
 func (e *endpoint) leavingForGood() bool {
 	return e.advisory.leaving || e.record.Leaving && e.record.Sequence > 0
 }
--- a/gateway/endpoints/order.go
+++ b/gateway/endpoints/order.go
@@ -16,8 +16,8 @@
 	known, record *roster.Endpoint
 	// returned is set if record came back with the store from a copy, in place of another one.
 	returned bool
-	// gone is set if the endpoint had no record any more, for the time goneFor. lapsed is set if that may
-	// have lapsed while the endpoint was running.
+	// gone is set if the endpoint had no record any more, for the time goneFor. lapsed is set if its last
+	// record may have lapsed while it was running.
 	gone, lapsed bool
 	goneFor      time.Duration
 	// outlasted is set once record has been in the store for so long that it would have lapsed if its
@@ -60,11 +60,11 @@
 // keepLatest replaces the records of list that don't supersede what is known of their endpoints, or
 // removes them if that is that the endpoint is gone. The lock must be held.
 func (l *List) keepLatest(list, previous *roster.List, now time.Time) {
-	recreated := recreated(list, previous)
-	lapsed := len(recreated) > 0 && l.cfg.Retention.MayHaveLapsed(recreated, previous, now)
+	back := recreated(list, previous)
+	lapsed := len(back) > 0 && l.cfg.Retention.MayHaveLapsed(back, previous, now)
 	for id, e := range list.Endpoints {
 		c := l.compare(e, previous, list.Era, now)
-		if recreated[id] {
+		if back[id] {
 			c.gone, c.lapsed = true, lapsed
 		}
 		if c.known == nil {
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/advisory"
@@ -245,18 +243,6 @@
 	return a, nil
 }
 
-// sendOptions returns the options for sending the request to an endpoint, before that is recorded as
-// attempted.
-func (p *Proxy) sendOptions(ctx context.Context, c *call, lease *balance.Lease) upstream.Options {
-	newConnection := policy.NeedsNewConnection(policy.Send{
-		HasID:      c.id != "",
-		Repeatable: c.route.Repeatable(),
-		Attempts:   len(c.attempted),
-		Again:      slices.Contains(c.attempted, lease.Record.ID),
-	})
-	return upstream.Options{NewConnection: newConnection, Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
-}
-
 // countConnection counts the connection if a new one was opened for the response.
 func (p *Proxy) countConnection(a *attempt) {
 	if a.exchange != nil && a.exchange.NewConnection {
@@ -286,30 +272,3 @@
 	}
 	return verdict.NewError(verdict.MayHaveRun, verdict.CodeEngine, "status %d of the endpoint", status)
 }
-
-// prepare returns the request with the headers that are specific to the endpoint.
-func (p *Proxy) prepare(c *call, lease *balance.Lease) *upstream.Request {
-	names := &p.cfg.Headers
-	q := *c.request
-	q.Header = c.request.Header.Clone()
-	q.Header.Set(names.Instance, lease.Record.ID)
-	q.Header.Set(names.Deadline, strconv.FormatInt(time.Until(c.deadline).Milliseconds(), 10))
-	if c.lastEventID != "" {
-		q.Header.Set(names.LastEventID, c.lastEventID)
-	}
-	if c.headSent {
-		q.Header.Set(names.Priority, strconv.Itoa(c.priority()))
-	}
-	return &q
-}
-
-// outcomeOfSendFailure returns what a failure to send implies for the endpoint.
-func outcomeOfSendFailure(e *verdict.Error) balance.Outcome {
-	switch {
-	case e.Code == verdict.CodeCanceled:
-		return balance.Neutral
-	case e.Verdict == verdict.NotRun:
-		return balance.Unreachable
-	}
-	return balance.Failed
-}
--- /dev/null
+++ b/gateway/proxy/send.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/gateway/policy"
+	"github.com/silverdeck/silverdeck/gateway/upstream"
+	"github.com/silverdeck/silverdeck/verdict"
+)
+
+// sendOptions returns the options for sending the request to an endpoint, before that is recorded as
+// attempted.
+func (p *Proxy) sendOptions(ctx context.Context, c *call, lease *balance.Lease) upstream.Options {
+	newConnection := policy.NeedsNewConnection(policy.Send{
+		HasID:      c.id != "",
+		Repeatable: c.route.Repeatable(),
+		Attempts:   len(c.attempted),
+		Again:      slices.Contains(c.attempted, lease.Record.ID),
+	})
+	return upstream.Options{NewConnection: newConnection, Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
+}
+
+// prepare returns the request with the headers that are specific to the endpoint.
+func (p *Proxy) prepare(c *call, lease *balance.Lease) *upstream.Request {
+	names := &p.cfg.Headers
+	q := *c.request
+	q.Header = c.request.Header.Clone()
+	q.Header.Set(names.Instance, lease.Record.ID)
+	q.Header.Set(names.Deadline, strconv.FormatInt(time.Until(c.deadline).Milliseconds(), 10))
+	if c.lastEventID != "" {
+		q.Header.Set(names.LastEventID, c.lastEventID)
+	}
+	if c.headSent {
+		q.Header.Set(names.Priority, strconv.Itoa(c.priority()))
+	}
+	return &q
+}
+
+// outcomeOfSendFailure returns what a failure to send implies for the endpoint.
+func outcomeOfSendFailure(e *verdict.Error) balance.Outcome {
+	switch {
+	case e.Code == verdict.CodeCanceled:
+		return balance.Neutral
+	case e.Verdict == verdict.NotRun:
+		return balance.Unreachable
+	}
+	return balance.Failed
+}
--- a/standin/late.go
+++ b/standin/late.go
@@ -9,7 +9,9 @@
 
 // Bounds of how much later than it was sent a write is applied that gets no answer.
 const (
+	// minLate is the lower bound.
 	minLate = time.Second
+	// maxLate is the upper bound.
 	maxLate = 6 * time.Second
 )
 
