--- a/gateway/endpoints/endpoints.go
+++ b/gateway/endpoints/endpoints.go
@@ -32,8 +32,8 @@
 	OnChange func(*roster.List)
 	// OnUnreadable is called for records that cannot be decoded as endpoints.
 	OnUnreadable func(name string, err error)
-	// RecordTTL is the time after which the platform removes a record that its endpoint no
-	// longer updates.
+	// RecordTTL is the time after which a record that its endpoint no longer updates is removed by
+	// the platform and missing from Records.
 	RecordTTL time.Duration
 	Log       *log.Logger
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,8 +210,9 @@
 		Regions:   g.cfg.Regions,
 		Retention: roster.NewRetention(lapsedRetention, min(lapsedRetention, g.cfg.DrainLimit*2/3)),
 		OnChange:  g.applyEndpoints,
-		// The platform drops a record after three heartbeats without a write.
-		RecordTTL:    3 * g.cfg.Heartbeat,
+		// The platform drops a record after three heartbeats without a write, and the mirror tells of it
+		// after the time for which it coalesces changes.
+		RecordTTL:    3*g.cfg.Heartbeat + 2*g.cfg.DrainLimit/coalesceDivisor,
 		OnUnreadable: unreadable.New(platform.KindEndpoints, g.registry, g.log).Report,
 		Log:          g.log,
 	})
