--- a/soak/late.go
+++ b/soak/late.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,23 +20,21 @@
 	refusedRequests = 0.4
 )
 
+// Pace of late writes: most of them are applied while the store has been calm for longer than gateways may
+// take to be in touch again.
+const (
+	// lateWindow is how long the store applies writes late.
+	lateWindow = 1500 * time.Millisecond
+	// lateEvery is the least time between the beginnings of two windows.
+	lateEvery = 9 * time.Second
+)
+
 // late is what goes on in MixLate.
 type late struct {
-	// answers is set while runners send second answers.
-	answers atomic.Bool
-
-	mu sync.Mutex
-	// windows is the number of windows that are open in which the store applies writes late, the first of
-	// them since the time since.
-	windows int
-	since   time.Time
-}
-
-// inWindow reports whether the store applies writes late.
-func (l *late) inWindow() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.windows > 0
+	// answers is set while runners send second answers, writes while the store applies writes late.
+	answers, writes atomic.Bool
+	// next is the earliest beginning of the next window of late writes.
+	next time.Time
 }
 
 // sendsAgain reports whether an answer is sent a second time.
@@ -63,8 +60,9 @@
 		answers, answers, answers,
 		{"runner refuses", func() { refuses.setRefuse(refusedRequests) }, func() { refuses.setRefuse(0) }, true},
 		{"runner refuses", func() { refuses.setRefuse(refusedRequests) }, func() { refuses.setRefuse(0) }, true},
-		{"late writes", w.beginLateWrites, w.endLateWrites, false},
-		{"late writes", w.beginLateWrites, w.endLateWrites, false},
+		{"late writes", w.applyLate, nil, false},
+		{"late writes", w.applyLate, nil, false},
+		{"late writes", w.applyLate, nil, false},
 		{"runner leaves", func() { w.leaveStore(runner) }, nil, true},
 		{"runner leaves", func() { w.leaveStore(runner) }, nil, true},
 		{"runner goes", func() { w.goFromStore(runner) }, nil, true},
@@ -76,28 +74,23 @@
 	return all[r.IntN(len(all))]
 }
 
-func (w *world) beginLateWrites() {
-	w.late.mu.Lock()
-	defer w.late.mu.Unlock()
-	if w.late.windows == 0 {
-		w.late.since = time.Now()
-	}
-	w.late.windows++
-	w.store.SetLate(lateWrites)
-}
-
-// endLateWrites ends them. What was sent before is still applied, while the store counts as calm again.
-func (w *world) endLateWrites() {
-	w.late.mu.Lock()
-	defer w.late.mu.Unlock()
-	w.late.windows--
-	if w.late.windows > 0 {
+// applyLate makes the store apply writes late for lateWindow. What was sent then is still applied when the
+// store counts as calm again.
+func (w *world) applyLate() {
+	began := time.Now()
+	if began.Before(w.late.next) {
 		return
 	}
-	w.store.SetLate(0)
-	w.restores.mu.Lock()
-	defer w.restores.mu.Unlock()
-	w.restores.away = append(w.restores.away, Span{From: w.late.since, To: time.Now()})
+	w.late.next = began.Add(lateEvery)
+	w.late.writes.Store(true)
+	w.store.SetLate(lateWrites)
+	time.AfterFunc(lateWindow, func() {
+		w.store.SetLate(0)
+		w.late.writes.Store(false)
+		w.restores.mu.Lock()
+		defer w.restores.mu.Unlock()
+		w.restores.away = append(w.restores.away, Span{From: began, To: time.Now()})
+	})
 }
 
 // goFromStore makes a runner leave without stating it: its record goes, and it ends some time after that.
--- a/soak/restored.go
+++ b/soak/restored.go
@@ -181,7 +181,7 @@
 
 // leaveBy makes a runner leave with a change of its record, which leave makes, and end some time after that.
 func (w *world) leaveBy(s *slot, leave func(*standin.Runner)) {
-	if !w.store.Available() || w.late.inWindow() {
+	if !w.store.Available() || w.late.writes.Load() {
 		return
 	}
 	s.mu.Lock()
--- a/standin/late.go
+++ b/standin/late.go
@@ -31,9 +31,25 @@
 	return minLate + rand.N(maxLate-minLate)
 }
 
+// recordTTL is the time after which the store removes a record that its endpoint no longer writes.
+const recordTTL = 3 * time.Second
+
+// Writer is what becomes of the writer of a record.
+type Writer int
+
+// The states of a writer.
+const (
+	// Writing means that it writes its record again and again.
+	Writing Writer = iota
+	// Gone means that it no longer writes its record.
+	Gone
+	// Ended means that it has ended.
+	Ended
+)
+
 // PutRecord writes the record of an endpoint with its sequence. The record changes only if something
-// besides its sequence does. A late write is not applied if alive returns false by then.
-func (s *Store) PutRecord(name string, spec map[string]any, sequence int64, alive func() bool) {
+// besides its sequence does. A late write is not applied if the writer has ended by then, and lapses if it is gone.
+func (s *Store) PutRecord(name string, spec map[string]any, sequence int64, state func() Writer) {
 	record := maps.Clone(spec)
 	record["sequence"] = sequence
 	data, _ := json.Marshal(record)
@@ -41,12 +57,16 @@
 	defer s.mu.Unlock()
 	if d := s.drawLate(); d > 0 {
 		time.AfterFunc(d, func() {
-			if !alive() {
+			w := state()
+			if w == Ended {
 				return
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.putRecord(name, data)
+			if w == Gone {
+				time.AfterFunc(recordTTL, func() { s.Delete(endpointRecords, name) })
+			}
 		})
 		return
 	}
--- a/standin/record.go
+++ b/standin/record.go
@@ -36,7 +36,7 @@
 	r.written++
 	written := r.written
 	r.mu.Unlock()
-	r.cfg.Store.PutRecord(r.cfg.ID, spec, written, r.isAlive)
+	r.cfg.Store.PutRecord(r.cfg.ID, spec, written, r.writer)
 }
 
 // Go deletes the runner's record, which the runner does not write again. Late writes may bring it back.
@@ -54,10 +54,16 @@
 	r.ended = true
 }
 
-func (r *Runner) isAlive() bool {
+func (r *Runner) writer() Writer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.ended
+	switch {
+	case r.ended:
+		return Ended
+	case r.gone:
+		return Gone
+	}
+	return Writing
 }
 
 // coldMillis returns for how long the runner is cold after its start, in milliseconds, or 0 once it
