--- a/gateway/endpoints/order_test.go
+++ b/gateway/endpoints/order_test.go
@@ -36,6 +36,7 @@
 		revision := int64(0)
 		s.created = 1
 		f(&history{g: NewWithT(t), s: s, l: l, take: func(spec string) *roster.Endpoint {
+			synctest.Wait() // a scheduled update reads the records
 			revision++
 			era := int64(1)
 			if s.state != nil {
