gateway/proxy: hedges open a connection where their ID doesn't tell whose answer it is

Found on the last read: policy.NeedsNewConnection was asked for attempts but not for hedges. The hedge of a request without an ID went out on a used connection, where its own answer, without an ID, counted as another request's and was read past: 504 where the endpoint had answered. A hedge of a stream's rest at an endpoint that had refused it could meet the second copy of that refusal.

Both ask the same function now. TestAHedgeWithoutAnIDOpensAConnection was red before (504).

--- a/gateway/proxy/foreign_answer_test.go
+++ b/gateway/proxy/foreign_answer_test.go
@@ -158,3 +158,16 @@
 		w.g.Expect(a.Body.String()).To(Equal("due"))
 	}, []handler{respond(200, "done"), onReusedConn("HTTP/1.1 200 OK\r\nStamp: st\r\nContent-Length: 4\r\n\r\nbusy", respond(200, "due"))})
 }
+
+// A hedge of a request without an ID was sent on a used connection, where its own answer counted as another's.
+func TestAHedgeWithoutAnIDOpensAConnection(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		w.balancer.SetPreferred(map[string]bool{"e1": true})
+		w.send("GET", "/safe/", "", "Id", "r0")
+		w.balancer.SetPreferred(map[string]bool{"e0": true})
+		a := w.send("GET", "/safe/", "", "Id", "")
+		w.g.Expect(a.Code).To(Equal(200))
+		w.g.Expect(a.Body.String()).To(Equal("done"))
+		w.g.Expect(w.dials.Load()).To(Equal(int64(3)))
+	}, always(hang), always(respond(200, "done")))
+}
--- a/gateway/proxy/hedge.go
+++ b/gateway/proxy/hedge.go
@@ -57,6 +57,7 @@
 		lease.Done(balance.Neutral, now)
 		return false
 	}
+	options := p.hedgeOptions(c, lease)
 	c.attempted = append(c.attempted, lease.Record.ID)
 	h := &hedge{attempt: attempt{lease: lease, sentAt: now}, done: make(chan struct{})}
 	ctx, h.cancel = context.WithCancel(ctx)
@@ -65,7 +66,7 @@
 	go func() { // reads only fields of c that do not change
 		defer c.watch.Load().Wake()
 		defer close(h.done)
-		h.exchange, h.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, request, p.hedgeOptions(c, lease))
+		h.exchange, h.failure = p.cfg.Client.Do(ctx, lease.Record.Addr, request, options)
 		p.applyAdvisory(c, &h.attempt)
 		p.judgeHedge(c, &h.attempt, resumed)
 	}()
@@ -81,10 +82,10 @@
 	return policy.HedgeTargetIdleLimit(c.route.GapTarget)
 }
 
-// hedgeOptions returns the options for sending a hedge. A stream is withdrawn if the weights of
+// hedgeOptions returns the options for sending a hedge, before its endpoint is recorded as attempted. A stream is withdrawn if the weights of
 // its endpoint become too old for it to begin.
 func (p *Proxy) hedgeOptions(c *call, lease *balance.Lease) upstream.Options {
-	options := upstream.Options{IsForeign: p.isForeign(c)}
+	options := upstream.Options{NewConnection: c.needsNewConnection(lease), IsForeign: p.isForeign(c)}
 	if c.route.Kind != routes.Stream {
 		return options
 	}
--- a/gateway/proxy/send.go
+++ b/gateway/proxy/send.go
@@ -15,13 +15,18 @@
 // sendOptions returns the options for sending the request to an endpoint, before that is recorded as
 // attempted.
 func (p *Proxy) sendOptions(ctx context.Context, c *call, lease *balance.Lease) upstream.Options {
-	newConnection := policy.NeedsNewConnection(policy.Send{
+	return upstream.Options{NewConnection: c.needsNewConnection(lease), Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
+}
+
+// needsNewConnection reports whether the request must not be sent to an endpoint on a connection that others
+// used. It must be called before the endpoint is recorded as attempted.
+func (c *call) needsNewConnection(lease *balance.Lease) bool {
+	return policy.NeedsNewConnection(policy.Send{
 		HasID:      c.id != "",
 		Repeatable: c.route.Repeatable(),
 		Attempts:   len(c.attempted),
 		Again:      slices.Contains(c.attempted, lease.Record.ID),
 	})
-	return upstream.Options{NewConnection: newConnection, Watchdog: p.watch(ctx, c, lease), IsForeign: p.isForeign(c)}
 }
 
 // prepare returns the request with the headers that are specific to the endpoint.
