--- a/gateway/policy/answer.go
+++ b/gateway/policy/answer.go
@@ -12,8 +12,8 @@
 	Status int
 	// NotRun is set when the endpoint states that it did not run the request.
 	NotRun bool
-	// OtherRequest is set when the response does not belong to the request; see IsForeign.
-	OtherRequest bool
+	// Foreign is set when the response does not belong to the request; see IsForeign.
+	Foreign bool
 	// Signed is set when the response carries the endpoint's signature.
 	Signed bool
 }
@@ -34,7 +34,7 @@
 // proves nothing about this one, whatever its status.
 func CheckResponse(a ResponseHead) *verdict.Error {
 	switch {
-	case a.OtherRequest:
+	case a.Foreign:
 		return verdict.NewError(verdict.MayHaveRun, verdict.CodeCrossed, "answer to another request")
 	case a.Status == http.StatusMisdirectedRequest:
 		return verdict.NewError(verdict.NotRun, CodeMisdirected, "another endpoint has the address")
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -63,10 +63,10 @@
 func (p *Proxy) head(c *call, x *upstream.Exchange) policy.ResponseHead {
 	names := &p.cfg.Headers
 	return policy.ResponseHead{
-		Status:       x.Status,
-		NotRun:       x.Header.Get(names.NotRun) != "",
-		OtherRequest: p.isForeign(c)(x.Header, x.NewConnection),
-		Signed:       x.Header.Get(names.Signature) != "",
+		Status:  x.Status,
+		NotRun:  x.Header.Get(names.NotRun) != "",
+		Foreign: p.isForeign(c)(x.Header, x.NewConnection),
+		Signed:  x.Header.Get(names.Signature) != "",
 	}
 }
 
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -150,7 +150,7 @@
 	if n > 0 {
 		p.cfg.Log.Info("foreign answers skipped", "request", c.id, "endpoint", a.lease.Record.ID, "addr", a.lease.Record.Addr, "answers", n)
 	}
-	if a.head.OtherRequest {
+	if a.head.Foreign {
 		n++
 	}
 	p.cfg.Metrics.Foreign.Inc(int64(n))
