--- a/review/restart/cases.go
+++ b/review/restart/cases.go
@@ -37,8 +37,8 @@
 	// calm is how long requests are served before the new weights are named.
 	calm = 5 * time.Second
 	// stagingLimit is how long the new weights may take to reach all runners. From 2.9 s on, runners
-	// begin to take them.
-	stagingLimit = 2800 * time.Millisecond
+	// drain, and take them a second later.
+	stagingLimit = 3500 * time.Millisecond
 	// judged is for how long the requests that are sent after the recovery count.
 	judged = 12 * time.Second
 )
@@ -61,7 +61,7 @@
 			return false, errNotStaged
 		}
 	}
-	sleep(ctx, 200*time.Millisecond)
+	sleep(ctx, 100*time.Millisecond)
 	killed := time.Now()
 	d.rec.say("the new weights lie at all runners %.1f s after they were named", killed.Sub(named).Seconds())
 	if trouble {
--- a/review/restart/main.go
+++ b/review/restart/main.go
@@ -12,7 +12,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -46,9 +48,14 @@
 		return exitFailed
 	}
 	defer rec.close()
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	broken, err := play(ctx, c, rec, trouble)
+	if err == nil {
+		err = ctx.Err() // the case was ended early
+	}
 	switch {
 	case err != nil:
 		rec.add("case not run: %v", err)
