review: settings of cases 4 and 5, case 6

Case 4 names weights again if a runner takes them before the kill, and its streams are shorter, so that all runners change at the same moment.

--- a/review/restart/cases.go
+++ b/review/restart/cases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -25,6 +26,7 @@
 var cases = map[string]*scenario{
 	"RECOVER": {size: size{fronts: 1, sides: 2}, play: playRecover},
 	"VERSION": {size: size{fronts: 2, sides: 4}, play: playVersion},
+	"DENIED":  {size: size{fronts: 1}, play: playDenied},
 }
 
 var (
@@ -36,9 +38,10 @@
 const (
 	// calm is how long requests are served before the new weights are named.
 	calm = 5 * time.Second
-	// stagingLimit is how long the new weights may take to reach all runners. From 2.9 s on, runners
-	// drain, and take them a second later.
-	stagingLimit = 3500 * time.Millisecond
+	// takeLimit is how long all runners may take to hold named weights.
+	takeLimit = 10 * time.Second
+	// lastVersion is the last version that is named.
+	lastVersion = 4
 	// judged is for how long the requests that are sent after the recovery count.
 	judged = 12 * time.Second
 )
@@ -52,18 +55,15 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.run(traffic, kinds(100))
+		c.run(traffic, kinds(150))
 	}()
 	sleep(ctx, calm)
-	named := d.nameVersion(2)
-	for !allStaged(d, 2) {
-		if time.Since(named) > stagingLimit || !sleep(ctx, 20*time.Millisecond) {
-			return false, errNotStaged
-		}
+	version, named, err := nameUntilStaged(ctx, d)
+	if err != nil {
+		return false, err
 	}
-	sleep(ctx, 100*time.Millisecond)
 	killed := time.Now()
-	d.rec.say("the new weights lie at all runners %.1f s after they were named", killed.Sub(named).Seconds())
+	d.rec.say("version %d lies at all runners %.1f s after it was named, and none has taken it", version, killed.Sub(named).Seconds())
 	if trouble {
 		if err := d.restart(ctx, downTime); err != nil {
 			return false, err
@@ -90,6 +90,34 @@
 	return broken, nil
 }
 
+// nameUntilStaged names new weights and waits until their pieces lie at all runners. If a runner takes them
+// before, it waits until all have and names the next ones.
+func nameUntilStaged(ctx context.Context, d *deployment) (version int64, named time.Time, err error) {
+	for version := int64(2); version <= lastVersion; version++ {
+		named := d.nameVersion(version)
+		for !anyTakes(d, version) && time.Since(named) < takeLimit && sleep(ctx, 10*time.Millisecond) {
+			if allStaged(d, version) && !anyTakes(d, version) {
+				return version, named, nil
+			}
+		}
+		d.rec.say("a runner takes version %d before its pieces lie at all of them", version)
+		for !allHold(d, version) && time.Since(named) < takeLimit && sleep(ctx, 100*time.Millisecond) {
+		}
+		sleep(ctx, time.Second)
+	}
+	return 0, time.Time{}, errNotStaged
+}
+
+// anyTakes returns whether a runner holds a version or is about to.
+func anyTakes(d *deployment, version int64) bool {
+	return slices.ContainsFunc(d.models(), func(r *runner) bool { return r.isBusy() || r.held() == version })
+}
+
+// allHold returns whether all runners hold a version.
+func allHold(d *deployment, version int64) bool {
+	return !slices.ContainsFunc(d.models(), func(r *runner) bool { return r.held() != version })
+}
+
 // allStaged returns whether all pieces of a version lie at all runners.
 func allStaged(d *deployment, version int64) bool {
 	for _, r := range d.models() {
--- a/review/restart/clients.go
+++ b/review/restart/clients.go
@@ -102,7 +102,7 @@
 	q.Header.Set("X-Silverdeck-Deadline-Ms", strconv.FormatInt(time.Until(end).Milliseconds(), 10))
 	if k.stream {
 		q.Header.Set("X-Silverdeck-Model", modelName)
-		q.Header.Set("X-Silverdeck-Token-Counts", "973,150")
+		q.Header.Set("X-Silverdeck-Token-Counts", "973,60")
 		q.Header.Set("X-Silverdeck-Prompt-Prefix", fmt.Sprintf("%x:40,%s:933", 1000+rand.IntN(60), a.id))
 	}
 	dialer := &net.Dialer{Timeout: connectTimeout}
--- a/review/restart/deployment.go
+++ b/review/restart/deployment.go
@@ -171,7 +171,7 @@
 	engine := object{"slots": slots, "kv_capacity_tokens": 685000, "kv_token_bytes": 327680, "link_mbps": 400000, "stride": 6,
 		"models": []any{object{"name": modelName, "pace": 1.0, "load_s": 4.0, "warm_s": warmTime.Seconds()}}, "mb": 297000,
 		"step_ms": 7.4, "per_seq_ms": 0.0387, "context_per_k": 0.0203, "read_per_s": 31900, "pairs_per_m": 0.733, "chunk": 2048,
-		"report_lag_ms": 200, "usual": object{"prompt": 973, "answer": 72}, "layers": layers, "layer_mb": 4540, "act_bytes": 16384,
+		"report_lag_ms": 200, "usual": object{"prompt": 973, "answer": 24}, "layers": layers, "layer_mb": 4540, "act_bytes": 16384,
 		"chunks": pieces, "chunk_bytes": pieceBytes}
 	return object{
 		"version": 7,
--- a/review/restart/origin.go
+++ b/review/restart/origin.go
@@ -33,11 +33,6 @@
 	return v
 }
 
-// isPiece returns whether data is a piece of a version.
-func isPiece(data []byte, version int64, i int) bool {
-	return bytes.Equal(data, piece(version, i))
-}
-
 // origin is a stand-in of the origin of weights. While it is away, it refuses connections.
 type origin struct {
 	mu sync.Mutex
--- a/review/restart/runner.go
+++ b/review/restart/runner.go
@@ -22,7 +22,7 @@
 	// firstEvent is the time to the first event of a stream, events their number and eventGap the time
 	// between two.
 	firstEvent = 40 * time.Millisecond
-	events     = 12
+	events     = 4
 	eventGap   = 45 * time.Millisecond
 	// plainTime is the time that a runner without a model takes for a request.
 	plainTime = 30 * time.Millisecond
@@ -151,8 +151,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := versionOf(r.staged[0])
-	for i, data := range r.staged {
-		if versionOf(data) != v || !isPiece(data, v, i) {
+	for _, data := range r.staged {
+		if versionOf(data) != v {
 			return 0
 		}
 	}
@@ -224,6 +224,13 @@
 	return r.version
 }
 
+// isBusy returns whether an order is under way.
+func (r *runner) isBusy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.busy
+}
+
 // request runs a client's request, unless the runner rejects it.
 func (r *runner) request(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Silverdeck-Attempt-Id")
