--- a/review/restart/cases.go
+++ b/review/restart/cases.go
@@ -26,7 +26,6 @@
 var cases = map[string]*scenario{
 	"RECOVER": {size: size{fronts: 1, sides: 2}, play: playRecover},
 	"VERSION": {size: size{fronts: 2, sides: 4}, play: playVersion},
-	"DENIED":  {size: size{fronts: 1}, play: playDenied},
 }
 
 var (
--- a/review/restart/main.go
+++ b/review/restart/main.go
@@ -1,10 +1,9 @@
 // Command restart plays a small deployment in which all processes are killed soon after new weights were
-// named, or the configuration changes. The programs of deploy/system.toml run as processes of their own on
-// loopback addresses. The platform's store, the runners, the origin of weights and the clients are stand-ins
-// in this process.
+// named. The programs of deploy/system.toml run as processes of their own on loopback addresses. The
+// platform's store, the runners, the origin of weights and the clients are stand-ins in this process.
 //
 // It exits with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case could not
-// run. With TROUBLE=0 in the environment it does the same without the kill or the change.
+// run. With TROUBLE=0 in the environment it does the same without the kill.
 package main
 
 import (
@@ -30,7 +29,7 @@
 const limit = 110 * time.Second
 
 func main() {
-	rule := flag.String("rule", "RECOVER", "the rule of the case: RECOVER, VERSION or DENIED")
+	rule := flag.String("rule", "RECOVER", "the rule of the case: RECOVER or VERSION")
 	out := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	flag.Parse()
 	os.Exit(run(*rule, *out, os.Getenv("TROUBLE") != "0"))
