gateway: logs tell why no endpoint was chosen, and who sent a refusal

A refused request says "no endpoint of SERVICE" for endpoints that leave, have older weights, were tried, or whose addresses count as another endpoint's. The log did not tell which, nor whether a 421 names the endpoint that sent it.

"not answered" counts the excluded endpoints by reason in err; "attempt failed" has answeredBy. The rule who is excluded is one function now. No decision changes.

--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -144,17 +144,6 @@
 	return s.endpoints[e.record.ID] == e
 }
 
-// eligible reports whether e may receive a request for q at all.
-func (e *endpoint) eligible(q *Query) bool {
-	if e.leaving() || e.health.reassigned || e.evacuated || !q.Regions.Permits(e.record.Region) {
-		return false
-	}
-	if q.Model != "" && e.holds(q.Model) < max(q.MinVersion, 1) {
-		return false
-	}
-	return e.included(q) && (!slices.Contains(q.Exclude, e.record.ID) || e.reloadedSinceAttempt(q))
-}
-
 // reloadedSinceAttempt reports whether the endpoint has loaded newer weights since it was
 // last tried for q.
 func (e *endpoint) reloadedSinceAttempt(q *Query) bool {
--- a/gateway/proxy/observe.go
+++ b/gateway/proxy/observe.go
@@ -144,7 +144,7 @@
 		"weights", lease.Holds(c.model), "attempt", len(c.attempted), "ms", time.Since(c.startedAt).Milliseconds(),
 		"sentMs", time.Since(a.sentAt).Milliseconds(), "required", p.cfg.MinVersion(c.model),
 		"framing", body.framing.String(), "bodyBytes", body.bytes, "status", a.head.Status, "answers", a.answeredRequest(&p.cfg.Headers),
-		"refused", a.head.NotRun, "signed", a.head.Signed, "newConnection", a.newConnection(), "code", string(e.Code), "verdict", e.Verdict().String(), "detail", e.Detail, "begun", c.headSent,
+		"answeredBy", a.head.AnsweredBy, "refused", a.head.NotRun, "signed", a.head.Signed, "newConnection", a.newConnection(), "code", string(e.Code), "verdict", e.Verdict().String(), "detail", e.Detail, "begun", c.headSent,
 		"event", c.lastEventID, "err", e.Err)
 }
 
--- a/gateway/proxy/pick.go
+++ b/gateway/proxy/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
@@ -58,7 +59,8 @@
 		}
 		return p.shortageFailure(c, policy.CodeFull, "all endpoints of %s are full")
 	}
-	return p.shortageFailure(c, verdict.CodeNoEndpoint, "no endpoint of %s")
+	cause := fmt.Errorf("%w: %s", err, p.cfg.Balancer.Exclusions(p.query(c)))
+	return p.shortageFailure(c, verdict.CodeNoEndpoint, "no endpoint of %s").WithCause(cause)
 }
 
 // pickOrAwaitLoad selects an endpoint and counts the request there. A resumed response waits for
