gateway: a 421 keeps an endpoint out for good only if another one names itself in it

Cause: any 421 was taken for the answer of another endpoint that has the address, and that verdict lasted for the endpoint's life. Endpoints answer 421 as well while they load weights.

Change: what a head shows about its endpoint is one function of plain values (policy.ConcludeFromHead). Only another endpoint's ID proves that it has the address; that ends with another address in the record or the next incarnation. Any other 421 is a refusal by an endpoint that can't serve now: another one is asked at once, this one after 60 ms, by one request at a time, then after twice as long up to 4 s, and at once when its sidecar or its record tells of other weights. It is no last resort meanwhile: callers wait as for an endpoint that opens, or are told when. Advisory headers of a 421 count if the endpoint names itself.

Why it works: a load ends, and the wait is never longer than the refusals have lasted, plus 60 ms. An address that another endpoint has without saying so gets 12 requests in 24 s from a gateway.

Red before: TestEndpointsThatLoadAtOnceServeAgain (12 of 12 cases), TestAnAddressOfAnotherEndpointIsNotAskedAgain (at its next address), the endpoint's own word in TestAdvisoriesOfA421CountOnlyIfTheEndpointNamesItself; the balancer's tests of the back-off are of new code. Golden: the text of the 503 told a reason that was not known; it names both now.

--- a/gateway/balance/announcement.go
+++ b/gateway/balance/announcement.go
@@ -45,6 +45,7 @@
 			e.health.pausedUntil = a.PausedUntil
 			if a.Weights.Model != "" {
 				e.announced = a.Weights
+				e.health.prepare()
 			}
 		}
 	})
--- a/gateway/balance/candidates.go
+++ b/gateway/balance/candidates.go
@@ -59,7 +59,7 @@
 	// time.
 	neverEnds bool
 	// opensIn is the shortest time until an endpoint with a rate limit or a back-off
-	// accepts the request; 0 if there is none.
+	// accepts the request, or an unprepared one is asked again; 0 if there is none.
 	opensIn time.Duration
 	// tokenFrom is an endpoint whose holder can be asked for a token. staleLimit is one
 	// that has not been heard from for a long time. Either is nil if there is none.
@@ -68,11 +68,16 @@
 	cold reservoir
 }
 
-// addUnavailable adds an endpoint that accepts no request until opensIn has passed.
-func (c *candidates) addUnavailable(e *endpoint, opensIn time.Duration, now time.Time) {
+// noteOpening notes that an endpoint accepts no request until opensIn has passed.
+func (c *candidates) noteOpening(opensIn time.Duration) {
 	if c.opensIn == 0 || opensIn < c.opensIn {
 		c.opensIn = opensIn
 	}
+}
+
+// addUnavailable adds an endpoint that has stated to accept no request until opensIn has passed.
+func (c *candidates) addUnavailable(e *endpoint, opensIn time.Duration, now time.Time) {
+	c.noteOpening(opensIn)
 	if e.held {
 		e.advisory.limit.holderBlockedAt = now
 	}
@@ -177,6 +182,10 @@
 		sel.loading = sel.loading || e.included(q) && e.health.paused(now)
 		return
 	}
+	if preparedIn := e.health.preparedIn(now); preparedIn > 0 {
+		sel.noteOpening(preparedIn)
+		return
+	}
 	if opensIn := e.opensIn(now); opensIn > 0 {
 		sel.addUnavailable(e, opensIn, now)
 		if e.offersColdToken(now) && b.usable(e, now) {
--- a/gateway/balance/capacity.go
+++ b/gateway/balance/capacity.go
@@ -83,7 +83,7 @@
 		return 0
 	case !paused && !e.eligible(q): // its weights are too old, and it is not about to load others
 		return 0
-	case e.evacuated || e.health.reassigned || !q.Regions.Permits(e.record.Region):
+	case e.evacuated || e.reassigned() || !q.Regions.Permits(e.record.Region):
 		return 0
 	case now.Before(e.health.ejectedUntil) || limit.declared && limit.active(e.held, now):
 		return 0
--- a/gateway/balance/exclusion.go
+++ b/gateway/balance/exclusion.go
@@ -26,12 +26,18 @@
 	excludedWeights: "with older weights or none", excludedAttempted: "attempted before",
 }
 
+// reassigned reports whether another endpoint has the address of e. It ends with a record that has another
+// address, or with the next incarnation: IDs of endpoints are not used again.
+func (e *endpoint) reassigned() bool {
+	return e.health.reassigned != "" && e.health.reassigned == e.record.Addr
+}
+
 // exclusion returns why e may not receive a request for q at all, or notExcluded.
 func (e *endpoint) exclusion(q *Query) exclusion {
 	switch {
 	case e.leaving():
 		return excludedLeaving
-	case e.health.reassigned:
+	case e.reassigned():
 		return excludedReassigned
 	case e.evacuated:
 		return excludedEvacuated
--- a/gateway/balance/health.go
+++ b/gateway/balance/health.go
@@ -19,6 +19,8 @@
 	Unreachable
 	// Misdirected means that the address now belongs to another endpoint.
 	Misdirected
+	// Unprepared means that the endpoint refused the request because of the weights that it has now.
+	Unprepared
 	// Neutral means that the outcome says nothing about the endpoint, for example because
 	// the client disconnected.
 	Neutral
@@ -54,12 +56,21 @@
 	// refusalBackoff is how long an endpoint receives no requests after a refusal; one of
 	// its requests may finish in that time.
 	refusalBackoff = 60 * time.Millisecond
+	// maxUnpreparedBackoff is the longest back-off after refusals by an unprepared endpoint. The first one
+	// takes refusalBackoff, and each further one twice as long as the one before it.
+	maxUnpreparedBackoff = 4 * time.Second
 )
 
 // health is the health of an endpoint according to the outcomes of its requests.
 type health struct {
-	// reassigned is set if the address now belongs to another endpoint.
-	reassigned bool
+	// reassigned is the address of the endpoint that now belongs to another one, or empty.
+	reassigned string
+	// unprepared counts consecutive refusals because of the weights. Until unpreparedUntil, the endpoint
+	// gets no request.
+	unprepared      int
+	unpreparedUntil time.Time
+	// probingWeights is set while a single request probes an unprepared endpoint.
+	probingWeights bool
 	// failureRate is the exponential moving average of failures.
 	failureRate float64
 	// ejectedUntil is when the endpoint may be used again.
@@ -78,7 +89,7 @@
 
 // usable reports whether requests may be sent.
 func (h *health) usable(now time.Time) bool {
-	if now.Before(h.ejectedUntil) || h.paused(now) {
+	if now.Before(h.ejectedUntil) || h.paused(now) || h.preparedIn(now) > 0 {
 		return false
 	}
 	return !h.probing
@@ -90,8 +101,38 @@
 	return now.Before(h.pausedUntil)
 }
 
-// beginProbe records that a request is sent. The first one after an ejection is a probe.
+// preparedIn returns the time until an unprepared endpoint is asked again, or 0.
+func (h *health) preparedIn(now time.Time) time.Duration {
+	return max(h.unpreparedUntil.Sub(now), 0)
+}
+
+// backOffUnprepared keeps requests away from an unprepared endpoint until its next back-off has passed.
+func (h *health) backOffUnprepared(now time.Time) {
+	h.unpreparedUntil = now.Add(UnpreparedBackoff(h.unprepared))
+}
+
+// UnpreparedBackoff returns how long an endpoint gets no requests after so many consecutive refusals
+// because of its weights.
+func UnpreparedBackoff(refusals int) time.Duration {
+	d := refusalBackoff
+	for ; refusals > 1 && d < maxUnpreparedBackoff; refusals-- {
+		d *= 2
+	}
+	return min(d, maxUnpreparedBackoff)
+}
+
+// prepare records that the endpoint has weights with which it serves requests.
+func (h *health) prepare() {
+	h.unprepared, h.unpreparedUntil, h.probingWeights = 0, time.Time{}, false
+}
+
+// beginProbe records that a request is sent. The first one after an ejection is a probe, as is the first
+// one after a back-off: it shows whether others would be served.
 func (h *health) beginProbe(now time.Time) {
+	if h.unprepared > 0 {
+		h.probingWeights = true
+		h.backOffUnprepared(now)
+	}
 	if h.ejections > 0 && !now.Before(h.ejectedUntil) {
 		h.probing = true
 	}
@@ -110,10 +151,12 @@
 	Restored
 	// Reassigned means that the address now belongs to another endpoint.
 	Reassigned
+	// BackedOff means that the endpoint receives no requests for some time because of its weights.
+	BackedOff
 )
 
 // changeNames are the names used in log lines.
-var changeNames = map[Change]string{Unchanged: "unchanged", Ejected: "ejected", Restored: "restored", Reassigned: "gone"}
+var changeNames = map[Change]string{Unchanged: "unchanged", Ejected: "ejected", Restored: "restored", Reassigned: "gone", BackedOff: "unprepared"}
 
 // String returns the name used in log lines.
 func (c Change) String() string {
@@ -124,7 +167,7 @@
 // requests in flight at the endpoint. An endpoint that is unresponsive while several
 // requests are in flight is suspected and ejected at once.
 func (h *health) record(o Outcome, others int, now time.Time) Change {
-	before := h.ejections
+	before, unprepared := h.ejections, h.unprepared
 	h.apply(o, now)
 	if o == Unresponsive && others > 0 {
 		h.suspect = true
@@ -133,6 +176,8 @@
 	switch {
 	case o == Misdirected:
 		return Reassigned
+	case h.unprepared > unprepared:
+		return BackedOff
 	case h.ejections > before:
 		return Ejected
 	case before > 0 && h.ejections == 0:
@@ -159,14 +204,26 @@
 		h.recordFailure(wasProbe || h.consecutiveUnresponsive >= unresponsiveLimit, now)
 	case Unreachable:
 		h.recordFailure(true, now)
-	case Misdirected:
-		h.reassigned = true
-	case Neutral:
+	case Unprepared:
+		h.recordUnprepared(now)
+	case Misdirected, Neutral:
+	}
+}
+
+// recordUnprepared applies a refusal because of the weights. Refusals of requests that were sent before the
+// first one arrived count as one.
+func (h *health) recordUnprepared(now time.Time) {
+	if h.preparedIn(now) > 0 && !h.probingWeights {
+		return
 	}
+	h.probingWeights = false
+	h.unprepared++
+	h.backOffUnprepared(now)
 }
 
 // recordSuccess applies a successful outcome.
 func (h *health) recordSuccess(wasProbe bool) {
+	h.prepare()
 	h.consecutiveUnresponsive, h.suspect = 0, false
 	h.failureRate *= 1 - failureWeight
 	if wasProbe || h.failureRate < recoveredLimit {
--- a/gateway/balance/lease.go
+++ b/gateway/balance/lease.go
@@ -81,6 +81,13 @@
 	l.balancer.NoteTraffic(now)
 }
 
+// Accepted records that the endpoint began to answer the request, so that its weights serve others as well.
+func (l *Lease) Accepted() {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	l.endpoint.health.prepare()
+}
+
 // Idle returns how long nothing has been received from the endpoint, on this or any other
 // request of this gateway, counted from since at the earliest. Time in which nothing was
 // received from any process does not count.
@@ -95,9 +102,12 @@
 	l.shard.removeRequest(l.endpoint)
 	l.releasePrefill()
 	h := &l.endpoint.health
+	if o == Misdirected {
+		h.reassigned = l.Record.Addr
+	}
 	change := h.record(o, l.endpoint.inFlight, now)
 	if change != Unchanged && l.shard.isCurrent(l.endpoint) {
-		l.balancer.cfg.OnHealthChange(HealthEvent{Endpoint: l.Record.ID, Change: change, FailureRate: h.failureRate, EjectedUntil: h.ejectedUntil})
+		l.balancer.cfg.OnHealthChange(HealthEvent{Endpoint: l.Record.ID, Change: change, FailureRate: h.failureRate, EjectedUntil: later(h.ejectedUntil, h.unpreparedUntil)})
 	}
 }
 
@@ -108,6 +118,6 @@
 	Change   Change
 	// FailureRate is the endpoint's failure rate after the change, from 0 to 1.
 	FailureRate float64
-	// EjectedUntil is when an ejected endpoint is probed.
+	// EjectedUntil is when an ejected or unprepared endpoint is probed.
 	EjectedUntil time.Time
 }
--- a/gateway/balance/shard.go
+++ b/gateway/balance/shard.go
@@ -90,6 +90,9 @@
 			s.endpoints[id] = s.newEndpoint(r)
 		case r.Incarnation().Before(e.record.Incarnation()):
 		case r.Incarnation().Same(e.record.Incarnation()):
+			if !slices.Equal(r.Weights, e.record.Weights) {
+				e.health.prepare()
+			}
 			e.record = r
 			e.applyCold(s.coldLimit)
 		default:
--- a/gateway/policy/answer.go
+++ b/gateway/policy/answer.go
@@ -69,12 +69,14 @@
 }
 
 // IsFromEndpoint returns whether the advisory headers of a response describe the endpoint that
-// the request was sent to. A 421 comes from another endpoint, a response that does not name the request
-// may, and a head that contradicts itself has parts of several responses. A refusal must be proven, and a
-// success signed.
+// the request was sent to. A 421 that does not name that endpoint may come from another one, as may a response
+// that does not name the request, and a head that contradicts itself has parts of several responses. A refusal
+// must be proven, and a success signed.
 func IsFromEndpoint(a ResponseHead) bool {
 	switch {
-	case a.Foreign || !a.Identified || faultOf(a) != NoFault || a.Status == http.StatusMisdirectedRequest:
+	case a.Foreign || !a.Identified || faultOf(a) != NoFault:
+		return false
+	case a.Status == http.StatusMisdirectedRequest && a.AnsweredBy != a.Endpoint:
 		return false
 	case IsRefusal(a):
 		return a.Ending == EndingWhole
--- a/gateway/policy/refusal.go
+++ b/gateway/policy/refusal.go
@@ -30,7 +30,7 @@
 // concernsRequest returns whether a refusal is that of the request: it names the request, or it is from an
 // endpoint that was not asked and states its own ID in place of the request's.
 func concernsRequest(a ResponseHead) bool {
-	return a.Identified || a.Status == http.StatusMisdirectedRequest && a.AnsweredBy != "" && a.AnsweredBy != a.Endpoint
+	return a.Identified || a.Status == http.StatusMisdirectedRequest && isFromOther(a)
 }
 
 // checkRefusal returns the failure of an attempt that was refused. A refusal that is not whole or does not
@@ -44,11 +44,17 @@
 	}
 	evidence := verdict.Refused{Endpoint: a.Endpoint, RequestID: a.RequestID, Status: a.Status}
 	if a.Status == http.StatusMisdirectedRequest {
-		return verdict.NewError(evidence, CodeMisdirected, "another endpoint has the address")
+		return verdict.NewError(evidence, CodeMisdirected, "refused with 421: %s", misdirectedReasons[concludeFromMisdirected(a)])
 	}
 	return verdict.NewError(evidence, verdict.CodeOverloaded, "refused by the endpoint with %d", a.Status)
 }
 
+// misdirectedReasons are the reasons for a 421 in error messages.
+var misdirectedReasons = map[Conclusion]string{
+	AddressTaken: "another endpoint has the address",
+	Unprepared:   "the endpoint lacks the weights, or another one has the address",
+}
+
 // isRefusalStatus returns whether endpoints use a status for requests that they did not run.
 func isRefusalStatus(status int) bool {
 	switch status {
--- a/gateway/policy/retry.go
+++ b/gateway/policy/retry.go
@@ -24,7 +24,8 @@
 	// CodeUnproven means that an endpoint states that it did not run the request, and that its
 	// response does not prove it.
 	CodeUnproven verdict.Code = "unproven"
-	// CodeMisdirected means that the address now belongs to another endpoint.
+	// CodeMisdirected means that the endpoint lacks the weights that the request needs, or that another
+	// endpoint has the address.
 	CodeMisdirected verdict.Code = "misdirected"
 	// CodeQuarantined means that endpoints crashed while processing the request or another
 	// copy of it, and that it is no longer sent to any endpoint.
--- a/gateway/proxy/answer.go
+++ b/gateway/proxy/answer.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/silverdeck/silverdeck/gateway/advisory"
 	"github.com/silverdeck/silverdeck/gateway/balance"
 	"github.com/silverdeck/silverdeck/gateway/policy"
 	"github.com/silverdeck/silverdeck/gateway/upstream"
@@ -33,32 +32,19 @@
 // and what that implies for the endpoint.
 func (p *Proxy) judge(a *attempt) (*verdict.Error, balance.Outcome) {
 	failure := policy.CheckResponse(a.head)
-	if failure == nil {
-		return nil, balance.Neutral
-	}
-	if a.head.Fault == policy.FaultQuoted {
-		return failure, balance.Neutral
-	}
-	switch failure.Code {
-	case policy.CodeMisdirected:
-		return failure, balance.Misdirected
-	case verdict.CodeOverloaded:
-		return failure, refusal(&a.advisory)
-	case verdict.CodeCrossed:
-		return failure, balance.Neutral
-	case verdict.CodeEngine:
+	if failure != nil && failure.Code == verdict.CodeEngine && a.head.Fault != policy.FaultQuoted {
 		drainBody(a.exchange)
 	}
-	return failure, balance.Failed
+	return failure, outcomes[policy.ConcludeFromHead(a.head, a.advisory.RetryAfter)]
 }
 
-// refusal returns what a refusal implies for the endpoint. A refusal that asks for a back-off is not
-// a failure: the endpoint states when it accepts requests again.
-func refusal(adv *advisory.Advisory) balance.Outcome {
-	if adv.RetryAfter > 0 {
-		return balance.Neutral
-	}
-	return balance.Refused
+// outcomes maps what the head of a response shows to the outcome of the request at the endpoint.
+var outcomes = map[policy.Conclusion]balance.Outcome{
+	policy.NoConclusion: balance.Neutral,
+	policy.Busy:         balance.Refused,
+	policy.Unprepared:   balance.Unprepared,
+	policy.AddressTaken: balance.Misdirected,
+	policy.Faulty:       balance.Failed,
 }
 
 // drainBody reads a short body so that the connection can be reused. If that fails, the
--- a/gateway/proxy/attempt.go
+++ b/gateway/proxy/attempt.go
@@ -269,6 +269,9 @@
 	if failure, outcome := p.judge(a); failure != nil {
 		return failure, outcome
 	}
+	if a.head.Signed {
+		a.lease.Accepted()
+	}
 	if c.headSent && a.exchange.Status != http.StatusOK {
 		return statusFailure(a.exchange.Status, true), balance.Failed
 	}
