sidecar/stage: after a start of all processes, endpoints take turns to load a version that was found

Cause: a sidecar that finds a version named, and nobody who knows since when, changed at once and without a lease. All sidecars start at the same moment, so that all endpoints do.

Change: such a version has a period as well (stage.FoundPeriod): leases from .3 s after it was found, so that gateways that start know of each other, until .6 s before the end of the contact time since the start, in which the platform enforces nothing; then, or at its own time where no gateway answers, the endpoint changes alone. The periods of both kinds are one type, and drains end within them.

Why it works: leases leave half of the endpoints at work. Where loads take so long that two turns don't fit into the contact time, the last ones still overlap with the first.

--- a/gateway/proxy/unprepared_test.go
+++ b/gateway/proxy/unprepared_test.go
@@ -25,12 +25,15 @@
 	}
 }
 
-// sendEvery sends a request at each interval for d and returns the responses in order.
-func (w *harness) sendEvery(interval, d time.Duration, path string) []response {
-	out := make([]response, d/interval)
+// sendInterval is the time between two requests of sendFor.
+const sendInterval = 20 * time.Millisecond
+
+// sendFor sends a request at each interval for d and returns the responses in order.
+func (w *harness) sendFor(d time.Duration, path string) []response {
+	out := make([]response, d/sendInterval)
 	done := make(chan struct{})
 	for i := range out {
-		time.AfterFunc(time.Duration(i)*interval, func() {
+		time.AfterFunc(time.Duration(i)*sendInterval, func() {
 			defer func() { done <- struct{}{} }()
 			out[i] = w.send("POST", path, "", "Id", fmt.Sprintf("r%d", i))
 		})
@@ -43,15 +46,14 @@
 
 // Guards against endpoints that are never asked again once they refused requests while they loaded weights.
 func TestEndpointsThatLoadAtOnceServeAgain(t *testing.T) {
-	const interval, lasts = 20 * time.Millisecond, 6 * time.Second
 	for name, header := range map[string][]string{"no ID": nil, "not run": {"Not-Run: 1"}} {
 		for _, load := range []time.Duration{300 * time.Millisecond, 2 * time.Second} {
 			for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
 				t.Run(fmt.Sprintf("%s, %s, %s", name, load, path), func(t *testing.T) {
 					runHarness(t, func(w *harness) {
-						answers := w.sendEvery(interval, lasts, path)
+						answers := w.sendFor(6*time.Second, path)
 						for i, a := range answers {
-							if time.Duration(i)*interval > 2*load+interval {
+							if time.Duration(i)*sendInterval > 2*load+sendInterval {
 								w.g.Expect(a.Code).To(Equal(200), "request %d", i)
 							}
 							w.g.Expect(a.Code).To(BeElementOf(200, 503))
@@ -66,7 +68,7 @@
 // Guards against a request every 60 ms to an address that another endpoint has and that does not say so.
 func TestAnAddressWhoseEndpointRefusesIsAskedLessAndLessOften(t *testing.T) {
 	runHarness(t, func(w *harness) {
-		for _, a := range w.sendEvery(20*time.Millisecond, 24*time.Second, "/unsafe/x") {
+		for _, a := range w.sendFor(24*time.Second, "/unsafe/x") {
 			w.g.Expect(a.Code).To(Equal(200))
 		}
 		w.g.Expect(w.endpoints["e0"].count()).To(BeNumerically("<=", 12))
@@ -77,7 +79,7 @@
 // asked at its next address.
 func TestAnAddressOfAnotherEndpointIsNotAskedAgain(t *testing.T) {
 	runHarness(t, func(w *harness) {
-		for _, a := range w.sendEvery(20*time.Millisecond, 24*time.Second, "/unsafe/x") {
+		for _, a := range w.sendFor(24*time.Second, "/unsafe/x") {
 			w.g.Expect(a.Code).To(Equal(200))
 		}
 		w.g.Expect(w.endpoints["e0"].count()).To(Equal(1))
@@ -92,7 +94,7 @@
 // Guards against callers that wait for their deadline, or are told nothing, while all endpoints load weights.
 func TestCallersAreRefusedInTimeWhileAllEndpointsLoad(t *testing.T) {
 	runHarness(t, func(w *harness) {
-		for i, a := range w.sendEvery(20*time.Millisecond, 1900*time.Millisecond, "/stream/x") {
+		for i, a := range w.sendFor(1900*time.Millisecond, "/stream/x") {
 			w.g.Expect(a.Code).To(Equal(503), "request %d", i)
 			w.g.Expect(a.Header().Get("Retry-After")).NotTo(BeEmpty())
 			w.g.Expect(a.elapsed).To(BeNumerically("<=", 400*time.Millisecond))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -79,6 +79,7 @@
 		Peers:        exchange.NewClient(pool, peerconn.NewHTTPClient(dialer), "http"),
 		Manifests:    stage.NewManifestClient(pool),
 		VersionLimit: cfg.VersionLimit,
+		ContactTime:  cfg.ContactTime,
 		LinkRate:     platform.BytesPerSecond(cfg.LinkMbps),
 		Log:          l,
 	})
--- a/sidecar/stage/leasing.go
+++ b/sidecar/stage/leasing.go
@@ -13,42 +13,52 @@
 // limit counts from the version that first superseded the running one, whichever version is loaded
 // in the end.
 func (s *Stager) maySwitch(ctx context.Context, model string, report *Report, want target) (Lease, bool) {
-	held := report.Version(model)
-	naming, replaced := s.history.Replaced(model, held)
-	if held == 0 || !replaced || naming.TimeUnknown {
-		return Lease{}, true // nothing is loaded, or the time left is unknown
+	period, replaced := s.changePeriod(model, report.Version(model), want.completedAt)
+	if !replaced {
+		return Lease{}, true
 	}
 	now := time.Now()
-	end := naming.At.Add(s.cfg.VersionLimit)
-	last := LastChange(end)
 	switch {
-	case !now.Before(end):
+	case !now.Before(period.End):
 		return Lease{}, true // no request may begin on the old weights
-	case now.Before(EarliestSwitch(naming.At, s.cfg.VersionLimit, want.completedAt)):
+	case now.Before(period.First):
 		return Lease{}, false
 	}
-	if !now.Before(last) && s.leaseAskedAt.Before(last) {
+	if !now.Before(period.Last) && s.leaseAskedAt.Before(period.Last) {
 		s.leaseRetryAt = now // a last request
 	}
-	s.requestLease(ctx, model, report, want, last)
+	s.requestLease(ctx, model, report, want, period.Last)
 	if s.lease.Granted {
 		lease := s.lease
 		s.lease.Granted = false
 		return lease, true
 	}
-	if !time.Now().Before(last) {
+	if !time.Now().Before(period.Last) {
 		return Lease{Scheduled: s.lease.Scheduled, Drain: LeasedDrain(s.cfg.Fleet.Capacity())}, true
 	}
-	at := SwitchTime(naming.At, s.cfg.VersionLimit, want.completedAt, s.switchOffset(model))
+	at := period.At(s.switchOffset(model))
 	switch {
 	case FollowsSchedule(s.lease):
-		at = last
+		at = period.Last
 	case s.lease.AvailableLater:
-		at = LatestSwitch(naming.At, s.cfg.VersionLimit)
+		at = period.Latest
 	}
 	return Lease{}, !time.Now().Before(at)
 }
 
+// changePeriod returns the period in which the endpoint changes from version held, which it may do at once
+// if nothing is loaded or if no newer version is known. completed is when the next weights became complete.
+func (s *Stager) changePeriod(model string, held int64, completed time.Time) (ChangePeriod, bool) {
+	naming, replaced := s.history.Replaced(model, held)
+	switch {
+	case held == 0 || !replaced:
+		return ChangePeriod{}, false
+	case naming.TimeUnknown:
+		return FoundPeriod(s.startedAt, naming.At, s.cfg.ContactTime, completed), true
+	}
+	return NamedPeriod(naming.At, s.cfg.VersionLimit, completed), true
+}
+
 // switchOffset returns the endpoint's position in the switching period, in [0, 1). It is
 // a hash, so that it stays the same after a restart.
 func (s *Stager) switchOffset(model string) float64 {
--- a/sidecar/stage/load.go
+++ b/sidecar/stage/load.go
@@ -93,7 +93,8 @@
 // prepare keeps requests away from the endpoint, which runs version held, and drains it. A lease may
 // have been granted before a version newer than want is complete.
 func (s *Stager) prepare(ctx context.Context, model string, held int64, running int, lease Lease, want target) preparation {
-	end, _ := s.history.Deadline(model, held)
+	period, _ := s.changePeriod(model, held, want.completedAt)
+	end := period.End
 	if FinishesRequests(lease, time.Until(end)) {
 		return preparation{finish: true, left: s.drain(ctx, 0, finishTimeout)}
 	}
@@ -160,11 +161,11 @@
 
 // drainTime returns how long the endpoint, which runs version held, may drain.
 func (s *Stager) drainTime(model string, held int64, running int) time.Duration {
-	end, ends := s.history.Deadline(model, held)
-	if !ends {
+	period, replaced := s.changePeriod(model, held, time.Time{})
+	if !replaced {
 		return 0
 	}
-	return DrainTime(s.cfg.Fleet.Capacity(), running, time.Until(end))
+	return DrainTime(s.cfg.Fleet.Capacity(), running, time.Until(period.End))
 }
 
 // leasedDrain returns how long the endpoint drains. With a lease, or if all others were scheduled to
@@ -173,8 +174,8 @@
 func (s *Stager) leasedDrain(model string, held int64, running int, lease Lease) time.Duration {
 	switch {
 	case lease.Scheduled:
-		end, _ := s.history.Deadline(model, held)
-		return max(0, min(lease.Drain, time.Until(end)-drainMargin))
+		period, _ := s.changePeriod(model, held, time.Time{})
+		return max(0, min(lease.Drain, time.Until(period.End)-drainMargin))
 	case !lease.Granted:
 		return s.drainTime(model, held, running)
 	}
--- a/sidecar/stage/stager.go
+++ b/sidecar/stage/stager.go
@@ -37,6 +37,8 @@
 	Manifests ManifestClient
 	// VersionLimit is the time after which no request may begin on superseded weights.
 	VersionLimit time.Duration
+	// ContactTime is how long after a start the platform does not enforce that limit.
+	ContactTime time.Duration
 	// LinkRate is the bandwidth of the VM's link in bytes per second.
 	LinkRate float64
 	Log      *log.Logger
@@ -47,6 +49,8 @@
 type Stager struct {
 	cfg      Config
 	holdings *holdings
+	// startedAt is when the Stager was created.
+	startedAt time.Time
 	// history holds the times at which versions were named, as far as they are known here.
 	history *versions.History
 
@@ -94,6 +98,7 @@
 	return &Stager{
 		cfg:        cfg,
 		holdings:   newHoldings(),
+		startedAt:  time.Now(),
 		history:    versions.New(cfg.VersionLimit),
 		targets:    map[string]target{},
 		complete:   map[string]target{},
--- a/sidecar/stage/switch.go
+++ b/sidecar/stage/switch.go
@@ -17,11 +17,7 @@
 // are taken by other endpoints, may switch to other weights. The parameters are those of
 // SwitchTime.
 func EarliestSwitch(replaced time.Time, limit time.Duration, completed time.Time) time.Time {
-	first := replaced.Add(time.Duration(earliestSwitchShare * float64(limit)))
-	if completed.After(first) {
-		return completed
-	}
-	return first
+	return later(replaced.Add(time.Duration(earliestSwitchShare*float64(limit))), completed)
 }
 
 // LatestSwitch returns the time at which an endpoint switches that waits for a lease from a gateway
@@ -40,6 +36,47 @@
 	return end.Add(-lastChangeLead)
 }
 
+// ChangePeriod is the time in which endpoints change from weights that were superseded.
+type ChangePeriod struct {
+	// First is when an endpoint with a lease may change, Latest when one changes that waits for a lease from a
+	// gateway that keeps no schedule, and Last when one changes without a lease, although it was promised one.
+	First, Latest, Last time.Time
+	// End is when the weights expire.
+	End time.Time
+}
+
+// NamedPeriod returns the period for weights that were superseded at a known time. The parameters are those of
+// SwitchTime.
+func NamedPeriod(replaced time.Time, limit time.Duration, completed time.Time) ChangePeriod {
+	end := replaced.Add(limit)
+	return ChangePeriod{First: EarliestSwitch(replaced, limit, completed), Latest: LatestSwitch(replaced, limit), Last: LastChange(end), End: end}
+}
+
+// foundSettleTime is how long after a version was found a lease is requested at the earliest. Gateways that
+// start at the same time learn of each other and of the requests at endpoints within it.
+const foundSettleTime = 300 * time.Millisecond
+
+// minFoundShare is the least part of the contact time in which endpoints take turns, however late after the
+// start of the process a version is found.
+const minFoundShare = 0.5
+
+// FoundPeriod returns the period for weights that were superseded before the process started, nobody knows
+// when. They may have expired, but the platform does not enforce that during the contact time after a start.
+// It answers a start of all processes, after which all endpoints would change at the same moment.
+func FoundPeriod(started, found time.Time, contact time.Duration, completed time.Time) ChangePeriod {
+	end := later(started.Add(contact), found.Add(time.Duration(minFoundShare*float64(contact))))
+	last := end.Add(-drainMargin)
+	return ChangePeriod{First: later(found.Add(foundSettleTime), completed), Latest: last, Last: last, End: end}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // maxScheduledRetry is the longest interval between lease requests with which a grantor that gives no
 // turns can spread the changes. If more endpoints wait, each asks so rarely that leases would be
 // granted too late, and endpoints change at their own times.
@@ -91,12 +128,16 @@
 // Switches are spread over the remaining time, so that few endpoints are unavailable at
 // once.
 func SwitchTime(replaced time.Time, limit time.Duration, completed time.Time, offset float64) time.Time {
-	first := EarliestSwitch(replaced, limit, completed)
-	last := LatestSwitch(replaced, limit)
-	if !first.Before(last) {
-		return first
+	p := NamedPeriod(replaced, limit, completed)
+	return p.At(offset)
+}
+
+// At returns the time at which an endpoint changes without a lease; see SwitchTime.
+func (p *ChangePeriod) At(offset float64) time.Time {
+	if !p.First.Before(p.Latest) {
+		return p.First
 	}
-	return first.Add(time.Duration(offset * float64(last.Sub(first))))
+	return p.First.Add(time.Duration(offset * float64(p.Latest.Sub(p.First))))
 }
 
 // Limits of the drain before a load. A draining endpoint takes no new requests and lets
