soak, standin: endpoints that refuse while they load, and kills of all processes after a naming

Endpoints of the stand-in answered 421 for another's ID only, had 503 for missing weights, and went on serving during a load of 50 ms; no mix killed all processes with chunks in place.

The stand-in answers 421 while it lacks the weights, or has others than X-Silverdeck-Expect-Version asks for, takes a time that can be set to load, serves nothing, is busy and writes no record meanwhile; its settings have contact_ms. Mix starts kills all processes 1.2 to 2.8 s after a naming, lets nothing else happen for 15 s, and asks of each gateway to serve a quarter or more of its streams later than 12 s after the start.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -182,6 +182,9 @@
 mutant "busy endpoints change first" leases/turns.go 's/if w.Running < n &&/if w.Running < 0 \&\&/' ./leases 'TestDecide'
 mutant "a promised lease is waited for past the limit" sidecar/stage/switch.go 's/return end.Add\(-lastChangeLead\)/return end.Add(lastChangeLead)/' ./sidecar/stage 'TestAnEndpointChangesInTime'
 mutant "late changes cut what runs" sidecar/stage/switch.go 's/return l.Granted && l.Spare/return false \&\& l.Spare/' ./sidecar/stage 'TestAChangeNearTheLimit'
+mutant "any 421 is another endpoint's" gateway/policy/conclusion.go 's/if isFromOther\(a\) \{/if true {/' ./gateway/proxy 'TestEndpointsThatLoadAtOnceServeAgain'
+mutant "an endpoint without weights is asked at once again" gateway/balance/health.go 's/h.unpreparedUntil = now.Add\(UnpreparedBackoff\(h.unprepared\)\)//' ./gateway/proxy 'TestAnAddressWhoseEndpointRefuses'
+mutant "found weights are loaded at once" sidecar/stage/leasing.go 's/case naming.TimeUnknown:/case naming.TimeUnknown:\n\t\treturn ChangePeriod{}, false\n\tcase false:/' ./sidecar/stage 'TestEndpointsTakeTurns'
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -172,6 +172,9 @@
 	if c.world.cfg.Mix == MixSpoiled {
 		c.world.spoils.note(Outcome{ID: q.id, Gateway: entry.name, Host: q.host(), Span: Span{began, ended}, Limit: began.Add(q.limit), Served: served, Patient: q.patient()})
 	}
+	if q.stream && q.patient() {
+		c.world.starts.note(entry.name, began, served)
+	}
 	if err != nil {
 		c.result.Cut.Add(1)
 		limit := began.Add(q.limit.Truncate(time.Millisecond))
--- a/soak/configure.go
+++ b/soak/configure.go
@@ -31,7 +31,7 @@
 		Account: accountName, Key: apiKey, OtherAccounts: w.otherAccounts(),
 		MaxBody:   w.maxBody(),
 		Engine:    w.engine(),
-		ColdStart: coldTime, ColdPerSecond: w.coldPerSecond(),
+		ColdStart: coldTime, ColdPerSecond: w.coldPerSecond(), LoadTime: w.starts.loadTime,
 	})
 	w.restores.noteConfiguration(w.configVersion, time.Now())
 }
--- a/soak/mix.go
+++ b/soak/mix.go
@@ -52,12 +52,16 @@
 	// one without an end, beside runners that refuse, end or leave, and gateways that are killed, stopped
 	// and frozen.
 	MixSpoiled Mix = "spoiled"
+	// MixStarts has all processes killed at the same moment, soon after new weights were named, and runners
+	// that take a while to load weights and refuse requests meanwhile, beside runners that end or leave, and
+	// gateways that are killed, stopped and frozen.
+	MixStarts Mix = "starts"
 )
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (m *Mix) UnmarshalText(text []byte) error {
 	*m = Mix(text)
-	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored, MixParts, MixLate, MixSpoiled}; !slices.Contains(all, *m) {
+	if all := []Mix{MixFaults, MixLong, MixCrash, MixAnswers, MixPlaces, MixOverload, MixUnframed, MixRestored, MixParts, MixLate, MixSpoiled, MixStarts}; !slices.Contains(all, *m) {
 		return fmt.Errorf("soak: no mix %q, only %q", text, all)
 	}
 	return nil
@@ -102,6 +106,8 @@
 		return w.drawLate(r)
 	case MixSpoiled:
 		return w.drawSpoiled(r)
+	case MixStarts:
+		return w.drawStarts(r)
 	}
 	return w.draw(r, chance)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,6 +22,8 @@
 	BodyBytes int
 	// Spoiled counts the spoiled answers in words, in MixSpoiled.
 	Spoiled string
+	// Starts counts the kills of all processes and what was served after them in words, in MixStarts.
+	Starts string
 	// Ended is how many endpoints ended under the request or part that ends them, LateSends how many
 	// times it reached one once all gateways in touch must have known.
 	Ended, LateSends int
@@ -38,6 +40,9 @@
 	if r.Spoiled != "" {
 		large += ", " + r.Spoiled
 	}
+	if r.Starts != "" {
+		large += ", " + r.Starts
+	}
 	return fmt.Sprintf("seed %d: %d asked, %d served, %d refused, %d cut, %d others, %d faults, %d ended under one request or part, %d KB held at the most, %d promises broken%s",
 		r.Seed, r.Asked, r.Served, r.Refused, r.Cut, r.Others, len(r.Faults), r.Ended, r.MemoryKB, len(r.Broken), large)
 }
@@ -123,6 +128,12 @@
 			w.witness.AddViolation("%s", line)
 		}
 	}
+	if w.cfg.Mix == MixStarts {
+		report.Starts = w.starts.String()
+		for _, line := range w.starts.judge() {
+			w.witness.AddViolation("%s", line)
+		}
+	}
 	w.fatal.judge(w, report)
 	w.parts.judge(w, report)
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -98,6 +98,7 @@
 	restores    *restores
 	late        *late
 	spoils      *spoils
+	starts      *starts
 	beside      *Beside
 	// large counts the large requests.
 	large *Result
@@ -121,7 +122,7 @@
 	}
 	w := &world{
 		cfg: cfg, net: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250), store: standin.NewStore(),
-		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, parts: newParts(cfg.Seed), heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), late: &late{}, spoils: spoils, beside: &Beside{}, large: &Result{},
+		witness: standin.NewRecorder(), version: 1, began: time.Now(), ledger: newLedger(), fatal: &fatal{}, parts: newParts(cfg.Seed), heeded: newHeeded(), places: newPlaces(), shares: NewShares(), restores: newRestores(), late: &late{}, spoils: spoils, starts: newStarts(cfg.Mix, cfg.Seed), beside: &Beside{}, large: &Result{},
 	}
 	if err := w.serve(w.addr(250, portStore), w.store); err != nil {
 		return nil, err
@@ -171,6 +172,8 @@
 		w.places.prepare(s)
 	case MixOverload:
 		prepareOverload(s, i)
+	case MixStarts:
+		s.cfg.LoadTime = w.starts.loadTime
 	case MixRestored, MixLate, MixSpoiled:
 		s.cfg.OnArrival = w.restores.arrived
 	}
--- a/standin/format.go
+++ b/standin/format.go
@@ -52,7 +52,7 @@
 app: %q
 service: %q
 limits: {memory_mb: %d, link_mbps: 1000}
-bounds: {grace_s: 8, retry_budget_ratio: 0.2, retry_budget_extra: 100, budget_window_s: 10, version_ms: 8000, ttl_max_s: 5, drain_ms: 2000%s}
+bounds: {contact_ms: 3000, grace_s: 8, retry_budget_ratio: 0.2, retry_budget_extra: 100, budget_window_s: 10, version_ms: 8000, ttl_max_s: 5, drain_ms: 2000%s}
 platform: {address: %q}
 `
 
@@ -101,6 +101,8 @@
 	// the number of requests per second that they bear meanwhile; 0 for no limit.
 	ColdStart     time.Duration
 	ColdPerSecond float64
+	// LoadTime is the time that endpoints of ModelService take to load weights, as RunnerConfig.LoadTime.
+	LoadTime time.Duration
 }
 
 // Account is a client account.
@@ -148,7 +150,7 @@
 		"services": []any{
 			jsonObject{"name": c.ModelService, "max_connections": 200, "cold_start_s": c.ColdStart.Seconds(), "cold_per_s": c.ColdPerSecond, "engine": jsonObject{
 				"slots": c.Engine.Slots, "stride": c.Engine.Stride, "step_ms": c.Engine.StepMS, "usual": jsonObject{"prompt": c.Engine.MeanPrompt, "answer": c.Engine.MeanAnswer}, "read_per_s": 30000, "chunks": Chunks, "chunk_bytes": ChunkBytes,
-				"models": []any{jsonObject{"name": c.Model, "warm_s": loadDuration.Seconds()}}}},
+				"models": []any{jsonObject{"name": c.Model, "warm_s": cmp.Or(c.LoadTime, defaultLoadTime).Seconds()}}}},
 			jsonObject{"name": c.PlainService, "max_connections": 200},
 			jsonObject{"name": "weights", "origin": c.Origin, "link_mbps": 1000},
 		},
--- a/standin/order.go
+++ b/standin/order.go
@@ -40,19 +40,20 @@
 		r.writeRecord()
 		return
 	}
-	time.AfterFunc(loadDuration, func() {
+	time.AfterFunc(r.cfg.LoadTime, func() {
 		r.mu.Lock()
-		r.version = o.Version
+		r.version, r.loading = o.Version, false
 		r.mu.Unlock()
 		r.writeRecord()
 	})
 }
 
-// acceptOrder starts an order, or returns false if Expected is not the current sequence.
+// acceptOrder starts an order, or returns false if another one is under way or Expected is not the current
+// sequence.
 func (r *Runner) acceptOrder(o *order) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.Expected != r.sequence {
+	if r.loading || o.Expected != r.sequence {
 		return false
 	}
 	r.sequence++
@@ -65,6 +66,7 @@
 			r.cfg.Recorder.AddViolation("runner %s was ordered to load version %d with chunk %d missing or corrupt", r.cfg.ID, o.Version, i)
 		}
 	}
+	r.version, r.loading = 0, true
 	if r.cfg.AbortOnLoad {
 		r.abortStreamsLocked()
 	}
--- a/standin/record.go
+++ b/standin/record.go
@@ -16,9 +16,18 @@
 	r.cfg.Store.Delete("servers", r.cfg.ID)
 }
 
-// Heartbeat writes the runner's record. It restores a record that has expired.
+// Heartbeat writes the runner's record, unless the runner is loading weights. It restores a record that has
+// expired.
 func (r *Runner) Heartbeat() {
-	r.writeRecord()
+	if !r.isLoading() {
+		r.writeRecord()
+	}
+}
+
+func (r *Runner) isLoading() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loading
 }
 
 func (r *Runner) writeRecord() {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -18,8 +18,8 @@
 	defaultEventInterval = 20 * time.Millisecond
 	// requestDuration is the time that a plain endpoint takes for a request.
 	requestDuration = 10 * time.Millisecond
-	// loadDuration is the time that loading weights takes.
-	loadDuration = 50 * time.Millisecond
+	// defaultLoadTime is the default of RunnerConfig.LoadTime.
+	defaultLoadTime = 50 * time.Millisecond
 )
 
 // RunnerConfig configures a Runner.
@@ -34,6 +34,8 @@
 	// the time between two events, by default defaultEventInterval.
 	Events        int
 	EventInterval time.Duration
+	// LoadTime is the time that loading weights takes, by default defaultLoadTime. Meanwhile the runner has none.
+	LoadTime time.Duration
 	// AbortOnLoad makes an order to load weights abort the streams in progress.
 	AbortOnLoad bool
 	// CrashOn, if not nil, is called at the start of each execution and returns whether the
@@ -77,8 +79,10 @@
 	coldUntil time.Time
 
 	mu sync.Mutex
-	// version is the loaded version of the model, or 0 if none is loaded.
+	// version is the loaded version of the model, or 0 if none is loaded. loading is set while an order is
+	// under way.
 	version int64
+	loading bool
 	// sequence is the number of accepted orders.
 	sequence int64
 	staged   [Chunks][]byte
@@ -113,6 +117,9 @@
 	if cfg.EventInterval == 0 {
 		cfg.EventInterval = defaultEventInterval
 	}
+	if cfg.LoadTime == 0 {
+		cfg.LoadTime = defaultLoadTime
+	}
 	r := &Runner{cfg: cfg, coldUntil: time.Now().Add(cfg.Cold), version: version, aborted: make(chan struct{})}
 	r.writeRecord()
 	return r
@@ -142,7 +149,7 @@
 func (r *Runner) handleReport(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := map[string]any{"models": r.loadedModels(), "busy": false, "sequence": r.sequence, "running": r.running}
+	report := map[string]any{"models": r.loadedModels(), "busy": r.loading, "sequence": r.sequence, "running": r.running}
 	if r.cfg.Pace != 0 {
 		report["pace"] = r.cfg.Pace
 	}
@@ -164,8 +171,8 @@
 }
 
 // refuse responds with an error to a request that is for another endpoint, that the runner delays
-// with Retry-After or for which it has no slot, and returns true. Otherwise it acquires a slot for
-// the request and returns false.
+// with Retry-After, or for which it has no slot or not the weights, and returns true. Otherwise it
+// acquires a slot for the request and returns false.
 func (r *Runner) refuse(w http.ResponseWriter, q *http.Request, id string) bool {
 	w.Header().Set("X-Silverdeck-Attempt-Id", id)
 	if r.cfg.OnRequest != nil {
@@ -180,15 +187,19 @@
 		r.cfg.OnArrival(r.cfg.ID, id)
 	}
 	retryAfter := r.nextRetryAfter()
-	if retryAfter == 0 && r.acquireSlot() {
-		return false
+	status := http.StatusServiceUnavailable
+	if retryAfter == 0 {
+		if status = r.acquireSlot(q.Header.Get("X-Silverdeck-Expect-Version")); status == 0 {
+			return false
+		}
 	}
 	if retryAfter > 0 {
 		r.cfg.OnRetryAfter(r.cfg.ID, id, retryAfter)
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("X-Silverdeck-Not-Executed", "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	w.Header().Set("At-Server", r.cfg.Address)
+	w.WriteHeader(status)
 	return true
 }
 
@@ -218,16 +229,20 @@
 	}
 }
 
-// acquireSlot returns false if twice as many requests as there are slots run already, or if the
-// model is not loaded.
-func (r *Runner) acquireSlot() bool {
+// acquireSlot acquires a slot for a request that expects a version, or any if that is empty. It returns the
+// status with which the request is refused, or 0: there is no slot if twice as many requests as there are
+// slots run already, and a request is misdirected if the runner lacks its weights.
+func (r *Runner) acquireSlot(version string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= 2*r.cfg.Slots || (r.cfg.Model != "" && r.version == 0) || rand.Float64() < r.refuseShare {
-		return false
+	switch {
+	case r.cfg.Model != "" && r.version == 0, version != "" && version != strconv.FormatInt(r.version, 10):
+		return http.StatusMisdirectedRequest
+	case r.running >= 2*r.cfg.Slots || rand.Float64() < r.refuseShare:
+		return http.StatusServiceUnavailable
 	}
 	r.running++
-	return true
+	return 0
 }
 
 func (r *Runner) releaseSlot() {
