gateway/balance: an answer that ends does not end the back-off of an endpoint without weights

A stream that was accepted before the endpoint lacked its weights ended the back-off with its end. What shows that the endpoint serves is the beginning of an answer (Lease.Accepted).

--- a/gateway/balance/errors.go
+++ b/gateway/balance/errors.go
@@ -12,8 +12,8 @@
 type FullError struct {
 	Service string
 	// OpensIn is the time until the first endpoint accepts requests again, if all eligible
-	// endpoints have a rate limit or asked for a back-off; 0 if another endpoint is merely
-	// full.
+	// endpoints have a rate limit, asked for a back-off or lack weights; 0 if another endpoint
+	// is merely full.
 	OpensIn time.Duration
 	// TokenFrom is an endpoint with a rate limit whose holder can be asked for a token, if
 	// there is one.
--- a/gateway/balance/health.go
+++ b/gateway/balance/health.go
@@ -223,7 +223,6 @@
 
 // recordSuccess applies a successful outcome.
 func (h *health) recordSuccess(wasProbe bool) {
-	h.prepare()
 	h.consecutiveUnresponsive, h.suspect = 0, false
 	h.failureRate *= 1 - failureWeight
 	if wasProbe || h.failureRate < recoveredLimit {
