--- a/gateway/balance/exclusion.go
+++ b/gateway/balance/exclusion.go
@@ -26,8 +26,8 @@
 	excludedWeights: "with older weights or none", excludedAttempted: "attempted before",
 }
 
-// reassigned reports whether another endpoint has the address of e. It ends with a record that has another
-// address, or with the next incarnation: IDs of endpoints are not used again.
+// reassigned reports whether another endpoint has the address of e. That ends with a record that has another
+// address, or with the next incarnation; the present one has ended.
 func (e *endpoint) reassigned() bool {
 	return e.health.reassigned != "" && e.health.reassigned == e.record.Addr
 }
