leases: just after a start, only the gateway that owns the leases by its own list gives them

Cause: sidecars ask the gateway that owns the leases by the list of gateways in their inventory. Only ready gateways are on it, readiness comes with heartbeats, and changes of that list reach sidecars within half a second. Just after a start the lists differ, and each gateway gives leases of its own.

Change: within the contact time after its start a gateway refuses leases of a service that it does not own by its own list (leases.MayGrant); sidecars ask again within .1 s. Later it grants as before, since a sidecar whose gateway can't reach the owner would get none.

Why it works: gateways know of each other by heartbeats, 0.2 s apart, and leases begin .3 s after a version was found. Red before: TestAGatewayThatDoesNotOwnTheLeasesRefusesThem (both leases were granted).

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -6,6 +6,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/silverdeck/silverdeck/gateway/balance"
+	"github.com/silverdeck/silverdeck/inventory"
 	"github.com/silverdeck/silverdeck/leases"
 	"github.com/silverdeck/silverdeck/roster"
 )
@@ -26,6 +27,16 @@
 	return f
 }
 
+// mayGrantLoads reports whether this gateway grants the load leases of a service now.
+func (g *Gateway) mayGrantLoads(service string) bool {
+	var addrs []string
+	for _, e := range g.gateways() {
+		addrs = append(addrs, inventory.PlaceOf(e).Addr)
+	}
+	owns := leases.Owner(service, addrs) == inventory.PlaceOf(g.self).Addr
+	return leases.MayGrant(owns, time.Since(g.startedAt), g.cfg.ContactTime)
+}
+
 // LeaseCounters counts decisions on load leases.
 type LeaseCounters struct {
 	// Refused counts refused requests; endpoints repeat them.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,7 +90,7 @@
 
 		member.RollServiceName: member.NewRollService(g.table),
 		poison.ServiceName:     poison.NewService(g.poison, g.trials),
-		leases.ServiceName:     leases.NewService(g.loads, g.loadFleet, g.recordLeaseDecision),
+		leases.ServiceName:     leases.NewService(g.loads, g.loadFleet, g.recordLeaseDecision, leases.WithOwnership(g.mayGrantLoads)),
 		tokens.ServiceName:     tokens.NewService(g.balancer),
 	})
 	if err != nil {
--- a/leases/leases.go
+++ b/leases/leases.go
@@ -106,6 +106,14 @@
 	return max(minRetryInterval, time.Duration(endpoints)*retryIntervalPerEndpoint)
 }
 
+// MayGrant returns whether a gateway grants the leases of a service, given whether it owns them by its own list
+// of gateways, and the time since its start. The lists of sidecars are older than its own: just after a start of
+// all processes they hold a few gateways, each of which would take turns of its own. Later, a list that
+// misses a gateway may be that of a gateway that can't reach it, and one that grants is better than none.
+func MayGrant(owns bool, age, contact time.Duration) bool {
+	return owns || age >= contact
+}
+
 // Owner returns the address of the gateway, among gateways, that grants the leases of a service.
 func Owner(service string, gateways []string) string {
 	return rendezvous.Choose(service, gateways)
--- a/leases/service.go
+++ b/leases/service.go
@@ -20,13 +20,27 @@
 	fleet func(service, model string) *Fleet
 	// onDecision is called after each decision on a request that states what the endpoint runs.
 	onDecision func(q LoadRequest, g Grant)
+	// mayGrant reports whether this gateway may grant leases of a service now.
+	mayGrant func(service string) bool
+}
+
+// Option changes a Service.
+type Option func(*Service)
+
+// WithOwnership makes a Service refuse the requests for which mayGrant returns false. They are repeated.
+func WithOwnership(mayGrant func(service string) bool) Option {
+	return func(s *Service) { s.mayGrant = mayGrant }
 }
 
 // NewService returns a Service that grants leases from table. fleet returns the endpoints of a
 // service that run a model. onDecision is called after each decision on a request of a sidecar that
 // states what the endpoint runs.
-func NewService(table *Table, fleet func(service, model string) *Fleet, onDecision func(q LoadRequest, g Grant)) *Service {
-	return &Service{table: table, fleet: fleet, onDecision: onDecision}
+func NewService(table *Table, fleet func(service, model string) *Fleet, onDecision func(q LoadRequest, g Grant), options ...Option) *Service {
+	s := &Service{table: table, fleet: fleet, onDecision: onDecision, mayGrant: func(string) bool { return true }}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // LoadRequest requests a lease for loading a model at the endpoint of VM.
@@ -65,6 +79,10 @@
 	f := s.fleet(q.Service, q.Model)
 	reply.Again = RetryAfter(len(f.Endpoints))
 	reply.Comes = CanGrantLater(f, q.VM)
+	if !s.mayGrant(q.Service) {
+		reply.Scheduled = q.Held != 0
+		return nil
+	}
 	d := min(q.For, maxLeaseDuration)
 	if q.Held == 0 {
 		reply.Given = s.table.Acquire(q.Service, q.VM, f, d, time.Now())
--- a/leases/service_test.go
+++ b/leases/service_test.go
@@ -29,3 +29,32 @@
 	g.Expect(decided).To(HaveLen(1))
 	g.Expect(decided[0].Given).To(BeTrue())
 }
+
+// Guards against two gateways that both grant leases just after a start of all processes, as sidecars still know
+// only a few of the gateways.
+func TestAGatewayThatDoesNotOwnTheLeasesRefusesThem(t *testing.T) {
+	g := NewWithT(t)
+	owns := false
+	s := leases.NewService(leases.NewTable(), func(string, string) *leases.Fleet { return fullFleet() },
+		func(leases.LoadRequest, leases.Grant) {}, leases.WithOwnership(func(string) bool { return owns }))
+	for _, q := range []leases.LoadRequest{
+		{Service: "s", Model: "m", VM: "a", For: time.Second, Held: 1, Remaining: change.Remaining, Drain: drain},
+		{Service: "s", Model: "m", VM: "a", For: time.Second},
+	} {
+		var reply leases.LoadReply
+		g.Expect(s.Begin(q, &reply)).To(Succeed())
+		g.Expect(reply).To(Equal(leases.LoadReply{Scheduled: q.Held != 0, Again: 100 * time.Millisecond}), "asked again soon")
+	}
+	owns = true
+	var reply leases.LoadReply
+	g.Expect(s.Begin(leases.LoadRequest{Service: "s", Model: "m", VM: "a", For: time.Second, Held: 1, Remaining: change.Remaining, Drain: drain}, &reply)).To(Succeed())
+	g.Expect(reply.Given).To(BeTrue())
+}
+
+func TestMayGrant(t *testing.T) {
+	g := NewWithT(t)
+	const contact = 3 * time.Second
+	g.Expect(leases.MayGrant(true, 0, contact)).To(BeTrue())
+	g.Expect(leases.MayGrant(false, contact-1, contact)).To(BeFalse())
+	g.Expect(leases.MayGrant(false, contact, contact)).To(BeTrue(), "one that grants is better than none")
+}
