--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -185,6 +185,7 @@
 mutant "any 421 is another endpoint's" gateway/policy/conclusion.go 's/if isFromOther\(a\) \{/if true {/' ./gateway/proxy 'TestEndpointsThatLoadAtOnceServeAgain'
 mutant "an endpoint without weights is asked at once again" gateway/balance/health.go 's/h.unpreparedUntil = now.Add\(UnpreparedBackoff\(h.unprepared\)\)//' ./gateway/proxy 'TestAnAddressWhoseEndpointRefuses'
 mutant "found weights are loaded at once" sidecar/stage/leasing.go 's/case naming.TimeUnknown:/case naming.TimeUnknown:\n\t\treturn ChangePeriod{}, false\n\tcase false:/' ./sidecar/stage 'TestEndpointsTakeTurns'
+mutant "each gateway gives leases just after a start" leases/service.go 's/if !s.mayGrant\(q.Service\)/if false/' ./leases 'TestAGatewayThatDoesNotOwn'
 
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
