--- a/gateway/proxy/unprepared_test.go
+++ b/gateway/proxy/unprepared_test.go
@@ -75,8 +75,7 @@
 	}, always(respond(421, "")), always(respond(200, "ok")))
 }
 
-// Guards against requests to an endpoint whose address another one has, and against an endpoint that is never
-// asked at its next address.
+// Guards against requests to an address that another endpoint has, and against none to the next address.
 func TestAnAddressOfAnotherEndpointIsNotAskedAgain(t *testing.T) {
 	runHarness(t, func(w *harness) {
 		for _, a := range w.sendFor(24*time.Second, "/unsafe/x") {
--- a/leases/service_test.go
+++ b/leases/service_test.go
@@ -30,8 +30,7 @@
 	g.Expect(decided[0].Given).To(BeTrue())
 }
 
-// Guards against two gateways that both grant leases just after a start of all processes, as sidecars still know
-// only a few of the gateways.
+// Guards against leases of several gateways just after a start, when sidecars know only some of these.
 func TestAGatewayThatDoesNotOwnTheLeasesRefusesThem(t *testing.T) {
 	g := NewWithT(t)
 	owns := false
--- a/sidecar/stage/found_test.go
+++ b/sidecar/stage/found_test.go
@@ -71,8 +71,7 @@
 	return max(firstEnd.Sub(lastBegin), 0)
 }
 
-// Guards against endpoints that all load at the same moment after all processes were killed, when nobody
-// knows when the new weights were named.
+// Guards against endpoints that all load at the same moment after all processes were killed.
 func TestEndpointsTakeTurnsAfterAStartOfAllProcesses(t *testing.T) {
 	for _, size := range []int{6, fleetSize} {
 		for _, load := range []float64{0.3, 0.8} {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -162,19 +162,7 @@
 		c.world.shares.Note(Class{c.account, q.host()}, served)
 	}
 	ended := time.Now()
-	if q.prompt != "" && q.limit == streamLimit {
-		c.world.parts.note(stream{gateway: entry.name, at: began, ended: ended, served: served})
-	}
-	if !q.stream && !c.large {
-		c.world.beside.Note(PlainRequest{Gateway: entry.name, Began: began, Ended: ended, Served: served, InTime: served && ended.Sub(began) <= plainTarget})
-	}
-	c.world.ledger.ended(entry.name, ended)
-	if c.world.cfg.Mix == MixSpoiled {
-		c.world.spoils.note(Outcome{ID: q.id, Gateway: entry.name, Host: q.host(), Span: Span{began, ended}, Limit: began.Add(q.limit), Served: served, Patient: q.patient()})
-	}
-	if q.stream && q.patient() {
-		c.world.starts.note(entry.name, began, served)
-	}
+	c.noteEnd(&q, entry, Span{began, ended}, served)
 	if err != nil {
 		c.result.Cut.Add(1)
 		limit := began.Add(q.limit.Truncate(time.Millisecond))
@@ -188,6 +176,24 @@
 	}
 }
 
+// noteEnd notes the end of a request for the judges of the mixes.
+func (c *caller) noteEnd(q *question, entry *process, s Span, served bool) {
+	w := c.world
+	if q.prompt != "" && q.limit == streamLimit {
+		w.parts.note(stream{gateway: entry.name, at: s.From, ended: s.To, served: served})
+	}
+	if !q.stream && !c.large {
+		w.beside.Note(PlainRequest{Gateway: entry.name, Began: s.From, Ended: s.To, Served: served, InTime: served && s.To.Sub(s.From) <= plainTarget})
+	}
+	w.ledger.ended(entry.name, s.To)
+	if w.cfg.Mix == MixSpoiled {
+		w.spoils.note(Outcome{ID: q.id, Gateway: entry.name, Host: q.host(), Span: s, Limit: s.From.Add(q.limit), Served: served, Patient: q.patient()})
+	}
+	if q.stream && q.patient() {
+		w.starts.note(entry.name, s.From, served)
+	}
+}
+
 // checkStop looks at a request that was cut at a gateway that was asked to stop: nothing that
 // an endpoint goes on with may be cut by that.
 func (c *caller) checkStop(entry *process, id string, began, ended, limit time.Time, err error) {
--- a/soak/starts.go
+++ b/soak/starts.go
@@ -12,7 +12,8 @@
 const (
 	// leastNamed and spreadNamed bound how long after new weights were named all processes are killed: their
 	// chunks are in place at most runners, and few have loaded them.
-	leastNamed  = 1200 * time.Millisecond
+	leastNamed = 1200 * time.Millisecond
+	// spreadNamed is drawn from, on top of leastNamed.
 	spreadNamed = 1600 * time.Millisecond
 	// recoveryLimit is how long after a start of all processes callers must be served again.
 	recoveryLimit = 12 * time.Second
