--- a/sidecar/stage/found_test.go
+++ b/sidecar/stage/found_test.go
@@ -55,12 +55,12 @@
 	}
 }
 
-// outage returns for how long all endpoints loaded weights at the same time.
-func (f *loadedFleet) outage() time.Duration {
+// outage returns for how long all endpoints loaded weights at the same time, in loads of loadTime.
+func (f *loadedFleet) outage(loadTime time.Duration) time.Duration {
 	lastBegin, firstEnd := time.Time{}, time.Time{}
 	for _, e := range f.endpoints {
 		for _, o := range e.snapshot().orders {
-			if end := o.at.Add(e.loadTime); firstEnd.IsZero() || end.Before(firstEnd) {
+			if end := o.at.Add(loadTime); firstEnd.IsZero() || end.Before(firstEnd) {
 				firstEnd = end
 			}
 			if o.at.After(lastBegin) {
@@ -90,10 +90,13 @@
 							f.restartAll(b, contactTime)
 							time.Sleep(2 * contactTime)
 							f.expectAllRun(b, 2)
-							t.Logf("%+v, last order after %s, outage of %s", f.changeStats, f.last.Sub(began), f.outage())
-							b.Expect(f.last.Sub(began)).To(BeNumerically("<=", contactTime), "no request may begin on the old weights any more")
+							f.mu.Lock()
+							stats := f.changeStats
+							f.mu.Unlock()
+							t.Logf("%+v, last order after %s, outage of %s", stats, stats.last.Sub(began), f.outage(loadTime))
+							b.Expect(stats.last.Sub(began)).To(BeNumerically("<=", contactTime), "no request may begin on the old weights any more")
 							if !unanswered {
-								b.Expect(f.outage()).To(BeZero())
+								b.Expect(f.outage(loadTime)).To(BeZero())
 							}
 						})
 					})
