responsehead, gateway/upstream: an answer whose status HTTP does not define is no answer

What callers saw: behind an endpoint that answers with status 000 a caller waited out its deadline (504), or got an answer that stood behind the 000; statuses of 600 to 999 were passed on. Elsewhere an order, a chunk that was placed, a write to the store and a list counted as done with status 000 or 101, a write to the object store (standalone) as not taken, and a look-up ended without an answer (net/http panics at WriteHeader(0)).

Cause: net/http's parser takes any three characters that are a number not below 0. The gateway held all under 200 for informational and read on; clients compare with 300 alone.

Change: responsehead.CheckStatus: 100 to 599 but 101. It is asked where a head is read, before anything of it counts: by the gateway (also for what stands behind a refusal) and by responsehead.Transport, which the operators' command line and the object store's default client use now too. The request fails at once as one that may have run, the connection is reset and the endpoint counts as faulty.

--- a/cmd/silverdeck/main.go
+++ b/cmd/silverdeck/main.go
@@ -13,6 +13,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/silverdeck/silverdeck"
+	"github.com/silverdeck/silverdeck/responsehead"
 	"github.com/silverdeck/silverdeck/standalone/operator"
 )
 
@@ -104,7 +105,8 @@
 	if a.Validate != nil {
 		a.Validate.validate = true
 	}
-	c := &operator.Client{Base: a.Entry, Operator: operatorName(a.Operator), Token: a.Token, HTTP: &http.Client{Timeout: httpLimit}}
+	client := &http.Client{Transport: responsehead.DefaultTransport(), Timeout: httpLimit}
+	c := &operator.Client{Base: a.Entry, Operator: operatorName(a.Operator), Token: a.Token, HTTP: client}
 	if err := cmd.run(context.Background(), c); err != nil {
 		fmt.Fprintln(os.Stderr, "silverdeck:", err)
 		os.Exit(status(err))
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/silverdeck/silverdeck/conncheck"
+	"github.com/silverdeck/silverdeck/responsehead"
 	"github.com/silverdeck/silverdeck/roster"
 )
 
@@ -107,13 +108,17 @@
 }
 
 // readHead reads the head of the next response to a request with the given method, and returns it together
-// with the bytes that it consists of, which are valid until the next call.
+// with the bytes that it consists of, which are valid until the next call. It returns a MalformedError for a head
+// that HTTP does not allow.
 func (c *conn) readHead(method string) (*http.Response, []byte, error) {
 	c.head = append(c.head[:0], c.buffered()...)
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, nil, c.parseError(err)
 	}
+	if fault := responsehead.CheckStatus(resp.StatusCode); fault != responsehead.NoFault {
+		return nil, nil, &MalformedError{Err: &responsehead.Error{Fault: fault}}
+	}
 	return resp, c.head[:len(c.head)-c.reader.Buffered()], nil
 }
 
--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -16,6 +16,7 @@
 	"github.com/silverdeck/silverdeck/endless"
 	"github.com/silverdeck/silverdeck/lookup"
 	"github.com/silverdeck/silverdeck/platform"
+	"github.com/silverdeck/silverdeck/rawserver"
 )
 
 // startDirectory starts a process that passes look-ups on to gateway, and returns its address.
@@ -84,3 +85,16 @@
 		})
 	}
 }
+
+// TestAnAnswerWithAnInvalidStatusIsNotPassedOn guards against callers whose connection ends without an answer.
+func TestAnAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		t.Run(status, func(t *testing.T) {
+			g := NewWithT(t)
+			s := rawserver.New("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}")
+			defer s.Close()
+			code, _ := lookUp(g, startDirectory(t, s.Addr))
+			g.Expect(code).To(Equal(http.StatusServiceUnavailable))
+		})
+	}
+}
--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -1,4 +1,5 @@
-// Package responsehead tells whether the head of an HTTP response can be that of one response.
+// Package responsehead tells whether the head of an HTTP response can be that of one response. The parser of net/http
+// accepts heads that HTTP does not allow.
 package responsehead
 
 import (
@@ -21,8 +22,25 @@
 	Spliced Fault = "a status line inside another line"
 	// Repeated means that a header with a single value occurs more than once.
 	Repeated Fault = "a single value occurs twice"
+	// InvalidStatus means that no response to a request of this package's users can have the status.
+	InvalidStatus Fault = "a status that no response has"
 )
 
+// The least and the greatest status of a response (RFC 9110, section 15).
+const (
+	minStatus = http.StatusContinue
+	maxStatus = 599
+)
+
+// CheckStatus returns InvalidStatus for a status that HTTP does not define, and for a switch of protocols, which
+// nobody asks for.
+func CheckStatus(status int) Fault {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return InvalidStatus
+	}
+	return NoFault
+}
+
 // statusLine matches the beginning of a response.
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
 
--- a/responsehead/responsehead_test.go
+++ b/responsehead/responsehead_test.go
@@ -1,16 +1,16 @@
 package responsehead_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/endless"
+	"github.com/silverdeck/silverdeck/rawserver"
 	"github.com/silverdeck/silverdeck/responsehead"
 )
 
@@ -39,21 +39,12 @@
 	}
 }
 
-// answerWith returns the address of a server that answers one request with text.
-func answerWith(t *testing.T, text string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = io.WriteString(c, text)
-		_ = c.Close()
-	}()
-	return l.Addr().String()
+// get returns the answer of a server that answers with text.
+func get(t *testing.T, text string) (*http.Response, error) {
+	s := rawserver.New(text)
+	t.Cleanup(s.Close)
+	client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{}), Timeout: 10 * time.Second}
+	return client.Get("http://" + s.Addr)
 }
 
 func TestAHeadOfTwoResponsesIsNoResponse(t *testing.T) {
@@ -64,8 +55,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{})}
-			_, err := client.Get("http://" + answerWith(t, text))
+			_, err := get(t, text)
 			var e *responsehead.Error
 			g.Expect(errors.As(err, &e)).To(BeTrue(), "%v", err)
 			g.Expect(e.Fault).To(Equal(responsehead.Spliced))
@@ -75,11 +65,34 @@
 
 func TestAnOrdinaryResponseIsReturned(t *testing.T) {
 	g := NewWithT(t)
-	client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{})}
 	text := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 409 Conflict\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 4\r\n\r\nbusy"
-	resp, err := client.Get("http://" + answerWith(t, text))
+	resp, err := get(t, text)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = resp.Body.Close() }()
 	g.Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("busy"))
 	g.Expect(resp.StatusCode).To(Equal(http.StatusConflict))
 }
+
+func TestAStatusThatNoResponseHasIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := get(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: 0\r\n\r\n")
+			var e *responsehead.Error
+			g.Expect(errors.As(err, &e)).To(BeTrue(), "%v", err)
+			g.Expect(e.Fault).To(Equal(responsehead.InvalidStatus))
+		})
+	}
+}
+
+func TestEachStatusOfHTTPIsReturned(t *testing.T) {
+	for _, status := range []string{"200", "299", "304", "421", "499", "599"} {
+		t.Run(status, func(t *testing.T) {
+			g := NewWithT(t)
+			resp, err := get(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.Body.Close()).To(Succeed())
+			g.Expect(resp.Status).To(Equal(status + " X"))
+		})
+	}
+}
--- a/responsehead/transport.go
+++ b/responsehead/transport.go
@@ -7,18 +7,19 @@
 // MaxBytes limits the head of a response, together with the informational responses before it, in bytes.
 const MaxBytes = 64 << 10
 
-// Error reports that a head is not that of one response, so that neither its status nor its headers
-// prove anything.
+// Error reports that a head is not that of one response as HTTP allows it, so that neither its status nor its
+// headers prove anything.
 type Error struct {
 	Fault Fault
 }
 
 // Error implements error.
 func (e *Error) Error() string {
-	return "responsehead: the response contradicts itself: " + string(e.Fault)
+	return "responsehead: " + string(e.Fault)
 }
 
-// Transport is an http.RoundTripper that returns only responses whose head can be that of one response.
+// Transport is an http.RoundTripper that returns only responses whose head can be that of one response, with a status
+// that HTTP defines.
 type Transport struct {
 	*http.Transport
 }
@@ -29,15 +30,28 @@
 	return &Transport{Transport: t}
 }
 
+// DefaultTransport returns a Transport with the settings of http.DefaultTransport.
+func DefaultTransport() *Transport {
+	return NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+}
+
 // RoundTrip implements http.RoundTripper. It returns an *Error for a head that no single response has.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if fault := Check(resp.Status, resp.Header); fault != NoFault {
+	if fault := checkFinal(resp); fault != NoFault {
 		_ = resp.Body.Close() // what it may have held is of no use
 		return nil, &Error{Fault: fault}
 	}
 	return resp, nil
 }
+
+// checkFinal returns the fault of the head of a final response.
+func checkFinal(resp *http.Response) Fault {
+	if fault := CheckStatus(resp.StatusCode); fault != NoFault {
+		return fault
+	}
+	return Check(resp.Status, resp.Header)
+}
--- a/standalone/objectstore/client.go
+++ b/standalone/objectstore/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/silverdeck/silverdeck/responsehead"
 )
 
 // Config holds a Client's settings.
@@ -63,7 +65,7 @@
 func NewClient(urls []string, opts ...Option) *Client {
 	cfg := Config{
 		URLs:    urls,
-		HTTP:    http.DefaultClient,
+		HTTP:    &http.Client{Transport: responsehead.DefaultTransport()},
 		Timeout: 2 * time.Second,
 		Wait:    20 * time.Second,
 		Reads:   5,
--- a/standalone/objectstore/client_test.go
+++ b/standalone/objectstore/client_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/silverdeck/silverdeck/endless"
+	"github.com/silverdeck/silverdeck/rawserver"
 	"github.com/silverdeck/silverdeck/standalone/objectstore"
 	"github.com/silverdeck/silverdeck/standalone/secure"
 	"github.com/silverdeck/silverdeck/standalone/settings"
@@ -66,3 +67,20 @@
 	g.Expect(errors.As(err, &unavailable)).To(BeTrue(), "%v", err)
 	g.Expect(s.Sent()).To(BeNumerically("<", 18<<20+endless.MaxUnread()))
 }
+
+// TestAnInvalidStatusIsNoRefusal guards against writes that were done and count as refused.
+func TestAnInvalidStatusIsNoRefusal(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		t.Run(status, func(t *testing.T) {
+			g := NewWithT(t)
+			s := rawserver.New("HTTP/1.1 " + status + " X\r\nETag: \"5\"\r\nContent-Length: 0\r\n\r\n")
+			defer s.Close()
+			for name, c := range map[string]*objectstore.Client{"secure": newClient(t, s.Addr), "default": objectstore.NewClient([]string{"http://" + s.Addr})} {
+				_, err := c.Put(t.Context(), "k", []byte("v"), 4)
+				var unavailable *objectstore.UnavailableError
+				g.Expect(errors.As(err, &unavailable)).To(BeTrue(), "%s: %v", name, err)
+				g.Expect(unavailable.Taken).To(BeTrue(), "%s: %v", name, err)
+			}
+		})
+	}
+}
