responsehead, gateway/upstream: an answer whose trailer HTTP does not allow is not whole

What callers saw: an answer in chunks that ends with a trailer such as "X A: b" counted as whole, and a refusal that ends so as a promise. With a control byte in the name it did not (net/http refuses it): seen handled.

Change: upstream.Exchange.Read and the bodies of responsehead.Transport end with an error in place of io.EOF.

Why it works: each reader of a body takes io.EOF alone for its end, so that no reader takes such an answer for whole. Sound trailers, announced or not, are kept apart by TestATrailerIsPartOfASoundAnswer.

--- a/gateway/proxy/broken_head_test.go
+++ b/gateway/proxy/broken_head_test.go
@@ -121,6 +121,7 @@
 	"a name with a blank":        refusalStart + "X A: b\r\nContent-Length: 0\r\n\r\n",
 	"a length with a blank":      refusalStart + "Content-Length : 0\r\n\r\n",
 	"the promise with a blank":   "HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\nNot-Run : 1\r\nContent-Length: 0\r\n\r\n",
+	"a blank in the trailer":     refusalStart + "Transfer-Encoding: chunked\r\n\r\n0\r\nX A: b\r\n\r\n",
 	"a blank in what follows it": refusalStart + "Content-Length: 0\r\n\r\nHTTP/1.1 200 X\r\nId: r0\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
 	"a blank before it":          "HTTP/1.1 103 X\r\nX A: b\r\n\r\n" + refusalStart + "Content-Length: 0\r\n\r\n",
 }
@@ -143,3 +144,43 @@
 		}
 	}
 }
+
+// invalidTrailers are the ends of answers in chunks whose trailer has a name that is not a token.
+var invalidTrailers = map[string]string{
+	"a blank":        "0\r\nX A: b\r\n\r\n",
+	"a control byte": "0\r\nX\x01A: b\r\n\r\n",
+	"no name":        "0\r\n: b\r\n\r\n",
+}
+
+// TestATrailerWithAnInvalidNameEndsNoAnswer guards against answers that count as whole although their end is not one.
+func TestATrailerWithAnInvalidNameEndsNoAnswer(t *testing.T) {
+	for name, trailer := range invalidTrailers {
+		t.Run(name, func(t *testing.T) {
+			runHarness(t, func(w *harness) { w.expectGarbled() }, always(write(chunkedHead+trailer)), always(respond(200, "other")))
+			runHarness(t, func(w *harness) {
+				w.g.Expect(w.send("POST", "/once/", "x").aborted).To(BeTrue())
+				a := w.send("POST", "/stream/", "x")
+				w.g.Expect(a.Body.String()).To(Equal(stream(1, 2)))
+				w.g.Expect(a.aborted).To(BeFalse())
+			}, always(write(chunkedHead+trailer)), always(events(time.Millisecond, end, 2)))
+		})
+	}
+}
+
+// TestATrailerIsPartOfASoundAnswer guards against answers that are lost because of a trailer, announced or not.
+func TestATrailerIsPartOfASoundAnswer(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"announced":           {"Trailer: Sum\r\n", "Sum: 1\r\n"},
+		"announced, not sent": {"Trailer: Sum\r\n", ""},
+		"announced oddly":     {"Trailer: a b\r\n", ""},
+		"not announced":       {"", "Sum: 1\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runHarness(t, func(w *harness) {
+				a := w.send("POST", "/unsafe/", "x")
+				w.g.Expect(a.Code).To(Equal(200))
+				w.g.Expect(a.Body.String()).To(Equal("done"))
+			}, always(write("HTTP/1.1 200 X\r\nId: r1\r\nStamp: st\r\nTransfer-Encoding: chunked\r\n"+parts[0]+"\r\n4\r\ndone\r\n0\r\n"+parts[1]+"\r\n")))
+		})
+	}
+}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/silverdeck/silverdeck/responsehead"
 	"github.com/silverdeck/silverdeck/roster"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -214,18 +215,21 @@
 }
 
 // Read reads the body. It returns io.EOF once the body is complete, and a MalformedError if it is not
-// framed as the head says.
+// framed as the head says or HTTP does not allow its trailer.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.response.Body.Read(p)
 	x.bytesRead += int64(n)
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) {
-		x.complete = true
-		return n, err
+	if !errors.Is(err, io.EOF) {
+		return n, x.conn.parseError(err)
 	}
-	return n, x.conn.parseError(err)
+	if fault := responsehead.CheckNames(x.response.Trailer); fault != responsehead.NoFault {
+		return n, &MalformedError{Err: &responsehead.Error{Fault: fault}}
+	}
+	x.complete = true
+	return n, err
 }
 
 // Trailer returns the headers behind the last chunk of a body that was read.
--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -47,10 +47,10 @@
 }
 
 // CheckNames returns InvalidName if the name of a header or trailer is not a token (RFC 9110, section 5.1). The parser
-// of net/http accepts blanks in names.
+// of net/http accepts blanks in names. A trailer that was announced and not sent has no values.
 func CheckNames(h http.Header) Fault {
-	for name := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
+	for name, values := range h {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
 			return InvalidName
 		}
 	}
--- a/responsehead/responsehead_test.go
+++ b/responsehead/responsehead_test.go
@@ -138,3 +138,17 @@
 	g.Expect(resp.Body.Close()).To(Succeed())
 	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 }
+
+func TestATrailerWithAnInvalidNameEndsNoBody(t *testing.T) {
+	for name, ok := range map[string]bool{"Sum": true, "X A": false, "X-A ": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			resp, err := get(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n"+name+": b\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			g.Expect(string(body)).To(Equal("busy"))
+			g.Expect(errors.As(err, new(*responsehead.Error))).To(Equal(!ok), "%v", err)
+		})
+	}
+}
--- a/responsehead/transport.go
+++ b/responsehead/transport.go
@@ -1,6 +1,8 @@
 package responsehead
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 )
@@ -20,7 +22,8 @@
 }
 
 // Transport is an http.RoundTripper that returns only responses whose head can be that of one response, and is
-// such as HTTP allows. The same is asked of the informational responses before it.
+// such as HTTP allows. The same is asked of the informational responses before it and of the trailer: a body with a
+// malformed one ends with an *Error.
 type Transport struct {
 	*http.Transport
 }
@@ -47,6 +50,9 @@
 		_ = resp.Body.Close() // what it may have held is of no use
 		return nil, &Error{Fault: fault}
 	}
+	if resp.Body != http.NoBody {
+		resp.Body = &body{ReadCloser: resp.Body, response: resp}
+	}
 	return resp, nil
 }
 
@@ -57,3 +63,20 @@
 	}
 	return Check(resp.Status, resp.Header)
 }
+
+// body is the body of a response.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader. The end of the body is an error if the trailer is malformed.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if fault := CheckNames(b.response.Trailer); fault != NoFault {
+			return n, &Error{Fault: fault}
+		}
+	}
+	return n, err
+}
