responsehead, gateway/upstream: an answer of HTTP/1.0 with an encoding is no answer

What callers saw: an answer of HTTP/1.0 in chunks arrived with the frames of the chunks as its body, with status 200 and the endpoint's signature.

Cause: net/http's parser ignores and removes Transfer-Encoding in messages of HTTP/1.0; the body then ends with the connection. RFC 9112, 6.1 has such a message treated as one whose framing is faulty.

Evidence: red before: proxy TestAnEncodingOfAnOldProtocolReachesNoCaller (3 of 3). A sound answer of HTTP/1.0 is kept apart by TestAnOldProtocolIsNoFault.

Change: responsehead.CheckEncoding looks at the head as it was received, where the gateway reads it. Clients of net/http don't see it and go on as before: the store, the origin and peers check what they read by other means (JSON, digests).

Why it works: no body is read whose framing is not known; the attempt fails as one that may have run.

--- a/gateway/proxy/broken_head_test.go
+++ b/gateway/proxy/broken_head_test.go
@@ -184,3 +184,23 @@
 		})
 	}
 }
+
+// TestAnEncodingOfAnOldProtocolReachesNoCaller guards against bodies that have the frames of their chunks.
+func TestAnEncodingOfAnOldProtocolReachesNoCaller(t *testing.T) {
+	for name, encoding := range map[string]string{
+		"chunked": "Transfer-Encoding: chunked", "identity": "transfer-encoding:identity", "folded": "Transfer-Encoding:\r\n chunked",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expectNoAnswer(t, raw("HTTP/1.0 200 X\r\nId: r1\r\nStamp: st\r\n"+encoding+"\r\n\r\n4\r\ndone\r\n0\r\n\r\n"))
+		})
+	}
+}
+
+// TestAnOldProtocolIsNoFault guards against sound answers that are lost because of their version.
+func TestAnOldProtocolIsNoFault(t *testing.T) {
+	runHarness(t, func(w *harness) {
+		a := w.send("POST", "/unsafe/", "x")
+		w.g.Expect(a.Code).To(Equal(200))
+		w.g.Expect(a.Body.String()).To(Equal("done"))
+	}, always(raw("HTTP/1.0 200 X\r\nId: r1\r\nStamp: st\r\nNote: Transfer-Encoding: chunked\r\n"+"Content-Length: 4\r\n\r\ndone")))
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -116,10 +116,19 @@
 	if err != nil {
 		return nil, nil, c.parseError(err)
 	}
-	if fault := responsehead.CheckSyntax(resp.StatusCode, resp.Header); fault != responsehead.NoFault {
+	raw := c.head[:len(c.head)-c.reader.Buffered()]
+	if fault := headFault(resp, raw); fault != responsehead.NoFault {
 		return nil, nil, &MalformedError{Err: &responsehead.Error{Fault: fault}}
 	}
-	return resp, c.head[:len(c.head)-c.reader.Buffered()], nil
+	return resp, raw, nil
+}
+
+// headFault returns what HTTP does not allow in the head of a response, which was received as raw.
+func headFault(resp *http.Response, raw []byte) responsehead.Fault {
+	if fault := responsehead.CheckSyntax(resp.StatusCode, resp.Header); fault != responsehead.NoFault {
+		return fault
+	}
+	return responsehead.CheckEncoding(resp, raw)
 }
 
 // releaseHead discards a head that takes more memory than most.
--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -29,6 +29,9 @@
 	// InvalidName means that the name of a header is not a token. Other parsers may read the header with another
 	// name, or another framing of the body.
 	InvalidName Fault = "a header whose name is not a token"
+	// OldEncoding means that a response of HTTP/1.0 states an encoding, which that version does not have. Some
+	// parsers ignore it, so that its frames become the body.
+	OldEncoding Fault = "an encoding in a response of HTTP/1.0"
 )
 
 // The least and the greatest status of a response (RFC 9110, section 15).
@@ -66,6 +69,18 @@
 	return CheckNames(h)
 }
 
+// encodingLine matches the beginning of a header line that states an encoding.
+var encodingLine = regexp.MustCompile(`(?im)^Transfer-Encoding:`)
+
+// CheckEncoding returns OldEncoding if the head raw of a response of a version before HTTP/1.1 states an encoding
+// (RFC 9112, section 6.1). The parser of net/http removes that header.
+func CheckEncoding(resp *http.Response, raw []byte) Fault {
+	if !resp.ProtoAtLeast(1, 1) && encodingLine.Match(raw) {
+		return OldEncoding
+	}
+	return NoFault
+}
+
 // statusLine matches the beginning of a response.
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
 
