standin, soak: answers whose head HTTP does not allow

The stand-in of endpoints sends five more shapes of spoiled answers, group "invalid": status 000, names with a blank or a control byte, a framing header with a blank before its colon, an informational answer with such a name.

--- a/standin/spoil.go
+++ b/standin/spoil.go
@@ -76,6 +76,7 @@
 	"continued": {SplitBody, ContinuedAnswer},
 	"garbage":   {RecordOfTLS, HeaderWithoutColon, NegativeLength},
 	"cut":       {CutHead, CutBody},
+	"invalid":   invalidHeads,
 	"endless": {EndlessStatus, EndlessHeader, EndlessHeaders, EndlessInformational, EndlessRefusal, EndlessUnsigned,
 		EndlessSigned, EndlessEvents, EndlessExtension, EndlessTrailer},
 }
@@ -350,6 +351,9 @@
 	case CutBody:
 		return spoilt{before: a.all[:len(a.all)-1-rand.IntN(max(len(a.body), 1))]}
 	}
+	if slices.Contains(invalidHeads, s) {
+		return a.spoilHead(s)
+	}
 	return a.spoilEndless(s)
 }
 
--- a/standin/spoil_test.go
+++ b/standin/spoil_test.go
@@ -96,6 +96,10 @@
 						case "continued":
 							g.Expect(string(answer)).To(ContainSubstring("X-Silverdeck-Response-Stamp: "))
 							g.Expect(string(answer)).NotTo(Equal(string(sound)), "the answer is sound")
+						case "invalid":
+							g.Expect(string(answer)).To(ContainSubstring("X-Silverdeck-Response-Stamp: i-1\r\n"))
+							g.Expect(string(answer)).To(ContainSubstring(standin.FormatEvent("r1", 1)))
+							g.Expect(string(answer)).To(MatchRegexp(`HTTP/1.1 000|\nX Standin:|\nX\x01Standin:|(Content-Length|Transfer-Encoding) :`))
 						default:
 							g.Expect(due).To(BeNumerically(">", 0), "nothing comes before the answer")
 							g.Expect(string(answer[due:])).To(ContainSubstring("X-Silverdeck-Response-Stamp: i-1\r\n"))
