limitread: an answer that is longer than its limit is no answer

Report: bytes without end, kept until the memory is gone.

What was wrong: the part up to the limit counted as the whole.

Cause: io.LimitReader ends with io.EOF, as a whole body does.

Change: limitread.ReadAll reads one byte more and returns an error. Why it works: no caller gets a part of a body.

The bound on the sum of answers at an entry without the platform is open (docs/design/bounds.md), by reading.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/silverdeck/silverdeck/limitread"
 	"github.com/silverdeck/silverdeck/weights"
 )
 
@@ -70,7 +71,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &StatusError{Path: path + weights.ManifestSuffix, Status: resp.StatusCode}
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, weights.MaxManifestBytes))
+	return limitread.ReadAll(resp.Body, weights.MaxManifestBytes)
 }
 
 // ReadRange implements Source.
--- a/standalone/engine/engine.go
+++ b/standalone/engine/engine.go
@@ -12,8 +12,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+
+	"github.com/silverdeck/silverdeck/limitread"
 )
 
 // OrderKind is what an order asks for.
@@ -86,7 +87,7 @@
 	return fmt.Sprintf("engine: order failed with status %d: %s", e.Status, e.Text)
 }
 
-// maxAnswer bounds what is read of the answer to an order, in bytes.
+// maxAnswer bounds an answer, in bytes. A longer one may have no end.
 const maxAnswer = 1 << 20
 
 type client struct {
@@ -146,6 +147,6 @@
 		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	b, err := limitread.ReadAll(resp.Body, maxAnswer)
 	return resp.StatusCode, b, err
 }
--- a/standalone/engine/engine_test.go
+++ b/standalone/engine/engine_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/silverdeck/silverdeck/endless"
 	"github.com/silverdeck/silverdeck/standalone/engine"
 	"github.com/silverdeck/silverdeck/standalone/secure"
 	"github.com/silverdeck/silverdeck/standalone/settings"
@@ -37,3 +38,23 @@
 	var stale *engine.StaleError
 	g.Expect(errors.As(err, &stale)).To(BeFalse(), "%v", err)
 }
+
+// TestAnAnswerWithoutEndIsNone guards against orders that count as taken, or as stale, and against bytes that are all kept.
+func TestAnAnswerWithoutEndIsNone(t *testing.T) {
+	for _, status := range []string{"200 OK", "409 Conflict"} {
+		t.Run(status, func(t *testing.T) {
+			g := NewWithT(t)
+			s := endless.NewServer("HTTP/1.1 "+status+"\r\n\r\n{\"epoch\":99}", " ")
+			defer s.Close()
+			d, err := secure.NewDialer(secure.NewNetwork(), settings.TLS{})
+			g.Expect(err).NotTo(HaveOccurred())
+			c := engine.NewClient("http://"+s.Addr, d.HTTPClient())
+			_, err = c.State(t.Context())
+			g.Expect(err).To(HaveOccurred())
+			err = c.Order(t.Context(), engine.Order{Epoch: 5})
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(errors.As(err, new(*engine.StaleError))).To(BeFalse(), "%v", err)
+			g.Expect(s.Sent()).To(BeNumerically("<", 2*(2<<20+endless.MaxUnread())))
+		})
+	}
+}
--- a/standalone/hop/error.go
+++ b/standalone/hop/error.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/silverdeck/silverdeck/limitread"
 	"github.com/silverdeck/silverdeck/responsehead"
 	"github.com/silverdeck/silverdeck/verdict"
 )
@@ -58,7 +58,7 @@
 // ReadError returns the error that resp carries. The peer's own verdict is believed if the answer is whole
 // and consistent; otherwise the request may have run.
 func ReadError(resp *http.Response) *verdict.Error {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	b, err := limitread.ReadAll(resp.Body, maxErrorBody)
 	var body errorBody
 	if err == nil {
 		err = json.Unmarshal(b, &body)
--- a/standalone/hop/hop_test.go
+++ b/standalone/hop/hop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -84,6 +85,14 @@
 	Entry("is not believed with a status line in the first line", "429 ", "429 TooHTTP/1.1 200 ", verdict.MayHaveRun),
 )
 
+var _ = Describe("ReadError", func() {
+	It("does not believe a verdict in a body without an end", func() {
+		resp := answerOf(verdict.NewError(verdict.Unsent{}, verdict.CodeOverloaded, "the queue is full"), "", "")
+		resp.Body = io.NopCloser(io.MultiReader(resp.Body, strings.NewReader(strings.Repeat(" ", 1<<20))))
+		Expect(hop.ReadError(resp).Verdict()).To(Equal(verdict.MayHaveRun))
+	})
+})
+
 func FuzzParseLoad(f *testing.F) {
 	f.Add("1/2/3")
 	f.Fuzz(func(t *testing.T, s string) {
--- a/weights/manifest.go
+++ b/weights/manifest.go
@@ -14,7 +14,7 @@
 // manifest.
 const ManifestSuffix = ".manifest.json"
 
-// MaxManifestBytes limits how many bytes of a manifest are read.
+// MaxManifestBytes limits the size of a manifest, in bytes.
 const MaxManifestBytes = 8 << 20
 
 // Limits on the chunk size, in bytes.
