gateway: a planned stop answers requests whose body is still arriving

Report: in a planned stop requests that came late in the grace were taken, passed on and cut at its end.

What was wrong: a request whose body was still arriving at the end got no answer, and one that could not be taken any more was told so only when its body was whole.

Cause: accept looked at the stop after the body alone, and the end of the stop ended only what was accepted.

Change: policy.BodyDeadline, asked before each read and when the stop begins: until the gateway ends its requests, and 50 ms where the request won't be taken. The caller gets 503, not run, when to come back. The deadline stays on the connection, as net/http otherwise reads the rest of the body before it responds.

Why it works: each request that is being read ends before the process does.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -57,6 +57,13 @@
 // startGatewayWithStore starts gateway n with store and returns its settings, as changed by the
 // options.
 func startGatewayWithStore(t *testing.T, store *standin.Store, n int, options ...func(*platform.Settings)) *platform.Settings {
+	gw, cfg := newGatewayWithStore(t, store, n, options...)
+	t.Cleanup(func() { _ = gw.Stop(context.Background()) })
+	return cfg
+}
+
+// newGatewayWithStore is like startGatewayWithStore, but the caller stops the gateway.
+func newGatewayWithStore(t *testing.T, store *standin.Store, n int, options ...func(*platform.Settings)) (*gateway.Gateway, *platform.Settings) {
 	g := NewWithT(t)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -73,9 +80,8 @@
 	}
 	gw := gateway.New(cfg, log.New(io.Discard), metrics.NewRegistry())
 	g.Expect(gw.Start(context.Background())).To(Succeed())
-	t.Cleanup(func() { _ = gw.Stop(context.Background()) })
 	g.Eventually(gw.Ready, eventuallyTimeout).Should(Succeed())
-	return cfg
+	return gw, cfg
 }
 
 func get(g *WithT, url, host string) (int, string) {
--- a/gateway/policy/leaving.go
+++ b/gateway/policy/leaving.go
@@ -9,3 +9,19 @@
 func AcceptsDuringShutdown(deadline, end time.Time) bool {
 	return !deadline.After(end)
 }
+
+// rejectedBodyTimeout is how long the body of a request is read that is rejected anyway. One that has arrived with its
+// head is read whole, so that its connection need not be reset.
+const rejectedBodyTimeout = 50 * time.Millisecond
+
+// BodyDeadline returns until when a gateway whose shutdown began and ends at the given times reads the body of a request
+// that started at start. A request that won't be accepted is not waited for.
+func BodyDeadline(start, deadline, began, end time.Time) time.Time {
+	if AcceptsDuringShutdown(deadline, end) {
+		return end
+	}
+	if start.Before(began) {
+		start = began
+	}
+	return start.Add(rejectedBodyTimeout)
+}
--- a/gateway/proxy/accept.go
+++ b/gateway/proxy/accept.go
@@ -45,8 +45,10 @@
 			return c, verdict.NewError(verdict.Unsent{}, verdict.CodeUnauthorized, "unknown key")
 		}
 	}
+	timeout, given := callerTimeout(r.Header.Get(names.Deadline))
+	c.deadline = c.startedAt.Add(min(timeout, c.route.Timeout))
 	c.held.memory = p.cfg.Memory
-	body, failure := readBody(w, r, c.config.Limits.BodyBytes, &c.held)
+	body, failure := p.readBody(w, r, c, c.config.Limits.BodyBytes)
 	if failure != nil {
 		return c, failure
 	}
@@ -56,13 +58,11 @@
 	c.promptTokens, c.maxAnswerTokens = tokenCounts(r.Header.Get(names.Tokens))
 	c.answerHint = tokenCount(r.Header.Get(names.LengthHint))
 	c.lastEventID = r.Header.Get(names.LastEventID)
-	timeout, given := callerTimeout(r.Header.Get(names.Deadline))
-	c.deadline = c.startedAt.Add(min(timeout, c.route.Timeout))
 	if given {
 		c.elapsed = p.callerTimeouts.elapsed(c.timeoutKey(), timeout, c.startedAt)
 	}
 	if !p.acceptsDeadline(c.deadline) {
-		return c, verdict.NewError(verdict.Unsent{}, verdict.CodeLeaving, "this gateway ends before the request may").WithRetryAfter(policy.RetryAfterDefault)
+		return c, leavingError()
 	}
 	c.suspects.Request = poisonRequest(r, c.account, body)
 	for _, id := range p.cfg.ReadSharedParts(r.Header) {
@@ -72,6 +72,11 @@
 	return c, nil
 }
 
+// leavingError returns the failure of a request that may not end before this process stops.
+func leavingError() *verdict.Error {
+	return verdict.NewError(verdict.Unsent{}, verdict.CodeLeaving, "this gateway ends before the request may").WithRetryAfter(policy.RetryAfterDefault)
+}
+
 // allowedRegions returns the regions in which a request may be processed. account is nil if the
 // request needs no key.
 func allowedRegions(route *routes.Route, account *routes.Account) residency.Regions {
--- a/gateway/proxy/body.go
+++ b/gateway/proxy/body.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/silverdeck/silverdeck/gateway/policy"
@@ -24,18 +27,25 @@
 // errNoMemory means that the bodies of other requests take all of the memory.
 var errNoMemory = errors.New("no memory for the body")
 
-// readBody reads the body of a request, of at most limit bytes. The memory is reserved in held.
-func readBody(w http.ResponseWriter, r *http.Request, limit int, held *reservation) ([]byte, *verdict.Error) {
+// readBody reads the body of a request, of at most limit bytes. The memory is reserved in c.held.
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int) ([]byte, *verdict.Error) {
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	caller := http.NewResponseController(w)
-	source := &stallingReader{source: http.MaxBytesReader(w, r.Body, int64(limit)), setDeadline: caller.SetReadDeadline}
-	body, _, err := readReserved(source, held, int64(limit)+1)
-	_ = caller.SetReadDeadline(time.Time{}) // fails only if the caller has disconnected
+	source := &stallingReader{
+		source:      http.MaxBytesReader(w, r.Body, int64(limit)),
+		setDeadline: http.NewResponseController(w).SetReadDeadline,
+		limit:       func() time.Time { return p.bodyDeadline(c) },
+	}
+	defer context.AfterFunc(p.shutdownCtx, source.extend)()
+	body, _, err := readReserved(source, &c.held, int64(limit)+1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && p.shutdown.Load() != nil {
+		return nil, leavingError() // the deadline stays, since net/http reads the rest of a body before it responds
+	}
+	source.finish()
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -48,18 +58,55 @@
 	return body, nil
 }
 
+// bodyDeadline returns when reading the body of c ends because this process stops, or the zero time.
+func (p *Proxy) bodyDeadline(c *call) time.Time {
+	s := p.shutdown.Load()
+	if s == nil {
+		return time.Time{}
+	}
+	return policy.BodyDeadline(c.startedAt, c.deadline, s.began, s.end)
+}
+
 // stallingReader reads from a source that may stop sending.
 type stallingReader struct {
 	source      io.Reader
 	setDeadline func(time.Time) error
+	// limit returns a time after which nothing is read, or the zero time.
+	limit func() time.Time
+
+	mu sync.Mutex
+	// finished is set once the deadline concerns others.
+	finished bool
 }
 
 // Read implements io.Reader.
 func (s *stallingReader) Read(p []byte) (int, error) {
-	_ = s.setDeadline(time.Now().Add(callerReadTimeout)) // fails only if the caller has disconnected
+	s.extend()
 	return s.source.Read(p)
 }
 
+// extend gives the source callerReadTimeout to send something, up to the limit.
+func (s *stallingReader) extend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.finished {
+		return
+	}
+	deadline := time.Now().Add(callerReadTimeout)
+	if limit := s.limit(); !limit.IsZero() && limit.Before(deadline) {
+		deadline = limit
+	}
+	_ = s.setDeadline(deadline) // fails only if the caller has disconnected
+}
+
+// finish removes the deadline. Later calls of extend have no effect.
+func (s *stallingReader) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finished = true
+	_ = s.setDeadline(time.Time{}) // fails only if the caller has disconnected
+}
+
 // readReserved reads r to its end, or up to limit bytes if that comes first. whole reports whether
 // the end was reached. The error is errNoMemory if held can't be extended; what was read is
 // returned in any case.
--- a/gateway/proxy/proxy.go
+++ b/gateway/proxy/proxy.go
@@ -75,8 +75,10 @@
 	cfg      Config
 	routes   atomic.Pointer[routes.Config]
 	inFlight *drain.Tracker
-	// stopAt is when this process exits after it was told to stop, or nil.
-	stopAt atomic.Pointer[time.Time]
+	// shutdown is set once this process was told to stop, before shutdownCtx is canceled by beginShutdown.
+	shutdown      atomic.Pointer[shutdown]
+	shutdownCtx   context.Context
+	beginShutdown context.CancelFunc
 	// stopCtx is canceled to end all requests in progress.
 	stopCtx context.Context
 	// CancelRequests cancels the requests in progress. Callers that have not received a response
@@ -106,6 +108,7 @@
 	}
 	p := &Proxy{cfg: cfg, inFlight: drain.NewTracker(), callerTimeouts: newTimeoutTracker(), refusals: newRefusals(), crashes: newCrashDetector(cfg.Client.CheckLiveness)}
 	p.stopCtx, p.CancelRequests = context.WithCancel(context.Background())
+	p.shutdownCtx, p.beginShutdown = context.WithCancel(context.Background())
 	return p
 }
 
@@ -144,16 +147,24 @@
 	return p.routes.Load()
 }
 
+// shutdown is the time of a planned stop of this process.
+type shutdown struct {
+	began time.Time
+	// end is when the process stops waiting for requests.
+	end time.Time
+}
+
 // BeginShutdown makes responses close their connections. From now on the proxy accepts only
 // requests whose deadline is no later than end, when the process stops waiting for them.
 func (p *Proxy) BeginShutdown(end time.Time) {
-	p.stopAt.Store(&end)
+	p.shutdown.Store(&shutdown{began: time.Now(), end: end})
+	p.beginShutdown()
 }
 
 // acceptsDeadline reports whether a request with the given deadline is accepted.
 func (p *Proxy) acceptsDeadline(deadline time.Time) bool {
-	end := p.stopAt.Load()
-	return end == nil || policy.AcceptsDuringShutdown(deadline, *end)
+	s := p.shutdown.Load()
+	return s == nil || policy.AcceptsDuringShutdown(deadline, s.end)
 }
 
 // Running returns the tracker of requests in progress.
@@ -165,7 +176,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Enter()
 	defer p.inFlight.Leave()
-	if p.stopAt.Load() != nil {
+	if p.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c, failure := p.accept(w, r)
