--- a/soak/restored.go
+++ b/soak/restored.go
@@ -132,6 +132,7 @@
 	for i := range otherWrites {
 		w.store.Put("others", fmt.Sprint(i), time.Now().UnixNano())
 	}
+	w.putOddRecords()
 	w.store.SetFault(standin.StoreFault{Status: http.StatusServiceUnavailable, Unresponsive: silent})
 	r.mu.Lock()
 	if len(r.copies) == 0 {
--- a/standin/store.go
+++ b/standin/store.go
@@ -293,5 +293,6 @@
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	data, _ := json.Marshal(v)
+	_, _ = w.Write(replaceNested(data)) // fails only if the client has disconnected
 }
