standalone/objectstore: a VM that can't be read does not keep the others of the list from being read

Cause: the list was decoded whole.

Evidence: red before: TestAnOddVMDecidesOverNoOthers (6 of 6). A list that is cut short stays an error (TestAListOfVMsThatIsNoneIsAnError).

Change: jsonsplit splits the list, each VM is decoded alone, and one that can't be is left out, counted and logged by the entry. Why it works: no VM is looked into to find the next.

--- a/standalone/entry/watch.go
+++ b/standalone/entry/watch.go
@@ -91,10 +91,14 @@
 
 // watchList waits for one newer list of VMs.
 func (e *Entry) watchList(ctx context.Context) error {
+	before := e.platform.Unreadable()
 	l, err := e.platform.WatchVMs(ctx, e.list.Load().Version)
 	if err != nil {
 		return err
 	}
+	if n := e.platform.Unreadable() - before; n > 0 {
+		e.log.Warn("VMs left out of the list, not readable", "count", n, "version", l.Version)
+	}
 	e.advanceList(&l)
 	return nil
 }
--- a/standalone/objectstore/client.go
+++ b/standalone/objectstore/client.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/silverdeck/silverdeck/jsonsplit"
 	"github.com/silverdeck/silverdeck/responsehead"
 )
 
@@ -59,6 +60,13 @@
 	reads  *rate.Limiter
 	writes *rate.Limiter
 	next   atomic.Uint64
+	// unreadable counts VMs that could not be decoded; see Unreadable.
+	unreadable atomic.Int64
+}
+
+// Unreadable returns the number of VMs in lists that were left out because they could not be decoded.
+func (c *Client) Unreadable() int64 {
+	return c.unreadable.Load()
 }
 
 // NewClient returns a Client of the platform at urls.
@@ -111,12 +119,39 @@
 	default:
 		return l, &UnavailableError{Err: statusError(resp)}
 	}
-	if err := json.Unmarshal(b, &l); err != nil {
+	l, unreadable, err := decodeVMList(b)
+	if err != nil {
 		return l, &UnavailableError{Err: err}
 	}
+	c.unreadable.Add(int64(unreadable))
 	return l, nil
 }
 
+// decodeVMList decodes a list of VMs. It leaves out those that can't be decoded or have no name, and returns their
+// number.
+func decodeVMList(data []byte) (l VMList, unreadable int, err error) {
+	var vms json.RawMessage
+	if err := jsonsplit.Decode(data, map[string]any{"version": &l.Version, "vms": &vms}); err != nil {
+		return VMList{}, 0, err
+	}
+	if len(vms) == 0 || string(vms) == "null" {
+		return l, 0, nil
+	}
+	parts, err := jsonsplit.Array(vms)
+	if err != nil {
+		return VMList{}, 0, err
+	}
+	for _, part := range parts {
+		var vm VM
+		if json.Unmarshal(part, &vm) != nil || vm.Name == "" {
+			unreadable++
+			continue
+		}
+		l.VMs = append(l.VMs, vm)
+	}
+	return l, unreadable, nil
+}
+
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, key string, data []byte, version int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
--- a/standalone/objectstore/client_test.go
+++ b/standalone/objectstore/client_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -91,3 +93,39 @@
 		})
 	}
 }
+
+// TestAnOddVMDecidesOverNoOthers guards against entries that stop following the list of VMs because of one of them.
+func TestAnOddVMDecidesOverNoOthers(t *testing.T) {
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for name, odd := range map[string]string{
+		"nested deeply":           nested,
+		"with a member so nested": `{"name":"x","labels":` + nested + `}`,
+		"with another type":       `{"name":7}`,
+		"no object":               `7`,
+		"without a name":          `{"zone":"a"}`,
+		"null":                    `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			list := `{"version":5,"vms":[{"name":"a"},` + odd + `,{"name":"b","leaving":true}]}`
+			s := rawserver.New(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list))
+			defer s.Close()
+			c := newClient(t, s.Addr)
+			l, err := c.WatchVMs(t.Context(), 4)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(l).To(Equal(objectstore.VMList{Version: 5, VMs: []objectstore.VM{{Name: "a"}, {Name: "b", Leaving: true}}}))
+			g.Expect(c.Unreadable()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
+// TestAListOfVMsThatIsNoneIsAnError guards against VMs that count as gone because of a list without its end.
+func TestAListOfVMsThatIsNoneIsAnError(t *testing.T) {
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for _, list := range []string{``, `7`, `{"version":5,"vms":[{"name":"a"}`, `{"version":5,"vms":[` + nested, `{"version":"5","vms":[]}`, `{"version":5,"vms":7}`} {
+		s := rawserver.New("HTTP/1.1 200 OK\r\n\r\n" + list)
+		_, err := newClient(t, s.Addr).WatchVMs(t.Context(), 4)
+		s.Close()
+		NewWithT(t).Expect(err).To(HaveOccurred(), "%.40s", list)
+	}
+}
