--- a/jsonsplit/jsonsplit.go
+++ b/jsonsplit/jsonsplit.go
@@ -55,7 +55,8 @@
 }
 
 // Decode decodes those members of an object that targets names into the values that it points to. Others are not looked
-// at. A member that is missing or null leaves its target as it is.
+// at. A member that is missing leaves its target as it is; so does null, unless the target is a json.RawMessage, which
+// takes any member as it stands.
 func Decode(data []byte, targets map[string]any) error {
 	members, err := Object(data)
 	if err != nil {
@@ -71,7 +72,6 @@
 	return nil
 }
 
-// decodeMember decodes a member. A json.RawMessage is not looked into.
 func decodeMember(member json.RawMessage, target any) error {
 	if raw, ok := target.(*json.RawMessage); ok {
 		*raw = member
