standalone/caller: the answers that an entry holds have one limit

Report: a faulty endpoint sends bytes without an end, and the machine that called it runs out of memory. At an entry without the platform each answer was bounded (64 MB), but not their sum: as many as the engine has slots could be held at once. Found by reading; not played with an engine of that kind.

Cause: the limit was one of a body.

Evidence: session TestAnEntryHoldsNoMoreOfAnswersThanItMay, plain and marked: without the check an answer larger than maxHeldBytes arrives (200).

Change: caller.heldAnswers counts what is read of answers that are held until their callers have them, those that another entry passes on included. Beyond maxHeldBytes (new setting, 1 GB by default) a request fails as one that ran. An answer of another entry over 64 MB is an error now and no longer cut (no test: other entries send none).

Why it works: each byte counts before it is kept and until its request ends, so that the sum can't exceed the limit by more than a read of each request; the limit is free again after each (three in a row in the test).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -87,6 +87,7 @@
 mutant "an old encoding counts" responsehead/responsehead.go 's/!resp.ProtoAtLeast\(1, 1\) &&/false \&\&/' ./gateway/proxy 'TestAnEncodingOfAnOldProtocol'
 mutant "any trailer ends a body" gateway/upstream/upstream.go 's/CheckNames\(x.response.Trailer\)/CheckNames(nil)/' ./gateway/proxy 'TestATrailerWithAnInvalidName'
 mutant "a part of a body counts as the whole" limitread/limitread.go 's/int64\(len\(b\)\) > limit/false/' ./platform 'TestABodyWithoutEnd'
+mutant "an entry holds any number of answers" standalone/caller/held.go 's/if b.answers.used/if false \&\& b.answers.used/' ./standalone/session 'TestAnEntryHolds'
 mutant "a page is decoded whole" platform/page.go 's/return jsonsplit.Array\(elements\)/return nil, jsonsplit.ErrKind/' ./platform 'TestAnObjectThatCannotBeRead'
 mutant "a body outlives its gateway" gateway/proxy/body.go 's/!limit.IsZero\(\) &&/false \&\&/' ./gateway 'TestAPlannedStop'
 mutant "a head of two answers counts" gateway/policy/head.go 's/if responsehead.ContinuesWithResponse\(raw\)/if false \&\& responsehead.ContinuesWithResponse(raw)/' ./gateway/proxy 'TestNoBreakOfAnAnswerMakesAPromise'
--- a/standalone/caller/caller.go
+++ b/standalone/caller/caller.go
@@ -69,8 +69,10 @@
 	// Addresses returns where callers can go, and how long they may keep that.
 	Addresses func() ([]string, time.Duration)
 	// Leaving returns whether the entry takes no new requests.
-	Leaving  func() bool
-	MaxBody  int64
+	Leaving func() bool
+	MaxBody int64
+	// MaxHeld bounds the answers that are held at the same time, in bytes.
+	MaxHeld  int64
 	Tracer   *telemetry.Tracer
 	Log      *log.Logger
 	Registry metrics.Registry
@@ -80,12 +82,13 @@
 type Handler struct {
 	Config
 	engine *gin.Engine
+	held   heldAnswers
 }
 
 // NewHandler returns a Handler.
 func NewHandler(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
-	h := &Handler{Config: cfg, engine: gin.New()}
+	h := &Handler{Config: cfg, engine: gin.New(), held: heldAnswers{limit: cfg.MaxHeld}}
 	h.engine.Use(h.leaving)
 	h.engine.GET("/v1/addresses", h.addresses)
 	h.engine.GET("/v1/models", h.models)
--- a/standalone/caller/relay.go
+++ b/standalone/caller/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/silverdeck/silverdeck/limitread"
 	"github.com/silverdeck/silverdeck/standalone/hop"
 	"github.com/silverdeck/silverdeck/standalone/ticket"
 	"github.com/silverdeck/silverdeck/verdict"
@@ -25,8 +26,8 @@
 	return &Relay{http: c, base: scheme + "://"}
 }
 
-// pass sends the request to the entry at addr and its answer to w.
-func (y *Relay) pass(ctx context.Context, w http.ResponseWriter, q *http.Request, body []byte, addr string) {
+// pass sends the request to the entry at addr and its answer to w. The answer counts in held.
+func (y *Relay) pass(ctx context.Context, w http.ResponseWriter, q *http.Request, body []byte, addr string, held *heldAnswers) {
 	r, err := http.NewRequestWithContext(ctx, q.Method, y.base+addr+RelayPrefix+q.URL.RequestURI(), hop.OnceBody(body))
 	if err != nil {
 		hop.WriteError(w, verdict.NewError(verdict.Unsent{}, verdict.CodeBadRequest, "bad path").WithCause(err))
@@ -56,7 +57,9 @@
 		_ = stream(w, &doneReader{src: resp.Body}) // the caller is told in the stream itself
 		return
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	kept := held.body(resp.Body)
+	defer func() { _ = kept.Close() }()
+	b, err := limitread.ReadAll(kept, maxAnswer)
 	if err != nil {
 		w.Header().Del("Content-Length")
 		hop.WriteError(w, verdict.Classify(verdict.Answering, err))
--- a/standalone/caller/serve.go
+++ b/standalone/caller/serve.go
@@ -34,7 +34,7 @@
 	}
 	c.Header(ticket.Header, t.String())
 	if !h.Ledger.Owns(t) && t.Addr != h.Ledger.Addr() && c.GetHeader(HeaderRelayed) == "" {
-		h.Relay.pass(c.Request.Context(), c.Writer, c.Request, r.Body, t.Addr)
+		h.Relay.pass(c.Request.Context(), c.Writer, c.Request, r.Body, t.Addr, &h.held)
 		return
 	}
 	h.serveOnce(c, r, spec, t)
@@ -117,9 +117,13 @@
 	}
 	span.SetAttributes(attribute.String("endpoint", result.Choice.Endpoint.VM), attribute.String("why", result.Choice.Reason),
 		attribute.Int("candidates", result.Choice.Candidates), attribute.Int("attempts", result.Attempts))
-	if w != http.ResponseWriter(c.Writer) {
+	recorded := w != http.ResponseWriter(c.Writer)
+	if recorded {
 		result.Body = newRecordedBody(result.Body)
 	}
+	if recorded || !hop.IsStream(result.Header) {
+		result.Body = h.held.body(result.Body)
+	}
 	err = h.answer(w, result)
 	_ = result.Body.Close()
 	result.Done(err)
--- a/standalone/entry/entry.go
+++ b/standalone/entry/entry.go
@@ -143,6 +143,7 @@
 		Addresses: e.callerAddresses,
 		Leaving:   e.leaving.Load,
 		MaxBody:   e.cfg.MaxBodyBytes,
+		MaxHeld:   e.cfg.MaxHeldBytes,
 		Tracer:    tracer,
 		Log:       e.log,
 		Registry:  e.registry,
--- a/standalone/settings/entry.go
+++ b/standalone/settings/entry.go
@@ -27,6 +27,8 @@
 	RetryShare float64 `json:"retryShare"`
 	// MaxBodyBytes is the largest request taken from a caller.
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
+	// MaxHeldBytes bounds the answers that are held until their callers have them, together.
+	MaxHeldBytes int64 `json:"maxHeldBytes"`
 	// OperatorTokens maps a hex BLAKE3 digest of a bearer token to the
 	// operator's name. Empty means that every operator is believed.
 	OperatorTokens map[string]string  `json:"operatorTokens,omitempty"`
@@ -44,6 +46,7 @@
 		AddressTTLSeconds: 30,
 		RetryShare:        0.1,
 		MaxBodyBytes:      8 << 20,
+		MaxHeldBytes:      1 << 30,
 		Telemetry:         telemetry.Settings{LogLevel: "info"},
 	}
 }
@@ -68,6 +71,7 @@
 		checkRange("addressTTLSeconds", float64(s.AddressTTLSeconds), 1, 3600),
 		checkRange("retryShare", s.RetryShare, 0, 1),
 		checkRange("maxBodyBytes", float64(s.MaxBodyBytes), 1024, 1<<30),
+		checkRange("maxHeldBytes", float64(s.MaxHeldBytes), 1<<20, 1<<40),
 		s.CallerTLS.check("callerTLS", false),
 		s.OperatorTLS.check("operatorTLS", false),
 		s.PeerTLS.check("peerTLS", true),
